--- /dev/null
+++ b/Source/Core/Common/Ids.h
@@ -0,0 +1,54 @@
+#pragma once
+
+#include <compare>
+#include <cstdint>
+#include <functional>
+#include <string>
+#include <utility>
+
+namespace Pollenwind {
+
+/// Identifier with a tag type, so that ids of different kinds cannot be mixed up.
+template <typename Tag, typename Value> class Id {
+public:
+    Id() = default;
+    explicit Id(Value value)
+        : m_value(std::move(value))
+    {
+    }
+
+    const Value& value() const { return m_value; }
+    auto operator<=>(const Id&) const = default;
+    bool operator==(const Id&) const = default;
+
+private:
+    Value m_value {};
+};
+
+/// Organisation (tenant) that owns keys, rate and burst. Name from the service document.
+using OrganisationId = Id<struct OrganisationTag, std::string>;
+/// Service of the service document, e.g. a model or a booking service.
+using ServiceId = Id<struct ServiceTag, std::string>;
+/// Upstream (an engine or a runner of a plain service). Name from the service document.
+using UpstreamId = Id<struct UpstreamTag, std::string>;
+/// Availability zone.
+using ZoneId = Id<struct ZoneTag, std::string>;
+/// Entry VM. Name from the settings; a restarted VM keeps it and changes its incarnation.
+using VmId = Id<struct VmTag, std::string>;
+/// Version of a model's weights, or of a plain service.
+using VersionId = Id<struct VersionTag, std::string>;
+/// Request, unique over the fleet.
+using RequestId = Id<struct RequestTag, std::string>;
+/// Random number that tells two lives of one VM or engine apart.
+using Incarnation = Id<struct IncarnationTag, std::uint64_t>;
+/// Revision of the configuration, as counted by the platform's store.
+using Revision = Id<struct RevisionTag, std::int64_t>;
+
+} // namespace Pollenwind
+
+template <typename Tag, typename Value> struct std::hash<Pollenwind::Id<Tag, Value>> {
+    std::size_t operator()(const Pollenwind::Id<Tag, Value>& id) const noexcept
+    {
+        return std::hash<Value> {}(id.value());
+    }
+};
--- /dev/null
+++ b/Source/Core/Common/Task.h
@@ -0,0 +1,18 @@
+#pragma once
+
+#include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+namespace Pollenwind {
+
+namespace asio = boost::asio;
+
+/// A coroutine run by the process's io_context. There is one for each connection and each peer.
+template <typename T = void> using Task = asio::awaitable<T>;
+
+/// Completion token that delivers errors as values instead of exceptions.
+inline constexpr auto asTuple = asio::as_tuple(asio::use_awaitable);
+
+} // namespace Pollenwind
--- /dev/null
+++ b/Source/Core/Config/ConfigurationTable.h
@@ -0,0 +1,22 @@
+#pragma once
+
+#include "Config/Commands/ConfigurationCommands.h"
+#include "Config/Queries/ConfigurationQueries.h"
+#include "Timeline/Commands/TimelineCommands.h"
+
+namespace Pollenwind {
+
+/// Owner of the configuration in force. Revisions only go up.
+class ConfigurationTable final : public ConfigurationCommands, public ConfigurationQueries {
+public:
+    explicit ConfigurationTable(TimelineCommands& timeline);
+
+    std::shared_ptr<const Configuration> current() const override { return m_current; }
+    AdoptResult adopt(Revision revision, std::string text) override;
+
+private:
+    TimelineCommands& m_timeline;
+    std::shared_ptr<const Configuration> m_current;
+};
+
+} // namespace Pollenwind
--- /dev/null
+++ b/Source/Core/Dispatch/CompletionDispatcher.h
@@ -0,0 +1,63 @@
+#pragma once
+
+#include "Common/Clock.h"
+#include "Config/Queries/ConfigurationQueries.h"
+#include "Dispatch/Commands/CompletionCommands.h"
+#include "Dispatch/Queries/RetryRule.h"
+#include "Keys/Queries/KeyQueries.h"
+#include "Limits/Commands/LimitCommands.h"
+#include "Metrics/Commands/MetricCommands.h"
+#include "Placement/Commands/CacheCommands.h"
+#include "Placement/Queries/PlacementPolicy.h"
+#include "Upstream/Commands/EngineClient.h"
+#include "Upstream/Commands/UpstreamCommands.h"
+#include "Upstream/Queries/UpstreamQueries.h"
+
+#include <set>
+
+namespace Pollenwind {
+
+/// Time limits of a dispatcher.
+struct DispatchTimeouts {
+    std::chrono::nanoseconds rateWait { std::chrono::seconds(1) };
+    std::chrono::nanoseconds firstToken { std::chrono::seconds(30) };
+    std::chrono::nanoseconds tokenGap { std::chrono::seconds(5) };
+};
+
+/// What a dispatcher works with. All references must outlive it.
+struct DispatchContext {
+    const Clock& clock;
+    const ConfigurationQueries& configuration;
+    const KeyQueries& keys;
+    LimitCommands& limits;
+    const PlacementPolicy& placement;
+    CacheCommands& cache;
+    UpstreamCommands& upstreamCommands;
+    const UpstreamQueries& upstreams;
+    MetricCommands& metrics;
+    ZoneId ownZone;
+    DispatchTimeouts timeouts;
+};
+
+/// Runs generation requests: rate, placement, attempts, resume.
+class CompletionDispatcher final : public CompletionCommands {
+public:
+    CompletionDispatcher(DispatchContext context, EngineClient& engines);
+
+    Task<Outcome<CompletionSummary>> run(CompletionRequest request, TokenSink& sink) override;
+
+private:
+    struct Delivery;
+
+    Task<Outcome<CompletionSummary>> runReserved(const CompletionRequest& request, TokenSink& sink, Delivery& delivery);
+    Task<Outcome<CompletionSummary>> attempt(
+        const CompletionRequest& request, const PlacementChoice& choice, TokenSink& sink, Delivery& delivery);
+    Task<Outcome<CompletionSummary>> relay(
+        const CompletionRequest& request, StreamId stream, TokenSink& sink, Delivery& delivery);
+    std::optional<PlacementChoice> place(const Delivery& delivery) const;
+
+    DispatchContext m_context;
+    EngineClient& m_engines;
+};
+
+} // namespace Pollenwind
--- /dev/null
+++ b/Source/Core/Http/AdminFrontEnd.h
@@ -0,0 +1,68 @@
+#pragma once
+
+#include "Common/Error.h"
+#include "Common/Task.h"
+#include "Transport/HttpServer.h"
+
+#include <functional>
+#include <map>
+#include <string>
+#include <string_view>
+
+namespace Pollenwind {
+
+/// Answers one administration query with a JSON text.
+class AdminQuery {
+public:
+    AdminQuery() = default;
+    AdminQuery(const AdminQuery&) = delete;
+    AdminQuery& operator=(const AdminQuery&) = delete;
+    virtual ~AdminQuery() = default;
+
+    virtual Task<Outcome<std::string>> run(const HttpRequest& request) = 0;
+};
+
+/// Carries out one administration command and answers with a JSON text.
+class AdminCommand {
+public:
+    AdminCommand() = default;
+    AdminCommand(const AdminCommand&) = delete;
+    AdminCommand& operator=(const AdminCommand&) = delete;
+    virtual ~AdminCommand() = default;
+
+    virtual Task<Outcome<std::string>> run(const HttpRequest& request) = 0;
+};
+
+/// Serves operators: GET /admin/queries/NAME and POST /admin/commands/NAME, with the administration token as bearer.
+/// /health, /ready and /metrics need no token, since balancers and scrapers have none and learn no secrets there.
+class AdminFrontEnd final : public HttpHandler {
+public:
+    /// @param token The administration token.
+    explicit AdminFrontEnd(std::string token);
+
+    /// Registers a query. It must outlive the front end.
+    void addQuery(std::string name, AdminQuery& query);
+    /// Registers a command. It must outlive the front end.
+    void addCommand(std::string name, AdminCommand& command);
+    /// Registers a text that needs no token, e.g. "/metrics".
+    void addOpenText(std::string path, std::string contentType, std::function<Outcome<std::string>()> text);
+
+    Task<> handle(HttpExchange& exchange) override;
+    HttpAnswer refusal(int status, std::string_view reason) const override;
+
+private:
+    struct OpenText {
+        std::string contentType;
+        std::function<Outcome<std::string>()> text;
+    };
+
+    bool isAuthorised(const HttpRequest& request) const;
+    Task<Outcome<std::string>> run(const HttpRequest& request);
+
+    std::string m_token;
+    std::map<std::string, AdminQuery*, std::less<>> m_queries;
+    std::map<std::string, AdminCommand*, std::less<>> m_commands;
+    std::map<std::string, OpenText, std::less<>> m_openTexts;
+};
+
+} // namespace Pollenwind
--- /dev/null
+++ b/Source/Core/Http/CallerCodec.cpp
@@ -0,0 +1,236 @@
+#include "Http/CallerCodec.h"
+
+#include <nlohmann/json.hpp>
+
+#include <cmath>
+
+namespace Pollenwind::CallerCodec {
+
+namespace {
+
+    using Json = nlohmann::json;
+
+    constexpr std::uint32_t defaultMaxTokens = 256;
+
+    struct StatusRow {
+        ErrorCode code;
+        int status;
+    };
+
+    constexpr std::array statusRows {
+        StatusRow { ErrorCode::Malformed, 400 },
+        StatusRow { ErrorCode::KeyUnknown, 401 },
+        StatusRow { ErrorCode::KeyWithdrawn, 401 },
+        StatusRow { ErrorCode::Forbidden, 403 },
+        StatusRow { ErrorCode::NoRoute, 404 },
+        StatusRow { ErrorCode::NotFound, 404 },
+        StatusRow { ErrorCode::MethodNotAllowed, 405 },
+        StatusRow { ErrorCode::InProgress, 409 },
+        StatusRow { ErrorCode::OutcomeUnknown, 502 },
+        StatusRow { ErrorCode::Conflict, 409 },
+        StatusRow { ErrorCode::TooLarge, 413 },
+        StatusRow { ErrorCode::RequestExceedsBurst, 413 },
+        StatusRow { ErrorCode::RateExceeded, 429 },
+        StatusRow { ErrorCode::DeadlineExceeded, 504 },
+        StatusRow { ErrorCode::ConnectionLost, 502 },
+        StatusRow { ErrorCode::ProtocolError, 502 },
+        StatusRow { ErrorCode::Mismatch, 502 },
+    };
+
+    int statusOf(ErrorCode code)
+    {
+        for (const auto& row : statusRows) {
+            if (row.code == code) {
+                return row.status;
+            }
+        }
+        return 503;
+    }
+
+    Json errorObject(const Error& error, std::string_view request)
+    {
+        Json object
+            = { { "code", nameOf(error.code) }, { "message", error.message }, { "run", nameOf(error.runState) } };
+        if (!request.empty()) {
+            object["request_id"] = request;
+        }
+        return { { "error", object } };
+    }
+
+    std::string dump(const Json& json)
+    {
+        // A token may end inside a UTF-8 character; the byte is replaced instead of thrown on.
+        return json.dump(-1, ' ', false, Json::error_handler_t::replace);
+    }
+
+    std::string event(const Json& json) { return "data: " + dump(json) + "\n\n"; }
+
+    std::string_view objectName(CompletionForm form, bool isChunk)
+    {
+        if (form == CompletionForm::Chat) {
+            return isChunk ? "chat.completion.chunk" : "chat.completion";
+        }
+        return "text_completion";
+    }
+
+    Json envelope(const RequestId& request, std::string_view model, CompletionForm form, bool isChunk, Json choice)
+    {
+        choice["index"] = 0;
+        return { { "id", request.value() }, { "object", objectName(form, isChunk) }, { "model", model },
+            { "choices", Json::array({ std::move(choice) }) } };
+    }
+
+    Json usage(const CompletionSummary& summary)
+    {
+        return { { "prompt_tokens", summary.promptTokens }, { "completion_tokens", summary.completionTokens },
+            { "total_tokens", summary.promptTokens + summary.completionTokens },
+            { "prompt_tokens_details", { { "cached_tokens", summary.cachedTokens } } } };
+    }
+
+    std::unexpected<Error> malformed(std::string text) { return fail(ErrorCode::Malformed, std::move(text)); }
+
+    Outcome<std::string> readMessages(const Json& json)
+    {
+        const auto it = json.find("messages");
+        if (it == json.end() || !it->is_array() || it->empty()) {
+            return malformed("\"messages\" must be a non-empty array");
+        }
+        std::string prompt;
+        for (const auto& message : *it) {
+            const bool isText = message.is_object() && message.contains("role") && message["role"].is_string()
+                && message.contains("content") && message["content"].is_string();
+            if (!isText) {
+                return malformed("each message needs the strings \"role\" and \"content\"");
+            }
+            prompt += message["role"].get_ref<const std::string&>() + ": ";
+            prompt += message["content"].get_ref<const std::string&>() + "\n";
+        }
+        return prompt;
+    }
+
+    Outcome<std::string> readPrompt(const Json& json)
+    {
+        const auto it = json.find("prompt");
+        if (it == json.end() || !it->is_string()) {
+            return malformed("\"prompt\" must be a string");
+        }
+        return it->get<std::string>();
+    }
+
+    Outcome<std::uint32_t> readMaxTokens(const Json& json)
+    {
+        for (const char* name : { "max_completion_tokens", "max_tokens" }) {
+            const auto it = json.find(name);
+            if (it == json.end() || it->is_null()) {
+                continue;
+            }
+            if (!it->is_number_unsigned() || it->get<std::uint64_t>() == 0 || it->get<std::uint64_t>() > 1'000'000) {
+                return malformed("\"" + std::string(name) + "\" must be a whole number from 1 to 1000000");
+            }
+            return it->get<std::uint32_t>();
+        }
+        return defaultMaxTokens;
+    }
+
+} // namespace
+
+Outcome<CompletionBody> decodeCompletion(std::string_view body, CompletionForm form)
+{
+    const auto json = Json::parse(body, nullptr, false);
+    if (!json.is_object()) {
+        return malformed("the body must be a JSON object");
+    }
+    CompletionBody result;
+    if (!json.contains("model") || !json["model"].is_string()) {
+        return malformed("\"model\" must be a string");
+    }
+    result.model = json["model"].get<std::string>();
+    auto prompt = form == CompletionForm::Chat ? readMessages(json) : readPrompt(json);
+    if (!prompt) {
+        return std::unexpected(prompt.error());
+    }
+    result.prompt = std::move(*prompt);
+    const auto maxTokens = readMaxTokens(json);
+    if (!maxTokens) {
+        return std::unexpected(maxTokens.error());
+    }
+    result.maxTokens = *maxTokens;
+    const auto stream = json.find("stream");
+    if (stream != json.end() && !stream->is_boolean()) {
+        return malformed("\"stream\" must be true or false");
+    }
+    result.isStream = stream != json.end() && stream->get<bool>();
+    const auto priority = json.find("priority");
+    if (priority != json.end()) {
+        if (!priority->is_number_integer() || std::abs(priority->get<std::int64_t>()) > 100) {
+            return malformed("\"priority\" must be a whole number from -100 to 100");
+        }
+        result.priority = priority->get<int>();
+    }
+    return result;
+}
+
+std::string encodeTokenEvent(
+    const RequestId& request, std::string_view model, const TokenChunk& chunk, CompletionForm form)
+{
+    Json choice = { { "finish_reason", nullptr } };
+    if (form == CompletionForm::Chat) {
+        choice["delta"] = { { "content", chunk.text } };
+        if (chunk.index == 0) {
+            choice["delta"]["role"] = "assistant";
+        }
+    } else {
+        choice["text"] = chunk.text;
+    }
+    return event(envelope(request, model, form, true, std::move(choice)));
+}
+
+std::string encodeEndEvents(
+    const RequestId& request, std::string_view model, const CompletionSummary& summary, CompletionForm form)
+{
+    Json choice = { { "finish_reason", summary.finishReason } };
+    if (form == CompletionForm::Chat) {
+        choice["delta"] = Json::object();
+    } else {
+        choice["text"] = "";
+    }
+    auto last = envelope(request, model, form, true, std::move(choice));
+    last["usage"] = usage(summary);
+    return event(last) + "data: [DONE]\n\n";
+}
+
+std::string encodeErrorEvent(const RequestId& request, const Error& error)
+{
+    return event(errorObject(error, request.value()));
+}
+
+std::string encodeWhole(const RequestId& request, std::string_view model, std::string_view text,
+    const CompletionSummary& summary, CompletionForm form)
+{
+    Json choice = { { "finish_reason", summary.finishReason } };
+    if (form == CompletionForm::Chat) {
+        choice["message"] = { { "role", "assistant" }, { "content", text } };
+    } else {
+        choice["text"] = text;
+    }
+    auto whole = envelope(request, model, form, false, std::move(choice));
+    whole["usage"] = usage(summary);
+    return dump(whole);
+}
+
+HttpAnswer encodeError(const Error& error, std::string_view request)
+{
+    HttpAnswer answer;
+    answer.status = statusOf(error.code);
+    answer.body = dump(errorObject(error, request)) + "\n";
+    if (error.retryAfter) {
+        const auto seconds = std::max<std::int64_t>(1, (error.retryAfter->count() + 999) / 1000);
+        answer.headers.emplace_back("Retry-After", std::to_string(seconds));
+    }
+    if (answer.status == 401) {
+        answer.headers.emplace_back("WWW-Authenticate", "Bearer");
+    }
+    return answer;
+}
+
+} // namespace Pollenwind::CallerCodec
--- /dev/null
+++ b/Source/Core/Keys/KeyTable.h
@@ -0,0 +1,34 @@
+#pragma once
+
+#include "Common/Clock.h"
+#include "Keys/Commands/KeyCommands.h"
+#include "Keys/Queries/KeyQueries.h"
+#include "Timeline/Commands/TimelineCommands.h"
+
+#include <map>
+
+namespace Pollenwind {
+
+/// Owner of the key digests and of their confirmation.
+class KeyTable final : public KeyCommands, public KeyQueries {
+public:
+    /// @param unconfirmedLimit Age of the last confirmation beyond which keys are refused.
+    KeyTable(const Clock& clock, TimelineCommands& timeline, std::chrono::nanoseconds unconfirmedLimit);
+
+    bool merge(const KeyRecord& record) override;
+    void confirm(MonotonicTime at) override;
+
+    Outcome<KeyIdentity> identify(std::string_view key) const override;
+    bool isWithdrawn(const Digest& digest) const override;
+    std::chrono::nanoseconds confirmationAge() const override { return m_clock.now() - m_confirmedAt; }
+    std::vector<KeyRecord> records() const override;
+
+private:
+    const Clock& m_clock;
+    TimelineCommands& m_timeline;
+    std::chrono::nanoseconds m_unconfirmedLimit;
+    MonotonicTime m_confirmedAt { 0 };
+    std::map<Digest, KeyRecord> m_records;
+};
+
+} // namespace Pollenwind
--- /dev/null
+++ b/Source/Core/Keys/KeyTypes.h
@@ -0,0 +1,37 @@
+#pragma once
+
+#include "Common/Digest.h"
+#include "Common/EnumTable.h"
+#include "Common/Ids.h"
+
+#include <array>
+
+namespace Pollenwind {
+
+/// State of a key. A withdrawn key never becomes valid again, so records can be merged in any order.
+enum class KeyState {
+    Valid,
+    Withdrawn,
+};
+
+template <> struct EnumTable<KeyState> {
+    static constexpr std::array rows {
+        EnumName { KeyState::Valid, "valid" },
+        EnumName { KeyState::Withdrawn, "withdrawn" },
+    };
+};
+
+/// One key as stored: only its digest is known.
+struct KeyRecord {
+    Digest digest {};
+    OrganisationId organisation;
+    KeyState state = KeyState::Valid;
+};
+
+/// Who a key belongs to.
+struct KeyIdentity {
+    Digest digest {};
+    OrganisationId organisation;
+};
+
+} // namespace Pollenwind
--- /dev/null
+++ b/Source/Core/Metrics/Counter.h
@@ -0,0 +1,95 @@
+#pragma once
+
+#include "Common/EnumTable.h"
+
+namespace Pollenwind {
+
+/// Counters of a process. The names appear in the Prometheus text with the prefix "pollenwind_".
+enum class Counter {
+    Requests,
+    RequestsCompleted,
+    RequestsRefused,
+    RequestsFailed,
+    TokensDelivered,
+    PromptTokens,
+    CachedPromptTokens,
+    RateRefusals,
+    KeyRefusals,
+    KeyUnconfirmedRefusals,
+    UpstreamAttempts,
+    UpstreamFailures,
+    Retries,
+    RetryBudgetExhausted,
+    Resumes,
+    AnswerMismatches,
+    StreamsCut,
+    CallerDisconnects,
+    ShutdownCuts,
+    ClaimsCreated,
+    ClaimsReplayed,
+    StoreCalls,
+    StoreFailures,
+    StaleConfigurations,
+    PeerBytesSent,
+    PeerBytesReceived,
+    PeerBadFrames,
+    GrantsGiven,
+    GrantsReceived,
+    BreakerOpenings,
+    QueueShed,
+};
+
+template <> struct EnumTable<Counter> {
+    static constexpr std::array rows {
+        EnumName { Counter::Requests, "requests_total" },
+        EnumName { Counter::RequestsCompleted, "requests_completed_total" },
+        EnumName { Counter::RequestsRefused, "requests_refused_total" },
+        EnumName { Counter::RequestsFailed, "requests_failed_total" },
+        EnumName { Counter::TokensDelivered, "tokens_delivered_total" },
+        EnumName { Counter::PromptTokens, "prompt_tokens_total" },
+        EnumName { Counter::CachedPromptTokens, "cached_prompt_tokens_total" },
+        EnumName { Counter::RateRefusals, "rate_refusals_total" },
+        EnumName { Counter::KeyRefusals, "key_refusals_total" },
+        EnumName { Counter::KeyUnconfirmedRefusals, "key_unconfirmed_refusals_total" },
+        EnumName { Counter::UpstreamAttempts, "upstream_attempts_total" },
+        EnumName { Counter::UpstreamFailures, "upstream_failures_total" },
+        EnumName { Counter::Retries, "retries_total" },
+        EnumName { Counter::RetryBudgetExhausted, "retry_budget_exhausted_total" },
+        EnumName { Counter::Resumes, "resumes_total" },
+        EnumName { Counter::AnswerMismatches, "answer_mismatches_total" },
+        EnumName { Counter::StreamsCut, "streams_cut_total" },
+        EnumName { Counter::CallerDisconnects, "caller_disconnects_total" },
+        EnumName { Counter::ShutdownCuts, "shutdown_cuts_total" },
+        EnumName { Counter::ClaimsCreated, "claims_created_total" },
+        EnumName { Counter::ClaimsReplayed, "claims_replayed_total" },
+        EnumName { Counter::StoreCalls, "store_calls_total" },
+        EnumName { Counter::StoreFailures, "store_failures_total" },
+        EnumName { Counter::StaleConfigurations, "stale_configurations_total" },
+        EnumName { Counter::PeerBytesSent, "peer_bytes_sent_total" },
+        EnumName { Counter::PeerBytesReceived, "peer_bytes_received_total" },
+        EnumName { Counter::PeerBadFrames, "peer_bad_frames_total" },
+        EnumName { Counter::GrantsGiven, "grants_given_total" },
+        EnumName { Counter::GrantsReceived, "grants_received_total" },
+        EnumName { Counter::BreakerOpenings, "breaker_openings_total" },
+        EnumName { Counter::QueueShed, "queue_shed_total" },
+    };
+};
+
+/// Distributions of a process.
+enum class Distribution {
+    TimeToFirstToken,
+    TimeBetweenTokens,
+    RequestDuration,
+    StoreCallDuration,
+};
+
+template <> struct EnumTable<Distribution> {
+    static constexpr std::array rows {
+        EnumName { Distribution::TimeToFirstToken, "time_to_first_token_seconds" },
+        EnumName { Distribution::TimeBetweenTokens, "time_between_tokens_seconds" },
+        EnumName { Distribution::RequestDuration, "request_duration_seconds" },
+        EnumName { Distribution::StoreCallDuration, "store_call_duration_seconds" },
+    };
+};
+
+} // namespace Pollenwind
--- /dev/null
+++ b/Source/Core/Platform/Commands/StoreCommands.h
@@ -0,0 +1,42 @@
+#pragma once
+
+#include "Common/Error.h"
+#include "Common/Task.h"
+#include "Platform/StoreTypes.h"
+
+#include <chrono>
+#include <string>
+
+namespace Pollenwind {
+
+/// Writes the platform's key-value store. Errors: StoreUnavailable; with RunState::Unknown the write may have taken
+/// effect, because the answer can be lost after the effect.
+class StoreCommands {
+public:
+    StoreCommands() = default;
+    StoreCommands(const StoreCommands&) = delete;
+    StoreCommands& operator=(const StoreCommands&) = delete;
+    virtual ~StoreCommands() = default;
+
+    /// Writes a key if its last change has the expected revision.
+    /// @param expectedRevision Revision of the key's last change; 0 when the key must not exist.
+    /// @param lease Lease to attach the key to, or none.
+    virtual Task<Outcome<SwapResult>> compareAndSwap(
+        std::string key, std::int64_t expectedRevision, std::string value, LeaseId lease = {})
+        = 0;
+
+    /// Erases a key if its last change has the expected revision.
+    virtual Task<Outcome<SwapResult>> compareAndErase(std::string key, std::int64_t expectedRevision) = 0;
+
+    /// Makes a lease.
+    virtual Task<Outcome<LeaseId>> grantLease(std::chrono::seconds timeToLive) = 0;
+
+    /// Renews a lease.
+    /// @return The time to live after the renewal; an error with code NotFound when the lease has lapsed.
+    virtual Task<Outcome<std::chrono::seconds>> keepAlive(LeaseId lease) = 0;
+
+    /// Ends a lease and erases its keys.
+    virtual Task<Outcome<void>> revoke(LeaseId lease) = 0;
+};
+
+} // namespace Pollenwind
--- /dev/null
+++ b/Source/Core/Platform/EtcdCodec.h
@@ -0,0 +1,31 @@
+#pragma once
+
+#include "Common/Error.h"
+#include "Platform/StoreTypes.h"
+
+#include <chrono>
+#include <optional>
+#include <string>
+#include <string_view>
+
+/// Encoding of the etcd v3 JSON gateway: byte strings are base64 and 64-bit numbers are strings.
+namespace Pollenwind::EtcdCodec {
+
+std::string encodeRange(std::string_view key, bool isPrefix);
+std::string encodeSwap(std::string_view key, std::int64_t expectedRevision, std::string_view value, LeaseId lease);
+std::string encodeErase(std::string_view key, std::int64_t expectedRevision);
+std::string encodeWatch(std::string_view prefix, std::int64_t fromRevision);
+std::string encodeLeaseGrant(std::chrono::seconds timeToLive);
+std::string encodeLeaseId(LeaseId lease);
+
+Outcome<StoreRange> decodeRange(std::string_view body);
+Outcome<SwapResult> decodeSwap(std::string_view body);
+Outcome<StoreEvents> decodeWatchLine(std::string_view line);
+Outcome<LeaseId> decodeLeaseGrant(std::string_view body);
+Outcome<std::chrono::seconds> decodeKeepAlive(std::string_view body);
+Outcome<VmList> decodeVmList(std::string_view body);
+
+/// First key that does not start with a prefix, as a range's end.
+std::string prefixEnd(std::string prefix);
+
+} // namespace Pollenwind::EtcdCodec
--- /dev/null
+++ b/Source/Core/Platform/StoreTypes.h
@@ -0,0 +1,85 @@
+#pragma once
+
+#include "Common/Ids.h"
+#include "Transport/Endpoint.h"
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace Pollenwind {
+
+/// Lease of the platform's store. 0 means no lease.
+using LeaseId = Id<struct LeaseTag, std::int64_t>;
+/// Open watch of this process.
+using WatchId = Id<struct WatchTag, std::uint64_t>;
+
+/// One key of the store.
+struct StoreEntry {
+    std::string key;
+    std::string value;
+    /// Store revision of the last change of the key; 0 when the key is absent.
+    std::int64_t modRevision = 0;
+    LeaseId lease;
+};
+
+/// Answer to a read.
+struct StoreRange {
+    std::vector<StoreEntry> entries;
+    /// Revision of the whole store at the time of the read.
+    std::int64_t revision = 0;
+};
+
+/// One change seen by a watch.
+struct StoreEvent {
+    bool isErased = false;
+    StoreEntry entry;
+};
+
+/// Changes seen by a watch. An empty list is a progress notice: the watch works and nothing changed.
+struct StoreEvents {
+    std::vector<StoreEvent> events;
+    std::int64_t revision = 0;
+};
+
+/// Result of a compare-and-swap.
+struct SwapResult {
+    bool isSwapped = false;
+    /// Revision of the write when swapped.
+    std::int64_t revision = 0;
+    /// The entry found when not swapped; absent when the key does not exist.
+    std::optional<StoreEntry> found;
+};
+
+/// State of a VM in the platform's list.
+enum class ListedVmState {
+    Live,
+    Leaving,
+};
+
+template <> struct EnumTable<ListedVmState> {
+    static constexpr std::array rows {
+        EnumName { ListedVmState::Live, "live" },
+        EnumName { ListedVmState::Leaving, "leaving" },
+    };
+};
+
+/// One VM of the platform's list.
+struct ListedVm {
+    VmId vm;
+    ZoneId zone;
+    /// Where its router accepts peer links.
+    Endpoint peers;
+    /// Where its router serves operators.
+    Endpoint admin;
+    ListedVmState state = ListedVmState::Live;
+};
+
+/// The platform's list of VMs. It lags.
+struct VmList {
+    std::int64_t revision = 0;
+    std::vector<ListedVm> vms;
+};
+
+} // namespace Pollenwind
--- /dev/null
+++ b/Source/Core/Router/Commands/RouterCommands.cpp
@@ -0,0 +1,149 @@
+#include "Router/Commands/RouterCommands.h"
+
+#include "Config/Queries/CheckDocument.h"
+#include "Router/StoreKeys.h"
+#include "Router/StoreRecords.h"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+
+namespace Pollenwind {
+
+namespace {
+
+    using Json = nlohmann::json;
+
+    constexpr int maxWriteAttempts = 5;
+
+    std::string readString(const Json& object, const char* name)
+    {
+        const auto it = object.find(name);
+        return it != object.end() && it->is_string() ? it->get<std::string>() : std::string();
+    }
+
+    std::string appliedBody(std::int64_t revision, bool isRepeated)
+    {
+        return Json { { "revision", revision }, { "repeated", isRepeated } }.dump();
+    }
+
+} // namespace
+
+ApplyCommand::ApplyCommand(
+    StoreCommands& storeCommands, StoreQueries& storeQueries, ConfigurationCommands& configuration)
+    : m_storeCommands(storeCommands)
+    , m_storeQueries(storeQueries)
+    , m_configuration(configuration)
+{
+}
+
+Task<Outcome<std::string>> ApplyCommand::run(const HttpRequest& request)
+{
+    const auto json = Json::parse(request.body, nullptr, false);
+    const auto change = json.is_object() ? readString(json, "change") : "";
+    if (change.empty()) {
+        co_return fail(ErrorCode::Malformed, "the body needs a \"change\" id");
+    }
+    const auto document = readString(json, "document");
+    const auto checked = checkDocument(document);
+    if (!checked) {
+        co_return fail(ErrorCode::Malformed, formatFault("document", checked.error().front()));
+    }
+    for (int i = 0; i < maxWriteAttempts; ++i) {
+        const auto range = co_await m_storeQueries.read(std::string(StoreKeys::configuration));
+        if (!range) {
+            co_return std::unexpected(range.error());
+        }
+        ConfigurationRecord previous;
+        std::int64_t base = 0;
+        if (!range->entries.empty()) {
+            base = range->entries.front().modRevision;
+            previous = decodeConfigurationRecord(range->entries.front().value).value_or(ConfigurationRecord());
+        }
+        // An earlier call whose answer was lost may have written this change.
+        const auto& recent = previous.recentChanges;
+        if (std::find(recent.begin(), recent.end(), change) != recent.end()) {
+            co_return appliedBody(base, true);
+        }
+        const auto wantedBase = json.value("base_revision", base);
+        if (wantedBase != base) {
+            co_return fail(ErrorCode::Conflict,
+                "revision " + std::to_string(base) + " by \"" + previous.operatorName + "\" (change " + previous.change
+                    + ") was applied meanwhile");
+        }
+        ConfigurationRecord next { change, readString(json, "operator"), recent, document };
+        next.recentChanges.insert(next.recentChanges.begin(), change);
+        next.recentChanges.resize(std::min(next.recentChanges.size(), keptChangeIds));
+        const auto swapped = co_await m_storeCommands.compareAndSwap(
+            std::string(StoreKeys::configuration), base, encodeConfigurationRecord(next), {});
+        if (swapped && swapped->isSwapped) {
+            m_configuration.adopt(Revision(swapped->revision), document);
+            co_return appliedBody(swapped->revision, false);
+        }
+        // Lost answer or lost race: the next read tells which.
+    }
+    co_return fail(ErrorCode::StoreUnavailable, "the store did not confirm the change", RunState::Unknown);
+}
+
+KeyCommand::KeyCommand(StoreCommands& storeCommands, StoreQueries& storeQueries, KeyCommands& keys)
+    : m_storeCommands(storeCommands)
+    , m_storeQueries(storeQueries)
+    , m_keys(keys)
+{
+}
+
+Task<Outcome<std::string>> KeyCommand::run(const HttpRequest& request)
+{
+    const auto json = Json::parse(request.body, nullptr, false);
+    if (!json.is_object()) {
+        co_return fail(ErrorCode::Malformed, "the body must be a JSON object");
+    }
+    const auto record = decodeKeyRecord(readString(json, "digest"), request.body);
+    if (!record) {
+        co_return fail(ErrorCode::Malformed, "the body needs \"digest\", \"organisation\" and \"state\"");
+    }
+    const auto key = StoreKeys::keyRecord(record->digest);
+    for (int i = 0; i < maxWriteAttempts; ++i) {
+        const auto range = co_await m_storeQueries.read(key);
+        if (!range) {
+            co_return std::unexpected(range.error());
+        }
+        KeyRecord next = *record;
+        std::int64_t base = 0;
+        if (!range->entries.empty()) {
+            base = range->entries.front().modRevision;
+            const auto stored = decodeKeyRecord(toHex(record->digest), range->entries.front().value);
+            if (stored && stored->state == KeyState::Withdrawn && record->state == KeyState::Valid) {
+                co_return fail(ErrorCode::Conflict, "the key was withdrawn and cannot be given again");
+            }
+            if (stored && stored->state == record->state) {
+                m_keys.merge(*stored);
+                co_return appliedBody(base, true);
+            }
+            if (stored) {
+                next.organisation = stored->organisation;
+            }
+        } else if (record->state == KeyState::Withdrawn) {
+            co_return fail(ErrorCode::NotFound, "no such key");
+        }
+        const auto swapped = co_await m_storeCommands.compareAndSwap(key, base, encodeKeyRecord(next), {});
+        if (swapped && swapped->isSwapped) {
+            m_keys.merge(next);
+            co_return appliedBody(swapped->revision, false);
+        }
+    }
+    co_return fail(ErrorCode::StoreUnavailable, "the store did not confirm the change", RunState::Unknown);
+}
+
+DrainCommand::DrainCommand(std::function<void()> drain)
+    : m_drain(std::move(drain))
+{
+}
+
+Task<Outcome<std::string>> DrainCommand::run(const HttpRequest&)
+{
+    m_drain();
+    co_return R"({"draining":true})";
+}
+
+} // namespace Pollenwind
--- /dev/null
+++ b/Source/Core/Router/Commands/RouterCommands.h
@@ -0,0 +1,48 @@
+#pragma once
+
+#include "Config/Commands/ConfigurationCommands.h"
+#include "Http/AdminFrontEnd.h"
+#include "Keys/Commands/KeyCommands.h"
+#include "Platform/Commands/StoreCommands.h"
+#include "Platform/Queries/StoreQueries.h"
+
+#include <functional>
+
+namespace Pollenwind {
+
+/// Writes a service document to the store. Body: {"change", "operator", "base_revision", "document"}; a missing
+/// base_revision takes the revision in the store as the base.
+class ApplyCommand final : public AdminCommand {
+public:
+    ApplyCommand(StoreCommands& storeCommands, StoreQueries& storeQueries, ConfigurationCommands& configuration);
+    Task<Outcome<std::string>> run(const HttpRequest& request) override;
+
+private:
+    StoreCommands& m_storeCommands;
+    StoreQueries& m_storeQueries;
+    ConfigurationCommands& m_configuration;
+};
+
+/// Writes a key record to the store and puts it in force here. Body: {"digest", "organisation", "state"}.
+class KeyCommand final : public AdminCommand {
+public:
+    KeyCommand(StoreCommands& storeCommands, StoreQueries& storeQueries, KeyCommands& keys);
+    Task<Outcome<std::string>> run(const HttpRequest& request) override;
+
+private:
+    StoreCommands& m_storeCommands;
+    StoreQueries& m_storeQueries;
+    KeyCommands& m_keys;
+};
+
+/// Starts the graceful shutdown of this router.
+class DrainCommand final : public AdminCommand {
+public:
+    explicit DrainCommand(std::function<void()> drain);
+    Task<Outcome<std::string>> run(const HttpRequest& request) override;
+
+private:
+    std::function<void()> m_drain;
+};
+
+} // namespace Pollenwind
--- /dev/null
+++ b/Source/Core/Router/Router.h
@@ -0,0 +1,39 @@
+#pragma once
+
+#include "Common/Error.h"
+#include "Common/Task.h"
+#include "Config/Settings.h"
+
+#include <cstddef>
+#include <functional>
+#include <memory>
+
+namespace Pollenwind {
+
+/// One router: builds the parts from the settings and runs their tasks.
+class Router {
+public:
+    /// @param executor Executor of the process's only thread.
+    Router(asio::any_io_executor executor, Settings settings);
+    ~Router();
+    Router(const Router&) = delete;
+    Router& operator=(const Router&) = delete;
+
+    /// Binds the ports and starts the tasks.
+    /// @return An error when a port cannot be bound.
+    Outcome<void> start();
+
+    /// Starts a graceful shutdown: leaves, waits until the balancer's list has caught up, then until running requests
+    /// have ended. A second call ends it at once.
+    void requestShutdown();
+
+    /// Waits for the end of a shutdown.
+    /// @return Number of requests that were cut.
+    Task<std::size_t> waitUntilStopped();
+
+private:
+    struct Parts;
+    std::unique_ptr<Parts> m_parts;
+};
+
+} // namespace Pollenwind
--- /dev/null
+++ b/Source/Core/Router/StoreKeys.h
@@ -0,0 +1,20 @@
+#pragma once
+
+#include "Common/Digest.h"
+
+#include <string>
+#include <string_view>
+
+/// Names of the project's keys in the platform's store.
+namespace Pollenwind::StoreKeys {
+
+/// Everything that all routers watch. Keys that only one request needs lie outside, so that they wake nobody.
+inline constexpr std::string_view shared = "/pollenwind/shared/";
+inline constexpr std::string_view configuration = "/pollenwind/shared/config";
+inline constexpr std::string_view keys = "/pollenwind/shared/keys/";
+/// Never written; a read of it tells the store's revision at little cost.
+inline constexpr std::string_view probe = "/pollenwind/probe";
+
+inline std::string keyRecord(const Digest& digest) { return std::string(keys) + toHex(digest); }
+
+} // namespace Pollenwind::StoreKeys
--- /dev/null
+++ b/Source/Core/Router/StoreSync.h
@@ -0,0 +1,60 @@
+#pragma once
+
+#include "Common/Clock.h"
+#include "Config/Commands/ConfigurationCommands.h"
+#include "Keys/Commands/KeyCommands.h"
+#include "Metrics/Commands/MetricCommands.h"
+#include "Platform/Queries/StoreQueries.h"
+#include "Timeline/Commands/TimelineCommands.h"
+
+#include <cstdint>
+#include <deque>
+
+namespace Pollenwind {
+
+/// What the store sync works with. All references must outlive it.
+struct StoreSyncContext {
+    const Clock& clock;
+    StoreQueries& store;
+    ConfigurationCommands& configuration;
+    KeyCommands& keys;
+    TimelineCommands& timeline;
+    MetricCommands& metrics;
+};
+
+/// Brings the shared records of the platform's store into this process.
+///
+/// One task reads them and then follows a watch. A second task probes the store's revision each second: when the watch
+/// has delivered everything up to a probed revision, the key table held every withdrawal accepted before the probe was
+/// sent. Arrival of watch data alone would not show that, since data may have waited in a buffer while the VM was
+/// paused.
+class StoreSync {
+public:
+    explicit StoreSync(StoreSyncContext context);
+
+    /// Follows the records until the process ends.
+    Task<> followRecords();
+    /// Probes the store until the process ends.
+    Task<> probeRevision();
+
+    bool isStoreUp() const { return m_isStoreUp; }
+
+private:
+    struct Probe {
+        std::int64_t revision = 0;
+        MonotonicTime sentAt { 0 };
+    };
+
+    Task<Outcome<std::int64_t>> readAll();
+    Task<Outcome<void>> followWatch(std::int64_t fromRevision);
+    void applyEntry(const StoreEntry& entry);
+    void noteDelivered(std::int64_t revision);
+    void noteStore(bool isUp, const std::string& reason);
+
+    StoreSyncContext m_context;
+    std::int64_t m_deliveredRevision = 0;
+    std::deque<Probe> m_probes;
+    bool m_isStoreUp = false;
+};
+
+} // namespace Pollenwind
--- /dev/null
+++ b/Source/Core/StandIn/StoreStandIn.h
@@ -0,0 +1,124 @@
+#pragma once
+
+#include "Common/EnumTable.h"
+#include "Common/Task.h"
+#include "Platform/StoreTypes.h"
+#include "Transport/HttpServer.h"
+
+#include <boost/asio/steady_timer.hpp>
+
+#include <chrono>
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+
+namespace Pollenwind {
+
+/// Fault switch of the store stand-in.
+enum class StoreFault {
+    /// Every call's connection is closed without an answer, open watches too.
+    Down,
+    /// Every call waits before it is carried out; the value is the wait in milliseconds.
+    Slow,
+    /// The next calls take effect but their connections are closed without an answer; the value is how many.
+    LoseAnswers,
+    /// Calls over a rate are refused with status 429; the value is calls a second.
+    RateLimit,
+    /// The VM list shows the state of some time ago; the value is the lag in milliseconds.
+    ListLag,
+    /// Reads answer with an older state; the value is how many changes ago.
+    StaleReads,
+    /// Open watches stay open and send nothing.
+    SilentWatches,
+};
+
+template <> struct EnumTable<StoreFault> {
+    static constexpr std::array rows {
+        EnumName { StoreFault::Down, "down" },
+        EnumName { StoreFault::Slow, "slow" },
+        EnumName { StoreFault::LoseAnswers, "lose-answers" },
+        EnumName { StoreFault::RateLimit, "rate-limit" },
+        EnumName { StoreFault::ListLag, "list-lag" },
+        EnumName { StoreFault::StaleReads, "stale-reads" },
+        EnumName { StoreFault::SilentWatches, "silent-watches" },
+    };
+};
+
+/// Stand-in for the platform: a key-value store that speaks the etcd v3 JSON gateway, and the VM list. Faults are
+/// switched with setFault() or POST /stand-in/faults {"fault": NAME, "value": N}; 0 switches a fault off.
+class StoreStandIn final : public HttpHandler {
+public:
+    explicit StoreStandIn(asio::any_io_executor executor);
+
+    /// Starts to serve.
+    Outcome<Endpoint> listen(const Endpoint& endpoint) { return m_server.listen(endpoint); }
+
+    void setFault(StoreFault fault, std::int64_t value);
+    /// Sets one VM of the platform's list.
+    void setVm(const ListedVm& vm);
+    /// Removes a VM from the platform's list, as when it was terminated.
+    void removeVm(const VmId& vm);
+
+    /// Calls served, an open watch counted once.
+    std::uint64_t callCount() const { return m_calls; }
+    std::uint64_t writeCount() const { return m_writes; }
+    std::int64_t revision() const { return m_revision; }
+
+    Task<> handle(HttpExchange& exchange) override;
+    HttpAnswer refusal(int status, std::string_view reason) const override;
+
+private:
+    struct Change {
+        std::int64_t revision = 0;
+        StoreEvent event;
+    };
+    struct Lease {
+        std::chrono::steady_clock::time_point expiresAt;
+        std::chrono::seconds timeToLive { 0 };
+        std::set<std::string> keys;
+    };
+    struct ListState {
+        std::chrono::steady_clock::time_point since;
+        VmList list;
+    };
+
+    std::int64_t faultValue(StoreFault fault) const;
+    bool isOverRate();
+    void expireLeases();
+    void put(const std::string& key, const std::string& value, std::int64_t lease);
+    void erase(const std::string& key);
+    void notifyWatches();
+    std::map<std::string, StoreEntry> visibleEntries() const;
+
+    std::optional<HttpAnswer> answerCall(const HttpRequest& request);
+    std::string answerRange(const std::string& body) const;
+    std::string answerTransaction(const std::string& body);
+    std::string answerLeaseGrant(const std::string& body);
+    std::string answerKeepAlive(const std::string& body);
+    std::string answerRevoke(const std::string& body);
+    std::string answerVmList() const;
+    std::string answerFaults(const std::string& body);
+    std::string answerVmUpdate(const std::string& body);
+    Task<> serveWatch(HttpExchange& exchange);
+
+    asio::any_io_executor m_executor;
+    HttpServer m_server;
+    std::int64_t m_revision = 1;
+    std::map<std::string, StoreEntry> m_entries;
+    std::deque<Change> m_changes;
+    std::map<std::int64_t, Lease> m_leases;
+    std::int64_t m_nextLease = 7000;
+    std::map<std::uint64_t, asio::steady_timer*> m_watchWakeups;
+    std::uint64_t m_nextWatch = 1;
+    VmList m_vms;
+    std::deque<ListState> m_listHistory;
+    std::map<StoreFault, std::int64_t> m_faults;
+    std::deque<std::chrono::steady_clock::time_point> m_recentCalls;
+    std::uint64_t m_calls = 0;
+    std::uint64_t m_writes = 0;
+};
+
+} // namespace Pollenwind
--- /dev/null
+++ b/Source/Core/Timeline/Log.h
@@ -0,0 +1,42 @@
+#pragma once
+
+#include "Common/EnumTable.h"
+#include "Timeline/TimelineEvent.h"
+
+#include <string_view>
+
+namespace Pollenwind {
+
+/// Lowest level that is logged.
+enum class LogLevel {
+    Info,
+    Warn,
+    Error,
+    Off,
+};
+
+template <> struct EnumTable<LogLevel> {
+    static constexpr std::array rows {
+        EnumName { LogLevel::Info, "info" },
+        EnumName { LogLevel::Warn, "warn" },
+        EnumName { LogLevel::Error, "error" },
+        EnumName { LogLevel::Off, "off" },
+    };
+};
+
+/// Sends log lines to standard error as JSON objects, one a line.
+/// @param level Lowest level that is logged.
+void configureLog(LogLevel level);
+
+/// Logs a change of state.
+/// @param what Name of the change.
+/// @param fields Details, never a caller's key.
+void logStateChange(std::string_view what, const EventFields& fields);
+
+/// Logs a warning.
+void logWarning(std::string_view text);
+
+/// Logs an error.
+void logError(std::string_view text);
+
+} // namespace Pollenwind
--- /dev/null
+++ b/Source/Core/Timeline/TimelineEvent.h
@@ -0,0 +1,93 @@
+#pragma once
+
+#include "Common/EnumTable.h"
+#include "Common/HybridClock.h"
+
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace Pollenwind {
+
+/// Kind of a state change.
+enum class EventKind {
+    ProcessStarted,
+    ProcessStopping,
+    ProcessStopped,
+    ConfigurationAdopted,
+    ConfigurationRejected,
+    KeyGiven,
+    KeyWithdrawn,
+    KeysConfirmed,
+    KeysUnconfirmed,
+    MemberJoined,
+    MemberLeaving,
+    MemberSuspected,
+    MemberGone,
+    PeerLinkUp,
+    PeerLinkDown,
+    ShareTaken,
+    ShareReleased,
+    BreakerOpened,
+    BreakerHalfOpen,
+    BreakerClosed,
+    UpstreamIncarnation,
+    UpstreamLeaving,
+    StoreDown,
+    StoreUp,
+    MoveOrdered,
+    MoveStep,
+    MoveDone,
+    MoveTakenBack,
+    LeaseTaken,
+    LeaseLost,
+};
+
+template <> struct EnumTable<EventKind> {
+    static constexpr std::array rows {
+        EnumName { EventKind::ProcessStarted, "process-started" },
+        EnumName { EventKind::ProcessStopping, "process-stopping" },
+        EnumName { EventKind::ProcessStopped, "process-stopped" },
+        EnumName { EventKind::ConfigurationAdopted, "configuration-adopted" },
+        EnumName { EventKind::ConfigurationRejected, "configuration-rejected" },
+        EnumName { EventKind::KeyGiven, "key-given" },
+        EnumName { EventKind::KeyWithdrawn, "key-withdrawn" },
+        EnumName { EventKind::KeysConfirmed, "keys-confirmed" },
+        EnumName { EventKind::KeysUnconfirmed, "keys-unconfirmed" },
+        EnumName { EventKind::MemberJoined, "member-joined" },
+        EnumName { EventKind::MemberLeaving, "member-leaving" },
+        EnumName { EventKind::MemberSuspected, "member-suspected" },
+        EnumName { EventKind::MemberGone, "member-gone" },
+        EnumName { EventKind::PeerLinkUp, "peer-link-up" },
+        EnumName { EventKind::PeerLinkDown, "peer-link-down" },
+        EnumName { EventKind::ShareTaken, "share-taken" },
+        EnumName { EventKind::ShareReleased, "share-released" },
+        EnumName { EventKind::BreakerOpened, "breaker-opened" },
+        EnumName { EventKind::BreakerHalfOpen, "breaker-half-open" },
+        EnumName { EventKind::BreakerClosed, "breaker-closed" },
+        EnumName { EventKind::UpstreamIncarnation, "upstream-incarnation" },
+        EnumName { EventKind::UpstreamLeaving, "upstream-leaving" },
+        EnumName { EventKind::StoreDown, "store-down" },
+        EnumName { EventKind::StoreUp, "store-up" },
+        EnumName { EventKind::MoveOrdered, "move-ordered" },
+        EnumName { EventKind::MoveStep, "move-step" },
+        EnumName { EventKind::MoveDone, "move-done" },
+        EnumName { EventKind::MoveTakenBack, "move-taken-back" },
+        EnumName { EventKind::LeaseTaken, "lease-taken" },
+        EnumName { EventKind::LeaseLost, "lease-lost" },
+    };
+};
+
+/// Fields of an event in order of appearance.
+using EventFields = std::vector<std::pair<std::string, std::string>>;
+
+/// One state change.
+struct TimelineEvent {
+    HybridTime time;
+    /// Process that recorded the event: VM id and incarnation.
+    std::string process;
+    EventKind kind = EventKind::ProcessStarted;
+    EventFields fields;
+};
+
+} // namespace Pollenwind
--- /dev/null
+++ b/Source/Core/Transport/HttpClient.cpp
@@ -0,0 +1,183 @@
+#include "Transport/HttpClient.h"
+
+#include "Transport/SocketOptions.h"
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/this_coro.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http.hpp>
+
+#include <limits>
+#include <optional>
+
+namespace Pollenwind {
+
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+using tcp = asio::ip::tcp;
+
+namespace {
+
+    constexpr std::chrono::milliseconds deadConnectionTimeout { 10'000 };
+    constexpr std::uint32_t maxAnswerHeaderBytes = 64 * 1024;
+
+    Error transportError(std::string_view what, const beast::error_code& ec)
+    {
+        const auto code = ec == beast::error::timeout ? ErrorCode::DeadlineExceeded : ErrorCode::ConnectionLost;
+        return Error { code, std::string(what) + ": " + ec.message(), RunState::Unknown };
+    }
+
+} // namespace
+
+struct HttpConnection::State {
+    explicit State(asio::any_io_executor executor)
+        : stream(std::move(executor))
+    {
+    }
+
+    beast::tcp_stream stream;
+    beast::flat_buffer buf;
+    std::optional<http::response_parser<http::string_body>> parser;
+    std::string host;
+    bool isBroken = false;
+};
+
+HttpConnection::HttpConnection(asio::any_io_executor executor)
+    : m_state(std::make_unique<State>(std::move(executor)))
+{
+}
+
+HttpConnection::~HttpConnection() = default;
+
+Task<Outcome<void>> HttpConnection::connect(const Endpoint& endpoint, std::chrono::nanoseconds timeout)
+{
+    beast::error_code ec;
+    const auto address = asio::ip::make_address(endpoint.address, ec);
+    if (ec) {
+        co_return fail(ErrorCode::ConnectFailed, "bad address " + endpoint.address);
+    }
+    auto& stream = m_state->stream;
+    stream.expires_after(timeout);
+    std::tie(ec) = co_await stream.async_connect(tcp::endpoint(address, endpoint.port), asTuple);
+    if (ec) {
+        m_state->isBroken = true;
+        co_return fail(ErrorCode::ConnectFailed, "connect to " + endpoint.toString() + ": " + ec.message());
+    }
+    setLowLatencyOptions(stream.socket().native_handle(), deadConnectionTimeout);
+    m_state->host = endpoint.toString();
+    co_return Outcome<void> {};
+}
+
+Task<Outcome<HttpHead>> HttpConnection::send(const HttpRequest& request, std::chrono::nanoseconds timeout)
+{
+    auto& state = *m_state;
+    http::request<http::string_body> message;
+    message.method_string(request.method);
+    message.target(request.target());
+    message.version(11);
+    message.set(http::field::host, state.host);
+    for (const auto& [name, value] : request.headers) {
+        message.set(name, value);
+    }
+    message.body() = request.body;
+    message.prepare_payload();
+
+    // Broken until the answer has been read whole.
+    state.isBroken = true;
+    state.stream.expires_after(timeout);
+    auto [ec, n] = co_await http::async_write(state.stream, message, asTuple);
+    if (ec) {
+        co_return std::unexpected(transportError("send request", ec));
+    }
+    state.parser.emplace();
+    state.parser->header_limit(maxAnswerHeaderBytes);
+    state.parser->body_limit(std::numeric_limits<std::uint64_t>::max());
+    std::tie(ec, n) = co_await http::async_read_header(state.stream, state.buf, *state.parser, asTuple);
+    if (ec) {
+        co_return std::unexpected(transportError("read answer head", ec));
+    }
+    HttpHead head;
+    head.status = static_cast<int>(state.parser->get().result_int());
+    for (const auto& field : state.parser->get()) {
+        head.headers.emplace_back(field.name_string(), field.value());
+    }
+    if (state.parser->is_done()) {
+        state.isBroken = !state.parser->get().keep_alive();
+    }
+    co_return head;
+}
+
+Task<Outcome<std::string>> HttpConnection::readSome(std::chrono::nanoseconds timeout)
+{
+    auto& state = *m_state;
+    auto& body = state.parser->get().body();
+    state.stream.expires_after(timeout);
+    while (body.empty() && !state.parser->is_done()) {
+        const auto [ec, n] = co_await http::async_read_some(state.stream, state.buf, *state.parser, asTuple);
+        if (ec) {
+            state.isBroken = true;
+            co_return std::unexpected(transportError("read answer", ec));
+        }
+    }
+    if (state.parser->is_done()) {
+        state.isBroken = !state.parser->get().keep_alive();
+    }
+    std::string part;
+    part.swap(body);
+    co_return part;
+}
+
+Task<Outcome<std::string>> HttpConnection::readAll(std::chrono::nanoseconds timeout)
+{
+    const auto end = std::chrono::steady_clock::now() + timeout;
+    std::string whole;
+    for (;;) {
+        auto part = co_await readSome(end - std::chrono::steady_clock::now());
+        if (!part) {
+            co_return part;
+        }
+        if (part->empty()) {
+            co_return whole;
+        }
+        whole += *part;
+    }
+}
+
+bool HttpConnection::isReusable() const
+{
+    return !m_state->isBroken && m_state->buf.size() == 0 && m_state->stream.socket().is_open()
+        && !isClosedByPeer(const_cast<tcp::socket&>(m_state->stream.socket()).native_handle());
+}
+
+void HttpConnection::close()
+{
+    m_state->isBroken = true;
+    m_state->stream.close();
+}
+
+Task<Outcome<HttpAnswer>> fetch(Endpoint endpoint, HttpRequest request, std::chrono::nanoseconds timeout)
+{
+    const auto end = std::chrono::steady_clock::now() + timeout;
+    HttpConnection connection(co_await asio::this_coro::executor);
+    const auto connected = co_await connection.connect(endpoint, timeout);
+    if (!connected) {
+        co_return std::unexpected(connected.error());
+    }
+    auto head = co_await connection.send(request, end - std::chrono::steady_clock::now());
+    if (!head) {
+        co_return std::unexpected(head.error());
+    }
+    auto body = co_await connection.readAll(end - std::chrono::steady_clock::now());
+    if (!body) {
+        co_return std::unexpected(body.error());
+    }
+    HttpAnswer answer;
+    answer.status = head->status;
+    answer.contentType = findHeader(head->headers, "Content-Type").value_or("");
+    answer.body = std::move(*body);
+    answer.headers = std::move(head->headers);
+    co_return answer;
+}
+
+} // namespace Pollenwind
--- /dev/null
+++ b/Source/Core/Transport/HttpClient.h
@@ -0,0 +1,68 @@
+#pragma once
+
+#include "Common/Error.h"
+#include "Common/Task.h"
+#include "Transport/Endpoint.h"
+#include "Transport/HttpTypes.h"
+
+#include <chrono>
+#include <memory>
+#include <string>
+
+namespace Pollenwind {
+
+/// Head of an answer.
+struct HttpHead {
+    int status = 0;
+    HttpHeaders headers;
+};
+
+/// One HTTP/1.1 client connection. It carries one request at a time; after any error it must not be used again.
+///
+/// Errors: ConnectFailed means that no byte of a request was sent; ConnectionLost and DeadlineExceeded carry
+/// RunState::Unknown once a byte may have been sent.
+class HttpConnection {
+public:
+    explicit HttpConnection(asio::any_io_executor executor);
+    ~HttpConnection();
+    HttpConnection(const HttpConnection&) = delete;
+    HttpConnection& operator=(const HttpConnection&) = delete;
+
+    /// Connects.
+    /// @param endpoint The server.
+    /// @param timeout Longest time to wait.
+    Task<Outcome<void>> connect(const Endpoint& endpoint, std::chrono::nanoseconds timeout);
+
+    /// Sends a request and reads the head of its answer.
+    /// @param request The request; Host and Content-Length are added.
+    /// @param timeout Longest time until the head has arrived.
+    Task<Outcome<HttpHead>> send(const HttpRequest& request, std::chrono::nanoseconds timeout);
+
+    /// Reads the next part of the body.
+    /// @param timeout Longest time until a byte arrives.
+    /// @return The bytes, or an empty string at the end of the body.
+    Task<Outcome<std::string>> readSome(std::chrono::nanoseconds timeout);
+
+    /// Reads the rest of the body.
+    /// @param timeout Longest time for the whole body.
+    Task<Outcome<std::string>> readAll(std::chrono::nanoseconds timeout);
+
+    /// Tells whether the connection may carry another request: the last answer was read whole and the server keeps
+    /// the connection open.
+    bool isReusable() const;
+
+    /// Closes at once; a pending operation fails.
+    void close();
+
+private:
+    struct State;
+    std::unique_ptr<State> m_state;
+};
+
+/// Sends one request over a fresh connection and reads the whole answer.
+/// @param endpoint The server.
+/// @param request The request.
+/// @param timeout Longest time for all of it.
+Task<Outcome<HttpAnswer>> fetch(Endpoint endpoint, HttpRequest request, std::chrono::nanoseconds timeout);
+
+} // namespace Pollenwind
--- /dev/null
+++ b/Source/Core/Upstream/Commands/UpstreamCommands.h
@@ -0,0 +1,31 @@
+#pragma once
+
+#include "Common/Error.h"
+#include "Upstream/UpstreamTypes.h"
+
+namespace Pollenwind {
+
+/// Changes what is known about upstreams.
+class UpstreamCommands {
+public:
+    UpstreamCommands() = default;
+    UpstreamCommands(const UpstreamCommands&) = delete;
+    UpstreamCommands& operator=(const UpstreamCommands&) = delete;
+    virtual ~UpstreamCommands() = default;
+
+    /// Takes over the upstreams of the configuration in force.
+    virtual void reconfigure() = 0;
+
+    /// Takes a health report; an error counts as unreachable.
+    virtual void noteHealth(const UpstreamId& upstream, const Outcome<HealthReport>& report) = 0;
+
+    /// Notes that work of some tokens was sent to an upstream.
+    virtual void noteStarted(const UpstreamId& upstream, double tokens) = 0;
+
+    /// Notes that work ended.
+    /// @param tokens As given to noteStarted().
+    /// @param isSuccess False when the upstream failed.
+    virtual void noteEnded(const UpstreamId& upstream, double tokens, bool isSuccess) = 0;
+};
+
+} // namespace Pollenwind
--- /dev/null
+++ b/Source/Core/Upstream/HttpUpstreamClient.h
@@ -0,0 +1,45 @@
+#pragma once
+
+#include "Transport/HttpClient.h"
+#include "Upstream/Commands/EngineClient.h"
+#include "Upstream/Commands/PlainClient.h"
+#include "Upstream/Queries/HealthClient.h"
+
+#include <chrono>
+#include <map>
+#include <memory>
+#include <vector>
+
+namespace Pollenwind {
+
+/// Speaks the protocol of docs/upstream-protocol.md.
+class HttpUpstreamClient final : public EngineClient, public PlainClient, public HealthClient {
+public:
+    /// @param connectTimeout Longest time to connect.
+    HttpUpstreamClient(asio::any_io_executor executor, std::chrono::nanoseconds connectTimeout);
+    ~HttpUpstreamClient() override;
+
+    Task<Outcome<StreamId>> start(Endpoint endpoint, GenerationCall call, std::chrono::nanoseconds timeout) override;
+    Task<Outcome<GenerationEvent>> next(StreamId stream, std::chrono::nanoseconds timeout) override;
+    void cancel(StreamId stream) override;
+    Task<Outcome<PlainAnswer>> run(Endpoint endpoint, PlainCall call, std::chrono::nanoseconds timeout) override;
+    Task<Outcome<HealthReport>> health(Endpoint endpoint, std::chrono::nanoseconds timeout) override;
+
+private:
+    struct Stream;
+    struct IdleConnection {
+        std::unique_ptr<HttpConnection> connection;
+        std::chrono::steady_clock::time_point since;
+    };
+
+    Task<Outcome<std::unique_ptr<HttpConnection>>> acquire(Endpoint endpoint);
+    void release(const Endpoint& endpoint, std::unique_ptr<HttpConnection> connection);
+
+    asio::any_io_executor m_executor;
+    std::chrono::nanoseconds m_connectTimeout;
+    std::map<Endpoint, std::vector<IdleConnection>> m_idle;
+    std::map<StreamId, std::shared_ptr<Stream>> m_streams;
+    std::uint64_t m_nextStream = 1;
+};
+
+} // namespace Pollenwind
--- /dev/null
+++ b/Source/Core/Upstream/UpstreamCodec.cpp
@@ -0,0 +1,122 @@
+#include "Upstream/UpstreamCodec.h"
+
+#include "Placement/PrefixChain.h"
+
+#include <nlohmann/json.hpp>
+
+#include <charconv>
+
+namespace Pollenwind::UpstreamCodec {
+
+namespace {
+
+    using Json = nlohmann::json;
+
+    std::uint32_t readCount(const Json& object, const char* name)
+    {
+        const auto it = object.find(name);
+        return it != object.end() && it->is_number_unsigned() ? it->get<std::uint32_t>() : 0;
+    }
+
+    std::string readString(const Json& object, const char* name)
+    {
+        const auto it = object.find(name);
+        return it != object.end() && it->is_string() ? it->get<std::string>() : std::string();
+    }
+
+    std::unexpected<Error> malformed(std::string_view what)
+    {
+        return fail(ErrorCode::ProtocolError, "the upstream sent a malformed " + std::string(what), RunState::Unknown);
+    }
+
+} // namespace
+
+HttpRequest encodeGeneration(const GenerationCall& call)
+{
+    Json body = { { "model", call.service.value() }, { "version", call.version.value() }, { "prompt", call.prompt },
+        { "max_tokens", call.maxTokens }, { "stream", true }, { "priority", call.priority },
+        { "request_id", call.request.value() }, { "cache_salt", cacheSaltFor(call.organisation) } };
+    if (call.resumeFrom > 0) {
+        body["resume_from"] = call.resumeFrom;
+        body["resume_text"] = call.resumeText;
+    }
+    HttpRequest request;
+    request.method = "POST";
+    request.path = "/v1/completions";
+    request.headers = { { "Content-Type", "application/json" }, { "X-Request-Id", call.request.value() } };
+    // Replaces invalid UTF-8 instead of throwing; the caller's JSON was valid, but a resume may cut a character.
+    request.body = body.dump(-1, ' ', false, Json::error_handler_t::replace);
+    return request;
+}
+
+HttpRequest encodePlain(const PlainCall& call)
+{
+    HttpRequest request;
+    request.method = call.method;
+    request.path = call.target;
+    request.headers = { { "X-Request-Id", call.request.value() }, { "X-Organisation", call.organisation.value() } };
+    if (!call.contentType.empty()) {
+        request.headers.emplace_back("Content-Type", call.contentType);
+    }
+    if (!call.idempotencyKey.empty()) {
+        request.headers.emplace_back("Idempotency-Key", call.idempotencyKey);
+    }
+    request.body = call.body;
+    return request;
+}
+
+Outcome<GenerationEvent> decodeEvent(std::string_view data, const RequestId& request)
+{
+    const auto json = Json::parse(data, nullptr, false);
+    if (!json.is_object()) {
+        return malformed("event");
+    }
+    if (readString(json, "id") != request.value()) {
+        return fail(ErrorCode::Mismatch, "the upstream sent an event of another request", RunState::Unknown);
+    }
+    GenerationEvent event;
+    if (json.contains("finish_reason")) {
+        event.kind = GenerationEventKind::Finished;
+        event.finishReason = readString(json, "finish_reason");
+        const auto usage = json.value("usage", Json::object());
+        event.promptTokens = readCount(usage, "prompt_tokens");
+        event.completionTokens = readCount(usage, "completion_tokens");
+        event.cachedTokens = readCount(usage, "cached_tokens");
+        return event;
+    }
+    if (!json.contains("index") || !json["index"].is_number_unsigned()) {
+        return malformed("token");
+    }
+    event.index = json["index"].get<std::uint32_t>();
+    event.text = readString(json, "text");
+    return event;
+}
+
+Outcome<HealthReport> decodeHealth(std::string_view body)
+{
+    const auto json = Json::parse(body, nullptr, false);
+    if (!json.is_object()) {
+        return malformed("health report");
+    }
+    const auto state = fromName<UpstreamState>(readString(json, "state"));
+    const auto hex = readString(json, "incarnation");
+    std::uint64_t incarnation = 0;
+    const auto [end, ec] = std::from_chars(hex.data(), hex.data() + hex.size(), incarnation, 16);
+    if (!state || ec != std::errc() || end != hex.data() + hex.size()) {
+        return malformed("health report");
+    }
+    HealthReport report;
+    report.state = *state;
+    report.incarnation = Incarnation(incarnation);
+    for (const auto& version : json.value("versions", Json::array())) {
+        if (version.is_string()) {
+            report.versions.emplace_back(version.get<std::string>());
+        }
+    }
+    report.running = readCount(json, "running");
+    const auto queued = json.find("queued_tokens");
+    report.queuedTokens = queued != json.end() && queued->is_number() ? queued->get<double>() : 0;
+    return report;
+}
+
+} // namespace Pollenwind::UpstreamCodec
--- /dev/null
+++ b/Source/Core/Upstream/UpstreamCodec.h
@@ -0,0 +1,23 @@
+#pragma once
+
+#include "Common/Error.h"
+#include "Transport/HttpTypes.h"
+#include "Upstream/UpstreamTypes.h"
+
+#include <string_view>
+
+/// Encoding of docs/upstream-protocol.md.
+namespace Pollenwind::UpstreamCodec {
+
+HttpRequest encodeGeneration(const GenerationCall& call);
+HttpRequest encodePlain(const PlainCall& call);
+
+/// Decodes the data of one server-sent event.
+/// @param data Text after "data: ".
+/// @param request The request that the event must belong to.
+/// @return The event; Mismatch when it belongs to another request, ProtocolError when malformed.
+Outcome<GenerationEvent> decodeEvent(std::string_view data, const RequestId& request);
+
+Outcome<HealthReport> decodeHealth(std::string_view body);
+
+} // namespace Pollenwind::UpstreamCodec
--- /dev/null
+++ b/Source/Core/Upstream/UpstreamTypes.h
@@ -0,0 +1,99 @@
+#pragma once
+
+#include "Common/EnumTable.h"
+#include "Common/Ids.h"
+#include "Transport/Endpoint.h"
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace Pollenwind {
+
+/// State that an upstream reports of itself.
+enum class UpstreamState {
+    Ready,
+    Loading,
+    Leaving,
+    Unreachable,
+};
+
+template <> struct EnumTable<UpstreamState> {
+    static constexpr std::array rows {
+        EnumName { UpstreamState::Ready, "ready" },
+        EnumName { UpstreamState::Loading, "loading" },
+        EnumName { UpstreamState::Leaving, "leaving" },
+        EnumName { UpstreamState::Unreachable, "unreachable" },
+    };
+};
+
+/// Answer of an upstream's health query.
+struct HealthReport {
+    UpstreamState state = UpstreamState::Unreachable;
+    Incarnation incarnation;
+    std::vector<VersionId> versions;
+    std::uint32_t running = 0;
+    double queuedTokens = 0;
+};
+
+/// One generation call to an engine.
+struct GenerationCall {
+    RequestId request;
+    ServiceId service;
+    VersionId version;
+    OrganisationId organisation;
+    std::string prompt;
+    std::uint32_t maxTokens = 0;
+    int priority = 0;
+    /// Tokens already delivered to the caller; above 0 for a resumed stream.
+    std::uint32_t resumeFrom = 0;
+    /// Text of the tokens already delivered.
+    std::string resumeText;
+};
+
+/// Stream of tokens from an engine.
+using StreamId = Id<struct StreamTag, std::uint64_t>;
+
+/// Kind of a stream's event.
+enum class GenerationEventKind {
+    Token,
+    Finished,
+};
+
+template <> struct EnumTable<GenerationEventKind> {
+    static constexpr std::array rows {
+        EnumName { GenerationEventKind::Token, "token" },
+        EnumName { GenerationEventKind::Finished, "finished" },
+    };
+};
+
+/// One event of a stream.
+struct GenerationEvent {
+    GenerationEventKind kind = GenerationEventKind::Token;
+    std::uint32_t index = 0;
+    std::string text;
+    std::string finishReason;
+    std::uint32_t promptTokens = 0;
+    std::uint32_t completionTokens = 0;
+    std::uint32_t cachedTokens = 0;
+};
+
+/// One call to a plain service.
+struct PlainCall {
+    RequestId request;
+    OrganisationId organisation;
+    std::string method;
+    std::string target;
+    std::string contentType;
+    std::string idempotencyKey;
+    std::string body;
+};
+
+/// Answer of a plain service.
+struct PlainAnswer {
+    int status = 0;
+    std::string contentType;
+    std::string body;
+};
+
+} // namespace Pollenwind
--- /dev/null
+++ b/Source/Programs/Pollenwindd/Main.cpp
@@ -0,0 +1,107 @@
+#include "Common/Sleep.h"
+#include "Config/Settings.h"
+#include "Router/Router.h"
+#include "Timeline/Log.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/signal_set.hpp>
+
+#include <tclap/CmdLine.h>
+
+#include <csignal>
+#include <cstdio>
+#include <fstream>
+#include <iostream>
+#include <sstream>
+
+namespace {
+
+using namespace Pollenwind;
+
+constexpr int exitDone = 0;
+constexpr int exitFailed = 1;
+constexpr int exitBadInput = 2;
+
+std::expected<Settings, int> loadSettings(const std::string& path)
+{
+    std::ifstream file(path);
+    if (!file) {
+        std::cerr << path << ": cannot be read\n";
+        return std::unexpected(exitBadInput);
+    }
+    std::ostringstream text;
+    text << file.rdbuf();
+    auto settings = parseSettings(text.str());
+    if (!settings) {
+        for (const auto& fault : settings.error()) {
+            std::cerr << formatFault(path, fault) << "\n";
+        }
+        return std::unexpected(exitBadInput);
+    }
+    return std::move(*settings);
+}
+
+Task<> forwardSignals(Router& router)
+{
+    asio::signal_set signals(co_await asio::this_coro::executor, SIGTERM, SIGINT);
+    for (;;) {
+        const auto [ec, signal] = co_await signals.async_wait(asTuple);
+        if (ec) {
+            co_return;
+        }
+        router.requestShutdown();
+    }
+}
+
+Task<> runUntilStopped(Router& router, asio::io_context& context)
+{
+    const auto cut = co_await router.waitUntilStopped();
+    std::cerr << "stopped; requests cut: " << cut << "\n";
+    context.stop();
+}
+
+int run(const std::string& path)
+{
+    auto settings = loadSettings(path);
+    if (!settings) {
+        return settings.error();
+    }
+    configureLog(settings->logLevel);
+    asio::io_context context(1);
+    Router router(context.get_executor(), std::move(*settings));
+    const auto started = router.start();
+    if (!started) {
+        std::cerr << "pollenwindd: " << started.error().message << "\n";
+        return exitFailed;
+    }
+    asio::co_spawn(context, forwardSignals(router), asio::detached);
+    asio::co_spawn(context, runUntilStopped(router, context), asio::detached);
+    context.run();
+    return exitDone;
+}
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    try {
+        TCLAP::CmdLine line("Routes language-model traffic with long shared prompts.", ' ', "0.1.0");
+        TCLAP::ValueArg<std::string> settings(
+            "s", "settings", "Settings file of this router (JSON with comments)", true, "", "FILE", line);
+        TCLAP::SwitchArg check("c", "check", "Check the settings file and exit", line);
+        line.setExceptionHandling(false);
+        line.parse(argc, argv);
+        if (check.getValue()) {
+            const auto loaded = loadSettings(settings.getValue());
+            return loaded ? exitDone : loaded.error();
+        }
+        return run(settings.getValue());
+    } catch (const TCLAP::ArgException& ex) {
+        std::cerr << "pollenwindd: " << ex.error() << " " << ex.argId() << "\n";
+        return exitBadInput;
+    } catch (const TCLAP::ExitException& ex) {
+        return ex.getExitStatus();
+    }
+}
