--- a/Source/Core/StandIn/EngineStandIn.cpp
+++ b/Source/Core/StandIn/EngineStandIn.cpp
@@ -118,7 +118,7 @@
         co_return;
     }
     for (const auto& [name, value] : request.headers) {
-        m_seenHeaders.push_back(name + ": " + value);
+        m_seenHeaders.emplace_back(name).append(": ").append(value);
     }
     while (m_seenHeaders.size() > keptHeaders) {
         m_seenHeaders.pop_front();
--- a/Source/Core/Timeline/Log.cpp
+++ b/Source/Core/Timeline/Log.cpp
@@ -49,7 +49,7 @@
     }
     std::string line(what);
     for (const auto& [name, value] : fields) {
-        line += " " + name + "=" + value;
+        line.append(" ").append(name).append("=").append(value);
     }
     LOG4CXX_INFO(logger(), line);
 }
