Add the placement index, the cost policy and its bench; follow engines' cache events

Cause: placement hashed the first piece only and kept no cache knowledge. Change: PlacementIndex keeps a bounded table of chain hashes by engine life, CostPolicy weighs missed tokens, queue and zone, CacheEventMonitor follows GET /cache-events, and a discrete-event bench compares the policies.

--- /dev/null
+++ b/Source/Core/Bench/PlacementPlot.h
@@ -0,0 +1,20 @@
+#pragma once
+
+#include "Bench/PlacementSimulation.h"
+
+#include <string>
+#include <vector>
+
+namespace Pollenwind::Bench {
+
+/// One bar of the comparison.
+struct PlotBar {
+    std::string group;
+    PolicyKind policy = PolicyKind::Cost;
+    SimulationResult result;
+};
+
+/// Draws hit rate, wasted recomputation and p99 time to first token (logarithmic) of each group as SVG.
+std::string plotComparison(const std::vector<PlotBar>& bars);
+
+} // namespace Pollenwind::Bench
--- a/Source/Core/Placement/Commands/CacheCommands.h
+++ b/Source/Core/Placement/Commands/CacheCommands.h
@@ -21,6 +21,10 @@
     /// Takes a cache event.
     virtual void noteEvent(const UpstreamId& upstream, const CacheEvent& event) = 0;
 
+    /// Notes whether an engine's event stream is being followed. While it is interrupted, knowledge from before the
+    /// interruption is not trusted; when it is followed again without a gap, that knowledge counts again.
+    virtual void noteEventStream(const UpstreamId& upstream, bool isFollowed) = 0;
+
     /// Notes the life that an engine is in; knowledge of earlier lives is dropped.
     virtual void noteIncarnation(const UpstreamId& upstream, Incarnation incarnation) = 0;
 };
--- /dev/null
+++ b/Source/Core/Placement/CostPolicy.h
@@ -0,0 +1,82 @@
+#pragma once
+
+#include "Common/Clock.h"
+#include "Placement/CandidateRing.h"
+#include "Placement/Queries/CacheQueries.h"
+#include "Placement/Queries/LoadQueries.h"
+#include "Placement/Queries/PlacementPolicy.h"
+
+#include <chrono>
+#include <random>
+#include <vector>
+
+namespace Pollenwind {
+
+/// Weights of the cost, and which parts of it are in use. Parts are switched off only to measure what each is worth.
+struct CostPolicyOptions {
+    /// Prefill time of one missed token.
+    std::chrono::nanoseconds prefillPerToken { 20'000 };
+    /// Weight of the prefill work against the wait of the request itself. Above 1 because a missed prefix also delays
+    /// every request behind it and evicts others; with 1 a loaded fleet spreads its prefixes until none is held.
+    double missedWeight = 3;
+    /// Cost of sending a request to an engine in another zone: the way there and back.
+    std::chrono::nanoseconds crossZone { 2'000'000 };
+    /// Routers that place requests at the same time.
+    unsigned routers = 9;
+    /// Lag of the engines' load reports.
+    std::chrono::nanoseconds reportLag { std::chrono::milliseconds(200) };
+    /// Candidates whose cost is within this distance of the least count as equal.
+    std::chrono::nanoseconds tolerance { 5'000'000 };
+    /// Share of the unknown pieces that the engine agreed on by hashing is expected to hold already, because other
+    /// routers sent them there.
+    double agreement = 0.5;
+    /// Up to this number of candidates all are considered; above, only holders and engines found by hashing.
+    std::size_t fullScan = 64;
+    bool usesQueue = true;
+    bool usesSpread = true;
+    bool usesZones = true;
+    bool usesAgreement = true;
+    std::uint64_t seed = 1;
+};
+
+/// Places a request where missed tokens x prefill time + expected queue + cross-zone penalty is least.
+///
+/// A prefix that no engine is known to hold goes to the engine that rendezvous hashing over its first unknown piece
+/// names, so that routers agree without messages. A hot prefix spreads because its holders' queues grow beyond the
+/// cost of another prefill, and shrinks because unused copies are evicted.
+class CostPolicy final : public PlacementPolicy {
+public:
+    CostPolicy(const Clock& clock, const CacheQueries& cache, const LoadQueries& load, CostPolicyOptions options = {});
+
+    std::optional<PlacementChoice> choose(
+        const PlacementRequest& request, std::span<const PlacementCandidate> candidates) const override;
+
+private:
+    struct Option {
+        const PlacementCandidate* candidate = nullptr;
+        std::uint32_t pieces = 0;
+        std::uint64_t oldestTouched = 0;
+        /// Expected seconds until the queue of the engine is empty.
+        double wait = 0;
+        double cost = 0;
+        std::uint64_t weight = 0;
+    };
+
+    std::vector<Option> gather(const PlacementRequest& request, std::span<const PlacementCandidate> candidates) const;
+    void gatherFromRing(const PlacementRequest& request, std::span<const PlacementCandidate> candidates,
+        const std::vector<CacheHolding>& holdings, std::vector<Option>& options) const;
+    void applySlowStart(std::vector<Option>& options) const;
+    void computeCosts(const PlacementRequest& request, std::vector<Option>& options) const;
+    double expectedWait(const PlacementCandidate& candidate) const;
+    const Option& pick(std::vector<Option>& options) const;
+
+    const Clock& m_clock;
+    const CacheQueries& m_cache;
+    const LoadQueries& m_load;
+    CostPolicyOptions m_options;
+    // Choosing changes no knowledge; the generator and the ring are caches of the policy itself.
+    mutable std::mt19937_64 m_random;
+    mutable CandidateRing m_ring;
+};
+
+} // namespace Pollenwind
--- a/Source/Core/Placement/PlacementTypes.h
+++ b/Source/Core/Placement/PlacementTypes.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "Common/Clock.h"
 #include "Common/EnumTable.h"
 #include "Common/Ids.h"
 #include "Placement/PrefixChain.h"
@@ -13,8 +14,10 @@
     UpstreamId upstream;
     Incarnation incarnation;
     ZoneId zone;
-    /// Tokens waiting or running there, as last reported plus what this router sent since.
+    /// Tokens waiting for prefill there, as last reported.
     double queuedTokens = 0;
+    /// Time at which the report arrived.
+    MonotonicTime reportedAt { 0 };
     /// Share of full work that the engine may get, from 0 to 1. Below 1 during a slow start.
     double admission = 1;
 };
@@ -25,6 +28,9 @@
     VersionId version;
     PrefixChain chain;
     ZoneId ownZone;
+    /// Number of the candidate set; changes whenever an engine joins or leaves it. 0 when the caller keeps no such
+    /// number; then a large set is indexed anew for each request.
+    std::uint64_t candidatesRevision = 0;
 };
 
 /// The chosen engine.
@@ -33,6 +39,8 @@
     Incarnation incarnation;
     /// Prompt tokens that the engine is believed to hold.
     std::uint32_t expectedCachedTokens = 0;
+    /// Confirmation time of the expected piece that was confirmed the longest ago; 0 when none is expected.
+    std::uint64_t oldestTouched = 0;
 };
 
 /// Kind of an engine's cache event.
--- a/Source/Core/Router/Router.cpp
+++ b/Source/Core/Router/Router.cpp
@@ -10,8 +10,10 @@
 #include "Keys/KeyTable.h"
 #include "Limits/LocalLimiter.h"
 #include "Metrics/MetricTable.h"
-#include "Placement/RendezvousPolicy.h"
+#include "Placement/CostPolicy.h"
+#include "Placement/PlacementIndex.h"
 #include "Platform/EtcdGatewayClient.h"
+#include "Router/CacheEventMonitor.h"
 #include "Router/Commands/RouterCommands.h"
 #include "Router/HealthMonitor.h"
 #include "Router/Queries/RouterQueries.h"
@@ -30,15 +32,6 @@
     constexpr std::chrono::milliseconds reconfigureCheck { 50 };
     constexpr std::chrono::milliseconds drainCheck { 20 };
 
-    /// Placement by hashing alone keeps no cache knowledge.
-    class NoCacheKnowledge final : public CacheCommands {
-    public:
-        void notePlaced(const PlacementChoice&, const PrefixChain&) override { }
-        void noteCached(const PlacementChoice&, const PrefixChain&, std::uint32_t) override { }
-        void noteEvent(const UpstreamId&, const CacheEvent&) override { }
-        void noteIncarnation(const UpstreamId&, Incarnation) override { }
-    };
-
     DispatchTimeouts toTimeouts(const Settings& settings)
     {
         return { settings.rateWaitLimit, settings.firstTokenTimeout, settings.tokenGapTimeout };
@@ -55,11 +48,14 @@
         , configuration(timeline)
         , keys(clock, timeline, settings.keysUnconfirmedLimit)
         , limits(clock, configuration)
-        , upstreams(configuration, timeline, cache)
+        , cache(clock)
+        , placement(clock, cache, cache, { .seed = randomBits() })
+        , upstreams(clock, configuration, timeline, cache)
         , upstreamClient(executor, settings.connectTimeout)
         , store(executor, settings.store, { settings.storeCallTimeout }, metrics)
         , storeSync({ clock, store, configuration, keys, timeline, metrics })
         , health(executor, upstreams, upstreams, upstreamClient, settings.healthInterval)
+        , cacheEvents(executor, cache, cache, upstreams, configuration, upstreamClient)
         , dispatch { clock, configuration, keys, limits, placement, cache, upstreams, upstreams, metrics, settings.zone,
             toTimeouts(settings) }
         , completions(dispatch, upstreamClient)
@@ -93,13 +89,14 @@
     ConfigurationTable configuration;
     KeyTable keys;
     LocalLimiter limits;
-    RendezvousPolicy placement;
-    NoCacheKnowledge cache;
+    PlacementIndex cache;
+    CostPolicy placement;
     UpstreamTable upstreams;
     HttpUpstreamClient upstreamClient;
     EtcdGatewayClient store;
     StoreSync storeSync;
     HealthMonitor health;
+    CacheEventMonitor cacheEvents;
     DispatchContext dispatch;
     CompletionDispatcher completions;
     PlainDispatcher plain;
@@ -180,6 +177,7 @@
             applied = configuration.current()->revision;
             upstreams.reconfigure();
             health.followUpstreams();
+            cacheEvents.followEngines();
         }
         co_await sleepFor(reconfigureCheck);
     }
--- /dev/null
+++ b/Source/Core/Upstream/HttpCacheEventStream.h
@@ -0,0 +1,27 @@
+#pragma once
+
+#include "Transport/HttpClient.h"
+#include "Upstream/Queries/CacheEventClient.h"
+
+#include <string>
+
+namespace Pollenwind {
+
+/// Cache events over the server-sent events of `GET /cache-events`.
+class HttpCacheEventStream final : public CacheEventStream {
+public:
+    /// @param connection Connection whose answer head was read.
+    explicit HttpCacheEventStream(std::unique_ptr<HttpConnection> connection)
+        : m_connection(std::move(connection))
+    {
+    }
+
+    Task<Outcome<std::vector<CacheEvent>>> next(std::chrono::nanoseconds timeout) override;
+
+private:
+    std::unique_ptr<HttpConnection> m_connection;
+    /// Bytes received after the last whole event.
+    std::string m_rest;
+};
+
+} // namespace Pollenwind
--- a/Source/Core/Upstream/HttpUpstreamClient.cpp
+++ b/Source/Core/Upstream/HttpUpstreamClient.cpp
@@ -1,5 +1,6 @@
 #include "Upstream/HttpUpstreamClient.h"
 
+#include "Upstream/HttpCacheEventStream.h"
 #include "Upstream/UpstreamCodec.h"
 
 namespace Pollenwind {
@@ -180,4 +181,26 @@
     co_return UpstreamCodec::decodeHealth(answer->body);
 }
 
+Task<Outcome<std::unique_ptr<CacheEventStream>>> HttpUpstreamClient::openCacheEvents(
+    Endpoint endpoint, std::uint64_t from, std::chrono::nanoseconds timeout)
+{
+    auto connection = std::make_unique<HttpConnection>(m_executor);
+    const auto connected = co_await connection->connect(endpoint, m_connectTimeout);
+    if (!connected) {
+        co_return std::unexpected(connected.error());
+    }
+    HttpRequest request;
+    request.method = "GET";
+    request.path = "/cache-events";
+    request.query = "from=" + std::to_string(from);
+    const auto head = co_await connection->send(request, timeout);
+    if (!head) {
+        co_return std::unexpected(head.error());
+    }
+    if (head->status != 200) {
+        co_return fail(ErrorCode::ProtocolError, "the engine answered with status " + std::to_string(head->status));
+    }
+    co_return std::make_unique<HttpCacheEventStream>(std::move(connection));
+}
+
 } // namespace Pollenwind
--- a/Source/Core/Upstream/HttpUpstreamClient.h
+++ b/Source/Core/Upstream/HttpUpstreamClient.h
@@ -3,6 +3,7 @@
 #include "Transport/HttpClient.h"
 #include "Upstream/Commands/EngineClient.h"
 #include "Upstream/Commands/PlainClient.h"
+#include "Upstream/Queries/CacheEventClient.h"
 #include "Upstream/Queries/HealthClient.h"
 
 #include <chrono>
@@ -13,7 +14,7 @@
 namespace Pollenwind {
 
 /// Speaks the protocol of docs/upstream-protocol.md.
-class HttpUpstreamClient final : public EngineClient, public PlainClient, public HealthClient {
+class HttpUpstreamClient final : public EngineClient, public PlainClient, public HealthClient, public CacheEventClient {
 public:
     /// @param connectTimeout Longest time to connect.
     HttpUpstreamClient(asio::any_io_executor executor, std::chrono::nanoseconds connectTimeout);
@@ -24,6 +25,8 @@
     void cancel(StreamId stream) override;
     Task<Outcome<PlainAnswer>> run(Endpoint endpoint, PlainCall call, std::chrono::nanoseconds timeout) override;
     Task<Outcome<HealthReport>> health(Endpoint endpoint, std::chrono::nanoseconds timeout) override;
+    Task<Outcome<std::unique_ptr<CacheEventStream>>> openCacheEvents(
+        Endpoint endpoint, std::uint64_t from, std::chrono::nanoseconds timeout) override;
 
 private:
     struct Stream;
--- a/Source/Core/Upstream/UpstreamCodec.cpp
+++ b/Source/Core/Upstream/UpstreamCodec.cpp
@@ -5,6 +5,7 @@
 #include <nlohmann/json.hpp>
 
 #include <charconv>
+#include <optional>
 
 namespace Pollenwind::UpstreamCodec {
 
@@ -24,6 +25,14 @@
         return it != object.end() && it->is_string() ? it->get<std::string>() : std::string();
     }
 
+    std::optional<std::uint64_t> readHex(const Json& object, const char* name)
+    {
+        const auto hex = readString(object, name);
+        std::uint64_t value = 0;
+        const auto [end, ec] = std::from_chars(hex.data(), hex.data() + hex.size(), value, 16);
+        return ec == std::errc() && end == hex.data() + hex.size() ? std::optional(value) : std::nullopt;
+    }
+
     std::unexpected<Error> malformed(std::string_view what)
     {
         return fail(ErrorCode::ProtocolError, "the upstream sent a malformed " + std::string(what), RunState::Unknown);
@@ -92,6 +101,22 @@
     return event;
 }
 
+Outcome<CacheEvent> decodeCacheEvent(std::string_view data)
+{
+    const auto json = Json::parse(data, nullptr, false);
+    if (!json.is_object() || !json.contains("seq") || !json["seq"].is_number_unsigned()) {
+        return malformed("cache event");
+    }
+    const auto kind = fromName<CacheEventKind>(readString(json, "type"));
+    const auto incarnation = readHex(json, "incarnation");
+    const auto hash = readHex(json, "hash");
+    const bool needsHash = kind != CacheEventKind::Cleared;
+    if (!kind || !incarnation || (needsHash && !hash)) {
+        return malformed("cache event");
+    }
+    return CacheEvent { json["seq"].get<std::uint64_t>(), Incarnation(*incarnation), *kind, hash.value_or(0) };
+}
+
 Outcome<HealthReport> decodeHealth(std::string_view body)
 {
     const auto json = Json::parse(body, nullptr, false);
@@ -99,15 +124,13 @@
         return malformed("health report");
     }
     const auto state = fromName<UpstreamState>(readString(json, "state"));
-    const auto hex = readString(json, "incarnation");
-    std::uint64_t incarnation = 0;
-    const auto [end, ec] = std::from_chars(hex.data(), hex.data() + hex.size(), incarnation, 16);
-    if (!state || ec != std::errc() || end != hex.data() + hex.size()) {
+    const auto incarnation = readHex(json, "incarnation");
+    if (!state || !incarnation) {
         return malformed("health report");
     }
     HealthReport report;
     report.state = *state;
-    report.incarnation = Incarnation(incarnation);
+    report.incarnation = Incarnation(*incarnation);
     for (const auto& version : json.value("versions", Json::array())) {
         if (version.is_string()) {
             report.versions.emplace_back(version.get<std::string>());
--- a/Source/Core/Upstream/UpstreamCodec.h
+++ b/Source/Core/Upstream/UpstreamCodec.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Common/Error.h"
+#include "Placement/PlacementTypes.h"
 #include "Transport/HttpTypes.h"
 #include "Upstream/UpstreamTypes.h"
 
@@ -18,6 +19,9 @@
 /// @return The event; Mismatch when it belongs to another request, ProtocolError when malformed.
 Outcome<GenerationEvent> decodeEvent(std::string_view data, const RequestId& request);
 
+/// Decodes the data of one cache event.
+Outcome<CacheEvent> decodeCacheEvent(std::string_view data);
+
 Outcome<HealthReport> decodeHealth(std::string_view body);
 
 } // namespace Pollenwind::UpstreamCodec
--- a/Source/Core/Upstream/UpstreamTable.cpp
+++ b/Source/Core/Upstream/UpstreamTable.cpp
@@ -5,8 +5,9 @@
 namespace Pollenwind {
 
 UpstreamTable::UpstreamTable(
-    const ConfigurationQueries& configuration, TimelineCommands& timeline, CacheCommands& cache)
-    : m_configuration(configuration)
+    const Clock& clock, const ConfigurationQueries& configuration, TimelineCommands& timeline, CacheCommands& cache)
+    : m_clock(clock)
+    , m_configuration(configuration)
     , m_timeline(timeline)
     , m_cache(cache)
 {
@@ -44,6 +45,7 @@
         return;
     }
     entry.report = *report;
+    entry.reportedAt = m_clock.now();
     if (report->incarnation != previous.incarnation) {
         m_cache.noteIncarnation(upstream, report->incarnation);
         m_timeline.record(EventKind::UpstreamIncarnation, { { "upstream", upstream.value() } });
@@ -76,8 +78,8 @@
         const auto& versions = entry.report.versions;
         const bool isLoaded = std::find(versions.begin(), versions.end(), version) != versions.end();
         if (entry.service == service && entry.report.state == UpstreamState::Ready && isLoaded) {
-            const double queued = std::max(entry.report.queuedTokens, entry.ownTokens);
-            found.push_back({ id, entry.report.incarnation, entry.spec.zone, queued, 1 });
+            found.push_back(
+                { id, entry.report.incarnation, entry.spec.zone, entry.report.queuedTokens, entry.reportedAt, 1 });
         }
     }
     return found;
--- a/Source/Core/Upstream/UpstreamTable.h
+++ b/Source/Core/Upstream/UpstreamTable.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "Common/Clock.h"
 #include "Config/Queries/ConfigurationQueries.h"
 #include "Placement/Commands/CacheCommands.h"
 #include "Timeline/Commands/TimelineCommands.h"
@@ -13,7 +14,8 @@
 /// Owner of the upstreams' state.
 class UpstreamTable final : public UpstreamCommands, public UpstreamQueries {
 public:
-    UpstreamTable(const ConfigurationQueries& configuration, TimelineCommands& timeline, CacheCommands& cache);
+    UpstreamTable(const Clock& clock, const ConfigurationQueries& configuration, TimelineCommands& timeline,
+        CacheCommands& cache);
 
     void reconfigure() override;
     void noteHealth(const UpstreamId& upstream, const Outcome<HealthReport>& report) override;
@@ -29,10 +31,12 @@
         ServiceId service;
         UpstreamSpec spec;
         HealthReport report;
+        MonotonicTime reportedAt { 0 };
         /// Tokens of running work of this router.
         double ownTokens = 0;
     };
 
+    const Clock& m_clock;
     const ConfigurationQueries& m_configuration;
     TimelineCommands& m_timeline;
     CacheCommands& m_cache;
--- /dev/null
+++ b/Source/Programs/PollenwindBench/DecisionBench.cpp
@@ -0,0 +1,89 @@
+#include "Placement/CostPolicy.h"
+#include "Placement/PlacementIndex.h"
+
+#include <benchmark/benchmark.h>
+
+#include <algorithm>
+
+namespace {
+
+using namespace Pollenwind;
+
+constexpr std::size_t chainPieces = 16;
+
+PrefixChain chainOf(std::uint64_t number)
+{
+    PrefixChain chain;
+    chain.pieceTokens = 2048;
+    chain.promptTokens = chainPieces * 2048 + 700;
+    for (std::uint64_t i = 0; i < chainPieces; ++i) {
+        chain.hashes.push_back((number * chainPieces + i + 1) * 0x9e3779b97f4a7c15ULL);
+    }
+    return chain;
+}
+
+/// Placements are 14 ms apart, the rate of one node at the target size (71 requests/s).
+/// An index with knowledge of many blocks at many engines. Each chain is held by three engines.
+struct Scene {
+    Scene(std::size_t engines, std::size_t blocks)
+        : index(clock, { .maxAge = std::chrono::hours(24) })
+        , policy(clock, index, index)
+    {
+        for (std::size_t i = 0; i < engines; ++i) {
+            const UpstreamId id("engine-" + std::to_string(100'000 + i));
+            index.noteIncarnation(id, Incarnation(i + 1));
+            candidates.push_back({ id, Incarnation(i + 1), ZoneId("z" + std::to_string(i % 3)), 0, clock.now(), 1 });
+        }
+        chains = std::max<std::size_t>(1, blocks / chainPieces / copies);
+        for (std::size_t i = 0; i < chains * copies; ++i) {
+            const auto& it = candidates[(i * 7919) % engines];
+            index.notePlaced({ it.upstream, it.incarnation }, chainOf(i / copies));
+            clock.advance(std::chrono::milliseconds(14));
+        }
+        for (auto& it : candidates) {
+            it.reportedAt = clock.now();
+        }
+    }
+
+    static constexpr std::size_t copies = 3;
+    ManualClock clock;
+    PlacementIndex index;
+    CostPolicy policy;
+    std::vector<PlacementCandidate> candidates;
+    std::size_t chains = 0;
+};
+
+/// Time of one choice. Arguments: engines, known blocks.
+void choose(benchmark::State& state)
+{
+    Scene scene(static_cast<std::size_t>(state.range(0)), static_cast<std::size_t>(state.range(1)));
+    PlacementRequest request { ServiceId("model"), VersionId("v1"), {}, ZoneId("z0"), 1 };
+    std::uint64_t number = 0;
+    for (auto _ : state) {
+        state.PauseTiming();
+        request.chain = chainOf((number += 7919) % scene.chains);
+        state.ResumeTiming();
+        benchmark::DoNotOptimize(scene.policy.choose(request, scene.candidates));
+    }
+    state.counters["blocks"] = static_cast<double>(scene.index.blockCount());
+    state.counters["bytes/block"]
+        = static_cast<double>(scene.index.memoryBytes()) / static_cast<double>(scene.index.blockCount());
+}
+
+/// Time to take in one placement. Arguments: engines, known blocks.
+void notePlaced(benchmark::State& state)
+{
+    Scene scene(static_cast<std::size_t>(state.range(0)), static_cast<std::size_t>(state.range(1)));
+    std::uint64_t number = 0;
+    const auto chain = chainOf(1);
+    for (auto _ : state) {
+        const auto& it = scene.candidates[(number++) % scene.candidates.size()];
+        scene.index.notePlaced({ it.upstream, it.incarnation }, chain);
+    }
+}
+
+} // namespace
+
+BENCHMARK(choose)->ArgsProduct({ { 9, 18, 1000, 12000 }, { 10'000, 1'000'000 } });
+BENCHMARK(notePlaced)->Args({ 18, 1'000'000 });
+BENCHMARK_MAIN();
--- /dev/null
+++ b/tools/bench.sh
@@ -0,0 +1,20 @@
+#!/usr/bin/env bash
+# Runs a benchmark. Usage: tools/bench.sh placement|decisions [ARGUMENT...]
+set -euo pipefail
+cd "$(dirname "$0")/.."
+name=${1:-}
+shift || true
+tools/build.sh build
+case "$name" in
+placement)
+    mkdir -p docs/plots
+    build/Source/Programs/PollenwindBench/pollenwind-bench --plot docs/plots/placement.svg "$@"
+    ;;
+decisions)
+    build/Source/Programs/PollenwindBench/pollenwind-decision-bench "$@"
+    ;;
+*)
+    echo "usage: tools/bench.sh placement|decisions [ARGUMENT...]" >&2
+    exit 2
+    ;;
+esac
