Bound the engines of a prefix by its demand; add tests of Placement

Cause: with the queue term alone the engines saturated, since waits of seconds spread every prefix over all engines. Change: a prefix uses the first engines of its rendezvous order, as many as its demand needs. Two random choices, the cross-zone penalty and a bonus for the home engine are taken out.

--- a/Source/Core/Bench/EngineModel.h
+++ b/Source/Core/Bench/EngineModel.h
@@ -66,6 +66,6 @@
 inline constexpr double decodePerToken = 0.02;
 
 /// Answers that an engine decodes at the same time.
-inline constexpr std::size_t maxDecoding = 64;
+inline constexpr std::size_t maxDecoding = 256;
 
 } // namespace Pollenwind::Bench
--- a/Source/Core/Bench/PlacementReport.cpp
+++ b/Source/Core/Bench/PlacementReport.cpp
@@ -22,9 +22,7 @@
             { "no placements", [](SimulationOptions& it) { it.index.usesPlacements = false; } },
             { "no answers", [](SimulationOptions& it) { it.index.usesAnswers = false; } },
             { "no queue term", [](SimulationOptions& it) { it.cost.usesQueue = false; } },
-            { "no two choices", [](SimulationOptions& it) { it.cost.usesSpread = false; } },
-            { "no zone term", [](SimulationOptions& it) { it.cost.usesZones = false; } },
-            { "no agreement", [](SimulationOptions& it) { it.cost.usesAgreement = false; } },
+            { "no bound of homes", [](SimulationOptions& it) { it.cost.usesSpread = false; } },
         };
         return all;
     }
@@ -50,7 +48,7 @@
         run.shape = shapeOf(kind);
         run.seed = options.seed;
         run.seconds = options.seconds;
-        run.cost.missedWeight = options.missedWeight;
+        run.cost = options.cost;
         return findCapacity(run);
     }
 
@@ -84,8 +82,7 @@
             run.shape = shapeOf(workload.value);
             run.seed = options.seed;
             run.seconds = options.seconds;
-            run.cost.missedWeight = options.missedWeight;
-            run.cost.routers = options.routers;
+            run.cost = options.cost;
             run.rate = load * capacity;
             printHead(out, workload.name, load, run.rate);
             for (const auto& policy : EnumTable<PolicyKind>::rows) {
--- a/Source/Core/Bench/PlacementReport.h
+++ b/Source/Core/Bench/PlacementReport.h
@@ -12,10 +12,8 @@
     double seconds = 180;
     /// SVG file to write; empty for none.
     std::string plotFile;
-    /// Weight of missed tokens for the cost policy and the oracle.
-    double missedWeight = CostPolicyOptions().missedWeight;
-    /// Number of routers that the cost policy assumes.
-    unsigned routers = CostPolicyOptions().routers;
+    /// Options of the cost policy.
+    CostPolicyOptions cost;
     bool withAblation = true;
 };
 
--- a/Source/Core/Placement/CandidateRing.cpp
+++ b/Source/Core/Placement/CandidateRing.cpp
@@ -55,17 +55,4 @@
     return found;
 }
 
-std::optional<std::uint32_t> CandidateRing::indexOf(
-    const UpstreamId& upstream, std::span<const PlacementCandidate> candidates) const
-{
-    const auto hash = engineHash(upstream);
-    for (auto it = std::lower_bound(m_points.begin(), m_points.end(), std::pair(hash, 0U));
-        it != m_points.end() && it->first == hash; ++it) {
-        if (candidates[it->second].upstream == upstream) {
-            return it->second;
-        }
-    }
-    return std::nullopt;
-}
-
 } // namespace Pollenwind
--- a/Source/Core/Placement/CandidateRing.h
+++ b/Source/Core/Placement/CandidateRing.h
@@ -3,7 +3,6 @@
 #include "Placement/PlacementTypes.h"
 
 #include <cstdint>
-#include <optional>
 #include <span>
 #include <utility>
 #include <vector>
@@ -27,10 +26,6 @@
     /// @return Indices into the candidate set; may repeat.
     std::vector<std::uint32_t> probe(ChainHash key, std::size_t n) const;
 
-    /// @return Index of an engine in the set, or nothing.
-    std::optional<std::uint32_t> indexOf(
-        const UpstreamId& upstream, std::span<const PlacementCandidate> candidates) const;
-
 private:
     std::uint64_t m_revision = 0;
     ServiceId m_service;
--- a/Source/Core/Placement/CostPolicy.cpp
+++ b/Source/Core/Placement/CostPolicy.cpp
@@ -1,16 +1,14 @@
 #include "Placement/CostPolicy.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace Pollenwind {
 
 namespace {
 
-    // Engines that hashing adds to the holders where the candidate set is large.
-    constexpr std::size_t ringProbes = 8;
-
-    // Holders considered where the candidate set is large; more add nothing, since they differ only in their queues.
-    constexpr std::size_t maxHolders = 32;
+    // Engines found by hashing where the candidate set is large.
+    constexpr std::size_t fewestProbes = 8;
 
     double toSeconds(std::chrono::nanoseconds duration) { return std::chrono::duration<double>(duration).count(); }
 
@@ -34,8 +32,12 @@
         return std::nullopt;
     }
     applySlowStart(options);
+    if (m_options.usesSpread) {
+        keepHomes(request.chain, options);
+    }
     computeCosts(request, options);
-    const auto& best = pick(options);
+    const auto& best = *std::min_element(options.begin(), options.end(),
+        [](const auto& a, const auto& b) { return a.cost != b.cost ? a.cost < b.cost : a.weight > b.weight; });
     return PlacementChoice { best.candidate->upstream, best.candidate->incarnation,
         best.pieces * request.chain.pieceTokens, best.oldestTouched };
 }
@@ -44,52 +46,39 @@
     const PlacementRequest& request, std::span<const PlacementCandidate> candidates) const
 {
     std::vector<Option> options;
-    auto holdings = m_cache.holders(request.chain);
     if (candidates.size() > m_options.fullScan) {
-        gatherFromRing(request, candidates, holdings, options);
-        return options;
+        m_ring.follow(request.candidatesRevision, request.service, request.version, candidates);
+        // The first piece is the key whatever is known, so that all requests of a prefix meet at the same engines.
+        const ChainHash key = request.chain.hashes.empty() ? m_random() : request.chain.hashes.front();
+        auto found = m_ring.probe(key, std::max(fewestProbes, 2 * homeCount(request.chain)));
+        std::sort(found.begin(), found.end());
+        found.erase(std::unique(found.begin(), found.end()), found.end());
+        for (const auto index : found) {
+            options.push_back({ &candidates[index] });
+        }
+    } else {
+        for (const auto& it : candidates) {
+            options.push_back({ &it });
+        }
     }
-    for (const auto& it : candidates) {
-        Option option { &it };
-        const auto held = std::find_if(holdings.begin(), holdings.end(),
-            [&](const auto& h) { return h.upstream == it.upstream && h.incarnation == it.incarnation; });
+    const auto holdings = m_cache.holders(request.chain);
+    for (auto& option : options) {
+        const auto held = std::find_if(holdings.begin(), holdings.end(), [&](const auto& it) {
+            return it.upstream == option.candidate->upstream && it.incarnation == option.candidate->incarnation;
+        });
         if (held != holdings.end()) {
             option.pieces = held->pieces;
             option.oldestTouched = held->oldestTouched;
         }
-        options.push_back(option);
     }
     return options;
 }
 
-void CostPolicy::gatherFromRing(const PlacementRequest& request, std::span<const PlacementCandidate> candidates,
-    const std::vector<CacheHolding>& holdings, std::vector<Option>& options) const
+std::size_t CostPolicy::homeCount(const PrefixChain& chain) const
 {
-    m_ring.follow(request.candidatesRevision, request.service, request.version, candidates);
-    std::vector<const CacheHolding*> deepest;
-    for (const auto& it : holdings) {
-        deepest.push_back(&it);
-    }
-    const auto n = std::min(maxHolders, deepest.size());
-    std::partial_sort(deepest.begin(), deepest.begin() + static_cast<std::ptrdiff_t>(n), deepest.end(),
-        [](const auto* a, const auto* b) { return a->pieces > b->pieces; });
-    std::uint32_t known = 0;
-    for (std::size_t i = 0; i < n; ++i) {
-        const auto index = m_ring.indexOf(deepest[i]->upstream, candidates);
-        if (index && candidates[*index].incarnation == deepest[i]->incarnation) {
-            options.push_back({ &candidates[*index], deepest[i]->pieces, deepest[i]->oldestTouched });
-            known = std::max(known, deepest[i]->pieces);
-        }
-    }
-    const auto& hashes = request.chain.hashes;
-    const ChainHash key = hashes.empty() ? m_random() : hashes[std::min<std::size_t>(known, hashes.size() - 1)];
-    for (const auto index : m_ring.probe(key, ringProbes)) {
-        const bool isKnown = std::any_of(
-            options.begin(), options.end(), [&](const auto& it) { return it.candidate == &candidates[index]; });
-        if (!isKnown) {
-            options.push_back({ &candidates[index] });
-        }
-    }
+    const double demand = chain.hashes.empty() ? 0 : m_load.prefixDemand(chain.hashes.front());
+    const double engines = demand * m_options.routers * toSeconds(m_options.prefillPerToken) / m_options.engineShare;
+    return std::max(m_options.fewestHomes, static_cast<std::size_t>(std::ceil(engines)));
 }
 
 void CostPolicy::applySlowStart(std::vector<Option>& options) const
@@ -106,6 +95,23 @@
     }
 }
 
+void CostPolicy::keepHomes(const PrefixChain& chain, std::vector<Option>& options) const
+{
+    if (chain.hashes.empty()) {
+        return;
+    }
+    const auto homes = homeCount(chain);
+    if (homes >= options.size()) {
+        return;
+    }
+    for (auto& it : options) {
+        it.weight = rendezvousWeight(engineHash(it.candidate->upstream), chain.hashes.front());
+    }
+    std::partial_sort(options.begin(), options.begin() + static_cast<std::ptrdiff_t>(homes), options.end(),
+        [](const auto& a, const auto& b) { return a.weight > b.weight; });
+    options.resize(homes);
+}
+
 double CostPolicy::expectedWait(const PlacementCandidate& candidate) const
 {
     const auto now = m_clock.now();
@@ -128,7 +134,6 @@
     const bool isAllKnown = known >= chain.hashes.size();
     // A prompt shorter than a piece shares nothing, so it has no home.
     const ChainHash key = chain.hashes.empty() ? m_random() : chain.hashes[isAllKnown ? known - 1 : known];
-    Option* home = nullptr;
     const double prefill = toSeconds(m_options.prefillPerToken) * m_options.missedWeight;
     for (auto& it : options) {
         it.weight = rendezvousWeight(engineHash(it.candidate->upstream), key);
@@ -138,36 +143,7 @@
         if (m_options.usesQueue) {
             it.cost += it.wait;
         }
-        if (m_options.usesZones && it.candidate->zone != request.ownZone) {
-            it.cost += toSeconds(m_options.crossZone);
-        }
-        if (!home || it.weight > home->weight) {
-            home = &it;
-        }
-    }
-    if (m_options.usesAgreement && !isAllKnown) {
-        const double unknown = static_cast<double>(chain.hashes.size() - known) * chain.pieceTokens;
-        home->cost -= m_options.agreement * unknown * prefill;
-    }
-}
-
-const CostPolicy::Option& CostPolicy::pick(std::vector<Option>& options) const
-{
-    const double least = std::min_element(options.begin(), options.end(), [](const auto& a, const auto& b) {
-        return a.cost < b.cost;
-    })->cost;
-    const auto end = std::partition(options.begin(), options.end(),
-        [&](const auto& it) { return it.cost <= least + toSeconds(m_options.tolerance); });
-    const auto n = end - options.begin();
-    if (!m_options.usesSpread || n == 1) {
-        return *std::max_element(
-            options.begin(), end, [](const auto& a, const auto& b) { return a.weight < b.weight; });
     }
-    // Two random candidates instead of the one with the shortest queue: reports are old, and all routers see the same.
-    std::uniform_int_distribution<std::ptrdiff_t> draw(0, n - 1);
-    const auto& a = options[static_cast<std::size_t>(draw(m_random))];
-    const auto& b = options[static_cast<std::size_t>(draw(m_random))];
-    return a.cost <= b.cost ? a : b;
 }
 
 } // namespace Pollenwind
--- a/Source/Core/Placement/CostPolicy.h
+++ b/Source/Core/Placement/CostPolicy.h
@@ -18,32 +18,27 @@
     std::chrono::nanoseconds prefillPerToken { 20'000 };
     /// Weight of the prefill work against the wait of the request itself. Above 1 because a missed prefix also delays
     /// every request behind it and evicts others; with 1 a loaded fleet spreads its prefixes until none is held.
-    double missedWeight = 3;
-    /// Cost of sending a request to an engine in another zone: the way there and back.
-    std::chrono::nanoseconds crossZone { 2'000'000 };
+    double missedWeight = 1.5;
     /// Routers that place requests at the same time.
     unsigned routers = 9;
     /// Lag of the engines' load reports.
     std::chrono::nanoseconds reportLag { std::chrono::milliseconds(200) };
-    /// Candidates whose cost is within this distance of the least count as equal.
-    std::chrono::nanoseconds tolerance { 5'000'000 };
-    /// Share of the unknown pieces that the engine agreed on by hashing is expected to hold already, because other
-    /// routers sent them there.
-    double agreement = 0.5;
-    /// Up to this number of candidates all are considered; above, only holders and engines found by hashing.
+    /// Up to this number of candidates all are considered; above, only those found by hashing.
     std::size_t fullScan = 64;
     bool usesQueue = true;
+    /// Share of an engine's prefill that one prefix may fill before it gets another engine.
+    double engineShare = 0.3;
+    /// Fewest engines that a prefix may use; two allow for an engine that others made busy.
+    std::size_t fewestHomes = 2;
     bool usesSpread = true;
-    bool usesZones = true;
-    bool usesAgreement = true;
     std::uint64_t seed = 1;
 };
 
-/// Places a request where missed tokens x prefill time + expected queue + cross-zone penalty is least.
+/// Places a request where missed tokens x prefill time + expected queue is least.
 ///
 /// A prefix that no engine is known to hold goes to the engine that rendezvous hashing over its first unknown piece
-/// names, so that routers agree without messages. A hot prefix spreads because its holders' queues grow beyond the
-/// cost of another prefill, and shrinks because unused copies are evicted.
+/// names, so that routers agree without messages. A prefix may use as many engines as its demand needs, the first ones
+/// in its rendezvous order; the number follows the demand up and down.
 class CostPolicy final : public PlacementPolicy {
 public:
     CostPolicy(const Clock& clock, const CacheQueries& cache, const LoadQueries& load, CostPolicyOptions options = {});
@@ -63,12 +58,11 @@
     };
 
     std::vector<Option> gather(const PlacementRequest& request, std::span<const PlacementCandidate> candidates) const;
-    void gatherFromRing(const PlacementRequest& request, std::span<const PlacementCandidate> candidates,
-        const std::vector<CacheHolding>& holdings, std::vector<Option>& options) const;
+    std::size_t homeCount(const PrefixChain& chain) const;
     void applySlowStart(std::vector<Option>& options) const;
     void computeCosts(const PlacementRequest& request, std::vector<Option>& options) const;
+    void keepHomes(const PrefixChain& chain, std::vector<Option>& options) const;
     double expectedWait(const PlacementCandidate& candidate) const;
-    const Option& pick(std::vector<Option>& options) const;
 
     const Clock& m_clock;
     const CacheQueries& m_cache;
--- a/Source/Core/Placement/PlacementIndex.cpp
+++ b/Source/Core/Placement/PlacementIndex.cpp
@@ -13,6 +13,9 @@
     // Time constant of the average rate. Long against the gaps between requests, short against shifts of hot prefixes.
     constexpr double rateSeconds = 5;
 
+    // Tokens a second below which a prefix needs no count of its own: about one request in 20 minutes.
+    constexpr double negligibleRate = 2;
+
     // Old blocks are dropped a few at a time, so that no single call takes long.
     constexpr int dropsPerCall = 64;
 
@@ -94,8 +97,39 @@
     while (now - life.sent.front().at > sentWorkKept) {
         life.sent.pop_front();
     }
-    life.sentRate = life.sentRate * std::exp(-toSeconds(now - life.rateAt) / rateSeconds) + tokens / rateSeconds;
-    life.rateAt = now;
+    add(life.sentRate, tokens);
+}
+
+double PlacementIndex::valueOf(const Rate& rate) const
+{
+    return rate.value * std::exp(-toSeconds(m_clock.now() - rate.at) / rateSeconds);
+}
+
+void PlacementIndex::add(Rate& rate, double tokens) const
+{
+    rate.value = valueOf(rate) + tokens / rateSeconds;
+    rate.at = m_clock.now();
+}
+
+void PlacementIndex::noteDemand(const PrefixChain& chain)
+{
+    if (chain.hashes.empty()) {
+        return;
+    }
+    if (m_demand.size() >= m_options.maxPrefixes) {
+        std::erase_if(m_demand, [&](const auto& it) { return valueOf(it.second) < negligibleRate; });
+    }
+    if (m_demand.size() < m_options.maxPrefixes || m_demand.contains(chain.hashes.front())) {
+        // The text after the last whole piece, and on average one more piece that is not shared.
+        const auto whole = static_cast<double>(chain.hashes.size()) * chain.pieceTokens;
+        add(m_demand[chain.hashes.front()], chain.promptTokens - whole + chain.pieceTokens);
+    }
+}
+
+double PlacementIndex::prefixDemand(ChainHash prefix) const
+{
+    const auto it = m_demand.find(prefix);
+    return it == m_demand.end() ? 0 : valueOf(it->second);
 }
 
 void PlacementIndex::notePlaced(const PlacementChoice& choice, const PrefixChain& chain)
@@ -105,6 +139,7 @@
         return;
     }
     noteSent(*life, std::max(0.0, static_cast<double>(chain.promptTokens) - choice.expectedCachedTokens));
+    noteDemand(chain);
     if (m_options.usesPlacements) {
         const auto number = m_current.at(choice.upstream);
         // From the end, so that the first pieces, which later requests share, are the last to age.
@@ -281,7 +316,7 @@
     for (auto it = life->sent.rbegin(); it != life->sent.rend() && it->at >= since; ++it) {
         work.tokens += it->tokens;
     }
-    work.rate = life->sentRate * std::exp(-toSeconds(m_clock.now() - life->rateAt) / rateSeconds);
+    work.rate = valueOf(life->sentRate);
     return work;
 }
 
--- a/Source/Core/Placement/PlacementIndex.h
+++ b/Source/Core/Placement/PlacementIndex.h
@@ -18,6 +18,8 @@
     std::size_t maxBlocks = 1'000'000;
     /// Most engines with knowledge.
     std::size_t maxEngines = 16'384;
+    /// Most prefixes whose demand is counted.
+    std::size_t maxPrefixes = 16'384;
     /// Knowledge that nothing confirmed for so long is dropped; bounds what a lost eviction can spoil.
     std::chrono::nanoseconds maxAge { std::chrono::minutes(10) };
     bool usesEvents = true;
@@ -40,6 +42,7 @@
     std::vector<CacheHolding> holders(const PrefixChain& chain) const override;
     std::uint64_t nextSequence(const UpstreamId& upstream) const override;
     SentWork sentWork(const UpstreamId& upstream, MonotonicTime since) const override;
+    double prefixDemand(ChainHash prefix) const override;
 
     std::size_t blockCount() const { return m_table.size(); }
     /// Memory of the table in bytes.
@@ -51,6 +54,12 @@
         double tokens = 0;
     };
 
+    /// Exponentially decaying average rate.
+    struct Rate {
+        double value = 0;
+        MonotonicTime at { 0 };
+    };
+
     /// One life of one engine. Entries refer to it by number, so that a new incarnation drops them all at once.
     struct Life {
         UpstreamId upstream;
@@ -64,8 +73,7 @@
         std::uint64_t interruptedAt = 0;
         MonotonicTime usedAt { 0 };
         std::deque<Sent> sent;
-        double sentRate = 0;
-        MonotonicTime rateAt { 0 };
+        Rate sentRate;
     };
 
     std::uint64_t stamp();
@@ -79,6 +87,9 @@
     void dropUnusedEngine();
     bool isTrusted(const CacheTable::Entry& entry) const;
     void noteSent(Life& life, double tokens);
+    void noteDemand(const PrefixChain& chain);
+    double valueOf(const Rate& rate) const;
+    void add(Rate& rate, double tokens) const;
 
     const Clock& m_clock;
     PlacementIndexOptions m_options;
@@ -86,6 +97,7 @@
     std::vector<Life> m_lives;
     std::vector<LifeNumber> m_freeLives;
     std::unordered_map<UpstreamId, LifeNumber> m_current;
+    std::unordered_map<ChainHash, Rate> m_demand;
     std::uint64_t m_lastStamp = 0;
 };
 
--- a/Source/Core/Placement/Queries/LoadQueries.h
+++ b/Source/Core/Placement/Queries/LoadQueries.h
@@ -2,6 +2,7 @@
 
 #include "Common/Clock.h"
 #include "Placement/PlacementTypes.h"
+#include "Placement/PrefixChain.h"
 
 namespace Pollenwind {
 
@@ -23,6 +24,11 @@
 
     /// @param since Work sent before this time is contained in the engine's report.
     virtual SentWork sentWork(const UpstreamId& upstream, MonotonicTime since) const = 0;
+
+    /// @param prefix First hash of a chain.
+    /// @return Average rate of this router's requests with that prefix, in tokens a second that must be prefilled even
+    /// by an engine that holds all shared pieces.
+    virtual double prefixDemand(ChainHash prefix) const = 0;
 };
 
 } // namespace Pollenwind
--- a/Source/Programs/PollenwindBench/Main.cpp
+++ b/Source/Programs/PollenwindBench/Main.cpp
@@ -13,18 +13,20 @@
     TCLAP::ValueArg<std::uint64_t> seed("", "seed", "Seed of the runs", false, 1, "N", line);
     TCLAP::ValueArg<double> seconds("", "seconds", "Virtual seconds of each run", false, 180, "S", line);
     TCLAP::ValueArg<std::string> plot("", "plot", "SVG file to write", false, "", "FILE", line);
-    TCLAP::ValueArg<double> weight("", "missed-weight", "Weight of missed tokens", false,
-        Pollenwind::Bench::ReportOptions().missedWeight, "W", line);
-    TCLAP::ValueArg<unsigned> routers("", "routers", "Number of routers that the cost policy assumes", false,
-        Pollenwind::Bench::ReportOptions().routers, "N", line);
+    const Pollenwind::CostPolicyOptions cost;
+    TCLAP::ValueArg<double> weight("", "missed-weight", "Weight of missed tokens", false, cost.missedWeight, "W", line);
+    TCLAP::ValueArg<double> share(
+        "", "engine-share", "Share of an engine for one prefix", false, cost.engineShare, "S", line);
+    TCLAP::ValueArg<unsigned> homes("", "homes", "Fewest engines of a prefix", false, 2, "N", line);
     TCLAP::SwitchArg noAblation("", "no-ablation", "Leaves the ablation out", line);
     line.parse(argc, argv);
     Pollenwind::Bench::ReportOptions options;
     options.seed = seed.getValue();
     options.seconds = seconds.getValue();
     options.plotFile = plot.getValue();
-    options.missedWeight = weight.getValue();
-    options.routers = routers.getValue();
+    options.cost.missedWeight = weight.getValue();
+    options.cost.engineShare = share.getValue();
+    options.cost.fewestHomes = homes.getValue();
     options.withAblation = !noAblation.getValue();
     return Pollenwind::Bench::reportPlacement(options, std::cout) ? 0 : 1;
 }
--- /dev/null
+++ b/Source/UnitTests/Placement/PlacementIndexTests.cpp
@@ -0,0 +1,203 @@
+#include "Placement/PlacementIndex.h"
+
+#include <criterion/criterion.h>
+
+#include <map>
+#include <random>
+#include <set>
+
+using namespace Pollenwind;
+
+namespace {
+
+const UpstreamId engine("e1");
+const Incarnation first(11);
+const Incarnation second(12);
+
+PrefixChain chainFor(std::string_view organisation, std::string_view version)
+{
+    const auto salt
+        = chainSalt(OrganisationId(std::string(organisation)), ServiceId("m"), VersionId(std::string(version)));
+    return makePrefixChain(salt, std::string(16 * bytesPerToken * 4, 'x'), 16);
+}
+
+std::uint32_t heldBy(const PlacementIndex& index, const UpstreamId& upstream, const PrefixChain& chain)
+{
+    for (const auto& it : index.holders(chain)) {
+        if (it.upstream == upstream) {
+            return it.pieces;
+        }
+    }
+    return 0;
+}
+
+CacheEvent stored(std::uint64_t sequence, ChainHash hash, Incarnation incarnation = first)
+{
+    return { sequence, incarnation, CacheEventKind::Stored, hash };
+}
+
+} // namespace
+
+// Guards against reuse of cache blocks of another organisation or of older weights (P1).
+Test(PlacementIndex, organisationsAndVersionsNeverMatch)
+{
+    ManualClock clock;
+    PlacementIndex index(clock);
+    index.noteIncarnation(engine, first);
+    index.notePlaced({ engine, first }, chainFor("a", "v1"));
+    cr_assert_eq(heldBy(index, engine, chainFor("a", "v1")), 4);
+    cr_assert_eq(heldBy(index, engine, chainFor("b", "v1")), 0);
+    cr_assert_eq(heldBy(index, engine, chainFor("a", "v2")), 0);
+}
+
+// Guards against trust in the cache of a crashed engine, and against late news of its earlier life (P1).
+Test(PlacementIndex, newIncarnationDropsEverything)
+{
+    ManualClock clock;
+    PlacementIndex index(clock);
+    const auto chain = chainFor("a", "v1");
+    index.noteIncarnation(engine, first);
+    index.notePlaced({ engine, first }, chain);
+    index.noteIncarnation(engine, second);
+    cr_assert(index.holders(chain).empty());
+    index.noteEvent(engine, stored(1, chain.hashes[0]));
+    index.notePlaced({ engine, first }, chain);
+    index.noteCached({ engine, first }, chain, chain.promptTokens);
+    cr_assert(index.holders(chain).empty());
+    index.noteEvent(engine, stored(1, chain.hashes[0], second));
+    cr_assert_eq(heldBy(index, engine, chain), 1);
+}
+
+// Guards against trust in blocks whose eviction was among lost events.
+Test(PlacementIndex, gapDistrustsOlderEntriesUntilConfirmed)
+{
+    ManualClock clock;
+    PlacementIndex index(clock);
+    const auto chain = chainFor("a", "v1");
+    index.noteIncarnation(engine, first);
+    for (std::size_t i = 0; i < 3; ++i) {
+        index.noteEvent(engine, stored(i + 1, chain.hashes[i]));
+    }
+    cr_assert_eq(heldBy(index, engine, chain), 3);
+    index.noteEvent(engine, stored(9, chain.hashes[3]));
+    cr_assert_eq(heldBy(index, engine, chain), 0);
+    cr_assert_eq(index.nextSequence(engine), 10);
+    index.noteCached({ engine, first }, chain, 2 * chain.pieceTokens);
+    cr_assert_eq(heldBy(index, engine, chain), 2);
+    index.noteEvent(engine, stored(10, chain.hashes[2]));
+    cr_assert_eq(heldBy(index, engine, chain), 4);
+}
+
+// Guards against trust in knowledge from before a silence of the event stream, and against its loss without a gap.
+Test(PlacementIndex, interruptedStreamSuspendsTrust)
+{
+    ManualClock clock;
+    PlacementIndex index(clock);
+    const auto chain = chainFor("a", "v1");
+    index.noteIncarnation(engine, first);
+    index.noteEvent(engine, stored(1, chain.hashes[0]));
+    index.noteEventStream(engine, false);
+    cr_assert_eq(heldBy(index, engine, chain), 0);
+    index.noteEventStream(engine, true);
+    cr_assert_eq(heldBy(index, engine, chain), 1);
+}
+
+// Guards against repeated misses on blocks that an answer showed to be gone, while their eviction event is late.
+Test(PlacementIndex, answerWithFewerCachedTokensDistrustsOlderEntries)
+{
+    ManualClock clock;
+    PlacementIndex index(clock);
+    const auto older = chainFor("a", "v1");
+    const auto newer = chainFor("b", "v1");
+    index.noteIncarnation(engine, first);
+    index.notePlaced({ engine, first }, older);
+    index.notePlaced({ engine, first }, newer);
+    const auto holding = index.holders(newer).front();
+    const PlacementChoice choice { engine, first, holding.pieces * newer.pieceTokens, holding.oldestTouched };
+    index.notePlaced(choice, newer);
+    index.noteCached(choice, newer, 0);
+    cr_assert_eq(heldBy(index, engine, older), 0);
+    cr_assert_eq(heldBy(index, engine, newer), 4);
+}
+
+// Guards against memory that grows with the number of blocks, engines or prefixes seen.
+Test(PlacementIndex, memoryIsBounded)
+{
+    ManualClock clock;
+    PlacementIndex index(clock, { .maxBlocks = 1000, .maxEngines = 10 });
+    std::size_t bytes = 0;
+    for (std::uint64_t i = 0; i < 20'000; ++i) {
+        const UpstreamId id("e" + std::to_string(i % 30));
+        index.noteIncarnation(id, Incarnation(i / 3000));
+        PrefixChain chain { { i * 3 + 1, i * 3 + 2, i * 3 + 3 }, 16, 50 };
+        index.notePlaced({ id, Incarnation(i / 3000) }, chain);
+        cr_assert_leq(index.blockCount(), 1000);
+        if (i == 5000) {
+            bytes = index.memoryBytes();
+        }
+    }
+    cr_assert_eq(index.memoryBytes(), bytes);
+    // The blocks touched last are the ones kept.
+    const PrefixChain last { { 59'998, 59'999, 60'000 }, 16, 50 };
+    cr_assert_eq(index.holders(last).size(), 1);
+}
+
+// Guards against knowledge that stays for ever after its eviction event was lost.
+Test(PlacementIndex, unconfirmedEntriesAge)
+{
+    ManualClock clock;
+    PlacementIndex index(clock, { .maxAge = std::chrono::seconds(60) });
+    const auto chain = chainFor("a", "v1");
+    index.noteIncarnation(engine, first);
+    index.notePlaced({ engine, first }, chain);
+    clock.advance(std::chrono::seconds(61));
+    index.notePlaced({ engine, first }, chainFor("b", "v1"));
+    cr_assert_eq(heldBy(index, engine, chain), 0);
+    cr_assert_eq(index.blockCount(), 4);
+}
+
+// Guards against differences between the hash table with its age list and the plain definition of what is known.
+Test(PlacementIndex, matchesReferenceModel)
+{
+    for (unsigned seed = 1; seed <= 20; ++seed) {
+        std::mt19937 random(seed);
+        ManualClock clock;
+        PlacementIndex index(clock);
+        std::map<UpstreamId, std::uint64_t> lives;
+        std::map<UpstreamId, std::uint64_t> sequences;
+        std::map<UpstreamId, std::set<ChainHash>> held;
+        for (int step = 0; step < 3000; ++step) {
+            clock.advance(std::chrono::milliseconds(random() % 20));
+            const UpstreamId id("e" + std::to_string(random() % 5));
+            const PrefixChain chain { { random() % 3 + 1, random() % 5 + 10, random() % 9 + 20 }, 16, 50 };
+            const Incarnation life(lives[id]);
+            index.noteIncarnation(id, life);
+            const auto action = random() % 20;
+            if (action == 0) {
+                index.noteIncarnation(id, Incarnation(++lives[id]));
+                held[id].clear();
+                sequences[id] = 0;
+            } else if (action == 1) {
+                sequences[id] += 2;
+                index.noteEvent(id, { sequences[id], life, CacheEventKind::Stored, chain.hashes[0] });
+                held[id] = { chain.hashes[0] };
+            } else if (action == 2) {
+                index.noteEvent(id, { ++sequences[id], life, CacheEventKind::Cleared, 0 });
+                held[id].clear();
+            } else if (action < 8) {
+                index.notePlaced({ id, life }, chain);
+                held[id].insert(chain.hashes.begin(), chain.hashes.end());
+            } else if (action < 16) {
+                index.noteEvent(id, { ++sequences[id], life, CacheEventKind::Evicted, chain.hashes[action % 3] });
+                held[id].erase(chain.hashes[action % 3]);
+            }
+            for (const auto& [upstream, hashes] : held) {
+                std::uint32_t pieces = 0;
+                while (pieces < 3 && hashes.contains(chain.hashes[pieces])) {
+                    ++pieces;
+                }
+                cr_assert_eq(heldBy(index, upstream, chain), pieces, "seed %u step %d", seed, step);
+            }
+        }
+    }
+}
