--- /dev/null
+++ b/Source/Core/Moves/Commands/MoveCommands.h
@@ -0,0 +1,42 @@
+#pragma once
+
+#include "Moves/MoveTypes.h"
+#include "Moves/VersionEvidence.h"
+
+namespace Pollenwind {
+
+/// How one request of a moving service ended.
+struct VersionOutcome {
+    ServiceId service;
+    VersionId version;
+    std::string route;
+    UpstreamId upstream;
+    bool isWhole = false;
+    /// True when the upstream's connection was lost, which a crash of the machine also causes.
+    bool isConnectionLost = false;
+    std::chrono::nanoseconds firstToken { 0 };
+    std::chrono::nanoseconds betweenTokens { 0 };
+    /// Prompt tokens that were not cached.
+    std::uint32_t computedTokens = 0;
+};
+
+/// Changes what this router knows about moves.
+class MoveCommands {
+public:
+    MoveCommands() = default;
+    MoveCommands(const MoveCommands&) = delete;
+    MoveCommands& operator=(const MoveCommands&) = delete;
+    virtual ~MoveCommands() = default;
+
+    /// Takes a move record from the store.
+    /// @param revision Store revision of the record; older ones are ignored.
+    virtual void adopt(std::int64_t revision, MoveRecord record) = 0;
+
+    /// Records the outcome of a request. Outcomes of services that are not moving are ignored.
+    virtual void noteOutcome(const VersionOutcome& outcome) = 0;
+
+    /// Takes another router's evidence on a move.
+    virtual void notePeerEvidence(const VmId& vm, const MoveId& move, MoveEvidence evidence) = 0;
+};
+
+} // namespace Pollenwind
--- /dev/null
+++ b/Source/Core/Moves/MovePlanner.cpp
@@ -0,0 +1,177 @@
+#include "Moves/Queries/MovePlanner.h"
+
+#include <algorithm>
+
+namespace Pollenwind {
+
+namespace {
+
+    // Part of the time left that the steps after the canary may take; the rest is a reserve for a lost lease or a store
+    // outage.
+    constexpr double plannedPart = 0.8;
+    constexpr std::chrono::seconds shortestStep { 2 };
+    // The canary takes longest, because a version that is bad at once should show while it gets the smallest share.
+    constexpr double canaryPart = 0.48;
+    // Requests that end the canary step early.
+    constexpr std::uint32_t canaryRequests = 150;
+
+    bool isUsable(const MoveUpstream& it, const VersionId& version)
+    {
+        return it.isReachable && !it.isLoading && it.versions.contains(version);
+    }
+
+    std::size_t countUsable(const MoveView& view, const VersionId& version)
+    {
+        return static_cast<std::size_t>(
+            std::ranges::count_if(view.upstreams, [&](const auto& it) { return isUsable(it, version); }));
+    }
+
+    std::size_t countReachable(const MoveView& view)
+    {
+        return static_cast<std::size_t>(std::ranges::count_if(view.upstreams, &MoveUpstream::isReachable));
+    }
+
+    /// Upstreams that should hold the new version for a share, at least two so that one crash is no verdict.
+    std::size_t wantedUpstreams(const MoveRecord& record, std::size_t reachable)
+    {
+        const auto share = moveShares()[std::min<std::size_t>(record.step + 1, moveShares().size() - 1)];
+        const auto needed = (reachable * share + 999) / 1000;
+        return std::min(reachable, std::max<std::size_t>(2, needed));
+    }
+
+    std::vector<UpstreamOrder> unloadOrders(const MoveView& view, const VersionId& kept)
+    {
+        std::vector<UpstreamOrder> orders;
+        for (const auto& it : view.upstreams) {
+            if (!isUsable(it, kept)) {
+                continue;
+            }
+            for (const auto& version : it.versions) {
+                if (version != kept) {
+                    orders.push_back({ it.id, UpstreamOrderKind::Unload, version });
+                }
+            }
+        }
+        return orders;
+    }
+
+    std::vector<UpstreamOrder> loadOrders(const MoveView& view, const VersionId& version, std::size_t wanted)
+    {
+        std::vector<UpstreamOrder> orders;
+        auto have = countUsable(view, version);
+        auto loading = static_cast<std::size_t>(std::ranges::count_if(view.upstreams, &MoveUpstream::isLoading));
+        for (const auto& it : view.upstreams) {
+            const bool canLoad = it.isReachable && !it.isLoading && !it.versions.contains(version);
+            if (canLoad && have + loading < wanted && loading < view.concurrentLoads) {
+                orders.push_back({ it.id, UpstreamOrderKind::Load, version });
+                ++loading;
+            }
+        }
+        return orders;
+    }
+
+    std::vector<UpstreamOrder> reconcile(const MoveRecord& record, const MoveView& view)
+    {
+        const auto all = view.upstreams.size();
+        if (record.state == MoveState::Done || record.state == MoveState::TakenBack) {
+            const auto& kept = record.state == MoveState::Done ? record.to : record.from;
+            auto orders = loadOrders(view, kept, all);
+            const auto unloads = unloadOrders(view, kept);
+            orders.insert(orders.end(), unloads.begin(), unloads.end());
+            return orders;
+        }
+        // Both versions are needed until the verdict; the old one comes first.
+        auto orders = loadOrders(view, record.from, all);
+        if (orders.empty()) {
+            orders = loadOrders(view, record.to, wantedUpstreams(record, countReachable(view)));
+        }
+        return orders;
+    }
+
+    MoveRecord finished(const MoveRecord& record, const MoveView& view, MoveState state, MoveReason reason)
+    {
+        MoveRecord next = record;
+        next.state = state;
+        next.reason = reason;
+        next.stepSince = view.now;
+        next.evidence = view.judgement.route.empty() ? view.judgement.text
+                                                     : "route " + view.judgement.route + ", " + view.judgement.text;
+        return next;
+    }
+
+    std::chrono::nanoseconds part(double fraction, std::chrono::nanoseconds whole)
+    {
+        return std::chrono::duration_cast<std::chrono::nanoseconds>(
+            fraction * std::chrono::duration<double, std::nano>(whole));
+    }
+
+    /// The canary takes a fixed part of the whole time. Later steps divide what was left when they began, so that a
+    /// canary held up by suspicion does not cost a good version its deadline.
+    std::chrono::nanoseconds stepDuration(const MoveRecord& record)
+    {
+        if (record.step == 0) {
+            return std::max<std::chrono::nanoseconds>(
+                shortestStep, part(canaryPart, record.deadline - record.orderedAt));
+        }
+        const auto stepsLeft = static_cast<std::int64_t>(moveShares().size() - record.step);
+        const auto left = part(plannedPart, record.deadline - record.stepSince);
+        return std::max<std::chrono::nanoseconds>(shortestStep, left / stepsLeft);
+    }
+
+    std::optional<MoveRecord> advance(const MoveRecord& record, const MoveView& view)
+    {
+        if (view.isDependencyMoving || view.judgement.isSuspicious) {
+            return std::nullopt;
+        }
+        MoveRecord next = record;
+        next.stepSince = view.now;
+        const auto usable = countUsable(view, record.to);
+        const auto wanted = wantedUpstreams(record, countReachable(view));
+        if (record.state == MoveState::Preparing) {
+            if (usable == 0 || usable < std::min<std::size_t>(wanted, 2)) {
+                return std::nullopt;
+            }
+            next.state = MoveState::Shifting;
+            return next;
+        }
+        const auto spent = view.now - record.stepSince;
+        const bool isCanaryOver = record.step == 0 && view.newRequests >= canaryRequests && spent >= shortestStep;
+        if ((spent < stepDuration(record) && !isCanaryOver) || usable < wanted) {
+            return std::nullopt;
+        }
+        if (record.state == MoveState::Confirming) {
+            return finished(record, view, MoveState::Done, MoveReason::Healthy);
+        }
+        ++next.step;
+        if (next.step + 1 == moveShares().size()) {
+            next.state = MoveState::Confirming;
+        }
+        return next;
+    }
+
+} // namespace
+
+const std::vector<std::uint32_t>& moveShares()
+{
+    static const std::vector<std::uint32_t> s_shares { 15, 30, 100, 400, 1000 };
+    return s_shares;
+}
+
+MovePlan StepPlanner::plan(const MoveRecord& record, const MoveView& view) const
+{
+    MovePlan plan;
+    plan.orders = reconcile(record, view);
+    if (isFinal(record.state)) {
+        return plan;
+    }
+    if (view.judgement.fault != MoveReason::None) {
+        plan.next = finished(record, view, MoveState::TakenBack, view.judgement.fault);
+    } else if (view.now >= record.deadline) {
+        plan.next = finished(record, view, MoveState::TakenBack, MoveReason::DeadlinePassed);
+    } else {
+        plan.next = advance(record, view);
+    }
+    return plan;
+}
+
+} // namespace Pollenwind
--- /dev/null
+++ b/Source/Core/Moves/MoveTable.h
@@ -0,0 +1,63 @@
+#pragma once
+
+#include "Common/Clock.h"
+#include "Moves/Commands/MoveCommands.h"
+#include "Moves/Queries/MoveQueries.h"
+#include "Moves/Queries/VersionJudge.h"
+#include "Timeline/Commands/TimelineCommands.h"
+
+#include <functional>
+#include <map>
+
+namespace Pollenwind {
+
+/// Tells how old this router's knowledge of the shared records may be.
+class RecordFreshness {
+public:
+    RecordFreshness() = default;
+    RecordFreshness(const RecordFreshness&) = delete;
+    RecordFreshness& operator=(const RecordFreshness&) = delete;
+    virtual ~RecordFreshness() = default;
+
+    /// @return Time since the shared records were last known to be complete.
+    virtual std::chrono::nanoseconds age() const = 0;
+};
+
+/// Owner of this router's view of moves and of its evidence.
+class MoveTable final : public MoveCommands, public MoveQueries {
+public:
+    MoveTable(
+        const Clock& clock, const RecordFreshness& freshness, const VersionJudge& judge, TimelineCommands& timeline);
+
+    void adopt(std::int64_t revision, MoveRecord record) override;
+    void noteOutcome(const VersionOutcome& outcome) override;
+    void notePeerEvidence(const VmId& vm, const MoveId& move, MoveEvidence evidence) override;
+
+    VersionId versionFor(const ServiceId& service, const VersionId& configured, const RequestId& request,
+        bool isIdempotent) const override;
+    std::vector<KnownMove> moves() const override;
+    const MoveEvidence* ownEvidence(const ServiceId& service) const override;
+    MoveEvidence pooledEvidence(const ServiceId& service) const override;
+
+private:
+    struct Entry {
+        KnownMove move;
+        MoveEvidence own;
+        std::map<VmId, MoveEvidence> peers;
+        /// Set when this router's own evidence condemns the version; the router stops using it without waiting for the
+        /// verdict.
+        bool isCondemned = false;
+        /// Latest lost connection counted for each upstream.
+        std::map<UpstreamId, MonotonicTime> lostConnections;
+    };
+
+    bool isRepeatedLoss(Entry& entry, const VersionOutcome& outcome) const;
+
+    const Clock& m_clock;
+    const RecordFreshness& m_freshness;
+    const VersionJudge& m_judge;
+    TimelineCommands& m_timeline;
+    std::map<ServiceId, Entry> m_entries;
+};
+
+} // namespace Pollenwind
--- /dev/null
+++ b/Source/Core/Moves/MoveTypes.h
@@ -0,0 +1,85 @@
+#pragma once
+
+#include "Common/Clock.h"
+#include "Common/EnumTable.h"
+#include "Common/Ids.h"
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace Pollenwind {
+
+/// State of a move. Done and TakenBack are final.
+enum class MoveState {
+    /// Ordered; the first engines load the new version.
+    Preparing,
+    /// The new version gets a share of the traffic.
+    Shifting,
+    /// The new version gets all traffic; the old one stays ready until the verdict.
+    Confirming,
+    Done,
+    TakenBack,
+};
+
+template <> struct EnumTable<MoveState> {
+    static constexpr std::array rows {
+        EnumName { MoveState::Preparing, "preparing" },
+        EnumName { MoveState::Shifting, "shifting" },
+        EnumName { MoveState::Confirming, "confirming" },
+        EnumName { MoveState::Done, "done" },
+        EnumName { MoveState::TakenBack, "taken-back" },
+    };
+};
+
+inline bool isFinal(MoveState state) { return state == MoveState::Done || state == MoveState::TakenBack; }
+
+/// Why a move ended or stands where it stands.
+enum class MoveReason {
+    None,
+    Healthy,
+    Failures,
+    SlowFirstToken,
+    SlowTokens,
+    DeadlinePassed,
+    Cancelled,
+};
+
+template <> struct EnumTable<MoveReason> {
+    static constexpr std::array rows {
+        EnumName { MoveReason::None, "none" },
+        EnumName { MoveReason::Healthy, "healthy" },
+        EnumName { MoveReason::Failures, "failures" },
+        EnumName { MoveReason::SlowFirstToken, "slow-first-token" },
+        EnumName { MoveReason::SlowTokens, "slow-tokens" },
+        EnumName { MoveReason::DeadlinePassed, "deadline-passed" },
+        EnumName { MoveReason::Cancelled, "cancelled" },
+    };
+};
+
+/// Identifies one order of an operator.
+using MoveId = Id<struct MoveTag, std::string>;
+
+/// A move as kept in the platform's store.
+struct MoveRecord {
+    MoveId id;
+    ServiceId service;
+    VersionId from;
+    VersionId to;
+    std::string operatorName;
+    WallTime orderedAt { 0 };
+    WallTime deadline { 0 };
+    MoveState state = MoveState::Preparing;
+    /// Index into the table of shares, see moveShares().
+    std::uint32_t step = 0;
+    /// When the current step began.
+    WallTime stepSince { 0 };
+    MoveReason reason = MoveReason::None;
+    /// Figures behind the verdict, for operators.
+    std::string evidence;
+};
+
+/// Shares of the new version, step by step, in requests of 1,000.
+const std::vector<std::uint32_t>& moveShares();
+
+} // namespace Pollenwind
