--- a/Source/Core/Moves/MoveTable.cpp
+++ b/Source/Core/Moves/MoveTable.cpp
@@ -109,6 +109,7 @@
     for (auto& [service, entry] : m_entries) {
         if (entry.move.record.id == move) {
             entry.peers[vm] = std::move(evidence);
+            return;
         }
     }
 }
--- a/Source/Core/Router/StoreKeys.h
+++ b/Source/Core/Router/StoreKeys.h
@@ -12,6 +12,11 @@
 inline constexpr std::string_view shared = "/pollenwind/shared/";
 inline constexpr std::string_view configuration = "/pollenwind/shared/config";
 inline constexpr std::string_view keys = "/pollenwind/shared/keys/";
+inline constexpr std::string_view moves = "/pollenwind/shared/moves/";
+/// Held by the router that drives the moves.
+inline constexpr std::string_view moveLease = "/pollenwind/lease/moves";
+/// Evidence of each router on running moves: one record for each service and VM.
+inline constexpr std::string_view evidence = "/pollenwind/evidence/";
 /// Never written; a read of it tells the store's revision at little cost.
 inline constexpr std::string_view probe = "/pollenwind/probe";
 
--- a/Source/Core/StandIn/EngineStandIn.cpp
+++ b/Source/Core/StandIn/EngineStandIn.cpp
@@ -69,6 +69,17 @@
     return it == m_faults.end() ? 0 : it->second;
 }
 
+void EngineStandIn::setVersionFault(const VersionId& version, VersionFault fault, std::int64_t value)
+{
+    m_versionFaults[{ version, fault }] = value;
+}
+
+bool EngineStandIn::isVersionFault(const Call& call, VersionFault fault) const
+{
+    const auto it = m_versionFaults.find({ call.version, fault });
+    return it != m_versionFaults.end() && it->second > 0 && call.number % static_cast<std::uint64_t>(it->second) == 0;
+}
+
 bool EngineStandIn::takeFault(EngineFault fault)
 {
     if (faultValue(fault) <= 0) {
@@ -127,6 +138,8 @@
         co_await exchange.answer({ .body = healthBody() });
     } else if (request.path == "/v1/completions" && request.method == "POST") {
         co_await generate(exchange);
+    } else if (request.path == "/admin/load" || request.path == "/admin/unload") {
+        co_await carryOutOrder(exchange);
     } else if (request.path == "/cache-events") {
         co_await streamEvents(exchange);
     } else {
@@ -134,6 +147,33 @@
     }
 }
 
+Task<> EngineStandIn::carryOutOrder(HttpExchange& exchange)
+{
+    const auto json = Json::parse(exchange.request().body, nullptr, false);
+    const VersionId version(json.is_object() ? json.value("version", "") : "");
+    const std::int64_t fencing = json.is_object() ? json.value("fencing", std::int64_t(0)) : 0;
+    if (version.value().empty()) {
+        co_await exchange.answer(refusal(400, "malformed order"));
+        co_return;
+    }
+    if (m_options.checksFencing && fencing < m_newestFencing) {
+        co_await exchange.answer(refusal(409, "old fencing token"));
+        co_return;
+    }
+    m_newestFencing = std::max(m_newestFencing, fencing);
+    if (exchange.request().path == "/admin/load") {
+        m_isLoading = true;
+        co_await sleepFor(m_options.loadTime);
+        m_isLoading = false;
+        m_versions.insert(version);
+    } else {
+        m_versions.erase(version);
+    }
+    HttpAnswer done;
+    done.body = healthBody();
+    co_await exchange.answer(done);
+}
+
 std::string EngineStandIn::healthBody() const
 {
     Json versions = Json::array();
@@ -158,6 +198,10 @@
     if (fault) {
         setFault(*fault, json.value("value", 0));
     }
+    const auto versionFault = json.is_object() ? fromName<VersionFault>(json.value("version_fault", "")) : std::nullopt;
+    if (versionFault) {
+        setVersionFault(VersionId(json.value("version", "")), *versionFault, json.value("value", 0));
+    }
     return Json {
         { "started", m_started }, { "prefilled_tokens", m_prefilled }, { "cached_tokens", m_cachedTotal }
     }.dump();
@@ -212,7 +256,13 @@
 
 Task<> EngineStandIn::streamTokens(HttpExchange& exchange, const Call& call)
 {
-    const auto slowness = std::max<std::int64_t>(1, faultValue(EngineFault::Slow));
+    const auto slowVersion = m_versionFaults.find({ call.version, VersionFault::Slow });
+    const auto versionSlowness = slowVersion == m_versionFaults.end() ? 1 : slowVersion->second;
+    const auto slowness = std::max<std::int64_t>({ 1, faultValue(EngineFault::Slow), versionSlowness });
+    if (isVersionFault(call, VersionFault::Fail)) {
+        exchange.abort();
+        co_return;
+    }
     for (std::uint32_t index = call.resumeFrom; index < call.maxTokens; ++index) {
         co_await sleepFor(m_options.decodePerToken * slowness);
         while (call.number < m_silentBefore && !exchange.isPeerGone()) {
@@ -229,7 +279,7 @@
             co_return;
         }
     }
-    if (takeFault(EngineFault::Truncate)) {
+    if (takeFault(EngineFault::Truncate) || isVersionFault(call, VersionFault::Cut)) {
         exchange.abort();
         co_return;
     }
--- a/Source/Core/StandIn/EngineStandIn.h
+++ b/Source/Core/StandIn/EngineStandIn.h
@@ -46,6 +46,24 @@
     };
 };
 
+/// How a bad version behaves on the engine stand-in.
+enum class VersionFault {
+    /// One answer in N fails before its first token.
+    Fail,
+    /// Every step takes N times as long.
+    Slow,
+    /// One answer in N ends early.
+    Cut,
+};
+
+template <> struct EnumTable<VersionFault> {
+    static constexpr std::array rows {
+        EnumName { VersionFault::Fail, "fail" },
+        EnumName { VersionFault::Slow, "slow" },
+        EnumName { VersionFault::Cut, "cut" },
+    };
+};
+
 /// Size and speed of the engine stand-in.
 struct EngineStandInOptions {
     ServiceId service;
@@ -56,6 +74,8 @@
     std::chrono::nanoseconds prefillPerToken { 20'000 };
     std::chrono::nanoseconds decodePerToken { 5'000'000 };
     std::chrono::milliseconds loadTime { 300 };
+    /// Refuse orders with an older fencing token than one seen before.
+    bool checksFencing = true;
 };
 
 /// Stand-in for a model engine; speaks docs/upstream-protocol.md. The text of an answer is a function of prompt,
@@ -67,6 +87,8 @@
     Outcome<Endpoint> listen(const Endpoint& endpoint) { return m_server.listen(endpoint); }
 
     void setFault(EngineFault fault, std::int64_t value);
+    /// Makes a version bad; see VersionFault for the value.
+    void setVersionFault(const VersionId& version, VersionFault fault, std::int64_t value);
     /// Closes all connections, empties the cache and takes a new incarnation, as a crashed and restarted engine.
     void crash();
     /// Announces that the engine leaves.
@@ -92,6 +114,8 @@
     Task<> generate(HttpExchange& exchange);
     Task<> streamTokens(HttpExchange& exchange, const Call& call);
     Task<> streamEvents(HttpExchange& exchange);
+    Task<> carryOutOrder(HttpExchange& exchange);
+    bool isVersionFault(const Call& call, VersionFault fault) const;
     std::uint32_t lookUpAndStore(const PrefixChain& chain);
     void emitEvent(CacheEventKind kind, ChainHash hash);
     std::string healthBody() const;
@@ -104,6 +128,8 @@
     bool m_isLoading = false;
     bool m_isLeaving = false;
     std::map<EngineFault, std::int64_t> m_faults;
+    std::map<std::pair<VersionId, VersionFault>, std::int64_t> m_versionFaults;
+    std::int64_t m_newestFencing = 0;
     /// Generation of open streams; streams older than the silent mark send nothing.
     std::uint64_t m_nextCall = 1;
     std::uint64_t m_silentBefore = 0;
