--- a/Source/Core/Router/Router.cpp
+++ b/Source/Core/Router/Router.cpp
@@ -10,13 +10,18 @@
 #include "Keys/KeyTable.h"
 #include "Limits/LocalLimiter.h"
 #include "Metrics/MetricTable.h"
+#include "Moves/MoveTable.h"
 #include "Placement/RendezvousPolicy.h"
 #include "Platform/EtcdGatewayClient.h"
+#include "Router/Commands/MoveAdminCommands.h"
 #include "Router/Commands/RouterCommands.h"
 #include "Router/HealthMonitor.h"
+#include "Router/MoveDriver.h"
+#include "Router/Queries/MovesQuery.h"
 #include "Router/Queries/RouterQueries.h"
 #include "Router/StoreSync.h"
 #include "Timeline/Timeline.h"
+#include "Upstream/HttpOrderClient.h"
 #include "Upstream/HttpUpstreamClient.h"
 #include "Upstream/UpstreamTable.h"
 
@@ -39,6 +44,19 @@
         void noteIncarnation(const UpstreamId&, Incarnation) override { }
     };
 
+    /// The shared records are as fresh as the key table, which is one of them.
+    class KeyFreshness final : public RecordFreshness {
+    public:
+        explicit KeyFreshness(const KeyQueries& keys)
+            : m_keys(keys)
+        {
+        }
+        std::chrono::nanoseconds age() const override { return m_keys.confirmationAge(); }
+
+    private:
+        const KeyQueries& m_keys;
+    };
+
     DispatchTimeouts toTimeouts(const Settings& settings)
     {
         return { settings.rateWaitLimit, settings.firstTokenTimeout, settings.tokenGapTimeout };
@@ -58,8 +76,12 @@
         , upstreams(configuration, timeline, cache)
         , upstreamClient(executor, settings.connectTimeout)
         , store(executor, settings.store, { settings.storeCallTimeout }, metrics)
-        , storeSync({ clock, store, configuration, keys, timeline, metrics })
+        , freshness(keys)
+        , moves(clock, freshness, judge, timeline)
+        , storeSync({ clock, store, configuration, keys, moves, timeline, metrics })
         , health(executor, upstreams, upstreams, upstreamClient, settings.healthInterval)
+        , moveDriver({ clock, configuration, store, store, moves, moves, planner, judge, upstreams, orders, timeline,
+              settings.vm })
         , dispatch { clock, configuration, keys, limits, placement, cache, upstreams, upstreams, metrics, settings.zone,
             toTimeouts(settings) }
         , completions(dispatch, upstreamClient)
@@ -75,6 +97,9 @@
         , timelineQuery(timeline)
         , applyCommand(store, store, configuration)
         , keyCommand(store, store, keys)
+        , movesQuery(moves)
+        , moveStartCommand(clock, configuration, store, store, moves)
+        , moveCancelCommand(clock, store, store, moves)
         , drainCommand([this] { startShutdown(); })
     {
     }
@@ -98,8 +123,14 @@
     UpstreamTable upstreams;
     HttpUpstreamClient upstreamClient;
     EtcdGatewayClient store;
+    KeyFreshness freshness;
+    SequentialJudge judge;
+    StepPlanner planner;
+    MoveTable moves;
     StoreSync storeSync;
     HealthMonitor health;
+    HttpOrderClient orders;
+    MoveDriver moveDriver;
     DispatchContext dispatch;
     CompletionDispatcher completions;
     PlainDispatcher plain;
@@ -115,6 +146,9 @@
     TimelineQuery timelineQuery;
     ApplyCommand applyCommand;
     KeyCommand keyCommand;
+    MovesQuery movesQuery;
+    MoveStartCommand moveStartCommand;
+    MoveCancelCommand moveCancelCommand;
     DrainCommand drainCommand;
 
     int shutdownRequests = 0;
@@ -138,6 +172,9 @@
     adminFrontEnd.addQuery("timeline", timelineQuery);
     adminFrontEnd.addCommand("apply", applyCommand);
     adminFrontEnd.addCommand("key", keyCommand);
+    adminFrontEnd.addQuery("moves", movesQuery);
+    adminFrontEnd.addCommand("move-start", moveStartCommand);
+    adminFrontEnd.addCommand("move-cancel", moveCancelCommand);
     adminFrontEnd.addCommand("drain", drainCommand);
     adminFrontEnd.addOpenText(
         "/health", "application/json", [] { return Outcome<std::string>("{\"status\":\"ok\"}\n"); });
@@ -169,6 +206,8 @@
     asio::co_spawn(parts.executor, parts.storeSync.followRecords(), asio::detached);
     asio::co_spawn(parts.executor, parts.storeSync.probeRevision(), asio::detached);
     asio::co_spawn(parts.executor, parts.followConfiguration(), asio::detached);
+    asio::co_spawn(parts.executor, parts.moveDriver.driveMoves(), asio::detached);
+    asio::co_spawn(parts.executor, parts.moveDriver.publishEvidence(), asio::detached);
     return {};
 }
 
--- a/Source/Core/Router/StoreSync.cpp
+++ b/Source/Core/Router/StoreSync.cpp
@@ -2,6 +2,7 @@
 
 #include "Common/Digest.h"
 #include "Common/Sleep.h"
+#include "Router/MoveRecords.h"
 #include "Router/StoreKeys.h"
 #include "Router/StoreRecords.h"
 
@@ -111,6 +112,11 @@
         if (record) {
             m_context.keys.merge(*record);
         }
+    } else if (entry.key.starts_with(StoreKeys::moves)) {
+        auto record = decodeMoveRecord(entry.value);
+        if (record) {
+            m_context.moves.adopt(entry.modRevision, std::move(*record));
+        }
     }
 }
 
--- a/Source/Core/Router/StoreSync.h
+++ b/Source/Core/Router/StoreSync.h
@@ -4,6 +4,7 @@
 #include "Config/Commands/ConfigurationCommands.h"
 #include "Keys/Commands/KeyCommands.h"
 #include "Metrics/Commands/MetricCommands.h"
+#include "Moves/Commands/MoveCommands.h"
 #include "Platform/Queries/StoreQueries.h"
 #include "Timeline/Commands/TimelineCommands.h"
 
@@ -18,6 +19,7 @@
     StoreQueries& store;
     ConfigurationCommands& configuration;
     KeyCommands& keys;
+    MoveCommands& moves;
     TimelineCommands& timeline;
     MetricCommands& metrics;
 };
