--- a/Source/Core/Bench/PlacementReport.h
+++ b/Source/Core/Bench/PlacementReport.h
@@ -9,7 +9,7 @@
 
 struct ReportOptions {
     std::uint64_t seed = 1;
-    double seconds = 180;
+    double seconds = 120;
     /// SVG file to write; empty for none.
     std::string plotFile;
     /// Options of the cost policy.
--- a/Source/Core/Bench/PlacementSimulation.h
+++ b/Source/Core/Bench/PlacementSimulation.h
@@ -29,7 +29,7 @@
     /// Requests a second over all routers.
     double rate = 50;
     /// Virtual seconds, of which the first warmUp are not measured.
-    double seconds = 180;
+    double seconds = 120;
     double warmUp = 30;
     std::uint64_t seed = 1;
 };
--- a/Source/Core/Placement/CostPolicy.h
+++ b/Source/Core/Placement/CostPolicy.h
@@ -27,7 +27,7 @@
     std::size_t fullScan = 64;
     bool usesQueue = true;
     /// Share of an engine's prefill that one prefix may fill before it gets another engine.
-    double engineShare = 0.3;
+    double engineShare = 0.4;
     /// Fewest engines that a prefix may use; two allow for an engine that others made busy.
     std::size_t fewestHomes = 2;
     bool usesSpread = true;
--- a/Source/Core/Router/Router.cpp
+++ b/Source/Core/Router/Router.cpp
@@ -10,15 +10,20 @@
 #include "Keys/KeyTable.h"
 #include "Limits/LocalLimiter.h"
 #include "Metrics/MetricTable.h"
+#include "Moves/MoveTable.h"
 #include "Placement/CostPolicy.h"
 #include "Placement/PlacementIndex.h"
 #include "Platform/EtcdGatewayClient.h"
 #include "Router/CacheEventMonitor.h"
+#include "Router/Commands/MoveAdminCommands.h"
 #include "Router/Commands/RouterCommands.h"
 #include "Router/HealthMonitor.h"
+#include "Router/MoveDriver.h"
+#include "Router/Queries/MovesQuery.h"
 #include "Router/Queries/RouterQueries.h"
 #include "Router/StoreSync.h"
 #include "Timeline/Timeline.h"
+#include "Upstream/HttpOrderClient.h"
 #include "Upstream/HttpUpstreamClient.h"
 #include "Upstream/UpstreamTable.h"
 
@@ -32,6 +37,19 @@
     constexpr std::chrono::milliseconds reconfigureCheck { 50 };
     constexpr std::chrono::milliseconds drainCheck { 20 };
 
+    /// The shared records are as fresh as the key table, which is one of them.
+    class KeyFreshness final : public RecordFreshness {
+    public:
+        explicit KeyFreshness(const KeyQueries& keys)
+            : m_keys(keys)
+        {
+        }
+        std::chrono::nanoseconds age() const override { return m_keys.confirmationAge(); }
+
+    private:
+        const KeyQueries& m_keys;
+    };
+
     DispatchTimeouts toTimeouts(const Settings& settings)
     {
         return { settings.rateWaitLimit, settings.firstTokenTimeout, settings.tokenGapTimeout };
@@ -53,9 +71,13 @@
         , upstreams(clock, configuration, timeline, cache)
         , upstreamClient(executor, settings.connectTimeout)
         , store(executor, settings.store, { settings.storeCallTimeout }, metrics)
-        , storeSync({ clock, store, configuration, keys, timeline, metrics })
+        , freshness(keys)
+        , moves(clock, freshness, judge, timeline)
+        , storeSync({ clock, store, configuration, keys, moves, timeline, metrics })
         , health(executor, upstreams, upstreams, upstreamClient, settings.healthInterval)
         , cacheEvents(executor, cache, cache, upstreams, configuration, upstreamClient)
+        , moveDriver({ clock, configuration, store, store, moves, moves, planner, judge, upstreams, orders, timeline,
+              settings.vm })
         , dispatch { clock, configuration, keys, limits, placement, cache, upstreams, upstreams, metrics, settings.zone,
             toTimeouts(settings) }
         , completions(dispatch, upstreamClient)
@@ -71,6 +93,9 @@
         , timelineQuery(timeline)
         , applyCommand(store, store, configuration)
         , keyCommand(store, store, keys)
+        , movesQuery(moves)
+        , moveStartCommand(clock, configuration, store, store, moves)
+        , moveCancelCommand(clock, store, store, moves)
         , drainCommand([this] { startShutdown(); })
     {
     }
@@ -94,9 +119,15 @@
     UpstreamTable upstreams;
     HttpUpstreamClient upstreamClient;
     EtcdGatewayClient store;
+    KeyFreshness freshness;
+    SequentialJudge judge;
+    StepPlanner planner;
+    MoveTable moves;
     StoreSync storeSync;
     HealthMonitor health;
     CacheEventMonitor cacheEvents;
+    HttpOrderClient orders;
+    MoveDriver moveDriver;
     DispatchContext dispatch;
     CompletionDispatcher completions;
     PlainDispatcher plain;
@@ -112,6 +143,9 @@
     TimelineQuery timelineQuery;
     ApplyCommand applyCommand;
     KeyCommand keyCommand;
+    MovesQuery movesQuery;
+    MoveStartCommand moveStartCommand;
+    MoveCancelCommand moveCancelCommand;
     DrainCommand drainCommand;
 
     int shutdownRequests = 0;
@@ -135,6 +169,9 @@
     adminFrontEnd.addQuery("timeline", timelineQuery);
     adminFrontEnd.addCommand("apply", applyCommand);
     adminFrontEnd.addCommand("key", keyCommand);
+    adminFrontEnd.addQuery("moves", movesQuery);
+    adminFrontEnd.addCommand("move-start", moveStartCommand);
+    adminFrontEnd.addCommand("move-cancel", moveCancelCommand);
     adminFrontEnd.addCommand("drain", drainCommand);
     adminFrontEnd.addOpenText(
         "/health", "application/json", [] { return Outcome<std::string>("{\"status\":\"ok\"}\n"); });
@@ -166,6 +203,8 @@
     asio::co_spawn(parts.executor, parts.storeSync.followRecords(), asio::detached);
     asio::co_spawn(parts.executor, parts.storeSync.probeRevision(), asio::detached);
     asio::co_spawn(parts.executor, parts.followConfiguration(), asio::detached);
+    asio::co_spawn(parts.executor, parts.moveDriver.driveMoves(), asio::detached);
+    asio::co_spawn(parts.executor, parts.moveDriver.publishEvidence(), asio::detached);
     return {};
 }
 
--- a/Source/Programs/PollenwindBench/Main.cpp
+++ b/Source/Programs/PollenwindBench/Main.cpp
@@ -11,7 +11,7 @@
     TCLAP::CmdLine line("Compares placement policies in virtual time.", ' ', "0.1.0");
     line.setExceptionHandling(false);
     TCLAP::ValueArg<std::uint64_t> seed("", "seed", "Seed of the runs", false, 1, "N", line);
-    TCLAP::ValueArg<double> seconds("", "seconds", "Virtual seconds of each run", false, 180, "S", line);
+    TCLAP::ValueArg<double> seconds("", "seconds", "Virtual seconds of each run", false, 120, "S", line);
     TCLAP::ValueArg<std::string> plot("", "plot", "SVG file to write", false, "", "FILE", line);
     const Pollenwind::CostPolicyOptions cost;
     TCLAP::ValueArg<double> weight("", "missed-weight", "Weight of missed tokens", false, cost.missedWeight, "W", line);
