--- a/Source/Core/Bench/PlacementSimulation.cpp
+++ b/Source/Core/Bench/PlacementSimulation.cpp
@@ -101,7 +101,7 @@
 };
 
 PlacementSimulation::PlacementSimulation(SimulationOptions options)
-    : m_options(std::move(options))
+    : m_options(options)
     , m_random(m_options.seed)
     , m_workload(m_options.shape, m_options.seed + 1000)
 {
