Add peer links and membership and use them in the router

Cause: routers knew nothing of each other, so configuration and keys depended on the store alone. The router's use of both has no test yet.

--- a/Source/Core/Config/Settings.cpp
+++ b/Source/Core/Config/Settings.cpp
@@ -95,6 +95,7 @@
         {
             readEndpoint(fields, "endpoint", m_settings.store);
             readMilliseconds(fields, "call_timeout_ms", m_settings.storeCallTimeout);
+            readMilliseconds(fields, "start_jitter_ms", m_settings.storeStartJitter);
         }
 
         void readSecret(FieldReader& fields, const std::string& name, std::string& value)
--- a/Source/Core/Config/Settings.h
+++ b/Source/Core/Config/Settings.h
@@ -25,6 +25,8 @@
 
     Endpoint store;
     std::chrono::milliseconds storeCallTimeout { 1000 };
+    /// Range of the random delay of the first store calls, so that a mass restart stays below the store's rate limit.
+    std::chrono::milliseconds storeStartJitter { 1000 };
     /// Peer endpoints to ask at start, in addition to the platform's list.
     std::vector<Endpoint> seedPeers;
 
--- a/Source/Core/Keys/KeyTable.cpp
+++ b/Source/Core/Keys/KeyTable.cpp
@@ -1,9 +1,22 @@
 #include "Keys/KeyTable.h"
 
+#include <xxhash.h>
+
 #include <algorithm>
 
 namespace Pollenwind {
 
+namespace {
+
+    /// Part of one record in the table's digest. The parts are combined by exclusive or, so the order does not matter.
+    std::uint64_t digestPart(const KeyRecord& record)
+    {
+        return XXH3_64bits_withSeed(
+            record.digest.data(), record.digest.size(), static_cast<std::uint64_t>(record.state));
+    }
+
+} // namespace
+
 KeyTable::KeyTable(const Clock& clock, TimelineCommands& timeline, std::chrono::nanoseconds unconfirmedLimit)
     : m_clock(clock)
     , m_timeline(timeline)
@@ -16,8 +29,12 @@
     const auto [it, isNew] = m_records.emplace(record.digest, record);
     const bool isWithdrawal = !isNew && it->second.state == KeyState::Valid && record.state == KeyState::Withdrawn;
     if (isWithdrawal) {
+        m_tableDigest ^= digestPart(it->second);
         it->second.state = KeyState::Withdrawn;
     }
+    if (isNew || isWithdrawal) {
+        m_tableDigest ^= digestPart(it->second);
+    }
     if (!isNew && !isWithdrawal) {
         return false;
     }
--- a/Source/Core/Keys/KeyTable.h
+++ b/Source/Core/Keys/KeyTable.h
@@ -2,6 +2,7 @@
 
 #include "Common/Clock.h"
 #include "Keys/Commands/KeyCommands.h"
+#include "Keys/Queries/KeyDigestQueries.h"
 #include "Keys/Queries/KeyQueries.h"
 #include "Timeline/Commands/TimelineCommands.h"
 
@@ -10,7 +11,7 @@
 namespace Pollenwind {
 
 /// Owner of the key digests and of their confirmation.
-class KeyTable final : public KeyCommands, public KeyQueries {
+class KeyTable final : public KeyCommands, public KeyQueries, public KeyDigestQueries {
 public:
     /// @param unconfirmedLimit Age of the last confirmation beyond which keys are refused.
     KeyTable(const Clock& clock, TimelineCommands& timeline, std::chrono::nanoseconds unconfirmedLimit);
@@ -22,6 +23,7 @@
     bool isWithdrawn(const Digest& digest) const override;
     std::chrono::nanoseconds confirmationAge() const override { return m_clock.now() - m_confirmedAt; }
     std::vector<KeyRecord> records() const override;
+    std::uint64_t tableDigest() const override { return m_tableDigest; }
 
 private:
     const Clock& m_clock;
@@ -29,6 +31,7 @@
     std::chrono::nanoseconds m_unconfirmedLimit;
     MonotonicTime m_confirmedAt { 0 };
     std::map<Digest, KeyRecord> m_records;
+    std::uint64_t m_tableDigest = 0;
 };
 
 } // namespace Pollenwind
--- /dev/null
+++ b/Source/Core/Peer/Queries/PeerQueries.h
@@ -0,0 +1,34 @@
+#pragma once
+
+#include "Membership/MemberTypes.h"
+
+#include <chrono>
+#include <cstdint>
+#include <vector>
+
+namespace Pollenwind {
+
+/// One authenticated link.
+struct PeerLinkStatus {
+    VmIdentity peer;
+    /// True when this router opened it.
+    bool isDialed = false;
+    std::uint16_t version = 0;
+    std::chrono::nanoseconds sinceLastFrame { 0 };
+    std::size_t queuedBytes = 0;
+};
+
+/// Reads the link table.
+class PeerQueries {
+public:
+    PeerQueries() = default;
+    PeerQueries(const PeerQueries&) = delete;
+    PeerQueries& operator=(const PeerQueries&) = delete;
+    virtual ~PeerQueries() = default;
+
+    /// @return The links that are up, in order of VM id.
+    virtual std::vector<PeerLinkStatus> links() const = 0;
+    virtual bool isLinked(const VmId& vm) const = 0;
+};
+
+} // namespace Pollenwind
--- /dev/null
+++ b/Source/Core/Platform/Commands/VmListCommands.h
@@ -0,0 +1,21 @@
+#pragma once
+
+#include "Common/Error.h"
+#include "Common/Task.h"
+#include "Platform/StoreTypes.h"
+
+namespace Pollenwind {
+
+/// Changes the platform's list of VMs.
+class VmListCommands {
+public:
+    VmListCommands() = default;
+    VmListCommands(const VmListCommands&) = delete;
+    VmListCommands& operator=(const VmListCommands&) = delete;
+    virtual ~VmListCommands() = default;
+
+    /// Sets this VM's entry. Repeating the call does no harm.
+    virtual Task<Outcome<void>> setListedVm(ListedVm vm) = 0;
+};
+
+} // namespace Pollenwind
--- a/Source/Core/Platform/EtcdCodec.cpp
+++ b/Source/Core/Platform/EtcdCodec.cpp
@@ -214,6 +214,14 @@
     return std::chrono::seconds(timeToLive);
 }
 
+std::string encodeListedVm(const ListedVm& vm)
+{
+    return Json {
+        { "vm", vm.vm.value() }, { "zone", vm.zone.value() }, { "peers", vm.peers.toString() },
+        { "admin", vm.admin.toString() }, { "state", nameOf(vm.state) }
+    }.dump();
+}
+
 Outcome<VmList> decodeVmList(std::string_view body)
 {
     const auto json = parse(body);
--- a/Source/Core/Platform/EtcdCodec.h
+++ b/Source/Core/Platform/EtcdCodec.h
@@ -17,6 +17,7 @@
 std::string encodeWatch(std::string_view prefix, std::int64_t fromRevision);
 std::string encodeLeaseGrant(std::chrono::seconds timeToLive);
 std::string encodeLeaseId(LeaseId lease);
+std::string encodeListedVm(const ListedVm& vm);
 
 Outcome<StoreRange> decodeRange(std::string_view body);
 Outcome<SwapResult> decodeSwap(std::string_view body);
--- a/Source/Core/Platform/EtcdGatewayClient.cpp
+++ b/Source/Core/Platform/EtcdGatewayClient.cpp
@@ -147,6 +147,15 @@
     co_return body ? EtcdCodec::decodeVmList(*body) : std::unexpected(body.error());
 }
 
+Task<Outcome<void>> EtcdGatewayClient::setListedVm(ListedVm vm)
+{
+    const auto body = co_await call("POST", "/platform/vms", EtcdCodec::encodeListedVm(vm));
+    if (!body) {
+        co_return std::unexpected(body.error());
+    }
+    co_return Outcome<void> {};
+}
+
 Task<Outcome<WatchId>> EtcdGatewayClient::openWatch(std::string prefix, std::int64_t fromRevision)
 {
     m_metrics.count(Counter::StoreCalls);
--- a/Source/Core/Platform/EtcdGatewayClient.h
+++ b/Source/Core/Platform/EtcdGatewayClient.h
@@ -2,6 +2,7 @@
 
 #include "Metrics/Commands/MetricCommands.h"
 #include "Platform/Commands/StoreCommands.h"
+#include "Platform/Commands/VmListCommands.h"
 #include "Platform/Queries/StoreQueries.h"
 #include "Transport/Endpoint.h"
 #include "Transport/HttpClient.h"
@@ -22,7 +23,7 @@
 };
 
 /// Client for a store that speaks the etcd v3 JSON gateway.
-class EtcdGatewayClient final : public StoreCommands, public StoreQueries {
+class EtcdGatewayClient final : public StoreCommands, public StoreQueries, public VmListCommands {
 public:
     EtcdGatewayClient(
         asio::any_io_executor executor, Endpoint endpoint, EtcdGatewayTimeouts timeouts, MetricCommands& metrics);
@@ -34,6 +35,7 @@
     Task<Outcome<StoreEvents>> nextEvents(WatchId watch) override;
     void closeWatch(WatchId watch) override;
     Task<Outcome<VmList>> listVms() override;
+    Task<Outcome<void>> setListedVm(ListedVm vm) override;
 
     Task<Outcome<SwapResult>> compareAndSwap(
         std::string key, std::int64_t expectedRevision, std::string value, LeaseId lease) override;
--- a/Source/Core/Router/Commands/RouterCommands.cpp
+++ b/Source/Core/Router/Commands/RouterCommands.cpp
@@ -27,6 +27,15 @@
         return Json { { "revision", revision }, { "repeated", isRepeated } }.dump();
     }
 
+    Json reportObject(const SpreadReport& report)
+    {
+        Json notReached = Json::array();
+        for (const auto& vm : report.notReached) {
+            notReached.push_back(vm.value());
+        }
+        return { { "in_force", report.inForce }, { "members", report.members }, { "not_reached", notReached } };
+    }
+
 } // namespace
 
 ApplyCommand::ApplyCommand(
@@ -85,10 +94,13 @@
     co_return fail(ErrorCode::StoreUnavailable, "the store did not confirm the change", RunState::Unknown);
 }
 
-KeyCommand::KeyCommand(StoreCommands& storeCommands, StoreQueries& storeQueries, KeyCommands& keys)
+KeyCommand::KeyCommand(StoreCommands& storeCommands, StoreQueries& storeQueries, KeyCommands& keys,
+    const KeyQueries& keyQueries, WithdrawalCommands& withdrawals)
     : m_storeCommands(storeCommands)
     , m_storeQueries(storeQueries)
     , m_keys(keys)
+    , m_keyQueries(keyQueries)
+    , m_withdrawals(withdrawals)
 {
 }
 
@@ -102,34 +114,75 @@
     if (!record) {
         co_return fail(ErrorCode::Malformed, "the body needs \"digest\", \"organisation\" and \"state\"");
     }
-    const auto key = StoreKeys::keyRecord(record->digest);
+    const auto stored = co_await writeStore(*record);
+    if (!stored && stored.error().code == ErrorCode::StoreUnavailable && record->state == KeyState::Withdrawn) {
+        co_return co_await withdrawWithoutStore(*record, stored.error());
+    }
+    if (!stored) {
+        co_return std::unexpected(stored.error());
+    }
+    m_keys.merge(stored->record);
+    if (record->state == KeyState::Valid) {
+        co_return appliedBody(stored->revision, stored->isRepeated);
+    }
+    const auto report = co_await m_withdrawals.spreadWithdrawal(stored->record);
+    auto body = reportObject(report);
+    body["revision"] = stored->revision;
+    body["repeated"] = stored->isRepeated;
+    body["stored"] = true;
+    co_return body.dump();
+}
+
+Task<Outcome<std::string>> KeyCommand::withdrawWithoutStore(KeyRecord record, Error storeError)
+{
+    // The organisation in the request is not checked by the store here, so the record known to this router counts.
+    const auto records = m_keyQueries.records();
+    const auto known = std::ranges::find_if(records, [&](const KeyRecord& it) { return it.digest == record.digest; });
+    if (known == records.end()) {
+        co_return fail(ErrorCode::StoreUnavailable, "this router does not know the key, and " + storeError.message,
+            storeError.runState);
+    }
+    record.organisation = known->organisation;
+    const auto report = co_await m_withdrawals.spreadWithdrawal(record);
+    auto body = reportObject(report);
+    if (!report.hasZoneMajority) {
+        co_return fail(ErrorCode::StoreUnavailable,
+            "the withdrawal is not accepted: " + storeError.message + ", and no majority of the zones was reached "
+                + body.dump(),
+            RunState::Unknown);
+    }
+    body["stored"] = false;
+    co_return body.dump();
+}
+
+Task<Outcome<KeyCommand::StoreResult>> KeyCommand::writeStore(KeyRecord record)
+{
+    const auto key = StoreKeys::keyRecord(record.digest);
     for (int i = 0; i < maxWriteAttempts; ++i) {
         const auto range = co_await m_storeQueries.read(key);
         if (!range) {
             co_return std::unexpected(range.error());
         }
-        KeyRecord next = *record;
+        KeyRecord next = record;
         std::int64_t base = 0;
         if (!range->entries.empty()) {
             base = range->entries.front().modRevision;
-            const auto stored = decodeKeyRecord(toHex(record->digest), range->entries.front().value);
-            if (stored && stored->state == KeyState::Withdrawn && record->state == KeyState::Valid) {
+            const auto stored = decodeKeyRecord(toHex(record.digest), range->entries.front().value);
+            if (stored && stored->state == KeyState::Withdrawn && record.state == KeyState::Valid) {
                 co_return fail(ErrorCode::Conflict, "the key was withdrawn and cannot be given again");
             }
-            if (stored && stored->state == record->state) {
-                m_keys.merge(*stored);
-                co_return appliedBody(base, true);
+            if (stored && stored->state == record.state) {
+                co_return StoreResult { base, true, *stored };
             }
             if (stored) {
                 next.organisation = stored->organisation;
             }
-        } else if (record->state == KeyState::Withdrawn) {
+        } else if (record.state == KeyState::Withdrawn) {
             co_return fail(ErrorCode::NotFound, "no such key");
         }
         const auto swapped = co_await m_storeCommands.compareAndSwap(key, base, encodeKeyRecord(next), {});
         if (swapped && swapped->isSwapped) {
-            m_keys.merge(next);
-            co_return appliedBody(swapped->revision, false);
+            co_return StoreResult { swapped->revision, false, next };
         }
     }
     co_return fail(ErrorCode::StoreUnavailable, "the store did not confirm the change", RunState::Unknown);
--- a/Source/Core/Router/Commands/RouterCommands.h
+++ b/Source/Core/Router/Commands/RouterCommands.h
@@ -3,8 +3,10 @@
 #include "Config/Commands/ConfigurationCommands.h"
 #include "Http/AdminFrontEnd.h"
 #include "Keys/Commands/KeyCommands.h"
+#include "Keys/Queries/KeyQueries.h"
 #include "Platform/Commands/StoreCommands.h"
 #include "Platform/Queries/StoreQueries.h"
+#include "Router/Commands/WithdrawalCommands.h"
 
 #include <functional>
 
@@ -23,16 +25,30 @@
     ConfigurationCommands& m_configuration;
 };
 
-/// Writes a key record to the store and puts it in force here. Body: {"digest", "organisation", "state"}.
+/// Writes a key record to the store and puts it in force here; a withdrawal is also sent to all routers and answered
+/// with how far it got. While the store is down a withdrawal counts as accepted when it reached a majority of the
+/// zones. Body: {"digest", "organisation", "state"}.
 class KeyCommand final : public AdminCommand {
 public:
-    KeyCommand(StoreCommands& storeCommands, StoreQueries& storeQueries, KeyCommands& keys);
+    KeyCommand(StoreCommands& storeCommands, StoreQueries& storeQueries, KeyCommands& keys,
+        const KeyQueries& keyQueries, WithdrawalCommands& withdrawals);
     Task<Outcome<std::string>> run(const HttpRequest& request) override;
 
 private:
+    struct StoreResult {
+        std::int64_t revision = 0;
+        bool isRepeated = false;
+        KeyRecord record;
+    };
+
+    Task<Outcome<StoreResult>> writeStore(KeyRecord record);
+    Task<Outcome<std::string>> withdrawWithoutStore(KeyRecord record, Error storeError);
+
     StoreCommands& m_storeCommands;
     StoreQueries& m_storeQueries;
     KeyCommands& m_keys;
+    const KeyQueries& m_keyQueries;
+    WithdrawalCommands& m_withdrawals;
 };
 
 /// Starts the graceful shutdown of this router.
--- /dev/null
+++ b/Source/Core/Router/FleetSync.h
@@ -0,0 +1,88 @@
+#pragma once
+
+#include "Config/Commands/ConfigurationCommands.h"
+#include "Config/Queries/ConfigurationQueries.h"
+#include "Keys/Queries/KeyDigestQueries.h"
+#include "Keys/Queries/KeyQueries.h"
+#include "Limits/Commands/GrantLender.h"
+#include "Membership/Commands/MembershipCommands.h"
+#include "Membership/Queries/MembershipQueries.h"
+#include "Peer/GrantExchange.h"
+#include "Peer/PeerHandler.h"
+#include "Platform/Commands/VmListCommands.h"
+#include "Platform/Queries/StoreQueries.h"
+#include "Router/KeyConfirmation.h"
+#include "Router/KeySpread.h"
+#include "Timeline/Commands/TimelineCommands.h"
+
+#include <optional>
+
+namespace Pollenwind {
+
+/// What the fleet sync works with. All references must outlive it.
+struct FleetSyncContext {
+    const Clock& clock;
+    ConfigurationCommands& configurationCommands;
+    const ConfigurationQueries& configuration;
+    const KeyQueries& keys;
+    const KeyDigestQueries& keyDigest;
+    MembershipCommands& membershipCommands;
+    const MembershipQueries& members;
+    KeySpread& keySpread;
+    KeyConfirmation& confirmation;
+    GrantExchange& grants;
+    GrantLender& lender;
+    StoreQueries& store;
+    VmListCommands& vmList;
+    TimelineCommands& timeline;
+    PeerCommands& peers;
+    const PeerQueries& links;
+};
+
+/// Settings of the fleet sync.
+struct FleetSyncOptions {
+    std::vector<Endpoint> seedPeers;
+    /// Range of the random delay of the first store call.
+    std::chrono::milliseconds startJitter { 1000 };
+};
+
+/// Keeps this router in step with the others: decides about peer messages, chooses peers, and keeps this VM in the
+/// platform's list.
+class FleetSync final : public PeerHandler {
+public:
+    FleetSync(FleetSyncContext context, FleetSyncOptions options);
+
+    /// Sets who this VM is, before any task starts.
+    void setIdentity(VmIdentity identity) { m_self = std::move(identity); }
+
+    /// Chooses peers and sends collected key records, until the process ends.
+    Task<> keepPeers();
+    /// Registers this VM and follows the platform's list, until the process ends.
+    Task<> followList();
+
+    /// Tells the peers at once that this VM is leaving, and then the platform, until it has taken note.
+    Task<> leave();
+
+    bool linkUp(const VmIdentity& peer) override;
+    void linkDown(const VmIdentity& peer) override;
+    PeerHeartbeat makeHeartbeat() override;
+    void receive(const VmIdentity& peer, const PeerMessage& message) override;
+
+private:
+    void receiveHeartbeat(const VmIdentity& peer, const PeerHeartbeat& heartbeat);
+    void requestConfiguration(const VmId& peer, Revision revision);
+    void receiveMembership(const VmId& from, const MembershipUpdate& update);
+    void sendMembership(const VmId& peer);
+    void choosePeerTargets();
+    Task<bool> registerVm();
+    bool isListed(const VmList& list) const;
+
+    FleetSyncContext m_context;
+    FleetSyncOptions m_options;
+    VmIdentity m_self;
+    Revision m_requestedRevision;
+    MonotonicTime m_requestedAt { 0 };
+    bool m_isLeaving = false;
+};
+
+} // namespace Pollenwind
--- /dev/null
+++ b/Source/Core/Router/KeyConfirmation.h
@@ -0,0 +1,41 @@
+#pragma once
+
+#include "Config/Queries/ConfigurationQueries.h"
+#include "Keys/Commands/KeyCommands.h"
+#include "Membership/Queries/MembershipQueries.h"
+#include "Peer/PeerTypes.h"
+
+#include <map>
+
+namespace Pollenwind {
+
+/// Confirms the key table from what peers say.
+///
+/// All times are those at which this router sent a heartbeat that the peer's heartbeat echoes. The peer's statement is
+/// younger than that, and bytes that waited in a buffer while this VM was paused carry an old echo.
+class KeyConfirmation {
+public:
+    KeyConfirmation(const Clock& clock, ZoneId zone, const ConfigurationQueries& configuration,
+        const MembershipQueries& members, KeyCommands& keys);
+
+    /// Takes in a heartbeat of a peer whose key table this router's table covers.
+    /// @param provenAt Time by this process's clock after which the heartbeat was made.
+    void noteHeartbeat(const ZoneId& peerZone, MonotonicTime provenAt, const PeerHeartbeat& heartbeat);
+
+    /// @return Ages of the zones in contact, for this router's heartbeats.
+    std::vector<ZoneAge> zoneAges() const;
+
+private:
+    void noteContact(const ZoneId& zone, MonotonicTime at);
+    void confirmByMajority();
+    bool isAloneInZone() const;
+
+    const Clock& m_clock;
+    ZoneId m_zone;
+    const ConfigurationQueries& m_configuration;
+    const MembershipQueries& m_members;
+    KeyCommands& m_keys;
+    std::map<ZoneId, MonotonicTime> m_contacts;
+};
+
+} // namespace Pollenwind
--- /dev/null
+++ b/Source/Core/Router/KeySpread.cpp
@@ -0,0 +1,169 @@
+#include "Router/KeySpread.h"
+
+#include "Common/Digest.h"
+
+#include <algorithm>
+
+namespace Pollenwind {
+
+namespace {
+
+    // A record takes about 80 bytes, so a frame stays well below the limit of 4 MB.
+    constexpr std::size_t recordsPerNotice = 10'000;
+    // Twice the round trip of a table at the size limit; the heartbeats in between need no second request.
+    constexpr std::chrono::seconds requestInterval { 2 };
+    constexpr std::chrono::milliseconds ackTimeout { 1000 };
+
+} // namespace
+
+KeySpread::KeySpread(KeySpreadContext context, PeerCommands& peers, const PeerQueries& links)
+    : m_context(std::move(context))
+    , m_peers(peers)
+    , m_links(links)
+{
+}
+
+bool KeySpread::merge(const KeyRecord& record)
+{
+    const bool isNews = m_context.table.merge(record);
+    if (isNews && record.state == KeyState::Withdrawn) {
+        m_peers.broadcast(KeyNotice { 0, { record } }, std::nullopt);
+    } else if (isNews) {
+        m_batch.push_back(record);
+    }
+    return isNews;
+}
+
+void KeySpread::flush()
+{
+    for (std::size_t i = 0; i < m_batch.size(); i += recordsPerNotice) {
+        const auto end = std::min(i + recordsPerNotice, m_batch.size());
+        m_peers.broadcast(KeyNotice { 0,
+                              { m_batch.begin() + static_cast<std::ptrdiff_t>(i),
+                                  m_batch.begin() + static_cast<std::ptrdiff_t>(end) } },
+            std::nullopt);
+    }
+    m_batch.clear();
+}
+
+void KeySpread::receiveNotice(const VmId& from, const KeyNotice& notice)
+{
+    KeyNotice news;
+    for (const auto& record : notice.keys) {
+        if (m_context.table.merge(record)) {
+            news.keys.push_back(record);
+            if (record.state == KeyState::Withdrawn) {
+                m_context.repair.noteWithdrawn(record.digest);
+            }
+        }
+    }
+    if (!news.keys.empty()) {
+        m_peers.broadcast(news, from);
+    }
+    if (notice.isWhole) {
+        m_peerTables[from].coveredDigest = notice.coveredDigest;
+    }
+    if (notice.notice != 0) {
+        m_peers.send(from, KeyAck { notice.notice });
+    }
+}
+
+void KeySpread::receiveTableRequest(const VmId& from)
+{
+    const auto records = m_context.keys.records();
+    std::size_t sent = 0;
+    do {
+        const auto end = std::min(sent + recordsPerNotice, records.size());
+        KeyNotice notice;
+        notice.keys.assign(
+            records.begin() + static_cast<std::ptrdiff_t>(sent), records.begin() + static_cast<std::ptrdiff_t>(end));
+        notice.isWhole = end == records.size();
+        notice.coveredDigest = m_context.digest.tableDigest();
+        m_peers.send(from, notice);
+        sent = end;
+    } while (sent < records.size());
+}
+
+bool KeySpread::covers(const VmId& peer, std::uint64_t peerDigest)
+{
+    auto& table = m_peerTables[peer];
+    if (peerDigest == m_context.digest.tableDigest() || (table.wasRequested && peerDigest == table.coveredDigest)) {
+        table.differingDigest = 0;
+        return true;
+    }
+    // A notice that is on its way settles most differences before the next heartbeat.
+    const bool isLasting = table.differingDigest != 0 || !table.wasRequested;
+    const auto now = m_context.clock.now();
+    table.differingDigest = peerDigest;
+    if (isLasting && (!table.wasRequested || now - table.requestedAt > requestInterval)) {
+        table.wasRequested = true;
+        table.requestedAt = now;
+        m_peers.send(peer, KeyTableRequest {});
+    }
+    return false;
+}
+
+void KeySpread::receiveAck(const VmId& from, const KeyAck& ack)
+{
+    const auto it = m_waits.find(ack.notice);
+    if (it != m_waits.end()) {
+        it->second.acked.insert(from);
+        if (isComplete(it->second.acked)) {
+            it->second.timer->cancel();
+        }
+    }
+}
+
+Task<SpreadReport> KeySpread::spreadWithdrawal(KeyRecord record)
+{
+    if (m_context.table.merge(record)) {
+        m_context.repair.noteWithdrawn(record.digest);
+    }
+    const auto id = randomBits() | 1U;
+    asio::steady_timer timer(m_context.executor, ackTimeout);
+    m_waits[id].timer = &timer;
+    m_peers.broadcast(KeyNotice { id, { record } }, std::nullopt);
+    if (!isComplete({})) {
+        co_await timer.async_wait(asTuple);
+    }
+    const auto report = makeReport(m_waits[id].acked);
+    m_waits.erase(id);
+    co_return report;
+}
+
+bool KeySpread::isComplete(const std::set<VmId>& acked) const
+{
+    return std::ranges::all_of(m_context.members.members(), [&](const Member& it) {
+        return acked.contains(it.identity.vm) || it.state == MemberState::Gone || !m_links.isLinked(it.identity.vm);
+    });
+}
+
+SpreadReport KeySpread::makeReport(const std::set<VmId>& acked) const
+{
+    SpreadReport report { 1, 1, {}, false };
+    std::set<ZoneId> reached { m_context.zone };
+    std::set<ZoneId> missed;
+    for (const auto& it : m_context.members.members()) {
+        if (it.state == MemberState::Gone) {
+            continue;
+        }
+        ++report.members;
+        if (acked.contains(it.identity.vm)) {
+            ++report.inForce;
+            reached.insert(it.identity.zone);
+        } else {
+            report.notReached.push_back(it.identity.vm);
+            if (it.state != MemberState::Suspected) {
+                missed.insert(it.identity.zone);
+            }
+        }
+    }
+    const auto configuration = m_context.configuration.current();
+    const auto& zones = configuration->document.zones;
+    const auto n = std::ranges::count_if(
+        zones, [&](const ZoneId& zone) { return reached.contains(zone) && !missed.contains(zone); });
+    report.hasZoneMajority = static_cast<std::size_t>(n) > zones.size() / 2;
+    return report;
+}
+
+} // namespace Pollenwind
--- /dev/null
+++ b/Source/Core/Router/KeySpread.h
@@ -0,0 +1,82 @@
+#pragma once
+
+#include "Config/Queries/ConfigurationQueries.h"
+#include "Keys/Commands/KeyCommands.h"
+#include "Keys/Queries/KeyDigestQueries.h"
+#include "Keys/Queries/KeyQueries.h"
+#include "Membership/Queries/MembershipQueries.h"
+#include "Peer/Commands/PeerCommands.h"
+#include "Peer/Queries/PeerQueries.h"
+#include "Router/Commands/WithdrawalCommands.h"
+#include "Router/WithdrawalRepair.h"
+
+#include <boost/asio/steady_timer.hpp>
+
+#include <map>
+#include <set>
+#include <vector>
+
+namespace Pollenwind {
+
+/// What the spread of keys works with. All references must outlive it.
+struct KeySpreadContext {
+    asio::any_io_executor executor;
+    const Clock& clock;
+    VmId vm;
+    ZoneId zone;
+    const ConfigurationQueries& configuration;
+    KeyCommands& table;
+    const KeyQueries& keys;
+    const KeyDigestQueries& digest;
+    const MembershipQueries& members;
+    WithdrawalRepair& repair;
+};
+
+/// Passes key records on to other routers. It stands before the key table, so that every record this router learns,
+/// from the store, from an operator or from a peer, goes out.
+class KeySpread final : public KeyCommands, public WithdrawalCommands {
+public:
+    KeySpread(KeySpreadContext context, PeerCommands& peers, const PeerQueries& links);
+
+    bool merge(const KeyRecord& record) override;
+    void confirm(MonotonicTime at) override { m_context.table.confirm(at); }
+    Task<SpreadReport> spreadWithdrawal(KeyRecord record) override;
+
+    void receiveNotice(const VmId& from, const KeyNotice& notice);
+    void receiveAck(const VmId& from, const KeyAck& ack);
+    /// Sends the whole table.
+    void receiveTableRequest(const VmId& from);
+
+    /// Compares tables and asks for the peer's when it holds something unknown.
+    /// @return True when this table holds everything that the peer's held when it sent the heartbeat.
+    bool covers(const VmId& peer, std::uint64_t peerDigest);
+    void forgetPeer(const VmId& peer) { m_peerTables.erase(peer); }
+
+    /// Sends the valid keys learned since the last call.
+    void flush();
+
+private:
+    struct PeerTable {
+        /// Digest of the peer's table when it was last taken in whole.
+        std::uint64_t coveredDigest = 0;
+        std::uint64_t differingDigest = 0;
+        MonotonicTime requestedAt { 0 };
+        bool wasRequested = false;
+    };
+    struct Wait {
+        std::set<VmId> acked;
+        asio::steady_timer* timer = nullptr;
+    };
+
+    bool isComplete(const std::set<VmId>& acked) const;
+    SpreadReport makeReport(const std::set<VmId>& acked) const;
+
+    KeySpreadContext m_context;
+    PeerCommands& m_peers;
+    const PeerQueries& m_links;
+    std::vector<KeyRecord> m_batch;
+    std::map<VmId, PeerTable> m_peerTables;
+    std::map<std::uint64_t, Wait> m_waits;
+};
+
+} // namespace Pollenwind
--- a/Source/Core/Router/Router.cpp
+++ b/Source/Core/Router/Router.cpp
@@ -9,11 +9,15 @@
 #include "Http/CallerFrontEnd.h"
 #include "Keys/KeyTable.h"
 #include "Limits/LocalLimiter.h"
+#include "Membership/MembershipTable.h"
 #include "Metrics/MetricTable.h"
+#include "Peer/PeerNetwork.h"
 #include "Placement/RendezvousPolicy.h"
 #include "Platform/EtcdGatewayClient.h"
 #include "Router/Commands/RouterCommands.h"
+#include "Router/FleetSync.h"
 #include "Router/HealthMonitor.h"
+#include "Router/Queries/MembersQuery.h"
 #include "Router/Queries/RouterQueries.h"
 #include "Router/StoreSync.h"
 #include "Timeline/Timeline.h"
@@ -39,6 +43,30 @@
         void noteIncarnation(const UpstreamId&, Incarnation) override { }
     };
 
+    /// Lends nothing, as long as the limiter has no shares.
+    class NoLender final : public GrantLender {
+    public:
+        GrantReply lend(const VmId&, const GrantRequest&) override { return {}; }
+        void settle(const VmId&, const GrantSettlement&) override { }
+    };
+
+    /// After the first valid configuration, time to hear of a higher revision before the router is ready.
+    constexpr std::chrono::milliseconds startWait { 500 };
+
+    VmIdentity toVmIdentity(const Settings& settings, const RouterIdentity& identity, WallTime startedAt)
+    {
+        return { identity.vm, identity.zone, identity.incarnation,
+            std::chrono::duration_cast<std::chrono::microseconds>(startedAt).count(), settings.listenPeers,
+            settings.listenAdmin };
+    }
+
+    PeerOptions toPeerOptions(const Settings& settings)
+    {
+        PeerOptions options;
+        options.secret = settings.clusterSecret;
+        return options;
+    }
+
     DispatchTimeouts toTimeouts(const Settings& settings)
     {
         return { settings.rateWaitLimit, settings.firstTokenTimeout, settings.tokenGapTimeout };
@@ -47,7 +75,7 @@
 } // namespace
 
 struct Router::Parts {
-    Parts(asio::any_io_executor ex, Settings s)
+    Parts(asio::any_io_executor ex, Settings s, const LinkFaults* faults)
         : executor(std::move(ex))
         , settings(std::move(s))
         , identity { settings.vm, settings.zone, Incarnation(randomBits()) }
@@ -58,7 +86,18 @@
         , upstreams(configuration, timeline, cache)
         , upstreamClient(executor, settings.connectTimeout)
         , store(executor, settings.store, { settings.storeCallTimeout }, metrics)
-        , storeSync({ clock, store, configuration, keys, timeline, metrics })
+        , vm(toVmIdentity(settings, identity, clock.wallNow()))
+        , members(clock, timeline, vm.vm)
+        , peers(executor, { clock, metrics, timeline, faults ? *faults : noFaults, fleetSync }, vm,
+              toPeerOptions(settings))
+        , repair(store, store, keys)
+        , keySpread({ executor, clock, vm.vm, vm.zone, configuration, keys, keys, keys, members, repair }, peers, peers)
+        , confirmation(clock, vm.zone, configuration, members, keys)
+        , grants(executor, clock, peers, members)
+        , fleetSync({ clock, configuration, configuration, keys, keys, members, members, keySpread, confirmation,
+                        grants, lender, store, store, timeline, peers, peers },
+              { settings.seedPeers, settings.storeStartJitter })
+        , storeSync({ clock, store, configuration, keySpread, timeline, metrics, repair, settings.storeStartJitter })
         , health(executor, upstreams, upstreams, upstreamClient, settings.healthInterval)
         , dispatch { clock, configuration, keys, limits, placement, cache, upstreams, upstreams, metrics, settings.zone,
             toTimeouts(settings) }
@@ -70,16 +109,18 @@
         , adminServer(executor, adminFrontEnd, settings.httpLimits)
         , statusQuery(identity, configuration, keys, storeSync, metrics)
         , servicesQuery(configuration, upstreams)
+        , membersQuery(vm, configuration, members, peers)
         , keysQuery(keys)
         , limitsQuery(limits)
         , timelineQuery(timeline)
         , applyCommand(store, store, configuration)
-        , keyCommand(store, store, keys)
+        , keyCommand(store, store, keySpread, keys, keySpread)
         , drainCommand([this] { startShutdown(); })
     {
     }
 
     Task<> followConfiguration();
+    Task<> becomeReady();
     Task<> drain();
     void startShutdown();
     void registerAdminCalls();
@@ -98,6 +139,16 @@
     UpstreamTable upstreams;
     HttpUpstreamClient upstreamClient;
     EtcdGatewayClient store;
+    VmIdentity vm;
+    NoLinkFaults noFaults;
+    NoLender lender;
+    MembershipTable members;
+    PeerNetwork peers;
+    WithdrawalRepair repair;
+    KeySpread keySpread;
+    KeyConfirmation confirmation;
+    GrantExchange grants;
+    FleetSync fleetSync;
     StoreSync storeSync;
     HealthMonitor health;
     DispatchContext dispatch;
@@ -110,6 +161,7 @@
 
     StatusQuery statusQuery;
     ServicesQuery servicesQuery;
+    MembersQuery membersQuery;
     KeysQuery keysQuery;
     LimitsQuery limitsQuery;
     TimelineQuery timelineQuery;
@@ -118,12 +170,13 @@
     DrainCommand drainCommand;
 
     int shutdownRequests = 0;
+    bool isReady = false;
     bool isStopped = false;
     std::size_t cutRequests = 0;
 };
 
-Router::Router(asio::any_io_executor executor, Settings settings)
-    : m_parts(std::make_unique<Parts>(std::move(executor), std::move(settings)))
+Router::Router(asio::any_io_executor executor, Settings settings, const LinkFaults* faults)
+    : m_parts(std::make_unique<Parts>(std::move(executor), std::move(settings), faults))
 {
 }
 
@@ -133,6 +186,7 @@
 {
     adminFrontEnd.addQuery("status", statusQuery);
     adminFrontEnd.addQuery("services", servicesQuery);
+    adminFrontEnd.addQuery("members", membersQuery);
     adminFrontEnd.addQuery("keys", keysQuery);
     adminFrontEnd.addQuery("limits", limitsQuery);
     adminFrontEnd.addQuery("timeline", timelineQuery);
@@ -142,7 +196,7 @@
     adminFrontEnd.addOpenText(
         "/health", "application/json", [] { return Outcome<std::string>("{\"status\":\"ok\"}\n"); });
     adminFrontEnd.addOpenText("/ready", "application/json", [this]() -> Outcome<std::string> {
-        if (configuration.current()->revision.value() == 0 || shutdownRequests > 0) {
+        if (!isReady || shutdownRequests > 0) {
             return fail(ErrorCode::Unavailable, "not ready");
         }
         return "{\"status\":\"ready\"}\n";
@@ -163,15 +217,34 @@
     if (!callers) {
         return std::unexpected(callers.error());
     }
+    const auto peers = parts.peers.listen(parts.settings.listenPeers);
+    if (!peers) {
+        return std::unexpected(peers.error());
+    }
+    parts.vm.peers = *peers;
+    parts.fleetSync.setIdentity(parts.vm);
     parts.timeline.record(EventKind::ProcessStarted,
         { { "vm", parts.settings.vm.value() }, { "zone", parts.settings.zone.value() },
-            { "callers", callers->toString() }, { "admin", admin->toString() } });
+            { "callers", callers->toString() }, { "admin", admin->toString() }, { "peers", peers->toString() } });
+    asio::co_spawn(parts.executor, parts.fleetSync.keepPeers(), asio::detached);
+    asio::co_spawn(parts.executor, parts.fleetSync.followList(), asio::detached);
+    asio::co_spawn(parts.executor, parts.repair.run(), asio::detached);
+    asio::co_spawn(parts.executor, parts.becomeReady(), asio::detached);
     asio::co_spawn(parts.executor, parts.storeSync.followRecords(), asio::detached);
     asio::co_spawn(parts.executor, parts.storeSync.probeRevision(), asio::detached);
     asio::co_spawn(parts.executor, parts.followConfiguration(), asio::detached);
     return {};
 }
 
+Task<> Router::Parts::becomeReady()
+{
+    while (configuration.current()->revision.value() == 0) {
+        co_await sleepFor(reconfigureCheck);
+    }
+    co_await sleepFor(startWait);
+    isReady = true;
+}
+
 Task<> Router::Parts::followConfiguration()
 {
     Revision applied;
@@ -190,6 +263,7 @@
     ++shutdownRequests;
     if (shutdownRequests == 1) {
         timeline.record(EventKind::ProcessStopping, {});
+        asio::co_spawn(executor, fleetSync.leave(), asio::detached);
         asio::co_spawn(executor, drain(), asio::detached);
     }
 }
@@ -209,6 +283,7 @@
     cutRequests = callerFrontEnd.runningRequests();
     metrics.count(Counter::ShutdownCuts, cutRequests);
     timeline.record(EventKind::ProcessStopped, { { "cut_requests", std::to_string(cutRequests) } });
+    peers.stop();
     isStopped = true;
 }
 
--- a/Source/Core/Router/Router.h
+++ b/Source/Core/Router/Router.h
@@ -3,6 +3,7 @@
 #include "Common/Error.h"
 #include "Common/Task.h"
 #include "Config/Settings.h"
+#include "Peer/LinkFaults.h"
 
 #include <cstddef>
 #include <functional>
@@ -14,7 +15,8 @@
 class Router {
 public:
     /// @param executor Executor of the process's only thread.
-    Router(asio::any_io_executor executor, Settings settings);
+    /// @param faults Faults of the peer links, for tests. It must outlive the router; none without it.
+    Router(asio::any_io_executor executor, Settings settings, const LinkFaults* faults = nullptr);
     ~Router();
     Router(const Router&) = delete;
     Router& operator=(const Router&) = delete;
--- a/Source/Core/Router/StoreSync.cpp
+++ b/Source/Core/Router/StoreSync.cpp
@@ -31,6 +31,9 @@
 Task<> StoreSync::followRecords()
 {
     auto backoff = shortestBackoff;
+    if (m_context.startJitter.count() > 0) {
+        co_await sleepFor(jittered(m_context.startJitter));
+    }
     for (;;) {
         const auto revision = co_await readAll();
         if (revision) {
@@ -110,6 +113,7 @@
         const auto record = decodeKeyRecord(std::string_view(entry.key).substr(StoreKeys::keys.size()), entry.value);
         if (record) {
             m_context.keys.merge(*record);
+            m_context.repair.noteStored(*record);
         }
     }
 }
--- a/Source/Core/Router/StoreSync.h
+++ b/Source/Core/Router/StoreSync.h
@@ -5,6 +5,7 @@
 #include "Keys/Commands/KeyCommands.h"
 #include "Metrics/Commands/MetricCommands.h"
 #include "Platform/Queries/StoreQueries.h"
+#include "Router/WithdrawalRepair.h"
 #include "Timeline/Commands/TimelineCommands.h"
 
 #include <cstdint>
@@ -20,6 +21,9 @@
     KeyCommands& keys;
     TimelineCommands& timeline;
     MetricCommands& metrics;
+    WithdrawalRepair& repair;
+    /// Range of the random delay of the first call.
+    std::chrono::milliseconds startJitter { 0 };
 };
 
 /// Brings the shared records of the platform's store into this process.
--- /dev/null
+++ b/Source/UnitTests/Membership/MembershipTests.cpp
@@ -0,0 +1,170 @@
+#include "Membership/MembershipTable.h"
+#include "Membership/Queries/PeerChoice.h"
+#include "Timeline/Timeline.h"
+
+#include <criterion/criterion.h>
+
+#include <functional>
+#include <map>
+#include <set>
+
+using namespace Pollenwind;
+
+namespace {
+
+VmIdentity life(const std::string& vm, std::uint64_t incarnation, std::int64_t startedAt, std::uint16_t port = 1)
+{
+    return { VmId(vm), ZoneId("a"), Incarnation(incarnation), startedAt, { "127.50.2.1", port }, {} };
+}
+
+MemberList listOf(std::int64_t revision, std::vector<Member> members) { return { revision, std::move(members) }; }
+
+Member listed(MemberState state) { return { life("x", 0, 0), state }; }
+
+struct Case {
+    const char* name;
+    std::function<void(MembershipTable&)> steps;
+    MemberState expected;
+};
+
+} // namespace
+
+// Guards against a VM whose state is taken from the wrong source: each case names the fault it stands for.
+Test(MembershipTable, statesFollowTheBestSource)
+{
+    const std::vector<Case> cases {
+        { "the list alone does not prove that a VM runs",
+            [](MembershipTable& it) { it.noteList(listOf(5, { listed(MemberState::Live) })); }, MemberState::Joining },
+        { "a linked VM is live", [](MembershipTable& it) { it.noteLinkUp(life("x", 1, 10)); }, MemberState::Live },
+        { "a lagging list does not make a linked VM leave",
+            [](MembershipTable& it) {
+                it.noteLinkUp(life("x", 1, 10));
+                it.noteList(listOf(5, { listed(MemberState::Leaving) }));
+            },
+            MemberState::Live },
+        { "a broken link is no proof of death",
+            [](MembershipTable& it) {
+                it.noteLinkUp(life("x", 1, 10));
+                it.noteLinkDown(VmId("x"), Incarnation(1));
+            },
+            MemberState::Suspected },
+        { "the end of an old life's link does not touch the new life",
+            [](MembershipTable& it) {
+                it.noteLinkUp(life("x", 1, 10));
+                it.noteLinkUp(life("x", 2, 20));
+                it.noteLinkDown(VmId("x"), Incarnation(1));
+            },
+            MemberState::Live },
+        { "a VM that leaves is gone with its link",
+            [](MembershipTable& it) {
+                it.noteLinkUp(life("x", 1, 10));
+                it.noteHeartbeat(VmId("x"), Incarnation(1), Revision(3), true);
+                it.noteLinkDown(VmId("x"), Incarnation(1));
+            },
+            MemberState::Gone },
+        { "a restart after leaving is live again",
+            [](MembershipTable& it) {
+                it.noteLinkUp(life("x", 1, 10));
+                it.noteHeartbeat(VmId("x"), Incarnation(1), Revision(3), true);
+                it.noteLinkUp(life("x", 2, 20));
+            },
+            MemberState::Live },
+        { "a VM that leaves stays leaving when its link is made anew",
+            [](MembershipTable& it) {
+                it.noteLinkUp(life("x", 1, 10));
+                it.noteHeartbeat(VmId("x"), Incarnation(1), Revision(3), true);
+                it.noteLinkUp(life("x", 1, 10));
+            },
+            MemberState::Leaving },
+        { "a VM that the list dropped is gone",
+            [](MembershipTable& it) {
+                it.noteList(listOf(5, { listed(MemberState::Live) }));
+                it.noteList(listOf(6, {}));
+            },
+            MemberState::Gone },
+        { "an older list does not drop a VM",
+            [](MembershipTable& it) {
+                it.noteList(listOf(5, { listed(MemberState::Live) }));
+                it.noteList(listOf(4, {}));
+            },
+            MemberState::Joining },
+        { "a report does not revive a VM that is gone",
+            [](MembershipTable& it) {
+                it.noteLinkUp(life("x", 1, 10));
+                it.noteHeartbeat(VmId("x"), Incarnation(1), Revision(3), true);
+                it.noteLinkDown(VmId("x"), Incarnation(1));
+                it.noteReport({ life("x", 1, 10), MemberState::Live });
+            },
+            MemberState::Gone },
+        { "leaving reaches VMs without a link to the leaving one",
+            [](MembershipTable& it) { it.noteReport({ life("x", 1, 10), MemberState::Leaving }); },
+            MemberState::Leaving },
+        { "another VM at the same address replaces the older one",
+            [](MembershipTable& it) {
+                it.noteLinkUp(life("x", 1, 10));
+                it.noteLinkUp(life("y", 2, 20));
+            },
+            MemberState::Gone },
+    };
+    for (const auto& it : cases) {
+        ManualClock clock;
+        Timeline timeline(clock, "test");
+        MembershipTable table(clock, timeline, VmId("self"));
+        it.steps(table);
+        const auto member = table.find(VmId("x"));
+        cr_assert(member && member->state == it.expected, "%s", it.name);
+    }
+}
+
+// Guards against an old life, whose messages arrive late, that takes the place of the new one.
+Test(MembershipTable, refusesOlderLives)
+{
+    ManualClock clock;
+    Timeline timeline(clock, "test");
+    MembershipTable table(clock, timeline, VmId("self"));
+    cr_assert(table.noteLinkUp(life("x", 2, 20)));
+    cr_assert_not(table.noteLinkUp(life("x", 1, 10)));
+    cr_assert_not(table.noteLinkUp(life("y", 3, 10)));
+    cr_assert_not(table.noteReport({ life("x", 1, 10), MemberState::Leaving }));
+    cr_assert(table.find(VmId("x"))->state == MemberState::Live);
+}
+
+// Guards against a link for every VM at the target size, and against a fleet that falls into parts.
+Test(PeerChoice, isBoundedAndConnected)
+{
+    std::vector<Member> members;
+    for (std::uint16_t i = 0; i < 375; ++i) {
+        const auto zone = "r" + std::to_string(i % 5) + "/" + std::to_string(i / 5 % 3);
+        members.push_back(
+            { { VmId("vm" + std::to_string(i)), ZoneId(zone), {}, 0, { "127.50.3.1", i }, {} }, MemberState::Live });
+    }
+    std::map<VmId, std::vector<VmId>> links;
+    for (const auto& self : members) {
+        auto others = members;
+        std::erase_if(others, [&](const Member& it) { return it.identity.vm == self.identity.vm; });
+        const auto chosen = choosePeers(self.identity.vm, self.identity.zone, others);
+        cr_assert_eq(chosen.size(), 10);
+        for (const auto& it : chosen) {
+            links[self.identity.vm].push_back(it.identity.vm);
+            links[it.identity.vm].push_back(self.identity.vm);
+        }
+    }
+    std::set<VmId> reached { VmId("vm0") };
+    std::vector<VmId> edge { VmId("vm0") };
+    int hops = 0;
+    for (; !edge.empty(); ++hops) {
+        std::vector<VmId> next;
+        for (const auto& vm : edge) {
+            for (const auto& other : links[vm]) {
+                if (reached.insert(other).second) {
+                    next.push_back(other);
+                }
+            }
+        }
+        edge = std::move(next);
+    }
+    cr_assert_eq(reached.size(), members.size());
+    cr_assert_leq(hops - 1, 4);
+    members.resize(15);
+    cr_assert_eq(choosePeers(VmId("self"), ZoneId("r0/0"), members).size(), 15);
+}
