Test several routers with a store stand-in

Cause: the spread of configuration and keys over peer links had no test. Change: UnitTests/Router runs up to 9 routers, each in its own io_context so that it can be paused or killed, with a store stand-in.

--- /dev/null
+++ b/Source/UnitTests/Router/FleetTests.cpp
@@ -0,0 +1,249 @@
+#include "Router/FleetHarness.h"
+
+#include <criterion/criterion.h>
+
+using namespace Pollenwind;
+
+namespace {
+
+std::uint64_t linkCount(Fleet& fleet, std::size_t router)
+{
+    const auto members = fleet.query(router, "members")["members"];
+    return static_cast<std::uint64_t>(
+        std::ranges::count_if(members, [](const auto& it) { return it["link"]["state"] == "up"; }));
+}
+
+std::int64_t keyAge(Fleet& fleet, std::size_t router)
+{
+    return fleet.query(router, "status").value("key_confirmation_age_ms", std::int64_t(1) << 40);
+}
+
+std::uint64_t counter(Fleet& fleet, std::size_t router, const char* name)
+{
+    return fleet.query(router, "status")["counters"].value(name, std::uint64_t(0));
+}
+
+/// Waits for the full mesh and gives it a configuration and the key "k".
+void prepare(Fleet& fleet)
+{
+    cr_assert(fleet.runUntilAll([&](std::size_t i) { return linkCount(fleet, i) == fleet.size() - 1; }));
+    const auto revision = fleet.apply(0, "first");
+    cr_assert_eq(fleet.setKey(0, "k", "valid").first, 200);
+    cr_assert(fleet.runUntilAll(
+        [&](std::size_t i) { return fleet.revisionOf(i) == revision && fleet.keyStateOf(i, "k") == "valid"; }));
+}
+
+} // namespace
+
+// Guards against a router that misses a change, and a withdrawal that claims to be in force where it is not.
+Test(Fleet, changesReachAllRouters)
+{
+    Fleet fleet(1, 9);
+    prepare(fleet);
+    const auto revision = fleet.apply(4, "second");
+    cr_assert(fleet.runUntilAll([&](std::size_t i) { return fleet.revisionOf(i) == revision; }));
+    const auto [status, body] = fleet.setKey(3, "k", "withdrawn");
+    cr_assert_eq(status, 200);
+    cr_assert_eq(body.value("in_force", 0), 9);
+    cr_assert(body["not_reached"].empty());
+    for (std::size_t i = 0; i < fleet.size(); ++i) {
+        cr_assert(fleet.keyStateOf(i, "k") == "withdrawn");
+    }
+}
+
+// Guards against a fleet that stops with the store: keys stay confirmed over the peers, and a withdrawal is accepted
+// and reaches the store later.
+Test(Fleet, withdrawsWhileStoreIsDown)
+{
+    Fleet fleet(2, 9);
+    prepare(fleet);
+    fleet.store().setFault(StoreFault::Down, 1);
+    fleet.runFor(std::chrono::milliseconds(3500));
+    for (std::size_t i = 0; i < fleet.size(); ++i) {
+        cr_assert_lt(keyAge(fleet, i), 3000);
+    }
+    const auto [status, body] = fleet.setKey(2, "k", "withdrawn");
+    cr_assert_eq(status, 200, "%s", body.dump().c_str());
+    cr_assert_eq(body.value("in_force", 0), 9);
+    cr_assert_eq(body.value("stored", true), false);
+    fleet.store().setFault(StoreFault::Down, 0);
+    cr_assert(fleet.runUntil([&] { return fleet.isWithdrawnInStore("k"); }));
+}
+
+// Guards against a withdrawal that is lost with the router that accepted it.
+Test(Fleet, otherRoutersStoreWithdrawalOfLostRouter)
+{
+    Fleet fleet(3, 3);
+    prepare(fleet);
+    fleet.store().setFault(StoreFault::Down, 1);
+    cr_assert_eq(fleet.setKey(2, "k", "withdrawn").first, 200);
+    fleet.kill(2);
+    fleet.store().setFault(StoreFault::Down, 0);
+    cr_assert(fleet.runUntil([&] { return fleet.isWithdrawnInStore("k"); }));
+}
+
+// Guards against a router that relies on its own watch, which can go silent for ever.
+Test(Fleet, peersReplaceSilentWatch)
+{
+    Fleet fleet(4, 3);
+    prepare(fleet);
+    fleet.store().setFault(StoreFault::SilentWatches, 1);
+    const auto revision = fleet.apply(0, "second");
+    cr_assert(fleet.runUntilAll([&](std::size_t i) { return fleet.revisionOf(i) == revision; }));
+    cr_assert_eq(fleet.setKey(0, "k", "withdrawn").second.value("in_force", 0), 3);
+}
+
+// Guards against a cut-off zone that goes on trusting its key table, accepts a withdrawal that the others cannot know,
+// or does not catch up when the links return.
+Test(Fleet, cutZoneLosesConfirmation)
+{
+    Fleet fleet(5, 9);
+    prepare(fleet);
+    fleet.store().setFault(StoreFault::Down, 1);
+    fleet.faults.cutZones = { "a" };
+    cr_assert(fleet.runUntil([&] { return keyAge(fleet, 0) > 3000 && keyAge(fleet, 6) > 3000; }));
+    cr_assert_lt(keyAge(fleet, 1), 3000);
+    cr_assert_lt(keyAge(fleet, 2), 3000);
+    const auto refused = fleet.setKey(0, "k", "withdrawn");
+    cr_assert_neq(refused.first, 200);
+    const auto [status, body] = fleet.setKey(1, "k", "withdrawn");
+    cr_assert_eq(status, 200);
+    cr_assert_eq(body.value("in_force", 0), 6);
+    cr_assert_eq(body["not_reached"].size(), 3);
+    fleet.faults.cutZones.clear();
+    cr_assert(fleet.runUntilAll(
+        [&](std::size_t i) { return keyAge(fleet, i) < 3000 && fleet.keyStateOf(i, "k") == "withdrawn"; }));
+}
+
+// Guards against a paused VM that takes heartbeats which waited in its buffers as fresh and serves a withdrawn key.
+Test(Fleet, wakingRouterTrustsNoOldBytes)
+{
+    Fleet fleet(6, 6);
+    prepare(fleet);
+    fleet.store().setFault(StoreFault::Down, 1);
+    fleet.setPaused(5, true);
+    fleet.runFor(std::chrono::milliseconds(2500));
+    const auto [status, body] = fleet.setKey(0, "k", "withdrawn");
+    cr_assert_eq(status, 200);
+    cr_assert_eq(body.value("in_force", 0), 5);
+    fleet.runFor(std::chrono::milliseconds(1500));
+    fleet.setPaused(5, false);
+    // One answer holds the age and the keys, so they belong together.
+    bool isConfirmed = false;
+    while (!isConfirmed) {
+        const auto keys = fleet.query(5, "keys");
+        isConfirmed = keys.value("confirmation_age_ms", std::int64_t(1) << 40) < 3000;
+        cr_assert(!isConfirmed || keys["keys"][0]["state"] == "withdrawn");
+    }
+}
+
+// Guards against a restart that needs the store: everything must come from a peer.
+Test(Fleet, restartsWithoutStore)
+{
+    Fleet fleet(7, 3);
+    prepare(fleet);
+    const auto revision = fleet.revisionOf(0);
+    fleet.store().setFault(StoreFault::Down, 1);
+    fleet.kill(2);
+    fleet.start(2);
+    cr_assert(fleet.runUntil([&] {
+        return fleet.revisionOf(2) == revision && fleet.keyStateOf(2, "k") == "valid" && keyAge(fleet, 2) < 3000
+            && linkCount(fleet, 2) == 2;
+    }));
+    // The other routers must take the new life for the same VM.
+    cr_assert(fleet.runUntilAll([&](std::size_t i) { return fleet.query(i, "members")["members"].size() == 3; }));
+    cr_assert(fleet.query(2, "status")["store"] == "down");
+}
+
+// Guards against a stale read of the store that takes a router back to an older configuration.
+Test(Fleet, staleReadsNeverRevert)
+{
+    Fleet fleet(8, 3);
+    prepare(fleet);
+    const auto revision = fleet.apply(0, "second");
+    cr_assert(fleet.runUntilAll([&](std::size_t i) { return fleet.revisionOf(i) == revision; }));
+    fleet.store().setFault(StoreFault::StaleReads, 1);
+    // Ends the watches, so that all routers read again.
+    fleet.store().setFault(StoreFault::Down, 1);
+    fleet.runFor(std::chrono::milliseconds(100));
+    fleet.store().setFault(StoreFault::Down, 0);
+    fleet.kill(2);
+    fleet.start(2);
+    // Each router then reads the records at least once more, with a watch and probes around it.
+    std::vector<std::uint64_t> calls;
+    for (std::size_t i = 0; i < fleet.size(); ++i) {
+        calls.push_back(counter(fleet, i, "store_calls_total"));
+    }
+    cr_assert(fleet.runUntilAll([&](std::size_t i) { return counter(fleet, i, "store_calls_total") > calls[i] + 5; }));
+    cr_assert(fleet.runUntil([&] { return fleet.revisionOf(2) == revision; }));
+    for (std::size_t i = 0; i < fleet.size(); ++i) {
+        cr_assert_eq(fleet.revisionOf(i), revision);
+        std::int64_t last = 0;
+        for (const auto& event : fleet.query(i, "timeline")["events"]) {
+            if (event["event"] == "configuration-adopted") {
+                const auto adopted = std::stoll(event["fields"]["revision"].get<std::string>());
+                cr_assert_gt(adopted, last);
+                last = adopted;
+            }
+        }
+    }
+}
+
+// Guards against a shutdown that the others take for a crash.
+Test(Fleet, leavingIsAnnounced)
+{
+    Fleet fleet(9, 3);
+    prepare(fleet);
+    cr_assert_eq(fleet.command(1, "drain", nlohmann::json::object()).first, 200);
+    cr_assert(fleet.runUntil([&] {
+        for (const auto& event : fleet.query(0, "timeline")["events"]) {
+            if (event["event"] == "member-leaving" && event["fields"]["vm"] == "b1") {
+                return true;
+            }
+        }
+        return false;
+    }));
+}
+
+// Guards against a mass restart that floods the store. Start-up takes a read, a watch, a registration and a list call
+// for each router; the probe and list calls of the seconds that the start takes come on top.
+Test(Fleet, massRestartIsBounded)
+{
+    Fleet fleet(10, 9, std::chrono::milliseconds(1000));
+    prepare(fleet);
+    for (std::size_t i = 0; i < fleet.size(); ++i) {
+        fleet.kill(i);
+    }
+    const auto before = fleet.store().callCount();
+    for (std::size_t i = 0; i < fleet.size(); ++i) {
+        fleet.start(i);
+    }
+    cr_assert(fleet.runUntilAll([&](std::size_t i) { return fleet.revisionOf(i) > 0 && linkCount(fleet, i) == 8; }));
+    const auto calls = fleet.store().callCount() - before;
+    cr_log_info("store calls of 9 routers that restart together: %zu", static_cast<std::size_t>(calls));
+    cr_assert_leq(calls, 9 * 8);
+}
+
+// Guards against a steady load on the store, or a control traffic between peers, beyond the budget of the design.
+Test(Fleet, steadyStateStaysInBudget)
+{
+    for (const std::size_t n : { std::size_t(3), std::size_t(9) }) {
+        Fleet fleet(n == 3 ? 11 : 12, n);
+        prepare(fleet);
+        fleet.runFor(std::chrono::milliseconds(1000));
+        const auto calls = fleet.store().callCount();
+        const auto sent = counter(fleet, 0, "peer_bytes_sent_total");
+        const auto received = counter(fleet, 0, "peer_bytes_received_total");
+        const auto start = std::chrono::steady_clock::now();
+        fleet.runFor(std::chrono::milliseconds(6000));
+        const std::chrono::duration<double> time = std::chrono::steady_clock::now() - start;
+        const auto callRate = static_cast<double>(fleet.store().callCount() - calls) / time.count();
+        const auto sentRate = static_cast<double>(counter(fleet, 0, "peer_bytes_sent_total") - sent) / time.count();
+        const auto receivedRate
+            = static_cast<double>(counter(fleet, 0, "peer_bytes_received_total") - received) / time.count();
+        cr_log_info("%zu routers: %.2f store calls/s in all; a router sends %.0f B/s and receives %.0f B/s", n,
+            callRate, sentRate, receivedRate);
+        cr_assert_leq(callRate, 1.5 * static_cast<double>(n));
+        cr_assert_leq(sentRate + receivedRate, 9000);
+    }
+}
