--- a/Source/Core/Router/Router.cpp
+++ b/Source/Core/Router/Router.cpp
@@ -11,16 +11,21 @@
 #include "Limits/LocalLimiter.h"
 #include "Membership/MembershipTable.h"
 #include "Metrics/MetricTable.h"
+#include "Moves/MoveTable.h"
 #include "Peer/PeerNetwork.h"
 #include "Placement/RendezvousPolicy.h"
 #include "Platform/EtcdGatewayClient.h"
+#include "Router/Commands/MoveAdminCommands.h"
 #include "Router/Commands/RouterCommands.h"
 #include "Router/FleetSync.h"
 #include "Router/HealthMonitor.h"
+#include "Router/MoveDriver.h"
 #include "Router/Queries/MembersQuery.h"
+#include "Router/Queries/MovesQuery.h"
 #include "Router/Queries/RouterQueries.h"
 #include "Router/StoreSync.h"
 #include "Timeline/Timeline.h"
+#include "Upstream/HttpOrderClient.h"
 #include "Upstream/HttpUpstreamClient.h"
 #include "Upstream/UpstreamTable.h"
 
@@ -67,6 +72,21 @@
         return options;
     }
 
+    /// Age of the move records. Peers pass on keys and the configuration but not these, so that only the store counts.
+    class StoreFreshness final : public RecordFreshness {
+    public:
+        StoreFreshness(const Clock& clock, const StoreSync& store)
+            : m_clock(clock)
+            , m_store(store)
+        {
+        }
+        std::chrono::nanoseconds age() const override { return m_clock.now() - m_store.confirmedAt(); }
+
+    private:
+        const Clock& m_clock;
+        const StoreSync& m_store;
+    };
+
     DispatchTimeouts toTimeouts(const Settings& settings)
     {
         return { settings.rateWaitLimit, settings.firstTokenTimeout, settings.tokenGapTimeout };
@@ -97,8 +117,13 @@
         , fleetSync({ clock, configuration, configuration, keys, keys, members, members, keySpread, confirmation,
                         grants, lender, store, store, timeline, peers, peers },
               { settings.seedPeers, settings.storeStartJitter })
-        , storeSync({ clock, store, configuration, keySpread, timeline, metrics, repair, settings.storeStartJitter })
+        , freshness(clock, storeSync)
+        , moves(clock, freshness, judge, timeline)
+        , storeSync(
+              { clock, store, configuration, keySpread, moves, timeline, metrics, repair, settings.storeStartJitter })
         , health(executor, upstreams, upstreams, upstreamClient, settings.healthInterval)
+        , moveDriver({ clock, configuration, store, store, moves, moves, planner, judge, upstreams, orders, timeline,
+              settings.vm })
         , dispatch { clock, configuration, keys, limits, placement, cache, upstreams, upstreams, metrics, settings.zone,
             toTimeouts(settings) }
         , completions(dispatch, upstreamClient)
@@ -115,6 +140,9 @@
         , timelineQuery(timeline)
         , applyCommand(store, store, configuration)
         , keyCommand(store, store, keySpread, keys, keySpread)
+        , movesQuery(moves)
+        , moveStartCommand(clock, configuration, store, store, moves)
+        , moveCancelCommand(clock, store, store, moves)
         , drainCommand([this] { startShutdown(); })
     {
     }
@@ -149,8 +177,14 @@
     KeyConfirmation confirmation;
     GrantExchange grants;
     FleetSync fleetSync;
+    StoreFreshness freshness;
+    SequentialJudge judge;
+    StepPlanner planner;
+    MoveTable moves;
     StoreSync storeSync;
     HealthMonitor health;
+    HttpOrderClient orders;
+    MoveDriver moveDriver;
     DispatchContext dispatch;
     CompletionDispatcher completions;
     PlainDispatcher plain;
@@ -167,6 +201,9 @@
     TimelineQuery timelineQuery;
     ApplyCommand applyCommand;
     KeyCommand keyCommand;
+    MovesQuery movesQuery;
+    MoveStartCommand moveStartCommand;
+    MoveCancelCommand moveCancelCommand;
     DrainCommand drainCommand;
 
     int shutdownRequests = 0;
@@ -192,6 +229,9 @@
     adminFrontEnd.addQuery("timeline", timelineQuery);
     adminFrontEnd.addCommand("apply", applyCommand);
     adminFrontEnd.addCommand("key", keyCommand);
+    adminFrontEnd.addQuery("moves", movesQuery);
+    adminFrontEnd.addCommand("move-start", moveStartCommand);
+    adminFrontEnd.addCommand("move-cancel", moveCancelCommand);
     adminFrontEnd.addCommand("drain", drainCommand);
     adminFrontEnd.addOpenText(
         "/health", "application/json", [] { return Outcome<std::string>("{\"status\":\"ok\"}\n"); });
@@ -233,6 +273,8 @@
     asio::co_spawn(parts.executor, parts.storeSync.followRecords(), asio::detached);
     asio::co_spawn(parts.executor, parts.storeSync.probeRevision(), asio::detached);
     asio::co_spawn(parts.executor, parts.followConfiguration(), asio::detached);
+    asio::co_spawn(parts.executor, parts.moveDriver.driveMoves(), asio::detached);
+    asio::co_spawn(parts.executor, parts.moveDriver.publishEvidence(), asio::detached);
     return {};
 }
 
--- a/Source/Core/Router/StoreSync.cpp
+++ b/Source/Core/Router/StoreSync.cpp
@@ -2,6 +2,7 @@
 
 #include "Common/Digest.h"
 #include "Common/Sleep.h"
+#include "Router/MoveRecords.h"
 #include "Router/StoreKeys.h"
 #include "Router/StoreRecords.h"
 
@@ -115,6 +116,11 @@
             m_context.keys.merge(*record);
             m_context.repair.noteStored(*record);
         }
+    } else if (entry.key.starts_with(StoreKeys::moves)) {
+        auto record = decodeMoveRecord(entry.value);
+        if (record) {
+            m_context.moves.adopt(entry.modRevision, std::move(*record));
+        }
     }
 }
 
@@ -122,6 +128,7 @@
 {
     m_deliveredRevision = std::max(m_deliveredRevision, revision);
     while (!m_probes.empty() && m_probes.front().revision <= m_deliveredRevision) {
+        m_confirmedAt = std::max(m_confirmedAt, m_probes.front().sentAt);
         m_context.keys.confirm(m_probes.front().sentAt);
         m_probes.pop_front();
     }
--- a/Source/Core/Router/StoreSync.h
+++ b/Source/Core/Router/StoreSync.h
@@ -4,6 +4,7 @@
 #include "Config/Commands/ConfigurationCommands.h"
 #include "Keys/Commands/KeyCommands.h"
 #include "Metrics/Commands/MetricCommands.h"
+#include "Moves/Commands/MoveCommands.h"
 #include "Platform/Queries/StoreQueries.h"
 #include "Router/WithdrawalRepair.h"
 #include "Timeline/Commands/TimelineCommands.h"
@@ -19,6 +20,7 @@
     StoreQueries& store;
     ConfigurationCommands& configuration;
     KeyCommands& keys;
+    MoveCommands& moves;
     TimelineCommands& timeline;
     MetricCommands& metrics;
     WithdrawalRepair& repair;
@@ -43,6 +45,9 @@
 
     bool isStoreUp() const { return m_isStoreUp; }
 
+    /// @return Time by this process's clock at which the records held everything that the store held; 0 before.
+    MonotonicTime confirmedAt() const { return m_confirmedAt; }
+
 private:
     struct Probe {
         std::int64_t revision = 0;
@@ -58,6 +63,7 @@
     StoreSyncContext m_context;
     std::int64_t m_deliveredRevision = 0;
     std::deque<Probe> m_probes;
+    MonotonicTime m_confirmedAt { 0 };
     bool m_isStoreUp = false;
 };
 
