Add a soak run over processes that draws faults and checks the promises from outside

Nine routers in three zones, nine engines, three booking runners and the store as plain processes; callers check every answer against the expected text, repeat bookings through other routers, and the stand-ins count runs and headers.

--- /dev/null
+++ b/Source/Core/Soak/Queries/SoakVerdict.h
@@ -0,0 +1,41 @@
+#pragma once
+
+#include "Soak/SoakTypes.h"
+
+#include <map>
+#include <string>
+#include <vector>
+
+namespace Pollenwind {
+
+/// Checks and violations of one promise.
+struct PromiseTally {
+    std::uint64_t checks = 0;
+    std::uint64_t violations = 0;
+    /// The first few violations.
+    std::vector<std::string> examples;
+};
+
+/// What a soak run saw.
+struct SoakVerdict {
+    std::map<SoakPromise, PromiseTally> promises;
+    std::map<SoakFault, std::uint64_t> faults;
+    std::uint64_t requests = 0;
+    std::uint64_t whole = 0;
+    std::uint64_t refused = 0;
+    std::uint64_t errorEvents = 0;
+    std::uint64_t connectionsLost = 0;
+    std::map<std::string, std::uint64_t> codes;
+    std::vector<double> firstTokenMilliseconds;
+    std::map<std::string, std::uint64_t> requestsByOrganisation;
+    std::map<std::string, std::uint64_t> wholeByOrganisation;
+    std::uint64_t promptTokens = 0;
+    std::uint64_t cachedTokens = 0;
+
+    bool isHeld() const;
+};
+
+/// Prints one line for each promise, the faults drawn and the measures.
+std::string formatVerdict(SoakVerdict verdict);
+
+} // namespace Pollenwind
--- /dev/null
+++ b/Source/Core/Soak/SoakClient.cpp
@@ -0,0 +1,292 @@
+#include "Soak/SoakClient.h"
+
+#include "Common/Sleep.h"
+#include "StandIn/EngineStandIn.h"
+
+#include <nlohmann/json.hpp>
+
+namespace Pollenwind {
+
+namespace {
+
+    using Json = nlohmann::json;
+    using SteadyClock = std::chrono::steady_clock;
+
+    constexpr std::chrono::seconds requestTimeout { 30 };
+    constexpr std::chrono::seconds withdrawalLimit { 5 };
+    constexpr std::size_t keptExamples = 5;
+    constexpr int bookingAttempts = 4;
+
+    struct ParsedStream {
+        std::string text;
+        std::uint32_t tokens = 0;
+        bool isDone = false;
+        bool isError = false;
+        std::string errorCode;
+        std::uint64_t promptTokens = 0;
+        std::uint64_t cachedTokens = 0;
+    };
+
+    ParsedStream parseStream(std::string_view body)
+    {
+        ParsedStream stream;
+        while (!body.empty()) {
+            const auto end = body.find("\n\n");
+            const auto block = body.substr(0, end);
+            body = end == std::string_view::npos ? std::string_view() : body.substr(end + 2);
+            if (!block.starts_with("data: ")) {
+                continue;
+            }
+            const auto data = block.substr(6);
+            if (data == "[DONE]") {
+                stream.isDone = true;
+                continue;
+            }
+            const auto json = Json::parse(data, nullptr, false);
+            if (!json.is_object()) {
+                continue;
+            }
+            if (json.contains("error")) {
+                stream.isError = true;
+                stream.errorCode = json["error"].value("code", "");
+                continue;
+            }
+            const auto text = json["choices"][0].value("text", "");
+            stream.text += text;
+            stream.tokens += text.empty() ? 0 : 1;
+            if (json.contains("usage")) {
+                stream.promptTokens = json["usage"].value("prompt_tokens", 0U);
+                stream.cachedTokens = json["usage"]["prompt_tokens_details"].value("cached_tokens", 0U);
+            }
+        }
+        return stream;
+    }
+
+} // namespace
+
+SoakClient::SoakClient(asio::any_io_executor executor, const SoakOptions& options, SoakKeys& keys, SoakVerdict& verdict,
+    std::uint64_t seed)
+    : m_executor(std::move(executor))
+    , m_options(options)
+    , m_keys(keys)
+    , m_verdict(verdict)
+    , m_random(seed)
+    , m_name("client-" + std::to_string(seed))
+{
+}
+
+Task<> SoakClient::run(SteadyClock::time_point end)
+{
+    while (SteadyClock::now() < end) {
+        if (m_random() % 8 == 0) {
+            co_await sendBooking();
+        } else {
+            co_await sendCompletion();
+        }
+        co_await sleepFor(std::chrono::milliseconds(m_random() % 60));
+    }
+}
+
+const SoakRouter& SoakClient::pickRouter() { return m_options.routers[m_random() % m_options.routers.size()]; }
+
+std::string SoakClient::makePrompt()
+{
+    // Nested levels: a manual, a range in it, a vehicle in that, and the caller's own question.
+    const auto manual = m_random() % 3;
+    const auto range = m_random() % 4;
+    const auto vehicle = m_random() % 6;
+    std::string prompt;
+    for (const auto& [name, part] :
+        { std::pair("manual", manual), std::pair("range", range), std::pair("vehicle", vehicle) }) {
+        const auto line = std::string(name) + " " + std::to_string(manual) + "." + std::to_string(part) + " text. ";
+        for (int i = 0; i < 40; ++i) {
+            prompt += line;
+        }
+    }
+    return prompt + " question " + m_name + "/" + std::to_string(m_number);
+}
+
+Task<SoakClient::Answer> SoakClient::send(const SoakRouter& router, HttpRequest request)
+{
+    Answer answer;
+    HttpConnection connection(m_executor);
+    const auto start = SteadyClock::now();
+    if (!co_await connection.connect(router.callers, requestTimeout)) {
+        co_return answer;
+    }
+    const auto head = co_await connection.send(request, requestTimeout);
+    if (!head) {
+        co_return answer;
+    }
+    answer.isConnected = true;
+    answer.status = head->status;
+    for (;;) {
+        const auto part = co_await connection.readSome(requestTimeout);
+        if (!part) {
+            co_return answer;
+        }
+        if (part->empty()) {
+            answer.isComplete = true;
+            co_return answer;
+        }
+        if (answer.body.empty()) {
+            answer.firstByte = SteadyClock::now() - start;
+        }
+        answer.body += *part;
+    }
+}
+
+Task<> SoakClient::sendCompletion()
+{
+    ++m_number;
+    ++m_verdict.requests;
+    const auto prompt = makePrompt();
+    const auto key = m_keys.keys()[m_random() % m_keys.keys().size()];
+    const bool isStream = m_random() % 2 == 0;
+    const Json body = { { "model", m_options.model }, { "prompt", prompt }, { "max_tokens", m_options.maxTokens },
+        { "stream", isStream } };
+    HttpRequest request;
+    request.method = "POST";
+    request.path = "/v1/completions";
+    request.headers.emplace_back("Authorization", "Bearer " + key.key);
+    request.body = body.dump();
+    const auto sentAt = SteadyClock::now();
+    const auto answer = co_await send(pickRouter(), std::move(request));
+    checkKey(key, answer, sentAt);
+    const bool isOwnOrganisationServed = !key.withdrawnAt;
+    if (isOwnOrganisationServed) {
+        ++m_verdict.requestsByOrganisation[key.organisation];
+    }
+    if (!answer.isConnected) {
+        ++m_verdict.connectionsLost;
+        co_return;
+    }
+    if (answer.status != 200) {
+        noteRefusal(answer);
+        co_return;
+    }
+    if (isStream) {
+        checkStream(prompt, answer, key);
+        co_return;
+    }
+    if (!answer.isComplete) {
+        ++m_verdict.connectionsLost;
+        co_return;
+    }
+    const auto json = Json::parse(answer.body, nullptr, false);
+    if (json.is_object() && json.contains("choices")) {
+        checkWholeText(prompt, json["choices"][0].value("text", ""), json["usage"].value("completion_tokens", 0U));
+        ++m_verdict.whole;
+        ++m_verdict.wholeByOrganisation[key.organisation];
+    }
+}
+
+void SoakClient::checkStream(const std::string& prompt, const Answer& answer, const SoakKey& key)
+{
+    const auto stream = parseStream(answer.body);
+    check(SoakPromise::CutStreamsSaySo, !stream.isDone || (answer.isComplete && !stream.isError),
+        "stream with [DONE] that was cut or had an error");
+    if (!answer.isComplete) {
+        ++m_verdict.connectionsLost;
+    }
+    if (stream.isError) {
+        ++m_verdict.errorEvents;
+        ++m_verdict.codes[stream.errorCode];
+    }
+    // What arrived must be the right text up to that point, whole or not.
+    std::string expected;
+    for (std::uint32_t i = 0; i < stream.tokens; ++i) {
+        expected += EngineStandIn::tokenText(prompt, VersionId(m_options.version), i);
+    }
+    check(SoakPromise::AnswersMatchRequests, stream.text == expected, "stream text differs from the expected one");
+    if (stream.isDone) {
+        check(SoakPromise::StreamsWhole, stream.tokens == m_options.maxTokens,
+            "whole stream with " + std::to_string(stream.tokens) + " tokens");
+        ++m_verdict.whole;
+        ++m_verdict.wholeByOrganisation[key.organisation];
+        m_verdict.promptTokens += stream.promptTokens;
+        m_verdict.cachedTokens += stream.cachedTokens;
+        m_verdict.firstTokenMilliseconds.push_back(std::chrono::duration<double, std::milli>(answer.firstByte).count());
+    }
+}
+
+void SoakClient::checkWholeText(const std::string& prompt, const std::string& text, std::uint32_t tokens)
+{
+    std::string expected;
+    for (std::uint32_t i = 0; i < m_options.maxTokens; ++i) {
+        expected += EngineStandIn::tokenText(prompt, VersionId(m_options.version), i);
+    }
+    check(SoakPromise::StreamsWhole, tokens == m_options.maxTokens, "whole answer with missing tokens");
+    check(SoakPromise::AnswersMatchRequests, text == expected, "whole answer differs from the expected one");
+}
+
+void SoakClient::checkKey(const SoakKey& key, const Answer& answer, SteadyClock::time_point sentAt)
+{
+    if (!key.withdrawnAt || !answer.isConnected) {
+        return;
+    }
+    const bool isLate = sentAt > *key.withdrawnAt + withdrawalLimit;
+    if (isLate) {
+        check(SoakPromise::WithdrawnKeysStop, answer.status != 200, "a key worked after its withdrawal");
+    }
+}
+
+void SoakClient::noteRefusal(const Answer& answer)
+{
+    ++m_verdict.refused;
+    const auto json = Json::parse(answer.body, nullptr, false);
+    const auto code = json.is_object() ? json.value("error", Json::object()).value("code", "none") : "none";
+    ++m_verdict.codes[code];
+}
+
+Task<> SoakClient::sendBooking()
+{
+    const auto id = m_name + "/booking-" + std::to_string(++m_number);
+    const auto key = m_keys.keys()[m_random() % m_keys.keys().size()];
+    bool isNotRun = true;
+    // Repeats through other routers, as a caller does that lost the answer.
+    for (int i = 0; i < bookingAttempts; ++i) {
+        ++m_verdict.requests;
+        HttpRequest request;
+        request.method = "POST";
+        request.path = "/bookings";
+        request.headers.emplace_back("Authorization", "Bearer " + key.key);
+        request.headers.emplace_back("Idempotency-Key", id);
+        request.headers.emplace_back("Content-Type", "application/json");
+        request.body = "{\"booking\":\"" + id + "\"}";
+        const auto sentAt = SteadyClock::now();
+        const auto answer = co_await send(pickRouter(), std::move(request));
+        checkKey(key, answer, sentAt);
+        if (answer.isConnected && answer.isComplete && answer.status == 200) {
+            ++m_verdict.whole;
+            co_return;
+        }
+        if (!answer.isConnected || !answer.isComplete) {
+            ++m_verdict.connectionsLost;
+            isNotRun = false;
+        } else {
+            noteRefusal(answer);
+            const auto json = Json::parse(answer.body, nullptr, false);
+            const auto run = json.is_object() ? json.value("error", Json::object()).value("run", "") : "";
+            isNotRun = isNotRun && run == "not-run";
+        }
+        co_await sleepFor(std::chrono::milliseconds(100));
+    }
+    if (isNotRun) {
+        m_notRunCalls.push_back(id);
+    }
+}
+
+void SoakClient::check(SoakPromise promise, bool holds, const std::string& example)
+{
+    auto& tally = m_verdict.promises[promise];
+    ++tally.checks;
+    if (!holds) {
+        ++tally.violations;
+        if (tally.examples.size() < keptExamples) {
+            tally.examples.push_back(example + " (" + m_name + "/" + std::to_string(m_number) + ")");
+        }
+    }
+}
+
+} // namespace Pollenwind
--- /dev/null
+++ b/Source/Core/Soak/SoakRun.cpp
@@ -0,0 +1,196 @@
+#include "Soak/SoakRun.h"
+
+#include "Common/Sleep.h"
+#include "Transport/HttpClient.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <fstream>
+
+namespace Pollenwind {
+
+namespace {
+
+    using Json = nlohmann::json;
+    using SteadyClock = std::chrono::steady_clock;
+
+    constexpr std::chrono::seconds checkTimeout { 5 };
+    constexpr std::chrono::milliseconds revisionInterval { 500 };
+    // Quiet time at the start, so that keys and configuration are in force, and at the end, so that lasting faults and
+    // restarts are over before the last checks.
+    constexpr std::chrono::seconds startQuiet { 4 };
+    constexpr std::chrono::seconds endQuiet { 6 };
+    constexpr std::size_t keptExamples = 5;
+
+    std::string line(const std::string& text, std::string_view mark)
+    {
+        const auto at = text.find(mark);
+        return at == std::string::npos ? "" : text.substr(at, text.find('\n', at) - at);
+    }
+
+} // namespace
+
+SoakRun::SoakRun(asio::any_io_executor executor, SoakOptions options, FaultInjector& faults)
+    : m_executor(std::move(executor))
+    , m_options(std::move(options))
+    , m_faults(faults)
+    , m_keys(m_options)
+{
+}
+
+Task<> SoakRun::run()
+{
+    for (const auto& organisation : m_options.organisations) {
+        check(SoakPromise::WithdrawnKeysStop, co_await m_keys.give(organisation), "no key could be given");
+    }
+    co_await sleepFor(startQuiet);
+    m_end = SteadyClock::now() + m_options.duration;
+    for (std::uint32_t i = 0; i < m_options.clients; ++i) {
+        m_clients.emplace_back(m_executor, m_options, m_keys, m_verdict, m_options.seed * 1000 + i);
+        asio::co_spawn(m_executor, runClient(m_clients.back()), asio::detached);
+    }
+    asio::co_spawn(m_executor, watchRevisions(), asio::detached);
+    co_await drawFaults();
+    while (m_running > 0) {
+        co_await sleepFor(std::chrono::milliseconds(20));
+    }
+    co_await sleepFor(std::chrono::seconds(2));
+    co_await checkPlainRuns();
+    co_await checkKeysUpstream();
+    checkShutdowns();
+}
+
+Task<> SoakRun::runClient(SoakClient& client)
+{
+    ++m_running;
+    co_await client.run(m_end);
+    --m_running;
+}
+
+Task<> SoakRun::drawFaults()
+{
+    std::mt19937_64 random(m_options.seed);
+    const auto& rows = EnumTable<SoakFault>::rows;
+    // Goes through a shuffled list before it draws freely, so that a run of some length draws every fault.
+    std::vector<SoakFault> first;
+    for (const auto& row : rows) {
+        first.push_back(row.value);
+    }
+    std::ranges::shuffle(first, random);
+    while (SteadyClock::now() < m_end - endQuiet) {
+        const auto mean = static_cast<std::uint64_t>(m_options.faultInterval.count());
+        co_await sleepFor(std::chrono::milliseconds(random() % (2 * mean + 1)));
+        const auto fault = first.empty() ? rows[random() % rows.size()].value : first.back();
+        if (!first.empty()) {
+            first.pop_back();
+        }
+        ++m_verdict.faults[fault];
+        const auto draw = random();
+        if (fault == SoakFault::KeyWithdrawn) {
+            asio::co_spawn(m_executor, m_keys.replace(draw % m_keys.keys().size()), asio::detached);
+        } else {
+            // Faults overlap, since the next one is drawn while this one lasts.
+            asio::co_spawn(m_executor, m_faults.inject(fault, draw), asio::detached);
+        }
+    }
+    co_await sleepFor(m_end - SteadyClock::now());
+}
+
+Task<> SoakRun::watchRevisions()
+{
+    while (SteadyClock::now() < m_end) {
+        for (const auto& router : m_options.routers) {
+            HttpRequest request;
+            request.method = "GET";
+            request.path = "/admin/queries/status";
+            request.headers.emplace_back("Authorization", "Bearer " + m_options.adminToken);
+            const auto answer = co_await fetch(router.admin, std::move(request), std::chrono::milliseconds(500));
+            const auto json = answer ? Json::parse(answer->body, nullptr, false) : Json();
+            if (!json.is_object() || !json.contains("revision")) {
+                continue;
+            }
+            const auto life = json.value("vm", "") + "/" + std::to_string(json.value("incarnation", std::uint64_t(0)));
+            const auto revision = json.value("revision", std::int64_t(0));
+            auto& highest = m_revisions[life];
+            check(SoakPromise::RevisionsNeverRevert, revision >= highest, life + " went back");
+            highest = std::max(highest, revision);
+        }
+        co_await sleepFor(revisionInterval);
+    }
+}
+
+Task<> SoakRun::checkPlainRuns()
+{
+    std::map<std::string, std::uint32_t> runs;
+    for (const auto& plain : m_options.plain) {
+        HttpRequest request;
+        request.method = "GET";
+        request.path = "/stand-in/state";
+        const auto answer = co_await fetch(plain, std::move(request), checkTimeout);
+        const auto json = answer ? Json::parse(answer->body, nullptr, false) : Json();
+        check(SoakPromise::CallsRunAtMostOnce, json.is_object(), "a runner did not report its runs");
+        if (json.is_object()) {
+            for (const auto& [id, n] : json["runs"].items()) {
+                runs[id] += n.get<std::uint32_t>();
+            }
+        }
+    }
+    for (const auto& [id, n] : runs) {
+        check(SoakPromise::CallsRunAtMostOnce, n <= 1, id + " ran " + std::to_string(n) + " times");
+    }
+    for (const auto& client : m_clients) {
+        for (const auto& id : client.notRunCalls()) {
+            check(SoakPromise::NotRunIsTrue, !runs.contains(id), id + " was refused as not-run and had run");
+        }
+    }
+}
+
+Task<> SoakRun::checkKeysUpstream()
+{
+    for (const auto& engine : m_options.engines) {
+        HttpRequest request;
+        request.method = "POST";
+        request.path = "/stand-in/seen";
+        request.body = R"({"text":"soak-key-"})";
+        const auto answer = co_await fetch(engine, std::move(request), checkTimeout);
+        const auto json = answer ? Json::parse(answer->body, nullptr, false) : Json();
+        check(SoakPromise::NoKeyUpstream, json.is_object() && json.value("seen", true) == false,
+            "engine " + engine.toString() + " saw a key");
+    }
+}
+
+void SoakRun::checkShutdowns()
+{
+    for (const auto& router : m_options.routers) {
+        std::ifstream file(router.logFile);
+        const std::string text((std::istreambuf_iterator<char>(file)), std::istreambuf_iterator<char>());
+        std::string_view rest = text;
+        constexpr std::string_view mark = "requests cut: ";
+        for (auto at = rest.find(mark); at != std::string_view::npos; at = rest.find(mark)) {
+            rest = rest.substr(at + mark.size());
+            check(SoakPromise::GracefulStopsCutNothing, rest.starts_with("0"), "a shutdown cut requests");
+        }
+        const auto violated = line(text, "invariant violated");
+        if (!violated.empty()) {
+            check(SoakPromise::StreamsWhole, false, router.callers.toString() + " stopped: " + violated);
+        }
+    }
+}
+
+void SoakRun::check(SoakPromise promise, bool holds, const std::string& example)
+{
+    auto& tally = m_verdict.promises[promise];
+    ++tally.checks;
+    if (!holds) {
+        ++tally.violations;
+        if (tally.examples.size() < keptExamples) {
+            tally.examples.push_back(example);
+        }
+    }
+}
+
+} // namespace Pollenwind
--- /dev/null
+++ b/Source/Core/Soak/SoakRun.h
@@ -0,0 +1,43 @@
+#pragma once
+
+#include "Common/Task.h"
+#include "Soak/Commands/FaultInjector.h"
+#include "Soak/SoakClient.h"
+
+#include <deque>
+#include <map>
+
+namespace Pollenwind {
+
+/// One soak run: callers, faults, and checks from outside.
+class SoakRun {
+public:
+    SoakRun(asio::any_io_executor executor, SoakOptions options, FaultInjector& faults);
+
+    /// Runs to the end and checks what the stand-ins counted.
+    Task<> run();
+
+    const SoakVerdict& verdict() const { return m_verdict; }
+
+private:
+    Task<> runClient(SoakClient& client);
+    Task<> drawFaults();
+    Task<> watchRevisions();
+    Task<> checkPlainRuns();
+    Task<> checkKeysUpstream();
+    void checkShutdowns();
+    void check(SoakPromise promise, bool holds, const std::string& example);
+
+    asio::any_io_executor m_executor;
+    SoakOptions m_options;
+    FaultInjector& m_faults;
+    SoakVerdict m_verdict;
+    SoakKeys m_keys;
+    std::deque<SoakClient> m_clients;
+    std::size_t m_running = 0;
+    std::chrono::steady_clock::time_point m_end;
+    /// Highest revision seen from each life of a router.
+    std::map<std::string, std::int64_t> m_revisions;
+};
+
+} // namespace Pollenwind
--- a/Source/Core/StandIn/EngineStandIn.cpp
+++ b/Source/Core/StandIn/EngineStandIn.cpp
@@ -16,7 +16,7 @@
     using SteadyClock = std::chrono::steady_clock;
 
     constexpr std::size_t keptEvents = 10'000;
-    constexpr std::size_t keptHeaders = 1'000;
+    constexpr std::size_t keptHeaders = 1'000'000;
     constexpr std::chrono::milliseconds silentCheck { 50 };
 
     std::string hex(std::uint64_t value)
@@ -198,6 +198,9 @@
     if (fault) {
         setFault(*fault, json.value("value", 0));
     }
+    if (request.path == "/stand-in/seen") {
+        return Json { { "seen", hasSeenText(json.is_object() ? json.value("text", "") : "") } }.dump();
+    }
     const auto versionFault = json.is_object() ? fromName<VersionFault>(json.value("version_fault", "")) : std::nullopt;
     if (versionFault) {
         setVersionFault(VersionId(json.value("version", "")), *versionFault, json.value("value", 0));
