--- a/Source/Core/Router/Router.cpp
+++ b/Source/Core/Router/Router.cpp
@@ -9,16 +9,20 @@
 #include "Http/CallerFrontEnd.h"
 #include "Keys/KeyTable.h"
 #include "Limits/LocalLimiter.h"
+#include "Membership/MembershipTable.h"
 #include "Metrics/MetricTable.h"
 #include "Moves/MoveTable.h"
+#include "Peer/PeerNetwork.h"
 #include "Placement/CostPolicy.h"
 #include "Placement/PlacementIndex.h"
 #include "Platform/EtcdGatewayClient.h"
 #include "Router/CacheEventMonitor.h"
 #include "Router/Commands/MoveAdminCommands.h"
 #include "Router/Commands/RouterCommands.h"
+#include "Router/FleetSync.h"
 #include "Router/HealthMonitor.h"
 #include "Router/MoveDriver.h"
+#include "Router/Queries/MembersQuery.h"
 #include "Router/Queries/MovesQuery.h"
 #include "Router/Queries/RouterQueries.h"
 #include "Router/StoreSync.h"
@@ -37,17 +41,43 @@
     constexpr std::chrono::milliseconds reconfigureCheck { 50 };
     constexpr std::chrono::milliseconds drainCheck { 20 };
 
-    /// The shared records are as fresh as the key table, which is one of them.
-    class KeyFreshness final : public RecordFreshness {
+    /// Lends nothing, as long as the limiter has no shares.
+    class NoLender final : public GrantLender {
     public:
-        explicit KeyFreshness(const KeyQueries& keys)
-            : m_keys(keys)
+        GrantReply lend(const VmId&, const GrantRequest&) override { return {}; }
+        void settle(const VmId&, const GrantSettlement&) override { }
+    };
+
+    /// After the first valid configuration, time to hear of a higher revision before the router is ready.
+    constexpr std::chrono::milliseconds startWait { 500 };
+
+    VmIdentity toVmIdentity(const Settings& settings, const RouterIdentity& identity, WallTime startedAt)
+    {
+        return { identity.vm, identity.zone, identity.incarnation,
+            std::chrono::duration_cast<std::chrono::microseconds>(startedAt).count(), settings.listenPeers,
+            settings.listenAdmin };
+    }
+
+    PeerOptions toPeerOptions(const Settings& settings)
+    {
+        PeerOptions options;
+        options.secret = settings.clusterSecret;
+        return options;
+    }
+
+    /// Age of the move records. Peers pass on keys and the configuration but not these, so that only the store counts.
+    class StoreFreshness final : public RecordFreshness {
+    public:
+        StoreFreshness(const Clock& clock, const StoreSync& store)
+            : m_clock(clock)
+            , m_store(store)
         {
         }
-        std::chrono::nanoseconds age() const override { return m_keys.confirmationAge(); }
+        std::chrono::nanoseconds age() const override { return m_clock.now() - m_store.confirmedAt(); }
 
     private:
-        const KeyQueries& m_keys;
+        const Clock& m_clock;
+        const StoreSync& m_store;
     };
 
     DispatchTimeouts toTimeouts(const Settings& settings)
@@ -58,7 +88,7 @@
 } // namespace
 
 struct Router::Parts {
-    Parts(asio::any_io_executor ex, Settings s)
+    Parts(asio::any_io_executor ex, Settings s, const LinkFaults* faults)
         : executor(std::move(ex))
         , settings(std::move(s))
         , identity { settings.vm, settings.zone, Incarnation(randomBits()) }
@@ -71,9 +101,21 @@
         , upstreams(clock, configuration, timeline, cache)
         , upstreamClient(executor, settings.connectTimeout)
         , store(executor, settings.store, { settings.storeCallTimeout }, metrics)
-        , freshness(keys)
+        , vm(toVmIdentity(settings, identity, clock.wallNow()))
+        , members(clock, timeline, vm.vm)
+        , peers(executor, { clock, metrics, timeline, faults ? *faults : noFaults, fleetSync }, vm,
+              toPeerOptions(settings))
+        , repair(store, store, keys)
+        , keySpread({ executor, clock, vm.vm, vm.zone, configuration, keys, keys, keys, members, repair }, peers, peers)
+        , confirmation(clock, vm.zone, configuration, members, keys)
+        , grants(executor, clock, peers, members)
+        , fleetSync({ clock, configuration, configuration, keys, keys, members, members, keySpread, confirmation,
+                        grants, lender, store, store, timeline, peers, peers },
+              { settings.seedPeers, settings.storeStartJitter })
+        , freshness(clock, storeSync)
         , moves(clock, freshness, judge, timeline)
-        , storeSync({ clock, store, configuration, keys, moves, timeline, metrics })
+        , storeSync(
+              { clock, store, configuration, keySpread, moves, timeline, metrics, repair, settings.storeStartJitter })
         , health(executor, upstreams, upstreams, upstreamClient, settings.healthInterval)
         , cacheEvents(executor, cache, cache, upstreams, configuration, upstreamClient)
         , moveDriver({ clock, configuration, store, store, moves, moves, planner, judge, upstreams, orders, timeline,
@@ -88,11 +130,12 @@
         , adminServer(executor, adminFrontEnd, settings.httpLimits)
         , statusQuery(identity, configuration, keys, storeSync, metrics)
         , servicesQuery(configuration, upstreams)
+        , membersQuery(vm, configuration, members, peers)
         , keysQuery(keys)
         , limitsQuery(limits)
         , timelineQuery(timeline)
         , applyCommand(store, store, configuration)
-        , keyCommand(store, store, keys)
+        , keyCommand(store, store, keySpread, keys, keySpread)
         , movesQuery(moves)
         , moveStartCommand(clock, configuration, store, store, moves)
         , moveCancelCommand(clock, store, store, moves)
@@ -101,6 +144,7 @@
     }
 
     Task<> followConfiguration();
+    Task<> becomeReady();
     Task<> drain();
     void startShutdown();
     void registerAdminCalls();
@@ -119,7 +163,17 @@
     UpstreamTable upstreams;
     HttpUpstreamClient upstreamClient;
     EtcdGatewayClient store;
-    KeyFreshness freshness;
+    VmIdentity vm;
+    NoLinkFaults noFaults;
+    NoLender lender;
+    MembershipTable members;
+    PeerNetwork peers;
+    WithdrawalRepair repair;
+    KeySpread keySpread;
+    KeyConfirmation confirmation;
+    GrantExchange grants;
+    FleetSync fleetSync;
+    StoreFreshness freshness;
     SequentialJudge judge;
     StepPlanner planner;
     MoveTable moves;
@@ -138,6 +192,7 @@
 
     StatusQuery statusQuery;
     ServicesQuery servicesQuery;
+    MembersQuery membersQuery;
     KeysQuery keysQuery;
     LimitsQuery limitsQuery;
     TimelineQuery timelineQuery;
@@ -149,12 +204,13 @@
     DrainCommand drainCommand;
 
     int shutdownRequests = 0;
+    bool isReady = false;
     bool isStopped = false;
     std::size_t cutRequests = 0;
 };
 
-Router::Router(asio::any_io_executor executor, Settings settings)
-    : m_parts(std::make_unique<Parts>(std::move(executor), std::move(settings)))
+Router::Router(asio::any_io_executor executor, Settings settings, const LinkFaults* faults)
+    : m_parts(std::make_unique<Parts>(std::move(executor), std::move(settings), faults))
 {
 }
 
@@ -164,6 +220,7 @@
 {
     adminFrontEnd.addQuery("status", statusQuery);
     adminFrontEnd.addQuery("services", servicesQuery);
+    adminFrontEnd.addQuery("members", membersQuery);
     adminFrontEnd.addQuery("keys", keysQuery);
     adminFrontEnd.addQuery("limits", limitsQuery);
     adminFrontEnd.addQuery("timeline", timelineQuery);
@@ -176,7 +233,7 @@
     adminFrontEnd.addOpenText(
         "/health", "application/json", [] { return Outcome<std::string>("{\"status\":\"ok\"}\n"); });
     adminFrontEnd.addOpenText("/ready", "application/json", [this]() -> Outcome<std::string> {
-        if (configuration.current()->revision.value() == 0 || shutdownRequests > 0) {
+        if (!isReady || shutdownRequests > 0) {
             return fail(ErrorCode::Unavailable, "not ready");
         }
         return "{\"status\":\"ready\"}\n";
@@ -197,9 +254,19 @@
     if (!callers) {
         return std::unexpected(callers.error());
     }
+    const auto peers = parts.peers.listen(parts.settings.listenPeers);
+    if (!peers) {
+        return std::unexpected(peers.error());
+    }
+    parts.vm.peers = *peers;
+    parts.fleetSync.setIdentity(parts.vm);
     parts.timeline.record(EventKind::ProcessStarted,
         { { "vm", parts.settings.vm.value() }, { "zone", parts.settings.zone.value() },
-            { "callers", callers->toString() }, { "admin", admin->toString() } });
+            { "callers", callers->toString() }, { "admin", admin->toString() }, { "peers", peers->toString() } });
+    asio::co_spawn(parts.executor, parts.fleetSync.keepPeers(), asio::detached);
+    asio::co_spawn(parts.executor, parts.fleetSync.followList(), asio::detached);
+    asio::co_spawn(parts.executor, parts.repair.run(), asio::detached);
+    asio::co_spawn(parts.executor, parts.becomeReady(), asio::detached);
     asio::co_spawn(parts.executor, parts.storeSync.followRecords(), asio::detached);
     asio::co_spawn(parts.executor, parts.storeSync.probeRevision(), asio::detached);
     asio::co_spawn(parts.executor, parts.followConfiguration(), asio::detached);
@@ -208,6 +275,15 @@
     return {};
 }
 
+Task<> Router::Parts::becomeReady()
+{
+    while (configuration.current()->revision.value() == 0) {
+        co_await sleepFor(reconfigureCheck);
+    }
+    co_await sleepFor(startWait);
+    isReady = true;
+}
+
 Task<> Router::Parts::followConfiguration()
 {
     Revision applied;
@@ -227,6 +303,7 @@
     ++shutdownRequests;
     if (shutdownRequests == 1) {
         timeline.record(EventKind::ProcessStopping, {});
+        asio::co_spawn(executor, fleetSync.leave(), asio::detached);
         asio::co_spawn(executor, drain(), asio::detached);
     }
 }
@@ -246,6 +323,7 @@
     cutRequests = callerFrontEnd.runningRequests();
     metrics.count(Counter::ShutdownCuts, cutRequests);
     timeline.record(EventKind::ProcessStopped, { { "cut_requests", std::to_string(cutRequests) } });
+    peers.stop();
     isStopped = true;
 }
 
--- a/Source/Core/Router/StoreSync.cpp
+++ b/Source/Core/Router/StoreSync.cpp
@@ -32,6 +32,9 @@
 Task<> StoreSync::followRecords()
 {
     auto backoff = shortestBackoff;
+    if (m_context.startJitter.count() > 0) {
+        co_await sleepFor(jittered(m_context.startJitter));
+    }
     for (;;) {
         const auto revision = co_await readAll();
         if (revision) {
@@ -111,6 +114,7 @@
         const auto record = decodeKeyRecord(std::string_view(entry.key).substr(StoreKeys::keys.size()), entry.value);
         if (record) {
             m_context.keys.merge(*record);
+            m_context.repair.noteStored(*record);
         }
     } else if (entry.key.starts_with(StoreKeys::moves)) {
         auto record = decodeMoveRecord(entry.value);
@@ -124,6 +128,7 @@
 {
     m_deliveredRevision = std::max(m_deliveredRevision, revision);
     while (!m_probes.empty() && m_probes.front().revision <= m_deliveredRevision) {
+        m_confirmedAt = std::max(m_confirmedAt, m_probes.front().sentAt);
         m_context.keys.confirm(m_probes.front().sentAt);
         m_probes.pop_front();
     }
--- a/Source/Core/Router/StoreSync.h
+++ b/Source/Core/Router/StoreSync.h
@@ -6,6 +6,7 @@
 #include "Metrics/Commands/MetricCommands.h"
 #include "Moves/Commands/MoveCommands.h"
 #include "Platform/Queries/StoreQueries.h"
+#include "Router/WithdrawalRepair.h"
 #include "Timeline/Commands/TimelineCommands.h"
 
 #include <cstdint>
@@ -22,6 +23,9 @@
     MoveCommands& moves;
     TimelineCommands& timeline;
     MetricCommands& metrics;
+    WithdrawalRepair& repair;
+    /// Range of the random delay of the first call.
+    std::chrono::milliseconds startJitter { 0 };
 };
 
 /// Brings the shared records of the platform's store into this process.
@@ -41,6 +45,9 @@
 
     bool isStoreUp() const { return m_isStoreUp; }
 
+    /// @return Time by this process's clock at which the records held everything that the store held; 0 before.
+    MonotonicTime confirmedAt() const { return m_confirmedAt; }
+
 private:
     struct Probe {
         std::int64_t revision = 0;
@@ -56,6 +63,7 @@
     StoreSyncContext m_context;
     std::int64_t m_deliveredRevision = 0;
     std::deque<Probe> m_probes;
+    MonotonicTime m_confirmedAt { 0 };
     bool m_isStoreUp = false;
 };
 
