--- a/Source/Core/Config/CheckDocument.cpp
+++ b/Source/Core/Config/CheckDocument.cpp
@@ -11,6 +11,10 @@
 
 namespace {
 
+    // The store takes values of up to 1 MB. The record holds the document as a JSON string, where quotes and line ends
+    // take two bytes, and 32 change ids.
+    constexpr std::size_t maxDocumentBytes = 640UL * 1024;
+
     struct Reference {
         std::string name;
         std::size_t offset = 0;
@@ -43,21 +47,13 @@
         }
 
     private:
-        void checkName(const std::string& name, std::size_t offset)
-        {
-            const auto isAllowed = [](unsigned char c) { return std::isalnum(c) || c == '-' || c == '_' || c == '.'; };
-            if (name.empty() || name.size() > 64 || !std::all_of(name.begin(), name.end(), isAllowed)) {
-                m_faults.add(offset, "a name has 1 to 64 letters, digits, '-', '_' or '.'; got \"" + name + "\"");
-            }
-        }
-
         void readZone(const JsonNode& node)
         {
             if (node.kind != JsonKind::String) {
                 m_faults.add(node.offset, "a zone must be a string");
                 return;
             }
-            checkName(node.text, node.offset);
+            checkName(m_faults, node.text, node.offset);
             const ZoneId zone(node.text);
             if (std::ranges::find(m_document.zones, zone) != m_document.zones.end()) {
                 m_faults.add(node.offset, "duplicate zone \"" + node.text + "\"");
@@ -68,7 +64,7 @@
 
         void readService(const JsonMember& member)
         {
-            checkName(member.name, member.offset);
+            checkName(m_faults, member.name, member.offset);
             FieldReader fields(member.value, m_faults, "service \"" + member.name + "\"");
             ServiceSpec spec;
             spec.id = ServiceId(member.name);
@@ -115,7 +111,7 @@
             UpstreamSpec upstream;
             const auto name = fields.requiredString("name");
             if (!name.empty()) {
-                checkName(name, fields.offsetOf("name"));
+                checkName(m_faults, name, fields.offsetOf("name"));
                 if (!m_upstreams.insert(name).second) {
                     m_faults.add(fields.offsetOf("name"), "duplicate upstream \"" + name + "\"");
                 }
@@ -160,6 +156,9 @@
             if (!route.path.empty() && !route.path.starts_with('/')) {
                 m_faults.add(fields.offsetOf("path"), "\"path\" must start with '/'");
             }
+            if (route.path.find_first_of("?# \t\r\n") != std::string::npos) {
+                m_faults.add(fields.offsetOf("path"), "\"path\" must not hold '?', '#' or white space");
+            }
             if (route.path.starts_with("/v1/") || route.path.starts_with("/health")) {
                 m_faults.add(fields.offsetOf("path"), "paths under /v1/ and /health belong to the router");
             }
@@ -175,7 +174,7 @@
 
         void readOrganisation(const JsonMember& member)
         {
-            checkName(member.name, member.offset);
+            checkName(m_faults, member.name, member.offset);
             FieldReader fields(member.value, m_faults, "organisation \"" + member.name + "\"");
             OrganisationSpec spec;
             spec.id = OrganisationId(member.name);
@@ -215,34 +214,56 @@
                     }
                 }
             }
+            checkCycles();
+        }
+
+        // Progress of one service on the path of the depth-first search.
+        struct Visit {
+            ServiceId id;
+            std::size_t nextReference = 0;
+        };
+
+        // Searches with a stack of its own, since a chain of dependencies can be longer than the call stack allows.
+        void checkCycles()
+        {
             std::set<ServiceId> done;
-            std::vector<ServiceId> path;
             for (const auto& [id, spec] : m_document.services) {
-                checkCycle(id, path, done);
+                std::vector<Visit> path;
+                std::set<ServiceId> onPath;
+                const auto enter = [&](const ServiceId& next) {
+                    if (!done.contains(next) && onPath.insert(next).second) {
+                        path.push_back({ next });
+                    }
+                };
+                enter(id);
+                while (!path.empty()) {
+                    auto& visit = path.back();
+                    const auto& references = m_dependencies[visit.id];
+                    if (visit.nextReference == references.size()) {
+                        onPath.erase(visit.id);
+                        done.insert(visit.id);
+                        path.pop_back();
+                        continue;
+                    }
+                    const auto& reference = references[visit.nextReference++];
+                    const ServiceId next(reference.name);
+                    if (onPath.contains(next)) {
+                        reportCycle(path, reference);
+                    } else if (m_document.services.contains(next)) {
+                        enter(next);
+                    }
+                }
             }
         }
 
-        void checkCycle(const ServiceId& id, std::vector<ServiceId>& path, std::set<ServiceId>& done)
+        void reportCycle(const std::vector<Visit>& path, const Reference& reference)
         {
-            if (done.contains(id)) {
-                return;
+            const auto start = std::ranges::find(path, reference.name, [](const Visit& it) { return it.id.value(); });
+            std::string cycle;
+            for (auto it = start; it != path.end(); ++it) {
+                cycle += it->id.value() + " -> ";
             }
-            path.push_back(id);
-            for (const auto& reference : m_dependencies[id]) {
-                const ServiceId next(reference.name);
-                const auto seen = std::ranges::find(path, next);
-                if (seen != path.end()) {
-                    std::string cycle;
-                    for (auto it = seen; it != path.end(); ++it) {
-                        cycle += it->value() + " -> ";
-                    }
-                    m_faults.add(reference.offset, "dependency cycle: " + cycle + next.value());
-                } else if (m_document.services.contains(next)) {
-                    checkCycle(next, path, done);
-                }
-            }
-            path.pop_back();
-            done.insert(id);
+            m_faults.add(reference.offset, "dependency cycle: " + cycle + reference.name);
         }
 
         FaultCollector m_faults;
@@ -263,6 +284,10 @@
 
 std::expected<ServiceDocument, std::vector<DocumentFault>> checkDocument(std::string_view text)
 {
+    if (text.size() > maxDocumentBytes) {
+        return std::unexpected(std::vector { faultAt(
+            text, maxDocumentBytes, "the document has more than " + std::to_string(maxDocumentBytes) + " bytes") });
+    }
     const auto root = parsePositionedJson(text);
     if (!root) {
         return std::unexpected(std::vector { root.error() });
--- a/Source/Core/Config/FieldReader.cpp
+++ b/Source/Core/Config/FieldReader.cpp
@@ -9,6 +9,12 @@
 
 namespace {
 
+    // Finding a fault's line scans the text, so without a bound a document of faults alone takes quadratic time.
+    constexpr std::size_t maxReportedFaults = 100;
+
+    // Names of the documents have at most 64 characters; comparing longer ones costs time and tells nothing.
+    constexpr std::size_t maxComparedName = 80;
+
     std::size_t editDistance(std::string_view a, std::string_view b)
     {
         std::vector<std::size_t> row(b.size() + 1);
@@ -39,14 +45,28 @@
 
 std::vector<DocumentFault> FaultCollector::take()
 {
-    std::ranges::sort(m_faults, {}, [](const DocumentFault& it) { return std::tie(it.line, it.column, it.reason); });
-    return std::move(m_faults);
+    std::ranges::sort(m_faults, {}, [](const Fault& it) { return std::tie(it.offset, it.reason); });
+    std::vector<DocumentFault> faults;
+    for (const auto& it : m_faults) {
+        if (faults.size() == maxReportedFaults) {
+            const auto others = std::to_string(m_faults.size() - maxReportedFaults);
+            faults.push_back(faultAt(m_text, it.offset, others + " more faults"));
+            break;
+        }
+        faults.push_back(faultAt(m_text, it.offset, it.reason));
+    }
+    m_faults.clear();
+    return faults;
 }
 
 std::optional<std::string> nearestName(std::string_view name, const std::vector<std::string>& known)
 {
     std::optional<std::string> best;
-    std::size_t bestDistance = std::max<std::size_t>(2, name.size() / 3) + 1;
+    if (name.empty() || name.size() > maxComparedName) {
+        return best;
+    }
+    // At least one character must agree, or a name of one letter would be close to every short one.
+    std::size_t bestDistance = std::min(std::max<std::size_t>(2, name.size() / 3), name.size() - 1) + 1;
     for (const auto& it : known) {
         const auto distance = editDistance(name, it);
         if (distance < bestDistance) {
@@ -57,6 +77,17 @@
     return best;
 }
 
+void checkName(FaultCollector& faults, const std::string& name, std::size_t offset)
+{
+    const auto isAllowed = [](char c) {
+        return (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z') || (c >= '0' && c <= '9') || c == '-' || c == '_'
+            || c == '.';
+    };
+    if (name.empty() || name.size() > 64 || !std::ranges::all_of(name, isAllowed)) {
+        faults.add(offset, "a name has 1 to 64 letters, digits, '-', '_' or '.'; got \"" + name.substr(0, 80) + "\"");
+    }
+}
+
 FieldReader::FieldReader(const JsonNode& node, FaultCollector& faults, std::string what)
     : m_node(node)
     , m_faults(faults)
--- a/Source/Core/Config/FieldReader.h
+++ b/Source/Core/Config/FieldReader.h
@@ -22,20 +22,28 @@
     {
     }
 
-    void add(std::size_t offset, std::string reason) { m_faults.push_back(faultAt(m_text, offset, std::move(reason))); }
+    void add(std::size_t offset, std::string reason) { m_faults.push_back({ offset, std::move(reason) }); }
 
-    /// @return The faults in order of position.
+    /// @return The faults in order of position. Beyond 100, the last entry counts the others.
     std::vector<DocumentFault> take();
 
 private:
+    struct Fault {
+        std::size_t offset = 0;
+        std::string reason;
+    };
+
     std::string_view m_text;
-    std::vector<DocumentFault> m_faults;
+    std::vector<Fault> m_faults;
 };
 
 /// Finds the known name that is closest to a misspelt one.
 /// @return The name, or nothing when none is similar.
 std::optional<std::string> nearestName(std::string_view name, const std::vector<std::string>& known);
 
+/// Reports a name that is not made of 1 to 64 letters, digits, '-', '_' or '.'.
+void checkName(FaultCollector& faults, const std::string& name, std::size_t offset);
+
 /// Range that a number must lie in.
 struct NumberRange {
     double lowest = 0;
--- a/Source/Core/Config/PositionedJson.cpp
+++ b/Source/Core/Config/PositionedJson.cpp
@@ -5,6 +5,7 @@
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
+#include <optional>
 
 namespace Pollenwind {
 
@@ -53,8 +54,10 @@
         }
         bool parse_error(std::size_t position, const std::string&, const Json::exception& ex) override
         {
-            // The parser counts from 1 and points behind the offending character.
-            m_fault = faultAt(m_text, position > 0 ? position - 1 : 0, describe(ex.what()));
+            // The parser's position is that of the last byte read, from 1. The cursor stands at the start of the
+            // offending token, except that it has skipped over an offending comma or colon.
+            const auto lastRead = std::min(position > 0 ? position - 1 : 0, m_text.size());
+            m_fault = faultAt(m_text, std::min(nextToken(), lastRead), describe(ex.what()));
             return false;
         }
 
@@ -70,8 +73,14 @@
         static std::string describe(std::string_view what)
         {
             // Library texts look like "[json.exception...] parse error at line 1, column 2: syntax error ...".
+            // The text behind "; last read" repeats input of any length.
             const auto start = what.find("syntax error");
-            return "JSON " + std::string(start == std::string_view::npos ? what : what.substr(start));
+            if (start != std::string_view::npos) {
+                what = what.substr(start);
+            } else if (const auto prefix = what.find("] "); prefix != std::string_view::npos) {
+                what = what.substr(prefix + 2);
+            }
+            return "JSON " + std::string(what.substr(0, what.find("; last read")));
         }
 
         std::size_t nextToken()
@@ -176,6 +185,67 @@
         DocumentFault m_fault;
     };
 
+    // Length of the UTF-8 sequence at the start of a text, or 0 when it is malformed (RFC 3629).
+    std::size_t sequenceLength(std::string_view text)
+    {
+        const auto byte = [&](std::size_t i) { return i < text.size() ? static_cast<unsigned char>(text[i]) : 0U; };
+        const auto isTail = [&](std::size_t i) { return (byte(i) & 0xC0U) == 0x80U; };
+        const unsigned first = byte(0);
+        const unsigned second = byte(1);
+        if (first < 0x80U) {
+            return 1;
+        }
+        if (first >= 0xC2U && first <= 0xDFU) {
+            return isTail(1) ? 2 : 0;
+        }
+        if (first >= 0xE0U && first <= 0xEFU) {
+            const bool isOverlong = first == 0xE0U && second < 0xA0U;
+            const bool isSurrogate = first == 0xEDU && second > 0x9FU;
+            return isTail(1) && isTail(2) && !isOverlong && !isSurrogate ? 3 : 0;
+        }
+        if (first >= 0xF0U && first <= 0xF4U) {
+            const bool isOverlong = first == 0xF0U && second < 0x90U;
+            const bool isBeyondLast = first == 0xF4U && second > 0x8FU;
+            return isTail(1) && isTail(2) && isTail(3) && !isOverlong && !isBeyondLast ? 4 : 0;
+        }
+        return 0;
+    }
+
+    // The parser takes a NUL byte for the end of the text, and does not check the encoding of comments; the document
+    // is later passed on as a JSON string, which must be UTF-8.
+    std::optional<DocumentFault> findBadByte(std::string_view text)
+    {
+        for (std::size_t i = 0; i < text.size();) {
+            if (text[i] == '\0') {
+                return faultAt(text, i, "NUL byte");
+            }
+            const auto n = sequenceLength(text.substr(i));
+            if (n == 0) {
+                return faultAt(text, i, "invalid UTF-8");
+            }
+            i += n;
+        }
+        return std::nullopt;
+    }
+
+    // Control characters in a name would reach the operator's terminal.
+    std::string printable(std::string_view text)
+    {
+        constexpr std::string_view digits = "0123456789abcdef";
+        std::string result;
+        for (const char c : text) {
+            const auto byte = static_cast<unsigned char>(c);
+            if (byte < 0x20 || byte == 0x7F) {
+                result += "\\x";
+                result += digits[byte / 16];
+                result += digits[byte % 16];
+            } else {
+                result += c;
+            }
+        }
+        return result;
+    }
+
 } // namespace
 
 DocumentFault faultAt(std::string_view text, std::size_t offset, std::string reason)
@@ -184,11 +254,14 @@
     const auto line = static_cast<std::size_t>(std::count(before.begin(), before.end(), '\n')) + 1;
     const auto lineStart = before.rfind('\n');
     const auto column = lineStart == std::string_view::npos ? before.size() + 1 : before.size() - lineStart;
-    return { line, column, std::move(reason) };
+    return { line, column, printable(reason) };
 }
 
 std::expected<JsonNode, DocumentFault> parsePositionedJson(std::string_view text)
 {
+    if (auto fault = findBadByte(text)) {
+        return std::unexpected(std::move(*fault));
+    }
     TreeBuilder builder(text);
     const bool isParsed = Json::sax_parse(text, &builder, Json::input_format_t::json, true, true);
     return builder.result(isParsed);
--- a/Source/Core/Config/Settings.cpp
+++ b/Source/Core/Config/Settings.cpp
@@ -21,8 +21,8 @@
         std::expected<Settings, std::vector<DocumentFault>> check(const JsonNode& root)
         {
             FieldReader fields(root, m_faults, "the settings");
-            m_settings.vm = VmId(fields.requiredString("vm"));
-            m_settings.zone = ZoneId(fields.requiredString("zone"));
+            m_settings.vm = VmId(readName(fields, "vm"));
+            m_settings.zone = ZoneId(readName(fields, "zone"));
             readSection(fields, "listen", [&](FieldReader& it) { readListen(it); }, true);
             readSection(fields, "store", [&](FieldReader& it) { readStore(it); }, true);
             readSection(fields, "secrets", [&](FieldReader& it) { readSecrets(it); }, true);
@@ -61,6 +61,15 @@
             section.finish();
         }
 
+        std::string readName(FieldReader& fields, const std::string& name)
+        {
+            auto text = fields.requiredString(name);
+            if (!text.empty()) {
+                checkName(m_faults, text, fields.offsetOf(name));
+            }
+            return text;
+        }
+
         void readEndpoint(FieldReader& fields, const std::string& name, Endpoint& endpoint)
         {
             const auto text = fields.requiredString(name);
@@ -89,6 +98,15 @@
             readEndpoint(fields, "callers", m_settings.listenCallers);
             readEndpoint(fields, "admin", m_settings.listenAdmin);
             readEndpoint(fields, "peers", m_settings.listenPeers);
+            const auto checkOther = [&](const std::string& name, const Endpoint& endpoint, const Endpoint& other) {
+                if (endpoint.port != 0 && endpoint == other) {
+                    m_faults.add(
+                        fields.offsetOf(name), "address " + endpoint.toString() + " is used twice in \"listen\"");
+                }
+            };
+            checkOther("admin", m_settings.listenAdmin, m_settings.listenCallers);
+            checkOther("peers", m_settings.listenPeers, m_settings.listenCallers);
+            checkOther("peers", m_settings.listenPeers, m_settings.listenAdmin);
         }
 
         void readStore(FieldReader& fields)
--- a/Source/Core/Http/CallerCodec.cpp
+++ b/Source/Core/Http/CallerCodec.cpp
@@ -2,7 +2,7 @@
 
 #include <nlohmann/json.hpp>
 
-#include <cmath>
+#include <algorithm>
 
 namespace Pollenwind::CallerCodec {
 
@@ -11,6 +11,11 @@
     using Json = nlohmann::json;
 
     constexpr std::uint32_t defaultMaxTokens = 256;
+    // Each level of the parsed tree takes about 64 bytes for one byte of input.
+    constexpr std::size_t maxBodyDepth = 64;
+    // Longest name of a service in a service document.
+    constexpr std::size_t maxModelName = 64;
+    constexpr int maxPriority = 100;
 
     struct StatusRow {
         ErrorCode code;
@@ -89,6 +94,86 @@
 
     std::unexpected<Error> malformed(std::string text) { return fail(ErrorCode::Malformed, std::move(text)); }
 
+    bool isNestedTooDeep(std::string_view body)
+    {
+        std::size_t depth = 0;
+        bool isInString = false;
+        for (std::size_t i = 0; i < body.size(); ++i) {
+            const char c = body[i];
+            if (isInString) {
+                i += c == '\\' ? 1 : 0;
+                isInString = c != '"';
+            } else if (c == '"') {
+                isInString = true;
+            } else if (c == '{' || c == '[') {
+                if (++depth > maxBodyDepth) {
+                    return true;
+                }
+            } else if ((c == '}' || c == ']') && depth > 0) {
+                --depth;
+            }
+        }
+        return false;
+    }
+
+    Outcome<Json> readObject(std::string_view body)
+    {
+        // The parser takes a NUL byte for the end of the body and would ignore what follows.
+        if (body.find('\0') != std::string_view::npos) {
+            return malformed("the body holds a NUL byte");
+        }
+        if (isNestedTooDeep(body)) {
+            return malformed("the body is nested deeper than " + std::to_string(maxBodyDepth) + " levels");
+        }
+        auto json = Json::parse(body, nullptr, false);
+        if (!json.is_object()) {
+            return malformed("the body must be a JSON object");
+        }
+        return json;
+    }
+
+    Outcome<std::string> readModel(const Json& json)
+    {
+        const auto it = json.find("model");
+        if (it == json.end() || !it->is_string()) {
+            return malformed("\"model\" must be a string");
+        }
+        auto model = it->get<std::string>();
+        if (model.empty() || model.size() > maxModelName) {
+            return malformed("\"model\" must have 1 to " + std::to_string(maxModelName) + " characters");
+        }
+        return model;
+    }
+
+    Outcome<bool> readStream(const Json& json)
+    {
+        const auto it = json.find("stream");
+        if (it == json.end() || it->is_null()) {
+            return false;
+        }
+        if (!it->is_boolean()) {
+            return malformed("\"stream\" must be true or false");
+        }
+        return it->get<bool>();
+    }
+
+    Outcome<int> readPriority(const Json& json)
+    {
+        const auto it = json.find("priority");
+        if (it == json.end() || it->is_null()) {
+            return 0;
+        }
+        // Unsigned values are compared as such, since a large one converts to a small negative one.
+        const bool isInRange = it->is_number_unsigned()
+            ? it->get<std::uint64_t>() <= static_cast<std::uint64_t>(maxPriority)
+            : it->is_number_integer() && it->get<std::int64_t>() >= -maxPriority
+                && it->get<std::int64_t>() <= maxPriority;
+        if (!isInRange) {
+            return malformed("\"priority\" must be a whole number from -100 to 100");
+        }
+        return it->get<int>();
+    }
+
     Outcome<std::string> readMessages(const Json& json)
     {
         const auto it = json.find("messages");
@@ -136,38 +221,31 @@
 
 Outcome<CompletionBody> decodeCompletion(std::string_view body, CompletionForm form)
 {
-    const auto json = Json::parse(body, nullptr, false);
-    if (!json.is_object()) {
-        return malformed("the body must be a JSON object");
+    const auto json = readObject(body);
+    if (!json) {
+        return std::unexpected(json.error());
     }
-    CompletionBody result;
-    if (!json.contains("model") || !json["model"].is_string()) {
-        return malformed("\"model\" must be a string");
+    auto model = readModel(*json);
+    if (!model) {
+        return std::unexpected(model.error());
     }
-    result.model = json["model"].get<std::string>();
-    auto prompt = form == CompletionForm::Chat ? readMessages(json) : readPrompt(json);
+    auto prompt = form == CompletionForm::Chat ? readMessages(*json) : readPrompt(*json);
     if (!prompt) {
         return std::unexpected(prompt.error());
     }
-    result.prompt = std::move(*prompt);
-    const auto maxTokens = readMaxTokens(json);
+    const auto maxTokens = readMaxTokens(*json);
     if (!maxTokens) {
         return std::unexpected(maxTokens.error());
     }
-    result.maxTokens = *maxTokens;
-    const auto stream = json.find("stream");
-    if (stream != json.end() && !stream->is_boolean()) {
-        return malformed("\"stream\" must be true or false");
+    const auto stream = readStream(*json);
+    if (!stream) {
+        return std::unexpected(stream.error());
     }
-    result.isStream = stream != json.end() && stream->get<bool>();
-    const auto priority = json.find("priority");
-    if (priority != json.end()) {
-        if (!priority->is_number_integer() || std::abs(priority->get<std::int64_t>()) > 100) {
-            return malformed("\"priority\" must be a whole number from -100 to 100");
-        }
-        result.priority = priority->get<int>();
+    const auto priority = readPriority(*json);
+    if (!priority) {
+        return std::unexpected(priority.error());
     }
-    return result;
+    return CompletionBody { std::move(*model), std::move(*prompt), *maxTokens, *stream, *priority };
 }
 
 std::string encodeTokenEvent(
--- a/Source/Core/Router/Commands/RouterCommands.cpp
+++ b/Source/Core/Router/Commands/RouterCommands.cpp
@@ -1,12 +1,14 @@
 #include "Router/Commands/RouterCommands.h"
 
 #include "Config/Queries/CheckDocument.h"
+#include "Router/Queries/KeyDigest.h"
 #include "Router/StoreKeys.h"
 #include "Router/StoreRecords.h"
 
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
+#include <optional>
 
 namespace Pollenwind {
 
@@ -22,6 +24,18 @@
         return it != object.end() && it->is_string() ? it->get<std::string>() : std::string();
     }
 
+    Outcome<std::optional<std::int64_t>> readBase(const Json& object)
+    {
+        const auto it = object.find("base_revision");
+        if (it == object.end() || it->is_null()) {
+            return std::nullopt;
+        }
+        if (!it->is_number_integer()) {
+            return fail(ErrorCode::Malformed, "\"base_revision\" must be a whole number");
+        }
+        return it->get<std::int64_t>();
+    }
+
     std::string appliedBody(std::int64_t revision, bool isRepeated)
     {
         return Json { { "revision", revision }, { "repeated", isRepeated } }.dump();
@@ -44,6 +58,10 @@
     if (change.empty()) {
         co_return fail(ErrorCode::Malformed, "the body needs a \"change\" id");
     }
+    const auto wantedBase = readBase(json);
+    if (!wantedBase) {
+        co_return std::unexpected(wantedBase.error());
+    }
     const auto document = readString(json, "document");
     const auto checked = checkDocument(document);
     if (!checked) {
@@ -65,8 +83,7 @@
         if (std::find(recent.begin(), recent.end(), change) != recent.end()) {
             co_return appliedBody(base, true);
         }
-        const auto wantedBase = json.value("base_revision", base);
-        if (wantedBase != base) {
+        if (wantedBase->value_or(base) != base) {
             co_return fail(ErrorCode::Conflict,
                 "revision " + std::to_string(base) + " by \"" + previous.operatorName + "\" (change " + previous.change
                     + ") was applied meanwhile");
@@ -85,10 +102,13 @@
     co_return fail(ErrorCode::StoreUnavailable, "the store did not confirm the change", RunState::Unknown);
 }
 
-KeyCommand::KeyCommand(StoreCommands& storeCommands, StoreQueries& storeQueries, KeyCommands& keys)
+KeyCommand::KeyCommand(StoreCommands& storeCommands, StoreQueries& storeQueries, KeyCommands& keys,
+    const KeyQueries& keyQueries, const ConfigurationQueries& configuration)
     : m_storeCommands(storeCommands)
     , m_storeQueries(storeQueries)
     , m_keys(keys)
+    , m_keyQueries(keyQueries)
+    , m_configuration(configuration)
 {
 }
 
@@ -98,10 +118,19 @@
     if (!json.is_object()) {
         co_return fail(ErrorCode::Malformed, "the body must be a JSON object");
     }
-    const auto record = decodeKeyRecord(readString(json, "digest"), request.body);
+    const auto digest = resolveKeyDigest(m_keyQueries, readString(json, "digest"));
+    if (!digest) {
+        co_return std::unexpected(digest.error());
+    }
+    const auto record = decodeKeyRecord(*digest, request.body);
     if (!record) {
         co_return fail(ErrorCode::Malformed, "the body needs \"digest\", \"organisation\" and \"state\"");
     }
+    const auto& organisations = m_configuration.current()->document.organisations;
+    if (record->state == KeyState::Valid && !organisations.contains(record->organisation)) {
+        co_return fail(
+            ErrorCode::NotFound, "the service document has no organisation \"" + record->organisation.value() + "\"");
+    }
     const auto key = StoreKeys::keyRecord(record->digest);
     for (int i = 0; i < maxWriteAttempts; ++i) {
         const auto range = co_await m_storeQueries.read(key);
--- a/Source/Core/Router/Commands/RouterCommands.h
+++ b/Source/Core/Router/Commands/RouterCommands.h
@@ -1,8 +1,10 @@
 #pragma once
 
 #include "Config/Commands/ConfigurationCommands.h"
+#include "Config/Queries/ConfigurationQueries.h"
 #include "Http/AdminFrontEnd.h"
 #include "Keys/Commands/KeyCommands.h"
+#include "Keys/Queries/KeyQueries.h"
 #include "Platform/Commands/StoreCommands.h"
 #include "Platform/Queries/StoreQueries.h"
 
@@ -23,16 +25,20 @@
     ConfigurationCommands& m_configuration;
 };
 
-/// Writes a key record to the store and puts it in force here. Body: {"digest", "organisation", "state"}.
+/// Writes a key record to the store and puts it in force here. Body: {"digest", "organisation", "state"}; for a
+/// withdrawal the first digits of a known digest suffice and the organisation is not needed.
 class KeyCommand final : public AdminCommand {
 public:
-    KeyCommand(StoreCommands& storeCommands, StoreQueries& storeQueries, KeyCommands& keys);
+    KeyCommand(StoreCommands& storeCommands, StoreQueries& storeQueries, KeyCommands& keys,
+        const KeyQueries& keyQueries, const ConfigurationQueries& configuration);
     Task<Outcome<std::string>> run(const HttpRequest& request) override;
 
 private:
     StoreCommands& m_storeCommands;
     StoreQueries& m_storeQueries;
     KeyCommands& m_keys;
+    const KeyQueries& m_keyQueries;
+    const ConfigurationQueries& m_configuration;
 };
 
 /// Starts the graceful shutdown of this router.
--- a/Source/Core/Router/Router.cpp
+++ b/Source/Core/Router/Router.cpp
@@ -74,7 +74,7 @@
         , limitsQuery(limits)
         , timelineQuery(timeline)
         , applyCommand(store, store, configuration)
-        , keyCommand(store, store, keys)
+        , keyCommand(store, store, keys, keys, configuration)
         , drainCommand([this] { startShutdown(); })
     {
     }
--- a/Source/Core/Transport/Endpoint.cpp
+++ b/Source/Core/Transport/Endpoint.cpp
@@ -14,8 +14,9 @@
     }
     const std::string address(text.substr(0, colon));
     boost::system::error_code ec;
-    boost::asio::ip::make_address_v4(address, ec);
-    if (ec) {
+    const auto parsed = boost::asio::ip::make_address_v4(address, ec);
+    // The parser stops at a NUL byte, so the whole text is compared.
+    if (ec || parsed.to_string() != address) {
         return fail(ErrorCode::Malformed, "not an IPv4 address: \"" + address + "\"");
     }
     const auto portText = text.substr(colon + 1);
--- /dev/null
+++ b/Source/Programs/Pollenwindctl/Commands/MoveCancel.cpp
@@ -0,0 +1,33 @@
+#include "Common/Digest.h"
+#include "Pollenwindctl/Commands/Commands.h"
+
+namespace Pollenwind::Ctl {
+
+namespace {
+
+    class MoveCancel final : public Command {
+    public:
+        void declare(TCLAP::CmdLine& line) override { line.add(m_service); }
+
+        Task<ExitCode> run(Session& session) override
+        {
+            const Json body = { { "change", randomToken() }, { "service", m_service.getValue() } };
+            const auto cancelled = co_await postUntilAnswered(session, "move-cancel", body);
+            if (!cancelled) {
+                printError(session, "move cancel", cancelled.error());
+                co_return ExitCode::Failed;
+            }
+            session.out << "ordered\n";
+            co_return ExitCode::Done;
+        }
+
+    private:
+        TCLAP::UnlabeledValueArg<std::string> m_service { "service", "Service whose move is taken back", true, "",
+            "SERVICE" };
+    };
+
+} // namespace
+
+std::unique_ptr<Command> makeMoveCancel() { return std::make_unique<MoveCancel>(); }
+
+} // namespace Pollenwind::Ctl
--- /dev/null
+++ b/Source/Programs/Pollenwindctl/Confirmation.cpp
@@ -0,0 +1,103 @@
+#include "Pollenwindctl/Confirmation.h"
+
+#include "Common/Sleep.h"
+
+#include <algorithm>
+#include <map>
+
+namespace Pollenwind::Ctl {
+
+namespace {
+
+    /// One VM that should confirm.
+    struct Target {
+        /// VM name where known, else the router's address.
+        std::string name;
+        std::optional<Endpoint> router;
+        bool isConfirmed = false;
+        std::string reason;
+    };
+
+    bool isExpectedToConfirm(const std::string& state) { return state != "leaving" && state != "gone"; }
+
+    /// Finds the targets: live members matched to configured routers by VM name.
+    Task<std::vector<Target>> findTargets(Session& session)
+    {
+        std::map<std::string, Endpoint> routerOfVm;
+        std::vector<Target> configured;
+        for (const auto& it : co_await askAll(session, session.routers, "status")) {
+            const auto vm = it.answer ? textField(*it.answer, "vm") : std::string();
+            if (!vm.empty()) {
+                routerOfVm.emplace(vm, it.router);
+            }
+            configured.push_back({ vm.empty() ? it.router.toString() : vm, it.router });
+        }
+        const auto members = co_await askAny(session, "members");
+        if (!members || arrayField(*members, "members").empty()) {
+            co_return configured;
+        }
+        std::vector<Target> targets;
+        for (const auto& member : arrayField(*members, "members")) {
+            const auto vm = textField(member, "vm");
+            if (vm.empty() || !isExpectedToConfirm(textField(member, "state"))) {
+                continue;
+            }
+            Target target { vm };
+            const auto known = routerOfVm.find(vm);
+            if (known != routerOfVm.end()) {
+                target.router = known->second;
+            } else if (const auto admin = parseEndpoint(textField(member, "admin"))) {
+                target.router = *admin;
+            } else {
+                target.reason = "its administration address is not known here";
+            }
+            targets.push_back(std::move(target));
+        }
+        co_return targets;
+    }
+
+    Task<> askUnconfirmed(
+        Session& session, const std::string& query, const ConfirmPredicate& isInForce, std::vector<Target>& targets)
+    {
+        std::vector<Endpoint> routers;
+        std::vector<Target*> asked;
+        for (auto& target : targets) {
+            if (!target.isConfirmed && target.router) {
+                routers.push_back(*target.router);
+                asked.push_back(&target);
+            }
+        }
+        const auto answers = co_await askAll(session, routers, query);
+        for (std::size_t i = 0; i < answers.size(); ++i) {
+            const auto& answer = answers[i].answer;
+            asked[i]->isConfirmed = answer && isInForce(*answer);
+            asked[i]->reason = answer ? "not in force yet" : "cannot be reached: " + answer.error().message;
+        }
+    }
+
+} // namespace
+
+Task<ExitCode> waitUntilInForce(Session& session, std::string query, ConfirmPredicate isInForce)
+{
+    auto targets = co_await findTargets(session);
+    const auto isOpen = [](const Target& it) { return !it.isConfirmed && it.router; };
+    const auto end = std::chrono::steady_clock::now() + session.confirmLimit;
+    for (;;) {
+        co_await askUnconfirmed(session, query, isInForce, targets);
+        if (std::ranges::none_of(targets, isOpen) || std::chrono::steady_clock::now() >= end) {
+            break;
+        }
+        co_await sleepFor(session.confirmInterval);
+    }
+    const auto confirmed = std::ranges::count_if(targets, &Target::isConfirmed);
+    session.out << "in force on " << confirmed << " of " << targets.size() << "\n";
+    for (const auto& it : targets) {
+        if (!it.isConfirmed) {
+            session.err << "not confirmed by " << it.name << ": " << it.reason << "\n";
+        }
+    }
+    const bool isEverywhere = static_cast<std::size_t>(confirmed) == targets.size();
+    co_return isEverywhere ? ExitCode::Done : ExitCode::Failed;
+}
+
+} // namespace Pollenwind::Ctl
