--- a/Source/Core/Config/Settings.cpp
+++ b/Source/Core/Config/Settings.cpp
@@ -21,6 +21,9 @@
         std::expected<Settings, std::vector<DocumentFault>> check(const JsonNode& root)
         {
             FieldReader fields(root, m_faults, "the settings");
+            if (root.kind != JsonKind::Object) {
+                return std::unexpected(m_faults.take());
+            }
             m_settings.vm = VmId(readName(fields, "vm"));
             m_settings.zone = ZoneId(readName(fields, "zone"));
             readSection(fields, "listen", [&](FieldReader& it) { readListen(it); }, true);
--- a/Source/Programs/Pollenwindctl/Commands/KeyWithdraw.cpp
+++ b/Source/Programs/Pollenwindctl/Commands/KeyWithdraw.cpp
@@ -17,8 +17,8 @@
         {
             const auto digits = readDigits(session);
             if (digits.empty()) {
-                session.err << "key withdraw: KEY-ID is 8 to 64 of the digits that \"keys\" shows; the key itself is "
-                               "only taken from standard input\n";
+                session.err << "key withdraw: KEY-ID is 8 to 64 of the digits that \"keys\" shows; give the key itself "
+                               "on standard input with \"-\"\n";
                 co_return ExitCode::BadInput;
             }
             const auto withdrawn
@@ -35,7 +35,7 @@
     private:
         std::string readDigits(Session& session) const
         {
-            if (m_keyId.isSet()) {
+            if (m_keyId.getValue() != "-") {
                 return isKeyId(m_keyId.getValue()) ? m_keyId.getValue() : std::string();
             }
             std::string key;
@@ -45,8 +45,8 @@
         }
 
         TCLAP::UnlabeledValueArg<std::string> m_keyId { "key-id",
-            "First digits of the key's digest, as \"keys\" shows them; without it the key is read from standard input",
-            false, "", "KEY-ID" };
+            "First digits of the key's digest, as \"keys\" shows them; \"-\" reads the key from standard input", true,
+            "", "KEY-ID" };
     };
 
 } // namespace
--- a/Source/Programs/Pollenwindctl/OperatorSettings.cpp
+++ b/Source/Programs/Pollenwindctl/OperatorSettings.cpp
@@ -2,8 +2,8 @@
 
 #include "Config/FieldReader.h"
 
+#include <array>
 #include <fstream>
-#include <sstream>
 
 namespace Pollenwind::Ctl {
 
@@ -55,15 +55,17 @@
 Outcome<std::string> readFile(const std::string& path)
 {
     std::ifstream file(path, std::ios::binary);
-    std::ostringstream text;
-    if (file) {
-        text << file.rdbuf();
+    std::string text;
+    std::array<char, 4096> buf {};
+    while (file) {
+        file.read(buf.data(), buf.size());
+        text.append(buf.data(), static_cast<std::size_t>(file.gcount()));
     }
     // Opening a folder succeeds and reading it fails.
-    if (!file || !text) {
+    if (!file.eof()) {
         return fail(ErrorCode::NotFound, path + ": cannot be read");
     }
-    return text.str();
+    return text;
 }
 
 Outcome<std::string> readTokenFile(const std::string& path)
