--- a/Source/Programs/Pollenwindctl/Commands/Apply.cpp
+++ b/Source/Programs/Pollenwindctl/Commands/Apply.cpp
@@ -3,8 +3,6 @@
 #include "Pollenwindctl/Confirmation.h"
 #include "Pollenwindctl/DocumentFile.h"
 
-#include <cstdlib>
-
 namespace Pollenwind::Ctl {
 
 namespace {
@@ -46,17 +44,11 @@
         }
 
     private:
-        static std::string userName()
-        {
-            const char* name = std::getenv("USER");
-            return name ? name : "unknown";
-        }
-
         TCLAP::ValueArg<std::int64_t> m_base { "", "base",
             "Apply only if this revision is in force; otherwise the other operator's change is named", false, 0,
             "REVISION" };
-        TCLAP::ValueArg<std::string> m_operator { "", "operator", "Name recorded with the change", false, userName(),
-            "NAME" };
+        TCLAP::ValueArg<std::string> m_operator { "", "operator", "Name recorded with the change", false,
+            operatorName(), "NAME" };
         TCLAP::UnlabeledValueArg<std::string> m_file { "file", "Service document", true, "", "FILE" };
     };
 
--- a/Source/Programs/Pollenwindctl/Commands/MoveCancel.cpp
+++ b/Source/Programs/Pollenwindctl/Commands/MoveCancel.cpp
@@ -1,4 +1,3 @@
-#include "Common/Digest.h"
 #include "Pollenwindctl/Commands/Commands.h"
 
 namespace Pollenwind::Ctl {
@@ -11,7 +10,7 @@
 
         Task<ExitCode> run(Session& session) override
         {
-            const Json body = { { "change", randomToken() }, { "service", m_service.getValue() } };
+            const Json body = { { "service", m_service.getValue() }, { "operator", operatorName() } };
             const auto cancelled = co_await postUntilAnswered(session, "move-cancel", body);
             if (!cancelled) {
                 printError(session, "move cancel", cancelled.error());
--- a/Source/Programs/Pollenwindctl/Commands/MoveStart.cpp
+++ b/Source/Programs/Pollenwindctl/Commands/MoveStart.cpp
@@ -1,5 +1,6 @@
 #include "Common/Digest.h"
 #include "Pollenwindctl/Commands/Commands.h"
+#include "Pollenwindctl/DeadlineForm.h"
 
 namespace Pollenwind::Ctl {
 
@@ -16,21 +17,29 @@
 
         Task<ExitCode> run(Session& session) override
         {
+            const auto deadline = parseDeadline(m_deadline.getValue(), SystemClock().wallNow());
+            if (!deadline) {
+                session.err
+                    << "move start: --by takes a UTC time like 2026-12-04T18:00:00Z or a time from now like 45m, "
+                       "at most 30 days ahead\n";
+                co_return ExitCode::BadInput;
+            }
+            const auto milliseconds = std::chrono::duration_cast<std::chrono::milliseconds>(*deadline).count();
             const Json body = { { "change", randomToken() }, { "service", m_service.getValue() },
-                { "version", m_version.getValue() }, { "deadline", m_deadline.getValue() } };
+                { "to", m_version.getValue() }, { "deadline_ms", milliseconds }, { "operator", operatorName() } };
             const auto ordered = co_await postUntilAnswered(session, "move-start", body);
             if (!ordered) {
                 printError(session, "move start", ordered.error());
                 co_return ExitCode::Failed;
             }
-            session.out << "ordered\n";
+            session.out << "ordered; pollenwindctl moves shows the progress\n";
             co_return ExitCode::Done;
         }
 
     private:
         TCLAP::ValueArg<std::string> m_version { "", "to", "New version", true, "", "VERSION" };
-        TCLAP::ValueArg<std::string> m_deadline { "", "by", "Deadline, e.g. 2026-12-04T18:00:00Z", true, "",
-            "DEADLINE" };
+        TCLAP::ValueArg<std::string> m_deadline { "", "by",
+            "Deadline: UTC time like 2026-12-04T18:00:00Z, or a time from now like 45m", true, "", "DEADLINE" };
         TCLAP::UnlabeledValueArg<std::string> m_service { "service", "Service to move", true, "", "SERVICE" };
     };
 
--- a/Source/Programs/Pollenwindctl/Queries/Moves.cpp
+++ b/Source/Programs/Pollenwindctl/Queries/Moves.cpp
@@ -1,6 +1,9 @@
+#include "Pollenwindctl/DeadlineForm.h"
 #include "Pollenwindctl/Queries/Queries.h"
 #include "Pollenwindctl/TextTable.h"
 
+#include <cmath>
+
 namespace Pollenwind::Ctl {
 
 namespace {
@@ -20,10 +23,12 @@
 
         std::string render(const Json& data) const override
         {
-            TextTable table({ "SERVICE", "TO", "BY", "STATE" });
+            TextTable table({ "SERVICE", "FROM", "TO", "STATE", "SHARE", "BY", "REASON" });
             for (const auto& it : arrayField(data, "moves")) {
-                table.addRow({ textField(it, "service"), textField(it, "version"), textField(it, "deadline"),
-                    textField(it, "state") });
+                const auto deadline = std::chrono::milliseconds(std::llround(numberField(it, "deadline_ms")));
+                table.addRow({ textField(it, "service"), textField(it, "from"), textField(it, "to"),
+                    textField(it, "state"), shortNumber(100 * numberField(it, "share"), 1) + " %", formatTime(deadline),
+                    textField(it, "reason") });
             }
             return table.toString();
         }
--- a/Source/Programs/Pollenwindctl/Session.cpp
+++ b/Source/Programs/Pollenwindctl/Session.cpp
@@ -4,6 +4,8 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/this_coro.hpp>
 
+#include <cstdlib>
+
 namespace Pollenwind::Ctl {
 
 Task<std::vector<RouterAnswer>> askAll(Session& session, std::vector<Endpoint> routers, std::string query)
@@ -61,6 +63,12 @@
     co_return last;
 }
 
+std::string operatorName()
+{
+    const char* name = std::getenv("USER");
+    return name ? name : "unknown";
+}
+
 void printError(Session& session, std::string_view what, const Error& error)
 {
     session.err << what << ": " << nameOf(error.code) << ": " << error.message;
--- a/Source/Programs/Pollenwindctl/Session.h
+++ b/Source/Programs/Pollenwindctl/Session.h
@@ -42,6 +42,9 @@
 /// @return The answer, the router's refusal, or the last error when no router answered.
 Task<Outcome<Json>> postUntilAnswered(Session& session, std::string command, Json body);
 
+/// Name recorded with changes: the environment's USER.
+std::string operatorName();
+
 /// Prints "CODE: message" with the run state where it is not known that nothing ran.
 void printError(Session& session, std::string_view what, const Error& error);
 
--- a/Source/UnitTests/Pollenwindctl/SessionTests.cpp
+++ b/Source/UnitTests/Pollenwindctl/SessionTests.cpp
@@ -1,4 +1,5 @@
 #include "Pollenwindctl/Commands/Commands.h"
+#include "Pollenwindctl/DeadlineForm.h"
 #include "Pollenwindctl/KeyForm.h"
 #include "Pollenwindctl/OperatorSettings.h"
 #include "Pollenwindctl/Subcommand.h"
@@ -189,12 +190,23 @@
 Test(Moves, passOnTheRoutersRefusal)
 {
     Run run(1);
-    cr_assert(
-        run.command(makeMoveStart(), { "fitter", "--to", "v2", "--by", "2026-12-04T18:00:00Z" }) == ExitCode::Failed);
+    cr_assert(run.command(makeMoveStart(), { "fitter", "--to", "v2", "--by", "45m" }) == ExitCode::Failed);
     cr_assert(run.err.str().starts_with("move start: no-route: "));
     cr_assert(run.command(makeMoveCancel(), { "fitter" }) == ExitCode::Failed);
 }
 
+// Guards against a deadline that is misread, lies in the past, or names a day that does not exist.
+Test(Moves, readsDeadlines)
+{
+    const WallTime now = std::chrono::seconds(1'764'806'400); // 2025-12-04T00:00:00Z
+    cr_assert(parseDeadline("45m", now) == now + std::chrono::minutes(45));
+    cr_assert(parseDeadline("2025-12-04T18:00:00Z", now) == now + std::chrono::hours(18));
+    for (const char* bad : { "", "m", "45", "-1m", "0s", "45 m", "9999999999h", "2025-12-03T23:59:59Z",
+             "2025-12-32T00:00:00Z", "2025-12-04T18:00:00Zx", "2025-12-04", "2027-12-04T18:00:00Z" }) {
+        cr_assert(!parseDeadline(bad, now), "%s", bad);
+    }
+}
+
 // Guards against an order that depends on which router answered first, and against markup in event fields.
 Test(Timeline, mergesByStampAndEscapes)
 {
