--- a/Source/Core/Dispatch/CompletionDispatcher.cpp
+++ b/Source/Core/Dispatch/CompletionDispatcher.cpp
@@ -151,6 +151,8 @@
     auto summary = co_await relay(request, *stream, sink, delivery);
     m_engines.cancel(*stream);
     if (summary) {
+        m_context.metrics.count(Counter::PromptTokens, summary->promptTokens);
+        m_context.metrics.count(Counter::CachedPromptTokens, summary->cachedTokens);
         m_context.cache.noteCached(choice, delivery.placement.chain, summary->cachedTokens);
     }
     co_return summary;
--- a/Source/Programs/Pollenwindctl/Queries/Limits.cpp
+++ b/Source/Programs/Pollenwindctl/Queries/Limits.cpp
@@ -32,7 +32,7 @@
             TextTable table({ "ROUTER", "ORGANISATION", "LEVEL", "OUTSTANDING", "BORROWED" });
             for (const auto& router : data["routers"]) {
                 if (router.contains("error")) {
-                    table.addRow({ textField(router, "router"), "cannot be reached: " + textField(router, "error") });
+                    table.addRow({ textField(router, "router"), "failed: " + textField(router, "error") });
                 }
                 for (const auto& it : arrayField(router, "organisations")) {
                     std::vector<std::string> row { textField(router, "router"), textField(it, "organisation") };
--- a/Source/Programs/Pollenwindctl/Queries/Status.cpp
+++ b/Source/Programs/Pollenwindctl/Queries/Status.cpp
@@ -64,8 +64,7 @@
             double prompt = 0;
             for (const auto& it : data["routers"]) {
                 if (!it.contains("status")) {
-                    table.addRow(
-                        { textField(it, "router"), "cannot be reached: " + textField(it["error"], "message") });
+                    table.addRow({ textField(it, "router"), "failed: " + textField(it["error"], "message") });
                     continue;
                 }
                 table.addRow(statusRow(textField(it, "router"), it["status"]));
