--- a/Source/Programs/Pollenwindctl/DeadlineForm.cpp
+++ b/Source/Programs/Pollenwindctl/DeadlineForm.cpp
@@ -35,8 +35,9 @@
             return std::nullopt;
         }
         std::uint32_t n = 0;
-        const auto* last = text.data() + text.size() - 1;
-        const auto [end, error] = std::from_chars(text.data(), last, n);
+        const auto digits = text.substr(0, text.size() - 1);
+        const auto* last = digits.data() + digits.size();
+        const auto [end, error] = std::from_chars(digits.data(), last, n);
         if (error != std::errc() || end != last || n > 1'000'000) {
             return std::nullopt;
         }
