--- a/Source/Core/Router/Commands/RouterCommands.h
+++ b/Source/Core/Router/Commands/RouterCommands.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Config/Commands/ConfigurationCommands.h"
+#include "Config/Queries/ConfigurationQueries.h"
 #include "Http/AdminFrontEnd.h"
 #include "Keys/Commands/KeyCommands.h"
 #include "Keys/Queries/KeyQueries.h"
@@ -27,11 +28,12 @@
 
 /// Writes a key record to the store and puts it in force here; a withdrawal is also sent to all routers and answered
 /// with how far it got. While the store is down a withdrawal counts as accepted when it reached a majority of the
-/// zones. Body: {"digest", "organisation", "state"}.
+/// zones. Body: {"digest", "organisation", "state"}; for a withdrawal the first digits of a known digest suffice and
+/// the organisation is not needed.
 class KeyCommand final : public AdminCommand {
 public:
     KeyCommand(StoreCommands& storeCommands, StoreQueries& storeQueries, KeyCommands& keys,
-        const KeyQueries& keyQueries, WithdrawalCommands& withdrawals);
+        const KeyQueries& keyQueries, const ConfigurationQueries& configuration, WithdrawalCommands& withdrawals);
     Task<Outcome<std::string>> run(const HttpRequest& request) override;
 
 private:
@@ -48,6 +50,7 @@
     StoreQueries& m_storeQueries;
     KeyCommands& m_keys;
     const KeyQueries& m_keyQueries;
+    const ConfigurationQueries& m_configuration;
     WithdrawalCommands& m_withdrawals;
 };
 
--- a/Source/Core/Router/Router.cpp
+++ b/Source/Core/Router/Router.cpp
@@ -135,7 +135,7 @@
         , limitsQuery(limits)
         , timelineQuery(timeline)
         , applyCommand(store, store, configuration)
-        , keyCommand(store, store, keySpread, keys, keySpread)
+        , keyCommand(store, store, keySpread, keys, configuration, keySpread)
         , movesQuery(moves)
         , moveStartCommand(clock, configuration, store, store, moves)
         , moveCancelCommand(clock, store, store, moves)
