--- a/Source/Programs/Pollenwindctl/DeadlineForm.cpp
+++ b/Source/Programs/Pollenwindctl/DeadlineForm.cpp
@@ -3,6 +3,7 @@
 #include <charconv>
 #include <ctime>
 #include <iomanip>
+#include <memory>
 #include <sstream>
 
 namespace Pollenwind::Ctl {
@@ -36,8 +37,8 @@
         }
         std::uint32_t n = 0;
         const auto digits = text.substr(0, text.size() - 1);
-        const auto* last = digits.data() + digits.size();
-        const auto [end, error] = std::from_chars(digits.data(), last, n);
+        const char* last = std::to_address(digits.end());
+        const auto [end, error] = std::from_chars(std::to_address(digits.begin()), last, n);
         if (error != std::errc() || end != last || n > 1'000'000) {
             return std::nullopt;
         }
