Divide organisations' rates into shares with grants between VMs

LocalLimiter gave every VM the whole rate, so the fleet admitted a multiple of it. LimitTable now decides on spending, waiting, borrowing and lending per share; FleetLimiter waits and carries messages; ShareKeeper holds slots in the store.

--- /dev/null
+++ b/Source/Core/Limits/Commands/ShareCommands.h
@@ -0,0 +1,23 @@
+#pragma once
+
+#include "Limits/ShareTypes.h"
+
+#include <set>
+
+namespace Pollenwind {
+
+/// Puts the allocation of shares in force on this VM.
+class ShareCommands {
+public:
+    ShareCommands() = default;
+    ShareCommands(const ShareCommands&) = delete;
+    ShareCommands& operator=(const ShareCommands&) = delete;
+    virtual ~ShareCommands() = default;
+
+    /// Adopts a revision of the allocation record.
+    /// @param record Tells which VMs lend tokens.
+    /// @param used Slots that this VM spends from now on; a slot not used before starts empty.
+    virtual void adoptShares(const ShareRecord& record, const std::set<ShareSlotId>& used) = 0;
+};
+
+} // namespace Pollenwind
--- /dev/null
+++ b/Source/Core/Limits/LimitAccount.h
@@ -0,0 +1,114 @@
+#pragma once
+
+#include "Config/ServiceDocument.h"
+#include "Limits/Commands/LimitCommands.h"
+#include "Limits/TokenBucket.h"
+
+#include <cmath>
+#include <optional>
+#include <vector>
+
+namespace Pollenwind {
+
+/// One request that waits for tokens.
+using WaiterId = Id<struct WaiterTag, std::uint64_t>;
+
+/// Tokens borrowed from another VM.
+struct BorrowedGrant {
+    GrantId id;
+    VmId lender;
+    /// Tokens granted and those not spent yet.
+    double tokens = 0;
+    double left = 0;
+    MonotonicTime sentAt { 0 };
+    MonotonicTime expiresAt { 0 };
+};
+
+/// What this VM knows about another holder of an organisation's slots.
+struct LenderView {
+    VmId vm;
+    bool isOwnZone = false;
+    std::uint32_t slots = 0;
+    /// Level that the lender reported last, and when; before the first report it is assumed to be full.
+    float level = 0;
+    bool isLevelKnown = false;
+    bool isAsked = false;
+    MonotonicTime levelAt { 0 };
+};
+
+/// Recent demand as an exponentially weighted average.
+class DemandMeter {
+public:
+    void note(MonotonicTime now, double tokens)
+    {
+        m_rate = rate(now) + tokens / averagingSeconds;
+        m_at = now;
+    }
+
+    /// @return Tokens a second.
+    double rate(MonotonicTime now) const
+    {
+        return m_rate * std::exp(-std::chrono::duration<double>(now - m_at).count() / averagingSeconds);
+    }
+
+private:
+    static constexpr double averagingSeconds = 0.5;
+
+    double m_rate = 0;
+    MonotonicTime m_at { 0 };
+};
+
+/// State of one active organisation on this VM.
+struct LimitAccount {
+    struct Waiter {
+        WaiterId id;
+        double tokens = 0;
+        MonotonicTime deadline { 0 };
+    };
+
+    LimitAccount(const OrganisationSpec& spec, TokenBucket first)
+        : rate(spec.rate)
+        , burst(spec.burst)
+        , bucket(std::move(first))
+    {
+    }
+
+    double borrowed() const
+    {
+        double sum = 0;
+        for (const auto& grant : grants) {
+            sum += grant.left;
+        }
+        return sum;
+    }
+
+    double waiting() const
+    {
+        double sum = 0;
+        for (const auto& waiter : waiters) {
+            sum += waiter.tokens;
+        }
+        return sum;
+    }
+
+    /// Rate and burst of the organisation over the fleet.
+    double rate = 0;
+    double burst = 0;
+    std::uint32_t group = 0;
+    /// Slots of the group that this VM uses.
+    std::uint32_t slots = 0;
+    TokenBucket bucket;
+    DemandMeter demand;
+    /// Tokens in unanswered grant requests.
+    double requested = 0;
+    MonotonicTime usedAt { 0 };
+    /// In order of expiry.
+    std::vector<BorrowedGrant> grants;
+    std::vector<LenderView> lenders;
+    /// Allocation that the lenders were taken from.
+    std::uint64_t sharesVersion = 0;
+    /// In order of arrival.
+    std::vector<Waiter> waiters;
+};
+
+} // namespace Pollenwind
--- a/Source/Core/Limits/Queries/LimitQueries.h
+++ b/Source/Core/Limits/Queries/LimitQueries.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "Common/Ids.h"
+#include "Limits/ShareTypes.h"
 
 #include <vector>
 
@@ -15,6 +15,15 @@
     double outstanding = 0;
     /// Tokens borrowed from other VMs and still valid.
     double borrowed = 0;
+    /// Slots of the organisation's group that this VM holds.
+    std::uint32_t slots = 0;
+};
+
+/// The allocation of shares as this VM knows it.
+struct ShareStatus {
+    ShareRecord record;
+    /// Slots that this VM uses.
+    std::vector<ShareSlotId> used;
 };
 
 /// Reads the token state.
@@ -27,6 +36,7 @@
 
     /// @return Every organisation with state on this VM.
     virtual std::vector<LimitStatus> status() const = 0;
+    virtual ShareStatus shares() const = 0;
 };
 
 } // namespace Pollenwind
--- /dev/null
+++ b/Source/Core/Limits/ShareDecisions.h
@@ -0,0 +1,95 @@
+#pragma once
+
+#include "Common/EnumTable.h"
+#include "Limits/ShareTypes.h"
+
+#include <map>
+#include <optional>
+#include <set>
+#include <vector>
+
+namespace Pollenwind {
+
+/// Proof that the holder of a slot no longer spends from it.
+enum class DeathProof {
+    /// A new incarnation has bound the holder's peer address.
+    NewIncarnation,
+    /// The platform's list once showed the VM and no longer does at a later revision.
+    GoneFromList,
+};
+
+template <> struct EnumTable<DeathProof> {
+    static constexpr std::array rows {
+        EnumName { DeathProof::NewIncarnation, "new-incarnation" },
+        EnumName { DeathProof::GoneFromList, "gone-from-list" },
+    };
+};
+
+/// This VM, as a candidate for shares. Its peer port must be bound.
+struct ShareCandidate {
+    VmId vm;
+    ZoneId zone;
+    Incarnation incarnation;
+    Endpoint peers;
+};
+
+/// One VM of the platform's list, as far as shares are concerned.
+struct ShareListEntry {
+    VmId vm;
+    ZoneId zone;
+    Endpoint peers;
+    bool isLeaving = false;
+};
+
+/// Collects what this process has seen about the lives of VMs.
+class HolderEvidence {
+public:
+    /// Takes note of the platform's list. A list that is not newer than the last one is ignored.
+    void noteList(std::int64_t revision, std::vector<ShareListEntry> vms);
+
+    /// Takes note of an incarnation that has bound a peer address.
+    /// @param startedAt Start of its process, by that VM's wall clock.
+    void noteIncarnation(const Endpoint& peers, Incarnation incarnation, WallTime startedAt);
+
+    /// @return The proof that a holder is dead, or nothing while it may live.
+    std::optional<DeathProof> proofAgainst(const ShareHolder& holder) const;
+
+    /// @return VMs of a zone that the list shows and that are not leaving.
+    std::set<VmId> liveVms(const ZoneId& zone) const;
+
+private:
+    struct Life {
+        Incarnation incarnation;
+        WallTime startedAt { 0 };
+    };
+
+    std::int64_t m_listRevision = -1;
+    std::vector<ShareListEntry> m_listed;
+    /// VMs that some list showed, by id and address.
+    std::set<std::pair<VmId, Endpoint>> m_seen;
+    std::map<Endpoint, Life> m_lives;
+};
+
+/// Slots of the record that this incarnation holds.
+std::set<ShareSlotId> slotsOf(const ShareRecord& record, const ShareCandidate& self);
+
+/// Number of slots of its zone that a VM holds at most while others have none.
+std::size_t fairSlotCount(const ShareRecord& record, const ShareCandidate& self, const HolderEvidence& evidence);
+
+/// Frees slots of holders that are proven dead, and claims free slots of the own zone up to the fair number.
+/// @param since Wall time written into claims.
+/// @return The changed record, or nothing when there is nothing to change.
+std::optional<ShareRecord> claimSlots(
+    const ShareRecord& record, const ShareCandidate& self, const HolderEvidence& evidence, WallTime since);
+
+/// Chooses a slot to give up: when this VM holds more than the fair number and a live VM of the zone has none.
+/// The caller must stop using the slot before it writes the release.
+std::optional<ShareSlotId> surplusSlot(
+    const ShareRecord& record, const ShareCandidate& self, const HolderEvidence& evidence);
+
+/// Removes this incarnation from slots.
+/// @return The changed record, or nothing when it holds none of them.
+std::optional<ShareRecord> releaseSlots(
+    const ShareRecord& record, const ShareCandidate& self, const std::set<ShareSlotId>& slots);
+
+} // namespace Pollenwind
--- a/Source/Core/Router/Queries/RouterQueries.cpp
+++ b/Source/Core/Router/Queries/RouterQueries.cpp
@@ -2,6 +2,8 @@
 
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
+
 namespace Pollenwind {
 
 namespace {
@@ -108,9 +110,16 @@
     Json organisations = Json::array();
     for (const auto& it : m_limits.status()) {
         organisations.push_back({ { "organisation", it.organisation.value() }, { "level", it.level },
-            { "outstanding", it.outstanding }, { "borrowed", it.borrowed } });
+            { "outstanding", it.outstanding }, { "borrowed", it.borrowed }, { "slots", it.slots } });
+    }
+    const auto shares = m_limits.shares();
+    Json slots = Json::array();
+    for (const auto& [slot, holder] : shares.record.holders) {
+        slots.push_back({ { "zone", slot.zone.value() }, { "group", slot.group }, { "index", slot.index },
+            { "vm", holder.vm.value() },
+            { "used_here", std::find(shares.used.begin(), shares.used.end(), slot) != shares.used.end() } });
     }
-    co_return Json { { "organisations", organisations } }.dump();
+    co_return Json { { "organisations", organisations }, { "slots", slots } }.dump();
 }
 
 TimelineQuery::TimelineQuery(const TimelineQueries& timeline)
--- a/Source/Core/Router/Router.cpp
+++ b/Source/Core/Router/Router.cpp
@@ -8,13 +8,14 @@
 #include "Http/AdminFrontEnd.h"
 #include "Http/CallerFrontEnd.h"
 #include "Keys/KeyTable.h"
-#include "Limits/LocalLimiter.h"
+#include "Limits/FleetLimiter.h"
 #include "Metrics/MetricTable.h"
 #include "Placement/RendezvousPolicy.h"
 #include "Platform/EtcdGatewayClient.h"
 #include "Router/Commands/RouterCommands.h"
 #include "Router/HealthMonitor.h"
 #include "Router/Queries/RouterQueries.h"
+#include "Router/ShareKeeper.h"
 #include "Router/StoreSync.h"
 #include "Timeline/Timeline.h"
 #include "Upstream/HttpUpstreamClient.h"
@@ -39,6 +40,16 @@
         void noteIncarnation(const UpstreamId&, Incarnation) override { }
     };
 
+    /// Stands in until peer links carry grants.
+    class NoGrantTransport final : public GrantTransport {
+    public:
+        Task<Outcome<GrantReply>> requestGrant(VmId, GrantRequest) override
+        {
+            co_return fail(ErrorCode::ConnectFailed, "no peer link");
+        }
+        void settleGrant(const VmId&, const GrantSettlement&) override { }
+    };
+
     DispatchTimeouts toTimeouts(const Settings& settings)
     {
         return { settings.rateWaitLimit, settings.firstTokenTimeout, settings.tokenGapTimeout };
@@ -54,11 +65,14 @@
         , timeline(clock, settings.vm.value() + "/" + std::to_string(identity.incarnation.value()))
         , configuration(timeline)
         , keys(clock, timeline, settings.keysUnconfirmedLimit)
-        , limits(clock, configuration)
+        , limitTable(clock, configuration, settings.vm, settings.zone)
+        , limits(executor, clock, limitTable, grantTransport, metrics)
         , upstreams(configuration, timeline, cache)
         , upstreamClient(executor, settings.connectTimeout)
         , store(executor, settings.store, { settings.storeCallTimeout }, metrics)
         , storeSync({ clock, store, configuration, keys, timeline, metrics })
+        , shareKeeper({ clock, store, store, configuration, limitTable, timeline },
+              { settings.vm, settings.zone, identity.incarnation, settings.listenPeers })
         , health(executor, upstreams, upstreams, upstreamClient, settings.healthInterval)
         , dispatch { clock, configuration, keys, limits, placement, cache, upstreams, upstreams, metrics, settings.zone,
             toTimeouts(settings) }
@@ -71,7 +85,7 @@
         , statusQuery(identity, configuration, keys, storeSync, metrics)
         , servicesQuery(configuration, upstreams)
         , keysQuery(keys)
-        , limitsQuery(limits)
+        , limitsQuery(limitTable)
         , timelineQuery(timeline)
         , applyCommand(store, store, configuration)
         , keyCommand(store, store, keys)
@@ -92,13 +106,16 @@
     Timeline timeline;
     ConfigurationTable configuration;
     KeyTable keys;
-    LocalLimiter limits;
+    LimitTable limitTable;
+    NoGrantTransport grantTransport;
+    FleetLimiter limits;
     RendezvousPolicy placement;
     NoCacheKnowledge cache;
     UpstreamTable upstreams;
     HttpUpstreamClient upstreamClient;
     EtcdGatewayClient store;
     StoreSync storeSync;
+    ShareKeeper shareKeeper;
     HealthMonitor health;
     DispatchContext dispatch;
     CompletionDispatcher completions;
@@ -169,6 +186,8 @@
     asio::co_spawn(parts.executor, parts.storeSync.followRecords(), asio::detached);
     asio::co_spawn(parts.executor, parts.storeSync.probeRevision(), asio::detached);
     asio::co_spawn(parts.executor, parts.followConfiguration(), asio::detached);
+    asio::co_spawn(parts.executor, parts.shareKeeper.run(), asio::detached);
+    asio::co_spawn(parts.executor, parts.limits.sweepAccounts(), asio::detached);
     return {};
 }
 
@@ -207,6 +226,7 @@
         co_await sleepFor(drainCheck);
     }
     cutRequests = callerFrontEnd.runningRequests();
+    co_await shareKeeper.release();
     metrics.count(Counter::ShutdownCuts, cutRequests);
     timeline.record(EventKind::ProcessStopped, { { "cut_requests", std::to_string(cutRequests) } });
     isStopped = true;
--- /dev/null
+++ b/Source/Core/Router/ShareKeeper.cpp
@@ -0,0 +1,171 @@
+#include "Router/ShareKeeper.h"
+
+#include "Common/Digest.h"
+#include "Common/Sleep.h"
+#include "Router/StoreKeys.h"
+#include "Router/StoreRecords.h"
+
+#include <algorithm>
+
+namespace Pollenwind {
+
+namespace {
+
+    /// At 380 VMs a read of the record and of the list every 10 s costs 76 calls a second.
+    constexpr std::chrono::milliseconds steadyInterval { 10'000 };
+    /// Used while the record changes or this VM has no slot.
+    constexpr std::chrono::milliseconds changingInterval { 1000 };
+    constexpr int releaseAttempts = 3;
+
+    std::chrono::milliseconds jittered(std::chrono::milliseconds interval)
+    {
+        return interval / 2 + std::chrono::milliseconds(randomBits() % static_cast<std::uint64_t>(interval.count()));
+    }
+
+    std::string describe(const ShareSlotId& slot)
+    {
+        return slot.zone.value() + "/" + std::to_string(slot.group) + "/" + std::to_string(slot.index);
+    }
+
+} // namespace
+
+ShareKeeper::ShareKeeper(ShareKeeperContext context, ShareCandidate self)
+    : m_context(context)
+    , m_self(std::move(self))
+{
+}
+
+Task<> ShareKeeper::run()
+{
+    while (!m_isStopping) {
+        const auto revision = m_revision;
+        const bool isRead = co_await refresh();
+        const bool isSteady = isRead && m_revision == revision && !m_used.empty() && m_givenUp.empty();
+        co_await sleepFor(jittered(isSteady ? steadyInterval : changingInterval));
+    }
+}
+
+Task<bool> ShareKeeper::refresh()
+{
+    co_await readList();
+    const auto stored = co_await readRecord();
+    if (!stored || m_isStopping) {
+        co_return false;
+    }
+    if (auto next = chooseChange(*stored)) {
+        co_await write(*stored, std::move(*next));
+    }
+    co_return true;
+}
+
+Task<> ShareKeeper::readList()
+{
+    const auto list = co_await m_context.storeQueries.listVms();
+    if (!list) {
+        co_return;
+    }
+    std::vector<ShareListEntry> vms;
+    for (const auto& it : list->vms) {
+        vms.push_back({ it.vm, it.zone, it.peers, it.state == ListedVmState::Leaving });
+    }
+    m_evidence.noteList(list->revision, std::move(vms));
+}
+
+Task<std::optional<ShareKeeper::Stored>> ShareKeeper::readRecord()
+{
+    const auto range = co_await m_context.storeQueries.read(std::string(StoreKeys::shares));
+    if (!range) {
+        co_return std::nullopt;
+    }
+    if (range->entries.empty()) {
+        const auto configuration = m_context.configuration.current();
+        // A record that was there once and is missing now is a stale read or an operator's fault; neither frees slots.
+        if (m_revision > 0 || configuration->document.zones.empty()) {
+            co_return std::nullopt;
+        }
+        co_return Stored { { { 1, configuration->document.zones, 1 }, {} }, 0 };
+    }
+    const auto& entry = range->entries.front();
+    auto record = decodeShareRecord(entry.value);
+    if (!record || entry.modRevision < m_revision) {
+        co_return std::nullopt;
+    }
+    adopt(*record, entry.modRevision);
+    co_return Stored { std::move(*record), entry.modRevision };
+}
+
+std::optional<ShareRecord> ShareKeeper::chooseChange(const Stored& stored)
+{
+    if (const auto surplus = surplusSlot(stored.record, m_self, m_evidence)) {
+        m_givenUp.insert(*surplus);
+        adopt(stored.record, stored.revision);
+    }
+    if (!m_givenUp.empty()) {
+        return releaseSlots(stored.record, m_self, m_givenUp);
+    }
+    return claimSlots(stored.record, m_self, m_evidence, m_context.clock.wallNow());
+}
+
+Task<bool> ShareKeeper::write(const Stored& stored, ShareRecord next)
+{
+    const auto swapped = co_await m_context.storeCommands.compareAndSwap(
+        std::string(StoreKeys::shares), stored.revision, encodeShareRecord(next), {});
+    // After a lost answer or a lost race the next read tells what holds.
+    if (!swapped || !swapped->isSwapped) {
+        co_return false;
+    }
+    adopt(next, swapped->revision);
+    co_return true;
+}
+
+void ShareKeeper::adopt(const ShareRecord& record, std::int64_t revision)
+{
+    if (revision < m_revision) {
+        return;
+    }
+    const auto held = slotsOf(record, m_self);
+    std::erase_if(m_givenUp, [&](const ShareSlotId& slot) { return !held.contains(slot); });
+    std::set<ShareSlotId> used;
+    if (!m_isStopping) {
+        std::set_difference(
+            held.begin(), held.end(), m_givenUp.begin(), m_givenUp.end(), std::inserter(used, used.end()));
+    }
+    const bool isChanged = used != m_used || m_record != record;
+    for (const auto& slot : used) {
+        if (!m_used.contains(slot)) {
+            m_context.timeline.record(EventKind::ShareTaken, { { "slot", describe(slot) } });
+        }
+    }
+    for (const auto& slot : m_used) {
+        if (!used.contains(slot)) {
+            m_context.timeline.record(EventKind::ShareReleased, { { "slot", describe(slot) } });
+        }
+    }
+    m_revision = revision;
+    m_record = record;
+    m_used = std::move(used);
+    if (isChanged) {
+        m_context.shares.adoptShares(record, m_used);
+    }
+}
+
+Task<> ShareKeeper::release()
+{
+    m_isStopping = true;
+    if (!m_record) {
+        co_return;
+    }
+    adopt(*m_record, m_revision);
+    for (int i = 0; i < releaseAttempts; ++i) {
+        const auto stored = co_await readRecord();
+        auto next = stored ? releaseSlots(stored->record, m_self, slotsOf(stored->record, m_self)) : std::nullopt;
+        if (stored && !next) {
+            co_return;
+        }
+        if (next && co_await write(*stored, std::move(*next))) {
+            co_return;
+        }
+    }
+}
+
+} // namespace Pollenwind
--- /dev/null
+++ b/Source/Core/Router/ShareKeeper.h
@@ -0,0 +1,71 @@
+#pragma once
+
+#include "Common/Clock.h"
+#include "Config/Queries/ConfigurationQueries.h"
+#include "Limits/Commands/ShareCommands.h"
+#include "Limits/ShareDecisions.h"
+#include "Platform/Commands/StoreCommands.h"
+#include "Platform/Queries/StoreQueries.h"
+#include "Timeline/Commands/TimelineCommands.h"
+
+namespace Pollenwind {
+
+/// What the share keeper works with. All references must outlive it.
+struct ShareKeeperContext {
+    const Clock& clock;
+    StoreCommands& storeCommands;
+    StoreQueries& storeQueries;
+    const ConfigurationQueries& configuration;
+    ShareCommands& shares;
+    TimelineCommands& timeline;
+};
+
+/// Holds this VM's slots in the allocation record of the platform's store. Slots in use stay in use when the store is
+/// down. Start it only after the peer port was bound, since that is the proof that earlier processes at this address
+/// have ended.
+class ShareKeeper {
+public:
+    ShareKeeper(ShareKeeperContext context, ShareCandidate self);
+
+    /// Follows the record and claims or gives up slots, until the process ends.
+    Task<> run();
+
+    /// Reads the record and makes one change if one is due.
+    /// @return Whether the record was read.
+    Task<bool> refresh();
+
+    /// Stops using all slots and writes their release, for a graceful shutdown. When the store is down, the slots stay
+    /// in the record until the death of this process is proven in another way.
+    Task<> release();
+
+    /// Takes note of a peer's incarnation at its address.
+    void noteIncarnation(const Endpoint& peers, Incarnation incarnation, WallTime startedAt)
+    {
+        m_evidence.noteIncarnation(peers, incarnation, startedAt);
+    }
+
+private:
+    struct Stored {
+        ShareRecord record;
+        std::int64_t revision = 0;
+    };
+
+    Task<> readList();
+    Task<std::optional<Stored>> readRecord();
+    std::optional<ShareRecord> chooseChange(const Stored& stored);
+    Task<bool> write(const Stored& stored, ShareRecord next);
+    void adopt(const ShareRecord& record, std::int64_t revision);
+
+    ShareKeeperContext m_context;
+    ShareCandidate m_self;
+    HolderEvidence m_evidence;
+    std::optional<ShareRecord> m_record;
+    std::int64_t m_revision = 0;
+    std::set<ShareSlotId> m_used;
+    /// Slots that are no longer used and whose release is not confirmed. A record that still shows them as held, e.g.
+    /// after a lost answer, does not bring them back.
+    std::set<ShareSlotId> m_givenUp;
+    bool m_isStopping = false;
+};
+
+} // namespace Pollenwind
--- a/Source/Core/Router/StoreKeys.h
+++ b/Source/Core/Router/StoreKeys.h
@@ -12,6 +12,7 @@
 inline constexpr std::string_view shared = "/pollenwind/shared/";
 inline constexpr std::string_view configuration = "/pollenwind/shared/config";
 inline constexpr std::string_view keys = "/pollenwind/shared/keys/";
+inline constexpr std::string_view shares = "/pollenwind/shared/shares";
 /// Never written; a read of it tells the store's revision at little cost.
 inline constexpr std::string_view probe = "/pollenwind/probe";
 
--- a/Source/Core/Router/StoreRecords.cpp
+++ b/Source/Core/Router/StoreRecords.cpp
@@ -58,4 +58,52 @@
     return KeyRecord { *digest, OrganisationId(readString(json, "organisation")), *state };
 }
 
+std::string encodeShareRecord(const ShareRecord& record)
+{
+    Json zones = Json::array();
+    for (const auto& zone : record.layout.zones) {
+        zones.push_back(zone.value());
+    }
+    Json slots = Json::array();
+    for (const auto& [slot, holder] : record.holders) {
+        slots.push_back({ { "zone", slot.zone.value() }, { "group", slot.group }, { "index", slot.index },
+            { "vm", holder.vm.value() }, { "incarnation", holder.incarnation.value() },
+            { "peers", holder.peers.toString() }, { "since_ns", holder.since.count() } });
+    }
+    return Json {
+        { "layout", { { "number", record.layout.number }, { "zones", zones }, { "groups", record.layout.groups } } },
+        { "slots", slots }
+    }.dump();
+}
+
+Outcome<ShareRecord> decodeShareRecord(std::string_view text)
+{
+    // Fields of a wrong type raise nlohmann exceptions, which end here.
+    try {
+        const auto json = Json::parse(text);
+        ShareRecord record;
+        const auto& layout = json.at("layout");
+        record.layout.number = layout.at("number").get<std::uint32_t>();
+        record.layout.groups = layout.at("groups").get<std::uint32_t>();
+        for (const auto& zone : layout.at("zones")) {
+            record.layout.zones.emplace_back(zone.get<std::string>());
+        }
+        for (const auto& it : json.at("slots")) {
+            const ShareSlotId slot { ZoneId(it.at("zone").get<std::string>()), it.at("group").get<std::uint32_t>(),
+                it.at("index").get<std::uint32_t>() };
+            auto peers = parseEndpoint(it.at("peers").get<std::string>());
+            if (!peers || slot.group >= record.layout.groups || slot.index >= ShareLayout::slotsPerGroup) {
+                return fail(ErrorCode::Malformed, "the allocation record is damaged");
+            }
+            record.holders.emplace(slot,
+                ShareHolder { VmId(it.at("vm").get<std::string>()),
+                    Incarnation(it.at("incarnation").get<std::uint64_t>()), std::move(*peers),
+                    WallTime(it.at("since_ns").get<std::int64_t>()) });
+        }
+        return record;
+    } catch (const Json::exception&) {
+        return fail(ErrorCode::Malformed, "the allocation record is damaged");
+    }
+}
+
 } // namespace Pollenwind
--- a/Source/Core/Router/StoreRecords.h
+++ b/Source/Core/Router/StoreRecords.h
@@ -2,6 +2,7 @@
 
 #include "Common/Error.h"
 #include "Keys/KeyTypes.h"
+#include "Limits/ShareTypes.h"
 
 #include <string>
 #include <string_view>
@@ -30,4 +31,7 @@
 /// @param digestHex Last part of the record's store key.
 Outcome<KeyRecord> decodeKeyRecord(std::string_view digestHex, std::string_view text);
 
+std::string encodeShareRecord(const ShareRecord& record);
+Outcome<ShareRecord> decodeShareRecord(std::string_view text);
+
 } // namespace Pollenwind
