Ask for grants in whole tokens and don't wait for a full bucket to refill

Cause: grants that added up to a rounding error less than a request left it waiting, and a VM with a full own bucket waited for a refill that could not come.

--- a/Source/Core/Limits/BorrowDecisions.cpp
+++ b/Source/Core/Limits/BorrowDecisions.cpp
@@ -1,6 +1,7 @@
 #include "Limits/LimitTable.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace Pollenwind {
 
@@ -73,13 +74,21 @@
                                : most;
 }
 
+double LimitTable::tokensAhead(const LimitAccount& account, MonotonicTime now) const
+{
+    return account.demand.isRecurring(now) ? std::min(account.demand.rate(now), account.rate) * horizonSeconds(account)
+                                           : 0;
+}
+
 double LimitTable::missingTokens(const LimitAccount& account, MonotonicTime now) const
 {
     const double horizon = horizonSeconds(account);
-    const double ahead = std::min(account.demand.rate(now), account.rate) * horizon;
+    const double ahead = tokensAhead(account, now);
     const double waiting = account.waiting();
     const double available = account.bucket.level() + account.borrowed() + account.requested;
-    const double missing = waiting + ahead - available - account.bucket.limits().rate * horizon;
+    // A full bucket refills no further, however long the request waits.
+    const double refill = std::clamp(account.bucket.limits().rate * horizon, 0.0, std::max(0.0, account.bucket.room()));
+    const double missing = waiting + ahead - available - refill;
     // Ordering only when half of the horizon is gone halves the messages.
     return missing > ahead / 2 || (waiting > available && missing > 0) ? missing : 0;
 }
@@ -97,10 +106,12 @@
         return a->isOwnZone != b->isOwnZone ? a->isOwnZone
                                             : expectedLevel(account, *a, now) > expectedLevel(account, *b, now);
     });
-    // The fewest lenders that hold twice what is missing, so that none is drained for a small order.
+    // The fewest lenders that hold twice what is missing, so that a lender is not drained by a steady demand. A single
+    // request takes the fewest messages.
+    const double wanted = account.demand.isRecurring(now) ? 2 * missing : missing;
     double sum = 0;
     std::size_t n = 0;
-    while (n < candidates.size() && sum < 2 * missing) {
+    while (n < candidates.size() && sum < wanted) {
         sum += expectedLevel(account, *candidates[n++], now);
     }
     candidates.resize(n);
@@ -123,7 +134,8 @@
     std::vector<BorrowOrder> orders;
     for (auto* lender : lenders) {
         const double expected = expectedLevel(*account, *lender, now);
-        const double tokens = std::min(expected, missing * expected / sum);
+        // Whole tokens, since parts that add up to a rounding error less than a request would leave it waiting.
+        const double tokens = std::ceil(std::min(expected, missing * expected / sum));
         lender->isAsked = true;
         account->requested += tokens;
         orders.push_back({ lender->vm, { organisation, tokens }, now });
@@ -167,7 +179,7 @@
 
 void LimitTable::returnSurplus(LimitAccount& account, MonotonicTime now)
 {
-    const double ahead = std::min(account.demand.rate(now), account.rate) * horizonSeconds(account);
+    const double ahead = tokensAhead(account, now);
     double surplus = account.borrowed() + account.bucket.level() - account.waiting() - 1.25 * ahead;
     std::erase_if(account.grants, [&](const BorrowedGrant& grant) {
         const bool isSurplus = now >= grant.sentAt + surplusAge && grant.left <= surplus;
--- a/Source/Core/Limits/LimitAccount.h
+++ b/Source/Core/Limits/LimitAccount.h
@@ -41,20 +41,29 @@
 public:
     void note(MonotonicTime now, double tokens)
     {
-        m_rate = rate(now) + tokens / averagingSeconds;
+        const double kept = decay(now);
+        m_rate = m_rate * kept + tokens / averagingSeconds;
+        m_requests = m_requests * kept + 1;
         m_at = now;
     }
 
+    /// @return Whether there was more than a single recent request. Borrowing ahead for single requests would multiply
+    /// the messages of organisations that send seldom to each of many VMs.
+    bool isRecurring(MonotonicTime now) const { return m_requests * decay(now) > 1; }
+
     /// @return Tokens a second.
-    double rate(MonotonicTime now) const
-    {
-        return m_rate * std::exp(-std::chrono::duration<double>(now - m_at).count() / averagingSeconds);
-    }
+    double rate(MonotonicTime now) const { return m_rate * decay(now); }
 
 private:
     static constexpr double averagingSeconds = 0.5;
 
+    double decay(MonotonicTime now) const
+    {
+        return std::exp(-std::chrono::duration<double>(now - m_at).count() / averagingSeconds);
+    }
+
     double m_rate = 0;
+    double m_requests = 0;
     MonotonicTime m_at { 0 };
 };
 
--- a/Source/UnitTests/Limits/FleetSimulation.cpp
+++ b/Source/UnitTests/Limits/FleetSimulation.cpp
@@ -39,16 +39,21 @@
 FleetSimulation::FleetSimulation(SimulationOptions options)
     : m_options(options)
     , m_random(options.seed)
+    , m_vms(options.zones * ShareLayout::slotsPerGroup + options.vmsWithoutSlots)
+    , m_isolated(options.zones)
 {
-    m_record.layout.zones = { zoneName(0), zoneName(1), zoneName(2) };
+    for (std::size_t i = 0; i < options.zones; ++i) {
+        m_record.layout.zones.push_back(zoneName(i));
+    }
     m_rates.push_back({ 0, options.rate, options.burst });
     if (options.isolatedZone >= 0) {
         m_isolated.at(static_cast<std::size_t>(options.isolatedZone)) = true;
     }
-    for (std::size_t i = 0; i < vmCount; ++i) {
-        m_record.holders[{ zoneName(i % zoneCount), 0, static_cast<std::uint32_t>(i / zoneCount) }].vm = vmName(i);
+    for (std::size_t i = 0; i < options.zones * ShareLayout::slotsPerGroup; ++i) {
+        m_record.holders[{ zoneName(i % options.zones), 0, static_cast<std::uint32_t>(i / options.zones) }].vm
+            = vmName(i);
     }
-    for (std::size_t i = 0; i < vmCount; ++i) {
+    for (std::size_t i = 0; i < m_vms.size(); ++i) {
         m_vms[i].drift = uniform(-largestDrift, largestDrift);
         m_vms[i].settings.configuration = makeConfiguration(options.rate, options.burst);
         m_vms[i].clock.advance(std::chrono::milliseconds(static_cast<int>(uniform(0, 5000))));
@@ -100,7 +105,8 @@
 
 bool FleetSimulation::isConnected(std::size_t a, std::size_t b) const
 {
-    return a % zoneCount == b % zoneCount || (!m_isolated[a % zoneCount] && !m_isolated[b % zoneCount]);
+    return a % m_options.zones == b % m_options.zones
+        || (!m_isolated[a % m_options.zones] && !m_isolated[b % m_options.zones]);
 }
 
 double FleetSimulation::messageDelay()
@@ -113,7 +119,7 @@
     auto& it = m_vms[vm];
     syncClock(it);
     const auto make = [&]<typename Table>() {
-        it.table = std::make_unique<Table>(it.clock, it.settings, vmName(vm), zoneName(vm % zoneCount));
+        it.table = std::make_unique<Table>(it.clock, it.settings, vmName(vm), zoneName(vm % m_options.zones));
     };
     m_options.ignoresExpiry ? make.operator()<NoExpiryTable>() : make.operator()<LimitTable>();
     it.waiting.clear();
@@ -153,7 +159,7 @@
     const double factor = uniform(0.3, 2);
     m_rates.push_back({ m_now, m_options.rate * factor, m_options.burst * factor });
     const auto next = makeConfiguration(m_options.rate * factor, m_options.burst * factor);
-    for (std::size_t i = 0; i < vmCount; ++i) {
+    for (std::size_t i = 0; i < m_vms.size(); ++i) {
         // Also for VMs that are down or paused: they start with the latest configuration.
         at(m_now + uniform(0, adoptSeconds), [this, i, next] { m_vms[i].settings.configuration = next; });
     }
@@ -187,9 +193,9 @@
     if (shape == LoadShape::Even) {
         vm = anyVm();
     } else if (shape == LoadShape::OneZone) {
-        vm = zoneCount * (m_random() % (vmCount / zoneCount)) + m_options.loadedVm % zoneCount;
+        vm = m_options.zones * (m_random() % (m_vms.size() / m_options.zones)) + m_options.loadedVm % m_options.zones;
     } else if (shape == LoadShape::Hopping) {
-        vm = (static_cast<std::size_t>(m_now) * 4) % vmCount;
+        vm = (static_cast<std::size_t>(m_now) * 4) % m_vms.size();
     }
     while (!m_vms[vm].isUp) {
         vm = anyVm();
@@ -313,7 +319,7 @@
         m_vms[vm].pausedUntil = m_now + uniform(0.3, 5);
     });
     repeatFault(m_options.partitionEvery, [this] {
-        const auto zone = m_random() % zoneCount;
+        const auto zone = m_random() % m_options.zones;
         m_isolated[zone] = true;
         at(m_now + uniform(0.5, 8), [this, zone] { m_isolated[zone] = false; });
     });
--- a/Source/UnitTests/Limits/FleetSimulation.h
+++ b/Source/UnitTests/Limits/FleetSimulation.h
@@ -50,6 +50,9 @@
     double messageDelayed = 0;
     /// Zone that is cut off for the whole run, or -1.
     int isolatedZone = -1;
+    /// Zones with three VMs each that hold slots, and VMs without slots.
+    std::size_t zones = 3;
+    std::size_t vmsWithoutSlots = 0;
     /// VM that gets the load of LoadShape::OneVm.
     std::size_t loadedVm = 0;
     /// Breaks the check of grant expiry, to see that the simulation notices.
@@ -70,17 +73,14 @@
     }
 };
 
-/// 9 VMs in 3 zones with one organisation, in virtual time. Clocks drift by up to 0.9%; a paused VM does nothing while
-/// its clock goes on. Faults and load come from the seed alone.
+/// A fleet (9 VMs in 3 zones unless the options say otherwise) with one organisation, in virtual time. Clocks drift by
+/// up to 0.9%; a paused VM does nothing while its clock goes on. Faults and load come from the seed alone.
 class FleetSimulation {
 public:
     explicit FleetSimulation(SimulationOptions options);
     SimulationResult run();
 
 private:
-    static constexpr std::size_t vmCount = 9;
-    static constexpr std::size_t zoneCount = 3;
-
     struct Settings final : ConfigurationQueries {
         std::shared_ptr<const Configuration> configuration;
         std::shared_ptr<const Configuration> current() const override { return configuration; }
@@ -117,7 +117,7 @@
 
     double uniform(double low, double high) { return std::uniform_real_distribution<double>(low, high)(m_random); }
     double exponential(double mean) { return std::exponential_distribution<double>(1 / mean)(m_random); }
-    std::size_t anyVm() { return m_random() % vmCount; }
+    std::size_t anyVm() { return m_random() % m_vms.size(); }
     void at(double time, std::function<void()> action);
     void onVm(std::size_t vm, double time, std::function<void()> action);
     void repeatFault(double every, std::function<void()> fault);
@@ -147,9 +147,9 @@
     double m_now = 0;
     std::uint64_t m_order = 0;
     std::priority_queue<Event> m_events;
-    std::array<Vm, vmCount> m_vms;
+    std::vector<Vm> m_vms;
     ShareRecord m_record;
-    std::array<bool, zoneCount> m_isolated {};
+    std::vector<bool> m_isolated;
     std::vector<RateChange> m_rates;
     std::vector<Admitted> m_admitted;
     SimulationResult m_result;
--- a/Source/UnitTests/Limits/FleetSimulationTests.cpp
+++ b/Source/UnitTests/Limits/FleetSimulationTests.cpp
@@ -65,10 +65,18 @@
 }
 
 // Guards against a simulation that cannot fail: with the expiry of grants switched off, it must see too many tokens.
-// Of the seeds 1 to 100, these are caught: 9, 18, 61, 73, 74, 85, 96.
+// Which seeds catch it depends on the decisions; a long run prints them all.
 Test(FleetSimulation, noticesGrantsWithoutExpiry)
 {
-    auto options = pausedFleet(9);
+    for (std::uint64_t seed = 1; seed <= seedCount(0); ++seed) {
+        auto options = pausedFleet(seed);
+        options.ignoresExpiry = true;
+        const double excess = FleetSimulation(options).run().excess;
+        if (excess > 0.01) {
+            std::printf("without expiry, seed %lu: %.0f tokens over rate x t + burst\n", seed, excess);
+        }
+    }
+    auto options = pausedFleet(80);
     cr_expect(FleetSimulation(options).run().excess <= 0.01);
     options.ignoresExpiry = true;
     cr_expect(FleetSimulation(options).run().excess > 0.01);
--- a/Source/UnitTests/Limits/LimitFigures.cpp
+++ b/Source/UnitTests/Limits/LimitFigures.cpp
@@ -6,6 +6,8 @@
 #include <cstdio>
 #include <cstdlib>
 
+#include <malloc.h>
+
 using namespace Pollenwind;
 
 namespace {
@@ -45,7 +47,7 @@
     const char* text = std::getenv("POLLENWIND_FIGURE_SEEDS");
     const std::uint64_t seeds = text == nullptr ? 1 : std::strtoull(text, nullptr, 10);
     SimulationOptions options;
-    options.durationSeconds = text == nullptr ? 12 : 120;
+    options.durationSeconds = text == nullptr ? 9 : 120;
     for (const auto shape : { LoadShape::Even, LoadShape::OneVm, LoadShape::OneZone, LoadShape::Hopping }) {
         options.shape = shape;
         options.restartEvery = 0;
@@ -70,3 +72,90 @@
     }
     cr_assert(seeds > 0);
 }
+
+// Prints messages for each organisation and second by the size of the fleet. The last rows are the average organisation
+// of the target: 313 tokens and 1.2 requests a second, at half of its
+// rate, 380 VMs. Guards as above.
+Test(LimitFigures, messagesBySize)
+{
+    const char* text = std::getenv("POLLENWIND_FIGURE_SEEDS");
+    const std::uint64_t seeds = text == nullptr ? 1 : std::strtoull(text, nullptr, 10);
+    SimulationOptions options;
+    options.durationSeconds = text == nullptr ? 1 : 60;
+    for (const std::size_t zones : { 3, 6, 15 }) {
+        options.zones = zones;
+        for (const auto shape : { LoadShape::Even, LoadShape::OneVm, LoadShape::OneZone }) {
+            options.shape = shape;
+            print((std::to_string(zones * ShareLayout::slotsPerGroup) + " VMs").c_str(), options, seeds);
+        }
+    }
+    options.shape = LoadShape::Even;
+    options.vmsWithoutSlots = 335;
+    options.rate = 626;
+    options.load = 0.5;
+    options.meanRequest = 267;
+    options.durationSeconds = text == nullptr ? 1 : 240;
+    for (const double burst : { 6000, 12000, 36000 }) {
+        options.burst = burst;
+        print(("380 VMs, burst " + std::to_string(static_cast<int>(burst))).c_str(), options, seeds);
+    }
+    cr_assert(seeds > 0);
+}
+
+namespace {
+
+struct ManyOrganisations final : ConfigurationQueries {
+    explicit ManyOrganisations(std::size_t n)
+    {
+        auto next = std::make_shared<Configuration>();
+        for (std::size_t i = 0; i < n; ++i) {
+            const OrganisationId id("organisation-" + std::to_string(i));
+            next->document.organisations[id] = { id, 350, 7000 };
+        }
+        configuration = next;
+    }
+    std::shared_ptr<const Configuration> current() const override { return configuration; }
+    std::shared_ptr<const Configuration> configuration;
+};
+
+double heapBytes() { return static_cast<double>(mallinfo2().uordblks); }
+
+void printMemory(std::size_t n, std::size_t zones)
+{
+    const ManyOrganisations configuration(n);
+    ManualClock clock;
+    LimitTable table(clock, configuration, VmId("vm0"), ZoneId("zone0"));
+    ShareRecord record;
+    for (std::size_t i = 0; i < zones * ShareLayout::slotsPerGroup; ++i) {
+        const ZoneId zone("zone" + std::to_string(i % zones));
+        record.layout.zones.resize(zones, zone);
+        record.holders[{ zone, 0, static_cast<std::uint32_t>(i / zones) }].vm = VmId("vm" + std::to_string(i));
+    }
+    table.adoptShares(record, { { ZoneId("zone0"), 0, 0 } });
+    clock.advance(std::chrono::hours(1));
+    const double idle = heapBytes();
+    for (const auto& [id, spec] : configuration.configuration->document.organisations) {
+        const auto waiter = table.enqueue(id, 10, clock.now());
+        cr_assert(table.poll(id, *waiter).has_value());
+    }
+    const double active = heapBytes();
+    for (int i = 0; i < 20; ++i) {
+        clock.advance(std::chrono::seconds(10));
+        table.sweep();
+    }
+    cr_assert_eq(table.accountCount(), 0U);
+    std::printf("%6zu organisations, %2zu lenders: %6.0f bytes for each active one; idle again: %zu accounts\n", n,
+        zones * ShareLayout::slotsPerGroup - 1, (active - idle) / static_cast<double>(n), table.accountCount());
+}
+
+} // namespace
+
+// Prints bytes for each active organisation, reservation included. Guards against state of organisations that are idle.
+// Under AddressSanitizer the heap statistics are 0.
+Test(LimitFigures, memoryByOrganisations)
+{
+    for (const std::size_t n : { 1000, 5000, 23000 }) {
+        printMemory(n, 3);
+        printMemory(n, 15);
+    }
+}
