--- a/Source/Core/Limits/LimitAccount.h
+++ b/Source/Core/Limits/LimitAccount.h
@@ -75,10 +75,10 @@
         MonotonicTime deadline { 0 };
     };
 
-    LimitAccount(const OrganisationSpec& spec, TokenBucket first)
+    LimitAccount(const OrganisationSpec& spec, const TokenBucket& first)
         : rate(spec.rate)
         , burst(spec.burst)
-        , bucket(std::move(first))
+        , bucket(first)
     {
     }
 
