--- /dev/null
+++ b/Source/Core/Router/KeyConfirmation.cpp
@@ -0,0 +1,103 @@
+#include "Router/KeyConfirmation.h"
+
+#include <algorithm>
+#include <functional>
+
+namespace Pollenwind {
+
+namespace {
+
+    // Older contacts confirm nothing.
+    constexpr std::chrono::seconds contactRetention { 10 };
+    // A contact of this age confirms the key table as well as a new one.
+    constexpr std::chrono::seconds freshContact { 1 };
+
+} // namespace
+
+KeyConfirmation::KeyConfirmation(const Clock& clock, ZoneId zone, const ConfigurationQueries& configuration,
+    const MembershipQueries& members, KeyCommands& keys)
+    : m_clock(clock)
+    , m_zone(std::move(zone))
+    , m_configuration(configuration)
+    , m_members(members)
+    , m_keys(keys)
+{
+}
+
+void KeyConfirmation::noteHeartbeat(const ZoneId& peerZone, MonotonicTime provenAt, const PeerHeartbeat& heartbeat)
+{
+    if (heartbeat.keyAge < contactRetention) {
+        m_keys.confirm(provenAt - heartbeat.keyAge);
+    }
+    noteContact(peerZone, provenAt);
+    const auto configuration = m_configuration.current();
+    const auto& zones = configuration->document.zones;
+    // Routers with the same revision have the same list of zones.
+    if (heartbeat.revision == configuration->revision && heartbeat.zoneAges.size() == zones.size()) {
+        for (std::size_t i = 0; i < zones.size(); ++i) {
+            if (heartbeat.zoneAges[i] < contactRetention) {
+                noteContact(zones[i], provenAt - heartbeat.zoneAges[i]);
+            }
+        }
+    }
+    confirmByMajority();
+}
+
+void KeyConfirmation::noteContact(const ZoneId& zone, MonotonicTime at)
+{
+    auto& known = m_contacts[zone];
+    known = std::max(known, at);
+}
+
+bool KeyConfirmation::isAloneInZone() const
+{
+    return std::ranges::none_of(m_members.members(),
+        [this](const Member& it) { return it.identity.zone == m_zone && it.state != MemberState::Gone; });
+}
+
+std::optional<MonotonicTime> KeyConfirmation::contactWith(const ZoneId& zone) const
+{
+    const auto it = m_contacts.find(zone);
+    const auto contact = it == m_contacts.end() ? std::nullopt : std::optional(it->second);
+    // Where the own zone has other VMs, one of them must be in contact: a withdrawal counts as having reached a zone
+    // without the VMs that are suspected, and this VM may be one of those.
+    if (zone == m_zone && (!contact || m_clock.now() - *contact > freshContact) && isAloneInZone()) {
+        return m_clock.now();
+    }
+    return contact;
+}
+
+void KeyConfirmation::confirmByMajority()
+{
+    const auto configuration = m_configuration.current();
+    const auto& zones = configuration->document.zones;
+    // With a single zone the own one would always be a majority.
+    if (zones.size() < 2) {
+        return;
+    }
+    std::vector<MonotonicTime> times;
+    for (const auto& zone : zones) {
+        if (const auto contact = contactWith(zone)) {
+            times.push_back(*contact);
+        }
+    }
+    const auto majority = zones.size() / 2 + 1;
+    if (times.size() >= majority) {
+        std::ranges::sort(times, std::greater());
+        m_keys.confirm(times[majority - 1]);
+    }
+}
+
+std::vector<std::chrono::milliseconds> KeyConfirmation::zoneAges() const
+{
+    std::vector<std::chrono::milliseconds> ages;
+    for (const auto& zone : m_configuration.current()->document.zones) {
+        const auto it = m_contacts.find(zone);
+        ages.push_back(it == m_contacts.end()
+                ? zoneNotInContact
+                : std::min(zoneNotInContact, std::chrono::ceil<std::chrono::milliseconds>(m_clock.now() - it->second)));
+    }
+    return ages;
+}
+
+} // namespace Pollenwind
--- a/Source/Core/Router/Router.cpp
+++ b/Source/Core/Router/Router.cpp
@@ -9,14 +9,18 @@
 #include "Http/CallerFrontEnd.h"
 #include "Keys/KeyTable.h"
 #include "Limits/FleetLimiter.h"
+#include "Membership/MembershipTable.h"
 #include "Metrics/MetricTable.h"
 #include "Moves/MoveTable.h"
+#include "Peer/PeerNetwork.h"
 #include "Placement/RendezvousPolicy.h"
 #include "Platform/EtcdGatewayClient.h"
 #include "Router/Commands/MoveAdminCommands.h"
 #include "Router/Commands/RouterCommands.h"
+#include "Router/FleetSync.h"
 #include "Router/HealthMonitor.h"
 #include "Router/MoveDriver.h"
+#include "Router/Queries/MembersQuery.h"
 #include "Router/Queries/MovesQuery.h"
 #include "Router/Queries/RouterQueries.h"
 #include "Router/ShareKeeper.h"
@@ -45,27 +49,36 @@
         void noteIncarnation(const UpstreamId&, Incarnation) override { }
     };
 
-    /// Stands in until peer links carry grants.
-    class NoGrantTransport final : public GrantTransport {
-    public:
-        Task<Outcome<GrantReply>> requestGrant(VmId, GrantRequest) override
-        {
-            co_return fail(ErrorCode::ConnectFailed, "no peer link");
-        }
-        void settleGrant(const VmId&, const GrantSettlement&) override { }
-    };
+    /// After the first valid configuration, time to hear of a higher revision before the router is ready.
+    constexpr std::chrono::milliseconds startWait { 500 };
+
+    VmIdentity toVmIdentity(const Settings& settings, const RouterIdentity& identity, WallTime startedAt)
+    {
+        return { identity.vm, identity.zone, identity.incarnation,
+            std::chrono::duration_cast<std::chrono::microseconds>(startedAt).count(), settings.listenPeers,
+            settings.listenAdmin };
+    }
+
+    PeerOptions toPeerOptions(const Settings& settings)
+    {
+        PeerOptions options;
+        options.secret = settings.clusterSecret;
+        return options;
+    }
 
-    /// The shared records are as fresh as the key table, which is one of them.
-    class KeyFreshness final : public RecordFreshness {
+    /// Age of the move records. Peers pass on keys and the configuration but not these, so that only the store counts.
+    class StoreFreshness final : public RecordFreshness {
     public:
-        explicit KeyFreshness(const KeyQueries& keys)
-            : m_keys(keys)
+        StoreFreshness(const Clock& clock, const StoreSync& store)
+            : m_clock(clock)
+            , m_store(store)
         {
         }
-        std::chrono::nanoseconds age() const override { return m_keys.confirmationAge(); }
+        std::chrono::nanoseconds age() const override { return m_clock.now() - m_store.confirmedAt(); }
 
     private:
-        const KeyQueries& m_keys;
+        const Clock& m_clock;
+        const StoreSync& m_store;
     };
 
     DispatchTimeouts toTimeouts(const Settings& settings)
@@ -76,7 +89,7 @@
 } // namespace
 
 struct Router::Parts {
-    Parts(asio::any_io_executor ex, Settings s)
+    Parts(asio::any_io_executor ex, Settings s, const LinkFaults* faults)
         : executor(std::move(ex))
         , settings(std::move(s))
         , identity { settings.vm, settings.zone, Incarnation(randomBits()) }
@@ -84,13 +97,25 @@
         , configuration(timeline)
         , keys(clock, timeline, settings.keysUnconfirmedLimit)
         , limitTable(clock, configuration, settings.vm, settings.zone)
-        , limits(executor, clock, limitTable, grantTransport, metrics)
+        , limits(executor, clock, limitTable, grants, metrics)
         , upstreams(configuration, timeline, cache)
         , upstreamClient(executor, settings.connectTimeout)
         , store(executor, settings.store, { settings.storeCallTimeout }, metrics)
-        , freshness(keys)
+        , vm(toVmIdentity(settings, identity, clock.wallNow()))
+        , members(clock, timeline, vm.vm)
+        , peers(executor, { clock, metrics, timeline, faults ? *faults : noFaults, fleetSync }, vm,
+              toPeerOptions(settings))
+        , repair(store, store, keys)
+        , keySpread({ executor, clock, vm.vm, vm.zone, configuration, keys, keys, keys, members, repair }, peers, peers)
+        , confirmation(clock, vm.zone, configuration, members, keys)
+        , grants(executor, clock, peers, members)
+        , fleetSync({ clock, configuration, configuration, keys, keys, members, members, keySpread, confirmation,
+                        grants, limitTable, store, store, timeline, peers, peers },
+              { settings.seedPeers, settings.storeStartJitter })
+        , freshness(clock, storeSync)
         , moves(clock, freshness, judge, timeline)
-        , storeSync({ clock, store, configuration, keys, moves, timeline, metrics })
+        , storeSync(
+              { clock, store, configuration, keySpread, moves, timeline, metrics, repair, settings.storeStartJitter })
         , shareKeeper({ clock, store, store, configuration, limitTable, timeline },
               { settings.vm, settings.zone, identity.incarnation, settings.listenPeers, clock.wallNow() })
         , health(executor, upstreams, upstreams, upstreamClient, settings.healthInterval)
@@ -106,11 +131,12 @@
         , adminServer(executor, adminFrontEnd, settings.httpLimits)
         , statusQuery(identity, configuration, keys, storeSync, metrics)
         , servicesQuery(configuration, upstreams)
+        , membersQuery(vm, configuration, members, peers)
         , keysQuery(keys)
         , limitsQuery(limitTable)
         , timelineQuery(timeline)
         , applyCommand(store, store, configuration)
-        , keyCommand(store, store, keys)
+        , keyCommand(store, store, keySpread, keys, keySpread)
         , movesQuery(moves)
         , moveStartCommand(clock, configuration, store, store, moves)
         , moveCancelCommand(clock, store, store, moves)
@@ -119,6 +145,7 @@
     }
 
     Task<> followConfiguration();
+    Task<> becomeReady();
     Task<> drain();
     void startShutdown();
     void registerAdminCalls();
@@ -132,14 +159,22 @@
     ConfigurationTable configuration;
     KeyTable keys;
     LimitTable limitTable;
-    NoGrantTransport grantTransport;
     FleetLimiter limits;
     RendezvousPolicy placement;
     NoCacheKnowledge cache;
     UpstreamTable upstreams;
     HttpUpstreamClient upstreamClient;
     EtcdGatewayClient store;
-    KeyFreshness freshness;
+    VmIdentity vm;
+    NoLinkFaults noFaults;
+    MembershipTable members;
+    PeerNetwork peers;
+    WithdrawalRepair repair;
+    KeySpread keySpread;
+    KeyConfirmation confirmation;
+    GrantExchange grants;
+    FleetSync fleetSync;
+    StoreFreshness freshness;
     SequentialJudge judge;
     StepPlanner planner;
     MoveTable moves;
@@ -158,6 +193,7 @@
 
     StatusQuery statusQuery;
     ServicesQuery servicesQuery;
+    MembersQuery membersQuery;
     KeysQuery keysQuery;
     LimitsQuery limitsQuery;
     TimelineQuery timelineQuery;
@@ -169,12 +205,13 @@
     DrainCommand drainCommand;
 
     int shutdownRequests = 0;
+    bool isReady = false;
     bool isStopped = false;
     std::size_t cutRequests = 0;
 };
 
-Router::Router(asio::any_io_executor executor, Settings settings)
-    : m_parts(std::make_unique<Parts>(std::move(executor), std::move(settings)))
+Router::Router(asio::any_io_executor executor, Settings settings, const LinkFaults* faults)
+    : m_parts(std::make_unique<Parts>(std::move(executor), std::move(settings), faults))
 {
 }
 
@@ -184,6 +221,7 @@
 {
     adminFrontEnd.addQuery("status", statusQuery);
     adminFrontEnd.addQuery("services", servicesQuery);
+    adminFrontEnd.addQuery("members", membersQuery);
     adminFrontEnd.addQuery("keys", keysQuery);
     adminFrontEnd.addQuery("limits", limitsQuery);
     adminFrontEnd.addQuery("timeline", timelineQuery);
@@ -196,7 +234,7 @@
     adminFrontEnd.addOpenText(
         "/health", "application/json", [] { return Outcome<std::string>("{\"status\":\"ok\"}\n"); });
     adminFrontEnd.addOpenText("/ready", "application/json", [this]() -> Outcome<std::string> {
-        if (configuration.current()->revision.value() == 0 || shutdownRequests > 0) {
+        if (!isReady || shutdownRequests > 0) {
             return fail(ErrorCode::Unavailable, "not ready");
         }
         return "{\"status\":\"ready\"}\n";
@@ -217,9 +255,19 @@
     if (!callers) {
         return std::unexpected(callers.error());
     }
+    const auto peers = parts.peers.listen(parts.settings.listenPeers);
+    if (!peers) {
+        return std::unexpected(peers.error());
+    }
+    parts.vm.peers = *peers;
+    parts.fleetSync.setIdentity(parts.vm);
     parts.timeline.record(EventKind::ProcessStarted,
         { { "vm", parts.settings.vm.value() }, { "zone", parts.settings.zone.value() },
-            { "callers", callers->toString() }, { "admin", admin->toString() } });
+            { "callers", callers->toString() }, { "admin", admin->toString() }, { "peers", peers->toString() } });
+    asio::co_spawn(parts.executor, parts.fleetSync.keepPeers(), asio::detached);
+    asio::co_spawn(parts.executor, parts.fleetSync.followList(), asio::detached);
+    asio::co_spawn(parts.executor, parts.repair.run(), asio::detached);
+    asio::co_spawn(parts.executor, parts.becomeReady(), asio::detached);
     asio::co_spawn(parts.executor, parts.storeSync.followRecords(), asio::detached);
     asio::co_spawn(parts.executor, parts.storeSync.probeRevision(), asio::detached);
     asio::co_spawn(parts.executor, parts.followConfiguration(), asio::detached);
@@ -230,6 +278,15 @@
     return {};
 }
 
+Task<> Router::Parts::becomeReady()
+{
+    while (configuration.current()->revision.value() == 0) {
+        co_await sleepFor(reconfigureCheck);
+    }
+    co_await sleepFor(startWait);
+    isReady = true;
+}
+
 Task<> Router::Parts::followConfiguration()
 {
     Revision applied;
@@ -248,6 +305,7 @@
     ++shutdownRequests;
     if (shutdownRequests == 1) {
         timeline.record(EventKind::ProcessStopping, {});
+        asio::co_spawn(executor, fleetSync.leave(), asio::detached);
         asio::co_spawn(executor, drain(), asio::detached);
     }
 }
@@ -268,6 +326,7 @@
     co_await shareKeeper.release();
     metrics.count(Counter::ShutdownCuts, cutRequests);
     timeline.record(EventKind::ProcessStopped, { { "cut_requests", std::to_string(cutRequests) } });
+    peers.stop();
     isStopped = true;
 }
 
--- a/Source/Core/Router/ShareKeeper.cpp
+++ b/Source/Core/Router/ShareKeeper.cpp
@@ -13,8 +13,10 @@
 
     /// At 380 VMs a read of the record and of the list every 10 s costs 76 calls a second.
     constexpr std::chrono::milliseconds steadyInterval { 10'000 };
-    /// Used while the record changes or this VM has no slot.
-    constexpr std::chrono::milliseconds changingInterval { 1000 };
+    /// Used while the record changes. A router has a budget of 1.5 store calls a second in all.
+    constexpr std::chrono::milliseconds changingInterval { 6000 };
+    /// Used while this VM has no slot or has a release to write.
+    constexpr std::chrono::milliseconds seekingInterval { 1000 };
     constexpr int releaseAttempts = 3;
 
     std::chrono::milliseconds jittered(std::chrono::milliseconds interval)
@@ -40,8 +42,9 @@
     while (!m_isStopping) {
         const auto revision = m_revision;
         const bool isRead = co_await refresh();
-        const bool isSteady = isRead && m_revision == revision && !m_used.empty() && m_givenUp.empty();
-        co_await sleepFor(jittered(isSteady ? steadyInterval : changingInterval));
+        const bool isSeeking = !isRead || m_used.empty() || !m_givenUp.empty();
+        const auto interval = m_revision == revision ? steadyInterval : changingInterval;
+        co_await sleepFor(jittered(isSeeking ? seekingInterval : interval));
     }
 }
 
