--- a/Source/Core/Router/Router.cpp
+++ b/Source/Core/Router/Router.cpp
@@ -8,7 +8,7 @@
 #include "Http/AdminFrontEnd.h"
 #include "Http/CallerFrontEnd.h"
 #include "Keys/KeyTable.h"
-#include "Limits/LocalLimiter.h"
+#include "Limits/FleetLimiter.h"
 #include "Membership/MembershipTable.h"
 #include "Metrics/MetricTable.h"
 #include "Moves/MoveTable.h"
@@ -25,6 +25,7 @@
 #include "Router/Queries/MembersQuery.h"
 #include "Router/Queries/MovesQuery.h"
 #include "Router/Queries/RouterQueries.h"
+#include "Router/ShareKeeper.h"
 #include "Router/StoreSync.h"
 #include "Timeline/Timeline.h"
 #include "Upstream/HttpOrderClient.h"
@@ -41,13 +42,6 @@
     constexpr std::chrono::milliseconds reconfigureCheck { 50 };
     constexpr std::chrono::milliseconds drainCheck { 20 };
 
-    /// Lends nothing, as long as the limiter has no shares.
-    class NoLender final : public GrantLender {
-    public:
-        GrantReply lend(const VmId&, const GrantRequest&) override { return {}; }
-        void settle(const VmId&, const GrantSettlement&) override { }
-    };
-
     /// After the first valid configuration, time to hear of a higher revision before the router is ready.
     constexpr std::chrono::milliseconds startWait { 500 };
 
@@ -95,7 +89,8 @@
         , timeline(clock, settings.vm.value() + "/" + std::to_string(identity.incarnation.value()))
         , configuration(timeline)
         , keys(clock, timeline, settings.keysUnconfirmedLimit)
-        , limits(clock, configuration)
+        , limitTable(clock, configuration, settings.vm, settings.zone)
+        , limits(executor, clock, limitTable, grants, metrics)
         , cache(clock)
         , placement(clock, cache, cache, { .seed = randomBits() })
         , upstreams(clock, configuration, timeline, cache)
@@ -110,12 +105,14 @@
         , confirmation(clock, vm.zone, configuration, members, keys)
         , grants(executor, clock, peers, members)
         , fleetSync({ clock, configuration, configuration, keys, keys, members, members, keySpread, confirmation,
-                        grants, lender, store, store, timeline, peers, peers },
+                        grants, limitTable, store, store, timeline, peers, peers },
               { settings.seedPeers, settings.storeStartJitter })
         , freshness(clock, storeSync)
         , moves(clock, freshness, judge, timeline)
         , storeSync(
               { clock, store, configuration, keySpread, moves, timeline, metrics, repair, settings.storeStartJitter })
+        , shareKeeper({ clock, store, store, configuration, limitTable, timeline },
+              { settings.vm, settings.zone, identity.incarnation, settings.listenPeers, clock.wallNow() })
         , health(executor, upstreams, upstreams, upstreamClient, settings.healthInterval)
         , cacheEvents(executor, cache, cache, upstreams, configuration, upstreamClient)
         , moveDriver({ clock, configuration, store, store, moves, moves, planner, judge, upstreams, orders, timeline,
@@ -132,7 +129,7 @@
         , servicesQuery(configuration, upstreams)
         , membersQuery(vm, configuration, members, peers)
         , keysQuery(keys)
-        , limitsQuery(limits)
+        , limitsQuery(limitTable)
         , timelineQuery(timeline)
         , applyCommand(store, store, configuration)
         , keyCommand(store, store, keySpread, keys, configuration, keySpread)
@@ -157,7 +154,8 @@
     Timeline timeline;
     ConfigurationTable configuration;
     KeyTable keys;
-    LocalLimiter limits;
+    LimitTable limitTable;
+    FleetLimiter limits;
     PlacementIndex cache;
     CostPolicy placement;
     UpstreamTable upstreams;
@@ -165,7 +163,6 @@
     EtcdGatewayClient store;
     VmIdentity vm;
     NoLinkFaults noFaults;
-    NoLender lender;
     MembershipTable members;
     PeerNetwork peers;
     WithdrawalRepair repair;
@@ -178,6 +175,7 @@
     StepPlanner planner;
     MoveTable moves;
     StoreSync storeSync;
+    ShareKeeper shareKeeper;
     HealthMonitor health;
     CacheEventMonitor cacheEvents;
     HttpOrderClient orders;
@@ -270,6 +268,8 @@
     asio::co_spawn(parts.executor, parts.storeSync.followRecords(), asio::detached);
     asio::co_spawn(parts.executor, parts.storeSync.probeRevision(), asio::detached);
     asio::co_spawn(parts.executor, parts.followConfiguration(), asio::detached);
+    asio::co_spawn(parts.executor, parts.shareKeeper.run(), asio::detached);
+    asio::co_spawn(parts.executor, parts.limits.sweepAccounts(), asio::detached);
     asio::co_spawn(parts.executor, parts.moveDriver.driveMoves(), asio::detached);
     asio::co_spawn(parts.executor, parts.moveDriver.publishEvidence(), asio::detached);
     return {};
@@ -321,6 +321,7 @@
         co_await sleepFor(drainCheck);
     }
     cutRequests = callerFrontEnd.runningRequests();
+    co_await shareKeeper.release();
     metrics.count(Counter::ShutdownCuts, cutRequests);
     timeline.record(EventKind::ProcessStopped, { { "cut_requests", std::to_string(cutRequests) } });
     peers.stop();
--- a/Source/Core/Router/StoreKeys.h
+++ b/Source/Core/Router/StoreKeys.h
@@ -12,6 +12,7 @@
 inline constexpr std::string_view shared = "/pollenwind/shared/";
 inline constexpr std::string_view configuration = "/pollenwind/shared/config";
 inline constexpr std::string_view keys = "/pollenwind/shared/keys/";
+inline constexpr std::string_view shares = "/pollenwind/shared/shares";
 inline constexpr std::string_view moves = "/pollenwind/shared/moves/";
 /// Held by the router that drives the moves.
 inline constexpr std::string_view moveLease = "/pollenwind/lease/moves";
