Claim non-idempotent calls with an idempotency key in the store

Cause: a repeat of a call with an Idempotency-Key ran again, since the key was only passed on. Change: PlainDispatcher claims such calls through ClaimCommands before dispatch and stores their outcome afterwards. Non-idempotent calls use a fresh connection, and an answer's request id is checked before its status.

--- a/Source/Core/Dispatch/PlainDispatcher.cpp
+++ b/Source/Core/Dispatch/PlainDispatcher.cpp
@@ -1,5 +1,7 @@
 #include "Dispatch/PlainDispatcher.h"
 
+#include "Common/Invariant.h"
+
 #include <algorithm>
 
 namespace Pollenwind {
@@ -8,18 +10,50 @@
 
     constexpr std::size_t maxAttempts = 3;
 
+    Digest digestOf(const PlainRequest& request)
+    {
+        std::string text;
+        for (const auto* part :
+            { &request.service.value(), &request.method, &request.target, &request.contentType, &request.body }) {
+            // The length keeps parts apart whatever bytes they hold.
+            text += std::to_string(part->size()) + ":" + *part;
+        }
+        return sha256(text);
+    }
+
+    Outcome<PlainAnswer> answerEarlierCall(ClaimAnswer claim)
+    {
+        switch (claim.result) {
+        case ClaimResult::Replay:
+            return std::move(claim.answer);
+        case ClaimResult::InProgress:
+            return fail(ErrorCode::InProgress, "a call with this idempotency key is running", RunState::Unknown);
+        case ClaimResult::AnswerNotKept:
+            return fail(ErrorCode::OutcomeUnknown,
+                "a call with this idempotency key ran; its answer was too large to keep", RunState::Ran);
+        case ClaimResult::Conflict:
+            return fail(ErrorCode::Conflict, "the idempotency key was used for another call");
+        case ClaimResult::Created:
+        case ClaimResult::OutcomeUnknown:
+            break;
+        }
+        return fail(ErrorCode::OutcomeUnknown, "the outcome of an earlier call with this idempotency key is unknown",
+            RunState::Unknown);
+    }
+
 } // namespace
 
-PlainDispatcher::PlainDispatcher(DispatchContext context, PlainClient& client)
+PlainDispatcher::PlainDispatcher(DispatchContext context, PlainClient& client, ClaimCommands& claims)
     : m_context(std::move(context))
     , m_client(client)
+    , m_claims(claims)
 {
 }
 
 Task<Outcome<PlainAnswer>> PlainDispatcher::run(PlainRequest request)
 {
     if (!request.caller.keyDigest || request.costTokens == 0) {
-        co_return co_await runReserved(request);
+        co_return (co_await runOnce(request)).answer;
     }
     const auto latest = std::min(request.deadline, m_context.clock.now() + m_context.timeouts.rateWait);
     const auto reservation = co_await m_context.limits.reserve(request.caller.organisation, request.costTokens, latest);
@@ -27,13 +61,40 @@
         m_context.metrics.count(Counter::RateRefusals);
         co_return std::unexpected(reservation.error());
     }
-    auto answer = co_await runReserved(request);
-    const bool isRun = answer || answer.error().runState != RunState::NotRun;
-    m_context.limits.settle(*reservation, isRun ? request.costTokens : 0);
-    co_return answer;
+    auto execution = co_await runOnce(request);
+    m_context.limits.settle(*reservation, execution.isStarted ? request.costTokens : 0);
+    co_return std::move(execution.answer);
+}
+
+Task<PlainDispatcher::Execution> PlainDispatcher::runOnce(const PlainRequest& request)
+{
+    const bool isClaimed = request.kind == CallKind::NonIdempotent && !request.idempotencyKey.empty();
+    ClaimTicket ticket;
+    if (isClaimed) {
+        auto claimed = co_await m_claims.claim(
+            { request.caller.organisation, request.idempotencyKey, digestOf(request), request.deadline });
+        if (!claimed) {
+            co_return Execution { std::unexpected(claimed.error()) };
+        }
+        if (claimed->result != ClaimResult::Created) {
+            co_return Execution { answerEarlierCall(std::move(*claimed)) };
+        }
+        ticket = std::move(claimed->ticket);
+    }
+    Execution execution;
+    execution.answer = co_await runAttempts(request);
+    execution.isStarted = execution.answer || execution.answer.error().runState != RunState::NotRun;
+    // The caller is answered also when the outcome cannot be stored; a repeat is then told that it is unknown.
+    if (isClaimed && execution.isStarted) {
+        auto outcome = execution.answer ? std::optional(*execution.answer) : std::nullopt;
+        co_await m_claims.complete(std::move(ticket), std::move(outcome));
+    } else if (isClaimed) {
+        co_await m_claims.release(std::move(ticket));
+    }
+    co_return execution;
 }
 
-Task<Outcome<PlainAnswer>> PlainDispatcher::runReserved(const PlainRequest& request)
+Task<Outcome<PlainAnswer>> PlainDispatcher::runAttempts(const PlainRequest& request)
 {
     const auto configuration = m_context.configuration.current();
     const auto service = configuration->document.services.find(request.service);
@@ -45,18 +106,23 @@
     placement.version = service->second.version;
     placement.ownZone = m_context.ownZone;
     PlainCall call { request.id, request.caller.organisation, request.method, request.target, request.contentType,
-        request.idempotencyKey, request.body };
+        request.idempotencyKey, request.body, request.kind == CallKind::NonIdempotent };
     const auto kind = request.kind == CallKind::Idempotent ? RetryKind::IdempotentCall : RetryKind::NonIdempotentCall;
     std::set<UpstreamId> tried;
     RunState runState = RunState::NotRun;
+    std::size_t mayHaveStarted = 0;
     for (;;) {
         auto candidates = m_context.upstreams.candidates(request.service, placement.version);
         std::erase_if(candidates, [&](const auto& it) { return tried.contains(it.upstream); });
         const auto choice = m_context.placement.choose(placement, candidates);
         const auto endpoint = choice ? m_context.upstreams.endpointOf(choice->upstream) : std::nullopt;
         if (!endpoint) {
+            checkInvariant(
+                runState != RunState::NotRun || mayHaveStarted == 0, "not-run only when nothing was started");
             co_return fail(ErrorCode::Unavailable, "no runner can serve the call now", runState);
         }
+        checkInvariant(kind != RetryKind::NonIdempotentCall || mayHaveStarted == 0,
+            "a non-idempotent call is dispatched at most once");
         tried.insert(choice->upstream);
         m_context.metrics.count(Counter::UpstreamAttempts);
         m_context.upstreamCommands.noteStarted(choice->upstream, 1);
@@ -72,11 +138,13 @@
         const auto action = decideRetry(kind, progress, classifyFailure(answer.error()), canRepeat);
         if (progress == Progress::Sent) {
             runState = RunState::Unknown;
+            ++mayHaveStarted;
         }
         if (action == RetryAction::Retry) {
             m_context.metrics.count(Counter::Retries);
             continue;
         }
+        checkInvariant(runState != RunState::NotRun || mayHaveStarted == 0, "not-run only when nothing was started");
         answer.error().runState = runState;
         if (runState == RunState::Unknown) {
             answer.error().code = ErrorCode::OutcomeUnknown;
--- a/Source/Core/Dispatch/PlainDispatcher.h
+++ b/Source/Core/Dispatch/PlainDispatcher.h
@@ -1,23 +1,32 @@
 #pragma once
 
+#include "Dispatch/Commands/ClaimCommands.h"
 #include "Dispatch/Commands/PlainCommands.h"
 #include "Dispatch/CompletionDispatcher.h"
 #include "Upstream/Commands/PlainClient.h"
 
 namespace Pollenwind {
 
-/// Runs calls to plain services: rate, choice of a runner, attempts.
+/// Runs calls to plain services: rate, claim, choice of a runner, attempts.
 class PlainDispatcher final : public PlainCommands {
 public:
-    PlainDispatcher(DispatchContext context, PlainClient& client);
+    PlainDispatcher(DispatchContext context, PlainClient& client, ClaimCommands& claims);
 
     Task<Outcome<PlainAnswer>> run(PlainRequest request) override;
 
 private:
-    Task<Outcome<PlainAnswer>> runReserved(const PlainRequest& request);
+    /// Answer of a call and whether this request started it.
+    struct Execution {
+        Outcome<PlainAnswer> answer;
+        bool isStarted = false;
+    };
+
+    Task<Execution> runOnce(const PlainRequest& request);
+    Task<Outcome<PlainAnswer>> runAttempts(const PlainRequest& request);
 
     DispatchContext m_context;
     PlainClient& m_client;
+    ClaimCommands& m_claims;
 };
 
 } // namespace Pollenwind
--- a/Source/Core/Router/Router.cpp
+++ b/Source/Core/Router/Router.cpp
@@ -5,6 +5,7 @@
 #include "Config/ConfigurationTable.h"
 #include "Dispatch/CompletionDispatcher.h"
 #include "Dispatch/PlainDispatcher.h"
+#include "Dispatch/StoreClaims.h"
 #include "Http/AdminFrontEnd.h"
 #include "Http/CallerFrontEnd.h"
 #include "Keys/KeyTable.h"
@@ -63,7 +64,8 @@
         , dispatch { clock, configuration, keys, limits, placement, cache, upstreams, upstreams, metrics, settings.zone,
             toTimeouts(settings) }
         , completions(dispatch, upstreamClient)
-        , plain(dispatch, upstreamClient)
+        , claims(clock, store, metrics)
+        , plain(dispatch, upstreamClient, claims)
         , callerFrontEnd({ clock, configuration, keys, completions, plain, metrics, settings.requestDeadline })
         , adminFrontEnd(settings.adminToken)
         , callerServer(executor, callerFrontEnd, settings.httpLimits)
@@ -102,6 +104,7 @@
     HealthMonitor health;
     DispatchContext dispatch;
     CompletionDispatcher completions;
+    StoreClaims claims;
     PlainDispatcher plain;
     CallerFrontEnd callerFrontEnd;
     AdminFrontEnd adminFrontEnd;
--- a/Source/Core/StandIn/PlainStandIn.cpp
+++ b/Source/Core/StandIn/PlainStandIn.cpp
@@ -67,13 +67,13 @@
         co_await exchange.answer({ .body = health.dump() });
         co_return;
     }
+    const std::string id(request.header("X-Request-Id").value_or(""));
     if (takeFault(PlainFault::Refuse)) {
         auto answer = refusal(503, "not started");
-        answer.headers = { { "X-Not-Started", "1" } };
+        answer.headers = { { "X-Not-Started", "1" }, { "X-Request-Id", id } };
         co_await exchange.answer(answer);
         co_return;
     }
-    const std::string id(request.header("X-Request-Id").value_or(""));
     const std::string key(request.header("Idempotency-Key").value_or(id));
     const auto n = ++m_runs[key];
     if (const auto wait = faultValue(PlainFault::Slow)) {
--- a/Source/Core/Upstream/HttpUpstreamClient.cpp
+++ b/Source/Core/Upstream/HttpUpstreamClient.cpp
@@ -31,11 +31,11 @@
 
 HttpUpstreamClient::~HttpUpstreamClient() = default;
 
-Task<Outcome<std::unique_ptr<HttpConnection>>> HttpUpstreamClient::acquire(Endpoint endpoint)
+Task<Outcome<std::unique_ptr<HttpConnection>>> HttpUpstreamClient::acquire(Endpoint endpoint, bool needsFresh)
 {
     auto& idle = m_idle[endpoint];
     const auto now = std::chrono::steady_clock::now();
-    while (!idle.empty()) {
+    while (!idle.empty() && !needsFresh) {
         auto candidate = std::move(idle.back());
         idle.pop_back();
         if (now - candidate.since < maxIdleTime && candidate.connection->isReusable()) {
@@ -61,7 +61,7 @@
 Task<Outcome<StreamId>> HttpUpstreamClient::start(
     Endpoint endpoint, GenerationCall call, std::chrono::nanoseconds timeout)
 {
-    auto connection = co_await acquire(endpoint);
+    auto connection = co_await acquire(endpoint, false);
     if (!connection) {
         co_return std::unexpected(connection.error());
     }
@@ -141,22 +141,24 @@
 
 Task<Outcome<PlainAnswer>> HttpUpstreamClient::run(Endpoint endpoint, PlainCall call, std::chrono::nanoseconds timeout)
 {
-    auto connection = co_await acquire(endpoint);
+    auto connection = co_await acquire(endpoint, call.needsFreshConnection);
     if (!connection) {
         co_return std::unexpected(connection.error());
     }
+    const auto end = std::chrono::steady_clock::now() + timeout;
     const auto head = co_await (*connection)->send(UpstreamCodec::encodePlain(call), timeout);
     if (!head) {
         co_return std::unexpected(head.error());
     }
-    if (head->status == 503 && findHeader(head->headers, "X-Not-Started")) {
-        co_return fail(ErrorCode::Unavailable, "the upstream did not start the call");
-    }
+    // Checked first, since a refusal of another request says nothing about this one.
     if (findHeader(head->headers, "X-Request-Id") != std::string_view(call.request.value())) {
         (*connection)->close();
         co_return fail(ErrorCode::Mismatch, "the upstream answered another request", RunState::Unknown);
     }
-    auto body = co_await (*connection)->readAll(timeout);
+    if (head->status == 503 && findHeader(head->headers, "X-Not-Started")) {
+        co_return fail(ErrorCode::Unavailable, "the upstream did not start the call");
+    }
+    auto body = co_await (*connection)->readAll(end - std::chrono::steady_clock::now());
     if (!body) {
         co_return std::unexpected(body.error());
     }
--- a/Source/Core/Upstream/HttpUpstreamClient.h
+++ b/Source/Core/Upstream/HttpUpstreamClient.h
@@ -32,7 +32,7 @@
         std::chrono::steady_clock::time_point since;
     };
 
-    Task<Outcome<std::unique_ptr<HttpConnection>>> acquire(Endpoint endpoint);
+    Task<Outcome<std::unique_ptr<HttpConnection>>> acquire(Endpoint endpoint, bool needsFresh);
     void release(const Endpoint& endpoint, std::unique_ptr<HttpConnection> connection);
 
     asio::any_io_executor m_executor;
--- a/Source/Core/Upstream/UpstreamTypes.h
+++ b/Source/Core/Upstream/UpstreamTypes.h
@@ -87,6 +87,9 @@
     std::string contentType;
     std::string idempotencyKey;
     std::string body;
+    /// True when the call must not run twice. It is sent over a fresh connection, because a failure on a pooled one
+    /// leaves open whether the upstream received it.
+    bool needsFreshConnection = false;
 };
 
 /// Answer of a plain service.
--- /dev/null
+++ b/Source/UnitTests/Support/ServingFixture.h
@@ -0,0 +1,135 @@
+#pragma once
+
+#include "Config/ConfigurationTable.h"
+#include "Dispatch/CompletionDispatcher.h"
+#include "Dispatch/PlainDispatcher.h"
+#include "Dispatch/StoreClaims.h"
+#include "Http/CallerFrontEnd.h"
+#include "Keys/KeyTable.h"
+#include "Limits/LocalLimiter.h"
+#include "Metrics/MetricTable.h"
+#include "Placement/RendezvousPolicy.h"
+#include "Platform/EtcdGatewayClient.h"
+#include "StandIn/EngineStandIn.h"
+#include "StandIn/PlainStandIn.h"
+#include "StandIn/StoreStandIn.h"
+#include "Timeline/Timeline.h"
+#include "Upstream/HttpUpstreamClient.h"
+#include "Upstream/UpstreamTable.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+
+#include <criterion/criterion.h>
+
+#include <deque>
+#include <functional>
+#include <optional>
+
+namespace Pollenwind {
+
+/// Cache knowledge that is not under test.
+class IgnoredCache final : public CacheCommands {
+public:
+    void notePlaced(const PlacementChoice&, const PrefixChain&) override { }
+    void noteCached(const PlacementChoice&, const PrefixChain&, std::uint32_t) override { }
+    void noteEvent(const UpstreamId&, const CacheEvent&) override { }
+    void noteIncarnation(const UpstreamId&, Incarnation) override { }
+};
+
+/// Size and limits of a ServingFixture. The time limits are far above what a loaded machine needs, so that they end
+/// nothing but what a fault has made silent.
+struct FixtureOptions {
+    std::size_t engines = 2;
+    std::size_t runners = 2;
+    DispatchTimeouts timeouts { std::chrono::milliseconds(100), std::chrono::milliseconds(1500),
+        std::chrono::milliseconds(500) };
+    std::chrono::nanoseconds decodePerToken = std::chrono::microseconds(200);
+    std::chrono::nanoseconds prefillPerToken = std::chrono::nanoseconds(100);
+    std::chrono::milliseconds storeTimeout { 5000 };
+    std::chrono::milliseconds requestDeadline { 20'000 };
+};
+
+/// The parts of one router between the caller's connection and the upstreams.
+struct RouterUnderTest {
+    RouterUnderTest(asio::any_io_executor executor, const Endpoint& storeEndpoint, const FixtureOptions& options);
+
+    SystemClock clock;
+    MetricTable metrics;
+    Timeline timeline;
+    ConfigurationTable configuration;
+    KeyTable keys;
+    LocalLimiter limits;
+    RendezvousPolicy placement;
+    IgnoredCache cache;
+    UpstreamTable upstreams;
+    HttpUpstreamClient client;
+    EtcdGatewayClient store;
+    StoreClaims claims;
+    DispatchContext context;
+    CompletionDispatcher completions;
+    PlainDispatcher plain;
+    CallerFrontEnd frontEnd;
+    HttpServer server;
+    Endpoint endpoint;
+};
+
+/// Store, engines, runners and any number of routers in one io_context, over real sockets.
+class ServingFixture {
+public:
+    static constexpr std::string_view callerKey = "test-key-of-organisation-a";
+
+    explicit ServingFixture(FixtureOptions options = {});
+
+    RouterUnderTest& addRouter();
+    /// Asks every upstream of every router for its health once.
+    Task<> probeHealth();
+    /// Runs a task to its end; fails the test when it takes longer than 60 s.
+    void run(std::function<Task<>()> task);
+
+    CompletionRequest completion(std::string prompt, std::uint32_t maxTokens) const;
+    PlainRequest booking(std::string idempotencyKey, std::string body = "{}") const;
+    PlainRequest lookup() const;
+
+    asio::io_context context { 1 };
+    FixtureOptions options;
+    StoreStandIn store;
+    Endpoint storeEndpoint;
+    std::deque<EngineStandIn> engines;
+    std::deque<PlainStandIn> runners;
+    std::deque<RouterUnderTest> routers;
+    ServiceDocument document;
+    std::string documentText;
+};
+
+/// Collects the tokens of one answer.
+class CollectingSink final : public TokenSink {
+public:
+    Task<Outcome<void>> write(const TokenChunk& chunk) override
+    {
+        if (isGone) {
+            co_return fail(ErrorCode::ConnectionLost, "gone", RunState::Unknown);
+        }
+        isOrdered = isOrdered && chunk.index == tokens;
+        ++tokens;
+        text += chunk.text;
+        if (onToken) {
+            onToken(tokens);
+        }
+        co_return Outcome<void> {};
+    }
+
+    bool isCallerGone() override { return isGone; }
+
+    std::string text;
+    std::uint32_t tokens = 0;
+    bool isOrdered = true;
+    bool isGone = false;
+    std::function<void(std::uint32_t)> onToken;
+};
+
+/// Text that a whole answer must have.
+std::string expectedText(std::string_view prompt, std::uint32_t tokens);
+
+} // namespace Pollenwind
