Add circuit breakers, a retry budget and the retry rule as one table

Cause: a failing upstream kept its full share of work, and retries had no bound over a service. Change: CircuitBreaker (Boost.MSM behind a pointer: closed, open, half-open with one probe, slow start) in each entry of UpstreamTable; noteEnded() takes a WorkResult, so that a caller's departure counts neither way. RetryBudget grants a tenth of the requests plus 3 a second for each service. The retry rule has one row for each kind, progress and failure.

--- a/Source/Core/Dispatch/CompletionDispatcher.cpp
+++ b/Source/Core/Dispatch/CompletionDispatcher.cpp
@@ -96,7 +96,8 @@
         m_context.upstreamCommands.noteStarted(choice->upstream, tokens);
         auto summary = co_await attempt(request, *choice, sink, delivery);
         const bool isUpstreamFault = !summary && !delivery.isCallerLost && !delivery.isKeyWithdrawn;
-        m_context.upstreamCommands.noteEnded(choice->upstream, tokens, !isUpstreamFault);
+        m_context.upstreamCommands.noteEnded(choice->upstream, tokens,
+            summary ? WorkResult::Succeeded : (isUpstreamFault ? WorkResult::Failed : WorkResult::Abandoned));
         if (!isUpstreamFault) {
             co_return summary;
         }
--- a/Source/Core/Dispatch/CompletionDispatcher.h
+++ b/Source/Core/Dispatch/CompletionDispatcher.h
@@ -4,6 +4,7 @@
 #include "Config/Queries/ConfigurationQueries.h"
 #include "Dispatch/Commands/CompletionCommands.h"
 #include "Dispatch/Queries/RetryRule.h"
+#include "Dispatch/RetryBudget.h"
 #include "Keys/Queries/KeyQueries.h"
 #include "Limits/Commands/LimitCommands.h"
 #include "Metrics/Commands/MetricCommands.h"
@@ -35,6 +36,7 @@
     UpstreamCommands& upstreamCommands;
     const UpstreamQueries& upstreams;
     MetricCommands& metrics;
+    RetryBudget& retryBudget;
     ZoneId ownZone;
     DispatchTimeouts timeouts;
 };
--- a/Source/Core/Dispatch/PlainDispatcher.cpp
+++ b/Source/Core/Dispatch/PlainDispatcher.cpp
@@ -111,6 +111,7 @@
     std::set<UpstreamId> tried;
     RunState runState = RunState::NotRun;
     std::size_t mayHaveStarted = 0;
+    m_context.retryBudget.noteRequest(request.service);
     for (;;) {
         auto candidates = m_context.upstreams.candidates(request.service, placement.version);
         std::erase_if(candidates, [&](const auto& it) { return tried.contains(it.upstream); });
@@ -127,15 +128,19 @@
         m_context.metrics.count(Counter::UpstreamAttempts);
         m_context.upstreamCommands.noteStarted(choice->upstream, 1);
         auto answer = co_await m_client.run(*endpoint, call, request.deadline - m_context.clock.now());
-        m_context.upstreamCommands.noteEnded(choice->upstream, 1, answer.has_value());
+        m_context.upstreamCommands.noteEnded(choice->upstream, 1, answer ? WorkResult::Succeeded : WorkResult::Failed);
         if (answer) {
             co_return answer;
         }
         m_context.metrics.count(Counter::UpstreamFailures);
         const auto progress = answer.error().runState == RunState::NotRun ? Progress::NotStarted : Progress::Sent;
-        const bool canRepeat
+        const bool isPossible
             = tried.size() < maxAttempts && candidates.size() > 1 && m_context.clock.now() < request.deadline;
-        const auto action = decideRetry(kind, progress, classifyFailure(answer.error()), canRepeat);
+        auto action = decideRetry(kind, progress, classifyFailure(answer.error()), isPossible);
+        if (action == RetryAction::Retry && !m_context.retryBudget.tryTake(request.service)) {
+            m_context.metrics.count(Counter::RetryBudgetExhausted);
+            action = decideRetry(kind, progress, classifyFailure(answer.error()), false);
+        }
         if (progress == Progress::Sent) {
             runState = RunState::Unknown;
             ++mayHaveStarted;
--- a/Source/Core/Dispatch/Queries/RetryRule.h
+++ b/Source/Core/Dispatch/Queries/RetryRule.h
@@ -92,6 +92,7 @@
 AttemptFailure classifyFailure(const Error& error);
 
 /// The retry rule of docs/design.md, section 4.4.
+/// @param progress How far the failed attempt got; AnswerBegun also when an earlier attempt began the answer.
 /// @param canRepeat False when the budget, the deadline or the number of upstreams forbids another attempt.
 RetryAction decideRetry(RetryKind kind, Progress progress, AttemptFailure failure, bool canRepeat);
 
--- a/Source/Core/Dispatch/RetryRule.cpp
+++ b/Source/Core/Dispatch/RetryRule.cpp
@@ -2,6 +2,8 @@
 
 #include "Common/Invariant.h"
 
+#include <optional>
+
 namespace Pollenwind {
 
 namespace {
@@ -9,22 +11,34 @@
     struct RetryRow {
         RetryKind kind;
         Progress progress;
+        /// Absent for every other failure of the kind and progress.
+        std::optional<AttemptFailure> failure;
         RetryAction action;
         /// Taken when no further attempt is allowed.
         RetryAction last;
     };
 
-    // A connect failure and an explicit refusal leave an attempt not started whatever the kind; every other failure
-    // after the first byte leaves it unknown whether the upstream ran the request.
+    constexpr auto anyOther = std::nullopt;
+
+    // A connect failure and an explicit refusal mean that the attempt did not start, whatever was written before;
+    // every other failure after the first byte leaves it unknown whether the upstream ran the request. Plain answers
+    // are passed on whole, so they have no row for a begun answer.
     constexpr std::array retryRows {
-        RetryRow { RetryKind::Generation, Progress::NotStarted, RetryAction::Retry, RetryAction::RefuseNotRun },
-        RetryRow { RetryKind::Generation, Progress::Sent, RetryAction::Retry, RetryAction::ReportUnknown },
-        RetryRow { RetryKind::Generation, Progress::AnswerBegun, RetryAction::Resume, RetryAction::EndWithError },
-        RetryRow { RetryKind::IdempotentCall, Progress::NotStarted, RetryAction::Retry, RetryAction::RefuseNotRun },
-        RetryRow { RetryKind::IdempotentCall, Progress::Sent, RetryAction::Retry, RetryAction::ReportUnknown },
-        RetryRow { RetryKind::NonIdempotentCall, Progress::NotStarted, RetryAction::Retry, RetryAction::RefuseNotRun },
-        RetryRow {
-            RetryKind::NonIdempotentCall, Progress::Sent, RetryAction::ReportUnknown, RetryAction::ReportUnknown },
+        // clang-format off
+        RetryRow { RetryKind::Generation, Progress::NotStarted, anyOther, RetryAction::Retry, RetryAction::RefuseNotRun },
+        RetryRow { RetryKind::Generation, Progress::Sent, AttemptFailure::ConnectFailed, RetryAction::Retry, RetryAction::RefuseNotRun },
+        RetryRow { RetryKind::Generation, Progress::Sent, AttemptFailure::Refused, RetryAction::Retry, RetryAction::RefuseNotRun },
+        RetryRow { RetryKind::Generation, Progress::Sent, anyOther, RetryAction::Retry, RetryAction::ReportUnknown },
+        RetryRow { RetryKind::Generation, Progress::AnswerBegun, anyOther, RetryAction::Resume, RetryAction::EndWithError },
+        RetryRow { RetryKind::IdempotentCall, Progress::NotStarted, anyOther, RetryAction::Retry, RetryAction::RefuseNotRun },
+        RetryRow { RetryKind::IdempotentCall, Progress::Sent, AttemptFailure::ConnectFailed, RetryAction::Retry, RetryAction::RefuseNotRun },
+        RetryRow { RetryKind::IdempotentCall, Progress::Sent, AttemptFailure::Refused, RetryAction::Retry, RetryAction::RefuseNotRun },
+        RetryRow { RetryKind::IdempotentCall, Progress::Sent, anyOther, RetryAction::Retry, RetryAction::ReportUnknown },
+        RetryRow { RetryKind::NonIdempotentCall, Progress::NotStarted, anyOther, RetryAction::Retry, RetryAction::RefuseNotRun },
+        RetryRow { RetryKind::NonIdempotentCall, Progress::Sent, AttemptFailure::ConnectFailed, RetryAction::Retry, RetryAction::RefuseNotRun },
+        RetryRow { RetryKind::NonIdempotentCall, Progress::Sent, AttemptFailure::Refused, RetryAction::Retry, RetryAction::RefuseNotRun },
+        RetryRow { RetryKind::NonIdempotentCall, Progress::Sent, anyOther, RetryAction::ReportUnknown, RetryAction::ReportUnknown },
+        // clang-format on
     };
 
 } // namespace
@@ -50,10 +64,8 @@
 
 RetryAction decideRetry(RetryKind kind, Progress progress, AttemptFailure failure, bool canRepeat)
 {
-    const bool isRefused = failure == AttemptFailure::ConnectFailed || failure == AttemptFailure::Refused;
-    const auto effective = progress == Progress::Sent && isRefused ? Progress::NotStarted : progress;
     for (const auto& row : retryRows) {
-        if (row.kind == kind && row.progress == effective) {
+        if (row.kind == kind && row.progress == progress && row.failure.value_or(failure) == failure) {
             return canRepeat ? row.action : row.last;
         }
     }
--- a/Source/Core/Router/Router.cpp
+++ b/Source/Core/Router/Router.cpp
@@ -56,13 +56,14 @@
         , configuration(timeline)
         , keys(clock, timeline, settings.keysUnconfirmedLimit)
         , limits(clock, configuration)
-        , upstreams(configuration, timeline, cache)
+        , upstreams(clock, configuration, timeline, cache, metrics)
         , upstreamClient(executor, settings.connectTimeout)
         , store(executor, settings.store, { settings.storeCallTimeout }, metrics)
         , storeSync({ clock, store, configuration, keys, timeline, metrics })
         , health(executor, upstreams, upstreams, upstreamClient, settings.healthInterval)
-        , dispatch { clock, configuration, keys, limits, placement, cache, upstreams, upstreams, metrics, settings.zone,
-            toTimeouts(settings) }
+        , retryBudget(clock)
+        , dispatch { clock, configuration, keys, limits, placement, cache, upstreams, upstreams, metrics, retryBudget,
+            settings.zone, toTimeouts(settings) }
         , completions(dispatch, upstreamClient)
         , claims(clock, store, metrics)
         , plain(dispatch, upstreamClient, claims)
@@ -102,6 +103,7 @@
     EtcdGatewayClient store;
     StoreSync storeSync;
     HealthMonitor health;
+    RetryBudget retryBudget;
     DispatchContext dispatch;
     CompletionDispatcher completions;
     StoreClaims claims;
--- /dev/null
+++ b/Source/Core/Upstream/CircuitBreaker.cpp
@@ -0,0 +1,173 @@
+#include "Upstream/CircuitBreaker.h"
+
+#include <boost/msm/back/state_machine.hpp>
+#include <boost/msm/front/functor_row.hpp>
+#include <boost/msm/front/state_machine_def.hpp>
+
+#include <algorithm>
+
+namespace Pollenwind {
+
+namespace {
+
+    namespace msm = boost::msm;
+    namespace msmFront = boost::msm::front;
+
+    // A slow start begins with this share, so that the upstream gets enough work to show whether it recovered.
+    constexpr double smallestAdmission = 0.1;
+
+    struct Succeeded { };
+    struct Failed { };
+    struct Abandoned { };
+    struct TimePassed { };
+    struct Restarted { };
+
+    struct BreakerFront : msmFront::state_machine_def<BreakerFront> {
+        struct Closed : msmFront::state<> {
+            template <typename Event, typename Fsm> void on_entry(const Event&, Fsm& fsm)
+            {
+                fsm.failures = 0;
+                fsm.current = BreakerState::Closed;
+                fsm.openFor = fsm.options.openTime;
+            }
+        };
+        struct Open : msmFront::state<> {
+            template <typename Event, typename Fsm> void on_entry(const Event&, Fsm& fsm)
+            {
+                fsm.current = BreakerState::Open;
+                fsm.until = fsm.clock->now() + fsm.openFor;
+                fsm.openFor = std::min(fsm.openFor * 2, fsm.options.longestOpenTime);
+            }
+        };
+        struct HalfOpen : msmFront::state<> {
+            template <typename Event, typename Fsm> void on_entry(const Event&, Fsm& fsm)
+            {
+                fsm.current = BreakerState::HalfOpen;
+                fsm.isProbing = false;
+            }
+        };
+        struct SlowStart : msmFront::state<> {
+            template <typename Event, typename Fsm> void on_entry(const Event&, Fsm& fsm)
+            {
+                fsm.current = BreakerState::SlowStart;
+                fsm.until = fsm.clock->now() + fsm.options.slowStartTime;
+            }
+        };
+
+        struct CountFailure {
+            template <typename Event, typename Fsm, typename Source, typename Target>
+            void operator()(const Event&, Fsm& fsm, Source&, Target&)
+            {
+                ++fsm.failures;
+            }
+        };
+        struct ForgetFailures {
+            template <typename Event, typename Fsm, typename Source, typename Target>
+            void operator()(const Event&, Fsm& fsm, Source&, Target&)
+            {
+                fsm.failures = 0;
+            }
+        };
+        struct EndProbe {
+            template <typename Event, typename Fsm, typename Source, typename Target>
+            void operator()(const Event&, Fsm& fsm, Source&, Target&)
+            {
+                fsm.isProbing = false;
+            }
+        };
+        struct IsTooMany {
+            template <typename Event, typename Fsm, typename Source, typename Target>
+            bool operator()(const Event&, Fsm& fsm, Source&, Target&)
+            {
+                return fsm.failures + 1 >= fsm.options.failuresToOpen;
+            }
+        };
+        struct IsTime {
+            template <typename Event, typename Fsm, typename Source, typename Target>
+            bool operator()(const Event&, Fsm& fsm, Source&, Target&)
+            {
+                return fsm.clock->now() >= fsm.until;
+            }
+        };
+
+        using None = msmFront::none;
+        template <typename... Parts> using Row = msmFront::Row<Parts...>;
+        using initial_state = Closed;
+        // MSM tries the rows of one state and event from the last to the first.
+        struct transition_table
+            : boost::mpl::vector<
+                  // clang-format off
+            Row<Closed,    Failed,     None,      CountFailure,   None>,
+            Row<Closed,    Failed,     Open,      None,           IsTooMany>,
+            Row<Closed,    Succeeded,  None,      ForgetFailures, None>,
+            Row<Open,      TimePassed, HalfOpen,  None,           IsTime>,
+            Row<Open,      Restarted,  HalfOpen,  None,           None>,
+            Row<HalfOpen,  Failed,     Open,      None,           None>,
+            Row<HalfOpen,  Succeeded,  SlowStart, None,           None>,
+            Row<HalfOpen,  Abandoned,  None,      EndProbe,       None>,
+            Row<SlowStart, Failed,     Open,      None,           None>,
+            Row<SlowStart, TimePassed, Closed,    None,           IsTime>
+                  // clang-format on
+                  > { };
+
+        template <typename Event, typename Fsm> void no_transition(const Event&, Fsm&, int) { }
+
+        const Clock* clock = nullptr;
+        BreakerOptions options;
+        BreakerState current = BreakerState::Closed;
+        std::uint32_t failures = 0;
+        std::chrono::nanoseconds openFor { 0 };
+        MonotonicTime until { 0 };
+        bool isProbing = false;
+    };
+
+} // namespace
+
+struct CircuitBreaker::Machine : msm::back::state_machine<BreakerFront> { };
+
+CircuitBreaker::CircuitBreaker(const Clock& clock, BreakerOptions options)
+    : m_machine(std::make_unique<Machine>())
+{
+    m_machine->clock = &clock;
+    m_machine->options = options;
+    m_machine->start();
+}
+
+CircuitBreaker::~CircuitBreaker() = default;
+CircuitBreaker::CircuitBreaker(CircuitBreaker&&) noexcept = default;
+CircuitBreaker& CircuitBreaker::operator=(CircuitBreaker&&) noexcept = default;
+
+BreakerState CircuitBreaker::state() const { return m_machine->current; }
+
+double CircuitBreaker::admission() const
+{
+    switch (m_machine->current) {
+    case BreakerState::Closed:
+        return 1;
+    case BreakerState::Open:
+        // The next request makes the breaker half-open and is its probe.
+        return m_machine->clock->now() >= m_machine->until ? smallestAdmission : 0;
+    case BreakerState::HalfOpen:
+        return m_machine->isProbing ? 0 : smallestAdmission;
+    case BreakerState::SlowStart:
+        break;
+    }
+    using Seconds = std::chrono::duration<double>;
+    const auto left = Seconds(m_machine->until - m_machine->clock->now()) / Seconds(m_machine->options.slowStartTime);
+    return std::clamp(1 - left, smallestAdmission, 1.0);
+}
+
+void CircuitBreaker::refresh() { m_machine->process_event(TimePassed {}); }
+
+void CircuitBreaker::noteStarted()
+{
+    refresh();
+    m_machine->isProbing = m_machine->current == BreakerState::HalfOpen;
+}
+
+void CircuitBreaker::noteSuccess() { m_machine->process_event(Succeeded {}); }
+void CircuitBreaker::noteFailure() { m_machine->process_event(Failed {}); }
+void CircuitBreaker::noteAbandoned() { m_machine->process_event(Abandoned {}); }
+void CircuitBreaker::noteRestart() { m_machine->process_event(Restarted {}); }
+
+} // namespace Pollenwind
--- a/Source/Core/Upstream/Commands/UpstreamCommands.h
+++ b/Source/Core/Upstream/Commands/UpstreamCommands.h
@@ -5,6 +5,22 @@
 
 namespace Pollenwind {
 
+/// How work at an upstream ended.
+enum class WorkResult {
+    Succeeded,
+    Failed,
+    /// Ended for a reason that is not the upstream's, e.g. because the caller left.
+    Abandoned,
+};
+
+template <> struct EnumTable<WorkResult> {
+    static constexpr std::array rows {
+        EnumName { WorkResult::Succeeded, "succeeded" },
+        EnumName { WorkResult::Failed, "failed" },
+        EnumName { WorkResult::Abandoned, "abandoned" },
+    };
+};
+
 /// Changes what is known about upstreams.
 class UpstreamCommands {
 public:
@@ -24,8 +40,7 @@
 
     /// Notes that work ended.
     /// @param tokens As given to noteStarted().
-    /// @param isSuccess False when the upstream failed.
-    virtual void noteEnded(const UpstreamId& upstream, double tokens, bool isSuccess) = 0;
+    virtual void noteEnded(const UpstreamId& upstream, double tokens, WorkResult result) = 0;
 };
 
 } // namespace Pollenwind
--- a/Source/Core/Upstream/UpstreamTable.cpp
+++ b/Source/Core/Upstream/UpstreamTable.cpp
@@ -4,11 +4,13 @@
 
 namespace Pollenwind {
 
-UpstreamTable::UpstreamTable(
-    const ConfigurationQueries& configuration, TimelineCommands& timeline, CacheCommands& cache)
-    : m_configuration(configuration)
+UpstreamTable::UpstreamTable(const Clock& clock, const ConfigurationQueries& configuration, TimelineCommands& timeline,
+    CacheCommands& cache, MetricCommands& metrics)
+    : m_clock(clock)
+    , m_configuration(configuration)
     , m_timeline(timeline)
     , m_cache(cache)
+    , m_metrics(metrics)
 {
 }
 
@@ -18,11 +20,9 @@
     std::map<UpstreamId, Entry> entries;
     for (const auto& [id, service] : configuration->document.services) {
         for (const auto& spec : service.upstreams) {
-            Entry entry;
             const auto old = m_entries.find(spec.id);
-            if (old != m_entries.end() && old->second.spec.endpoint == spec.endpoint) {
-                entry = old->second;
-            }
+            const bool isKept = old != m_entries.end() && old->second.spec.endpoint == spec.endpoint;
+            auto entry = isKept ? std::move(old->second) : Entry { .breaker = CircuitBreaker(m_clock) };
             entry.service = id;
             entry.spec = spec;
             entries.emplace(spec.id, std::move(entry));
@@ -38,6 +38,8 @@
         return;
     }
     auto& entry = it->second;
+    entry.breaker.refresh();
+    showBreaker(upstream, entry);
     const auto previous = entry.report;
     if (!report) {
         entry.report.state = UpstreamState::Unreachable;
@@ -45,6 +47,8 @@
     }
     entry.report = *report;
     if (report->incarnation != previous.incarnation) {
+        entry.breaker.noteRestart();
+        showBreaker(upstream, entry);
         m_cache.noteIncarnation(upstream, report->incarnation);
         m_timeline.record(EventKind::UpstreamIncarnation, { { "upstream", upstream.value() } });
     }
@@ -58,14 +62,48 @@
     const auto it = m_entries.find(upstream);
     if (it != m_entries.end()) {
         it->second.ownTokens += tokens;
+        it->second.breaker.noteStarted();
+        showBreaker(upstream, it->second);
     }
 }
 
-void UpstreamTable::noteEnded(const UpstreamId& upstream, double tokens, bool)
+void UpstreamTable::noteEnded(const UpstreamId& upstream, double tokens, WorkResult result)
 {
     const auto it = m_entries.find(upstream);
-    if (it != m_entries.end()) {
-        it->second.ownTokens = std::max(0.0, it->second.ownTokens - tokens);
+    if (it == m_entries.end()) {
+        return;
+    }
+    auto& entry = it->second;
+    entry.ownTokens = std::max(0.0, entry.ownTokens - tokens);
+    switch (result) {
+    case WorkResult::Succeeded:
+        entry.breaker.noteSuccess();
+        break;
+    case WorkResult::Failed:
+        entry.breaker.noteFailure();
+        break;
+    case WorkResult::Abandoned:
+        entry.breaker.noteAbandoned();
+        break;
+    }
+    showBreaker(upstream, entry);
+}
+
+void UpstreamTable::showBreaker(const UpstreamId& upstream, Entry& entry)
+{
+    const auto state = entry.breaker.state();
+    if (state == entry.shownBreaker) {
+        return;
+    }
+    entry.shownBreaker = state;
+    const EventFields fields { { "upstream", upstream.value() } };
+    if (state == BreakerState::Open) {
+        m_metrics.count(Counter::BreakerOpenings);
+        m_timeline.record(EventKind::BreakerOpened, fields);
+    } else if (state == BreakerState::HalfOpen) {
+        m_timeline.record(EventKind::BreakerHalfOpen, fields);
+    } else if (state == BreakerState::Closed) {
+        m_timeline.record(EventKind::BreakerClosed, fields);
     }
 }
 
@@ -75,9 +113,10 @@
     for (const auto& [id, entry] : m_entries) {
         const auto& versions = entry.report.versions;
         const bool isLoaded = std::find(versions.begin(), versions.end(), version) != versions.end();
-        if (entry.service == service && entry.report.state == UpstreamState::Ready && isLoaded) {
+        const double admission = entry.breaker.admission();
+        if (entry.service == service && entry.report.state == UpstreamState::Ready && isLoaded && admission > 0) {
             const double queued = std::max(entry.report.queuedTokens, entry.ownTokens);
-            found.push_back({ id, entry.report.incarnation, entry.spec.zone, queued, 1 });
+            found.push_back({ id, entry.report.incarnation, entry.spec.zone, queued, admission });
         }
     }
     return found;
@@ -93,9 +132,9 @@
 {
     std::vector<UpstreamStatus> all;
     for (const auto& [id, entry] : m_entries) {
-        all.push_back(
-            { id, entry.service, entry.spec.zone, entry.spec.endpoint, entry.report.state, entry.report.incarnation,
-                entry.report.versions, "closed", std::max(entry.report.queuedTokens, entry.ownTokens) });
+        all.push_back({ id, entry.service, entry.spec.zone, entry.spec.endpoint, entry.report.state,
+            entry.report.incarnation, entry.report.versions, std::string(nameOf(entry.breaker.state())),
+            std::max(entry.report.queuedTokens, entry.ownTokens) });
     }
     return all;
 }
--- a/Source/Core/Upstream/UpstreamTable.h
+++ b/Source/Core/Upstream/UpstreamTable.h
@@ -1,8 +1,11 @@
 #pragma once
 
+#include "Common/Clock.h"
 #include "Config/Queries/ConfigurationQueries.h"
+#include "Metrics/Commands/MetricCommands.h"
 #include "Placement/Commands/CacheCommands.h"
 #include "Timeline/Commands/TimelineCommands.h"
+#include "Upstream/CircuitBreaker.h"
 #include "Upstream/Commands/UpstreamCommands.h"
 #include "Upstream/Queries/UpstreamQueries.h"
 
@@ -13,12 +16,13 @@
 /// Owner of the upstreams' state.
 class UpstreamTable final : public UpstreamCommands, public UpstreamQueries {
 public:
-    UpstreamTable(const ConfigurationQueries& configuration, TimelineCommands& timeline, CacheCommands& cache);
+    UpstreamTable(const Clock& clock, const ConfigurationQueries& configuration, TimelineCommands& timeline,
+        CacheCommands& cache, MetricCommands& metrics);
 
     void reconfigure() override;
     void noteHealth(const UpstreamId& upstream, const Outcome<HealthReport>& report) override;
     void noteStarted(const UpstreamId& upstream, double tokens) override;
-    void noteEnded(const UpstreamId& upstream, double tokens, bool isSuccess) override;
+    void noteEnded(const UpstreamId& upstream, double tokens, WorkResult result) override;
 
     std::vector<PlacementCandidate> candidates(const ServiceId& service, const VersionId& version) const override;
     std::optional<Endpoint> endpointOf(const UpstreamId& upstream) const override;
@@ -29,13 +33,20 @@
         ServiceId service;
         UpstreamSpec spec;
         HealthReport report;
+        CircuitBreaker breaker;
+        /// State last recorded in the timeline.
+        BreakerState shownBreaker = BreakerState::Closed;
         /// Tokens of running work of this router.
         double ownTokens = 0;
     };
 
+    void showBreaker(const UpstreamId& upstream, Entry& entry);
+
+    const Clock& m_clock;
     const ConfigurationQueries& m_configuration;
     TimelineCommands& m_timeline;
     CacheCommands& m_cache;
+    MetricCommands& m_metrics;
     std::map<UpstreamId, Entry> m_entries;
 };
 
--- /dev/null
+++ b/Source/UnitTests/Dispatch/RetryTests.cpp
@@ -0,0 +1,80 @@
+#include "Dispatch/Queries/RetryRule.h"
+#include "Dispatch/RetryBudget.h"
+
+#include <criterion/criterion.h>
+
+#include <optional>
+
+using namespace Pollenwind;
+
+namespace {
+
+bool isStillNotStarted(Progress progress, AttemptFailure failure)
+{
+    return progress == Progress::NotStarted || failure == AttemptFailure::ConnectFailed
+        || failure == AttemptFailure::Refused;
+}
+
+/// The rule of docs/design.md, section 4.4, said in words; the code has it as a table.
+RetryAction expectedAction(RetryKind kind, Progress progress, AttemptFailure failure, bool canRepeat)
+{
+    if (progress == Progress::AnswerBegun) {
+        return canRepeat ? RetryAction::Resume : RetryAction::EndWithError;
+    }
+    if (isStillNotStarted(progress, failure)) {
+        return canRepeat ? RetryAction::Retry : RetryAction::RefuseNotRun;
+    }
+    return canRepeat && kind != RetryKind::NonIdempotentCall ? RetryAction::Retry : RetryAction::ReportUnknown;
+}
+
+} // namespace
+
+// Guards against a row that repeats a non-idempotent call that may have run, or calls a started request not run.
+Test(RetryRule, everyRow)
+{
+    for (const auto& kind : EnumTable<RetryKind>::rows) {
+        for (const auto& progress : EnumTable<Progress>::rows) {
+            for (const auto& failure : EnumTable<AttemptFailure>::rows) {
+                if (kind.value != RetryKind::Generation && progress.value == Progress::AnswerBegun) {
+                    continue;
+                }
+                for (const bool canRepeat : { false, true }) {
+                    cr_expect(decideRetry(kind.value, progress.value, failure.value, canRepeat)
+                            == expectedAction(kind.value, progress.value, failure.value, canRepeat),
+                        "%s %s %s %d", kind.name.data(), progress.name.data(), failure.name.data(), canRepeat);
+                }
+            }
+        }
+    }
+}
+
+// Guards against retries that multiply the load of a failing service.
+Test(RetryBudget, grantsATenthOfRequestsAndThreeASecond)
+{
+    ManualClock clock;
+    RetryBudget budget(clock);
+    const ServiceId service("fitter");
+    int granted = 0;
+    for (int n = 0; n < 10'000; ++n) {
+        clock.advance(std::chrono::milliseconds(1));
+        budget.noteRequest(service);
+        granted += budget.tryTake(service) ? 1 : 0;
+    }
+    // 10 s: 1000 for the requests, 30 for the time, 3 at the start.
+    cr_assert(granted >= 1025 && granted <= 1035, "%d", granted);
+}
+
+// Guards against a budget saved up in a quiet time, and against one service spending another one's.
+Test(RetryBudget, isBoundedAndPerService)
+{
+    ManualClock clock;
+    RetryBudget budget(clock);
+    cr_assert(budget.tryTake(ServiceId("a")));
+    clock.advance(std::chrono::hours(1));
+    int granted = 0;
+    while (budget.tryTake(ServiceId("a"))) {
+        ++granted;
+    }
+    cr_assert_eq(granted, 3);
+    cr_assert(budget.tryTake(ServiceId("b")));
+}
--- a/Source/UnitTests/Support/ServingFixture.cpp
+++ b/Source/UnitTests/Support/ServingFixture.cpp
@@ -21,12 +21,13 @@
     , configuration(timeline)
     , keys(clock, timeline, std::chrono::hours(1))
     , limits(clock, configuration)
-    , upstreams(configuration, timeline, cache)
+    , upstreams(clock, configuration, timeline, cache, metrics)
     , client(executor, std::chrono::milliseconds(500))
     , store(executor, storeEndpoint, { options.storeTimeout }, metrics)
     , claims(clock, store, metrics)
-    , context { clock, configuration, keys, limits, placement, cache, upstreams, upstreams, metrics, ZoneId("a"),
-        options.timeouts }
+    , retryBudget(clock)
+    , context { clock, configuration, keys, limits, placement, cache, upstreams, upstreams, metrics, retryBudget,
+        ZoneId("a"), options.timeouts }
     , completions(context, client)
     , plain(context, client, claims)
     , frontEnd({ clock, configuration, keys, completions, plain, metrics, options.requestDeadline })
--- a/Source/UnitTests/Support/ServingFixture.h
+++ b/Source/UnitTests/Support/ServingFixture.h
@@ -67,6 +67,7 @@
     HttpUpstreamClient client;
     EtcdGatewayClient store;
     StoreClaims claims;
+    RetryBudget retryBudget;
     DispatchContext context;
     CompletionDispatcher completions;
     PlainDispatcher plain;
--- /dev/null
+++ b/Source/UnitTests/Upstream/BreakerTests.cpp
@@ -0,0 +1,122 @@
+#include "Support/ServingFixture.h"
+#include "Upstream/CircuitBreaker.h"
+
+using namespace Pollenwind;
+
+namespace {
+
+void fail3(CircuitBreaker& breaker)
+{
+    for (int n = 0; n < 3; ++n) {
+        breaker.noteStarted();
+        breaker.noteFailure();
+    }
+}
+
+const BreakerOptions options;
+
+} // namespace
+
+// Guards against a breaker that opens on failures between successes, or never opens.
+Test(CircuitBreaker, opensOnConsecutiveFailuresOnly)
+{
+    ManualClock clock;
+    CircuitBreaker breaker(clock);
+    for (int n = 0; n < 10; ++n) {
+        breaker.noteFailure();
+        breaker.noteFailure();
+        breaker.noteSuccess();
+    }
+    cr_assert(breaker.state() == BreakerState::Closed);
+    breaker.noteAbandoned();
+    fail3(breaker);
+    cr_assert(breaker.state() == BreakerState::Open);
+    cr_assert_eq(breaker.admission(), 0);
+}
+
+// Guards against more than one probe, and against full load right after the probe.
+Test(CircuitBreaker, probesOnceAndStartsSlowly)
+{
+    ManualClock clock;
+    CircuitBreaker breaker(clock);
+    fail3(breaker);
+    clock.advance(options.openTime);
+    cr_assert_gt(breaker.admission(), 0);
+    breaker.noteStarted();
+    cr_assert(breaker.state() == BreakerState::HalfOpen);
+    cr_assert_eq(breaker.admission(), 0);
+    breaker.noteSuccess();
+    cr_assert(breaker.state() == BreakerState::SlowStart);
+    const double early = breaker.admission();
+    clock.advance(options.slowStartTime / 2);
+    cr_assert(early < breaker.admission() && breaker.admission() < 1);
+    clock.advance(options.slowStartTime);
+    breaker.refresh();
+    cr_assert(breaker.state() == BreakerState::Closed && breaker.admission() == 1);
+}
+
+// Guards against a probe that ended without a verdict and blocks all later ones.
+Test(CircuitBreaker, abandonedProbeAllowsAnother)
+{
+    ManualClock clock;
+    CircuitBreaker breaker(clock);
+    fail3(breaker);
+    clock.advance(options.openTime);
+    breaker.noteStarted();
+    breaker.noteAbandoned();
+    cr_assert_gt(breaker.admission(), 0);
+}
+
+// Guards against probing a dead upstream ever faster, and against waiting long for one that was restarted.
+Test(CircuitBreaker, failedProbesWaitLongerUntilARestart)
+{
+    ManualClock clock;
+    CircuitBreaker breaker(clock);
+    fail3(breaker);
+    clock.advance(options.openTime);
+    breaker.noteStarted();
+    breaker.noteFailure();
+    cr_assert(breaker.state() == BreakerState::Open);
+    clock.advance(options.openTime);
+    cr_assert_eq(breaker.admission(), 0);
+    breaker.noteRestart();
+    cr_assert(breaker.state() == BreakerState::HalfOpen);
+    cr_assert_gt(breaker.admission(), 0);
+}
+
+// Guards against work for upstreams that are leaving, unreachable or behind an open breaker, and against a breaker
+// whose state is not shown.
+Test(UpstreamTable, candidatesFollowHealthAndBreaker)
+{
+    ServingFixture fixture;
+    auto& router = fixture.addRouter();
+    auto& table = router.upstreams;
+    const auto count = [&] { return table.candidates(ServiceId("fitter"), VersionId("v1")).size(); };
+    cr_assert_eq(count(), 2);
+    cr_assert_eq(table.candidates(ServiceId("fitter"), VersionId("v2")).size(), 0);
+
+    fixture.engines[0].leave();
+    fixture.run([&] { return fixture.probeHealth(); });
+    cr_assert_eq(count(), 1);
+    const UpstreamId other("engine-1");
+    table.noteHealth(other, fail(ErrorCode::ConnectFailed, "down"));
+    cr_assert_eq(count(), 0);
+    fixture.run([&] { return fixture.probeHealth(); });
+    cr_assert_eq(count(), 1);
+
+    for (int n = 0; n < 3; ++n) {
+        table.noteStarted(other, 10);
+        table.noteEnded(other, 10, WorkResult::Failed);
+    }
+    cr_assert_eq(count(), 0);
+    cr_assert_eq(router.metrics.total(Counter::BreakerOpenings), 1);
+    cr_assert_eq(table.status()[1].breaker, "open");
+    const auto events = router.timeline.events();
+    cr_assert(events.back().kind == EventKind::BreakerOpened);
+
+    // A crash gives the engine a new incarnation, after which the breaker lets a probe through.
+    fixture.engines[1].crash();
+    fixture.run([&] { return fixture.probeHealth(); });
+    cr_assert_eq(count(), 1);
+    cr_assert_eq(table.status()[1].breaker, "half-open");
+}
