Queue requests in front of the engines with fair sharing in tokens

Cause: requests beyond the engines' capacity waited in the engines' queues in order of arrival, so an organisation at several times its rate delayed all others. The front end checks that an answer called whole has all of its tokens. The effect on the others' first token is not measured yet.

--- /dev/null
+++ b/Source/Core/Dispatch/AdmissionQueue.h
@@ -0,0 +1,72 @@
+#pragma once
+
+#include "Common/Clock.h"
+#include "Common/EnumTable.h"
+#include "Dispatch/Commands/AdmissionCommands.h"
+#include "Dispatch/ConcurrencyLimit.h"
+#include "Metrics/Commands/MetricCommands.h"
+#include "Upstream/Queries/UpstreamQueries.h"
+
+#include <map>
+#include <set>
+
+namespace Pollenwind {
+
+/// State of a request in the queue.
+enum class AdmissionState {
+    Waiting,
+    Admitted,
+    Shed,
+    Cancelled,
+};
+
+template <> struct EnumTable<AdmissionState> {
+    static constexpr std::array rows {
+        EnumName { AdmissionState::Waiting, "waiting" },
+        EnumName { AdmissionState::Admitted, "admitted" },
+        EnumName { AdmissionState::Shed, "shed" },
+        EnumName { AdmissionState::Cancelled, "cancelled" },
+    };
+};
+
+/// Limits of an admission queue.
+struct AdmissionOptions {
+    /// Requests that may wait for one service. Each holds its prompt in memory.
+    std::size_t capacity = 512;
+    std::chrono::nanoseconds longestWait { std::chrono::seconds(5) };
+};
+
+/// One fair queue and one concurrency limit for each model service.
+class AdmissionQueue final : public AdmissionCommands {
+public:
+    AdmissionQueue(
+        const Clock& clock, const UpstreamQueries& upstreams, MetricCommands& metrics, AdmissionOptions options = {});
+
+    Task<Outcome<void>> enter(AdmissionRequest request) override;
+    void cancel(const ServiceId& service, const RequestId& request) override;
+    void noteFirstToken(const ServiceId& service, std::chrono::nanoseconds latency) override;
+    void leave(const ServiceId& service) override;
+
+private:
+    struct Waiter;
+    struct ServiceState {
+        FairQueue queue;
+        ConcurrencyLimit limit;
+        VersionId version;
+        std::size_t running = 0;
+        std::map<RequestId, Waiter*> waiters;
+    };
+
+    ServiceState& stateOf(const ServiceId& service);
+    std::size_t placesOf(const ServiceId& service, const ServiceState& state) const;
+    void admitDue(const ServiceId& service, ServiceState& state);
+    static void settle(ServiceState& state, const RequestId& request, AdmissionState result);
+
+    const Clock& m_clock;
+    const UpstreamQueries& m_upstreams;
+    MetricCommands& m_metrics;
+    AdmissionOptions m_options;
+    std::map<ServiceId, ServiceState> m_services;
+};
+
+} // namespace Pollenwind
--- a/Source/Core/Dispatch/CompletionDispatcher.cpp
+++ b/Source/Core/Dispatch/CompletionDispatcher.cpp
@@ -39,6 +39,7 @@
 
     PlacementRequest placement;
     MonotonicTime startedAt { 0 };
+    MonotonicTime admittedAt { 0 };
     MonotonicTime lastTokenAt { 0 };
     /// Tokens that the caller was sent, and their text.
     std::uint32_t tokens = 0;
@@ -134,9 +135,11 @@
     }
     delivery.sink = &sink;
     delivery.keyDigest = request.caller.keyDigest;
-    asio::co_spawn(executor, watch(shared), asio::detached);
+    asio::co_spawn(executor, watch(shared, request.id), asio::detached);
     const WatchGuard guard(delivery);
-    auto summary = co_await runReserved(request, sink, delivery);
+    const auto organisation = configuration->document.organisations.find(request.caller.organisation);
+    const double weight = organisation == configuration->document.organisations.end() ? 1 : organisation->second.weight;
+    auto summary = co_await runQueued(request, weight, sink, delivery);
     checkInvariant(summary || summary.error().runState != RunState::NotRun || delivery.mayHaveStarted == 0,
         "not-run only when nothing was started");
     if (isMetered) {
@@ -146,6 +149,21 @@
     co_return summary;
 }
 
+Task<Outcome<CompletionSummary>> CompletionDispatcher::runQueued(
+    const CompletionRequest& request, double weight, TokenSink& sink, Delivery& delivery)
+{
+    const double tokens = delivery.placement.chain.promptTokens + request.maxTokens;
+    const auto admitted = co_await m_context.admission.enter({ request.service, delivery.placement.version,
+        { request.id, request.caller.organisation, weight, tokens }, request.deadline });
+    if (!admitted) {
+        co_return std::unexpected(delivery.endedBy(delivery.stop.value_or(admitted.error())));
+    }
+    delivery.admittedAt = m_context.clock.now();
+    auto summary = co_await runAdmitted(request, sink, delivery);
+    m_context.admission.leave(request.service);
+    co_return summary;
+}
+
 std::optional<PlacementChoice> CompletionDispatcher::place(const Delivery& delivery) const
 {
     auto candidates = m_context.upstreams.candidates(delivery.placement.service, delivery.placement.version);
@@ -166,7 +184,7 @@
     }
 }
 
-Task<> CompletionDispatcher::watch(std::shared_ptr<Delivery> delivery)
+Task<> CompletionDispatcher::watch(std::shared_ptr<Delivery> delivery, RequestId request)
 {
     while (!delivery->stop) {
         delivery->watchTimer.expires_after(watchInterval);
@@ -176,7 +194,8 @@
         }
         checkStop(*delivery);
     }
-    // Wakes the request when it waits for its engine.
+    // Wakes the request when it waits for a place or for its engine.
+    m_context.admission.cancel(delivery->placement.service, request);
     m_engines.cancel(delivery->stream);
 }
 
@@ -205,7 +224,7 @@
     }
 }
 
-Task<Outcome<CompletionSummary>> CompletionDispatcher::runReserved(
+Task<Outcome<CompletionSummary>> CompletionDispatcher::runAdmitted(
     const CompletionRequest& request, TokenSink& sink, Delivery& delivery)
 {
     m_context.retryBudget.noteRequest(request.service);
@@ -369,6 +388,9 @@
     m_context.metrics.observe(isFirst ? Distribution::TimeToFirstToken : Distribution::TimeBetweenTokens,
         now - (isFirst ? delivery.startedAt : delivery.lastTokenAt));
     m_context.metrics.count(Counter::TokensDelivered);
+    if (isFirst) {
+        m_context.admission.noteFirstToken(delivery.placement.service, now - delivery.admittedAt);
+    }
     delivery.lastTokenAt = now;
     ++delivery.tokens;
     delivery.text += event.text;
--- a/Source/Core/Dispatch/CompletionDispatcher.h
+++ b/Source/Core/Dispatch/CompletionDispatcher.h
@@ -2,6 +2,7 @@
 
 #include "Common/Clock.h"
 #include "Config/Queries/ConfigurationQueries.h"
+#include "Dispatch/Commands/AdmissionCommands.h"
 #include "Dispatch/Commands/CompletionCommands.h"
 #include "Dispatch/Queries/RetryRule.h"
 #include "Dispatch/RetryBudget.h"
@@ -40,6 +41,7 @@
     const UpstreamQueries& upstreams;
     MetricCommands& metrics;
     RetryBudget& retryBudget;
+    AdmissionCommands& admission;
     ZoneId ownZone;
     DispatchTimeouts timeouts;
 };
@@ -54,7 +56,9 @@
 private:
     struct Delivery;
 
-    Task<Outcome<CompletionSummary>> runReserved(const CompletionRequest& request, TokenSink& sink, Delivery& delivery);
+    Task<Outcome<CompletionSummary>> runQueued(
+        const CompletionRequest& request, double weight, TokenSink& sink, Delivery& delivery);
+    Task<Outcome<CompletionSummary>> runAdmitted(const CompletionRequest& request, TokenSink& sink, Delivery& delivery);
     Task<Outcome<PlacementChoice>> findEngine(const CompletionRequest& request, Delivery& delivery);
     Task<Outcome<CompletionSummary>> tryEngine(
         const CompletionRequest& request, const PlacementChoice& choice, TokenSink& sink, Delivery& delivery);
@@ -63,7 +67,7 @@
     Task<Outcome<CompletionSummary>> relay(const CompletionRequest& request, TokenSink& sink, Delivery& delivery);
     Outcome<CompletionSummary> finish(const GenerationEvent& event, const Delivery& delivery) const;
     Task<Outcome<void>> deliver(const GenerationEvent& event, TokenSink& sink, Delivery& delivery);
-    Task<> watch(std::shared_ptr<Delivery> delivery);
+    Task<> watch(std::shared_ptr<Delivery> delivery, RequestId request);
     void checkStop(Delivery& delivery);
     bool mayRepeat(const CompletionRequest& request, Delivery& delivery, const Error& error);
     std::optional<PlacementChoice> place(const Delivery& delivery) const;
--- a/Source/Core/Http/CallerFrontEnd.cpp
+++ b/Source/Core/Http/CallerFrontEnd.cpp
@@ -1,5 +1,7 @@
 #include "Http/CallerFrontEnd.h"
 
+#include "Common/Invariant.h"
+
 #include <boost/beast/core/string.hpp>
 
 #include <nlohmann/json.hpp>
@@ -36,15 +38,18 @@
                 co_return fail(ErrorCode::ConnectionLost, "the caller disconnected", RunState::Unknown);
             }
             m_text += chunk.text;
+            ++m_tokens;
             co_return Outcome<void> {};
         }
 
         bool isCallerGone() override { return m_exchange.isPeerGone(); }
         const std::string& text() const { return m_text; }
+        std::uint32_t tokens() const { return m_tokens; }
 
     private:
         HttpExchange& m_exchange;
         std::string m_text;
+        std::uint32_t m_tokens = 0;
     };
 
     /// Passes tokens on as server-sent events. The head goes out with the first token, so that a refusal before it
@@ -68,6 +73,7 @@
             if (!begun) {
                 co_return begun;
             }
+            ++m_tokens;
             co_return co_await m_exchange.writeChunk(CallerCodec::encodeTokenEvent(m_id, m_model, chunk, m_form));
         }
 
@@ -85,6 +91,7 @@
 
         bool isCallerGone() override { return m_exchange.isPeerGone(); }
         bool isBegun() const { return m_isBegun; }
+        std::uint32_t tokens() const { return m_tokens; }
 
     private:
         HttpExchange& m_exchange;
@@ -92,6 +99,7 @@
         std::string m_model;
         CallerCodec::CompletionForm m_form;
         bool m_isBegun = false;
+        std::uint32_t m_tokens = 0;
     };
 
     /// Counts a request as running while it exists.
@@ -241,6 +249,7 @@
     if (!summary) {
         co_return std::unexpected(summary.error());
     }
+    checkInvariant(sink.tokens() == summary->completionTokens, "an answer is called whole only when it is");
     HttpAnswer answer;
     answer.body = CallerCodec::encodeWhole(id, model, sink.text(), *summary, form);
     answer.headers = { { "X-Request-Id", id.value() } };
@@ -266,6 +275,7 @@
         }
         co_return Outcome<void> {};
     }
+    checkInvariant(sink.tokens() == summary->completionTokens, "[DONE] is sent only after a whole answer");
     auto begun = co_await sink.begin();
     if (begun) {
         begun = co_await exchange.writeChunk(CallerCodec::encodeEndEvents(id, model, *summary, form));
--- a/Source/Core/Router/Router.cpp
+++ b/Source/Core/Router/Router.cpp
@@ -3,6 +3,7 @@
 #include "Common/Digest.h"
 #include "Common/Sleep.h"
 #include "Config/ConfigurationTable.h"
+#include "Dispatch/AdmissionQueue.h"
 #include "Dispatch/CompletionDispatcher.h"
 #include "Dispatch/PlainDispatcher.h"
 #include "Dispatch/StoreClaims.h"
@@ -62,8 +63,9 @@
         , storeSync({ clock, store, configuration, keys, timeline, metrics })
         , health(executor, upstreams, upstreams, upstreamClient, settings.healthInterval)
         , retryBudget(clock)
+        , admission(clock, upstreams, metrics)
         , dispatch { clock, configuration, keys, limits, placement, cache, upstreams, upstreams, metrics, retryBudget,
-            settings.zone, toTimeouts(settings) }
+            admission, settings.zone, toTimeouts(settings) }
         , completions(dispatch, upstreamClient)
         , claims(clock, store, metrics)
         , plain(dispatch, upstreamClient, claims)
@@ -104,6 +106,7 @@
     StoreSync storeSync;
     HealthMonitor health;
     RetryBudget retryBudget;
+    AdmissionQueue admission;
     DispatchContext dispatch;
     CompletionDispatcher completions;
     StoreClaims claims;
--- a/Source/UnitTests/Support/ServingFixture.cpp
+++ b/Source/UnitTests/Support/ServingFixture.cpp
@@ -26,8 +26,9 @@
     , store(executor, storeEndpoint, { options.storeTimeout }, metrics)
     , claims(clock, store, metrics)
     , retryBudget(clock)
+    , admission(clock, upstreams, metrics)
     , context { clock, configuration, keys, limits, placement, cache, upstreams, upstreams, metrics, retryBudget,
-        ZoneId("a"), options.timeouts }
+        admission, ZoneId("a"), options.timeouts }
     , completions(context, client)
     , plain(context, client, claims)
     , frontEnd({ clock, configuration, keys, completions, plain, metrics, options.requestDeadline })
--- a/Source/UnitTests/Support/ServingFixture.h
+++ b/Source/UnitTests/Support/ServingFixture.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Config/ConfigurationTable.h"
+#include "Dispatch/AdmissionQueue.h"
 #include "Dispatch/CompletionDispatcher.h"
 #include "Dispatch/PlainDispatcher.h"
 #include "Dispatch/StoreClaims.h"
@@ -68,6 +69,7 @@
     EtcdGatewayClient store;
     StoreClaims claims;
     RetryBudget retryBudget;
+    AdmissionQueue admission;
     DispatchContext context;
     CompletionDispatcher completions;
     PlainDispatcher plain;
