--- a/Source/Core/Http/CallerFrontEnd.cpp
+++ b/Source/Core/Http/CallerFrontEnd.cpp
@@ -24,6 +24,22 @@
         return request.header("X-Api-Key");
     }
 
+    // Shorter texts would be found by chance; issued keys are longer.
+    constexpr std::size_t shortestSoughtKey = 12;
+
+    /// Tells whether a part of the request that upstreams get holds the caller's key.
+    bool repeatsKey(const HttpRequest& request)
+    {
+        const auto key = callerKey(request);
+        if (!key || key->size() < shortestSoughtKey) {
+            return false;
+        }
+        const auto holdsKey = [&](std::string_view text) { return text.find(*key) != std::string_view::npos; };
+        return holdsKey(request.target()) || holdsKey(request.body)
+            || holdsKey(request.header("Idempotency-Key").value_or(""))
+            || holdsKey(request.header("Content-Type").value_or(""));
+    }
+
     /// Collects a whole answer.
     class CollectingSink final : public TokenSink {
     public:
@@ -175,6 +191,9 @@
 Task<Outcome<void>> CallerFrontEnd::route(HttpExchange& exchange, const RequestId& id)
 {
     const auto& request = exchange.request();
+    if (repeatsKey(request)) {
+        co_return fail(ErrorCode::Malformed, "the request repeats its key outside the header for it");
+    }
     if (request.path == "/v1/chat/completions" || request.path == "/v1/completions") {
         if (request.method != "POST") {
             co_return fail(ErrorCode::MethodNotAllowed, "use POST");
--- a/Source/Core/StandIn/EngineStandIn.cpp
+++ b/Source/Core/StandIn/EngineStandIn.cpp
@@ -16,7 +16,8 @@
     using SteadyClock = std::chrono::steady_clock;
 
     constexpr std::size_t keptEvents = 10'000;
-    constexpr std::size_t keptHeaders = 1'000;
+    constexpr std::size_t keptStarted = 100'000;
+    constexpr std::size_t keptTexts = 1'000;
     constexpr std::chrono::milliseconds silentCheck { 50 };
 
     std::string hex(std::uint64_t value)
@@ -97,8 +98,8 @@
 
 bool EngineStandIn::hasSeenText(std::string_view needle) const
 {
-    return std::any_of(m_seenHeaders.begin(), m_seenHeaders.end(),
-        [&](const auto& it) { return it.find(needle) != std::string::npos; });
+    return std::any_of(
+        m_seenTexts.begin(), m_seenTexts.end(), [&](const auto& it) { return it.find(needle) != std::string::npos; });
 }
 
 HttpAnswer EngineStandIn::refusal(int status, std::string_view reason) const
@@ -118,10 +119,11 @@
         co_return;
     }
     for (const auto& [name, value] : request.headers) {
-        m_seenHeaders.emplace_back(name).append(": ").append(value);
+        m_seenTexts.emplace_back(name).append(": ").append(value);
     }
-    while (m_seenHeaders.size() > keptHeaders) {
-        m_seenHeaders.pop_front();
+    m_seenTexts.push_back(request.body);
+    while (m_seenTexts.size() > keptTexts) {
+        m_seenTexts.pop_front();
     }
     if (request.path == "/health") {
         co_await exchange.answer({ .body = healthBody() });
@@ -189,6 +191,9 @@
     call.promptTokens = chain.promptTokens;
 
     ++m_started;
+    if (m_startedRequests.size() < keptStarted) {
+        m_startedRequests.insert(call.id);
+    }
     ++m_running;
     m_queuedTokens += call.promptTokens + call.maxTokens;
     HttpAnswer head;
--- a/Source/Core/StandIn/EngineStandIn.h
+++ b/Source/Core/StandIn/EngineStandIn.h
@@ -78,7 +78,9 @@
     std::uint64_t startedCalls() const { return m_started; }
     std::uint64_t prefilledTokens() const { return m_prefilled; }
     std::uint64_t cachedTokens() const { return m_cachedTotal; }
-    /// Values of all request headers seen whose text contains a needle. Lets a test show that no key arrives.
+    /// Tells whether a request of this id was started. The ids of the first 100,000 are kept.
+    bool hasStarted(const std::string& request) const { return m_startedRequests.contains(request); }
+    /// Tells whether a recent request held a text in a header or its body. Lets a test show that no key arrives.
     bool hasSeenText(std::string_view needle) const;
 
     Task<> handle(HttpExchange& exchange) override;
@@ -117,7 +119,8 @@
     std::uint64_t m_started = 0;
     std::uint64_t m_prefilled = 0;
     std::uint64_t m_cachedTotal = 0;
-    std::deque<std::string> m_seenHeaders;
+    std::set<std::string> m_startedRequests;
+    std::deque<std::string> m_seenTexts;
 };
 
 } // namespace Pollenwind
--- a/Source/Core/StandIn/PlainStandIn.cpp
+++ b/Source/Core/StandIn/PlainStandIn.cpp
@@ -5,12 +5,16 @@
 
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
+
 namespace Pollenwind {
 
 namespace {
 
     using Json = nlohmann::json;
 
+    constexpr std::size_t keptTexts = 1'000;
+
 } // namespace
 
 PlainStandIn::PlainStandIn(asio::any_io_executor executor, VersionId version)
@@ -35,6 +39,11 @@
     return true;
 }
 
+bool PlainStandIn::hasSeenText(std::string_view needle) const
+{
+    return std::ranges::any_of(m_seenTexts, [&](const auto& it) { return it.find(needle) != std::string::npos; });
+}
+
 HttpAnswer PlainStandIn::refusal(int status, std::string_view reason) const
 {
     return { .status = status, .body = Json { { "error", reason } }.dump() };
@@ -68,6 +77,14 @@
         co_return;
     }
     const std::string id(request.header("X-Request-Id").value_or(""));
+    std::string text = request.target() + "\n" + request.body;
+    for (const auto& [name, value] : request.headers) {
+        text += "\n" + name + ": " + value;
+    }
+    m_seenTexts.push_back(std::move(text));
+    if (m_seenTexts.size() > keptTexts) {
+        m_seenTexts.pop_front();
+    }
     if (takeFault(PlainFault::Refuse)) {
         auto answer = refusal(503, "not started");
         answer.headers = { { "X-Not-Started", "1" }, { "X-Request-Id", id } };
--- a/Source/Core/StandIn/PlainStandIn.h
+++ b/Source/Core/StandIn/PlainStandIn.h
@@ -6,6 +6,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <string>
 
@@ -44,6 +45,9 @@
     Outcome<Endpoint> listen(const Endpoint& endpoint) { return m_server.listen(endpoint); }
     void setFault(PlainFault fault, std::int64_t value) { m_faults[fault] = value; }
 
+    /// Tells whether a recent request held a text in a header or its body. Lets a test show that no key arrives.
+    bool hasSeenText(std::string_view needle) const;
+
     /// How often each call ran.
     const std::map<std::string, std::uint32_t>& runs() const { return m_runs; }
 
@@ -60,6 +64,7 @@
     Incarnation m_incarnation;
     std::map<PlainFault, std::int64_t> m_faults;
     std::map<std::string, std::uint32_t> m_runs;
+    std::deque<std::string> m_seenTexts;
 };
 
 } // namespace Pollenwind
