--- a/Source/Core/Dispatch/CompletionDispatcher.h
+++ b/Source/Core/Dispatch/CompletionDispatcher.h
@@ -2,18 +2,23 @@
 
 #include "Common/Clock.h"
 #include "Config/Queries/ConfigurationQueries.h"
+#include "Dispatch/Commands/AdmissionCommands.h"
 #include "Dispatch/Commands/CompletionCommands.h"
 #include "Dispatch/Queries/RetryRule.h"
+#include "Dispatch/RetryBudget.h"
 #include "Keys/Queries/KeyQueries.h"
 #include "Limits/Commands/LimitCommands.h"
 #include "Metrics/Commands/MetricCommands.h"
+#include "Moves/Commands/MoveCommands.h"
+#include "Moves/Queries/MoveQueries.h"
 #include "Placement/Commands/CacheCommands.h"
 #include "Placement/Queries/PlacementPolicy.h"
 #include "Upstream/Commands/EngineClient.h"
 #include "Upstream/Commands/UpstreamCommands.h"
 #include "Upstream/Queries/UpstreamQueries.h"
 
-#include <set>
+#include <memory>
+#include <optional>
 
 namespace Pollenwind {
 
@@ -22,6 +27,8 @@
     std::chrono::nanoseconds rateWait { std::chrono::seconds(1) };
     std::chrono::nanoseconds firstToken { std::chrono::seconds(30) };
     std::chrono::nanoseconds tokenGap { std::chrono::seconds(5) };
+    /// Longest time to wait for an upstream that can take a request, e.g. while the only one restarts.
+    std::chrono::nanoseconds candidateWait { std::chrono::seconds(2) };
 };
 
 /// What a dispatcher works with. All references must outlive it.
@@ -35,6 +42,10 @@
     UpstreamCommands& upstreamCommands;
     const UpstreamQueries& upstreams;
     MetricCommands& metrics;
+    RetryBudget& retryBudget;
+    AdmissionCommands& admission;
+    MoveCommands& moveCommands;
+    const MoveQueries& moveQueries;
     ZoneId ownZone;
     DispatchTimeouts timeouts;
 };
@@ -49,11 +60,23 @@
 private:
     struct Delivery;
 
-    Task<Outcome<CompletionSummary>> runReserved(const CompletionRequest& request, TokenSink& sink, Delivery& delivery);
+    Task<Outcome<CompletionSummary>> runQueued(
+        const CompletionRequest& request, double weight, TokenSink& sink, Delivery& delivery);
+    Task<Outcome<CompletionSummary>> runAdmitted(const CompletionRequest& request, TokenSink& sink, Delivery& delivery);
+    Task<Outcome<PlacementChoice>> findEngine(const CompletionRequest& request, Delivery& delivery);
+    Task<Outcome<CompletionSummary>> tryEngine(
+        const CompletionRequest& request, const PlacementChoice& choice, TokenSink& sink, Delivery& delivery);
     Task<Outcome<CompletionSummary>> attempt(
         const CompletionRequest& request, const PlacementChoice& choice, TokenSink& sink, Delivery& delivery);
-    Task<Outcome<CompletionSummary>> relay(
-        const CompletionRequest& request, StreamId stream, TokenSink& sink, Delivery& delivery);
+    Task<Outcome<CompletionSummary>> relay(const CompletionRequest& request, TokenSink& sink, Delivery& delivery);
+    VersionId chooseVersion(const CompletionRequest& request, const VersionId& configured) const;
+    void noteVersionOutcome(const CompletionRequest& request, const PlacementChoice& choice,
+        const Outcome<CompletionSummary>& summary, const Delivery& delivery);
+    Outcome<CompletionSummary> finish(const GenerationEvent& event, const Delivery& delivery) const;
+    Task<Outcome<void>> deliver(const GenerationEvent& event, TokenSink& sink, Delivery& delivery);
+    Task<> watch(std::shared_ptr<Delivery> delivery, RequestId request);
+    void checkStop(Delivery& delivery);
+    bool mayRepeat(const CompletionRequest& request, Delivery& delivery, const Error& error);
     std::optional<PlacementChoice> place(const Delivery& delivery) const;
 
     DispatchContext m_context;
--- a/Source/Core/Dispatch/RequestTypes.h
+++ b/Source/Core/Dispatch/RequestTypes.h
@@ -24,6 +24,8 @@
     RequestId id;
     CallerIdentity caller;
     ServiceId service;
+    /// Name of the caller's route; versions are judged for each route.
+    std::string route;
     std::string prompt;
     std::uint32_t maxTokens = 0;
     int priority = 0;
--- a/Source/Core/Http/CallerFrontEnd.cpp
+++ b/Source/Core/Http/CallerFrontEnd.cpp
@@ -1,5 +1,7 @@
 #include "Http/CallerFrontEnd.h"
 
+#include "Common/Invariant.h"
+
 #include <boost/beast/core/string.hpp>
 
 #include <nlohmann/json.hpp>
@@ -22,6 +24,22 @@
         return request.header("X-Api-Key");
     }
 
+    // Shorter texts would be found by chance; issued keys are longer.
+    constexpr std::size_t shortestSoughtKey = 12;
+
+    /// Tells whether a part of the request that upstreams get holds the caller's key.
+    bool repeatsKey(const HttpRequest& request)
+    {
+        const auto key = callerKey(request);
+        if (!key || key->size() < shortestSoughtKey) {
+            return false;
+        }
+        const auto holdsKey = [&](std::string_view text) { return text.find(*key) != std::string_view::npos; };
+        return holdsKey(request.target()) || holdsKey(request.body)
+            || holdsKey(request.header("Idempotency-Key").value_or(""))
+            || holdsKey(request.header("Content-Type").value_or(""));
+    }
+
     /// Collects a whole answer.
     class CollectingSink final : public TokenSink {
     public:
@@ -36,15 +54,18 @@
                 co_return fail(ErrorCode::ConnectionLost, "the caller disconnected", RunState::Unknown);
             }
             m_text += chunk.text;
+            ++m_tokens;
             co_return Outcome<void> {};
         }
 
         bool isCallerGone() override { return m_exchange.isPeerGone(); }
         const std::string& text() const { return m_text; }
+        std::uint32_t tokens() const { return m_tokens; }
 
     private:
         HttpExchange& m_exchange;
         std::string m_text;
+        std::uint32_t m_tokens = 0;
     };
 
     /// Passes tokens on as server-sent events. The head goes out with the first token, so that a refusal before it
@@ -68,6 +89,7 @@
             if (!begun) {
                 co_return begun;
             }
+            ++m_tokens;
             co_return co_await m_exchange.writeChunk(CallerCodec::encodeTokenEvent(m_id, m_model, chunk, m_form));
         }
 
@@ -85,6 +107,7 @@
 
         bool isCallerGone() override { return m_exchange.isPeerGone(); }
         bool isBegun() const { return m_isBegun; }
+        std::uint32_t tokens() const { return m_tokens; }
 
     private:
         HttpExchange& m_exchange;
@@ -92,6 +115,7 @@
         std::string m_model;
         CallerCodec::CompletionForm m_form;
         bool m_isBegun = false;
+        std::uint32_t m_tokens = 0;
     };
 
     /// Counts a request as running while it exists.
@@ -167,6 +191,9 @@
 Task<Outcome<void>> CallerFrontEnd::route(HttpExchange& exchange, const RequestId& id)
 {
     const auto& request = exchange.request();
+    if (repeatsKey(request)) {
+        co_return fail(ErrorCode::Malformed, "the request repeats its key outside the header for it");
+    }
     if (request.path == "/v1/chat/completions" || request.path == "/v1/completions") {
         if (request.method != "POST") {
             co_return fail(ErrorCode::MethodNotAllowed, "use POST");
@@ -221,6 +248,7 @@
     request.id = id;
     request.caller = *caller;
     request.service = service->first;
+    request.route = form == CallerCodec::CompletionForm::Chat ? "chat" : "text";
     request.prompt = std::move(body->prompt);
     request.maxTokens = body->maxTokens;
     request.priority = body->priority;
@@ -241,6 +269,7 @@
     if (!summary) {
         co_return std::unexpected(summary.error());
     }
+    checkInvariant(sink.tokens() == summary->completionTokens, "an answer is called whole only when it is");
     HttpAnswer answer;
     answer.body = CallerCodec::encodeWhole(id, model, sink.text(), *summary, form);
     answer.headers = { { "X-Request-Id", id.value() } };
@@ -266,6 +295,7 @@
         }
         co_return Outcome<void> {};
     }
+    checkInvariant(sink.tokens() == summary->completionTokens, "[DONE] is sent only after a whole answer");
     auto begun = co_await sink.begin();
     if (begun) {
         begun = co_await exchange.writeChunk(CallerCodec::encodeEndEvents(id, model, *summary, form));
--- a/Source/Core/Router/Router.cpp
+++ b/Source/Core/Router/Router.cpp
@@ -3,8 +3,10 @@
 #include "Common/Digest.h"
 #include "Common/Sleep.h"
 #include "Config/ConfigurationTable.h"
+#include "Dispatch/AdmissionQueue.h"
 #include "Dispatch/CompletionDispatcher.h"
 #include "Dispatch/PlainDispatcher.h"
+#include "Dispatch/StoreClaims.h"
 #include "Http/AdminFrontEnd.h"
 #include "Http/CallerFrontEnd.h"
 #include "Keys/KeyTable.h"
@@ -93,7 +95,7 @@
         , limits(executor, clock, limitTable, grants, metrics)
         , cache(clock)
         , placement(clock, cache, cache, { .seed = randomBits() })
-        , upstreams(clock, configuration, timeline, cache)
+        , upstreams(clock, configuration, timeline, cache, metrics)
         , upstreamClient(executor, settings.connectTimeout)
         , store(executor, settings.store, { settings.storeCallTimeout }, metrics)
         , vm(toVmIdentity(settings, identity, clock.wallNow()))
@@ -117,10 +119,13 @@
         , cacheEvents(executor, cache, cache, upstreams, configuration, upstreamClient)
         , moveDriver({ clock, configuration, store, store, moves, moves, planner, judge, upstreams, orders, timeline,
               settings.vm })
-        , dispatch { clock, configuration, keys, limits, placement, cache, upstreams, upstreams, metrics, settings.zone,
-            toTimeouts(settings) }
+        , retryBudget(clock)
+        , admission(clock, upstreams, metrics)
+        , dispatch { clock, configuration, keys, limits, placement, cache, upstreams, upstreams, metrics, retryBudget,
+            admission, moves, moves, settings.zone, toTimeouts(settings) }
         , completions(dispatch, upstreamClient)
-        , plain(dispatch, upstreamClient)
+        , claims(clock, store, metrics)
+        , plain(dispatch, upstreamClient, claims)
         , callerFrontEnd({ clock, configuration, keys, completions, plain, metrics, settings.requestDeadline })
         , adminFrontEnd(settings.adminToken)
         , callerServer(executor, callerFrontEnd, settings.httpLimits)
@@ -180,8 +185,11 @@
     CacheEventMonitor cacheEvents;
     HttpOrderClient orders;
     MoveDriver moveDriver;
+    RetryBudget retryBudget;
+    AdmissionQueue admission;
     DispatchContext dispatch;
     CompletionDispatcher completions;
+    StoreClaims claims;
     PlainDispatcher plain;
     CallerFrontEnd callerFrontEnd;
     AdminFrontEnd adminFrontEnd;
--- a/Source/UnitTests/Placement/CacheEventMonitorTests.cpp
+++ b/Source/UnitTests/Placement/CacheEventMonitorTests.cpp
@@ -102,8 +102,8 @@
     const auto chain = makePrefixChain(chainSalt(organisation, ServiceId("m"), VersionId("v1")), prompt, 2048);
     const auto generate = [&]() -> Task<> {
         GenerationCall call { RequestId("r1"), ServiceId("m"), VersionId("v1"), organisation, prompt, 1 };
-        const auto stream = co_await client.start(*endpoint, call, std::chrono::seconds(5));
-        cr_assert(stream.has_value());
+        const auto stream = client.open(*endpoint, call);
+        cr_assert((co_await client.begin(stream, std::chrono::seconds(5))).has_value());
     };
     for (int life = 0; life < 2; ++life) {
         const auto report = readHealth(client, context, *endpoint);
