Accept keys for 5 s after the last confirmation and show changes of confirmation

Cause: the key table refused keys 3 s after the last confirmation, while the design page says 2 s of confirmation plus a limit of 3 s; a change of confirmation was recorded nowhere; a move's deadline_ms could overflow. Change: window and limit add up; the timeline shows keys-confirmed and keys-unconfirmed; deadlines are checked before they are converted.

--- a/Source/Core/Keys/KeyTable.cpp
+++ b/Source/Core/Keys/KeyTable.cpp
@@ -46,9 +46,18 @@
 
 void KeyTable::confirm(MonotonicTime at) { m_confirmedAt = std::max(m_confirmedAt, at); }
 
+void KeyTable::recordConfirmation()
+{
+    const bool isConfirmed = confirmationAge() <= confirmedWindow;
+    if (isConfirmed != m_isShownConfirmed) {
+        m_isShownConfirmed = isConfirmed;
+        m_timeline.record(isConfirmed ? EventKind::KeysConfirmed : EventKind::KeysUnconfirmed, {});
+    }
+}
+
 Outcome<KeyIdentity> KeyTable::identify(std::string_view key) const
 {
-    if (confirmationAge() > m_unconfirmedLimit) {
+    if (confirmationAge() > confirmedWindow + m_unconfirmedLimit) {
         return fail(ErrorCode::KeyUnconfirmed, "this router cannot confirm keys at the moment");
     }
     const auto digest = sha256(key);
--- a/Source/Core/Keys/KeyTable.h
+++ b/Source/Core/Keys/KeyTable.h
@@ -13,11 +13,13 @@
 /// Owner of the key digests and of their confirmation.
 class KeyTable final : public KeyCommands, public KeyQueries, public KeyDigestQueries {
 public:
-    /// @param unconfirmedLimit Age of the last confirmation beyond which keys are refused.
+    /// @param unconfirmedLimit Time for which keys are still accepted while the table is unconfirmed.
     KeyTable(const Clock& clock, TimelineCommands& timeline, std::chrono::nanoseconds unconfirmedLimit);
 
     bool merge(const KeyRecord& record) override;
     void confirm(MonotonicTime at) override;
+    /// Records in the timeline when the table became confirmed or unconfirmed since the last call. Call regularly.
+    void recordConfirmation();
 
     Outcome<KeyIdentity> identify(std::string_view key) const override;
     bool isWithdrawn(const Digest& digest) const override;
@@ -30,6 +32,7 @@
     TimelineCommands& m_timeline;
     std::chrono::nanoseconds m_unconfirmedLimit;
     MonotonicTime m_confirmedAt { 0 };
+    bool m_isShownConfirmed = false;
     std::map<Digest, KeyRecord> m_records;
     std::uint64_t m_tableDigest = 0;
 };
--- a/Source/Core/Keys/KeyTypes.h
+++ b/Source/Core/Keys/KeyTypes.h
@@ -5,9 +5,14 @@
 #include "Common/Ids.h"
 
 #include <array>
+#include <chrono>
 
 namespace Pollenwind {
 
+/// Age of the last confirmation up to which the key table counts as confirmed. Heartbeats and store probes renew it at
+/// least each second.
+inline constexpr std::chrono::seconds confirmedWindow { 2 };
+
 /// State of a key. A withdrawn key never becomes valid again, so records can be merged in any order.
 enum class KeyState {
     Valid,
--- a/Source/Core/Router/Commands/MoveAdminCommands.cpp
+++ b/Source/Core/Router/Commands/MoveAdminCommands.cpp
@@ -12,6 +12,8 @@
     using Json = nlohmann::json;
 
     constexpr int maxWriteAttempts = 5;
+    constexpr std::chrono::hours longestMove { 30 * 24 };
+    constexpr std::chrono::milliseconds latestDeadline { 9'000'000'000'000 };
 
     std::string readString(const Json& object, const char* name)
     {
@@ -80,10 +82,18 @@
     record.operatorName = readString(json, "operator");
     record.orderedAt = m_clock.wallNow();
     record.stepSince = record.orderedAt;
-    record.deadline = std::chrono::milliseconds(json["deadline_ms"].get<std::int64_t>());
+    // Checked in milliseconds first, since a larger number does not fit into the nanoseconds of a time.
+    const auto deadline = json["deadline_ms"].get<std::int64_t>();
+    if (deadline < 0 || deadline > latestDeadline.count()) {
+        return fail(ErrorCode::Malformed, "\"deadline_ms\" is out of range");
+    }
+    record.deadline = std::chrono::milliseconds(deadline);
     if (record.id.value().empty() || record.to.value().empty()) {
         return fail(ErrorCode::Malformed, "\"change\" and \"to\" must not be empty");
     }
+    if (record.deadline > record.orderedAt + longestMove) {
+        return fail(ErrorCode::Malformed, "the deadline must be at most 30 days ahead");
+    }
     if (record.deadline <= record.orderedAt) {
         return fail(ErrorCode::Malformed, "the deadline has passed");
     }
--- a/Source/Core/Router/Router.cpp
+++ b/Source/Core/Router/Router.cpp
@@ -286,6 +286,7 @@
 Task<> Router::Parts::becomeReady()
 {
     while (configuration.current()->revision.value() == 0) {
+        keys.recordConfirmation();
         co_await sleepFor(reconfigureCheck);
     }
     co_await sleepFor(startWait);
