Read JSON fields and run programs through one piece of code each

Cause: seven codecs had their own readString, readNumber and readCount, five programs the same entry point.

--- a/Source/Core/Platform/EtcdCodec.cpp
+++ b/Source/Core/Platform/EtcdCodec.cpp
@@ -1,8 +1,7 @@
 #include "Platform/EtcdCodec.h"
 
 #include "Common/Digest.h"
-
-#include <nlohmann/json.hpp>
+#include "Common/JsonFields.h"
 
 #include <charconv>
 
@@ -10,7 +9,9 @@
 
 namespace {
 
-    using Json = nlohmann::json;
+    using JsonFields::Json;
+    using JsonFields::readNumber;
+    using JsonFields::readString;
 
     Json parse(std::string_view body) { return Json::parse(body, nullptr, false); }
 
@@ -19,24 +20,6 @@
         return fail(ErrorCode::StoreUnavailable, "the store sent a malformed " + std::string(what), RunState::Unknown);
     }
 
-    // The gateway leaves out fields with default values and writes 64-bit numbers as strings.
-    std::int64_t readNumber(const Json& object, const char* name)
-    {
-        const auto it = object.find(name);
-        if (it == object.end()) {
-            return 0;
-        }
-        if (it->is_number_integer()) {
-            return it->get<std::int64_t>();
-        }
-        std::int64_t value = 0;
-        if (it->is_string()) {
-            const auto& text = it->get_ref<const std::string&>();
-            std::from_chars(text.data(), text.data() + text.size(), value);
-        }
-        return value;
-    }
-
     std::string readBytes(const Json& object, const char* name)
     {
         const auto it = object.find(name);
@@ -56,12 +39,6 @@
         return it == object.end() ? s_none : *it;
     }
 
-    std::string readString(const Json& object, const char* name)
-    {
-        const auto& value = member(object, name);
-        return value.is_string() ? value.get<std::string>() : std::string();
-    }
-
     StoreEntry toEntry(const Json& pair)
     {
         StoreEntry entry;
--- a/Source/Core/Router/Commands/MoveAdminCommands.cpp
+++ b/Source/Core/Router/Commands/MoveAdminCommands.cpp
@@ -1,26 +1,20 @@
 #include "Router/Commands/MoveAdminCommands.h"
 
+#include "Common/JsonFields.h"
 #include "Router/MoveRecords.h"
 #include "Router/StoreKeys.h"
 
-#include <nlohmann/json.hpp>
-
 namespace Pollenwind {
 
 namespace {
 
-    using Json = nlohmann::json;
+    using JsonFields::Json;
+    using JsonFields::readString;
 
     constexpr int maxWriteAttempts = 5;
     constexpr std::chrono::hours longestMove { 30 * 24 };
     constexpr std::chrono::milliseconds latestDeadline { 9'000'000'000'000 };
 
-    std::string readString(const Json& object, const char* name)
-    {
-        const auto it = object.find(name);
-        return it != object.end() && it->is_string() ? it->get<std::string>() : std::string();
-    }
-
     struct StoredMove {
         std::int64_t revision = 0;
         std::optional<MoveRecord> record;
--- a/Source/Core/Router/Commands/RouterCommands.cpp
+++ b/Source/Core/Router/Commands/RouterCommands.cpp
@@ -1,12 +1,11 @@
 #include "Router/Commands/RouterCommands.h"
 
+#include "Common/JsonFields.h"
 #include "Config/Queries/CheckDocument.h"
 #include "Router/Queries/KeyDigest.h"
 #include "Router/StoreKeys.h"
 #include "Router/StoreRecords.h"
 
-#include <nlohmann/json.hpp>
-
 #include <algorithm>
 #include <optional>
 
@@ -14,16 +13,11 @@
 
 namespace {
 
-    using Json = nlohmann::json;
+    using JsonFields::Json;
+    using JsonFields::readString;
 
     constexpr int maxWriteAttempts = 5;
 
-    std::string readString(const Json& object, const char* name)
-    {
-        const auto it = object.find(name);
-        return it != object.end() && it->is_string() ? it->get<std::string>() : std::string();
-    }
-
     Outcome<std::optional<std::int64_t>> readBase(const Json& object)
     {
         const auto it = object.find("base_revision");
--- a/Source/Core/Router/MoveRecords.cpp
+++ b/Source/Core/Router/MoveRecords.cpp
@@ -1,24 +1,13 @@
 #include "Router/MoveRecords.h"
 
-#include <nlohmann/json.hpp>
-
+#include "Common/JsonFields.h"
 namespace Pollenwind {
 
 namespace {
 
-    using Json = nlohmann::json;
-
-    std::string readString(const Json& object, const char* name)
-    {
-        const auto it = object.find(name);
-        return it != object.end() && it->is_string() ? it->get<std::string>() : std::string();
-    }
-
-    std::int64_t readNumber(const Json& object, const char* name)
-    {
-        const auto it = object.find(name);
-        return it != object.end() && it->is_number() ? it->get<std::int64_t>() : 0;
-    }
+    using JsonFields::Json;
+    using JsonFields::readNumber;
+    using JsonFields::readString;
 
     std::int64_t toMilliseconds(WallTime time)
     {
--- a/Source/Core/Router/StoreRecords.cpp
+++ b/Source/Core/Router/StoreRecords.cpp
@@ -1,18 +1,12 @@
 #include "Router/StoreRecords.h"
 
-#include <nlohmann/json.hpp>
-
+#include "Common/JsonFields.h"
 namespace Pollenwind {
 
 namespace {
 
-    using Json = nlohmann::json;
-
-    std::string readString(const Json& object, const char* name)
-    {
-        const auto it = object.find(name);
-        return it != object.end() && it->is_string() ? it->get<std::string>() : std::string();
-    }
+    using JsonFields::Json;
+    using JsonFields::readString;
 
 } // namespace
 
--- a/Source/Core/StandIn/StoreStandIn.cpp
+++ b/Source/Core/StandIn/StoreStandIn.cpp
@@ -1,39 +1,22 @@
 #include "StandIn/StoreStandIn.h"
 
 #include "Common/Digest.h"
+#include "Common/JsonFields.h"
 #include "Common/Sleep.h"
 
-#include <nlohmann/json.hpp>
-
 #include <charconv>
 
 namespace Pollenwind {
 
 namespace {
 
-    using Json = nlohmann::json;
+    using JsonFields::Json;
+    using JsonFields::readNumber;
     using SteadyClock = std::chrono::steady_clock;
 
     constexpr std::chrono::milliseconds progressInterval { 1000 };
     constexpr std::size_t keptChanges = 100'000;
 
-    std::int64_t readNumber(const Json& object, const char* name)
-    {
-        const auto it = object.find(name);
-        if (it == object.end()) {
-            return 0;
-        }
-        if (it->is_number()) {
-            return it->get<std::int64_t>();
-        }
-        std::int64_t value = 0;
-        if (it->is_string()) {
-            const auto& text = it->get_ref<const std::string&>();
-            std::from_chars(text.data(), text.data() + text.size(), value);
-        }
-        return value;
-    }
-
     std::string readBytes(const Json& object, const char* name)
     {
         const auto it = object.find(name);
--- a/Source/Core/Upstream/UpstreamCodec.cpp
+++ b/Source/Core/Upstream/UpstreamCodec.cpp
@@ -1,9 +1,8 @@
 #include "Upstream/UpstreamCodec.h"
 
+#include "Common/JsonFields.h"
 #include "Placement/PrefixChain.h"
 
-#include <nlohmann/json.hpp>
-
 #include <algorithm>
 #include <array>
 #include <charconv>
@@ -13,19 +12,9 @@
 
 namespace {
 
-    using Json = nlohmann::json;
-
-    std::uint32_t readCount(const Json& object, const char* name)
-    {
-        const auto it = object.find(name);
-        return it != object.end() && it->is_number_unsigned() ? it->get<std::uint32_t>() : 0;
-    }
-
-    std::string readString(const Json& object, const char* name)
-    {
-        const auto it = object.find(name);
-        return it != object.end() && it->is_string() ? it->get<std::string>() : std::string();
-    }
+    using JsonFields::Json;
+    using JsonFields::readCount;
+    using JsonFields::readString;
 
     std::optional<std::uint64_t> readHex(const Json& object, const char* name)
     {
--- a/Source/Programs/PollenwindBench/Main.cpp
+++ b/Source/Programs/PollenwindBench/Main.cpp
@@ -1,5 +1,7 @@
 #include "Bench/PlacementReport.h"
 
+#include "Support/ProgramMain.h"
+
 #include <tclap/CmdLine.h>
 
 #include <iostream>
@@ -35,12 +37,5 @@
 
 int main(int argc, char** argv)
 {
-    try {
-        return run(argc, argv);
-    } catch (const TCLAP::ArgException& ex) {
-        std::cerr << "pollenwind-bench: " << ex.error() << " " << ex.argId() << "\n";
-        return 2;
-    } catch (const TCLAP::ExitException& ex) {
-        return ex.getExitStatus();
-    }
+    return Pollenwind::runProgram("pollenwind-bench", [&] { return run(argc, argv); });
 }
--- a/Source/Programs/PollenwindLoad/Main.cpp
+++ b/Source/Programs/PollenwindLoad/Main.cpp
@@ -5,6 +5,8 @@
 #include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
 
+#include "Support/ProgramMain.h"
+
 #include <tclap/CmdLine.h>
 
 #include <cstdio>
@@ -90,12 +92,5 @@
 
 int main(int argc, char** argv)
 {
-    try {
-        return run(argc, argv);
-    } catch (const TCLAP::ArgException& ex) {
-        std::cerr << "pollenwind-load: " << ex.error() << " " << ex.argId() << "\n";
-        return 2;
-    } catch (const TCLAP::ExitException& ex) {
-        return ex.getExitStatus();
-    }
+    return Pollenwind::runProgram("pollenwind-load", [&] { return run(argc, argv); });
 }
--- a/Source/Programs/PollenwindMoveBench/Main.cpp
+++ b/Source/Programs/PollenwindMoveBench/Main.cpp
@@ -1,5 +1,7 @@
 #include "MoveBench/MoveScenario.h"
 
+#include "Support/ProgramMain.h"
+
 #include <tclap/CmdLine.h>
 
 #include <algorithm>
@@ -82,12 +84,5 @@
 
 int main(int argc, char** argv)
 {
-    try {
-        return run(argc, argv);
-    } catch (const TCLAP::ArgException& ex) {
-        std::cerr << "pollenwind-move-bench: " << ex.error() << " " << ex.argId() << "\n";
-        return 2;
-    } catch (const TCLAP::ExitException& ex) {
-        return ex.getExitStatus();
-    }
+    return Pollenwind::runProgram("pollenwind-move-bench", [&] { return run(argc, argv); });
 }
--- a/Source/Programs/PollenwindSoak/Main.cpp
+++ b/Source/Programs/PollenwindSoak/Main.cpp
@@ -4,6 +4,8 @@
 #include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
 
+#include "Support/ProgramMain.h"
+
 #include <tclap/CmdLine.h>
 
 #include <cstdlib>
@@ -96,12 +98,5 @@
 
 int main(int argc, char** argv)
 {
-    try {
-        return run(argc, argv);
-    } catch (const TCLAP::ArgException& ex) {
-        std::cerr << "pollenwind-soak: " << ex.error() << " " << ex.argId() << "\n";
-        return 2;
-    } catch (const TCLAP::ExitException& ex) {
-        return ex.getExitStatus();
-    }
+    return Pollenwind::runProgram("pollenwind-soak", [&] { return run(argc, argv); });
 }
--- a/Source/Programs/PollenwindStandIns/Main.cpp
+++ b/Source/Programs/PollenwindStandIns/Main.cpp
@@ -5,6 +5,8 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
 
+#include "Support/ProgramMain.h"
+
 #include <tclap/CmdLine.h>
 
 #include <csignal>
@@ -100,12 +102,5 @@
 
 int main(int argc, char** argv)
 {
-    try {
-        return run(argc, argv);
-    } catch (const TCLAP::ArgException& ex) {
-        std::cerr << "pollenwind-standins: " << ex.error() << " " << ex.argId() << "\n";
-        return 2;
-    } catch (const TCLAP::ExitException& ex) {
-        return ex.getExitStatus();
-    }
+    return Pollenwind::runProgram("pollenwind-standins", [&] { return run(argc, argv); });
 }
