--- a/Source/Core/Router/ShareKeeper.cpp
+++ b/Source/Core/Router/ShareKeeper.cpp
@@ -39,12 +39,15 @@
 
 Task<> ShareKeeper::run()
 {
+    auto seeking = seekingInterval / 2;
     while (!m_isStopping) {
         const auto revision = m_revision;
         const bool isRead = co_await refresh();
         const bool isSeeking = !isRead || m_used.empty() || !m_givenUp.empty();
         const auto interval = m_revision == revision ? steadyInterval : changingInterval;
-        co_await sleepFor(jittered(isSeeking ? seekingInterval : interval));
+        // VMs beyond the number of slots would otherwise read the store each second for as long as they live.
+        seeking = isSeeking ? std::min(2 * seeking, steadyInterval) : seekingInterval / 2;
+        co_await sleepFor(jittered(isSeeking ? seeking : interval));
     }
 }
 
--- a/tools/bench.sh
+++ b/tools/bench.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Runs a benchmark. Usage: tools/bench.sh placement|decisions [ARGUMENT...]
+# Runs a benchmark. Usage: tools/bench.sh placement|decisions|moves|control [ARGUMENT...]
 set -euo pipefail
 cd "$(dirname "$0")/.."
 name=${1:-}
@@ -13,8 +13,16 @@
 decisions)
     build/Source/Programs/PollenwindBench/pollenwind-decision-bench "$@"
     ;;
+moves)
+    build/Source/Programs/PollenwindMoveBench/pollenwind-move-bench "$@"
+    ;;
+control)
+    for n in 3 9 27; do
+        tools/measure-control.sh "$n"
+    done
+    ;;
 *)
-    echo "usage: tools/bench.sh placement|decisions [ARGUMENT...]" >&2
+    echo "usage: tools/bench.sh placement|decisions|moves|control [ARGUMENT...]" >&2
     exit 2
     ;;
 esac
