--- a/tools/bench.sh
+++ b/tools/bench.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Runs a benchmark. Usage: tools/bench.sh placement|decisions|moves|control [ARGUMENT...]
+# Runs a benchmark. Usage: tools/bench.sh placement|decisions|moves|control|latency [ARGUMENT...]
 set -euo pipefail
 cd "$(dirname "$0")/.."
 name=${1:-}
@@ -21,8 +21,13 @@
         tools/measure-control.sh "$n"
     done
     ;;
+latency)
+    for rate in 100 400; do
+        tools/measure-latency.sh "$rate"
+    done
+    ;;
 *)
-    echo "usage: tools/bench.sh placement|decisions|moves|control [ARGUMENT...]" >&2
+    echo "usage: tools/bench.sh placement|decisions|moves|control|latency [ARGUMENT...]" >&2
     exit 2
     ;;
 esac
