Count soak checks and look up a move's share in one place each

SoakRun and SoakClient tallied checks with the same loop, and three callers clamped the step of a move's share themselves. Behaviour is unchanged; the Moves tests pass.

--- a/Source/Core/Moves/MovePlanner.cpp
+++ b/Source/Core/Moves/MovePlanner.cpp
@@ -34,7 +34,7 @@
     /// Upstreams that should hold the new version for a share, at least two so that one crash is no verdict.
     std::size_t wantedUpstreams(const MoveRecord& record, std::size_t reachable)
     {
-        const auto share = moveShares()[std::min<std::size_t>(record.step + 1, moveShares().size() - 1)];
+        const auto share = moveShareAt(record.step + 1);
         const auto needed = (reachable * share + 999) / 1000;
         return std::min(reachable, std::max<std::size_t>(2, needed));
     }
@@ -157,6 +157,8 @@
     return s_shares;
 }
 
+std::uint32_t moveShareAt(std::size_t step) { return moveShares()[std::min(step, moveShares().size() - 1)]; }
+
 MovePlan StepPlanner::plan(const MoveRecord& record, const MoveView& view) const
 {
     MovePlan plan;
--- a/Source/Core/Moves/MoveTable.cpp
+++ b/Source/Core/Moves/MoveTable.cpp
@@ -133,7 +133,7 @@
         return record.from;
     }
     const auto& name = request.value();
-    const auto share = moveShares()[std::min<std::size_t>(record.step, moveShares().size() - 1)];
+    const auto share = moveShareAt(record.step);
     return XXH3_64bits(name.data(), name.size()) % 1000 < share ? record.to : record.from;
 }
 
--- a/Source/Core/Moves/MoveTypes.h
+++ b/Source/Core/Moves/MoveTypes.h
@@ -82,4 +82,7 @@
 /// Shares of the new version, step by step, in requests of 1,000.
 const std::vector<std::uint32_t>& moveShares();
 
+/// Share of the new version at a step, in requests of 1,000. Steps beyond the last count as the last.
+std::uint32_t moveShareAt(std::size_t step);
+
 } // namespace Pollenwind
--- a/Source/Core/Router/Queries/MovesQuery.cpp
+++ b/Source/Core/Router/Queries/MovesQuery.cpp
@@ -16,7 +16,7 @@
     auto moves = nlohmann::json::array();
     for (const auto& it : m_moves.moves()) {
         moves.push_back(nlohmann::json::parse(encodeMoveRecord(it.record)));
-        moves.back()["share"] = moveShares()[std::min<std::size_t>(it.record.step, moveShares().size() - 1)] / 1000.0;
+        moves.back()["share"] = moveShareAt(it.record.step) / 1000.0;
     }
     co_return nlohmann::json { { "moves", moves } }.dump();
 }
--- a/Source/Core/Soak/Queries/SoakVerdict.h
+++ b/Source/Core/Soak/Queries/SoakVerdict.h
@@ -32,6 +32,10 @@
     std::uint64_t promptTokens = 0;
     std::uint64_t cachedTokens = 0;
 
+    /// Counts one check of a promise.
+    /// @param example Describes the violation when the promise does not hold.
+    void note(SoakPromise promise, bool holds, const std::string& example);
+
     bool isHeld() const;
 };
 
--- a/Source/Core/Soak/SoakClient.cpp
+++ b/Source/Core/Soak/SoakClient.cpp
@@ -14,7 +14,6 @@
 
     constexpr std::chrono::seconds requestTimeout { 30 };
     constexpr std::chrono::seconds withdrawalLimit { 5 };
-    constexpr std::size_t keptExamples = 5;
     constexpr int bookingAttempts = 4;
 
     struct ParsedStream {
@@ -279,14 +278,7 @@
 
 void SoakClient::check(SoakPromise promise, bool holds, const std::string& example)
 {
-    auto& tally = m_verdict.promises[promise];
-    ++tally.checks;
-    if (!holds) {
-        ++tally.violations;
-        if (tally.examples.size() < keptExamples) {
-            tally.examples.push_back(example + " (" + m_name + "/" + std::to_string(m_number) + ")");
-        }
-    }
+    m_verdict.note(promise, holds, example + " (" + m_name + "/" + std::to_string(m_number) + ")");
 }
 
 } // namespace Pollenwind
--- a/Source/Core/Soak/SoakRun.cpp
+++ b/Source/Core/Soak/SoakRun.cpp
@@ -24,7 +24,6 @@
     // restarts are over before the last checks.
     constexpr std::chrono::seconds startQuiet { 4 };
     constexpr std::chrono::seconds endQuiet { 6 };
-    constexpr std::size_t keptExamples = 5;
 
     std::string line(const std::string& text, std::string_view mark)
     {
@@ -183,14 +182,7 @@
 
 void SoakRun::check(SoakPromise promise, bool holds, const std::string& example)
 {
-    auto& tally = m_verdict.promises[promise];
-    ++tally.checks;
-    if (!holds) {
-        ++tally.violations;
-        if (tally.examples.size() < keptExamples) {
-            tally.examples.push_back(example);
-        }
-    }
+    m_verdict.note(promise, holds, example);
 }
 
 } // namespace Pollenwind
--- a/Source/Core/Soak/SoakVerdict.cpp
+++ b/Source/Core/Soak/SoakVerdict.cpp
@@ -7,6 +7,8 @@
 
 namespace {
 
+    constexpr std::size_t keptExamples = 5;
+
     double percent(std::uint64_t part, std::uint64_t whole)
     {
         return whole == 0 ? 0 : 100.0 * static_cast<double>(part) / static_cast<double>(whole);
@@ -23,6 +25,18 @@
 
 } // namespace
 
+void SoakVerdict::note(SoakPromise promise, bool holds, const std::string& example)
+{
+    auto& tally = promises[promise];
+    ++tally.checks;
+    if (!holds) {
+        ++tally.violations;
+        if (tally.examples.size() < keptExamples) {
+            tally.examples.push_back(example);
+        }
+    }
+}
+
 bool SoakVerdict::isHeld() const
 {
     return std::ranges::all_of(promises, [](const auto& it) { return it.second.violations == 0; });
