--- a/Source/Core/Gateway/AffinityPolicy.cpp
+++ b/Source/Core/Gateway/AffinityPolicy.cpp
@@ -5,86 +5,115 @@
 #include <xxhash.h>
 
 #include <algorithm>
-#include <array>
-#include <vector>
 
 namespace Pollenwind {
 
 namespace {
 
-    // Chance that a runner holds the shared parts, by its place in the prompt's rendezvous order.
-    constexpr std::array<double, 3> heldByRank { 0.95, 0.4, 0.1 };
+    // Advantage of the first runner of a prompt's rendezvous order over the last, in seconds. It decides between
+    // runners that are equally busy.
+    constexpr double rendezvousSeconds = 0.02;
 
-    struct Subject {
-        std::uint64_t hash = 0;
-        double sharedTokens = 0;
-    };
-
-    /// The parts that other requests share: all but the last.
-    Subject subjectOf(const ForwardRequest& request, const std::string& cacheSalt)
-    {
-        Subject subject;
-        subject.hash = XXH3_64bits(cacheSalt.data(), cacheSalt.size());
-        for (std::size_t i = 0; i + 1 < request.parts.size(); ++i) {
-            const auto& part = request.parts[i];
-            subject.hash = XXH3_64bits_withSeed(&part.id, sizeof part.id, subject.hash);
-            subject.sharedTokens += part.tokens;
-        }
-        return subject;
-    }
-
-    std::uint64_t rendezvousWeight(const Subject& subject, const UpstreamId& runner)
+    /// Place of a runner in a prompt's rendezvous order, from 0 to 1.
+    double rendezvousPlace(std::uint64_t prompt, const UpstreamId& runner)
     {
         const auto hash = runnerHash(runner);
-        return XXH3_64bits_withSeed(&hash, sizeof hash, subject.hash);
+        return static_cast<double>(XXH3_64bits_withSeed(&hash, sizeof hash, prompt) >> 11) / 9007199254740992.0;
     }
 
-    struct Option {
-        const RunnerCandidate* candidate = nullptr;
-        std::uint64_t weight = 0;
-    };
-
 } // namespace
 
-AffinityPolicy::AffinityPolicy(ZoneId ownZone, AffinityCosts costs)
+struct AffinityPolicy::Option {
+    const RunnerCandidate* candidate = nullptr;
+    double sharedTokens = 0;
+    /// Tokens of the prompt that no other request shares.
+    double ownTokens = 0;
+    double heldTokens = 0;
+    /// Shared tokens that another runner holds beyond those held here, and that runner.
+    double copiedTokens = 0;
+    const RunnerCandidate* source = nullptr;
+    double place = 0;
+
+    double missedTokens() const { return std::max(0.0, sharedTokens - heldTokens - copiedTokens); }
+};
+
+AffinityPolicy::AffinityPolicy(ZoneId ownZone, const PrefixQueries& prefixes, AffinityCosts costs)
     : m_ownZone(std::move(ownZone))
+    , m_prefixes(prefixes)
     , m_costs(costs)
 {
 }
 
+void AffinityPolicy::findSource(const std::vector<SharedPrefix>& prefixes, Option& option,
+    std::span<const RunnerCandidate> candidates) const
+{
+    const auto own = holderHash(option.candidate->id, option.candidate->boot);
+    for (auto it = prefixes.rbegin(); it != prefixes.rend(); ++it) {
+        if (m_prefixes.isHeld(it->hash, own)) {
+            option.heldTokens = it->tokens;
+            return;
+        }
+        for (const auto& other : candidates) {
+            const bool isSource = !option.source && other.weights == option.candidate->weights
+                && m_prefixes.isHeld(it->hash, holderHash(other.id, other.boot));
+            if (isSource) {
+                option.source = &other;
+                option.copiedTokens = it->tokens;
+            }
+        }
+    }
+}
+
+double AffinityPolicy::costOf(const Option& option, WeightsVersion newestWeights) const
+{
+    const auto& candidate = *option.candidate;
+    const double copied = std::max(0.0, option.copiedTokens - option.heldTokens);
+    const double zoneFactor = option.source && option.source->zone != candidate.zone ? 2 : 1;
+    double cost = candidate.load.waitingTokens * m_costs.secondsPerToken
+        + option.missedTokens() * m_costs.secondsPerToken * m_costs.missedWeight
+        + copied * m_costs.secondsPerCopiedToken * zoneFactor + candidate.load.requests * m_costs.secondsPerRequest
+        + (1 - option.place) * rendezvousSeconds;
+    if (candidate.load.requests >= m_costs.crowdedShare * candidate.slots) {
+        cost += m_costs.crowdedSeconds * candidate.load.requests / std::max(1U, candidate.slots);
+    }
+    cost += candidate.zone == m_ownZone ? 0 : m_costs.otherZoneSeconds;
+    cost += candidate.weights < newestWeights ? m_costs.oldWeightsSeconds : 0;
+    // A runner that is recovering gets work when the others would take clearly longer.
+    return cost + 1 - candidate.admission;
+}
+
 std::optional<RunnerChoice> AffinityPolicy::choose(const ForwardRequest& request, const std::string& cacheSalt,
     WeightsVersion newestWeights, std::span<const RunnerCandidate> candidates) const
 {
-    const auto subject = subjectOf(request, cacheSalt);
-    std::vector<Option> options;
-    for (const auto& candidate : candidates) {
-        options.push_back({ &candidate, rendezvousWeight(subject, candidate.id) });
-    }
-    std::ranges::sort(options, [](const Option& a, const Option& b) { return a.weight > b.weight; });
-    const double promptTokens = request.tokens ? request.tokens->prompt : subject.sharedTokens;
-    std::optional<RunnerChoice> best;
+    std::optional<Option> best;
     double leastCost = 0;
-    for (std::size_t rank = 0; rank < options.size(); ++rank) {
-        const auto& candidate = *options[rank].candidate;
-        const double held = rank < heldByRank.size() ? heldByRank[rank] : 0;
-        const double missed = subject.sharedTokens * (1 - held);
-        const double ownTokens = std::max(0.0, promptTokens - subject.sharedTokens);
-        double cost = candidate.load.waitingTokens * m_costs.secondsPerToken
-            + missed * m_costs.secondsPerToken * m_costs.missedWeight
-            + candidate.load.requests * m_costs.secondsPerRequest;
-        if (candidate.load.requests >= m_costs.crowdedShare * candidate.slots) {
-            cost += m_costs.crowdedSeconds * candidate.load.requests / std::max(1U, candidate.slots);
-        }
-        cost += candidate.zone == m_ownZone ? 0 : m_costs.otherZoneSeconds;
-        cost += candidate.weights < newestWeights ? m_costs.oldWeightsSeconds : 0;
-        // A runner that is recovering gets work when the others would take clearly longer.
-        cost += 1 - candidate.admission;
+    for (const auto& candidate : candidates) {
+        const auto prefixes = sharedPrefixes(request, cacheSalt, candidate.weights);
+        Option option;
+        option.candidate = &candidate;
+        option.sharedTokens = prefixes.empty() ? 0 : prefixes.back().tokens;
+        const double promptTokens = request.tokens ? request.tokens->prompt : option.sharedTokens;
+        option.ownTokens = std::max(0.0, promptTokens - option.sharedTokens);
+        const std::uint64_t prompt = request.parts.size() > 1 ? request.parts[request.parts.size() - 2].id : 0;
+        option.place = rendezvousPlace(prompt, candidate.id);
+        findSource(prefixes, option, candidates);
+        const double cost = costOf(option, newestWeights);
         if (!best || cost < leastCost) {
             leastCost = cost;
-            best = RunnerChoice { candidate.id, candidate.endpoint, missed + ownTokens };
+            best = option;
         }
     }
-    return best;
+    if (!best) {
+        return std::nullopt;
+    }
+    RunnerChoice choice { best->candidate->id, best->candidate->endpoint };
+    choice.boot = best->candidate->boot;
+    choice.weights = best->candidate->weights;
+    choice.computedTokens = best->missedTokens() + best->ownTokens;
+    if (best->source && best->copiedTokens > best->heldTokens) {
+        choice.cacheSource = best->source->endpoint;
+    }
+    return choice;
 }
 
 } // namespace Pollenwind
--- a/Source/Core/Gateway/AffinityPolicy.h
+++ b/Source/Core/Gateway/AffinityPolicy.h
@@ -1,16 +1,16 @@
 #pragma once
 
-#include "Common/Clock.h"
+#include "Gateway/Queries/PrefixQueries.h"
 #include "Gateway/Queries/RunnerPolicy.h"
 
-#include <cstdint>
-
 namespace Pollenwind {
 
 /// Costs that the policy compares, in seconds of a runner's time.
 struct AffinityCosts {
     /// Time to compute one prompt token; the sheets of the deployments give 38.7 tokens a millisecond.
     double secondsPerToken = 1.0 / 38'700;
+    /// Time to copy one cached token from another runner: 328 KB at 550 Gbit/s.
+    double secondsPerCopiedToken = 4.8e-6;
     /// Weight of the shared tokens that a runner has to compute again. Above 1 because they also delay the requests
     /// behind it and evict other entries.
     double missedWeight = 1.5;
@@ -22,24 +22,31 @@
     /// Cost of a crowded runner.
     double crowdedSeconds = 0.3;
     /// Cost of leaving the own zone.
-    double otherZoneSeconds = 0.004;
+    double otherZoneSeconds = 0.012;
     /// Cost of weights that are not the newest, whose answers are worth a fifth less.
     double oldWeightsSeconds = 0.15;
 };
 
-/// Sends requests that share a prompt to the same runners, unless these are busy.
+/// Sends a request where the work that waits and the tokens to compute or copy take the least time.
 ///
-/// Rendezvous hashing over the shared parts names a prompt's home, so that all VMs agree without messages. The next
-/// runners of that order take the overflow, and each is more likely to hold the parts than the one after it.
+/// A prompt that no runner holds goes to the runner that rendezvous hashing over its shared parts names, so that all
+/// VMs agree without messages. Shared parts that another runner holds are copied from there.
 class AffinityPolicy final : public RunnerPolicy {
 public:
-    explicit AffinityPolicy(ZoneId ownZone, AffinityCosts costs = {});
+    AffinityPolicy(ZoneId ownZone, const PrefixQueries& prefixes, AffinityCosts costs = {});
 
     std::optional<RunnerChoice> choose(const ForwardRequest& request, const std::string& cacheSalt,
         WeightsVersion newestWeights, std::span<const RunnerCandidate> candidates) const override;
 
 private:
+    struct Option;
+
+    void findSource(const std::vector<SharedPrefix>& prefixes, Option& option,
+        std::span<const RunnerCandidate> candidates) const;
+    double costOf(const Option& option, WeightsVersion newestWeights) const;
+
     ZoneId m_ownZone;
+    const PrefixQueries& m_prefixes;
     AffinityCosts m_costs;
 };
 
--- /dev/null
+++ b/Source/Core/Gateway/CacheDirectory.cpp
@@ -0,0 +1,91 @@
+#include "Gateway/CacheDirectory.h"
+
+#include "Gateway/Queries/RunnerQueries.h"
+
+#include <xxhash.h>
+
+#include <algorithm>
+
+namespace Pollenwind {
+
+namespace {
+
+    // Runners evict the entries that were used the longest ago, on the users' fleets after some tens of seconds.
+    constexpr std::chrono::seconds heldTime { 25 };
+
+    // One report carries at most so many; the rest is left out, which costs a missed transfer at worst.
+    constexpr std::size_t maxNews = 256;
+
+} // namespace
+
+std::uint64_t holderHash(const UpstreamId& runner, Incarnation boot)
+{
+    const auto hash = runnerHash(runner);
+    return XXH3_64bits_withSeed(&hash, sizeof hash, boot.value());
+}
+
+std::vector<SharedPrefix> sharedPrefixes(
+    const ForwardRequest& request, const std::string& cacheSalt, WeightsVersion weights)
+{
+    std::vector<SharedPrefix> prefixes;
+    auto hash = XXH3_64bits_withSeed(cacheSalt.data(), cacheSalt.size(), static_cast<std::uint64_t>(weights));
+    hash = XXH3_64bits_withSeed(request.model.data(), request.model.size(), hash);
+    double tokens = 0;
+    for (std::size_t i = 0; i + 1 < request.parts.size(); ++i) {
+        const auto& part = request.parts[i];
+        hash = XXH3_64bits_withSeed(&part.id, sizeof part.id, hash);
+        tokens += part.tokens;
+        prefixes.push_back({ hash, tokens });
+    }
+    return prefixes;
+}
+
+void CacheDirectory::note(const HeldPrefix& prefix)
+{
+    auto& holders = m_holders[prefix.prefix];
+    const auto it = std::ranges::find(holders, prefix.holder, [](const auto& h) { return h.first; });
+    if (it != holders.end()) {
+        it->second = m_clock.now();
+    } else {
+        holders.emplace_back(prefix.holder, m_clock.now());
+    }
+}
+
+void CacheDirectory::noteRead(std::span<const HeldPrefix> prefixes)
+{
+    for (const auto& prefix : prefixes) {
+        note(prefix);
+        if (m_news.size() < maxNews && std::ranges::find(m_news, prefix) == m_news.end()) {
+            m_news.push_back(prefix);
+        }
+    }
+}
+
+void CacheDirectory::noteRemoteRead(std::span<const HeldPrefix> prefixes)
+{
+    std::ranges::for_each(prefixes, [this](const HeldPrefix& prefix) { note(prefix); });
+}
+
+bool CacheDirectory::isHeld(std::uint64_t prefix, std::uint64_t holder) const
+{
+    const auto it = m_holders.find(prefix);
+    if (it == m_holders.end()) {
+        return false;
+    }
+    const auto oldest = m_clock.now() - heldTime;
+    return std::ranges::any_of(
+        it->second, [&](const auto& known) { return known.first == holder && known.second > oldest; });
+}
+
+std::vector<HeldPrefix> CacheDirectory::takeNews() { return std::exchange(m_news, {}); }
+
+void CacheDirectory::forgetOld()
+{
+    const auto oldest = m_clock.now() - heldTime;
+    for (auto& [prefix, holders] : m_holders) {
+        std::erase_if(holders, [oldest](const auto& known) { return known.second <= oldest; });
+    }
+    std::erase_if(m_holders, [](const auto& it) { return it.second.empty(); });
+}
+
+} // namespace Pollenwind
--- a/Source/Core/Gateway/FleetMessages_generated.h
+++ b/Source/Core/Gateway/FleetMessages_generated.h
@@ -20,6 +20,8 @@
 
 struct RunnerWork;
 
+struct HeldPrefix;
+
 struct FleetReport;
 struct FleetReportBuilder;
 
@@ -75,6 +77,29 @@
 };
 FLATBUFFERS_STRUCT_END(RunnerWork, 16);
 
+FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(8) HeldPrefix FLATBUFFERS_FINAL_CLASS {
+ private:
+  uint64_t prefix_;
+  uint64_t holder_;
+
+ public:
+  HeldPrefix()
+      : prefix_(0),
+        holder_(0) {
+  }
+  HeldPrefix(uint64_t _prefix, uint64_t _holder)
+      : prefix_(flatbuffers::EndianScalar(_prefix)),
+        holder_(flatbuffers::EndianScalar(_holder)) {
+  }
+  uint64_t prefix() const {
+    return flatbuffers::EndianScalar(prefix_);
+  }
+  uint64_t holder() const {
+    return flatbuffers::EndianScalar(holder_);
+  }
+};
+FLATBUFFERS_STRUCT_END(HeldPrefix, 16);
+
 struct FleetReport FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef FleetReportBuilder Builder;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
@@ -83,7 +108,8 @@
     VT_SEQUENCE = 8,
     VT_USAGE = 10,
     VT_WORK = 12,
-    VT_LOADING = 14
+    VT_LOADING = 14,
+    VT_HELD = 16
   };
   const flatbuffers::String *vm() const {
     return GetPointer<const flatbuffers::String *>(VT_VM);
@@ -103,6 +129,9 @@
   const flatbuffers::Vector<uint64_t> *loading() const {
     return GetPointer<const flatbuffers::Vector<uint64_t> *>(VT_LOADING);
   }
+  const flatbuffers::Vector<const Pollenwind::wire::HeldPrefix *> *held() const {
+    return GetPointer<const flatbuffers::Vector<const Pollenwind::wire::HeldPrefix *> *>(VT_HELD);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_VM) &&
@@ -115,6 +144,8 @@
            verifier.VerifyVector(work()) &&
            VerifyOffset(verifier, VT_LOADING) &&
            verifier.VerifyVector(loading()) &&
+           VerifyOffset(verifier, VT_HELD) &&
+           verifier.VerifyVector(held()) &&
            verifier.EndTable();
   }
 };
@@ -141,6 +172,9 @@
   void add_loading(flatbuffers::Offset<flatbuffers::Vector<uint64_t>> loading) {
     fbb_.AddOffset(FleetReport::VT_LOADING, loading);
   }
+  void add_held(flatbuffers::Offset<flatbuffers::Vector<const Pollenwind::wire::HeldPrefix *>> held) {
+    fbb_.AddOffset(FleetReport::VT_HELD, held);
+  }
   explicit FleetReportBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -159,10 +193,12 @@
     uint64_t sequence = 0,
     flatbuffers::Offset<flatbuffers::Vector<const Pollenwind::wire::OrganisationUsage *>> usage = 0,
     flatbuffers::Offset<flatbuffers::Vector<const Pollenwind::wire::RunnerWork *>> work = 0,
-    flatbuffers::Offset<flatbuffers::Vector<uint64_t>> loading = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<uint64_t>> loading = 0,
+    flatbuffers::Offset<flatbuffers::Vector<const Pollenwind::wire::HeldPrefix *>> held = 0) {
   FleetReportBuilder builder_(_fbb);
   builder_.add_sequence(sequence);
   builder_.add_boot(boot);
+  builder_.add_held(held);
   builder_.add_loading(loading);
   builder_.add_work(work);
   builder_.add_usage(usage);
@@ -177,11 +213,13 @@
     uint64_t sequence = 0,
     const std::vector<Pollenwind::wire::OrganisationUsage> *usage = nullptr,
     const std::vector<Pollenwind::wire::RunnerWork> *work = nullptr,
-    const std::vector<uint64_t> *loading = nullptr) {
+    const std::vector<uint64_t> *loading = nullptr,
+    const std::vector<Pollenwind::wire::HeldPrefix> *held = nullptr) {
   auto vm__ = vm ? _fbb.CreateString(vm) : 0;
   auto usage__ = usage ? _fbb.CreateVectorOfStructs<Pollenwind::wire::OrganisationUsage>(*usage) : 0;
   auto work__ = work ? _fbb.CreateVectorOfStructs<Pollenwind::wire::RunnerWork>(*work) : 0;
   auto loading__ = loading ? _fbb.CreateVector<uint64_t>(*loading) : 0;
+  auto held__ = held ? _fbb.CreateVectorOfStructs<Pollenwind::wire::HeldPrefix>(*held) : 0;
   return Pollenwind::wire::CreateFleetReport(
       _fbb,
       vm__,
@@ -189,7 +227,8 @@
       sequence,
       usage__,
       work__,
-      loading__);
+      loading__,
+      held__);
 }
 
 inline const Pollenwind::wire::FleetReport *GetFleetReport(const void *buf) {
--- a/Source/Core/Gateway/FleetReportCodec.cpp
+++ b/Source/Core/Gateway/FleetReportCodec.cpp
@@ -16,12 +16,17 @@
         work.emplace_back(runner, static_cast<float>(load.waitingTokens), load.requests);
     }
     const std::vector<std::uint64_t> loading(report.loading.begin(), report.loading.end());
+    std::vector<wire::HeldPrefix> held;
+    for (const auto& prefix : report.held) {
+        held.emplace_back(prefix.prefix, prefix.holder);
+    }
     const auto vm = builder.CreateString(report.vm.value());
     const auto usageOffset = builder.CreateVectorOfStructs(usage);
     const auto workOffset = builder.CreateVectorOfStructs(work);
     const auto loadingOffset = builder.CreateVector(loading);
+    const auto heldOffset = builder.CreateVectorOfStructs(held);
     builder.Finish(wire::CreateFleetReport(
-        builder, vm, report.boot.value(), report.sequence, usageOffset, workOffset, loadingOffset));
+        builder, vm, report.boot.value(), report.sequence, usageOffset, workOffset, loadingOffset, heldOffset));
     return { reinterpret_cast<const char*>(builder.GetBufferPointer()), builder.GetSize() };
 }
 
@@ -36,7 +41,7 @@
     if (!message->vm()) {
         return std::nullopt;
     }
-    FleetReport report { VmId(message->vm()->str()), Incarnation(message->boot()), message->sequence(), {}, {}, {} };
+    FleetReport report { VmId(message->vm()->str()), Incarnation(message->boot()), message->sequence(), {}, {}, {}, {} };
     if (message->usage()) {
         for (const auto* it : *message->usage()) {
             report.usage[it->organisation()] = it->tokens();
@@ -50,6 +55,11 @@
     if (message->loading()) {
         report.loading.insert(message->loading()->begin(), message->loading()->end());
     }
+    if (message->held()) {
+        for (const auto* it : *message->held()) {
+            report.held.push_back({ it->prefix(), it->holder() });
+        }
+    }
     return report;
 }
 
--- a/Source/Core/Gateway/FleetReportCodec.h
+++ b/Source/Core/Gateway/FleetReportCodec.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Common/Ids.h"
+#include "Gateway/Commands/PrefixCommands.h"
 #include "Gateway/Commands/QuotaCommands.h"
 #include "Gateway/RunnerTypes.h"
 
@@ -22,6 +23,8 @@
     std::map<std::uint64_t, RunnerLoad> work;
     /// Runners that are about to load weights, when the VM orders loads.
     std::set<std::uint64_t> loading;
+    /// Prefixes read since the last report.
+    std::vector<HeldPrefix> held;
 };
 
 namespace FleetReportCodec {
--- a/Source/Core/Gateway/FleetReporter.cpp
+++ b/Source/Core/Gateway/FleetReporter.cpp
@@ -26,7 +26,8 @@
     : m_context(context)
     , m_vm(std::move(vm))
     , m_boot(boot)
-    , m_socket(std::move(executor))
+    , m_socket(executor)
+    , m_timer(std::move(executor))
 {
 }
 
@@ -52,15 +53,17 @@
     FleetReport last;
     unsigned unchanged = 0;
     for (;;) {
-        co_await sleepFor(reportInterval);
+        m_timer.expires_after(reportInterval);
+        co_await m_timer.async_wait(asTuple);
         for (const auto& vm : m_context.fleet.takeSilent()) {
             m_context.runnerCommands.forgetRemoteLoad(vm);
             logStateChange("vm-silent", { { "vm", vm.value() } });
         }
         m_context.quota.setReachableShare(m_context.fleet.reachableShare());
         FleetReport report { m_vm, m_boot, 0, m_context.quota.ownTotals(), m_context.runners.ownLoads(),
-            m_context.weights.loading() };
-        const bool isChanged = report.usage != last.usage || report.loading != last.loading || report.work != last.work;
+            m_context.weights.loading(), m_context.directory.takeNews() };
+        const bool isChanged = report.usage != last.usage || report.loading != last.loading || report.work != last.work
+            || !report.held.empty();
         unchanged = isChanged ? 0 : unchanged + 1;
         if (!isChanged && unchanged % quietReports != 0) {
             continue;
@@ -111,6 +114,7 @@
     }
     m_context.quota.noteRemoteUsage(report->vm, report->boot, report->usage);
     m_context.runnerCommands.noteRemoteLoad(report->vm, std::move(report->work));
+    m_context.directory.noteRemoteRead(report->held);
     m_context.runnerCommands.setLoadingRunners(report->vm, std::move(report->loading));
 }
 
--- a/Source/Core/Gateway/FleetReporter.h
+++ b/Source/Core/Gateway/FleetReporter.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "Gateway/CacheDirectory.h"
 #include "Gateway/Commands/RunnerCommands.h"
 #include "Gateway/FleetQuota.h"
 #include "Gateway/FleetView.h"
@@ -8,6 +9,7 @@
 #include "Metrics/Commands/MetricCommands.h"
 
 #include <boost/asio/ip/udp.hpp>
+#include <boost/asio/steady_timer.hpp>
 
 #include <string>
 
@@ -20,6 +22,7 @@
     const RunnerQueries& runners;
     RunnerCommands& runnerCommands;
     const WeightsDriver& weights;
+    CacheDirectory& directory;
     MetricCommands& metrics;
 };
 
@@ -34,6 +37,8 @@
 
     /// Sends reports for the life of the process.
     Task<> send();
+    /// Sends the next report at once.
+    void sendSoon() { m_timer.cancel(); }
     /// Takes reports for the life of the process.
     Task<> receive();
 
@@ -44,6 +49,7 @@
     VmId m_vm;
     Incarnation m_boot;
     boost::asio::ip::udp::socket m_socket;
+    boost::asio::steady_timer m_timer;
     std::uint64_t m_sequence = 0;
 };
 
--- a/Source/Core/Gateway/ForwardDispatcher.cpp
+++ b/Source/Core/Gateway/ForwardDispatcher.cpp
@@ -2,6 +2,7 @@
 
 #include "Common/Invariant.h"
 #include "Gateway/EventSplitter.h"
+#include "Gateway/Queries/PrefixQueries.h"
 
 #include <algorithm>
 #include <utility>
@@ -169,7 +170,12 @@
     terms.urgency = std::min(lowestPriority,
         delivery.organisation ? delivery.organisation->priority.value_or(delivery.route->priority)
                               : delivery.route->priority);
-    terms.cacheSalt = delivery.cacheSalt;
+    if (!request.model.empty()) {
+        // Entries that were made with other weights have another salt and are never used.
+        terms.cacheSalt = "w" + std::to_string(choice.weights) + "/" + delivery.cacheSalt;
+        terms.expectedWeights = choice.weights;
+        terms.cacheSource = choice.cacheSource;
+    }
     terms.lastEventId = delivery.lastEventId ? delivery.lastEventId : request.lastEventId;
     return terms;
 }
@@ -297,7 +303,7 @@
     if (!head) {
         result = std::unexpected(head.error());
     } else {
-        result = co_await relayAnswer(*exchange, *head, sink, delivery);
+        result = co_await relayAnswer(request, *exchange, *head, sink, delivery);
     }
     sink.onStop({});
     if (result) {
@@ -309,7 +315,7 @@
 }
 
 Task<Outcome<void>> ForwardDispatcher::relayAnswer(
-    RunnerExchange& exchange, const ReplyHead& head, ReplySink& sink, Delivery& delivery)
+    const ForwardRequest& request, RunnerExchange& exchange, const ReplyHead& head, ReplySink& sink, Delivery& delivery)
 {
     switch (head.kind) {
     case ReplyKind::NotRun:
@@ -324,7 +330,7 @@
         break;
     }
     if (head.isEventStream && head.isSuccess()) {
-        co_return co_await relayStream(exchange, head, sink, delivery);
+        co_return co_await relayStream(request, exchange, head, sink, delivery);
     }
     if (delivery.isBegun) {
         co_return fail(ErrorCode::ProtocolError, "the runner did not resume the stream", RunState::Unknown);
@@ -350,7 +356,7 @@
 }
 
 Task<Outcome<void>> ForwardDispatcher::relayStream(
-    RunnerExchange& exchange, const ReplyHead& head, ReplySink& sink, Delivery& delivery)
+    const ForwardRequest& request, RunnerExchange& exchange, const ReplyHead& head, ReplySink& sink, Delivery& delivery)
 {
     // Only a resumed stream may repeat events; the ids of a first answer are passed on as they are.
     EventSplitter events(delivery.isBegun ? delivery.lastEventId : std::nullopt);
@@ -380,7 +386,7 @@
             delivery.isBegun = true;
         }
         if (!std::exchange(delivery.hadOutput, true)) {
-            m_context.runnerCommands.noteFirstOutput(delivery.runner.id, delivery.runner.computedTokens);
+            noteFirstOutput(request, delivery);
         }
         if (auto written = co_await sink.write(whole); !written) {
             co_return written;
@@ -393,6 +399,18 @@
     co_return co_await sink.end();
 }
 
+void ForwardDispatcher::noteFirstOutput(const ForwardRequest& request, Delivery& delivery)
+{
+    const auto& runner = delivery.runner;
+    m_context.runnerCommands.noteFirstOutput(runner.id, runner.computedTokens);
+    std::vector<HeldPrefix> held;
+    const auto holder = holderHash(runner.id, runner.boot);
+    for (const auto& prefix : sharedPrefixes(request, delivery.cacheSalt, runner.weights)) {
+        held.push_back({ prefix.hash, holder });
+    }
+    m_context.prefixes.noteRead(held);
+}
+
 void ForwardDispatcher::noteAttemptEnd(
     const RunnerChoice& choice, const Outcome<void>& result, const Delivery& delivery)
 {
--- a/Source/Core/Gateway/ForwardDispatcher.h
+++ b/Source/Core/Gateway/ForwardDispatcher.h
@@ -2,6 +2,7 @@
 
 #include "Dispatch/Queries/RetryRule.h"
 #include "Dispatch/RetryBudget.h"
+#include "Gateway/Commands/PrefixCommands.h"
 #include "Gateway/Commands/QuotaCommands.h"
 #include "Gateway/Commands/ReplySink.h"
 #include "Gateway/Commands/RunnerClient.h"
@@ -25,6 +26,7 @@
     const RunnerQueries& runners;
     RunnerCommands& runnerCommands;
     const RunnerPolicy& policy;
+    PrefixCommands& prefixes;
     QuotaCommands& quota;
     RetryBudget& retryBudget;
     RunnerClient& client;
@@ -58,11 +60,12 @@
     Task<Outcome<void>> attempt(
         const ForwardRequest& request, const RunnerChoice& choice, ReplySink& sink, Delivery& delivery);
     Task<Outcome<void>> relayAnswer(
-        RunnerExchange& exchange, const ReplyHead& head, ReplySink& sink, Delivery& delivery);
+        const ForwardRequest& request, RunnerExchange& exchange, const ReplyHead& head, ReplySink& sink, Delivery& delivery);
     Task<Outcome<void>> relayStream(
-        RunnerExchange& exchange, const ReplyHead& head, ReplySink& sink, Delivery& delivery);
+        const ForwardRequest& request, RunnerExchange& exchange, const ReplyHead& head, ReplySink& sink, Delivery& delivery);
     bool mayRepeat(const ForwardRequest& request, const Error& error, Delivery& delivery);
     AttemptTerms termsOf(const ForwardRequest& request, const RunnerChoice& choice, const Delivery& delivery) const;
+    void noteFirstOutput(const ForwardRequest& request, Delivery& delivery);
     void noteAttemptEnd(const RunnerChoice& choice, const Outcome<void>& result, const Delivery& delivery);
 
     ForwardContext m_context;
--- a/Source/Core/Gateway/ForwardTypes.h
+++ b/Source/Core/Gateway/ForwardTypes.h
@@ -51,8 +51,13 @@
     std::chrono::milliseconds timeLimit { 0 };
     /// Rank from 0, the most urgent, to 9.
     unsigned urgency = 5;
-    /// Separates the cache entries of isolated organisations; empty for the shared entries.
+    /// Separates the cache entries of isolated organisations and of different weights; empty for services without a
+    /// cache.
     std::string cacheSalt;
+    /// Weights that the runner must have; 0 for any.
+    WeightsVersion expectedWeights = 0;
+    /// Runner from which shared parts of the prompt are copied.
+    std::optional<Endpoint> cacheSource;
     std::optional<std::uint64_t> lastEventId;
 };
 
--- a/Source/Core/Gateway/Gateway.cpp
+++ b/Source/Core/Gateway/Gateway.cpp
@@ -72,18 +72,19 @@
         , runners(clock, timeline, { less(settings.oldWeightsLimit, weightsMargin) })
         , fleet(clock, timeline, settings.vm)
         , quota(clock)
+        , directory(clock)
         , orders(clock, platform.storeCommands, timeline, settings.vm, boot,
               { .handoverPause = settings.orderHandover + handoverMargin })
         , sync({ clock, platform.storeQueries, platform.records, routing, runners, fleet, orders, timeline, metrics },
               { .keyLimit = less(settings.keyWithdrawalLimit, keyMargin) })
         , registration(platform.storeCommands, settings.vm, FleetView::encodeRecord(settings.listenReports))
         , weights(executor, clock, runners, runners, orders, platform.weights, timeline, settings.vm, {})
-        , reporter(executor, { fleet, quota, runners, runners, weights, metrics }, settings.vm, boot)
-        , policy(settings.zone)
+        , reporter(executor, { fleet, quota, runners, runners, weights, directory, metrics }, settings.vm, boot)
+        , policy(settings.zone, directory)
         , retryBudget(clock)
         , client(executor, platform.requests, connectTimeout)
         , log(clock)
-        , dispatcher({ clock, routing, sync, runners, runners, policy, quota, retryBudget, client, metrics, log })
+        , dispatcher({ clock, routing, sync, runners, runners, policy, directory, quota, retryBudget, client, metrics, log })
         , frontEnd(clock, platform.requests, dispatcher, metrics, log)
         , status(settings.readyPath, metrics, [this] { return isReady(); })
         , callerServer(executor, frontEnd, toServerLimits({}))
@@ -106,6 +107,7 @@
     RunnerTable runners;
     FleetView fleet;
     FleetQuota quota;
+    CacheDirectory directory;
     OrderLease orders;
     GatewaySync sync;
     VmRegistration registration;
@@ -154,6 +156,7 @@
     parts.timeline.record(EventKind::ProcessStarted,
         { { "vm", settings.vm.value() }, { "zone", settings.zone.value() },
             { "callers", settings.listenCallers.toString() } });
+    parts.weights.onLoadingChanged([&parts] { parts.reporter.sendSoon(); });
     asio::co_spawn(parts.executor, parts.sync.run(), asio::detached);
     asio::co_spawn(parts.executor, parts.registration.run(), asio::detached);
     asio::co_spawn(parts.executor, parts.orders.run(), asio::detached);
@@ -170,6 +173,7 @@
     for (;;) {
         co_await sleepFor(housekeepingInterval);
         client.closeExpired();
+        directory.forgetOld();
         const auto configuration = routing.current();
         if (configuration->version != appliedVersion) {
             appliedVersion = configuration->version;
--- a/Source/Core/Gateway/Queries/RunnerPolicy.h
+++ b/Source/Core/Gateway/Queries/RunnerPolicy.h
@@ -13,8 +13,13 @@
 struct RunnerChoice {
     UpstreamId id;
     Endpoint endpoint;
+    Incarnation boot;
+    /// The runner's weights of the request's model.
+    WeightsVersion weights = 0;
     /// Prompt tokens that the runner is expected to compute.
     double computedTokens = 0;
+    /// Runner that holds shared parts of the prompt which this one lacks.
+    std::optional<Endpoint> cacheSource;
 };
 
 /// Chooses the runner of a request.
--- a/Source/Core/Gateway/WeightsDriver.cpp
+++ b/Source/Core/Gateway/WeightsDriver.cpp
@@ -84,7 +84,15 @@
                 asio::co_spawn(m_executor, load(it), asio::detached);
             }
         }
-        m_runnerCommands.setLoadingRunners(m_vm, m_loading);
+        publishLoading();
+    }
+}
+
+void WeightsDriver::publishLoading()
+{
+    m_runnerCommands.setLoadingRunners(m_vm, m_loading);
+    if (m_onLoadingChanged) {
+        m_onLoadingChanged();
     }
 }
 
@@ -97,7 +105,7 @@
         co_await sleepFor(m_options.retryPause);
     }
     m_loading.erase(runnerHash(pending.runner.id));
-    m_runnerCommands.setLoadingRunners(m_vm, m_loading);
+    publishLoading();
 }
 
 Task<bool> WeightsDriver::order(const Pending& pending)
--- a/Source/Core/Gateway/WeightsDriver.h
+++ b/Source/Core/Gateway/WeightsDriver.h
@@ -6,6 +6,7 @@
 #include "Gateway/Queries/RunnerQueries.h"
 #include "Timeline/Commands/TimelineCommands.h"
 
+#include <functional>
 #include <set>
 
 namespace Pollenwind {
@@ -33,6 +34,9 @@
     /// Compares wanted and reported weights for the life of the process.
     Task<> run();
 
+    /// Sets what is called when the set of loading runners changes.
+    void onLoadingChanged(std::function<void()> handler) { m_onLoadingChanged = std::move(handler); }
+
     /// Runners that load or are about to, by hash of id.
     const std::set<std::uint64_t>& loading() const { return m_loading; }
 
@@ -46,6 +50,7 @@
     std::vector<Pending> pendingLoads(std::size_t& runnerCount) const;
     Task<> load(Pending pending);
     Task<bool> order(const Pending& pending);
+    void publishLoading();
     Task<> waitUntilLoaded(const Pending& pending);
 
     asio::any_io_executor m_executor;
@@ -58,6 +63,7 @@
     VmId m_vm;
     WeightsDriverOptions m_options;
     std::set<std::uint64_t> m_loading;
+    std::function<void()> m_onLoadingChanged;
 };
 
 } // namespace Pollenwind
