--- a/Source/Core/Gateway/AffinityPolicy.cpp
+++ b/Source/Core/Gateway/AffinityPolicy.cpp
@@ -44,8 +44,8 @@
 {
 }
 
-void AffinityPolicy::findSource(const std::vector<SharedPrefix>& prefixes, Option& option,
-    std::span<const RunnerCandidate> candidates) const
+void AffinityPolicy::findSource(
+    const std::vector<SharedPrefix>& prefixes, Option& option, std::span<const RunnerCandidate> candidates) const
 {
     const auto own = holderHash(option.candidate->id, option.candidate->boot);
     for (auto it = prefixes.rbegin(); it != prefixes.rend(); ++it) {
--- a/Source/Core/Gateway/AffinityPolicy.h
+++ b/Source/Core/Gateway/AffinityPolicy.h
@@ -24,7 +24,7 @@
     /// Cost of leaving the own zone.
     double otherZoneSeconds = 0.012;
     /// Cost of weights that are not the newest, whose answers are worth a fifth less.
-    double oldWeightsSeconds = 0.15;
+    double oldWeightsSeconds = 0.05;
 };
 
 /// Sends a request where the work that waits and the tokens to compute or copy take the least time.
@@ -41,8 +41,8 @@
 private:
     struct Option;
 
-    void findSource(const std::vector<SharedPrefix>& prefixes, Option& option,
-        std::span<const RunnerCandidate> candidates) const;
+    void findSource(
+        const std::vector<SharedPrefix>& prefixes, Option& option, std::span<const RunnerCandidate> candidates) const;
     double costOf(const Option& option, WeightsVersion newestWeights) const;
 
     ZoneId m_ownZone;
--- a/Source/Core/Gateway/Commands/WeightsClient.h
+++ b/Source/Core/Gateway/Commands/WeightsClient.h
@@ -44,7 +44,7 @@
 
     virtual Task<Outcome<RunnerReport>> report(Endpoint endpoint, std::chrono::nanoseconds timeout) = 0;
 
-    /// Orders a load; running requests finish first.
+    /// Orders a load; requests that still run go on with the new weights.
     /// @return Nothing when the order is accepted or already holds; Conflict when another order came first.
     virtual Task<Outcome<void>> load(WeightsOrder order, std::chrono::nanoseconds timeout) = 0;
 };
--- a/Source/Core/Gateway/FleetReportCodec.cpp
+++ b/Source/Core/Gateway/FleetReportCodec.cpp
@@ -41,7 +41,8 @@
     if (!message->vm()) {
         return std::nullopt;
     }
-    FleetReport report { VmId(message->vm()->str()), Incarnation(message->boot()), message->sequence(), {}, {}, {}, {} };
+    FleetReport report { VmId(message->vm()->str()), Incarnation(message->boot()), message->sequence(), {}, {}, {},
+        {} };
     if (message->usage()) {
         for (const auto* it : *message->usage()) {
             report.usage[it->organisation()] = it->tokens();
--- a/Source/Core/Gateway/ForwardDispatcher.h
+++ b/Source/Core/Gateway/ForwardDispatcher.h
@@ -59,10 +59,10 @@
     Outcome<RunnerChoice> chooseRunner(const ForwardRequest& request, const Delivery& delivery) const;
     Task<Outcome<void>> attempt(
         const ForwardRequest& request, const RunnerChoice& choice, ReplySink& sink, Delivery& delivery);
-    Task<Outcome<void>> relayAnswer(
-        const ForwardRequest& request, RunnerExchange& exchange, const ReplyHead& head, ReplySink& sink, Delivery& delivery);
-    Task<Outcome<void>> relayStream(
-        const ForwardRequest& request, RunnerExchange& exchange, const ReplyHead& head, ReplySink& sink, Delivery& delivery);
+    Task<Outcome<void>> relayAnswer(const ForwardRequest& request, RunnerExchange& exchange, const ReplyHead& head,
+        ReplySink& sink, Delivery& delivery);
+    Task<Outcome<void>> relayStream(const ForwardRequest& request, RunnerExchange& exchange, const ReplyHead& head,
+        ReplySink& sink, Delivery& delivery);
     bool mayRepeat(const ForwardRequest& request, const Error& error, Delivery& delivery);
     AttemptTerms termsOf(const ForwardRequest& request, const RunnerChoice& choice, const Delivery& delivery) const;
     void noteFirstOutput(const ForwardRequest& request, Delivery& delivery);
--- a/Source/Core/Gateway/Gateway.cpp
+++ b/Source/Core/Gateway/Gateway.cpp
@@ -84,7 +84,8 @@
         , retryBudget(clock)
         , client(executor, platform.requests, connectTimeout)
         , log(clock)
-        , dispatcher({ clock, routing, sync, runners, runners, policy, directory, quota, retryBudget, client, metrics, log })
+        , dispatcher(
+              { clock, routing, sync, runners, runners, policy, directory, quota, retryBudget, client, metrics, log })
         , frontEnd(clock, platform.requests, dispatcher, metrics, log)
         , status(settings.readyPath, metrics, [this] { return isReady(); })
         , callerServer(executor, frontEnd, toServerLimits({}))
--- a/Source/Core/Gateway/RunnerTable.cpp
+++ b/Source/Core/Gateway/RunnerTable.cpp
@@ -186,6 +186,24 @@
     return std::ranges::any_of(m_loading, [hash](const auto& it) { return it.second.contains(hash); });
 }
 
+RunnerLoad RunnerTable::loadOf(const Runner& runner) const
+{
+    auto load = runner.own;
+    for (const auto& [vm, loads] : m_remoteLoads) {
+        if (const auto it = loads.find(runner.hash); it != loads.end()) {
+            load.requests += it->second.requests;
+            load.waitingTokens += it->second.waitingTokens;
+        }
+    }
+    return load;
+}
+
+unsigned RunnerTable::requestsAt(const UpstreamId& runner) const
+{
+    const auto it = m_runners.find(runner);
+    return it == m_runners.end() ? 0 : loadOf(it->second).requests;
+}
+
 RunnerCandidate RunnerTable::toCandidate(const Runner& runner, const std::string& model) const
 {
     RunnerCandidate candidate;
@@ -194,13 +212,7 @@
     candidate.zone = runner.entry.zone;
     candidate.boot = runner.entry.boot;
     candidate.slots = runner.entry.slots;
-    candidate.load = runner.own;
-    for (const auto& [vm, loads] : m_remoteLoads) {
-        if (const auto it = loads.find(runner.hash); it != loads.end()) {
-            candidate.load.requests += it->second.requests;
-            candidate.load.waitingTokens += it->second.waitingTokens;
-        }
-    }
+    candidate.load = loadOf(runner);
     if (const auto it = runner.entry.weights.find(model); it != runner.entry.weights.end()) {
         candidate.weights = it->second;
     }
--- a/Source/Core/Gateway/RunnerTable.h
+++ b/Source/Core/Gateway/RunnerTable.h
@@ -37,6 +37,7 @@
     std::optional<RunnerEntry> find(const UpstreamId& runner) const override;
     std::vector<RunnerEntry> entries() const override;
     std::map<std::uint64_t, RunnerLoad> ownLoads() const override;
+    unsigned requestsAt(const UpstreamId& runner) const override;
     const std::map<std::string, WeightsVersion>& newestWeights() const override { return m_newestWeights; }
 
 private:
@@ -55,6 +56,7 @@
 
     /// Oldest weights of a model on which a request may begin now.
     WeightsVersion oldestAllowedWeights(const std::string& model) const;
+    RunnerLoad loadOf(const Runner& runner) const;
     RunnerCandidate toCandidate(const Runner& runner, const std::string& model) const;
     void forgetOldRunners();
     bool isLoading(std::uint64_t hash) const;
--- a/Source/Core/Gateway/WeightsDriver.cpp
+++ b/Source/Core/Gateway/WeightsDriver.cpp
@@ -13,6 +13,7 @@
 namespace {
 
     constexpr std::chrono::milliseconds checkInterval { 200 };
+    constexpr std::chrono::milliseconds drainCheck { 60 };
 
     WeightsVersion weightsOf(const RunnerEntry& runner, const std::string& model)
     {
@@ -49,10 +50,11 @@
             }
             ++runnerCount;
             if (current < version) {
-                pending.push_back({ runner, model, version });
+                pending.push_back({ runner, model, current, version });
             }
         }
     }
+    std::ranges::sort(pending, {}, &Pending::current);
     return pending;
 }
 
@@ -98,7 +100,7 @@
 
 Task<> WeightsDriver::load(Pending pending)
 {
-    co_await sleepFor(m_options.announceTime);
+    co_await drain(pending);
     if (co_await order(pending)) {
         co_await waitUntilLoaded(pending);
     } else {
@@ -108,6 +110,15 @@
     publishLoading();
 }
 
+Task<> WeightsDriver::drain(const Pending& pending)
+{
+    co_await sleepFor(m_options.announceTime);
+    const auto limit = m_clock.now() + m_options.drainTime;
+    while (m_clock.now() < limit && m_runners.requestsAt(pending.runner.id) > 0) {
+        co_await sleepFor(drainCheck);
+    }
+}
+
 Task<bool> WeightsDriver::order(const Pending& pending)
 {
     const auto report = co_await m_client.report(pending.runner.endpoint, m_options.callTimeout);
--- a/Source/Core/Gateway/WeightsDriver.h
+++ b/Source/Core/Gateway/WeightsDriver.h
@@ -16,9 +16,12 @@
     /// Part of a model's runners that load at the same time. The others serve meanwhile.
     double concurrentShare = 0.34;
     /// Time for the other VMs to hear that a runner gets no new requests.
-    std::chrono::milliseconds announceTime { 150 };
+    std::chrono::milliseconds announceTime { 120 };
+    /// Longest time that the requests at a runner get to end before it loads. Most generations take less; a longer
+    /// wait keeps more runners away from the requests than the rest of a generation is worth.
+    std::chrono::milliseconds drainTime { 900 };
     std::chrono::milliseconds callTimeout { 800 };
-    std::chrono::milliseconds pollInterval { 300 };
+    std::chrono::milliseconds pollInterval { 250 };
     /// Time after which an order that was accepted but not carried out is given again.
     std::chrono::milliseconds loadTimeout { 7000 };
     std::chrono::milliseconds retryPause { 400 };
@@ -44,11 +47,14 @@
     struct Pending {
         RunnerEntry runner;
         std::string model;
+        WeightsVersion current = 0;
         WeightsVersion version = 0;
     };
 
+    /// Loads that are due, the oldest weights first.
     std::vector<Pending> pendingLoads(std::size_t& runnerCount) const;
     Task<> load(Pending pending);
+    Task<> drain(const Pending& pending);
     Task<bool> order(const Pending& pending);
     void publishLoading();
     Task<> waitUntilLoaded(const Pending& pending);
