--- a/Source/Core/Gateway/ForwardDispatcher.cpp
+++ b/Source/Core/Gateway/ForwardDispatcher.cpp
@@ -204,6 +204,12 @@
         if (result) {
             co_return result;
         }
+        const bool isNotRun = result.error().runState == RunState::NotRun;
+        if (!isNotRun) {
+            ++delivery.runs;
+            // Holds also for a request that is stopped now: its runner may go on with it.
+            delivery.runState = RunState::Unknown;
+        }
         if (const auto stopped = sink.stopReason()) {
             auto error = *stopped;
             error.runState = delivery.runState;
@@ -230,10 +236,7 @@
 {
     const auto kind = retryKindOf(*delivery.route);
     const bool isNotRun = error.runState == RunState::NotRun;
-    if (!isNotRun) {
-        ++delivery.runs;
-        delivery.runState = RunState::Unknown;
-    } else if (error.code != ErrorCode::ConnectFailed) {
+    if (isNotRun && error.code != ErrorCode::ConnectFailed) {
         ++delivery.refusals;
     }
     const bool isWithinLimits = delivery.runs < std::max(1U, delivery.route->maxAttempts)
