--- a/Source/Core/Gateway/Commands/RunnerCommands.h
+++ b/Source/Core/Gateway/Commands/RunnerCommands.h
@@ -24,13 +24,18 @@
     virtual void replaceEntries(std::vector<RunnerEntry> entries) = 0;
 
     /// Names the newest weights of a model.
-    virtual void noteNewestWeights(const std::string& model, WeightsVersion version) = 0;
+    /// @param namedAfter Moment after which they were named; 0 when that is not known.
+    virtual void noteNewestWeights(const std::string& model, WeightsVersion version, MonotonicTime namedAfter) = 0;
+    /// Takes the time at which another VM saw weights named, where this VM does not know it.
+    virtual void noteWeightsAge(std::uint64_t modelHash, WeightsVersion version, std::chrono::nanoseconds age) = 0;
 
     /// Notes that a request was sent.
     /// @param tokens Prompt tokens to compute.
     virtual void noteSent(const UpstreamId& runner, double tokens) = 0;
     /// Notes that a request produced its first output.
     virtual void noteFirstOutput(const UpstreamId& runner, double tokens) = 0;
+    /// Notes that a runner refused a request and will refuse others for a time.
+    virtual void noteRefusal(const UpstreamId& runner, std::chrono::nanoseconds avoidTime) = 0;
     /// Notes the end of a request.
     /// @param waitingTokens Prompt tokens given to noteSent() when there was no output, otherwise 0.
     virtual void noteEnded(const UpstreamId& runner, double waitingTokens, RunnerResult result) = 0;
--- a/Source/Core/Gateway/FleetMessages_generated.h
+++ b/Source/Core/Gateway/FleetMessages_generated.h
@@ -22,6 +22,8 @@
 
 struct HeldPrefix;
 
+struct NamedAge;
+
 struct FleetReport;
 struct FleetReportBuilder;
 
@@ -100,6 +102,35 @@
 };
 FLATBUFFERS_STRUCT_END(HeldPrefix, 16);
 
+FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(8) NamedAge FLATBUFFERS_FINAL_CLASS {
+ private:
+  uint64_t model_;
+  int64_t version_;
+  uint64_t age_ms_;
+
+ public:
+  NamedAge()
+      : model_(0),
+        version_(0),
+        age_ms_(0) {
+  }
+  NamedAge(uint64_t _model, int64_t _version, uint64_t _age_ms)
+      : model_(flatbuffers::EndianScalar(_model)),
+        version_(flatbuffers::EndianScalar(_version)),
+        age_ms_(flatbuffers::EndianScalar(_age_ms)) {
+  }
+  uint64_t model() const {
+    return flatbuffers::EndianScalar(model_);
+  }
+  int64_t version() const {
+    return flatbuffers::EndianScalar(version_);
+  }
+  uint64_t age_ms() const {
+    return flatbuffers::EndianScalar(age_ms_);
+  }
+};
+FLATBUFFERS_STRUCT_END(NamedAge, 24);
+
 struct FleetReport FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef FleetReportBuilder Builder;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
@@ -109,7 +140,8 @@
     VT_USAGE = 10,
     VT_WORK = 12,
     VT_LOADING = 14,
-    VT_HELD = 16
+    VT_HELD = 16,
+    VT_NAMED = 18
   };
   const flatbuffers::String *vm() const {
     return GetPointer<const flatbuffers::String *>(VT_VM);
@@ -132,6 +164,9 @@
   const flatbuffers::Vector<const Pollenwind::wire::HeldPrefix *> *held() const {
     return GetPointer<const flatbuffers::Vector<const Pollenwind::wire::HeldPrefix *> *>(VT_HELD);
   }
+  const flatbuffers::Vector<const Pollenwind::wire::NamedAge *> *named() const {
+    return GetPointer<const flatbuffers::Vector<const Pollenwind::wire::NamedAge *> *>(VT_NAMED);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_VM) &&
@@ -146,6 +181,8 @@
            verifier.VerifyVector(loading()) &&
            VerifyOffset(verifier, VT_HELD) &&
            verifier.VerifyVector(held()) &&
+           VerifyOffset(verifier, VT_NAMED) &&
+           verifier.VerifyVector(named()) &&
            verifier.EndTable();
   }
 };
@@ -175,6 +212,9 @@
   void add_held(flatbuffers::Offset<flatbuffers::Vector<const Pollenwind::wire::HeldPrefix *>> held) {
     fbb_.AddOffset(FleetReport::VT_HELD, held);
   }
+  void add_named(flatbuffers::Offset<flatbuffers::Vector<const Pollenwind::wire::NamedAge *>> named) {
+    fbb_.AddOffset(FleetReport::VT_NAMED, named);
+  }
   explicit FleetReportBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -194,10 +234,12 @@
     flatbuffers::Offset<flatbuffers::Vector<const Pollenwind::wire::OrganisationUsage *>> usage = 0,
     flatbuffers::Offset<flatbuffers::Vector<const Pollenwind::wire::RunnerWork *>> work = 0,
     flatbuffers::Offset<flatbuffers::Vector<uint64_t>> loading = 0,
-    flatbuffers::Offset<flatbuffers::Vector<const Pollenwind::wire::HeldPrefix *>> held = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<const Pollenwind::wire::HeldPrefix *>> held = 0,
+    flatbuffers::Offset<flatbuffers::Vector<const Pollenwind::wire::NamedAge *>> named = 0) {
   FleetReportBuilder builder_(_fbb);
   builder_.add_sequence(sequence);
   builder_.add_boot(boot);
+  builder_.add_named(named);
   builder_.add_held(held);
   builder_.add_loading(loading);
   builder_.add_work(work);
@@ -214,12 +256,14 @@
     const std::vector<Pollenwind::wire::OrganisationUsage> *usage = nullptr,
     const std::vector<Pollenwind::wire::RunnerWork> *work = nullptr,
     const std::vector<uint64_t> *loading = nullptr,
-    const std::vector<Pollenwind::wire::HeldPrefix> *held = nullptr) {
+    const std::vector<Pollenwind::wire::HeldPrefix> *held = nullptr,
+    const std::vector<Pollenwind::wire::NamedAge> *named = nullptr) {
   auto vm__ = vm ? _fbb.CreateString(vm) : 0;
   auto usage__ = usage ? _fbb.CreateVectorOfStructs<Pollenwind::wire::OrganisationUsage>(*usage) : 0;
   auto work__ = work ? _fbb.CreateVectorOfStructs<Pollenwind::wire::RunnerWork>(*work) : 0;
   auto loading__ = loading ? _fbb.CreateVector<uint64_t>(*loading) : 0;
   auto held__ = held ? _fbb.CreateVectorOfStructs<Pollenwind::wire::HeldPrefix>(*held) : 0;
+  auto named__ = named ? _fbb.CreateVectorOfStructs<Pollenwind::wire::NamedAge>(*named) : 0;
   return Pollenwind::wire::CreateFleetReport(
       _fbb,
       vm__,
@@ -228,7 +272,8 @@
       usage__,
       work__,
       loading__,
-      held__);
+      held__,
+      named__);
 }
 
 inline const Pollenwind::wire::FleetReport *GetFleetReport(const void *buf) {
--- a/Source/Core/Gateway/FleetReportCodec.cpp
+++ b/Source/Core/Gateway/FleetReportCodec.cpp
@@ -20,13 +20,18 @@
     for (const auto& prefix : report.held) {
         held.emplace_back(prefix.prefix, prefix.holder);
     }
+    std::vector<wire::NamedAge> named;
+    for (const auto& it : report.named) {
+        named.emplace_back(it.model, it.version, static_cast<std::uint64_t>(it.age.count()));
+    }
     const auto vm = builder.CreateString(report.vm.value());
     const auto usageOffset = builder.CreateVectorOfStructs(usage);
     const auto workOffset = builder.CreateVectorOfStructs(work);
     const auto loadingOffset = builder.CreateVector(loading);
     const auto heldOffset = builder.CreateVectorOfStructs(held);
-    builder.Finish(wire::CreateFleetReport(
-        builder, vm, report.boot.value(), report.sequence, usageOffset, workOffset, loadingOffset, heldOffset));
+    const auto namedOffset = builder.CreateVectorOfStructs(named);
+    builder.Finish(wire::CreateFleetReport(builder, vm, report.boot.value(), report.sequence, usageOffset, workOffset,
+        loadingOffset, heldOffset, namedOffset));
     return { reinterpret_cast<const char*>(builder.GetBufferPointer()), builder.GetSize() };
 }
 
@@ -41,8 +46,10 @@
     if (!message->vm()) {
         return std::nullopt;
     }
-    FleetReport report { VmId(message->vm()->str()), Incarnation(message->boot()), message->sequence(), {}, {}, {},
-        {} };
+    FleetReport report;
+    report.vm = VmId(message->vm()->str());
+    report.boot = Incarnation(message->boot());
+    report.sequence = message->sequence();
     if (message->usage()) {
         for (const auto* it : *message->usage()) {
             report.usage[it->organisation()] = it->tokens();
@@ -61,6 +68,11 @@
             report.held.push_back({ it->prefix(), it->holder() });
         }
     }
+    if (message->named()) {
+        for (const auto* it : *message->named()) {
+            report.named.push_back({ it->model(), it->version(), std::chrono::milliseconds(it->age_ms()) });
+        }
+    }
     return report;
 }
 
--- a/Source/Core/Gateway/FleetReportCodec.h
+++ b/Source/Core/Gateway/FleetReportCodec.h
@@ -25,6 +25,7 @@
     std::set<std::uint64_t> loading;
     /// Prefixes read since the last report.
     std::vector<HeldPrefix> held;
+    std::vector<NamedAge> named;
 };
 
 namespace FleetReportCodec {
--- a/Source/Core/Gateway/FleetReporter.cpp
+++ b/Source/Core/Gateway/FleetReporter.cpp
@@ -61,7 +61,7 @@
         }
         m_context.quota.setReachableShare(m_context.fleet.reachableShare());
         FleetReport report { m_vm, m_boot, 0, m_context.quota.ownTotals(), m_context.runners.ownLoads(),
-            m_context.weights.loading(), m_context.directory.takeNews() };
+            m_context.weights.loading(), m_context.directory.takeNews(), m_context.runners.namedAges() };
         const bool isChanged = report.usage != last.usage || report.loading != last.loading || report.work != last.work
             || !report.held.empty();
         unchanged = isChanged ? 0 : unchanged + 1;
@@ -115,6 +115,9 @@
     m_context.quota.noteRemoteUsage(report->vm, report->boot, report->usage);
     m_context.runnerCommands.noteRemoteLoad(report->vm, std::move(report->work));
     m_context.directory.noteRemoteRead(report->held);
+    for (const auto& it : report->named) {
+        m_context.runnerCommands.noteWeightsAge(it.model, it.version, it.age);
+    }
     m_context.runnerCommands.setLoadingRunners(report->vm, std::move(report->loading));
 }
 
--- a/Source/Core/Gateway/ForwardDispatcher.cpp
+++ b/Source/Core/Gateway/ForwardDispatcher.cpp
@@ -31,6 +31,11 @@
     constexpr std::chrono::milliseconds unavailableRetryAfter { 300 };
     constexpr std::chrono::milliseconds startingRetryAfter { 500 };
 
+    // A runner that is full has room again after a few requests have ended; one with other weights or another id stays
+    // so until the list tells more.
+    constexpr std::chrono::milliseconds fullAvoidTime { 150 };
+    constexpr std::chrono::milliseconds otherRunnerAvoidTime { 1200 };
+
     constexpr unsigned lowestPriority = 9;
 
     RetryKind retryKindOf(const RouteRule& route)
@@ -249,14 +254,7 @@
         return false;
     }
     const auto action = decideRetry(kind, progress, classifyFailure(error), true);
-    if (action == RetryAction::Resume) {
-        m_context.retryBudget.takeResume(delivery.service);
-        m_context.metrics.count(Counter::Resumes);
-        m_context.log.note(
-            RequestEvent::Resumed, request.id, { { "after_event", std::to_string(delivery.lastEventId.value_or(0)) } });
-        return true;
-    }
-    if (action != RetryAction::Retry) {
+    if (action != RetryAction::Retry && action != RetryAction::Resume) {
         return false;
     }
     // An attempt that never reached a runner does not count against the budget.
@@ -265,6 +263,11 @@
         return false;
     }
     m_context.metrics.count(Counter::Retries);
+    if (action == RetryAction::Resume) {
+        m_context.metrics.count(Counter::Resumes);
+        m_context.log.note(
+            RequestEvent::Resumed, request.id, { { "after_event", std::to_string(delivery.lastEventId.value_or(0)) } });
+    }
     return true;
 }
 
@@ -323,6 +326,8 @@
     switch (head.kind) {
     case ReplyKind::NotRun:
     case ReplyKind::OtherRunner:
+        m_context.runnerCommands.noteRefusal(
+            delivery.runner.id, head.kind == ReplyKind::NotRun ? fullAvoidTime : otherRunnerAvoidTime);
         co_return fail(ErrorCode::Unavailable,
             "the runner refused with status " + std::to_string(head.status) + " (" + std::string(nameOf(head.kind))
                 + ")");
--- a/Source/Core/Gateway/Gateway.cpp
+++ b/Source/Core/Gateway/Gateway.cpp
@@ -37,12 +37,14 @@
     constexpr double stopShare = 0.92;
 
     // Part of the fleet's retries that is handed out, since the VMs' windows and views differ.
-    constexpr double retryShare = 0.75;
+    constexpr double retryShare = 0.6;
 
     // What the checks of key age and of the answer's way leave of the withdrawal limit.
     constexpr std::chrono::milliseconds keyMargin { 600 };
     constexpr std::chrono::milliseconds weightsMargin { 1200 };
-    constexpr std::chrono::milliseconds handoverMargin { 300 };
+    // A holder gives its last order a safety margin before its lease ends, so that the pause after the lease is shorter
+    // than the time between the orders of two VMs.
+    constexpr std::chrono::milliseconds handoverMargin { 200 };
 
     std::chrono::milliseconds less(std::chrono::milliseconds limit, std::chrono::milliseconds margin)
     {
@@ -74,7 +76,7 @@
         , quota(clock)
         , directory(clock)
         , orders(clock, platform.storeCommands, timeline, settings.vm, boot,
-              { .handoverPause = settings.orderHandover + handoverMargin })
+              { .handoverPause = settings.orderHandover - handoverMargin })
         , sync({ clock, platform.storeQueries, platform.records, routing, runners, fleet, orders, timeline, metrics },
               { .keyLimit = less(settings.keyWithdrawalLimit, keyMargin) })
         , registration(platform.storeCommands, settings.vm, FleetView::encodeRecord(settings.listenReports))
--- a/Source/Core/Gateway/GatewaySync.cpp
+++ b/Source/Core/Gateway/GatewaySync.cpp
@@ -8,6 +8,13 @@
 
 namespace Pollenwind {
 
+namespace {
+
+    // A watch that works delivers a change within milliseconds, and within this time when the store is slow.
+    constexpr std::chrono::milliseconds longestEventDelay { 300 };
+
+} // namespace
+
 Task<> GatewaySync::run()
 {
     for (;;) {
@@ -52,7 +59,7 @@
         if (entry.key.starts_with(vmRecordPrefix)) {
             vms.insert(VmId(entry.key.substr(vmRecordPrefix.size())));
         }
-        apply(entry);
+        apply(entry, m_freshAt);
     }
     m_context.runners.replaceEntries(std::move(runners));
     m_context.fleet.keepOnly(vms);
@@ -83,7 +90,7 @@
             if (event.isErased) {
                 applyErased(event.entry.key);
             } else {
-                apply(event.entry);
+                apply(event.entry, std::max(m_freshAt, m_context.clock.now() - longestEventDelay));
             }
         }
         m_revision = std::max(m_revision, changes->revision);
@@ -96,7 +103,7 @@
     m_context.store.closeWatch(*watch);
 }
 
-void GatewaySync::apply(const StoreEntry& entry)
+void GatewaySync::apply(const StoreEntry& entry, MonotonicTime writtenAfter)
 {
     if (entry.key.starts_with(vmRecordPrefix)) {
         m_context.fleet.noteRecord(VmId(entry.key.substr(vmRecordPrefix.size())), entry.value);
@@ -125,7 +132,7 @@
     } else if (auto* runner = std::get_if<RunnerEntry>(&*record)) {
         m_context.runners.noteEntry(std::move(*runner));
     } else if (const auto* weights = std::get_if<NamedWeights>(&*record)) {
-        m_context.runners.noteNewestWeights(weights->model, weights->version);
+        m_context.runners.noteNewestWeights(weights->model, weights->version, writtenAfter);
     }
 }
 
--- a/Source/Core/Gateway/GatewaySync.h
+++ b/Source/Core/Gateway/GatewaySync.h
@@ -55,7 +55,8 @@
 private:
     Task<bool> readAll();
     Task<> followChanges();
-    void apply(const StoreEntry& entry);
+    /// @param writtenAfter Moment after which the entry was written; 0 when that is not known.
+    void apply(const StoreEntry& entry, MonotonicTime writtenAfter);
     void applyErased(const std::string& key);
     void noteReachable(bool isReachable, std::string_view why);
 
--- a/Source/Core/Gateway/OrderLease.cpp
+++ b/Source/Core/Gateway/OrderLease.cpp
@@ -55,6 +55,11 @@
     m_isStateActive = !record.is_object() || record.value("active", true);
 }
 
+bool OrderLease::mayOrderWithin(std::chrono::nanoseconds time) const
+{
+    return isHeld() && m_clock.now() + time >= m_orderFrom;
+}
+
 bool OrderLease::mayOrder() const
 {
     const auto now = m_clock.now();
--- a/Source/Core/Gateway/OrderLease.h
+++ b/Source/Core/Gateway/OrderLease.h
@@ -19,8 +19,8 @@
     std::chrono::milliseconds renewInterval { 700 };
     /// The holder stops this much before the lease can end, since an order is under way for some time.
     std::chrono::milliseconds safetyMargin { 400 };
-    /// Shortest time between the last order of one VM and the first of another.
-    std::chrono::milliseconds handoverPause { 3300 };
+    /// Time from taking the lease to the first order, when another VM may have given orders until its lease ended.
+    std::chrono::milliseconds handoverPause { 2800 };
 };
 
 /// The right to give orders to runners, which one VM at a time holds by a lease in the store.
@@ -40,6 +40,8 @@
 
     /// Tells whether an order may be given now.
     bool mayOrder() const;
+    /// Tells whether an order may be given after some time.
+    bool mayOrderWithin(std::chrono::nanoseconds time) const;
     /// Tells whether this VM holds the lease.
     bool isHeld() const { return m_isHeld && m_clock.now() < m_validUntil; }
     /// Rises with each new holder.
--- a/Source/Core/Gateway/Queries/RunnerQueries.h
+++ b/Source/Core/Gateway/Queries/RunnerQueries.h
@@ -33,8 +33,14 @@
 
     /// Newest weights that were named, by model.
     virtual const std::map<std::string, WeightsVersion>& newestWeights() const = 0;
+
+    /// Ages of the newest weights that were named, where known.
+    virtual std::vector<NamedAge> namedAges() const = 0;
 };
 
+/// Hash under which VMs name a model to each other.
+std::uint64_t modelHash(const std::string& model);
+
 /// Hash under which VMs name a runner to each other.
 std::uint64_t runnerHash(const UpstreamId& runner);
 
--- a/Source/Core/Gateway/RunnerTable.cpp
+++ b/Source/Core/Gateway/RunnerTable.cpp
@@ -25,6 +25,8 @@
 
 std::uint64_t runnerHash(const UpstreamId& runner) { return XXH3_64bits(runner.value().data(), runner.value().size()); }
 
+std::uint64_t modelHash(const std::string& model) { return XXH3_64bits(model.data(), model.size()); }
+
 RunnerTable::RunnerTable(const Clock& clock, TimelineCommands& timeline, RunnerTableOptions options)
     : m_clock(clock)
     , m_timeline(timeline)
@@ -41,8 +43,7 @@
             { { "runner", id.value() }, { "service", entry.service.value() }, { "endpoint", entry.endpoint.toString() },
                 { "state", std::string(nameOf(entry.state)) } });
         const auto hash = runnerHash(id);
-        m_runners.emplace(
-            id, Runner { std::move(entry), hash, {}, MonotonicTime(0), CircuitBreaker(m_clock, breakerOptions) });
+        m_runners.emplace(id, Runner { std::move(entry), hash, {}, {}, {}, CircuitBreaker(m_clock, breakerOptions) });
         forgetOldRunners();
         return;
     }
@@ -60,6 +61,9 @@
         // A runner that announced its leaving does not come back in the same life.
         entry.state = RunnerState::Draining;
     }
+    if (runner.entry.weights != entry.weights) {
+        runner.avoidUntil = {};
+    }
     runner.entry = std::move(entry);
 }
 
@@ -98,16 +102,49 @@
     });
 }
 
-void RunnerTable::noteNewestWeights(const std::string& model, WeightsVersion version)
+void RunnerTable::noteNewestWeights(const std::string& model, WeightsVersion version, MonotonicTime namedAfter)
 {
     auto& newest = m_newestWeights[model];
     if (version > newest) {
         newest = version;
-        m_namedWeights[model].push_back({ version, m_clock.now() });
+        m_namedWeights[model].push_back({ version, namedAfter });
         m_timeline.record(EventKind::MoveOrdered, { { "model", model }, { "weights", std::to_string(version) } });
     }
 }
 
+void RunnerTable::noteWeightsAge(std::uint64_t hash, WeightsVersion version, std::chrono::nanoseconds age)
+{
+    for (auto& [model, named] : m_namedWeights) {
+        if (modelHash(model) != hash) {
+            continue;
+        }
+        for (auto& it : named) {
+            if (it.version == version && it.namedAt.count() == 0) {
+                it.namedAt = m_clock.now() - age;
+            }
+        }
+    }
+}
+
+std::vector<NamedAge> RunnerTable::namedAges() const
+{
+    std::vector<NamedAge> ages;
+    for (const auto& [model, named] : m_namedWeights) {
+        if (!named.empty() && named.back().namedAt.count() > 0) {
+            ages.push_back({ modelHash(model), named.back().version,
+                std::chrono::duration_cast<std::chrono::milliseconds>(m_clock.now() - named.back().namedAt) });
+        }
+    }
+    return ages;
+}
+
+void RunnerTable::noteRefusal(const UpstreamId& runner, std::chrono::nanoseconds avoidTime)
+{
+    if (const auto it = m_runners.find(runner); it != m_runners.end()) {
+        it->second.avoidUntil = m_clock.now() + avoidTime;
+    }
+}
+
 WeightsVersion RunnerTable::oldestAllowedWeights(const std::string& model) const
 {
     const auto it = m_namedWeights.find(model);
@@ -237,7 +274,7 @@
         if (!model.empty() && candidate.weights < oldest) {
             continue;
         }
-        const bool isGood = !isLapsed && candidate.admission > 0 && !isLoading(runner.hash);
+        const bool isGood = !isLapsed && candidate.admission > 0 && now >= runner.avoidUntil && !isLoading(runner.hash);
         (isGood ? good : doubtful).push_back(std::move(candidate));
     }
     return good.empty() ? doubtful : good;
--- a/Source/Core/Gateway/RunnerTable.h
+++ b/Source/Core/Gateway/RunnerTable.h
@@ -25,7 +25,9 @@
     void noteEntry(RunnerEntry entry) override;
     void noteEntryEnded(const UpstreamId& runner) override;
     void replaceEntries(std::vector<RunnerEntry> entries) override;
-    void noteNewestWeights(const std::string& model, WeightsVersion version) override;
+    void noteNewestWeights(const std::string& model, WeightsVersion version, MonotonicTime namedAfter) override;
+    void noteWeightsAge(std::uint64_t modelHash, WeightsVersion version, std::chrono::nanoseconds age) override;
+    void noteRefusal(const UpstreamId& runner, std::chrono::nanoseconds avoidTime) override;
     void noteSent(const UpstreamId& runner, double tokens) override;
     void noteFirstOutput(const UpstreamId& runner, double tokens) override;
     void noteEnded(const UpstreamId& runner, double waitingTokens, RunnerResult result) override;
@@ -37,6 +39,7 @@
     std::optional<RunnerEntry> find(const UpstreamId& runner) const override;
     std::vector<RunnerEntry> entries() const override;
     std::map<std::uint64_t, RunnerLoad> ownLoads() const override;
+    std::vector<NamedAge> namedAges() const override;
     unsigned requestsAt(const UpstreamId& runner) const override;
     const std::map<std::string, WeightsVersion>& newestWeights() const override { return m_newestWeights; }
 
@@ -46,11 +49,13 @@
         std::uint64_t hash = 0;
         RunnerLoad own;
         MonotonicTime endedAt { 0 };
+        MonotonicTime avoidUntil { 0 };
         /// Refreshed when read, because a breaker moves on with time.
         mutable CircuitBreaker breaker;
     };
     struct NamedWeights {
         WeightsVersion version = 0;
+        /// 0 when it is not known; the weights are then taken for old.
         MonotonicTime namedAt { 0 };
     };
 
--- a/Source/Core/Gateway/RunnerTypes.h
+++ b/Source/Core/Gateway/RunnerTypes.h
@@ -5,6 +5,7 @@
 #include "Common/Ids.h"
 #include "Transport/Endpoint.h"
 
+#include <chrono>
 #include <cstdint>
 #include <map>
 #include <string>
@@ -74,6 +75,14 @@
     bool operator==(const RunnerLoad&) const = default;
 };
 
+/// How long ago weights were named.
+struct NamedAge {
+    /// Hash of the model's name.
+    std::uint64_t model = 0;
+    WeightsVersion version = 0;
+    std::chrono::milliseconds age { 0 };
+};
+
 /// A runner that may take a request now.
 struct RunnerCandidate {
     UpstreamId id;
--- a/Source/Core/Gateway/WeightsDriver.cpp
+++ b/Source/Core/Gateway/WeightsDriver.cpp
@@ -73,7 +73,7 @@
             }
             continue;
         }
-        if (!m_lease.mayOrder() || !co_await m_lease.beginOrders()) {
+        if (!m_lease.mayOrderWithin(m_options.drainTime) || !co_await m_lease.beginOrders()) {
             continue;
         }
         const auto limit = static_cast<std::size_t>(
@@ -117,6 +117,9 @@
     while (m_clock.now() < limit && m_runners.requestsAt(pending.runner.id) > 0) {
         co_await sleepFor(drainCheck);
     }
+    while (m_lease.isHeld() && !m_lease.mayOrderWithin({})) {
+        co_await sleepFor(drainCheck);
+    }
 }
 
 Task<bool> WeightsDriver::order(const Pending& pending)
