Save shared prefixes to the cache store and copy them from it

Runners now save parts that no one holds to the store, and every request names the store as the source of what its runner evicted.

--- a/Source/Core/Gateway/AffinityPolicy.cpp
+++ b/Source/Core/Gateway/AffinityPolicy.cpp
@@ -14,6 +14,9 @@
     // runners that are equally busy.
     constexpr double rendezvousSeconds = 0.02;
 
+    // Below this, computing the parts takes hardly longer than asking for them.
+    constexpr double fewestStoredTokens = 1000;
+
     /// Place of a runner in a prompt's rendezvous order, from 0 to 1.
     double rendezvousPlace(std::uint64_t prompt, const UpstreamId& runner)
     {
@@ -83,7 +86,7 @@
 }
 
 std::optional<RunnerChoice> AffinityPolicy::choose(const ForwardRequest& request, const std::string& cacheSalt,
-    WeightsVersion newestWeights, std::span<const RunnerCandidate> candidates) const
+    WeightsVersion newestWeights, std::span<const CacheStore> stores, std::span<const RunnerCandidate> candidates) const
 {
     std::optional<Option> best;
     double leastCost = 0;
@@ -113,7 +116,30 @@
     if (best->source && best->copiedTokens > best->heldTokens) {
         choice.cacheSource = best->source->endpoint;
     }
+    chooseStore(sharedPrefixes(request, cacheSalt, choice.weights), newestWeights, stores, *best, choice);
     return choice;
 }
 
+void AffinityPolicy::chooseStore(const std::vector<SharedPrefix>& prefixes, WeightsVersion newestWeights,
+    std::span<const CacheStore> stores, const Option& option, RunnerChoice& choice) const
+{
+    if (prefixes.empty() || stores.empty() || option.sharedTokens < fewestStoredTokens) {
+        return;
+    }
+    const auto& store = stores.front();
+    const bool isStored = m_prefixes.isHeld(prefixes.back().hash, storeHash(store.endpoint));
+    if (isStored) {
+        if (!choice.cacheSource) {
+            // The runner copies only what it does not hold, so this costs nothing when it holds all.
+            choice.cacheSource = store.endpoint;
+            choice.computedTokens = option.ownTokens;
+        }
+        return;
+    }
+    // A runner that is about to load weights might make the last parts with the new ones.
+    if (choice.weights >= newestWeights) {
+        choice.cacheStore = store.endpoint;
+    }
+}
+
 } // namespace Pollenwind
--- a/Source/Core/Gateway/AffinityPolicy.h
+++ b/Source/Core/Gateway/AffinityPolicy.h
@@ -36,13 +36,16 @@
     AffinityPolicy(ZoneId ownZone, const PrefixQueries& prefixes, AffinityCosts costs = {});
 
     std::optional<RunnerChoice> choose(const ForwardRequest& request, const std::string& cacheSalt,
-        WeightsVersion newestWeights, std::span<const RunnerCandidate> candidates) const override;
+        WeightsVersion newestWeights, std::span<const CacheStore> stores,
+        std::span<const RunnerCandidate> candidates) const override;
 
 private:
     struct Option;
 
     void findSource(
         const std::vector<SharedPrefix>& prefixes, Option& option, std::span<const RunnerCandidate> candidates) const;
+    void chooseStore(const std::vector<SharedPrefix>& prefixes, WeightsVersion newestWeights,
+        std::span<const CacheStore> stores, const Option& option, RunnerChoice& choice) const;
     double costOf(const Option& option, WeightsVersion newestWeights) const;
 
     ZoneId m_ownZone;
--- a/Source/Core/Gateway/CacheDirectory.cpp
+++ b/Source/Core/Gateway/CacheDirectory.cpp
@@ -10,8 +10,20 @@
 
 namespace {
 
-    // Runners evict the entries that were used the longest ago, on the users' fleets after some tens of seconds.
-    constexpr std::chrono::seconds heldTime { 25 };
+    // Runners evict the entries that were used the longest ago: their memory of 100,000 tokens takes in about 10,000
+    // tokens a second.
+    constexpr std::chrono::seconds heldByRunner { 8 };
+
+    // A store holds several times as much; it may also restart empty without a word, so an entry is saved again.
+    constexpr std::chrono::seconds heldByStore { 30 };
+
+    /// Marks the hashes of stores.
+    constexpr std::uint64_t storeBit = 1;
+
+    std::chrono::seconds heldTime(std::uint64_t holder)
+    {
+        return (holder & storeBit) != 0 ? heldByStore : heldByRunner;
+    }
 
     // One report carries at most so many; the rest is left out, which costs a missed transfer at worst.
     constexpr std::size_t maxNews = 256;
@@ -21,7 +33,13 @@
 std::uint64_t holderHash(const UpstreamId& runner, Incarnation boot)
 {
     const auto hash = runnerHash(runner);
-    return XXH3_64bits_withSeed(&hash, sizeof hash, boot.value());
+    return XXH3_64bits_withSeed(&hash, sizeof hash, boot.value()) & ~storeBit;
+}
+
+std::uint64_t storeHash(const Endpoint& endpoint)
+{
+    const auto text = endpoint.toString();
+    return XXH3_64bits(text.data(), text.size()) | storeBit;
 }
 
 std::vector<SharedPrefix> sharedPrefixes(
@@ -72,7 +90,7 @@
     if (it == m_holders.end()) {
         return false;
     }
-    const auto oldest = m_clock.now() - heldTime;
+    const auto oldest = m_clock.now() - heldTime(holder);
     return std::ranges::any_of(
         it->second, [&](const auto& known) { return known.first == holder && known.second > oldest; });
 }
@@ -81,9 +99,9 @@
 
 void CacheDirectory::forgetOld()
 {
-    const auto oldest = m_clock.now() - heldTime;
+    const auto now = m_clock.now();
     for (auto& [prefix, holders] : m_holders) {
-        std::erase_if(holders, [oldest](const auto& known) { return known.second <= oldest; });
+        std::erase_if(holders, [now](const auto& known) { return known.second <= now - heldTime(known.first); });
     }
     std::erase_if(m_holders, [](const auto& it) { return it.second.empty(); });
 }
--- a/Source/Core/Gateway/ForwardDispatcher.cpp
+++ b/Source/Core/Gateway/ForwardDispatcher.cpp
@@ -65,6 +65,7 @@
     const OrganisationRule* organisation = nullptr;
     ServiceId service;
     std::string cacheSalt;
+    std::vector<CacheStore> stores;
     MonotonicTime receivedAt { 0 };
     MonotonicTime deadline { 0 };
 
@@ -130,6 +131,11 @@
         }
         point -= share.weight;
     }
+    for (const auto& [id, service] : delivery.configuration->services) {
+        if (service.cacheStore) {
+            delivery.stores.push_back(*service.cacheStore);
+        }
+    }
     const auto* organisation = delivery.organisation;
     delivery.cacheSalt = organisation && organisation->isIsolated ? organisation->id.value() : std::string();
     if (organisation) {
@@ -155,8 +161,8 @@
     }
     const auto& newest = m_context.runners.newestWeights();
     const auto it = newest.find(request.model);
-    const auto choice
-        = m_context.policy.choose(request, delivery.cacheSalt, it == newest.end() ? 0 : it->second, candidates);
+    const auto choice = m_context.policy.choose(
+        request, delivery.cacheSalt, it == newest.end() ? 0 : it->second, delivery.stores, candidates);
     if (!choice) {
         return refuse(ErrorCode::Unavailable, "no runner can take the request now", unavailableRetryAfter);
     }
@@ -180,6 +186,7 @@
         terms.cacheSalt = "w" + std::to_string(choice.weights) + "/" + delivery.cacheSalt;
         terms.expectedWeights = choice.weights;
         terms.cacheSource = choice.cacheSource;
+        terms.cacheStore = choice.cacheStore;
     }
     terms.lastEventId = delivery.lastEventId ? delivery.lastEventId : request.lastEventId;
     return terms;
@@ -415,6 +422,9 @@
     const auto holder = holderHash(runner.id, runner.boot);
     for (const auto& prefix : sharedPrefixes(request, delivery.cacheSalt, runner.weights)) {
         held.push_back({ prefix.hash, holder });
+        if (runner.cacheStore) {
+            held.push_back({ prefix.hash, storeHash(*runner.cacheStore) });
+        }
     }
     m_context.prefixes.noteRead(held);
 }
--- a/Source/Core/Gateway/ForwardTypes.h
+++ b/Source/Core/Gateway/ForwardTypes.h
@@ -56,8 +56,10 @@
     std::string cacheSalt;
     /// Weights that the runner must have; 0 for any.
     WeightsVersion expectedWeights = 0;
-    /// Runner from which shared parts of the prompt are copied.
+    /// Runner or store from which shared parts of the prompt are copied.
     std::optional<Endpoint> cacheSource;
+    /// Store to which the runner copies the parts that it reads.
+    std::optional<Endpoint> cacheStore;
     std::optional<std::uint64_t> lastEventId;
 };
 
--- a/Source/Core/Gateway/Queries/PrefixQueries.h
+++ b/Source/Core/Gateway/Queries/PrefixQueries.h
@@ -31,6 +31,9 @@
 /// Hash of a runner's process: a restart holds nothing of before.
 std::uint64_t holderHash(const UpstreamId& runner, Incarnation boot);
 
+/// Hash of a store of cache entries, in the place of a holder's.
+std::uint64_t storeHash(const Endpoint& endpoint);
+
 /// Prefixes of a request that other requests share, the shortest first. The last part of the prompt is the request's
 /// own. Prefixes of other weights or of another isolated organisation have other hashes.
 std::vector<SharedPrefix> sharedPrefixes(
--- a/Source/Core/Gateway/Queries/RunnerPolicy.h
+++ b/Source/Core/Gateway/Queries/RunnerPolicy.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Gateway/ForwardTypes.h"
+#include "Gateway/RoutingTypes.h"
 #include "Gateway/RunnerTypes.h"
 
 #include <optional>
@@ -18,8 +19,10 @@
     WeightsVersion weights = 0;
     /// Prompt tokens that the runner is expected to compute.
     double computedTokens = 0;
-    /// Runner that holds shared parts of the prompt which this one lacks.
+    /// Runner or store that holds shared parts of the prompt which this runner lacks or may have evicted.
     std::optional<Endpoint> cacheSource;
+    /// Store that does not hold the shared parts yet.
+    std::optional<Endpoint> cacheStore;
 };
 
 /// Chooses the runner of a request.
@@ -32,10 +35,12 @@
 
     /// @param cacheSalt Separates the cache entries of isolated organisations.
     /// @param newestWeights Newest weights of the request's model; 0 when none were named.
+    /// @param stores Stores of cache entries.
     /// @param candidates Runners that may take the request.
     /// @return The choice, or nothing when there is no candidate.
     virtual std::optional<RunnerChoice> choose(const ForwardRequest& request, const std::string& cacheSalt,
-        WeightsVersion newestWeights, std::span<const RunnerCandidate> candidates) const
+        WeightsVersion newestWeights, std::span<const CacheStore> stores,
+        std::span<const RunnerCandidate> candidates) const
         = 0;
 };
 
--- a/Source/Core/Gateway/RoutingTypes.h
+++ b/Source/Core/Gateway/RoutingTypes.h
@@ -3,6 +3,7 @@
 #include "Common/Digest.h"
 #include "Common/EnumTable.h"
 #include "Common/Ids.h"
+#include "Transport/Endpoint.h"
 
 #include <chrono>
 #include <cstdint>
@@ -67,12 +68,19 @@
     std::vector<std::string> models;
 };
 
+/// Store of cache entries that runners share. It runs no requests.
+struct CacheStore {
+    Endpoint endpoint;
+    ZoneId zone;
+};
+
 /// One service that routes lead to.
 struct ServiceRule {
     ServiceId id;
     std::string healthPath;
     unsigned maxConnections = 0;
     std::optional<EngineProfile> engine;
+    std::optional<CacheStore> cacheStore;
 };
 
 /// One organisation with its keys and its rate.
