--- a/Source/Core/Common/JsonFields.h
+++ b/Source/Core/Common/JsonFields.h
@@ -36,6 +36,12 @@
     return value;
 }
 
+inline bool readBoolean(const Json& object, const char* name, bool fallback = false)
+{
+    const auto it = object.find(name);
+    return it != object.end() && it->is_boolean() ? it->get<bool>() : fallback;
+}
+
 /// Reads a count that fits into 32 bits.
 inline std::uint32_t readCount(const Json& object, const char* name)
 {
--- a/Source/Core/Gateway/OrderLease.cpp
+++ b/Source/Core/Gateway/OrderLease.cpp
@@ -52,7 +52,7 @@
     m_stateRevision = revision;
     m_stateVm = record.is_object() ? JsonFields::readString(record, "vm") : std::string();
     // An unreadable record may stand for orders that are under way.
-    m_isStateActive = !record.is_object() || record.value("active", true);
+    m_isStateActive = !record.is_object() || JsonFields::readBoolean(record, "active", true);
 }
 
 bool OrderLease::mayOrderWithin(std::chrono::nanoseconds time) const
--- /dev/null
+++ b/Source/UnitTests/PlatformAdapter/CodecTests.cpp
@@ -0,0 +1,221 @@
+#include "platform/PlatformRecords.h"
+#include "platform/PlatformRequests.h"
+#include "platform/PlatformSettings.h"
+
+#include <criterion/criterion.h>
+
+using namespace Pollenwind;
+using namespace std::chrono_literals;
+
+namespace {
+
+HttpRequest makeMessage(HttpHeaders headers)
+{
+    HttpRequest message { "POST", "/lepu270/2f", "a=1", std::move(headers), "body" };
+    return message;
+}
+
+bool holds(const HttpHeaders& headers, std::string_view name) { return findHeader(headers, name).has_value(); }
+
+StoreEntry entry(std::string key, std::string value) { return { std::move(key), std::move(value), 1, LeaseId() }; }
+
+template <typename T> T decode(std::string key, std::string value)
+{
+    const auto record = PlatformRecords().decode(entry(std::move(key), std::move(value)));
+    cr_assert(record && std::holds_alternative<T>(*record));
+    return std::get<T>(*record);
+}
+
+constexpr auto runnerText = R"({"service":"huvo11a","address":"10.128.0.9:8080","zone":"kef-a","version":"v1",
+    "slots":64,"state":"ready","cold_left_ms":0,"models":[{"name":"daka510000","version":3}],"seq":4,
+    "born":1796380000123})";
+
+} // namespace
+
+// Guards against a key or a header of one connection that reaches a runner, and against a changed request.
+Test(PlatformRequests, passesOnOnlyWhatIsEndToEnd)
+{
+    const PlatformRequests codec;
+    const auto request = codec.decodeRequest(makeMessage({ { "Host", "jepu9.example:80" }, { "X-Request-Id", "q1" },
+        { "Authorization", "Token secret" }, { "X-Deadline-Ms", "6000" }, { "X-Model", "daka510000" },
+        { "X-Token-Count", "1460,80" }, { "X-Prompt-Prefix", "5c1e07a2:800,91bd3f06:410" }, { "X-Tenant", "forged" },
+        { "X-Cache-Salt", "forged" }, { "Kv-From", "forged" }, { "X-Hold", "forged" }, { "Connection", "x-hop" },
+        { "X-Hop", "1" }, { "Accept", "a" }, { "Accept", "b" } }));
+    cr_assert(request.has_value());
+    cr_assert_eq(request->host, "jepu9.example");
+    cr_assert(request->keyDigest == sha256("secret"));
+    cr_assert(request->timeLimit == 6000ms);
+    cr_assert(request->tokens->prompt == 1460 && request->tokens->largestOutput == 80);
+    cr_assert(request->parts.size() == 2 && request->parts[0].id == 0x5c1e07a2 && request->parts[1].tokens == 410);
+    AttemptTerms terms;
+    terms.runner = UpstreamId("i-1");
+    terms.organisation = OrganisationId("sese880");
+    terms.timeLimit = 5900ms;
+    const auto message = codec.encodeAttempt(*request, terms);
+    cr_assert_eq(message.target(), "/lepu270/2f?a=1");
+    cr_assert_eq(message.body, "body");
+    for (const auto* name : { "Authorization", "Kv-From", "X-Hold", "Connection", "X-Hop", "X-Cache-Salt" }) {
+        cr_assert(!holds(message.headers, name), "%s", name);
+    }
+    cr_assert_eq(*findHeader(message.headers, "X-Tenant"), "sese880");
+    cr_assert_eq(*findHeader(message.headers, "X-Deadline-Ms"), "5900");
+    cr_assert_eq(*findHeader(message.headers, "X-Expect-Instance"), "i-1");
+    cr_assert_eq(std::ranges::count_if(message.headers, [](const auto& it) { return it.first == "Accept"; }), 2);
+}
+
+// Guards against malformed metadata that stops a request or is taken for a number.
+Test(PlatformRequests, passesOverMalformedMetadata)
+{
+    const PlatformRequests codec;
+    for (const auto* text : { "", ",", "1", "x,y", "1,", "-1,2", "99999999999,1" }) {
+        const auto request = codec.decodeRequest(makeMessage({ { "X-Request-Id", "q" }, { "X-Token-Count", text } }));
+        cr_assert(request && !request->tokens, "%s", text);
+    }
+    for (const auto* text : { "", ":", "zz:1", "1:", "1:2,,", "1:2;3" }) {
+        const auto request = codec.decodeRequest(makeMessage({ { "X-Request-Id", "q" }, { "X-Prompt-Prefix", text } }));
+        cr_assert(request && request->parts.empty(), "%s", text);
+    }
+    cr_assert(!codec.decodeRequest(makeMessage({})));
+}
+
+struct ReplyCase {
+    int status;
+    HttpHeaders headers;
+    ReplyKind kind;
+};
+
+// Guards against an answer of another request, a success without its proof, or a refusal taken for an answer.
+Test(PlatformRequests, classifiesReplies)
+{
+    const std::pair<std::string, std::string> id { "X-Request-Id", "q" };
+    const std::pair<std::string, std::string> stamp { "X-Server-Stamp", "s" };
+    const std::pair<std::string, std::string> notRun { "X-Not-Run", "1" };
+    const std::vector<ReplyCase> cases { { 200, { id, stamp }, ReplyKind::Answer },
+        { 500, { id, stamp }, ReplyKind::Answer }, { 200, { id }, ReplyKind::Malformed },
+        { 200, { stamp }, ReplyKind::Malformed }, { 502, {}, ReplyKind::Malformed },
+        { 503, { id, notRun }, ReplyKind::NotRun }, { 503, { notRun }, ReplyKind::NotRun },
+        { 421, {}, ReplyKind::OtherRunner }, { 503, { id, stamp }, ReplyKind::Answer },
+        { 200, { { "X-Request-Id", "p" }, stamp }, ReplyKind::Stray },
+        { 503, { { "X-Request-Id", "p" }, notRun }, ReplyKind::Stray } };
+    for (const auto& it : cases) {
+        const auto reply = PlatformRequests().decodeReply({ it.status, it.headers }, RequestId("q"));
+        cr_assert(reply.kind == it.kind, "%d with %zu headers", it.status, it.headers.size());
+    }
+}
+
+struct RefusalCase {
+    ErrorCode code;
+    RunState runState;
+    int status;
+};
+
+// Guards against a status that promises "not run" for a request that may have run.
+Test(PlatformRequests, promisesNotRunOnlyWhenTrue)
+{
+    constexpr std::array cases { RefusalCase { ErrorCode::Unavailable, RunState::NotRun, 503 },
+        RefusalCase { ErrorCode::ConnectionLost, RunState::Unknown, 502 },
+        RefusalCase { ErrorCode::DeadlineExceeded, RunState::Unknown, 504 },
+        RefusalCase { ErrorCode::DeadlineExceeded, RunState::NotRun, 503 },
+        RefusalCase { ErrorCode::RateExceeded, RunState::NotRun, 429 },
+        RefusalCase { ErrorCode::KeyUnknown, RunState::NotRun, 401 },
+        RefusalCase { ErrorCode::KeyUnconfirmed, RunState::NotRun, 503 },
+        RefusalCase { ErrorCode::NoRoute, RunState::NotRun, 404 } };
+    for (const auto& it : cases) {
+        const auto answer = PlatformRequests().encodeRefusal({ it.code, "text", it.runState, 250ms }, RequestId("q"));
+        cr_assert_eq(answer.status, it.status);
+        cr_assert(!holds(answer.headers, "X-Server-Stamp"));
+        cr_assert_eq(holds(answer.headers, "Retry-After"), it.status == 503 || it.status == 429);
+    }
+}
+
+// Guards against a runner's entry whose fields are mixed up.
+Test(PlatformRecords, readsARunnersEntry)
+{
+    const auto runner = decode<RunnerEntry>("servers/i-7f3a91c2", runnerText);
+    cr_assert(runner.id == UpstreamId("i-7f3a91c2") && runner.service == ServiceId("huvo11a"));
+    cr_assert(runner.endpoint == (Endpoint { "10.128.0.9", 8080 }) && runner.slots == 64);
+    cr_assert(runner.state == RunnerState::Ready && runner.boot == Incarnation(1796380000123));
+    cr_assert(runner.software == VersionId("v1") && runner.weights.at("daka510000") == 3);
+}
+
+// Guards against an entry of another writer that names a runner to use or stops the process.
+Test(PlatformRecords, refusesEntriesThatAreTornOrForeign)
+{
+    const std::string whole = runnerText;
+    for (std::size_t n = 0; n < whole.size(); n += 7) {
+        cr_assert(!PlatformRecords().decode(entry("servers/i-1", whole.substr(0, n))));
+    }
+    for (const auto* text :
+        { "5", "[]", "null", "{}", R"({"service":"a","address":"10.0.0.1:80","zone":"z","slots":1})",
+            R"({"service":"a","address":"10.0.0.1:80","zone":"z","slots":"1","state":"ready"})",
+            R"({"service":"a","address":"10.0.0.1:80","zone":"z","slots":1,"state":"new"})",
+            R"({"service":"a","address":7,"zone":"z","slots":1,"state":"ready"})", "\xff\xfe" }) {
+        cr_assert(!PlatformRecords().decode(entry("servers/i-1", text)), "%s", text);
+    }
+}
+
+// Guards against a desired state of which a part is lost.
+Test(PlatformRecords, readsTheConfiguration)
+{
+    const auto configuration = decode<RoutingConfiguration>("op/config",
+        R"({"version":7,"routes":[{"name":"r","host":"h","prefix":"/p/","kind":"streaming","timeout_ms":6000,
+        "goal_ms":800,"priority":1,"traffic_split":[{"service":"a","weight":90},{"service":"b","weight":10}],
+        "max_attempts":2,"skip_auth":false,"allow_resume":true},{"name":"q","host":"h","prefix":"/q/","kind":"safe",
+        "service":"b","skip_auth":true}],"services":[{"name":"a","health_path":"/health","max_conns":370,
+        "engine":{"slots":64,"kv_capacity":101147,"models":[{"name":"m"}]}},
+        {"name":"k","kv_store_addr":"172.20.0.2:8604","zone":"z"}],
+        "limits":{"max_header_bytes":16384,"max_body_bytes":4194304,"header_timeout_ms":3000,"idle_timeout_ms":15000},
+        "tenants":[{"name":"t","api_keys":["k1","k2"],"priority":1,"uncached_tokens":200,"isolated":true,
+        "rate_per_s":96644,"burst":5}]})");
+    cr_assert_eq(configuration.version, 7);
+    const auto& route = configuration.routes.at(0);
+    cr_assert(route.kind == RequestKind::Streaming && route.timeout == 6000ms && route.objective == 800ms);
+    cr_assert(route.shares.size() == 2 && route.maxAttempts == 2 && route.isResumable && !route.isPublic);
+    cr_assert(configuration.routes.at(1).isPublic && configuration.routes.at(1).shares.at(0).service == ServiceId("b"));
+    cr_assert_eq(configuration.services.at(ServiceId("a")).engine->slots, 64);
+    cr_assert(configuration.services.at(ServiceId("k")).cacheStore->endpoint == (Endpoint { "172.20.0.2", 8604 }));
+    const auto& organisation = configuration.organisations.at(0);
+    cr_assert(organisation.keyDigests.size() == 2 && organisation.isIsolated && organisation.priority == 1U);
+    cr_assert_float_eq(organisation.rate, 96644, 1e-6);
+    cr_assert(configuration.limits.idleTimeout == 15s && configuration.limits.bodyBytes == 4194304);
+}
+
+// Guards against records of others, the routers' own among them, that are read as the operator's.
+Test(PlatformRecords, passesOverOtherKeys)
+{
+    for (const auto* key : { "pollenwind/vms/a", "op/rollout/a", "op/", "status/rollout/a" }) {
+        decode<std::monostate>(key, "no JSON");
+    }
+    cr_assert(decode<NamedWeights>("op/version/m", R"({"model":"m","version":2})").version == 2);
+    cr_assert(!PlatformRecords().decode(entry("op/version/m", R"({"model":"m"})")));
+}
+
+constexpr auto settingsText = R"({"node":"edge-1","zone":"a","listen":{"front":"10.1.0.24:8606",
+    "ready":"10.1.0.24:8605"},"port_range":[7600,7615],"provider":{"address":"10.200.1.7:8601"},"later":1,
+    "bounds":{"revoke_ms":4000,"grace_s":6,"retry_ratio":0.3,"retry_slack":58,"retry_window_s":10,"version_ms":9000}})";
+
+// Guards against a bound of the platform that is passed over.
+Test(PlatformSettings, readsAddressesAndBounds)
+{
+    const auto settings = parsePlatformSettings(settingsText);
+    cr_assert(settings.has_value());
+    cr_assert(settings->store == (Endpoint { "10.200.1.7", 8601 }));
+    const auto& gateway = settings->gateway;
+    cr_assert(gateway.listenReports == (Endpoint { "10.1.0.24", 7600 }));
+    cr_assert(gateway.keyWithdrawalLimit == 4000ms && gateway.stopLimit == 6000ms && gateway.oldWeightsLimit == 9000ms);
+    cr_assert_float_eq(gateway.retries.perRequest, 0.3, 1e-9);
+}
+
+// Guards against a process that starts with settings it cannot use, or an error that does not name the field.
+Test(PlatformSettings, namesTheFieldThatIsWrong)
+{
+    for (const auto* field : { "node", "zone", "front", "ready", "port_range", "address" }) {
+        std::string text = settingsText;
+        const auto at = text.find(std::string("\"") + field + "\"");
+        text.replace(at, 1, "\"x");
+        const auto settings = parsePlatformSettings(text);
+        cr_assert(!settings && settings.error().message.find(field) != std::string::npos, "%s", field);
+    }
+    cr_assert(!parsePlatformSettings("[]"));
+    cr_assert(!parsePlatformSettings("{"));
+}
--- /dev/null
+++ b/Source/UnitTests/PlatformAdapter/GatewayTests.cpp
@@ -0,0 +1,279 @@
+#include "Common/Sleep.h"
+#include "Gateway/Gateway.h"
+#include "PlatformAdapter/PlatformStandIns.h"
+#include "Transport/HttpClient.h"
+#include "platform/KvStoreClient.h"
+#include "platform/PlatformRecords.h"
+#include "platform/PlatformRequests.h"
+#include "platform/RunnerControl.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+
+#include <criterion/criterion.h>
+
+using namespace Pollenwind;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr std::chrono::seconds callTimeout { 5 };
+constexpr std::chrono::seconds patience { 20 };
+
+std::uint16_t freePort(asio::io_context& context)
+{
+    asio::ip::tcp::acceptor acceptor(context, { asio::ip::make_address("127.0.0.1"), 0 });
+    return acceptor.local_endpoint().port();
+}
+
+/// One gateway between the stand-ins, all in one thread.
+struct PlatformFixture {
+    PlatformFixture()
+    {
+        cr_assert(first.listen() && second.listen());
+        storeEndpoint = *store.listen();
+        for (auto* endpoint :
+            { &settings.listenCallers, &settings.listenReady, &settings.listenMetrics, &settings.listenReports }) {
+            *endpoint = { "127.0.0.1", freePort(context) };
+        }
+        settings.vm = VmId("vm");
+        settings.zone = ZoneId("a");
+        settings.readyPath = "/api/ready";
+        settings.logLevel = LogLevel::Off;
+        store.put("op/config", configuration(1));
+        for (const auto* runner : { &first, &second }) {
+            store.put("servers/" + runner->id, runner->entry("app"));
+        }
+        client.emplace(context.get_executor(), storeEndpoint, KvStoreTimeouts { .watchWait = 200ms }, metrics);
+    }
+
+    static std::string configuration(int version, const std::string& keys = "\"k1\"")
+    {
+        return R"({"version":)" + std::to_string(version)
+            + R"(,"routes":[{"name":"s","host":"h","prefix":"/safe/","kind":"safe","service":"app","max_attempts":2,
+            "timeout_ms":3000,"goal_ms":500},{"name":"u","host":"h","prefix":"/unsafe/","kind":"unsafe","service":"app",
+            "timeout_ms":3000},{"name":"r","host":"h","prefix":"/stream/","kind":"streaming","service":"app",
+            "allow_resume":true,"max_attempts":2,"timeout_ms":3000,"goal_ms":500}],"services":[{"name":"app"}],
+            "tenants":[{"name":"org","api_keys":[)"
+            + keys + R"(],"rate_per_s":1000000,"burst":1000000}]})";
+    }
+
+    /// Runs a scenario with the gateway started.
+    template <typename Scenario> void run(Scenario scenario)
+    {
+        Gateway gateway(context.get_executor(), settings, { *client, *client, records, requests, control }, metrics);
+        cr_assert(gateway.start().has_value());
+        asio::co_spawn(
+            context,
+            [&]() -> Task<> {
+                co_await waitUntil([&]() -> Task<bool> { co_return co_await isReady(); });
+                co_await scenario(gateway);
+                context.stop();
+            },
+            [](const std::exception_ptr& error) { cr_assert(!error); });
+        context.run();
+    }
+
+    /// Waits for a condition; fails the test when it does not come true in time.
+    template <typename Condition> Task<> waitUntil(Condition condition)
+    {
+        const auto limit = std::chrono::steady_clock::now() + patience;
+        while (!co_await condition()) {
+            cr_assert(std::chrono::steady_clock::now() < limit, "the condition did not come true");
+            co_await sleepFor(10ms);
+        }
+    }
+
+    Task<bool> isReady()
+    {
+        const auto answer = co_await fetch(settings.listenReady, { "GET", "/api/ready", "", {}, "" }, callTimeout);
+        co_return answer && answer->status == 200;
+    }
+
+    Task<HttpAnswer> call(std::string path, std::string key = "k1", HttpHeaders more = {})
+    {
+        HttpRequest request { "POST", std::move(path), "",
+            { { "Host", "h" }, { "X-Request-Id", "q" + std::to_string(++calls) }, { "Authorization", "Token " + key },
+                { "X-Deadline-Ms", "3000" } },
+            "body" };
+        request.headers.insert(request.headers.end(), more.begin(), more.end());
+        const auto answer = co_await fetch(settings.listenCallers, std::move(request), callTimeout);
+        co_return answer.value_or(HttpAnswer { 0, "", "", {} });
+    }
+
+    asio::io_context context { 1 };
+    MetricTable metrics;
+    KvStoreStandIn store { context.get_executor() };
+    RunnerStandIn first { context.get_executor(), "i-1" };
+    RunnerStandIn second { context.get_executor(), "i-2" };
+    Endpoint storeEndpoint;
+    GatewaySettings settings;
+    std::optional<KvStoreClient> client;
+    PlatformRecords records;
+    PlatformRequests requests;
+    RunnerControl control;
+    unsigned calls = 0;
+};
+
+} // namespace
+
+// Guards against a path from caller to runner and back that loses or changes anything.
+Test(PlatformGateway, servesARequestFromEndToEnd)
+{
+    PlatformFixture fixture;
+    fixture.run([&](Gateway&) -> Task<> {
+        const auto answer = co_await fixture.call("/safe/x");
+        cr_assert_eq(answer.status, 200);
+        cr_assert(answer.body.starts_with("answer of i-"));
+        cr_assert(findHeader(answer.headers, "X-Server-Stamp").has_value());
+        auto& runner = fixture.first.requests.empty() ? fixture.second : fixture.first;
+        cr_assert(!runner.requests.front().header("Authorization"));
+        cr_assert_eq(*runner.requests.front().header("X-Tenant"), "org");
+        cr_assert_eq((co_await fixture.call("/safe/x", "wrong")).status, 401);
+        cr_assert_eq((co_await fixture.call("/none/x")).status, 404);
+    });
+}
+
+// Guards against a change in the store that does not come into force: keys, draining runners, removed entries.
+Test(PlatformGateway, followsTheStore)
+{
+    PlatformFixture fixture;
+    fixture.run([&](Gateway&) -> Task<> {
+        fixture.store.put("op/config", PlatformFixture::configuration(2, "\"k2\""));
+        co_await fixture.waitUntil([&]() -> Task<bool> { co_return (co_await fixture.call("/safe/x")).status == 401; });
+        cr_assert_eq((co_await fixture.call("/safe/x", "k2")).status, 200);
+        fixture.store.erase("servers/i-1");
+        fixture.store.put("servers/i-2", "torn {");
+        fixture.store.compact();
+        co_await fixture.waitUntil(
+            [&]() -> Task<bool> { co_return (co_await fixture.call("/safe/x", "k2")).status == 503; });
+        fixture.store.put("servers/i-2", fixture.second.entry("app"));
+        co_await fixture.waitUntil(
+            [&]() -> Task<bool> { co_return (co_await fixture.call("/safe/x", "k2")).status == 200; });
+    });
+}
+
+// Guards against keys that are accepted without end while withdrawals cannot be heard, and against a router that does
+// not come back after an outage in which its leases and the history were lost.
+Test(PlatformGateway, stopsAcceptingKeysWithoutTheStoreAndRecovers)
+{
+    PlatformFixture fixture;
+    fixture.settings.keyWithdrawalLimit = 1200ms;
+    fixture.run([&](Gateway&) -> Task<> {
+        fixture.store.refusesWith = 503;
+        co_await fixture.waitUntil([&]() -> Task<bool> { co_return (co_await fixture.call("/safe/x")).status == 503; });
+        cr_assert(!co_await fixture.isReady());
+        fixture.store.endLeases();
+        fixture.store.compact();
+        fixture.store.refusesWith = 0;
+        co_await fixture.waitUntil([&]() -> Task<bool> { co_return (co_await fixture.call("/safe/x")).status == 200; });
+        cr_assert(co_await fixture.isReady());
+    });
+}
+
+// Guards against a stream that breaks off at its runner and is not finished by another.
+Test(PlatformGateway, resumesABrokenStream)
+{
+    PlatformFixture fixture;
+    for (auto* runner : { &fixture.first, &fixture.second }) {
+        runner->events = { "id: 1\ndata: a\n\n", "id: 2\ndata: b\n\n", "id: 3\ndata: c\n\n" };
+        runner->breaksAfter = 2;
+    }
+    fixture.run([&](Gateway&) -> Task<> {
+        const auto answer = co_await fixture.call("/stream/x");
+        cr_assert_eq(answer.body, "id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\ndata: c\n\n");
+    });
+}
+
+// Guards against a runner that goes on working for a caller who has left.
+Test(PlatformGateway, cancelsAtTheRunnerWhenTheCallerLeaves)
+{
+    PlatformFixture fixture;
+    fixture.first.delay = fixture.second.delay = 1500ms;
+    fixture.run([&](Gateway&) -> Task<> {
+        {
+            HttpConnection connection(fixture.context.get_executor());
+            cr_assert((co_await connection.connect(fixture.settings.listenCallers, callTimeout)).has_value());
+            HttpRequest request { "POST", "/unsafe/x", "",
+                { { "Host", "h" }, { "X-Request-Id", "q" }, { "Authorization", "Token k1" } }, "body" };
+            cr_assert(!co_await connection.send(request, 300ms));
+        }
+        co_await fixture.waitUntil(
+            [&]() -> Task<bool> { co_return fixture.first.callersGone + fixture.second.callersGone == 1; });
+        cr_assert_eq(fixture.first.requests.size() + fixture.second.requests.size(), 1);
+    });
+}
+
+// Guards against runners that stay on old weights, and against orders that are given twice.
+Test(PlatformGateway, bringsRunnersToNewWeights)
+{
+    PlatformFixture fixture;
+    fixture.run([&](Gateway&) -> Task<> {
+        fixture.store.put("op/version/m", R"({"model":"m","version":2})");
+        co_await fixture.waitUntil(
+            [&]() -> Task<bool> { co_return fixture.first.weights == 2 && fixture.second.weights == 2; });
+        cr_assert(fixture.first.orders == 1 && fixture.second.orders == 1);
+    });
+}
+
+// Guards against a shutdown that cuts a request or never ends.
+Test(PlatformGateway, finishesRunningRequestsBeforeItStops)
+{
+    PlatformFixture fixture;
+    fixture.first.delay = fixture.second.delay = 1500ms;
+    fixture.settings.stopLimit = 6000ms;
+    fixture.run([&](Gateway& gateway) -> Task<> {
+        int status = 0;
+        asio::co_spawn(
+            fixture.context, [&]() -> Task<> { status = (co_await fixture.call("/unsafe/x")).status; }, asio::detached);
+        co_await fixture.waitUntil(
+            [&]() -> Task<bool> { co_return fixture.first.requests.size() + fixture.second.requests.size() == 1; });
+        gateway.requestShutdown();
+        cr_assert(!co_await fixture.isReady());
+        cr_assert_eq(co_await gateway.waitUntilStopped(), 0);
+        cr_assert_eq(status, 200);
+    });
+}
+
+// Guards against a write that is taken for failed, or done twice, when its answer is lost.
+Test(KvStoreClient, reportsALostAnswerAsUnknown)
+{
+    PlatformFixture fixture;
+    asio::co_spawn(
+        fixture.context,
+        [&]() -> Task<> {
+            fixture.store.losesNextAnswer = true;
+            const auto lost = co_await fixture.client->compareAndSwap("k", 0, "v", {});
+            cr_assert(!lost && lost.error().runState == RunState::Unknown);
+            const auto again = co_await fixture.client->compareAndSwap("k", 0, "w", {});
+            cr_assert(again && !again->isSwapped && again->found->value == "v");
+            const auto swapped = co_await fixture.client->compareAndSwap("k", again->found->modRevision, "w", {});
+            cr_assert(swapped && swapped->isSwapped);
+            fixture.context.stop();
+        },
+        [](const std::exception_ptr& error) { cr_assert(!error); });
+    fixture.context.run();
+}
+
+// Guards against a list that ends with its first page.
+Test(KvStoreClient, readsAllPages)
+{
+    PlatformFixture fixture;
+    fixture.store.pageSize = 3;
+    for (int n = 0; n < 10; ++n) {
+        fixture.store.put("many/" + std::to_string(n), "v");
+    }
+    asio::co_spawn(
+        fixture.context,
+        [&]() -> Task<> {
+            const auto range = co_await fixture.client->readPrefix("many/");
+            cr_assert(range && range->entries.size() == 10);
+            const auto lease = co_await fixture.client->keepAlive(LeaseId(1));
+            cr_assert(!lease && lease.error().code == ErrorCode::NotFound);
+            fixture.context.stop();
+        },
+        [](const std::exception_ptr& error) { cr_assert(!error); });
+    fixture.context.run();
+}
--- /dev/null
+++ b/Source/UnitTests/PlatformAdapter/PlatformStandIns.cpp
@@ -0,0 +1,257 @@
+#include "PlatformAdapter/PlatformStandIns.h"
+
+#include "Common/Digest.h"
+#include "Common/Sleep.h"
+
+namespace Pollenwind {
+
+namespace {
+
+    using JsonFields::readNumber;
+    using JsonFields::readString;
+
+    constexpr std::chrono::milliseconds watchCheck { 5 };
+
+    HttpAnswer jsonAnswer(const JsonFields::Json& json, int status = 200)
+    {
+        return { status, "application/json", json.dump(), {} };
+    }
+
+    std::int64_t number(const HttpRequest& request, std::string_view name)
+    {
+        return std::stoll(std::string(request.parameter(name).value_or("0")));
+    }
+
+} // namespace
+
+KvStoreStandIn::KvStoreStandIn(asio::any_io_executor executor)
+    : m_executor(executor)
+    , m_server(std::move(executor), *this, {})
+{
+}
+
+void KvStoreStandIn::write(const std::string& key, std::optional<Item> item)
+{
+    ++m_revision;
+    if (item) {
+        item->revision = m_revision;
+        m_items[key] = *item;
+    } else {
+        m_items.erase(key);
+    }
+    m_changes.push_back({ key, item, m_revision });
+}
+
+void KvStoreStandIn::put(const std::string& key, const std::string& value) { write(key, Item { value }); }
+void KvStoreStandIn::erase(const std::string& key) { write(key, std::nullopt); }
+
+std::optional<std::string> KvStoreStandIn::value(const std::string& key) const
+{
+    const auto it = m_items.find(key);
+    return it == m_items.end() ? std::nullopt : std::optional(it->second.value);
+}
+
+void KvStoreStandIn::endLeases()
+{
+    m_leases.clear();
+    std::vector<std::string> keys;
+    for (const auto& [key, item] : m_items) {
+        if (item.lease != 0) {
+            keys.push_back(key);
+        }
+    }
+    for (const auto& key : keys) {
+        erase(key);
+    }
+}
+
+KvStoreStandIn::Json KvStoreStandIn::toJson(const std::string& key, const Item& item) const
+{
+    return { { "key", key }, { "value", base64Encode(item.value) }, { "revision", item.revision },
+        { "create_rev", item.revision }, { "lease", item.lease } };
+}
+
+HttpAnswer KvStoreStandIn::answerRange(const HttpRequest& request)
+{
+    const auto prefix = std::string(request.parameter("prefix").value_or(""));
+    auto items = Json::array();
+    bool hasMore = false;
+    for (auto it = m_items.upper_bound(std::string(request.parameter("after").value_or(""))); it != m_items.end();
+        ++it) {
+        if (!it->first.starts_with(prefix)) {
+            continue;
+        }
+        if (items.size() == pageSize) {
+            hasMore = true;
+            break;
+        }
+        items.push_back(toJson(it->first, it->second));
+    }
+    return jsonAnswer({ { "items", items }, { "more_pages", hasMore }, { "current_rev", m_revision } });
+}
+
+HttpAnswer KvStoreStandIn::answerTransaction(const Json& body)
+{
+    auto found = Json::array();
+    bool holds = true;
+    for (const auto& expected : body.at("expected_rev")) {
+        const auto key = readString(expected, "key");
+        const auto it = m_items.find(key);
+        const auto revision = it == m_items.end() ? 0 : it->second.revision;
+        holds = holds && revision == readNumber(expected, "revision");
+        found.push_back(it == m_items.end() ? Json { { "key", key }, { "revision", 0 } } : toJson(key, it->second));
+    }
+    if (!holds) {
+        return jsonAnswer({ { "items", found } }, 412);
+    }
+    for (const auto& it : body.at("writes")) {
+        const auto lease = readNumber(it, "lease");
+        if (lease != 0 && !m_leases.contains(lease)) {
+            return jsonAnswer(Json::object(), 404);
+        }
+        write(readString(it, "key"), Item { base64Decode(readString(it, "value")).value_or("?"), 0, lease });
+    }
+    for (const auto& key : body.at("deletes")) {
+        erase(key.get<std::string>());
+    }
+    return jsonAnswer({ { "revision", m_revision } });
+}
+
+Task<HttpAnswer> KvStoreStandIn::answerWatch(const HttpRequest& request)
+{
+    const auto after = number(request, "after");
+    if (after < m_compacted) {
+        co_return jsonAnswer(Json::object(), 410);
+    }
+    const auto end = std::chrono::steady_clock::now() + std::chrono::milliseconds(number(request, "wait_ms"));
+    for (;;) {
+        auto events = Json::array();
+        for (const auto& change : m_changes) {
+            if (change.revision > after) {
+                events.push_back(change.item
+                        ? toJson(change.key, *change.item)
+                        : Json { { "key", change.key }, { "revision", change.revision }, { "removed", true } });
+            }
+        }
+        if (!events.empty() || std::chrono::steady_clock::now() >= end || refusesWith != 0) {
+            co_return jsonAnswer({ { "events", events }, { "current_rev", m_revision } });
+        }
+        co_await sleepFor(watchCheck);
+    }
+}
+
+Task<> KvStoreStandIn::handle(HttpExchange& exchange)
+{
+    const auto& request = exchange.request();
+    ++calls[request.method + " " + request.path.substr(0, request.path.find('/', 5))];
+    if (refusesWith != 0) {
+        co_await exchange.answer({ refusesWith, "", "", {} });
+        co_return;
+    }
+    HttpAnswer answer { 404, "", "", {} };
+    if (request.path == "/api/kv-range") {
+        answer = answerRange(request);
+    } else if (request.path == "/api/kv-watch") {
+        answer = co_await answerWatch(request);
+    } else if (request.path == "/api/kv-txn") {
+        answer = answerTransaction(Json::parse(request.body));
+    } else if (request.path == "/api/kv-lease") {
+        m_leases[++m_nextLease] = true;
+        answer
+            = jsonAnswer({ { "lease", m_nextLease }, { "ttl_ms", readNumber(Json::parse(request.body), "ttl_ms") } });
+    } else if (request.path.starts_with("/api/kv-keep/")) {
+        const auto lease = std::stoll(request.path.substr(13));
+        answer = m_leases.contains(lease) ? jsonAnswer({ { "ttl_ms", 2000 } }) : answer;
+    } else if (request.path.starts_with("/api/kv-lease-end/")) {
+        m_leases.erase(std::stoll(request.path.substr(18)));
+        answer = jsonAnswer(Json::object());
+    } else if (const auto key = std::string(request.parameter("key").value_or("")); m_items.contains(key)) {
+        auto json = toJson(key, m_items.at(key));
+        json["current_rev"] = m_revision;
+        answer = jsonAnswer(json);
+    }
+    if (request.method == "POST" && std::exchange(losesNextAnswer, false)) {
+        exchange.abort();
+        co_return;
+    }
+    co_await exchange.answer(answer);
+}
+
+RunnerStandIn::RunnerStandIn(asio::any_io_executor executor, std::string runnerId)
+    : id(std::move(runnerId))
+    , m_server(std::move(executor), *this, {})
+{
+}
+
+Outcome<Endpoint> RunnerStandIn::listen()
+{
+    auto bound = m_server.listen({ "127.0.0.1", 0 });
+    endpoint = bound.value_or(Endpoint());
+    return bound;
+}
+
+std::string RunnerStandIn::entry(const std::string& service) const
+{
+    return JsonFields::Json {
+        { "service", service }, { "address", endpoint.toString() }, { "zone", "a" }, { "version", "v1" },
+        { "slots", 8 }, { "state", "ready" }, { "seq", 1 }, { "born", 1 },
+        { "models", JsonFields::Json::array({ { { "name", "m" }, { "version", weights } } }) }
+    }.dump();
+}
+
+Task<> RunnerStandIn::handle(HttpExchange& exchange)
+{
+    const auto& request = exchange.request();
+    if (request.path == "/api/report") {
+        co_await exchange.answer(jsonAnswer({ { "busy", false }, { "seq", orders },
+            { "models", JsonFields::Json::array({ { { "name", "m" }, { "version", weights } } }) } }));
+    } else if (request.path == "/api/order") {
+        const auto order = JsonFields::Json::parse(request.body);
+        const bool isExpected = readNumber(order, "expected_rev") == orders;
+        if (isExpected) {
+            ++orders;
+            weights = readNumber(order, "version");
+        }
+        co_await exchange.answer({ isExpected ? 202 : 409, "", "", {} });
+    } else {
+        co_await answerRequest(exchange);
+    }
+}
+
+Task<> RunnerStandIn::answerRequest(HttpExchange& exchange)
+{
+    const auto request = exchange.request();
+    requests.push_back(request);
+    const auto requestId = std::string(request.header("X-Request-Id").value_or(""));
+    if (request.header("X-Expect-Instance").value_or("") != id) {
+        co_await exchange.answer({ 421, "", "", {} });
+        co_return;
+    }
+    exchange.onPeerGone([this] { ++callersGone; });
+    if (delay.count() > 0) {
+        co_await sleepFor(delay);
+    }
+    HttpHeaders headers { { "X-Request-Id", requestId }, { "X-Server-Stamp", "stamp-of-" + id } };
+    if (events.empty()) {
+        co_await exchange.answer({ status, "text/plain", "answer of " + id, headers });
+        co_return;
+    }
+    co_await exchange.beginStream({ status, "text/event-stream", "", headers });
+    std::size_t sent = 0;
+    const auto last = request.header("Last-Event-Id");
+    for (const auto& event : events) {
+        // Event ids count from 1 in order.
+        if (last && ++sent <= std::stoul(std::string(*last))) {
+            continue;
+        }
+        if (!last && breaksAfter && sent >= *breaksAfter) {
+            exchange.abort();
+            co_return;
+        }
+        sent += last ? 0 : 1;
+        co_await exchange.writeChunk(event);
+    }
+    co_await exchange.endStream();
+}
+
+} // namespace Pollenwind
--- /dev/null
+++ b/Source/UnitTests/PlatformAdapter/PlatformStandIns.h
@@ -0,0 +1,106 @@
+#pragma once
+
+#include "Common/JsonFields.h"
+#include "Transport/HttpServer.h"
+
+#include <boost/asio/steady_timer.hpp>
+
+#include <deque>
+#include <functional>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace Pollenwind {
+
+/// Stand-in of the platform's metadata store, with the faults that its clients must bear.
+class KvStoreStandIn final : public HttpHandler {
+public:
+    explicit KvStoreStandIn(asio::any_io_executor executor);
+
+    Task<> handle(HttpExchange& exchange) override;
+    HttpAnswer refusal(int status, std::string_view) const override { return { status, "", "", {} }; }
+
+    Outcome<Endpoint> listen() { return m_server.listen({ "127.0.0.1", 0 }); }
+
+    /// Writes a key as the operator or a runner does.
+    void put(const std::string& key, const std::string& value);
+    void erase(const std::string& key);
+    std::optional<std::string> value(const std::string& key) const;
+    /// Ends all leases at once.
+    void endLeases();
+    /// Forgets the history of changes.
+    void compact() { m_compacted = m_revision; }
+
+    /// Answers every call with this status; 0 serves it.
+    int refusesWith = 0;
+    /// Executes the next write and closes the connection without an answer.
+    bool losesNextAnswer = false;
+    /// Entries of one page.
+    std::size_t pageSize = 500;
+    std::map<std::string, unsigned> calls;
+
+private:
+    struct Item {
+        std::string value;
+        std::int64_t revision = 0;
+        std::int64_t lease = 0;
+    };
+    struct Change {
+        std::string key;
+        std::optional<Item> item;
+        std::int64_t revision = 0;
+    };
+    using Json = JsonFields::Json;
+
+    HttpAnswer answerRange(const HttpRequest& request);
+    HttpAnswer answerTransaction(const Json& body);
+    Task<HttpAnswer> answerWatch(const HttpRequest& request);
+    Json toJson(const std::string& key, const Item& item) const;
+    void write(const std::string& key, std::optional<Item> item);
+
+    asio::any_io_executor m_executor;
+    HttpServer m_server;
+    std::int64_t m_revision = 10;
+    std::int64_t m_compacted = 0;
+    std::int64_t m_nextLease = 500;
+    std::map<std::string, Item> m_items;
+    std::vector<Change> m_changes;
+    std::map<std::int64_t, bool> m_leases;
+};
+
+/// Stand-in of a runner: answers requests as scripted and takes orders for weights.
+class RunnerStandIn final : public HttpHandler {
+public:
+    RunnerStandIn(asio::any_io_executor executor, std::string id);
+
+    Task<> handle(HttpExchange& exchange) override;
+    HttpAnswer refusal(int status, std::string_view) const override { return { status, "", "", {} }; }
+
+    Outcome<Endpoint> listen();
+    /// Text of the runner's entry in the store.
+    std::string entry(const std::string& service) const;
+
+    std::string id;
+    Endpoint endpoint;
+    std::int64_t weights = 1;
+    std::int64_t orders = 0;
+    /// Status of answers to requests.
+    int status = 200;
+    /// Events of a streamed answer; a plain answer when empty.
+    std::vector<std::string> events;
+    /// Closes the connection after so many events of a stream that is not resumed.
+    std::optional<std::size_t> breaksAfter;
+    /// Time to an answer.
+    std::chrono::milliseconds delay { 0 };
+    std::vector<HttpRequest> requests;
+    unsigned callersGone = 0;
+
+private:
+    Task<> answerRequest(HttpExchange& exchange);
+
+    HttpServer m_server;
+};
+
+} // namespace Pollenwind
