--- a/Source/Core/Gateway/FleetQuota.cpp
+++ b/Source/Core/Gateway/FleetQuota.cpp
@@ -3,6 +3,7 @@
 #include <xxhash.h>
 
 #include <algorithm>
+#include <cmath>
 
 namespace Pollenwind {
 
@@ -52,7 +53,9 @@
     auto& bucket = bucketOf(organisation, hash);
     const double needed = std::min(tokens, bucket.burst * largestNeededShare);
     if (bucket.level < needed) {
-        Error error { ErrorCode::RateExceeded, "the organisation's rate is used up" };
+        Error error { ErrorCode::RateExceeded,
+            "the rate of " + organisation.id.value() + " is used up: level " + std::to_string(std::lround(bucket.level))
+                + ", needed " + std::to_string(std::lround(needed)) + ", reachable share " + std::to_string(m_share) };
         const auto wait = std::chrono::duration<double>((needed - bucket.level) / std::max(1.0, bucket.rate));
         error.retryAfter = std::max(shortestRetry, std::chrono::duration_cast<std::chrono::milliseconds>(wait));
         return std::unexpected(std::move(error));
--- a/Source/Core/Gateway/ForwardDispatcher.cpp
+++ b/Source/Core/Gateway/ForwardDispatcher.cpp
@@ -293,7 +293,11 @@
         co_return fail(ErrorCode::DeadlineExceeded, "the time limit passed before the request was sent");
     }
     m_context.log.note(RequestEvent::Placed, request.id,
-        { { "runner", choice.id.value() }, { "service", delivery.service.value() },
+        { { "runner", choice.id.value() }, { "service", delivery.service.value() }, { "route", route.name },
+            { "organisation", delivery.organisation ? delivery.organisation->id.value() : "" },
+            { "configuration", std::to_string(delivery.configuration->version) },
+            { "weights", std::to_string(choice.weights) },
+            { "copied_from", choice.cacheSource ? choice.cacheSource->toString() : "" },
             { "computed_tokens", std::to_string(static_cast<long>(choice.computedTokens)) },
             { "left_ms", std::to_string(terms.timeLimit.count()) },
             { "knowledge_age_ms",
--- a/Source/Core/Timeline/Log.cpp
+++ b/Source/Core/Timeline/Log.cpp
@@ -1,9 +1,19 @@
 #include "Timeline/Log.h"
 
-#include <log4cxx/consoleappender.h>
-#include <log4cxx/jsonlayout.h>
+#include "Common/Clock.h"
+#include "Timeline/LineWriter.h"
+
+#include <log4cxx/appenderskeleton.h>
 #include <log4cxx/logger.h>
 
+#include <nlohmann/json.hpp>
+
+#include <unistd.h>
+
+#include <array>
+#include <cstdio>
+#include <ctime>
+
 namespace Pollenwind {
 
 namespace {
@@ -14,6 +24,50 @@
         return s_logger;
     }
 
+    /// Passes the events' lines to standard output.
+    class LineAppender final : public log4cxx::AppenderSkeleton {
+    public:
+        void close() override { }
+        bool requiresLayout() const override { return false; }
+
+    protected:
+        void append(const log4cxx::spi::LoggingEventPtr& event, log4cxx::helpers::Pool&) override
+        {
+            m_writer.write(event->getMessage());
+        }
+
+    private:
+        LineWriter m_writer { STDOUT_FILENO };
+    };
+
+    /// Time of day in UTC with milliseconds.
+    std::string timeText()
+    {
+        const auto now = SystemClock().wallNow();
+        const std::time_t seconds = std::chrono::duration_cast<std::chrono::seconds>(now).count();
+        const auto milliseconds = std::chrono::duration_cast<std::chrono::milliseconds>(now).count() % 1000;
+        std::tm parts {};
+        gmtime_r(&seconds, &parts);
+        std::array<char, 40> text {};
+        const auto n = std::strftime(text.data(), text.size(), "%Y-%m-%dT%H:%M:%S", &parts);
+        std::snprintf(text.data() + n, text.size() - n, ".%03dZ", static_cast<int>(milliseconds));
+        return text.data();
+    }
+
+    /// One JSON object with the time, the level, the event's name and its fields.
+    std::string formatLine(std::string_view level, std::string_view event, const EventFields& fields)
+    {
+        nlohmann::ordered_json line { { "time", timeText() }, { "level", level }, { "event", event } };
+        for (const auto& [name, value] : fields) {
+            line[name] = value;
+        }
+        // Bytes from elsewhere may be no UTF-8.
+        return line.dump(-1, ' ', false, nlohmann::ordered_json::error_handler_t::replace);
+    }
+
+    // Without an appender (unit tests) log4cxx would print a warning of its own.
+    bool hasAppender() { return !log4cxx::Logger::getRootLogger()->getAllAppenders().empty(); }
+
     log4cxx::LevelPtr toLevel(LogLevel level)
     {
         switch (level) {
@@ -35,27 +89,29 @@
 {
     const auto root = log4cxx::Logger::getRootLogger();
     root->removeAllAppenders();
-    const auto layout = std::make_shared<log4cxx::JSONLayout>();
-    const auto appender = std::make_shared<log4cxx::ConsoleAppender>(layout, LOG4CXX_STR("System.err"));
-    root->addAppender(appender);
+    root->addAppender(std::make_shared<LineAppender>());
     root->setLevel(toLevel(level));
 }
 
 void logStateChange(std::string_view what, const EventFields& fields)
 {
-    // Without an appender (unit tests) log4cxx would print a warning of its own.
-    if (log4cxx::Logger::getRootLogger()->getAllAppenders().empty()) {
-        return;
-    }
-    std::string line(what);
-    for (const auto& [name, value] : fields) {
-        line.append(" ").append(name).append("=").append(value);
+    if (hasAppender() && logger()->isInfoEnabled()) {
+        LOG4CXX_INFO(logger(), formatLine("info", what, fields));
     }
-    LOG4CXX_INFO(logger(), line);
 }
 
-void logWarning(std::string_view text) { LOG4CXX_WARN(logger(), std::string(text)); }
+void logWarning(std::string_view text)
+{
+    if (hasAppender()) {
+        LOG4CXX_WARN(logger(), formatLine("warn", "warning", { { "text", std::string(text) } }));
+    }
+}
 
-void logError(std::string_view text) { LOG4CXX_ERROR(logger(), std::string(text)); }
+void logError(std::string_view text)
+{
+    if (hasAppender()) {
+        LOG4CXX_ERROR(logger(), formatLine("error", "error", { { "text", std::string(text) } }));
+    }
+}
 
 } // namespace Pollenwind
--- a/Source/Core/Timeline/Log.h
+++ b/Source/Core/Timeline/Log.h
@@ -24,7 +24,8 @@
     };
 };
 
-/// Sends log lines to standard error as JSON objects, one a line.
+/// Sends log lines to standard output as JSON objects, one a line. A reader that stops reading costs lines and never
+/// blocks the process.
 /// @param level Lowest level that is logged.
 void configureLog(LogLevel level);
 
