--- a/Source/Core/Gateway/AffinityPolicy.cpp
+++ b/Source/Core/Gateway/AffinityPolicy.cpp
@@ -79,7 +79,9 @@
     if (candidate.load.requests >= m_costs.crowdedShare * candidate.slots) {
         cost += m_costs.crowdedSeconds * candidate.load.requests / std::max(1U, candidate.slots);
     }
-    cost += candidate.zone == m_ownZone ? 0 : m_costs.otherZoneSeconds;
+    if (candidate.zone != m_ownZone) {
+        cost += m_areZonesApart ? m_costs.unknownZoneSeconds : m_costs.otherZoneSeconds;
+    }
     cost += candidate.weights < newestWeights ? m_costs.oldWeightsSeconds : 0;
     // A runner that is recovering gets work when the others would take clearly longer.
     return cost + 1 - candidate.admission;
@@ -126,14 +128,17 @@
     if (prefixes.empty() || stores.empty() || option.sharedTokens < fewestStoredTokens) {
         return;
     }
-    const auto& store = stores.front();
+    const auto near
+        = std::ranges::find(stores, option.candidate->zone, [](const CacheStore& store) { return store.zone; });
+    const auto& store = near == stores.end() ? stores.front() : *near;
     const bool isStored = m_prefixes.isHeld(prefixes.back().hash, storeHash(store.endpoint));
+    if (!choice.cacheSource) {
+        // The runner copies only what it does not hold, and a store that lacks the parts costs a millisecond. VMs of
+        // another zone may have saved parts without this one's knowledge.
+        choice.cacheSource = store.endpoint;
+        choice.computedTokens = isStored ? option.ownTokens : choice.computedTokens;
+    }
     if (isStored) {
-        if (!choice.cacheSource) {
-            // The runner copies only what it does not hold, so this costs nothing when it holds all.
-            choice.cacheSource = store.endpoint;
-            choice.computedTokens = option.ownTokens;
-        }
         return;
     }
     // A runner that is about to load weights might make the last parts with the new ones.
--- a/Source/Core/Gateway/AffinityPolicy.h
+++ b/Source/Core/Gateway/AffinityPolicy.h
@@ -23,6 +23,8 @@
     double crowdedSeconds = 0.3;
     /// Cost of leaving the own zone.
     double otherZoneSeconds = 0.012;
+    /// The same where the VMs do not report their work to other zones, whose runners therefore look idle.
+    double unknownZoneSeconds = 0.4;
     /// Cost of weights that are not the newest, whose answers are worth a fifth less.
     double oldWeightsSeconds = 0.05;
 };
@@ -39,6 +41,9 @@
         WeightsVersion newestWeights, std::span<const CacheStore> stores,
         std::span<const RunnerCandidate> candidates) const override;
 
+    /// Sets whether the work at the runners of other zones is unknown here.
+    void setZonesApart(bool areZonesApart) { m_areZonesApart = areZonesApart; }
+
 private:
     struct Option;
 
@@ -51,6 +56,7 @@
     ZoneId m_ownZone;
     const PrefixQueries& m_prefixes;
     AffinityCosts m_costs;
+    bool m_areZonesApart = false;
 };
 
 } // namespace Pollenwind
--- a/Source/Core/Gateway/FleetMessages_generated.h
+++ b/Source/Core/Gateway/FleetMessages_generated.h
@@ -141,7 +141,8 @@
     VT_WORK = 12,
     VT_LOADING = 14,
     VT_HELD = 16,
-    VT_NAMED = 18
+    VT_NAMED = 18,
+    VT_MEMBERS = 20
   };
   const flatbuffers::String *vm() const {
     return GetPointer<const flatbuffers::String *>(VT_VM);
@@ -167,6 +168,9 @@
   const flatbuffers::Vector<const Pollenwind::wire::NamedAge *> *named() const {
     return GetPointer<const flatbuffers::Vector<const Pollenwind::wire::NamedAge *> *>(VT_NAMED);
   }
+  uint32_t members() const {
+    return GetField<uint32_t>(VT_MEMBERS, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_VM) &&
@@ -183,6 +187,7 @@
            verifier.VerifyVector(held()) &&
            VerifyOffset(verifier, VT_NAMED) &&
            verifier.VerifyVector(named()) &&
+           VerifyField<uint32_t>(verifier, VT_MEMBERS, 4) &&
            verifier.EndTable();
   }
 };
@@ -215,6 +220,9 @@
   void add_named(flatbuffers::Offset<flatbuffers::Vector<const Pollenwind::wire::NamedAge *>> named) {
     fbb_.AddOffset(FleetReport::VT_NAMED, named);
   }
+  void add_members(uint32_t members) {
+    fbb_.AddElement<uint32_t>(FleetReport::VT_MEMBERS, members, 0);
+  }
   explicit FleetReportBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -235,10 +243,12 @@
     flatbuffers::Offset<flatbuffers::Vector<const Pollenwind::wire::RunnerWork *>> work = 0,
     flatbuffers::Offset<flatbuffers::Vector<uint64_t>> loading = 0,
     flatbuffers::Offset<flatbuffers::Vector<const Pollenwind::wire::HeldPrefix *>> held = 0,
-    flatbuffers::Offset<flatbuffers::Vector<const Pollenwind::wire::NamedAge *>> named = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<const Pollenwind::wire::NamedAge *>> named = 0,
+    uint32_t members = 0) {
   FleetReportBuilder builder_(_fbb);
   builder_.add_sequence(sequence);
   builder_.add_boot(boot);
+  builder_.add_members(members);
   builder_.add_named(named);
   builder_.add_held(held);
   builder_.add_loading(loading);
@@ -257,7 +267,8 @@
     const std::vector<Pollenwind::wire::RunnerWork> *work = nullptr,
     const std::vector<uint64_t> *loading = nullptr,
     const std::vector<Pollenwind::wire::HeldPrefix> *held = nullptr,
-    const std::vector<Pollenwind::wire::NamedAge> *named = nullptr) {
+    const std::vector<Pollenwind::wire::NamedAge> *named = nullptr,
+    uint32_t members = 0) {
   auto vm__ = vm ? _fbb.CreateString(vm) : 0;
   auto usage__ = usage ? _fbb.CreateVectorOfStructs<Pollenwind::wire::OrganisationUsage>(*usage) : 0;
   auto work__ = work ? _fbb.CreateVectorOfStructs<Pollenwind::wire::RunnerWork>(*work) : 0;
@@ -273,7 +284,8 @@
       work__,
       loading__,
       held__,
-      named__);
+      named__,
+      members);
 }
 
 inline const Pollenwind::wire::FleetReport *GetFleetReport(const void *buf) {
--- a/Source/Core/Gateway/FleetQuota.cpp
+++ b/Source/Core/Gateway/FleetQuota.cpp
@@ -65,9 +65,24 @@
     return {};
 }
 
+UsageTotals FleetQuota::sumOf(const std::vector<VmId>& vms, const VmId& ownVm) const
+{
+    UsageTotals sum;
+    for (const auto& vm : vms) {
+        const auto it = m_remotes.find(vm);
+        if (vm != ownVm && it == m_remotes.end()) {
+            continue;
+        }
+        for (const auto& [hash, taken] : vm == ownVm ? m_ownTotals : it->second.taken) {
+            sum[hash] += taken;
+        }
+    }
+    return sum;
+}
+
 void FleetQuota::noteRemoteUsage(const VmId& vm, Incarnation boot, const UsageTotals& totals)
 {
-    const auto [it, isNew] = m_remotes.try_emplace(vm, Remote { boot, totals });
+    const auto [it, isNew] = m_remotes.try_emplace(vm, Remote { boot, totals, {} });
     if (isNew) {
         // What was taken before this process heard of the VM is not known to be recent.
         return;
@@ -84,6 +99,7 @@
             continue;
         }
         known = total;
+        remote.taken[hash] += taken;
         if (const auto bucket = m_buckets.find(hash); bucket != m_buckets.end()) {
             // Refilled first, so that a bucket which is full by now does not hide the use.
             bucket->second.refill(m_clock.now(), bucket->second.rate, bucket->second.burst);
--- a/Source/Core/Gateway/FleetQuota.h
+++ b/Source/Core/Gateway/FleetQuota.h
@@ -4,6 +4,7 @@
 #include "Gateway/Commands/QuotaCommands.h"
 
 #include <map>
+#include <vector>
 
 namespace Pollenwind {
 
@@ -25,6 +26,8 @@
 
     /// Tokens taken here since the start.
     const UsageTotals& ownTotals() const { return m_ownTotals; }
+    /// Tokens taken by some VMs since each was first heard of here.
+    UsageTotals sumOf(const std::vector<VmId>& vms, const VmId& ownVm) const;
 
 private:
     struct Bucket {
@@ -38,6 +41,8 @@
     struct Remote {
         Incarnation boot;
         UsageTotals totals;
+        /// Tokens taken since the VM was first heard of, over its restarts.
+        UsageTotals taken;
     };
 
     Bucket& bucketOf(const OrganisationRule& organisation, std::uint64_t hash);
--- a/Source/Core/Gateway/FleetReportCodec.cpp
+++ b/Source/Core/Gateway/FleetReportCodec.cpp
@@ -31,7 +31,7 @@
     const auto heldOffset = builder.CreateVectorOfStructs(held);
     const auto namedOffset = builder.CreateVectorOfStructs(named);
     builder.Finish(wire::CreateFleetReport(builder, vm, report.boot.value(), report.sequence, usageOffset, workOffset,
-        loadingOffset, heldOffset, namedOffset));
+        loadingOffset, heldOffset, namedOffset, report.members));
     return { reinterpret_cast<const char*>(builder.GetBufferPointer()), builder.GetSize() };
 }
 
@@ -50,6 +50,7 @@
     report.vm = VmId(message->vm()->str());
     report.boot = Incarnation(message->boot());
     report.sequence = message->sequence();
+    report.members = message->members();
     if (message->usage()) {
         for (const auto* it : *message->usage()) {
             report.usage[it->organisation()] = it->tokens();
--- a/Source/Core/Gateway/FleetReportCodec.h
+++ b/Source/Core/Gateway/FleetReportCodec.h
@@ -26,6 +26,8 @@
     /// Prefixes read since the last report.
     std::vector<HeldPrefix> held;
     std::vector<NamedAge> named;
+    /// VMs for which the report stands: 0 for the sender alone, else a relay's sum over its zone.
+    unsigned members = 0;
 };
 
 namespace FleetReportCodec {
--- a/Source/Core/Gateway/FleetReporter.cpp
+++ b/Source/Core/Gateway/FleetReporter.cpp
@@ -22,9 +22,11 @@
 
 } // namespace
 
-FleetReporter::FleetReporter(asio::any_io_executor executor, FleetReporterContext context, VmId vm, Incarnation boot)
+FleetReporter::FleetReporter(
+    asio::any_io_executor executor, FleetReporterContext context, VmId vm, ZoneId zone, Incarnation boot)
     : m_context(context)
     , m_vm(std::move(vm))
+    , m_zone(std::move(zone))
     , m_boot(boot)
     , m_socket(executor)
     , m_timer(std::move(executor))
@@ -52,6 +54,7 @@
 {
     FleetReport last;
     unsigned unchanged = 0;
+    bool isLoading = false;
     for (;;) {
         m_timer.expires_after(reportInterval);
         co_await m_timer.async_wait(asTuple);
@@ -69,16 +72,38 @@
             continue;
         }
         last = report;
-        report.sequence = ++m_sequence;
-        const auto bytes = FleetReportCodec::encode(report);
-        for (const auto& endpoint : m_context.fleet.others()) {
-            boost::system::error_code ec;
-            const udp::endpoint to(asio::ip::make_address(endpoint.address, ec), endpoint.port);
-            if (!ec) {
-                const auto [sendError, n] = co_await m_socket.async_send_to(asio::buffer(bytes), to, asTuple);
-                // A report that cannot be sent counts as lost; the other side notices the silence.
-                m_context.metrics.count(Counter::PeerBytesSent, sendError ? 0 : n);
-            }
+        if (!m_context.fleet.isLarge()) {
+            co_await sendTo(m_context.fleet.others(), std::move(report));
+            continue;
+        }
+        const auto otherZones = m_context.fleet.othersOfOtherZones();
+        if (!report.loading.empty() || isLoading) {
+            // The other zones count the use of the rates from the relay's sum.
+            co_await sendTo(otherZones, { m_vm, m_boot, 0, {}, {}, report.loading, {}, report.named });
+        }
+        isLoading = !report.loading.empty();
+        auto named = report.named;
+        co_await sendTo(m_context.fleet.othersOfOwnZone(), std::move(report));
+        if (m_context.fleet.isRelay()) {
+            const auto members = m_context.fleet.reachableOfOwnZone();
+            co_await sendTo(otherZones,
+                { VmId("zone/" + m_zone.value() + "/" + m_vm.value()), m_boot, 0, m_context.quota.sumOf(members, m_vm),
+                    {}, {}, {}, std::move(named), static_cast<unsigned>(members.size()) });
+        }
+    }
+}
+
+Task<> FleetReporter::sendTo(std::vector<Endpoint> endpoints, FleetReport report)
+{
+    report.sequence = ++m_sequence;
+    const auto bytes = FleetReportCodec::encode(report);
+    for (const auto& endpoint : endpoints) {
+        boost::system::error_code ec;
+        const udp::endpoint to(asio::ip::make_address(endpoint.address, ec), endpoint.port);
+        if (!ec) {
+            const auto [sendError, n] = co_await m_socket.async_send_to(asio::buffer(bytes), to, asTuple);
+            // A report that cannot be sent counts as lost; the other side notices the silence.
+            m_context.metrics.count(Counter::PeerBytesSent, sendError ? 0 : n);
         }
     }
 }
@@ -109,7 +134,7 @@
         m_context.metrics.count(Counter::PeerBadFrames);
         return;
     }
-    if (report->vm == m_vm || !m_context.fleet.noteHeard(report->vm, report->boot, report->sequence)) {
+    if (report->vm == m_vm || !m_context.fleet.noteHeard(report->vm, report->boot, report->sequence, report->members)) {
         return;
     }
     m_context.quota.noteRemoteUsage(report->vm, report->boot, report->usage);
--- a/Source/Core/Gateway/FleetReporter.h
+++ b/Source/Core/Gateway/FleetReporter.h
@@ -3,6 +3,7 @@
 #include "Gateway/CacheDirectory.h"
 #include "Gateway/Commands/RunnerCommands.h"
 #include "Gateway/FleetQuota.h"
+#include "Gateway/FleetReportCodec.h"
 #include "Gateway/FleetView.h"
 #include "Gateway/Queries/RunnerQueries.h"
 #include "Gateway/WeightsDriver.h"
@@ -28,9 +29,12 @@
 
 /// Exchanges datagrams with the other VMs: tokens taken, work at the runners, loads of weights. A lost datagram is made
 /// good by the next, since each holds the whole state.
+///
+/// A small fleet is a full mesh. In a larger one a VM reports to its own zone, and one relay in each zone sends the
+/// zone's use of the rates to the others, so that the bytes between zones grow with the VMs and not with their square.
 class FleetReporter {
 public:
-    FleetReporter(asio::any_io_executor executor, FleetReporterContext context, VmId vm, Incarnation boot);
+    FleetReporter(asio::any_io_executor executor, FleetReporterContext context, VmId vm, ZoneId zone, Incarnation boot);
 
     /// Binds the port.
     Outcome<void> listen(const Endpoint& endpoint);
@@ -43,10 +47,12 @@
     Task<> receive();
 
 private:
+    Task<> sendTo(std::vector<Endpoint> endpoints, FleetReport report);
     void take(std::string_view bytes);
 
     FleetReporterContext m_context;
     VmId m_vm;
+    ZoneId m_zone;
     Incarnation m_boot;
     boost::asio::ip::udp::socket m_socket;
     boost::asio::steady_timer m_timer;
--- a/Source/Core/Gateway/FleetView.cpp
+++ b/Source/Core/Gateway/FleetView.cpp
@@ -17,9 +17,9 @@
 
 } // namespace
 
-std::string FleetView::encodeRecord(const Endpoint& reports)
+std::string FleetView::encodeRecord(const Endpoint& reports, const ZoneId& zone)
 {
-    return JsonFields::Json { { "reports", reports.toString() } }.dump();
+    return JsonFields::Json { { "reports", reports.toString() }, { "zone", zone.value() } }.dump();
 }
 
 void FleetView::noteRecord(const VmId& vm, const std::string& value)
@@ -35,6 +35,7 @@
         m_timeline.record(EventKind::MemberJoined, { { "vm", vm.value() }, { "reports", endpoint->toString() } });
     }
     known.reports = *endpoint;
+    known.zone = ZoneId(JsonFields::readString(record, "zone"));
     known.hasRecord = true;
 }
 
@@ -57,7 +58,7 @@
     }
 }
 
-bool FleetView::noteHeard(const VmId& vm, Incarnation boot, std::uint64_t sequence)
+bool FleetView::noteHeard(const VmId& vm, Incarnation boot, std::uint64_t sequence, unsigned members)
 {
     auto& known = m_vms[vm];
     if (known.boot == boot && sequence <= known.sequence) {
@@ -65,29 +66,70 @@
     }
     known.boot = boot;
     known.sequence = sequence;
+    known.members = members;
     known.heardAt = m_clock.now();
     known.isHeard = true;
     return true;
 }
 
+bool FleetView::isHeardNow(const Vm& vm) const
+{
+    return vm.heardAt.count() > 0 && m_clock.now() - vm.heardAt < silenceLimit;
+}
+
 bool FleetView::isCounted(const Vm& vm) const
 {
     const auto now = m_clock.now();
-    return vm.hasRecord || (vm.heardAt.count() > 0 && now - vm.heardAt < silenceLimit)
+    if (vm.members > 0) {
+        return false;
+    }
+    return vm.hasRecord || isHeardNow(vm)
         || (vm.recordEndedAt.count() > 0 && now - vm.recordEndedAt < endedRecordRetention);
 }
 
-std::vector<Endpoint> FleetView::others() const
+template <typename Accept> std::vector<Endpoint> FleetView::endpointsOf(Accept accept) const
 {
     std::vector<Endpoint> endpoints;
     for (const auto& [id, vm] : m_vms) {
-        if (id != m_ownVm && isCounted(vm) && vm.reports.port != 0) {
+        if (id != m_ownVm && isCounted(vm) && vm.reports.port != 0 && accept(vm)) {
             endpoints.push_back(vm.reports);
         }
     }
     return endpoints;
 }
 
+std::vector<Endpoint> FleetView::others() const
+{
+    return endpointsOf([](const Vm&) { return true; });
+}
+
+std::vector<Endpoint> FleetView::othersOfOwnZone() const
+{
+    return endpointsOf([this](const Vm& vm) { return vm.zone == m_ownZone; });
+}
+
+std::vector<Endpoint> FleetView::othersOfOtherZones() const
+{
+    return endpointsOf([this](const Vm& vm) { return vm.zone != m_ownZone; });
+}
+
+std::vector<VmId> FleetView::reachableOfOwnZone() const
+{
+    std::vector<VmId> vms { m_ownVm };
+    for (const auto& [id, vm] : m_vms) {
+        if (id != m_ownVm && vm.members == 0 && vm.zone == m_ownZone && isHeardNow(vm)) {
+            vms.push_back(id);
+        }
+    }
+    return vms;
+}
+
+bool FleetView::isRelay() const
+{
+    const auto vms = reachableOfOwnZone();
+    return std::ranges::min(vms) == m_ownVm;
+}
+
 std::size_t FleetView::size() const
 {
     std::size_t count = 1;
@@ -101,8 +143,9 @@
 {
     std::size_t reachable = 1;
     for (const auto& [id, vm] : m_vms) {
-        const bool isHeard = vm.heardAt.count() > 0 && m_clock.now() - vm.heardAt < silenceLimit;
-        reachable += id != m_ownVm && isHeard ? 1 : 0;
+        if (id != m_ownVm && isHeardNow(vm)) {
+            reachable += std::max(1U, vm.members);
+        }
     }
     return static_cast<double>(reachable) / static_cast<double>(std::max(size(), reachable));
 }
--- a/Source/Core/Gateway/Gateway.cpp
+++ b/Source/Core/Gateway/Gateway.cpp
@@ -72,16 +72,19 @@
         , timeline(clock, settings.vm.value() + "/" + std::to_string(boot.value()))
         , routing(timeline)
         , runners(clock, timeline, { less(settings.oldWeightsLimit, weightsMargin) })
-        , fleet(clock, timeline, settings.vm)
+        , fleet(clock, timeline, settings.vm, settings.zone)
         , quota(clock)
         , directory(clock)
         , orders(clock, platform.storeCommands, timeline, settings.vm, boot,
               { .handoverPause = settings.orderHandover - handoverMargin })
         , sync({ clock, platform.storeQueries, platform.records, routing, runners, fleet, orders, timeline, metrics },
-              { .keyLimit = less(settings.keyWithdrawalLimit, keyMargin) })
-        , registration(platform.storeCommands, settings.vm, FleetView::encodeRecord(settings.listenReports))
+              { .freshnessGoal = settings.keyWithdrawalLimit * 3 / 5,
+                  .keyLimit = less(settings.keyWithdrawalLimit, keyMargin) })
+        , registration(
+              platform.storeCommands, settings.vm, FleetView::encodeRecord(settings.listenReports, settings.zone))
         , weights(executor, clock, runners, runners, orders, platform.weights, timeline, settings.vm, {})
-        , reporter(executor, { fleet, quota, runners, runners, weights, directory, metrics }, settings.vm, boot)
+        , reporter(executor, { fleet, quota, runners, runners, weights, directory, metrics }, settings.vm,
+              settings.zone, boot)
         , policy(settings.zone, directory)
         , retryBudget(clock)
         , client(executor, platform.requests, connectTimeout)
@@ -182,6 +185,7 @@
             appliedVersion = configuration->version;
             callerServer.setLimits(toServerLimits(configuration->limits));
         }
+        policy.setZonesApart(fleet.isLarge());
         const double seconds = std::chrono::duration<double>(settings.retries.window).count();
         const double perVm = settings.retries.perWindow * retryShare / static_cast<double>(fleet.size());
         retryBudget.setOptions({ settings.retries.perRequest * retryShare, perVm / seconds, seconds });
--- a/Source/Core/Gateway/GatewaySync.cpp
+++ b/Source/Core/Gateway/GatewaySync.cpp
@@ -13,6 +13,8 @@
     // A watch that works delivers a change within milliseconds, and within this time when the store is slow.
     constexpr std::chrono::milliseconds longestEventDelay { 300 };
 
+    constexpr std::chrono::milliseconds shortestWait { 200 };
+
 } // namespace
 
 Task<> GatewaySync::run()
@@ -81,7 +83,8 @@
     }
     for (;;) {
         const auto askedAt = m_context.clock.now();
-        const auto changes = co_await m_context.store.nextEvents(*watch);
+        const auto wait = nextWait();
+        const auto changes = co_await m_context.store.nextEventsWithin(*watch, wait);
         if (!changes) {
             noteReachable(false, changes.error().message);
             break;
@@ -90,19 +93,36 @@
             if (event.isErased) {
                 applyErased(event.entry.key);
             } else {
-                apply(event.entry, std::max(m_freshAt, m_context.clock.now() - longestEventDelay));
+                apply(event.entry, std::max(m_freshAt, m_context.clock.now() - longestEventDelay - gatherPause()));
             }
         }
         m_revision = std::max(m_revision, changes->revision);
         // An answer without changes was written when the wait ended; one with changes at some moment after the call.
         const auto waited = m_context.clock.now() - askedAt;
-        const bool isWholeWait = changes->events.empty() && waited >= m_options.watchWait;
-        m_freshAt = std::max(m_freshAt, isWholeWait ? askedAt + m_options.watchWait : askedAt);
+        const bool isWholeWait = changes->events.empty() && waited >= wait;
+        m_freshAt = std::max(m_freshAt, isWholeWait ? askedAt + wait : askedAt);
         noteReachable(true, "watch");
+        if (!changes->events.empty()) {
+            co_await sleepFor(gatherPause());
+        }
     }
     m_context.store.closeWatch(*watch);
 }
 
+std::chrono::milliseconds GatewaySync::nextWait() const
+{
+    const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(m_options.freshnessGoal - age());
+    return std::clamp(left, shortestWait, m_options.watchWait);
+}
+
+std::chrono::milliseconds GatewaySync::gatherPause() const
+{
+    if (m_context.orders.isHeld()) {
+        return m_options.holderGatherPause;
+    }
+    return m_context.fleet.isLarge() ? m_options.largeFleetGatherPause : m_options.gatherPause;
+}
+
 void GatewaySync::apply(const StoreEntry& entry, MonotonicTime writtenAfter)
 {
     if (entry.key.starts_with(vmRecordPrefix)) {
--- a/Source/Core/Gateway/GatewaySync.h
+++ b/Source/Core/Gateway/GatewaySync.h
@@ -30,7 +30,15 @@
 /// Time limits of the synchronisation.
 struct GatewaySyncOptions {
     /// Longest time that a watch waits for a change.
-    std::chrono::milliseconds watchWait { 1500 };
+    std::chrono::milliseconds watchWait { 2200 };
+    /// Age of the knowledge up to which a watch may wait; the rest of the key limit is for the answer's way.
+    std::chrono::milliseconds freshnessGoal { 3000 };
+    /// Pause after changes, in which further ones gather for the next call.
+    std::chrono::milliseconds gatherPause { 500 };
+    /// The same in a large fleet, where each change is a call of every VM.
+    std::chrono::milliseconds largeFleetGatherPause { 1000 };
+    /// The same for the VM that gives orders, which is to hear of new weights soon.
+    std::chrono::milliseconds holderGatherPause { 100 };
     /// Time without proof of freshness after which API keys are no longer accepted.
     std::chrono::milliseconds keyLimit { 4300 };
     /// Pause after a failed call.
@@ -58,6 +66,8 @@
     /// @param writtenAfter Moment after which the entry was written; 0 when that is not known.
     void apply(const StoreEntry& entry, MonotonicTime writtenAfter);
     void applyErased(const std::string& key);
+    std::chrono::milliseconds nextWait() const;
+    std::chrono::milliseconds gatherPause() const;
     void noteReachable(bool isReachable, std::string_view why);
 
     GatewaySyncContext m_context;
--- a/Source/Core/Store/Queries/StoreQueries.h
+++ b/Source/Core/Store/Queries/StoreQueries.h
@@ -4,6 +4,7 @@
 #include "Common/Task.h"
 #include "Store/StoreTypes.h"
 
+#include <chrono>
 #include <string>
 
 namespace Pollenwind {
@@ -31,6 +32,13 @@
     /// @return The changes; an error when the watch is broken or silent, after which it must be closed.
     virtual Task<Outcome<StoreEvents>> nextEvents(WatchId watch) = 0;
 
+    /// Waits for changes or a progress notice, for a time that the caller sets. Stores that send progress notices at a
+    /// pace of their own wait for these.
+    virtual Task<Outcome<StoreEvents>> nextEventsWithin(WatchId watch, std::chrono::milliseconds)
+    {
+        return nextEvents(watch);
+    }
+
     /// Closes a watch. A pending nextEvents() fails.
     virtual void closeWatch(WatchId watch) = 0;
 
--- a/Source/UnitTests/Gateway/FleetTests.cpp
+++ b/Source/UnitTests/Gateway/FleetTests.cpp
@@ -104,12 +104,14 @@
     report.loading = { 8 };
     report.held = { { 9, 10 } };
     report.named = { { 11, 12, 13ms } };
+    report.members = 14;
     const auto bytes = FleetReportCodec::encode(report);
     const auto decoded = FleetReportCodec::decode(bytes);
     cr_assert(decoded && decoded->vm == report.vm && decoded->boot == report.boot && decoded->sequence == 3);
     cr_assert(decoded->usage == report.usage && decoded->work == report.work && decoded->loading == report.loading);
     cr_assert(decoded->held == report.held);
     cr_assert(decoded->named.size() == 1 && decoded->named[0].version == 12 && decoded->named[0].age == 13ms);
+    cr_assert_eq(decoded->members, 14);
     for (std::size_t n = 0; n < bytes.size(); ++n) {
         FleetReportCodec::decode(std::string_view(bytes).substr(0, n));
     }
@@ -121,10 +123,10 @@
 {
     ManualClock clock;
     Timeline timeline(clock, "test");
-    FleetView fleet(clock, timeline, VmId("own"));
+    FleetView fleet(clock, timeline, VmId("own"), ZoneId("z"));
     cr_assert_float_eq(fleet.reachableShare(), 1, 1e-6);
     for (const auto* vm : { "own", "a", "b", "c" }) {
-        fleet.noteRecord(VmId(vm), FleetView::encodeRecord({ "127.0.0.1", 7600 }));
+        fleet.noteRecord(VmId(vm), FleetView::encodeRecord({ "127.0.0.1", 7600 }, ZoneId("z")));
     }
     cr_assert_float_eq(fleet.reachableShare(), 0.25, 1e-6);
     cr_assert(fleet.noteHeard(VmId("a"), Incarnation(1), 1));
@@ -144,9 +146,47 @@
 {
     ManualClock clock;
     Timeline timeline(clock, "test");
-    FleetView fleet(clock, timeline, VmId("own"));
+    FleetView fleet(clock, timeline, VmId("own"), ZoneId("z"));
     for (const auto* text : { "", "{", "[]", "{\"reports\":5}", "{\"reports\":\"x\"}" }) {
         fleet.noteRecord(VmId("a"), text);
     }
     cr_assert(fleet.others().empty());
 }
+
+// Guards against VMs of a large fleet that count another zone's use twice or not at all, and against sums that jump
+// when a relay restarts or hears of a VM late.
+Test(FleetQuota, sumsTheUseOfAZoneSinceEachVmWasFirstHeard)
+{
+    ManualClock clock;
+    FleetQuota relay(clock);
+    const VmId own("own");
+    const VmId other("other");
+    relay.noteRemoteUsage(other, Incarnation(1), { { 7, 5000 } });
+    cr_assert(relay.sumOf({ own, other }, own)[7] < 1e-6);
+    relay.noteRemoteUsage(other, Incarnation(1), { { 7, 5100 } });
+    relay.noteRemoteUsage(other, Incarnation(2), { { 7, 50 } });
+    cr_assert_float_eq((relay.sumOf({ own, other }, own)[7]), 150, 1e-6);
+    cr_assert(relay.sumOf({ own }, own)[7] < 1e-6);
+}
+
+// Guards against a zone without a relay or with several, and against a share that leaves out VMs behind a relay.
+Test(FleetView, choosesOneRelayAndCountsWhatItStandsFor)
+{
+    ManualClock clock;
+    Timeline timeline(clock, "test");
+    FleetView fleet(clock, timeline, VmId("b"), ZoneId("z"));
+    for (const auto* vm : { "a", "b", "c" }) {
+        fleet.noteRecord(VmId(vm), FleetView::encodeRecord({ "127.0.0.1", 7600 }, ZoneId("z")));
+    }
+    for (const auto* vm : { "d", "e", "f" }) {
+        fleet.noteRecord(VmId(vm), FleetView::encodeRecord({ "127.0.0.1", 7600 }, ZoneId("y")));
+    }
+    cr_assert(fleet.isRelay(), "a has not been heard");
+    cr_assert(fleet.noteHeard(VmId("a"), Incarnation(1), 1));
+    cr_assert(!fleet.isRelay());
+    cr_assert_eq(fleet.othersOfOwnZone().size(), 2);
+    cr_assert_eq(fleet.othersOfOtherZones().size(), 3);
+    cr_assert(fleet.noteHeard(VmId("zone/y/d"), Incarnation(1), 1, 3));
+    cr_assert_eq(fleet.size(), 6);
+    cr_assert_float_eq(fleet.reachableShare(), 5.0 / 6, 1e-6);
+}
