--- a/Source/Core/Gateway/FleetReporter.cpp
+++ b/Source/Core/Gateway/FleetReporter.cpp
@@ -23,13 +23,13 @@
 } // namespace
 
 FleetReporter::FleetReporter(
-    asio::any_io_executor executor, FleetReporterContext context, VmId vm, ZoneId zone, Incarnation boot)
+    const asio::any_io_executor& executor, FleetReporterContext context, VmId vm, ZoneId zone, Incarnation boot)
     : m_context(context)
     , m_vm(std::move(vm))
     , m_zone(std::move(zone))
     , m_boot(boot)
     , m_socket(executor)
-    , m_timer(std::move(executor))
+    , m_timer(executor)
 {
 }
 
--- a/Source/Core/Gateway/FleetReporter.h
+++ b/Source/Core/Gateway/FleetReporter.h
@@ -34,7 +34,8 @@
 /// zone's use of the rates to the others, so that the bytes between zones grow with the VMs and not with their square.
 class FleetReporter {
 public:
-    FleetReporter(asio::any_io_executor executor, FleetReporterContext context, VmId vm, ZoneId zone, Incarnation boot);
+    FleetReporter(
+        const asio::any_io_executor& executor, FleetReporterContext context, VmId vm, ZoneId zone, Incarnation boot);
 
     /// Binds the port.
     Outcome<void> listen(const Endpoint& endpoint);
--- a/Source/Core/Gateway/GatewayFrontEnd.cpp
+++ b/Source/Core/Gateway/GatewayFrontEnd.cpp
@@ -12,9 +12,9 @@
     /// Writes an answer to the caller and stops the request when the caller leaves or the time limit passes.
     class ExchangeSink final : public ReplySink {
     public:
-        ExchangeSink(HttpExchange& exchange, asio::any_io_executor executor)
+        ExchangeSink(HttpExchange& exchange, const asio::any_io_executor& executor)
             : m_exchange(exchange)
-            , m_timer(std::move(executor))
+            , m_timer(executor)
         {
             m_exchange.onPeerGone([this] { stop({ ErrorCode::Cancelled, "the caller closed the connection" }); });
         }
