--- a/Source/Core/Gateway/AffinityPolicy.cpp
+++ b/Source/Core/Gateway/AffinityPolicy.cpp
@@ -5,6 +5,9 @@
 #include <xxhash.h>
 
 #include <algorithm>
+#include <array>
+#include <functional>
+#include <map>
 
 namespace Pollenwind {
 
@@ -14,6 +17,10 @@
     // runners that are equally busy.
     constexpr double rendezvousSeconds = 0.02;
 
+    // Chance that a runner holds the shared parts of a prompt that nobody reported, by its place in the prompt's
+    // rendezvous order. A VM that has just started knows of no prefix, and its requests follow the order of the others.
+    constexpr std::array<double, 2> heldChanceByRank { 0.7, 0.3 };
+
     // Below this, computing the parts takes hardly longer than asking for them.
     constexpr double fewestStoredTokens = 1000;
 
@@ -37,7 +44,21 @@
     const RunnerCandidate* source = nullptr;
     double place = 0;
 
-    double missedTokens() const { return std::max(0.0, sharedTokens - heldTokens - copiedTokens); }
+    /// Chance that the runner holds the shared parts although nobody has told so.
+    double heldChance = 0;
+
+    double missedTokens() const
+    {
+        const double known = std::max(heldTokens, copiedTokens);
+        return std::max(0.0, sharedTokens - known) * (1 - heldChance);
+    }
+};
+
+/// What is known of a prompt at the runners with one version of the weights.
+struct AffinityPolicy::Knowledge {
+    std::vector<SharedPrefix> prefixes;
+    /// Runners that hold each prefix.
+    std::vector<std::vector<const RunnerCandidate*>> holders;
 };
 
 AffinityPolicy::AffinityPolicy(ZoneId ownZone, const PrefixQueries& prefixes, AffinityCosts costs)
@@ -47,24 +68,55 @@
 {
 }
 
-void AffinityPolicy::findSource(
-    const std::vector<SharedPrefix>& prefixes, Option& option, std::span<const RunnerCandidate> candidates) const
+AffinityPolicy::Knowledge AffinityPolicy::gather(const ForwardRequest& request, const std::string& cacheSalt,
+    WeightsVersion weights, std::span<const RunnerCandidate> candidates) const
 {
-    const auto own = holderHash(option.candidate->id, option.candidate->boot);
-    for (auto it = prefixes.rbegin(); it != prefixes.rend(); ++it) {
-        if (m_prefixes.isHeld(it->hash, own)) {
-            option.heldTokens = it->tokens;
+    Knowledge knowledge;
+    knowledge.prefixes = sharedPrefixes(request, cacheSalt, weights);
+    for (const auto& prefix : knowledge.prefixes) {
+        auto& holders = knowledge.holders.emplace_back();
+        const auto hashes = m_prefixes.holdersOf(prefix.hash);
+        for (const auto& candidate : candidates) {
+            const bool isHolder = !hashes.empty() && candidate.weights == weights
+                && std::ranges::find(hashes, holderHash(candidate.id, candidate.boot)) != hashes.end();
+            if (isHolder) {
+                holders.push_back(&candidate);
+            }
+        }
+    }
+    return knowledge;
+}
+
+void AffinityPolicy::findSource(const Knowledge& knowledge, Option& option)
+{
+    for (std::size_t i = knowledge.prefixes.size(); i-- > 0;) {
+        const auto& holders = knowledge.holders[i];
+        if (std::ranges::find(holders, option.candidate) != holders.end()) {
+            option.heldTokens = knowledge.prefixes[i].tokens;
             return;
         }
-        for (const auto& other : candidates) {
-            const bool isSource = !option.source && other.weights == option.candidate->weights
-                && m_prefixes.isHeld(it->hash, holderHash(other.id, other.boot));
-            if (isSource) {
-                option.source = &other;
-                option.copiedTokens = it->tokens;
-            }
+        if (!option.source && !holders.empty()) {
+            const auto near = std::ranges::find(
+                holders, option.candidate->zone, [](const RunnerCandidate* it) { return it->zone; });
+            option.source = near == holders.end() ? holders.front() : *near;
+            option.copiedTokens = knowledge.prefixes[i].tokens;
+        }
+    }
+}
+
+void AffinityPolicy::assignChances(std::vector<Option>& options) const
+{
+    // In a large fleet each zone has homes of its own.
+    std::vector<Option*> order;
+    for (auto& option : options) {
+        if (!m_areZonesApart || option.candidate->zone == m_ownZone) {
+            order.push_back(&option);
         }
     }
+    std::ranges::sort(order, std::greater(), &Option::place);
+    for (std::size_t rank = 0; rank < std::min(order.size(), heldChanceByRank.size()); ++rank) {
+        order[rank]->heldChance = heldChanceByRank[rank];
+    }
 }
 
 double AffinityPolicy::costOf(const Option& option, WeightsVersion newestWeights) const
@@ -90,25 +142,27 @@
 std::optional<RunnerChoice> AffinityPolicy::choose(const ForwardRequest& request, const std::string& cacheSalt,
     WeightsVersion newestWeights, std::span<const CacheStore> stores, std::span<const RunnerCandidate> candidates) const
 {
-    std::optional<Option> best;
-    double leastCost = 0;
+    std::vector<Option> options;
+    std::map<WeightsVersion, Knowledge> knowledge;
+    const std::uint64_t prompt = request.parts.size() > 1 ? request.parts[request.parts.size() - 2].id : 0;
     for (const auto& candidate : candidates) {
-        const auto prefixes = sharedPrefixes(request, cacheSalt, candidate.weights);
-        Option option;
+        auto it = knowledge.find(candidate.weights);
+        if (it == knowledge.end()) {
+            auto gathered = gather(request, cacheSalt, candidate.weights, candidates);
+            it = knowledge.emplace(candidate.weights, std::move(gathered)).first;
+        }
+        auto& option = options.emplace_back();
         option.candidate = &candidate;
-        option.sharedTokens = prefixes.empty() ? 0 : prefixes.back().tokens;
+        option.sharedTokens = it->second.prefixes.empty() ? 0 : it->second.prefixes.back().tokens;
         const double promptTokens = request.tokens ? request.tokens->prompt : option.sharedTokens;
         option.ownTokens = std::max(0.0, promptTokens - option.sharedTokens);
-        const std::uint64_t prompt = request.parts.size() > 1 ? request.parts[request.parts.size() - 2].id : 0;
         option.place = rendezvousPlace(prompt, candidate.id);
-        findSource(prefixes, option, candidates);
-        const double cost = costOf(option, newestWeights);
-        if (!best || cost < leastCost) {
-            leastCost = cost;
-            best = option;
-        }
+        findSource(it->second, option);
     }
-    if (!best) {
+    assignChances(options);
+    const auto costs = [&](const Option& option) { return costOf(option, newestWeights); };
+    const auto best = std::ranges::min_element(options, {}, costs);
+    if (best == options.end()) {
         return std::nullopt;
     }
     RunnerChoice choice { best->candidate->id, best->candidate->endpoint };
--- a/Source/Core/Gateway/AffinityPolicy.h
+++ b/Source/Core/Gateway/AffinityPolicy.h
@@ -46,11 +46,14 @@
 
 private:
     struct Option;
+    struct Knowledge;
 
-    void findSource(
-        const std::vector<SharedPrefix>& prefixes, Option& option, std::span<const RunnerCandidate> candidates) const;
+    Knowledge gather(const ForwardRequest& request, const std::string& cacheSalt, WeightsVersion weights,
+        std::span<const RunnerCandidate> candidates) const;
+    static void findSource(const Knowledge& knowledge, Option& option);
     void chooseStore(const std::vector<SharedPrefix>& prefixes, WeightsVersion newestWeights,
         std::span<const CacheStore> stores, const Option& option, RunnerChoice& choice) const;
+    void assignChances(std::vector<Option>& options) const;
     double costOf(const Option& option, WeightsVersion newestWeights) const;
 
     ZoneId m_ownZone;
--- a/Source/Core/Gateway/CacheDirectory.cpp
+++ b/Source/Core/Gateway/CacheDirectory.cpp
@@ -58,50 +58,74 @@
     return prefixes;
 }
 
-void CacheDirectory::note(const HeldPrefix& prefix)
+bool CacheDirectory::note(const HeldPrefix& prefix)
 {
+    const auto now = m_clock.now();
     auto& holders = m_holders[prefix.prefix];
-    const auto it = std::ranges::find(holders, prefix.holder, [](const auto& h) { return h.first; });
-    if (it != holders.end()) {
-        it->second = m_clock.now();
-    } else {
-        holders.emplace_back(prefix.holder, m_clock.now());
+    auto it = std::ranges::find(holders, prefix.holder, &Holder::hash);
+    if (it == holders.end()) {
+        it = holders.insert(holders.end(), Holder { prefix.holder });
+    }
+    it->readAt = now;
+    const bool isNews = it->toldAt.count() == 0 || now - it->toldAt > heldTime(prefix.holder) / 2;
+    it->toldAt = isNews ? now : it->toldAt;
+    return isNews;
+}
+
+void CacheDirectory::addNews(std::vector<HeldPrefix>& news, const HeldPrefix& prefix)
+{
+    if (news.size() < maxNews) {
+        news.push_back(prefix);
     }
 }
 
 void CacheDirectory::noteRead(std::span<const HeldPrefix> prefixes)
 {
     for (const auto& prefix : prefixes) {
-        note(prefix);
-        if (m_news.size() < maxNews && std::ranges::find(m_news, prefix) == m_news.end()) {
-            m_news.push_back(prefix);
+        if (note(prefix)) {
+            addNews(m_news, prefix);
+            addNews(m_zoneNews, prefix);
         }
     }
 }
 
-void CacheDirectory::noteRemoteRead(std::span<const HeldPrefix> prefixes)
+void CacheDirectory::noteRemoteRead(std::span<const HeldPrefix> prefixes, bool isOwnZone)
 {
-    std::ranges::for_each(prefixes, [this](const HeldPrefix& prefix) { note(prefix); });
+    for (const auto& prefix : prefixes) {
+        if (note(prefix) && isOwnZone) {
+            addNews(m_zoneNews, prefix);
+        }
+    }
 }
 
 bool CacheDirectory::isHeld(std::uint64_t prefix, std::uint64_t holder) const
 {
-    const auto it = m_holders.find(prefix);
-    if (it == m_holders.end()) {
-        return false;
+    const auto holders = holdersOf(prefix);
+    return std::ranges::find(holders, holder) != holders.end();
+}
+
+std::vector<std::uint64_t> CacheDirectory::holdersOf(std::uint64_t prefix) const
+{
+    std::vector<std::uint64_t> hashes;
+    if (const auto it = m_holders.find(prefix); it != m_holders.end()) {
+        for (const auto& holder : it->second) {
+            if (holder.readAt > m_clock.now() - heldTime(holder.hash)) {
+                hashes.push_back(holder.hash);
+            }
+        }
     }
-    const auto oldest = m_clock.now() - heldTime(holder);
-    return std::ranges::any_of(
-        it->second, [&](const auto& known) { return known.first == holder && known.second > oldest; });
+    return hashes;
 }
 
 std::vector<HeldPrefix> CacheDirectory::takeNews() { return std::exchange(m_news, {}); }
 
+std::vector<HeldPrefix> CacheDirectory::takeZoneNews() { return std::exchange(m_zoneNews, {}); }
+
 void CacheDirectory::forgetOld()
 {
     const auto now = m_clock.now();
     for (auto& [prefix, holders] : m_holders) {
-        std::erase_if(holders, [now](const auto& known) { return known.second <= now - heldTime(known.first); });
+        std::erase_if(holders, [now](const Holder& it) { return it.readAt <= now - heldTime(it.hash); });
     }
     std::erase_if(m_holders, [](const auto& it) { return it.second.empty(); });
 }
--- a/Source/Core/Gateway/Commands/PrefixCommands.h
+++ b/Source/Core/Gateway/Commands/PrefixCommands.h
@@ -27,7 +27,8 @@
     /// Notes prefixes that a runner has read for a request of this VM.
     virtual void noteRead(std::span<const HeldPrefix> prefixes) = 0;
     /// Notes prefixes that runners have read for other VMs.
-    virtual void noteRemoteRead(std::span<const HeldPrefix> prefixes) = 0;
+    /// @param isOwnZone The VM is in the own zone, whose news a relay passes on to the other zones.
+    virtual void noteRemoteRead(std::span<const HeldPrefix> prefixes, bool isOwnZone) = 0;
 };
 
 } // namespace Pollenwind
--- a/Source/Core/Gateway/FleetReporter.cpp
+++ b/Source/Core/Gateway/FleetReporter.cpp
@@ -72,6 +72,7 @@
             continue;
         }
         last = report;
+        auto zoneNews = m_context.directory.takeZoneNews();
         if (!m_context.fleet.isLarge()) {
             co_await sendTo(m_context.fleet.others(), std::move(report));
             continue;
@@ -88,7 +89,7 @@
             const auto members = m_context.fleet.reachableOfOwnZone();
             co_await sendTo(otherZones,
                 { VmId("zone/" + m_zone.value() + "/" + m_vm.value()), m_boot, 0, m_context.quota.sumOf(members, m_vm),
-                    {}, {}, {}, std::move(named), static_cast<unsigned>(members.size()) });
+                    {}, {}, std::move(zoneNews), std::move(named), static_cast<unsigned>(members.size()) });
         }
     }
 }
@@ -139,7 +140,7 @@
     }
     m_context.quota.noteRemoteUsage(report->vm, report->boot, report->usage);
     m_context.runnerCommands.noteRemoteLoad(report->vm, std::move(report->work));
-    m_context.directory.noteRemoteRead(report->held);
+    m_context.directory.noteRemoteRead(report->held, m_context.fleet.isOfOwnZone(report->vm));
     for (const auto& it : report->named) {
         m_context.runnerCommands.noteWeightsAge(it.model, it.version, it.age);
     }
--- a/Source/Core/Gateway/FleetView.cpp
+++ b/Source/Core/Gateway/FleetView.cpp
@@ -113,6 +113,12 @@
     return endpointsOf([this](const Vm& vm) { return vm.zone != m_ownZone; });
 }
 
+bool FleetView::isOfOwnZone(const VmId& vm) const
+{
+    const auto it = m_vms.find(vm);
+    return it != m_vms.end() && it->second.members == 0 && it->second.zone == m_ownZone;
+}
+
 std::vector<VmId> FleetView::reachableOfOwnZone() const
 {
     std::vector<VmId> vms { m_ownVm };
--- a/Source/Core/Gateway/FleetView.h
+++ b/Source/Core/Gateway/FleetView.h
@@ -43,6 +43,7 @@
     std::vector<Endpoint> others() const;
     std::vector<Endpoint> othersOfOwnZone() const;
     std::vector<Endpoint> othersOfOtherZones() const;
+    bool isOfOwnZone(const VmId& vm) const;
     /// VMs of the own zone in contact with this one, itself included.
     std::vector<VmId> reachableOfOwnZone() const;
     /// Tells whether this VM sends the sums of its zone to the other zones. The VMs of a zone agree on it by their
--- a/Source/Core/Gateway/Gateway.cpp
+++ b/Source/Core/Gateway/Gateway.cpp
@@ -34,7 +34,7 @@
     constexpr std::chrono::milliseconds balancerLag { 2600 };
 
     // Part of the stop limit that running requests get; the rest is for the end of the process.
-    constexpr double stopShare = 0.92;
+    constexpr double stopShare = 0.88;
 
     // Part of the fleet's retries that is handed out, since the VMs' windows and views differ.
     constexpr double retryShare = 0.6;
@@ -205,7 +205,9 @@
 {
     const auto startedAt = clock.now();
     callerServer.announceClose();
-    co_await orders.release();
+    // Not waited for: a slow store must not take the time that running requests have.
+    asio::co_spawn(executor, orders.release(), asio::detached);
+    asio::co_spawn(executor, registration.release(), asio::detached);
     while (clock.now() - startedAt < std::min<std::chrono::nanoseconds>(balancerLag, settings.stopLimit / 2)) {
         co_await sleepFor(drainCheck);
     }
@@ -215,7 +217,6 @@
         co_await sleepFor(drainCheck);
     }
     cutRequests = frontEnd.runningRequests();
-    co_await registration.release();
     metrics.count(Counter::ShutdownCuts, cutRequests);
     timeline.record(EventKind::ProcessStopped, { { "cut_requests", std::to_string(cutRequests) } });
     isStopped = true;
--- a/Source/Core/Gateway/Queries/PrefixQueries.h
+++ b/Source/Core/Gateway/Queries/PrefixQueries.h
@@ -26,6 +26,9 @@
 
     /// Tells whether a process is believed to hold a prefix.
     virtual bool isHeld(std::uint64_t prefix, std::uint64_t holder) const = 0;
+
+    /// Processes that are believed to hold a prefix.
+    virtual std::vector<std::uint64_t> holdersOf(std::uint64_t prefix) const = 0;
 };
 
 /// Hash of a runner's process: a restart holds nothing of before.
--- a/Source/UnitTests/Gateway/RoutingTests.cpp
+++ b/Source/UnitTests/Gateway/RoutingTests.cpp
@@ -127,6 +127,31 @@
     fixture.directory.noteRead(std::array { HeldPrefix { hash, holder } });
     cr_assert(fixture.directory.isHeld(hash, holder));
     cr_assert(!fixture.directory.isHeld(hash, holderHash(UpstreamId("r1"), Incarnation(2))));
-    fixture.clock.advance(9s);
+    fixture.clock.advance(15s);
     cr_assert(!fixture.directory.isHeld(hash, holder));
 }
+
+// Guards against news that other zones never get (17 M tokens were read again on the grown kutpenz site, since each
+// zone read each prompt for itself), against news that go around in circles, and against a report for every read.
+Test(CacheDirectory, passesOwnZonesNewsOnOnce)
+{
+    ManualClock clock;
+    CacheDirectory directory(clock);
+    const std::array own { HeldPrefix { 1, 10 } };
+    const std::array near { HeldPrefix { 2, 20 } };
+    const std::array far { HeldPrefix { 3, 30 } };
+    clock.advance(1s);
+    directory.noteRead(own);
+    directory.noteRemoteRead(near, true);
+    directory.noteRemoteRead(far, false);
+    cr_assert_eq(directory.takeNews().size(), 1);
+    cr_assert_eq(directory.takeZoneNews().size(), 2);
+    directory.noteRead(own);
+    directory.noteRemoteRead(near, true);
+    cr_assert(directory.takeNews().empty() && directory.takeZoneNews().empty());
+    // Told again before the others forget it.
+    clock.advance(8s);
+    directory.noteRead(own);
+    cr_assert_eq(directory.takeNews().size(), 1);
+    cr_assert(directory.holdersOf(3) == std::vector<std::uint64_t> { 30 });
+}
