--- a/Source/Core/Gateway/Commands/ReplySink.h
+++ b/Source/Core/Gateway/Commands/ReplySink.h
@@ -26,7 +26,7 @@
     /// Ends a streamed answer as complete.
     virtual Task<Outcome<void>> end() = 0;
 
-    /// Sets what is called when the caller leaves or the request reaches its time limit; nothing when empty.
+    /// Sets what is called when the caller leaves or the request reaches its deadline; nothing when empty.
     virtual void onStop(std::function<void()> handler) = 0;
     /// @return Why the request has to stop, or nothing while it may go on.
     virtual std::optional<Error> stopReason() const = 0;
--- a/Source/Core/Gateway/ForwardDispatcher.cpp
+++ b/Source/Core/Gateway/ForwardDispatcher.cpp
@@ -12,7 +12,7 @@
 namespace {
 
     // Used while there is no route, so that a refused request is not held.
-    constexpr std::chrono::milliseconds defaultTimeLimit { 30'000 };
+    constexpr std::chrono::milliseconds defaultTimeout { 30'000 };
 
     // A runner that only refuses has cost nothing but the way there; a few more may be asked.
     constexpr unsigned maxRefusals = 3;
@@ -84,11 +84,11 @@
     std::optional<std::pair<ReplyHead, std::string>> failure;
 };
 
-std::chrono::milliseconds ForwardDispatcher::timeLimitOf(const ForwardRequest& request) const
+std::chrono::milliseconds ForwardDispatcher::timeoutOf(const ForwardRequest& request) const
 {
     const auto* route = m_context.routing.findRoute(request.host, request.message.path);
-    const auto limit = route ? route->timeout : defaultTimeLimit;
-    return request.timeLimit ? std::min(limit, *request.timeLimit) : limit;
+    const auto limit = route ? route->timeout : defaultTimeout;
+    return request.timeout ? std::min(limit, *request.timeout) : limit;
 }
 
 Outcome<void> ForwardDispatcher::admit(const ForwardRequest& request, Delivery& delivery)
@@ -177,7 +177,7 @@
     if (delivery.organisation) {
         terms.organisation = delivery.organisation->id;
     }
-    terms.timeLimit = std::chrono::duration_cast<std::chrono::milliseconds>(delivery.deadline - m_context.clock.now());
+    terms.timeout = std::chrono::duration_cast<std::chrono::milliseconds>(delivery.deadline - m_context.clock.now());
     terms.urgency = std::min(lowestPriority,
         delivery.organisation ? delivery.organisation->priority.value_or(delivery.route->priority)
                               : delivery.route->priority);
@@ -196,7 +196,7 @@
 {
     Delivery delivery;
     delivery.receivedAt = receivedAt;
-    delivery.deadline = receivedAt + timeLimitOf(request);
+    delivery.deadline = receivedAt + timeoutOf(request);
     if (auto admitted = admit(request, delivery); !admitted) {
         co_return admitted;
     }
@@ -289,8 +289,8 @@
     checkInvariant(delivery.runs == 0 || retryKindOf(route) != RetryKind::NonIdempotentCall,
         "a request that may run once is not sent again after it may have run");
     const auto terms = termsOf(request, choice, delivery);
-    if (terms.timeLimit.count() <= 0) {
-        co_return fail(ErrorCode::DeadlineExceeded, "the time limit passed before the request was sent");
+    if (terms.timeout.count() <= 0) {
+        co_return fail(ErrorCode::DeadlineExceeded, "the deadline passed before the request was sent");
     }
     m_context.log.note(RequestEvent::Placed, request.id,
         { { "runner", choice.id.value() }, { "service", delivery.service.value() }, { "route", route.name },
@@ -299,7 +299,7 @@
             { "weights", std::to_string(choice.weights) },
             { "copied_from", choice.cacheSource ? choice.cacheSource->toString() : "" },
             { "computed_tokens", std::to_string(static_cast<long>(choice.computedTokens)) },
-            { "left_ms", std::to_string(terms.timeLimit.count()) },
+            { "left_ms", std::to_string(terms.timeout.count()) },
             { "knowledge_age_ms",
                 std::to_string(
                     std::chrono::duration_cast<std::chrono::milliseconds>(m_context.freshness.age()).count()) } });
@@ -308,7 +308,7 @@
     const bool mayReuse = route.kind != RequestKind::Unsafe;
     const auto exchange = m_context.client.open(choice.endpoint, request, terms, mayReuse);
     sink.onStop([&exchange] { exchange->cancel(); });
-    std::chrono::nanoseconds limit = terms.timeLimit;
+    std::chrono::nanoseconds limit = terms.timeout;
     const bool mayRunAgain = delivery.runs + 1 < route.maxAttempts;
     if (route.kind == RequestKind::Safe && mayRunAgain) {
         limit = std::min<std::chrono::nanoseconds>(limit, route.objective * safeAttemptObjectives);
--- a/Source/Core/Gateway/ForwardDispatcher.h
+++ b/Source/Core/Gateway/ForwardDispatcher.h
@@ -50,7 +50,7 @@
     Task<Outcome<void>> forward(const ForwardRequest& request, MonotonicTime receivedAt, ReplySink& sink);
 
     /// Longest time that a request may take: the caller's own or the route's, whichever is shorter.
-    std::chrono::milliseconds timeLimitOf(const ForwardRequest& request) const;
+    std::chrono::milliseconds timeoutOf(const ForwardRequest& request) const;
 
 private:
     struct Delivery;
--- a/Source/Core/Gateway/ForwardTypes.h
+++ b/Source/Core/Gateway/ForwardTypes.h
@@ -35,7 +35,7 @@
     std::string host;
     std::optional<Digest> keyDigest;
     /// How long the caller waits, from the arrival of the request.
-    std::optional<std::chrono::milliseconds> timeLimit;
+    std::optional<std::chrono::milliseconds> timeout;
     std::string model;
     std::optional<TokenCount> tokens;
     /// Parts of the prompt from its start; the last one belongs to the request or its session alone.
@@ -48,7 +48,7 @@
 struct AttemptTerms {
     UpstreamId runner;
     std::optional<OrganisationId> organisation;
-    std::chrono::milliseconds timeLimit { 0 };
+    std::chrono::milliseconds timeout { 0 };
     /// Rank from 0, the most urgent, to 9.
     unsigned urgency = 5;
     /// Separates the cache entries of isolated organisations and of different weights; empty for services without a
--- a/Source/Core/Gateway/GatewayFrontEnd.cpp
+++ b/Source/Core/Gateway/GatewayFrontEnd.cpp
@@ -6,10 +6,10 @@
 
 namespace {
 
-    // The answer at the time limit is on its way before the caller gives up.
-    constexpr std::chrono::milliseconds timeLimitMargin { 15 };
+    // The answer at the deadline is on its way before the caller gives up.
+    constexpr std::chrono::milliseconds timeoutMargin { 15 };
 
-    /// Writes an answer to the caller and stops the request when the caller leaves or the time limit passes.
+    /// Writes an answer to the caller and stops the request when the caller leaves or the deadline passes.
     class ExchangeSink final : public ReplySink {
     public:
         ExchangeSink(HttpExchange& exchange, const asio::any_io_executor& executor)
@@ -19,13 +19,13 @@
             m_exchange.onPeerGone([this] { stop({ ErrorCode::Cancelled, "the caller closed the connection" }); });
         }
 
-        void startTimer(std::chrono::nanoseconds timeLimit)
+        void startTimer(std::chrono::nanoseconds timeout)
         {
-            m_timer.expires_after(std::chrono::duration_cast<asio::steady_timer::duration>(timeLimit));
+            m_timer.expires_after(std::chrono::duration_cast<asio::steady_timer::duration>(timeout));
             // The handler may run after the sink is gone; the flag outlives it.
             m_timer.async_wait([this, alive = std::weak_ptr<bool>(m_alive)](const boost::system::error_code& ec) {
                 if (!ec && alive.lock()) {
-                    stop({ ErrorCode::DeadlineExceeded, "the time limit passed" });
+                    stop({ ErrorCode::DeadlineExceeded, "the deadline passed" });
                 }
             });
         }
@@ -108,8 +108,8 @@
         co_return;
     }
     ExchangeSink sink(exchange, co_await asio::this_coro::executor);
-    const auto timeLimit = m_dispatcher.timeLimitOf(*request);
-    sink.startTimer(timeLimit > 2 * timeLimitMargin ? timeLimit - timeLimitMargin : timeLimit);
+    const auto timeout = m_dispatcher.timeoutOf(*request);
+    sink.startTimer(timeout > 2 * timeoutMargin ? timeout - timeoutMargin : timeout);
     ++m_running;
     const auto result = co_await m_dispatcher.forward(*request, receivedAt, sink);
     --m_running;
--- a/Source/Core/Gateway/GatewaySync.h
+++ b/Source/Core/Gateway/GatewaySync.h
@@ -27,7 +27,7 @@
     MetricCommands& metrics;
 };
 
-/// Time limits of the synchronisation.
+/// Timeouts of the synchronisation.
 struct GatewaySyncOptions {
     /// Longest time that a watch waits for a change.
     std::chrono::milliseconds watchWait { 2200 };
--- a/Source/Core/Gateway/OrderLease.h
+++ b/Source/Core/Gateway/OrderLease.h
@@ -12,7 +12,7 @@
 
 namespace Pollenwind {
 
-/// Time limits of the order lease.
+/// Timeouts of the order lease.
 struct OrderLeaseOptions {
     /// Time to live of the lease. A new holder waits for it to end.
     std::chrono::seconds timeToLive { 2 };
--- a/Source/Core/Gateway/RequestLog.h
+++ b/Source/Core/Gateway/RequestLog.h
@@ -12,7 +12,6 @@
 
 /// Decision about a request.
 enum class RequestEvent {
-    Admitted,
     Placed,
     Repeated,
     Resumed,
@@ -24,7 +23,6 @@
 
 template <> struct EnumTable<RequestEvent> {
     static constexpr std::array rows {
-        EnumName { RequestEvent::Admitted, "admitted" },
         EnumName { RequestEvent::Placed, "placed" },
         EnumName { RequestEvent::Repeated, "repeated" },
         EnumName { RequestEvent::Resumed, "resumed" },
--- a/Source/Core/Gateway/RunnerTable.h
+++ b/Source/Core/Gateway/RunnerTable.h
@@ -11,7 +11,7 @@
 
 namespace Pollenwind {
 
-/// Time limits of the runner table.
+/// Timeouts of the runner table.
 struct RunnerTableOptions {
     /// After newer weights were named, longest time in which requests may still begin on older ones.
     std::chrono::milliseconds oldWeightsLimit { 6500 };
--- a/Source/UnitTests/Gateway/ForwardDispatcherTests.cpp
+++ b/Source/UnitTests/Gateway/ForwardDispatcherTests.cpp
@@ -27,7 +27,7 @@
     cr_assert_eq(fixture.sink.body, "body");
     const auto& terms = fixture.scripted.arrivals.front().terms;
     cr_assert(terms.organisation == OrganisationId("org"));
-    cr_assert_eq(terms.timeLimit.count(), 5000);
+    cr_assert_eq(terms.timeout.count(), 5000);
     cr_assert_eq(fixture.scripted.finished, 1);
 }
 
@@ -55,7 +55,7 @@
 }
 
 // Guards against a refusal that says "not run" after a runner may have run the request: fresh-50e4 of the kutpenz site
-// answered 503 to a booking that was stopped at its time limit while a runner worked on it.
+// answered 503 to a booking that was stopped at its deadline while a runner worked on it.
 Test(ForwardDispatcher, callsAStoppedRequestPossiblyRun)
 {
     GatewayFixture fixture;
--- a/Source/UnitTests/Gateway/GatewayFixture.h
+++ b/Source/UnitTests/Gateway/GatewayFixture.h
@@ -234,7 +234,7 @@
         request.message.method = "POST";
         request.message.path = path;
         request.keyDigest = sha256("key-of-org");
-        request.timeLimit = std::chrono::milliseconds(5000);
+        request.timeout = std::chrono::milliseconds(5000);
         return request;
     }
 
--- /dev/null
+++ b/Source/UnitTests/Gateway/OrderLeaseTests.cpp
@@ -0,0 +1,149 @@
+#include "Common/Sleep.h"
+#include "Gateway/GatewayFixture.h"
+#include "Gateway/GatewayKeys.h"
+#include "Gateway/OrderLease.h"
+
+using namespace Pollenwind;
+using namespace std::chrono_literals;
+
+namespace {
+
+/// Store of a few keys with one kind of failure.
+class KeyStore final : public StoreCommands {
+public:
+    Task<Outcome<SwapResult>> compareAndSwap(
+        std::string key, std::int64_t expected, std::string value, LeaseId) override
+    {
+        if (isDown) {
+            co_return fail(ErrorCode::StoreUnavailable, "down");
+        }
+        auto& entry = entries[key];
+        if (entry.modRevision != expected) {
+            co_return SwapResult { false, 0, entry };
+        }
+        entry = { key, std::move(value), ++revision, {} };
+        co_return SwapResult { true, revision, std::nullopt };
+    }
+    Task<Outcome<SwapResult>> compareAndErase(std::string, std::int64_t) override { co_return SwapResult(); }
+    Task<Outcome<LeaseId>> grantLease(std::chrono::seconds) override
+    {
+        co_return isDown ? Outcome<LeaseId>(fail(ErrorCode::StoreUnavailable, "down")) : LeaseId(1);
+    }
+    Task<Outcome<std::chrono::seconds>> keepAlive(LeaseId) override
+    {
+        ++renewals;
+        co_return isDown ? Outcome<std::chrono::seconds>(fail(ErrorCode::StoreUnavailable, "down")) : 2s;
+    }
+    Task<Outcome<void>> revoke(LeaseId) override { co_return Outcome<void> {}; }
+
+    std::map<std::string, StoreEntry> entries;
+    std::int64_t revision = 100;
+    unsigned renewals = 0;
+    bool isDown = false;
+};
+
+struct LeaseFixture {
+    template <typename Scenario> void run(Scenario scenario)
+    {
+        asio::co_spawn(context, lease.run(), asio::detached);
+        asio::co_spawn(
+            context,
+            [&]() -> Task<> {
+                co_await scenario();
+                context.stop();
+            },
+            [](const std::exception_ptr& error) { cr_assert(!error); });
+        context.run();
+    }
+
+    Task<> waitUntilHeld()
+    {
+        while (!lease.isHeld()) {
+            co_await sleepFor(5ms);
+        }
+    }
+
+    /// Moves the clock on and waits for a renewal at the new time.
+    Task<> advance(std::chrono::nanoseconds step)
+    {
+        clock.advance(step);
+        const auto seen = store.renewals;
+        while (store.renewals == seen) {
+            co_await sleepFor(5ms);
+        }
+    }
+
+    asio::io_context context;
+    ManualClock clock;
+    Timeline timeline { clock, "test" };
+    KeyStore store;
+    OrderLease lease { clock, store, timeline, VmId("own"), Incarnation(1),
+        { .renewInterval = 20ms, .handoverPause = 2800ms } };
+};
+
+} // namespace
+
+// Guards against orders of two VMs to one runner within the time that must lie between them.
+Test(OrderLease, waitsAfterAnotherVmThatMayHaveGivenOrders)
+{
+    LeaseFixture fixture;
+    fixture.run([&]() -> Task<> {
+        fixture.lease.noteState(R"({"vm":"other","active":true})", 50);
+        fixture.lease.noteHolderGone();
+        co_await fixture.waitUntilHeld();
+        cr_assert(!fixture.lease.mayOrder());
+        co_await fixture.advance(1500ms);
+        cr_assert(!fixture.lease.mayOrder());
+        cr_assert(fixture.lease.mayOrderWithin(1300ms));
+        co_await fixture.advance(1300ms);
+        cr_assert(fixture.lease.mayOrder());
+    });
+}
+
+// Guards against a pause that costs time when nobody can have given orders, and against a state record that is not
+// written before the first order.
+Test(OrderLease, ordersAtOnceAfterAnIdleHolder)
+{
+    LeaseFixture fixture;
+    fixture.run([&]() -> Task<> {
+        fixture.lease.noteState(R"({"vm":"other","active":false})", 0);
+        fixture.lease.noteHolderGone();
+        co_await fixture.waitUntilHeld();
+        cr_assert(fixture.lease.mayOrder());
+        cr_assert(co_await fixture.lease.beginOrders());
+        cr_assert(fixture.store.entries.at(std::string(orderStateKey)).value.find("own") != std::string::npos);
+        cr_assert(fixture.lease.fencingToken() > 100);
+    });
+}
+
+// Guards against a holder that was frozen or cut off and gives orders after its lease may have ended.
+Test(OrderLease, stopsBeforeTheLeaseCanEnd)
+{
+    LeaseFixture fixture;
+    fixture.run([&]() -> Task<> {
+        fixture.lease.noteHolderGone();
+        co_await fixture.waitUntilHeld();
+        cr_assert(fixture.lease.mayOrder());
+        fixture.store.isDown = true;
+        co_await fixture.advance(1500ms);
+        cr_assert(fixture.lease.isHeld());
+        co_await fixture.advance(150ms);
+        cr_assert(!fixture.lease.mayOrder());
+        cr_assert(!co_await fixture.lease.beginOrders());
+        co_await fixture.advance(400ms);
+        cr_assert(!fixture.lease.isHeld());
+    });
+}
+
+// Guards against two holders after a write whose answer came late.
+Test(OrderLease, yieldsToAnotherHolderInTheStore)
+{
+    LeaseFixture fixture;
+    fixture.run([&]() -> Task<> {
+        fixture.lease.noteHolderGone();
+        co_await fixture.waitUntilHeld();
+        fixture.lease.noteHolder("other/2", fixture.lease.fencingToken() + 1);
+        cr_assert(!fixture.lease.mayOrder());
+        co_return;
+    });
+}
--- a/Source/UnitTests/PlatformAdapter/CodecTests.cpp
+++ b/Source/UnitTests/PlatformAdapter/CodecTests.cpp
@@ -44,13 +44,13 @@
     cr_assert(request.has_value());
     cr_assert_eq(request->host, "jepu9.example");
     cr_assert(request->keyDigest == sha256("secret"));
-    cr_assert(request->timeLimit == 6000ms);
+    cr_assert(request->timeout == 6000ms);
     cr_assert(request->tokens->prompt == 1460 && request->tokens->largestOutput == 80);
     cr_assert(request->parts.size() == 2 && request->parts[0].id == 0x5c1e07a2 && request->parts[1].tokens == 410);
     AttemptTerms terms;
     terms.runner = UpstreamId("i-1");
     terms.organisation = OrganisationId("sese880");
-    terms.timeLimit = 5900ms;
+    terms.timeout = 5900ms;
     const auto message = codec.encodeAttempt(*request, terms);
     cr_assert_eq(message.target(), "/lepu270/2f?a=1");
     cr_assert_eq(message.body, "body");
@@ -154,7 +154,7 @@
     }
 }
 
-// Guards against a desired state of which a part is lost.
+// Guards against a configuration of which a part is lost.
 Test(PlatformRecords, readsTheConfiguration)
 {
     const auto configuration = decode<RoutingConfiguration>("op/config",
