--- a/Source/Core/Gateway/Gateway.cpp
+++ b/Source/Core/Gateway/Gateway.cpp
@@ -30,6 +30,8 @@
     constexpr std::chrono::seconds housekeepingInterval { 1 };
     constexpr std::chrono::milliseconds drainCheck { 50 };
 
+    constexpr double mostIdleConnections = 32;
+
     // The balancer asks once a second and takes a VM out after two misses.
     constexpr std::chrono::milliseconds balancerLag { 2600 };
 
@@ -51,6 +53,20 @@
         return std::max(limit - margin, limit / 2);
     }
 
+    /// Idle connections that one VM keeps to a runner: its part of half of the connections that the runner accepts.
+    /// Beyond them runners reset a connection with the request on it.
+    std::size_t idleLimit(const RoutingConfiguration& configuration, std::size_t fleetSize)
+    {
+        constexpr double idleShare = 0.5;
+        double fewest = mostIdleConnections;
+        for (const auto& [id, service] : configuration.services) {
+            if (service.maxConnections > 0) {
+                fewest = std::min(fewest, service.maxConnections * idleShare / static_cast<double>(fleetSize));
+            }
+        }
+        return static_cast<std::size_t>(std::max(1.0, fewest));
+    }
+
     HttpServerLimits toServerLimits(const CallerLimits& limits)
     {
         HttpServerLimits server;
@@ -185,6 +201,7 @@
             appliedVersion = configuration->version;
             callerServer.setLimits(toServerLimits(configuration->limits));
         }
+        client.setIdleLimit(idleLimit(*configuration, fleet.size()));
         policy.setZonesApart(fleet.isLarge());
         const double seconds = std::chrono::duration<double>(settings.retries.window).count();
         const double perVm = settings.retries.perWindow * retryShare / static_cast<double>(fleet.size());
--- a/Source/Core/Gateway/HttpRunnerClient.h
+++ b/Source/Core/Gateway/HttpRunnerClient.h
@@ -17,6 +17,9 @@
     std::unique_ptr<RunnerExchange> open(
         const Endpoint& endpoint, const ForwardRequest& request, const AttemptTerms& terms, bool mayReuse) override;
 
+    /// Sets how many idle connections to one runner are kept.
+    void setIdleLimit(std::size_t limit) { m_pool.setIdleLimit(limit); }
+
     /// Closes connections that were idle for too long.
     void closeExpired() { m_pool.closeExpired(); }
 
--- a/Source/Core/Transport/ConnectionPool.cpp
+++ b/Source/Core/Transport/ConnectionPool.cpp
@@ -6,8 +6,6 @@
 
 namespace {
 
-    constexpr std::size_t maxIdlePerEndpoint = 32;
-
     // Middleboxes forget quiet connections without a word; a short idle time makes a dead one unlikely to be reused.
     constexpr std::chrono::seconds maxIdleTime { 10 };
 
@@ -37,7 +35,7 @@
 void ConnectionPool::release(const Endpoint& endpoint, std::unique_ptr<HttpConnection> connection)
 {
     auto& idle = m_idle[endpoint];
-    if (!connection->isReusable() || idle.size() >= maxIdlePerEndpoint) {
+    if (!connection->isReusable() || idle.size() >= m_idleLimit) {
         return;
     }
     std::chrono::milliseconds limit = maxIdleTime;
--- a/Source/Core/Transport/ConnectionPool.h
+++ b/Source/Core/Transport/ConnectionPool.h
@@ -19,6 +19,9 @@
     /// Keeps a connection for later use, or closes it when it cannot carry another request.
     void release(const Endpoint& endpoint, std::unique_ptr<HttpConnection> connection);
 
+    /// Sets how many idle connections to one endpoint are kept.
+    void setIdleLimit(std::size_t limit) { m_idleLimit = limit; }
+
     /// Closes the idle connections to an endpoint.
     void drop(const Endpoint& endpoint);
 
@@ -31,6 +34,9 @@
         std::chrono::steady_clock::time_point until;
     };
 
+    static constexpr std::size_t defaultIdleLimit = 32;
+
+    std::size_t m_idleLimit = defaultIdleLimit;
     std::map<Endpoint, std::vector<Idle>> m_idle;
 };
 
--- a/Source/UnitTests/PlatformAdapter/GatewayTests.cpp
+++ b/Source/UnitTests/PlatformAdapter/GatewayTests.cpp
@@ -55,7 +55,7 @@
             + R"(,"routes":[{"name":"s","host":"h","prefix":"/safe/","kind":"safe","service":"app","max_attempts":2,
             "timeout_ms":3000,"goal_ms":500},{"name":"u","host":"h","prefix":"/unsafe/","kind":"unsafe","service":"app",
             "timeout_ms":3000},{"name":"r","host":"h","prefix":"/stream/","kind":"streaming","service":"app",
-            "allow_resume":true,"max_attempts":2,"timeout_ms":3000,"goal_ms":500}],"services":[{"name":"app"}],
+            "allow_resume":true,"max_attempts":2,"timeout_ms":3000,"goal_ms":500}],"services":[{"name":"app","max_conns":4}],
             "tenants":[{"name":"org","api_keys":[)"
             + keys + R"(],"rate_per_s":1000000,"burst":1000000}]})";
     }
@@ -218,6 +218,27 @@
     });
 }
 
+// Guards against idle connections that use up what a runner accepts: on scale-1 of the kutpenz site runners reset 72
+// bookings that arrived on further connections.
+Test(PlatformGateway, keepsFewIdleConnections)
+{
+    PlatformFixture fixture;
+    fixture.run([&](Gateway&) -> Task<> {
+        co_await sleepFor(1200ms);
+        fixture.first.delay = fixture.second.delay = 100ms;
+        unsigned answers = 0;
+        for (int n = 0; n < 12; ++n) {
+            asio::co_spawn(
+                fixture.context,
+                [&]() -> Task<> { answers += (co_await fixture.call("/unsafe/x")).status == 200 ? 1 : 0; },
+                asio::detached);
+        }
+        co_await fixture.waitUntil([&]() -> Task<bool> { co_return answers == 12; });
+        co_await fixture.waitUntil(
+            [&]() -> Task<bool> { co_return fixture.first.connections() <= 2 && fixture.second.connections() <= 2; });
+    });
+}
+
 // Guards against a shutdown that cuts a request or never ends.
 Test(PlatformGateway, finishesRunningRequestsBeforeItStops)
 {
--- a/Source/UnitTests/PlatformAdapter/PlatformStandIns.h
+++ b/Source/UnitTests/PlatformAdapter/PlatformStandIns.h
@@ -79,6 +79,7 @@
     HttpAnswer refusal(int status, std::string_view) const override { return { status, "", "", {} }; }
 
     Outcome<Endpoint> listen();
+    std::size_t connections() const { return m_server.connectionCount(); }
     /// Text of the runner's entry in the store.
     std::string entry(const std::string& service) const;
 
