Keep QUOTA in large fleets: smaller buckets where reports take longer

Ruled out: a part of the fleet that was cut off (reachable share was 1). The idle connection test now checks before the idle timeout and failed with the limit taken out; it says the status of a call that fails.

--- a/Source/Core/Gateway/FleetQuota.cpp
+++ b/Source/Core/Gateway/FleetQuota.cpp
@@ -35,7 +35,7 @@
     auto [it, isNew] = m_buckets.try_emplace(hash);
     auto& bucket = it->second;
     const double rate = organisation.rate * m_share;
-    const double burst = std::max(organisation.burst, organisation.rate / 4) * m_share;
+    const double burst = std::max(organisation.burst * m_burstShare, organisation.rate / 4) * m_share;
     if (isNew) {
         bucket = { burst * firstLevelShare, rate, burst, now };
         return bucket;
--- a/Source/Core/Gateway/FleetQuota.h
+++ b/Source/Core/Gateway/FleetQuota.h
@@ -15,6 +15,10 @@
 /// a window of seconds at the rate.
 class FleetQuota final : public QuotaCommands {
 public:
+    /// Part of each burst that the buckets of a large fleet hold. An organisation at 7.5 times its usual use takes
+    /// about half a second of it before all zones know.
+    static constexpr double largeFleetBurstShare = 0.35;
+
     explicit FleetQuota(const Clock& clock)
         : m_clock(clock)
     {
@@ -24,6 +28,10 @@
     void noteRemoteUsage(const VmId& vm, Incarnation boot, const UsageTotals& totals) override;
     void setReachableShare(double share) override { m_share = share; }
 
+    /// Sets the part of each burst that the buckets hold. In a large fleet reports take longer, and what all VMs take
+    /// before they hear of each other comes on top of the burst.
+    void setBurstShare(double share) { m_burstShare = share; }
+
     /// Tokens taken here since the start.
     const UsageTotals& ownTotals() const { return m_ownTotals; }
     /// Tokens taken by some VMs since each was first heard of here.
@@ -49,6 +57,7 @@
 
     const Clock& m_clock;
     double m_share = 1;
+    double m_burstShare = 1;
     std::map<std::uint64_t, Bucket> m_buckets;
     std::map<VmId, Remote> m_remotes;
     UsageTotals m_ownTotals;
--- a/Source/Core/Gateway/FleetReporter.cpp
+++ b/Source/Core/Gateway/FleetReporter.cpp
@@ -62,6 +62,7 @@
             m_context.runnerCommands.forgetRemoteLoad(vm);
             logStateChange("vm-silent", { { "vm", vm.value() } });
         }
+        m_context.quota.setBurstShare(m_context.fleet.isLarge() ? FleetQuota::largeFleetBurstShare : 1);
         m_context.quota.setReachableShare(m_context.fleet.reachableShare());
         FleetReport report { m_vm, m_boot, 0, m_context.quota.ownTotals(), m_context.runners.ownLoads(),
             m_context.weights.loading(), m_context.directory.takeNews(), m_context.runners.namedAges() };
--- a/Source/UnitTests/Gateway/FleetTests.cpp
+++ b/Source/UnitTests/Gateway/FleetTests.cpp
@@ -16,6 +16,60 @@
     return taken;
 }
 
+/// Most tokens that an organisation takes in 8 s at the VMs of a large fleet whose reports take a second: a report in
+/// the zone, the relay's report, and a busy VM.
+/// @param demand Tokens asked for, in multiples of the rate.
+double mostTakenIn8Seconds(double rate, double demand)
+{
+    constexpr std::size_t vms = 24;
+    constexpr auto tick = 50ms;
+    constexpr std::size_t lagTicks = 20;
+    constexpr std::size_t windowTicks = 160;
+    ManualClock clock;
+    const auto organisation = makeOrganisation("org", rate);
+    std::vector<std::unique_ptr<FleetQuota>> fleet;
+    for (std::size_t n = 0; n < vms; ++n) {
+        auto& quota = *fleet.emplace_back(std::make_unique<FleetQuota>(clock));
+        quota.setBurstShare(FleetQuota::largeFleetBurstShare);
+        cr_assert(quota.take(organisation, 1).has_value());
+        for (std::size_t other = 0; other < vms; ++other) {
+            quota.noteRemoteUsage(VmId(std::to_string(other)), Incarnation(1), {});
+        }
+    }
+    clock.advance(5s);
+    std::deque<std::vector<UsageTotals>> reports;
+    std::deque<double> window;
+    double sum = 0;
+    double most = 0;
+    for (int n = 0; n < 400; ++n) {
+        const double tokens = demand * rate * 0.05 / vms;
+        double taken = 0;
+        auto& totals = reports.emplace_back();
+        for (auto& quota : fleet) {
+            taken += quota->take(organisation, tokens) ? tokens : 0;
+            totals.push_back(quota->ownTotals());
+        }
+        sum += window.emplace_back(taken);
+        most = std::max(most, sum);
+        if (window.size() == windowTicks) {
+            sum -= window.front();
+            window.pop_front();
+        }
+        if (reports.size() > lagTicks) {
+            for (std::size_t pair = 0; pair < vms * vms; ++pair) {
+                const auto from = pair / vms;
+                const auto to = pair % vms;
+                if (from != to) {
+                    fleet[to]->noteRemoteUsage(VmId(std::to_string(from)), Incarnation(1), reports.front()[from]);
+                }
+            }
+            reports.pop_front();
+        }
+        clock.advance(tick);
+    }
+    return most;
+}
+
 } // namespace
 
 // Guards against a window over rate x time + burst on one VM.
@@ -79,6 +133,19 @@
     cr_assert(!quota.take(organisation, 10), "a restarted VM's totals count from zero");
 }
 
+// Guards against a window over the allowed use while reports cross a large fleet: with whole bursts an organisation at
+// 4.2 times its rate (7.5 times its usual use) took 3.13 M of 2.98 M tokens in 8 s (deploy/days/answers.toml --vary
+// --seed 1074147408142).
+Test(FleetQuota, boundsTheUseOfALargeFleetWithLateReports)
+{
+    constexpr double rate = 290'000;
+    constexpr double allowed = (8 * rate + rate) * 1.1 + 110'000;
+    for (const double demand : { 2.0, 3.0, 4.2 }) {
+        const double most = mostTakenIn8Seconds(rate, demand);
+        cr_assert(most <= allowed, "%.0f of %.0f at %.1f times the rate", most, allowed, demand);
+    }
+}
+
 // Guards against a refusal that gives no time or a wrong one.
 Test(FleetQuota, tellsWhenToComeBack)
 {
--- a/Source/UnitTests/PlatformAdapter/GatewayTests.cpp
+++ b/Source/UnitTests/PlatformAdapter/GatewayTests.cpp
@@ -230,12 +230,17 @@
         for (int n = 0; n < 12; ++n) {
             asio::co_spawn(
                 fixture.context,
-                [&]() -> Task<> { answers += (co_await fixture.call("/unsafe/x")).status == 200 ? 1 : 0; },
+                [&]() -> Task<> {
+                    const auto answer = co_await fixture.call("/unsafe/x");
+                    cr_assert_eq(answer.status, 200, "status %d: %s", answer.status, answer.body.c_str());
+                    ++answers;
+                },
                 asio::detached);
         }
         co_await fixture.waitUntil([&]() -> Task<bool> { co_return answers == 12; });
-        co_await fixture.waitUntil(
-            [&]() -> Task<bool> { co_return fixture.first.connections() <= 2 && fixture.second.connections() <= 2; });
+        // Well before the idle timeout of 10 s closes them.
+        co_await sleepFor(500ms);
+        cr_assert(fixture.first.connections() <= 2 && fixture.second.connections() <= 2);
     });
 }
 
