--- a/Source/Core/Router/ShareKeeper.cpp
+++ b/Source/Core/Router/ShareKeeper.cpp
@@ -14,7 +14,7 @@
     /// At 380 VMs a read of the record and of the list every 10 s costs 76 calls a second.
     constexpr std::chrono::milliseconds steadyInterval { 10'000 };
     /// Used while the record changes. A router has a budget of 1.5 store calls a second in all.
-    constexpr std::chrono::milliseconds changingInterval { 6000 };
+    constexpr std::chrono::milliseconds changingInterval { 9000 };
     /// Used while this VM has no slot or has a release to write.
     constexpr std::chrono::milliseconds seekingInterval { 1000 };
     /// Time between looks for the first service document; they call nobody.
