Hash a request's prefixes once and do not copy the candidates of each attempt

The policy hashed the prefixes of the chosen weights again although it had gathered them, and each attempt copied all candidates for a case that is rare. Behaviour is the same.

--- a/Source/Core/Gateway/AffinityPolicy.cpp
+++ b/Source/Core/Gateway/AffinityPolicy.cpp
@@ -172,7 +172,7 @@
     if (best->source && best->copiedTokens > best->heldTokens) {
         choice.cacheSource = best->source->endpoint;
     }
-    chooseStore(sharedPrefixes(request, cacheSalt, choice.weights), newestWeights, stores, *best, choice);
+    chooseStore(knowledge.at(choice.weights).prefixes, newestWeights, stores, *best, choice);
     return choice;
 }
 
--- a/Source/Core/Gateway/ForwardDispatcher.cpp
+++ b/Source/Core/Gateway/ForwardDispatcher.cpp
@@ -153,11 +153,10 @@
 Outcome<RunnerChoice> ForwardDispatcher::chooseRunner(const ForwardRequest& request, const Delivery& delivery) const
 {
     auto candidates = m_context.runners.candidates(delivery.service, request.model);
-    const auto all = candidates;
     std::erase_if(candidates, [&](const RunnerCandidate& it) { return delivery.tried.contains(it.id); });
     // A runner that refused may take the request now; one that may have run it is not asked again.
     if (candidates.empty() && delivery.runs == 0) {
-        candidates = all;
+        candidates = m_context.runners.candidates(delivery.service, request.model);
     }
     const auto& newest = m_context.runners.newestWeights();
     const auto it = newest.find(request.model);
