Tell the other VMs of loaded weights before the runners' entries do

Cause: a VM ended the announcement of a load as soon as the runner reported the new weights, but the other VMs knew the old ones until the runner's next heartbeat and their next read of the store, up to two seconds later. Each of their requests to the runner expected the old weights and was refused.

Ruled out: keeping the announcement until the entry tells (a fifth of the runners would idle for two seconds), requests without expected weights (STALE: parts made with new weights would be stored under the old salt).

--- a/Source/Core/Gateway/Commands/RunnerCommands.h
+++ b/Source/Core/Gateway/Commands/RunnerCommands.h
@@ -4,6 +4,7 @@
 
 #include <optional>
 #include <set>
+#include <span>
 #include <vector>
 
 namespace Pollenwind {
@@ -29,6 +30,9 @@
     /// Takes the time at which another VM saw weights named, where this VM does not know it.
     virtual void noteWeightsAge(std::uint64_t modelHash, WeightsVersion version, std::chrono::nanoseconds age) = 0;
 
+    /// Takes weights that runners have loaded, before their entries tell it.
+    virtual void noteLoadedWeights(std::span<const LoadedWeights> loaded) = 0;
+
     /// Notes that a request was sent.
     /// @param tokens Prompt tokens to compute.
     virtual void noteSent(const UpstreamId& runner, double tokens) = 0;
--- a/Source/Core/Gateway/FleetMessages_generated.h
+++ b/Source/Core/Gateway/FleetMessages_generated.h
@@ -24,6 +24,8 @@
 
 struct NamedAge;
 
+struct LoadedWeights;
+
 struct FleetReport;
 struct FleetReportBuilder;
 
@@ -131,6 +133,35 @@
 };
 FLATBUFFERS_STRUCT_END(NamedAge, 24);
 
+FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(8) LoadedWeights FLATBUFFERS_FINAL_CLASS {
+ private:
+  uint64_t runner_;
+  uint64_t model_;
+  int64_t version_;
+
+ public:
+  LoadedWeights()
+      : runner_(0),
+        model_(0),
+        version_(0) {
+  }
+  LoadedWeights(uint64_t _runner, uint64_t _model, int64_t _version)
+      : runner_(flatbuffers::EndianScalar(_runner)),
+        model_(flatbuffers::EndianScalar(_model)),
+        version_(flatbuffers::EndianScalar(_version)) {
+  }
+  uint64_t runner() const {
+    return flatbuffers::EndianScalar(runner_);
+  }
+  uint64_t model() const {
+    return flatbuffers::EndianScalar(model_);
+  }
+  int64_t version() const {
+    return flatbuffers::EndianScalar(version_);
+  }
+};
+FLATBUFFERS_STRUCT_END(LoadedWeights, 24);
+
 struct FleetReport FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef FleetReportBuilder Builder;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
@@ -142,7 +173,8 @@
     VT_LOADING = 14,
     VT_HELD = 16,
     VT_NAMED = 18,
-    VT_MEMBERS = 20
+    VT_MEMBERS = 20,
+    VT_LOADED = 22
   };
   const flatbuffers::String *vm() const {
     return GetPointer<const flatbuffers::String *>(VT_VM);
@@ -171,6 +203,9 @@
   uint32_t members() const {
     return GetField<uint32_t>(VT_MEMBERS, 0);
   }
+  const flatbuffers::Vector<const Pollenwind::wire::LoadedWeights *> *loaded() const {
+    return GetPointer<const flatbuffers::Vector<const Pollenwind::wire::LoadedWeights *> *>(VT_LOADED);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_VM) &&
@@ -188,6 +223,8 @@
            VerifyOffset(verifier, VT_NAMED) &&
            verifier.VerifyVector(named()) &&
            VerifyField<uint32_t>(verifier, VT_MEMBERS, 4) &&
+           VerifyOffset(verifier, VT_LOADED) &&
+           verifier.VerifyVector(loaded()) &&
            verifier.EndTable();
   }
 };
@@ -223,6 +260,9 @@
   void add_members(uint32_t members) {
     fbb_.AddElement<uint32_t>(FleetReport::VT_MEMBERS, members, 0);
   }
+  void add_loaded(flatbuffers::Offset<flatbuffers::Vector<const Pollenwind::wire::LoadedWeights *>> loaded) {
+    fbb_.AddOffset(FleetReport::VT_LOADED, loaded);
+  }
   explicit FleetReportBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -244,10 +284,12 @@
     flatbuffers::Offset<flatbuffers::Vector<uint64_t>> loading = 0,
     flatbuffers::Offset<flatbuffers::Vector<const Pollenwind::wire::HeldPrefix *>> held = 0,
     flatbuffers::Offset<flatbuffers::Vector<const Pollenwind::wire::NamedAge *>> named = 0,
-    uint32_t members = 0) {
+    uint32_t members = 0,
+    flatbuffers::Offset<flatbuffers::Vector<const Pollenwind::wire::LoadedWeights *>> loaded = 0) {
   FleetReportBuilder builder_(_fbb);
   builder_.add_sequence(sequence);
   builder_.add_boot(boot);
+  builder_.add_loaded(loaded);
   builder_.add_members(members);
   builder_.add_named(named);
   builder_.add_held(held);
@@ -268,13 +310,15 @@
     const std::vector<uint64_t> *loading = nullptr,
     const std::vector<Pollenwind::wire::HeldPrefix> *held = nullptr,
     const std::vector<Pollenwind::wire::NamedAge> *named = nullptr,
-    uint32_t members = 0) {
+    uint32_t members = 0,
+    const std::vector<Pollenwind::wire::LoadedWeights> *loaded = nullptr) {
   auto vm__ = vm ? _fbb.CreateString(vm) : 0;
   auto usage__ = usage ? _fbb.CreateVectorOfStructs<Pollenwind::wire::OrganisationUsage>(*usage) : 0;
   auto work__ = work ? _fbb.CreateVectorOfStructs<Pollenwind::wire::RunnerWork>(*work) : 0;
   auto loading__ = loading ? _fbb.CreateVector<uint64_t>(*loading) : 0;
   auto held__ = held ? _fbb.CreateVectorOfStructs<Pollenwind::wire::HeldPrefix>(*held) : 0;
   auto named__ = named ? _fbb.CreateVectorOfStructs<Pollenwind::wire::NamedAge>(*named) : 0;
+  auto loaded__ = loaded ? _fbb.CreateVectorOfStructs<Pollenwind::wire::LoadedWeights>(*loaded) : 0;
   return Pollenwind::wire::CreateFleetReport(
       _fbb,
       vm__,
@@ -285,7 +329,8 @@
       loading__,
       held__,
       named__,
-      members);
+      members,
+      loaded__);
 }
 
 inline const Pollenwind::wire::FleetReport *GetFleetReport(const void *buf) {
--- a/Source/Core/Gateway/FleetReportCodec.cpp
+++ b/Source/Core/Gateway/FleetReportCodec.cpp
@@ -24,14 +24,19 @@
     for (const auto& it : report.named) {
         named.emplace_back(it.model, it.version, static_cast<std::uint64_t>(it.age.count()));
     }
+    std::vector<wire::LoadedWeights> loaded;
+    for (const auto& it : report.loaded) {
+        loaded.emplace_back(it.runner, it.model, it.version);
+    }
     const auto vm = builder.CreateString(report.vm.value());
     const auto usageOffset = builder.CreateVectorOfStructs(usage);
     const auto workOffset = builder.CreateVectorOfStructs(work);
     const auto loadingOffset = builder.CreateVector(loading);
     const auto heldOffset = builder.CreateVectorOfStructs(held);
     const auto namedOffset = builder.CreateVectorOfStructs(named);
+    const auto loadedOffset = builder.CreateVectorOfStructs(loaded);
     builder.Finish(wire::CreateFleetReport(builder, vm, report.boot.value(), report.sequence, usageOffset, workOffset,
-        loadingOffset, heldOffset, namedOffset, report.members));
+        loadingOffset, heldOffset, namedOffset, report.members, loadedOffset));
     return { reinterpret_cast<const char*>(builder.GetBufferPointer()), builder.GetSize() };
 }
 
@@ -74,6 +79,11 @@
             report.named.push_back({ it->model(), it->version(), std::chrono::milliseconds(it->age_ms()) });
         }
     }
+    if (message->loaded()) {
+        for (const auto* it : *message->loaded()) {
+            report.loaded.push_back({ it->runner(), it->model(), it->version() });
+        }
+    }
     return report;
 }
 
--- a/Source/Core/Gateway/FleetReportCodec.h
+++ b/Source/Core/Gateway/FleetReportCodec.h
@@ -28,6 +28,7 @@
     std::vector<NamedAge> named;
     /// VMs for which the report stands: 0 for the sender alone, else a relay's sum over its zone.
     unsigned members = 0;
+    std::vector<LoadedWeights> loaded;
 };
 
 namespace FleetReportCodec {
--- a/Source/Core/Gateway/FleetReporter.cpp
+++ b/Source/Core/Gateway/FleetReporter.cpp
@@ -65,9 +65,10 @@
         m_context.quota.setBurstShare(m_context.fleet.isLarge() ? FleetQuota::largeFleetBurstShare : 1);
         m_context.quota.setReachableShare(m_context.fleet.reachableShare());
         FleetReport report { m_vm, m_boot, 0, m_context.quota.ownTotals(), m_context.runners.ownLoads(),
-            m_context.weights.loading(), m_context.directory.takeNews(), m_context.runners.namedAges() };
+            m_context.weights.loading(), m_context.directory.takeNews(), m_context.runners.namedAges(), 0,
+            m_context.weights.loaded() };
         const bool isChanged = report.usage != last.usage || report.loading != last.loading || report.work != last.work
-            || !report.held.empty();
+            || !report.held.empty() || !report.loaded.empty();
         unchanged = isChanged ? 0 : unchanged + 1;
         if (!isChanged && unchanged % quietReports != 0) {
             continue;
@@ -79,11 +80,12 @@
             continue;
         }
         const auto otherZones = m_context.fleet.othersOfOtherZones();
-        if (!report.loading.empty() || isLoading) {
+        if (!report.loading.empty() || !report.loaded.empty() || isLoading) {
             // The other zones count the use of the rates from the relay's sum.
-            co_await sendTo(otherZones, { m_vm, m_boot, 0, {}, {}, report.loading, {}, report.named });
+            co_await sendTo(
+                otherZones, { m_vm, m_boot, 0, {}, {}, report.loading, {}, report.named, 0, report.loaded });
         }
-        isLoading = !report.loading.empty();
+        isLoading = !report.loading.empty() || !report.loaded.empty();
         auto named = report.named;
         co_await sendTo(m_context.fleet.othersOfOwnZone(), std::move(report));
         if (m_context.fleet.isRelay()) {
@@ -145,6 +147,7 @@
     for (const auto& it : report->named) {
         m_context.runnerCommands.noteWeightsAge(it.model, it.version, it.age);
     }
+    m_context.runnerCommands.noteLoadedWeights(report->loaded);
     m_context.runnerCommands.setLoadingRunners(report->vm, std::move(report->loading));
 }
 
--- a/Source/Core/Gateway/RunnerTable.cpp
+++ b/Source/Core/Gateway/RunnerTable.cpp
@@ -61,6 +61,14 @@
         // A runner that announced its leaving does not come back in the same life.
         entry.state = RunnerState::Draining;
     }
+    if (runner.entry.boot == entry.boot) {
+        // An entry may have been written before a load of which another VM has told already.
+        for (const auto& [model, version] : runner.entry.weights) {
+            if (const auto known = entry.weights.find(model); known != entry.weights.end()) {
+                known->second = std::max(known->second, version);
+            }
+        }
+    }
     if (runner.entry.weights != entry.weights) {
         runner.avoidUntil = {};
     }
@@ -126,6 +134,23 @@
     }
 }
 
+void RunnerTable::noteLoadedWeights(std::span<const LoadedWeights> loaded)
+{
+    for (const auto& it : loaded) {
+        const auto runner
+            = std::ranges::find_if(m_runners, [&it](const auto& known) { return known.second.hash == it.runner; });
+        if (runner == m_runners.end()) {
+            continue;
+        }
+        for (auto& [model, version] : runner->second.entry.weights) {
+            if (modelHash(model) == it.model && version < it.version) {
+                version = it.version;
+                runner->second.avoidUntil = {};
+            }
+        }
+    }
+}
+
 std::vector<NamedAge> RunnerTable::namedAges() const
 {
     std::vector<NamedAge> ages;
--- a/Source/Core/Gateway/RunnerTable.h
+++ b/Source/Core/Gateway/RunnerTable.h
@@ -28,6 +28,7 @@
     void noteNewestWeights(const std::string& model, WeightsVersion version, MonotonicTime namedAfter) override;
     void noteWeightsAge(std::uint64_t modelHash, WeightsVersion version, std::chrono::nanoseconds age) override;
     void noteRefusal(const UpstreamId& runner, std::chrono::nanoseconds avoidTime) override;
+    void noteLoadedWeights(std::span<const LoadedWeights> loaded) override;
     void noteSent(const UpstreamId& runner, double tokens) override;
     void noteFirstOutput(const UpstreamId& runner, double tokens) override;
     void noteEnded(const UpstreamId& runner, double waitingTokens, RunnerResult result) override;
--- a/Source/Core/Gateway/RunnerTypes.h
+++ b/Source/Core/Gateway/RunnerTypes.h
@@ -83,6 +83,17 @@
     std::chrono::milliseconds age { 0 };
 };
 
+/// Weights that a runner has just loaded; its entry tells them a heartbeat later.
+struct LoadedWeights {
+    /// Hash of the runner's id.
+    std::uint64_t runner = 0;
+    /// Hash of the model's name.
+    std::uint64_t model = 0;
+    WeightsVersion version = 0;
+
+    bool operator==(const LoadedWeights&) const = default;
+};
+
 /// A runner that may take a request now.
 struct RunnerCandidate {
     UpstreamId id;
--- a/Source/Core/Gateway/WeightsDriver.cpp
+++ b/Source/Core/Gateway/WeightsDriver.cpp
@@ -15,6 +15,9 @@
     constexpr std::chrono::milliseconds checkInterval { 200 };
     constexpr std::chrono::milliseconds drainCheck { 60 };
 
+    // Two reports tell of a load, so that one lost datagram does not keep the runner out of use.
+    constexpr std::chrono::milliseconds loadedNewsTime { 600 };
+
     WeightsVersion weightsOf(const RunnerEntry& runner, const std::string& model)
     {
         const auto it = runner.weights.find(model);
@@ -149,6 +152,25 @@
     co_return accepted || accepted.error().runState == RunState::Unknown;
 }
 
+void WeightsDriver::noteLoaded(const Pending& pending, WeightsVersion version)
+{
+    const LoadedWeights weights { runnerHash(pending.runner.id), modelHash(pending.model), version };
+    m_runnerCommands.noteLoadedWeights({ &weights, 1 });
+    std::erase_if(m_loaded, [now = m_clock.now()](const Loaded& it) { return now - it.at > loadedNewsTime; });
+    m_loaded.push_back({ weights, m_clock.now() });
+}
+
+std::vector<LoadedWeights> WeightsDriver::loaded() const
+{
+    std::vector<LoadedWeights> list;
+    for (const auto& it : m_loaded) {
+        if (m_clock.now() - it.at <= loadedNewsTime) {
+            list.push_back(it.weights);
+        }
+    }
+    return list;
+}
+
 Task<> WeightsDriver::waitUntilLoaded(const Pending& pending)
 {
     const auto limit = m_clock.now() + m_options.loadTimeout;
@@ -166,9 +188,7 @@
         }
         const auto current = report->weights.find(pending.model);
         if (current != report->weights.end() && current->second >= pending.version) {
-            // The list tells the same a heartbeat later.
-            entry->weights[pending.model] = current->second;
-            m_runnerCommands.noteEntry(std::move(*entry));
+            noteLoaded(pending, current->second);
             co_return;
         }
         // The order was lost when the runner stays idle; reports lag by some hundred milliseconds.
--- a/Source/Core/Gateway/WeightsDriver.h
+++ b/Source/Core/Gateway/WeightsDriver.h
@@ -42,6 +42,8 @@
 
     /// Runners that load or are about to, by hash of id.
     const std::set<std::uint64_t>& loading() const { return m_loading; }
+    /// Weights that runners have loaded lately. The entries of the runners tell the same up to a heartbeat later.
+    std::vector<LoadedWeights> loaded() const;
 
 private:
     struct Pending {
@@ -51,6 +53,11 @@
         WeightsVersion version = 0;
     };
 
+    struct Loaded {
+        LoadedWeights weights;
+        MonotonicTime at { 0 };
+    };
+
     /// Loads that are due, the oldest weights first.
     std::vector<Pending> pendingLoads(std::size_t& runnerCount) const;
     Task<> load(Pending pending);
@@ -58,6 +65,7 @@
     Task<bool> order(const Pending& pending);
     void publishLoading();
     Task<> waitUntilLoaded(const Pending& pending);
+    void noteLoaded(const Pending& pending, WeightsVersion version);
 
     asio::any_io_executor m_executor;
     const Clock& m_clock;
@@ -69,6 +77,7 @@
     VmId m_vm;
     WeightsDriverOptions m_options;
     std::set<std::uint64_t> m_loading;
+    std::vector<Loaded> m_loaded;
     std::function<void()> m_onLoadingChanged;
 };
 
--- a/Source/UnitTests/Gateway/FleetTests.cpp
+++ b/Source/UnitTests/Gateway/FleetTests.cpp
@@ -172,6 +172,7 @@
     report.held = { { 9, 10 } };
     report.named = { { 11, 12, 13ms } };
     report.members = 14;
+    report.loaded = { { 15, 16, 17 } };
     const auto bytes = FleetReportCodec::encode(report);
     const auto decoded = FleetReportCodec::decode(bytes);
     cr_assert(decoded && decoded->vm == report.vm && decoded->boot == report.boot && decoded->sequence == 3);
@@ -179,6 +180,7 @@
     cr_assert(decoded->held == report.held);
     cr_assert(decoded->named.size() == 1 && decoded->named[0].version == 12 && decoded->named[0].age == 13ms);
     cr_assert_eq(decoded->members, 14);
+    cr_assert(decoded->loaded == report.loaded);
     for (std::size_t n = 0; n < bytes.size(); ++n) {
         FleetReportCodec::decode(std::string_view(bytes).substr(0, n));
     }
--- a/Source/UnitTests/Gateway/RunnerTableTests.cpp
+++ b/Source/UnitTests/Gateway/RunnerTableTests.cpp
@@ -125,6 +125,26 @@
     cr_assert(fixture.candidates() == both);
 }
 
+// Guards against requests that expect old weights of a runner which has loaded new ones: its entry tells of them up to
+// two seconds later, and runners refused 2,540 of 17,111 requests on scale-2 of the grown drattur site. An entry that
+// was written before the load must not bring the old weights back, but one of a new start does.
+Test(RunnerTable, knowsLoadedWeightsBeforeTheEntryTells)
+{
+    RunnerFixture fixture;
+    const auto weightsOf
+        = [&fixture](const std::string& id) { return fixture.runners.find(UpstreamId(id))->weights.at("model"); };
+    const std::array loaded { LoadedWeights { runnerHash(UpstreamId("r1")), modelHash("model"), 3 },
+        LoadedWeights { runnerHash(UpstreamId("r2")), modelHash("other"), 3 } };
+    fixture.runners.noteLoadedWeights(loaded);
+    cr_assert(weightsOf("r1") == 3 && weightsOf("r2") == 1);
+    fixture.runners.noteEntry(makeRunner("r1"));
+    cr_assert_eq(weightsOf("r1"), 3);
+    auto restarted = makeRunner("r1");
+    restarted.boot = Incarnation(99);
+    fixture.runners.noteEntry(restarted);
+    cr_assert_eq(weightsOf("r1"), 1);
+}
+
 // Guards against asking a runner again that has just refused.
 Test(RunnerTable, avoidsARunnerThatRefused)
 {
