Gather changes of the store for longer in large fleets

Ruled out: keep-alives (a tenth of a read each), a watch per kind of record (more calls, the same freshness).

--- a/Source/Core/Gateway/Gateway.cpp
+++ b/Source/Core/Gateway/Gateway.cpp
@@ -35,6 +35,10 @@
     // The balancer asks once a second and takes a VM out after two misses.
     constexpr std::chrono::milliseconds balancerLag { 2600 };
 
+    // Part of the time in which changes are to be followed that a large fleet gathers them; the rest bears a store that
+    // takes 60 times as long as usual, and the call itself.
+    constexpr int gatherPercent = 53;
+
     // Part of the stop limit that running requests get; the rest is for the end of the process.
     constexpr double stopShare = 0.88;
 
@@ -95,6 +99,7 @@
               { .handoverPause = settings.orderHandover - handoverMargin })
         , sync({ clock, platform.storeQueries, platform.records, routing, runners, fleet, orders, timeline, metrics },
               { .freshnessGoal = settings.keyWithdrawalLimit * 3 / 5,
+                  .largeFleetGatherPause = settings.changeLimit * gatherPercent / 100,
                   .keyLimit = less(settings.keyWithdrawalLimit, keyMargin) })
         , registration(
               platform.storeCommands, settings.vm, FleetView::encodeRecord(settings.listenReports, settings.zone))
--- a/Source/Core/Gateway/GatewaySettings.h
+++ b/Source/Core/Gateway/GatewaySettings.h
@@ -32,6 +32,8 @@
 
     /// Time after a key's withdrawal in which it may still be accepted.
     std::chrono::milliseconds keyWithdrawalLimit { 5000 };
+    /// Time after which a change of the configuration, or the leaving of a runner, is followed.
+    std::chrono::milliseconds changeLimit { 2000 };
     /// Time after new weights are named in which requests may still begin on older ones.
     std::chrono::milliseconds oldWeightsLimit { 8000 };
     /// Shortest time between orders of two VMs to one runner.
--- a/Source/UnitTests/PlatformAdapter/CodecTests.cpp
+++ b/Source/UnitTests/PlatformAdapter/CodecTests.cpp
@@ -192,7 +192,8 @@
 
 constexpr auto settingsText = R"({"node":"edge-1","zone":"a","listen":{"front":"10.1.0.24:8606",
     "ready":"10.1.0.24:8605"},"port_range":[7600,7615],"provider":{"address":"10.200.1.7:8601"},"later":1,
-    "bounds":{"revoke_ms":4000,"grace_s":6,"retry_ratio":0.3,"retry_slack":58,"retry_window_s":10,"version_ms":9000}})";
+    "bounds":{"revoke_ms":4000,"grace_s":6,"retry_ratio":0.3,"retry_slack":58,"retry_window_s":10,"version_ms":9000,
+    "config_apply_ms":3500,"drain_ms":3000}})";
 
 // Guards against a bound of the platform that is passed over.
 Test(PlatformSettings, readsAddressesAndBounds)
@@ -203,6 +204,7 @@
     const auto& gateway = settings->gateway;
     cr_assert(gateway.listenReports == (Endpoint { "10.1.0.24", 7600 }));
     cr_assert(gateway.keyWithdrawalLimit == 4000ms && gateway.stopLimit == 6000ms && gateway.oldWeightsLimit == 9000ms);
+    cr_assert(gateway.changeLimit == 3000ms);
     cr_assert_float_eq(gateway.retries.perRequest, 0.3, 1e-9);
 }
 
