Add a fault soak of pollenwind-gateway

Starts the real program as processes of its own and disturbs them from outside: loopback proxies before the store and the runners (delayed, reset, silent, cut one way), signals (kill, stop, pause, a herd), the store (refusals, slow, lost answers, lost history, ended leases), runners (refusals, failures, lost answers, broken streams, replaced starts), changes of the configuration, keys and weights. Callers keep their connections until the process is gone and some go on with withdrawn keys. Ten promises are checked from what callers and runners see; a 12 s quiet end checks recovery.

The store stand-in now lets leases lapse, as the real one does.

--- a/Source/UnitTests/PlatformAdapter/PlatformStandIns.cpp
+++ b/Source/UnitTests/PlatformAdapter/PlatformStandIns.cpp
@@ -51,12 +51,11 @@
     return it == m_items.end() ? std::nullopt : std::optional(it->second.value);
 }
 
-void KvStoreStandIn::endLeases()
+void KvStoreStandIn::eraseKeysOf(std::int64_t lease)
 {
-    m_leases.clear();
     std::vector<std::string> keys;
     for (const auto& [key, item] : m_items) {
-        if (item.lease != 0) {
+        if (item.lease == lease) {
             keys.push_back(key);
         }
     }
@@ -65,6 +64,27 @@
     }
 }
 
+void KvStoreStandIn::endLeases()
+{
+    for (const auto& [id, lease] : std::exchange(m_leases, {})) {
+        eraseKeysOf(id);
+    }
+}
+
+void KvStoreStandIn::expireLeases()
+{
+    const auto now = std::chrono::steady_clock::now();
+    for (auto it = m_leases.begin(); it != m_leases.end();) {
+        if (now < it->second.until) {
+            ++it;
+            continue;
+        }
+        const auto ended = it->first;
+        it = m_leases.erase(it);
+        eraseKeysOf(ended);
+    }
+}
+
 KvStoreStandIn::Json KvStoreStandIn::toJson(const std::string& key, const Item& item) const
 {
     return { { "key", key }, { "value", base64Encode(item.value) }, { "revision", item.revision },
@@ -125,6 +145,7 @@
     }
     const auto end = std::chrono::steady_clock::now() + std::chrono::milliseconds(number(request, "wait_ms"));
     for (;;) {
+        expireLeases();
         auto events = Json::array();
         for (const auto& change : m_changes) {
             if (change.revision > after) {
@@ -144,6 +165,10 @@
 {
     const auto& request = exchange.request();
     ++calls[request.method + " " + request.path.substr(0, request.path.find('/', 5))];
+    expireLeases();
+    if (delay.count() > 0) {
+        co_await sleepFor(delay);
+    }
     if (refusesWith != 0) {
         co_await exchange.answer({ refusesWith, "", "", {} });
         co_return;
@@ -156,14 +181,18 @@
     } else if (request.path == "/api/kv-txn") {
         answer = answerTransaction(Json::parse(request.body));
     } else if (request.path == "/api/kv-lease") {
-        m_leases[++m_nextLease] = true;
-        answer
-            = jsonAnswer({ { "lease", m_nextLease }, { "ttl_ms", readNumber(Json::parse(request.body), "ttl_ms") } });
+        const std::chrono::milliseconds timeToLive(readNumber(Json::parse(request.body), "ttl_ms"));
+        m_leases[++m_nextLease] = { timeToLive, std::chrono::steady_clock::now() + timeToLive };
+        answer = jsonAnswer({ { "lease", m_nextLease }, { "ttl_ms", timeToLive.count() } });
     } else if (request.path.starts_with("/api/kv-keep/")) {
-        const auto lease = std::stoll(request.path.substr(13));
-        answer = m_leases.contains(lease) ? jsonAnswer({ { "ttl_ms", 2000 } }) : answer;
+        if (const auto lease = m_leases.find(std::stoll(request.path.substr(13))); lease != m_leases.end()) {
+            lease->second.until = std::chrono::steady_clock::now() + lease->second.timeToLive;
+            answer = jsonAnswer({ { "ttl_ms", lease->second.timeToLive.count() } });
+        }
     } else if (request.path.starts_with("/api/kv-lease-end/")) {
-        m_leases.erase(std::stoll(request.path.substr(18)));
+        const auto lease = std::stoll(request.path.substr(18));
+        m_leases.erase(lease);
+        eraseKeysOf(lease);
         answer = jsonAnswer(Json::object());
     } else if (const auto key = std::string(request.parameter("key").value_or("")); m_items.contains(key)) {
         auto json = toJson(key, m_items.at(key));
--- a/Source/UnitTests/PlatformAdapter/PlatformStandIns.h
+++ b/Source/UnitTests/PlatformAdapter/PlatformStandIns.h
@@ -35,6 +35,8 @@
 
     /// Answers every call with this status; 0 serves it.
     int refusesWith = 0;
+    /// Time before each answer.
+    std::chrono::milliseconds delay { 0 };
     /// Executes the next write and closes the connection without an answer.
     bool losesNextAnswer = false;
     /// Entries of one page.
@@ -47,6 +49,10 @@
         std::int64_t revision = 0;
         std::int64_t lease = 0;
     };
+    struct Lease {
+        std::chrono::milliseconds timeToLive { 0 };
+        std::chrono::steady_clock::time_point until;
+    };
     struct Change {
         std::string key;
         std::optional<Item> item;
@@ -59,6 +65,9 @@
     Task<HttpAnswer> answerWatch(const HttpRequest& request);
     Json toJson(const std::string& key, const Item& item) const;
     void write(const std::string& key, std::optional<Item> item);
+    void eraseKeysOf(std::int64_t lease);
+    /// Ends the leases that were not renewed in time.
+    void expireLeases();
 
     asio::any_io_executor m_executor;
     HttpServer m_server;
@@ -67,7 +76,7 @@
     std::int64_t m_nextLease = 500;
     std::map<std::string, Item> m_items;
     std::vector<Change> m_changes;
-    std::map<std::int64_t, bool> m_leases;
+    std::map<std::int64_t, Lease> m_leases;
 };
 
 /// Stand-in of a runner: answers requests as scripted and takes orders for weights.
--- /dev/null
+++ b/Source/UnitTests/PlatformSoak/GatewayProcess.h
@@ -0,0 +1,59 @@
+#pragma once
+
+#include "Common/Task.h"
+#include "Transport/Endpoint.h"
+
+#include <chrono>
+#include <string>
+
+#include <sys/types.h>
+
+namespace Pollenwind {
+
+/// One pollenwind-gateway as a process of its own, started again when it ends, as the platform does.
+class GatewayProcess {
+public:
+    /// @param program Path of pollenwind-gateway.
+    /// @param folder Where settings and logs are written.
+    /// @param address Loopback address of the VM.
+    /// @param store Where the process reaches the store.
+    GatewayProcess(std::string program, std::string folder, std::string name, std::string address, Endpoint store);
+    ~GatewayProcess();
+    GatewayProcess(const GatewayProcess&) = delete;
+    GatewayProcess& operator=(const GatewayProcess&) = delete;
+
+    /// Starts the process and starts it again after each end, until stop().
+    Task<> supervise();
+    /// Sends a signal to the running process, if there is one.
+    void signal(int number);
+    /// Ends the process for good.
+    void stop();
+
+    Endpoint callers() const { return { m_address, callersPort }; }
+    Endpoint ready() const { return { m_address, readyPort }; }
+    const std::string& name() const { return m_name; }
+    const std::string& logFile() const { return m_logFile; }
+    /// Counts the starts; requests over one connection reach one start.
+    unsigned starts() const { return m_starts; }
+    /// Time of the last kill, pause or end. Requests around it may be lost.
+    std::chrono::steady_clock::time_point lastDisturbedAt() const { return m_lastDisturbedAt; }
+
+private:
+    static constexpr std::uint16_t callersPort = 8606;
+    static constexpr std::uint16_t readyPort = 8605;
+
+    void writeSettings(const Endpoint& store) const;
+    bool start();
+
+    std::string m_program;
+    std::string m_name;
+    std::string m_address;
+    std::string m_settingsFile;
+    std::string m_logFile;
+    pid_t m_pid = 0;
+    unsigned m_starts = 0;
+    bool m_isStopped = false;
+    std::chrono::steady_clock::time_point m_lastDisturbedAt;
+};
+
+} // namespace Pollenwind
--- /dev/null
+++ b/Source/UnitTests/PlatformSoak/GatewaySoak.cpp
@@ -0,0 +1,351 @@
+#include "PlatformSoak/GatewaySoak.h"
+
+#include "Common/JsonFields.h"
+#include "Common/Sleep.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+#include <algorithm>
+#include <csignal>
+#include <sstream>
+
+namespace Pollenwind {
+
+namespace {
+
+    using JsonFields::Json;
+    using SteadyClock = std::chrono::steady_clock;
+
+    constexpr std::chrono::milliseconds heartbeat { 1200 };
+    constexpr std::chrono::milliseconds entryLapse { 3600 };
+    constexpr std::chrono::milliseconds probeInterval { 300 };
+    constexpr std::chrono::milliseconds probeTimeout { 400 };
+    constexpr std::chrono::milliseconds longestFault { 2500 };
+    // Time from the last fault until everything must be well: a lapsed lease, a handover and the loads.
+    constexpr std::chrono::seconds recoveryTime { 12 };
+    constexpr std::chrono::seconds startTime { 3 };
+    constexpr std::size_t keptExamples = 5;
+
+    struct LinkRow {
+        GatewayFault fault;
+        LinkState state;
+    };
+
+    constexpr std::array storeLinkRows { LinkRow { GatewayFault::StoreLinkDelayed, LinkState::Delayed },
+        LinkRow { GatewayFault::StoreLinkRefusing, LinkState::Refusing },
+        LinkRow { GatewayFault::StoreLinkSilent, LinkState::Silent },
+        LinkRow { GatewayFault::StoreLinkCutToServer, LinkState::CutToServer },
+        LinkRow { GatewayFault::StoreLinkCutToClient, LinkState::CutToClient } };
+
+    constexpr std::array runnerLinkRows { LinkRow { GatewayFault::RunnerLinkDelayed, LinkState::Delayed },
+        LinkRow { GatewayFault::RunnerLinkReset, LinkState::Refusing },
+        LinkRow { GatewayFault::RunnerLinkSilent, LinkState::Silent },
+        LinkRow { GatewayFault::RunnerLinkCutToServer, LinkState::CutToServer },
+        LinkRow { GatewayFault::RunnerLinkCutToClient, LinkState::CutToClient } };
+
+    struct RunnerRow {
+        GatewayFault fault;
+        RunnerFault runnerFault;
+    };
+
+    constexpr std::array runnerRows { RunnerRow { GatewayFault::RunnerRefuses, RunnerFault::Refuses },
+        RunnerRow { GatewayFault::RunnerFails, RunnerFault::Fails },
+        RunnerRow { GatewayFault::RunnerLosesAnswers, RunnerFault::LosesAnswers },
+        RunnerRow { GatewayFault::RunnerBreaksStreams, RunnerFault::BreaksStreams },
+        RunnerRow { GatewayFault::RunnerSlow, RunnerFault::Slow } };
+
+    std::string versionPrefix(std::int64_t version) { return "/version-" + std::to_string(version) + "/"; }
+
+} // namespace
+
+GatewaySoak::GatewaySoak(asio::any_io_executor executor, GatewaySoakOptions options)
+    : m_executor(std::move(executor))
+    , m_options(std::move(options))
+    , m_ledger(m_verdict)
+    , m_store(m_executor)
+    , m_storeLink(m_executor)
+{
+}
+
+Task<Outcome<void>> GatewaySoak::run()
+{
+    // Each seed has a loopback net of its own, so that runs side by side do not meet.
+    const auto net = "127." + std::to_string(70 + m_options.seed % 150) + ".";
+    const auto store = m_store.listen();
+    const auto storeLink = store ? m_storeLink.listen(net + "1.1", *store) : store;
+    if (!storeLink) {
+        co_return std::unexpected(storeLink.error());
+    }
+    for (std::size_t i = 0; i < m_options.runners; ++i) {
+        auto& runner = m_runners.emplace_back(m_executor, "runner-" + std::to_string(i), m_ledger, m_verdict);
+        if (const auto bound = runner.listen(net + "2." + std::to_string(i + 1)); !bound) {
+            co_return bound;
+        }
+        m_store.put("servers/" + runner.id(), runner.entry());
+    }
+    writeConfiguration();
+    for (std::size_t i = 0; i < m_options.gateways; ++i) {
+        auto& gateway = m_gateways.emplace_back(m_options.program, m_options.folder, "vm-" + std::to_string(i),
+            net + "10." + std::to_string(i + 1), *storeLink);
+        asio::co_spawn(m_executor, gateway.supervise(), asio::detached);
+    }
+    asio::co_spawn(m_executor, sendHeartbeats(), asio::detached);
+    co_await sleepFor(startTime);
+    m_end = SteadyClock::now() + m_options.duration;
+    for (std::size_t i = 0; i < m_options.callers; ++i) {
+        auto& caller = m_callers.emplace_back(
+            m_executor, "caller-" + std::to_string(i), m_options.seed * 1000 + i, m_gateways, m_ledger, m_verdict);
+        ++m_activeTasks;
+        asio::co_spawn(
+            m_executor, caller.run(m_end + recoveryTime), [this](const std::exception_ptr&) { --m_activeTasks; });
+    }
+    asio::co_spawn(m_executor, watchConfiguration(), asio::detached);
+    co_await drawFaults();
+    co_await sleepFor(m_end + recoveryTime - SteadyClock::now());
+    co_await checkRecovery();
+    m_isOver = true;
+    while (m_activeTasks > 0) {
+        co_await sleepFor(heartbeat / 10);
+    }
+    for (auto& gateway : m_gateways) {
+        gateway.stop();
+    }
+    co_return Outcome<void> {};
+}
+
+Task<> GatewaySoak::drawFaults()
+{
+    std::mt19937_64 random(m_options.seed);
+    const auto& rows = EnumTable<GatewayFault>::rows;
+    while (SteadyClock::now() < m_end - longestFault) {
+        const auto mean = static_cast<std::uint64_t>(m_options.faultInterval.count());
+        co_await sleepFor(std::chrono::milliseconds(random() % (2 * mean)));
+        const auto fault = rows[random() % rows.size()].value;
+        ++m_verdict.faults[fault];
+        // Faults overlap, since the next one is drawn while this one lasts.
+        asio::co_spawn(m_executor, inject(fault, random()), asio::detached);
+    }
+}
+
+Task<> GatewaySoak::disturbLink(FaultProxy& link, LinkState state, std::chrono::milliseconds time)
+{
+    link.setState(state);
+    if (state == LinkState::Refusing) {
+        link.resetAll();
+    }
+    co_await sleepFor(time);
+    link.setState(LinkState::Sound);
+}
+
+Task<> GatewaySoak::disturbRunner(SoakRunner& runner, RunnerFault fault, std::chrono::milliseconds time)
+{
+    runner.setFault(fault);
+    co_await sleepFor(time);
+    runner.setFault(RunnerFault::None);
+}
+
+Task<> GatewaySoak::replaceRunner(SoakRunner& runner)
+{
+    const auto before = runner.id();
+    runner.replace();
+    m_store.put("servers/" + runner.id(), runner.entry());
+    // The entry of the start before lapses only after three heartbeats.
+    co_await sleepFor(entryLapse);
+    m_store.erase("servers/" + before);
+}
+
+Task<> GatewaySoak::pauseGateway(std::size_t index, std::chrono::milliseconds time)
+{
+    m_gateways[index].signal(SIGSTOP);
+    co_await sleepFor(time);
+    m_gateways[index].signal(SIGCONT);
+    m_verdict.resumedAt[m_gateways[index].name()] = SteadyClock::now();
+}
+
+Task<> GatewaySoak::inject(GatewayFault fault, std::uint64_t draw)
+{
+    const std::chrono::milliseconds time(300 + static_cast<std::int64_t>(draw / 1000 % 2200));
+    const auto gateway = static_cast<std::size_t>(draw % m_gateways.size());
+    auto& runner = m_runners[draw % m_runners.size()];
+    for (const auto& row : storeLinkRows) {
+        if (row.fault == fault) {
+            co_return co_await disturbLink(m_storeLink, row.state, time);
+        }
+    }
+    for (const auto& row : runnerLinkRows) {
+        if (row.fault == fault) {
+            runner.setLink(row.state);
+            co_await disturbLink(runner.link(), row.state, time);
+            runner.setLink(LinkState::Sound);
+            co_return;
+        }
+    }
+    for (const auto& row : runnerRows) {
+        if (row.fault == fault) {
+            co_return co_await disturbRunner(runner, row.runnerFault, time);
+        }
+    }
+    switch (fault) {
+    case GatewayFault::GatewayKilled:
+        m_gateways[gateway].signal(SIGKILL);
+        break;
+    case GatewayFault::GatewayStopped:
+        m_gateways[gateway].signal(SIGTERM);
+        break;
+    case GatewayFault::GatewayPaused:
+        co_await pauseGateway(gateway, time);
+        break;
+    case GatewayFault::GatewayHerdKilled:
+        for (auto& it : m_gateways) {
+            it.signal(SIGKILL);
+        }
+        break;
+    case GatewayFault::StoreRefuses:
+        m_store.refusesWith = 503;
+        co_await sleepFor(time);
+        m_store.refusesWith = 0;
+        break;
+    case GatewayFault::StoreSlow:
+        m_store.delay = std::chrono::milliseconds(200);
+        co_await sleepFor(time);
+        m_store.delay = std::chrono::milliseconds(0);
+        break;
+    case GatewayFault::StoreLosesAnswer:
+        m_store.losesNextAnswer = true;
+        break;
+    case GatewayFault::StoreForgetsHistory:
+        m_store.compact();
+        break;
+    case GatewayFault::StoreEndsLeases:
+        m_store.endLeases();
+        break;
+    case GatewayFault::RunnerReplaced:
+        co_await replaceRunner(runner);
+        break;
+    case GatewayFault::ConfigurationChanged:
+        writeConfiguration();
+        break;
+    case GatewayFault::KeyWithdrawn: {
+        const auto withdrawn = m_ledger.keyNumber();
+        m_ledger.replaceKey();
+        writeConfiguration();
+        m_ledger.noteKeyWithdrawn(withdrawn);
+        break;
+    }
+    case GatewayFault::WeightsNamed:
+        m_store.put("op/version/m", Json { { "model", "m" }, { "version", ++m_weights } }.dump());
+        break;
+    default:
+        break;
+    }
+}
+
+void GatewaySoak::writeConfiguration()
+{
+    ++m_configuration;
+    const auto route = [](const std::string& prefix, const char* kind, int attempts, bool isResumable) {
+        return Json { { "name", prefix }, { "host", "soak.example" }, { "prefix", prefix }, { "kind", kind },
+            { "service", "app" }, { "max_attempts", attempts }, { "timeout_ms", 4000 }, { "goal_ms", 500 },
+            { "allow_resume", isResumable } };
+    };
+    auto routes = Json::array({ route("/safe/", "safe", 2, false), route("/unsafe/", "unsafe", 2, false),
+        route("/stream/", "streaming", 2, false), route("/resumable/", "streaming", 2, true) });
+    // Each version has a route of its own that tells whether it is in force.
+    auto probe = route(versionPrefix(m_configuration), "safe", 1, false);
+    probe["skip_auth"] = true;
+    routes.push_back(probe);
+    const Json organisation { { "name", "org" }, { "api_keys", Json::array({ m_ledger.key() }) },
+        { "rate_per_s", 1'000'000 }, { "burst", 1'000'000 } };
+    const Json configuration { { "version", m_configuration }, { "routes", routes },
+        { "services", Json::array({ Json { { "name", "app" }, { "max_conns", 400 } } }) },
+        { "tenants", Json::array({ organisation }) } };
+    m_store.put("op/config", configuration.dump());
+}
+
+Task<> GatewaySoak::sendHeartbeats()
+{
+    while (!m_isOver) {
+        co_await sleepFor(heartbeat);
+        for (const auto& runner : m_runners) {
+            const auto key = "servers/" + runner.id();
+            // An entry changes only when more than its sequence number does.
+            if (m_store.value(key) != runner.entry()) {
+                m_store.put(key, runner.entry());
+            }
+        }
+    }
+}
+
+Task<> GatewaySoak::watchConfiguration()
+{
+    std::map<std::string, std::int64_t> newest;
+    unsigned probes = 0;
+    while (!m_isOver) {
+        co_await sleepFor(probeInterval);
+        for (auto& gateway : m_gateways) {
+            const auto life = gateway.name() + "/" + std::to_string(gateway.starts());
+            const auto version = m_configuration;
+            for (const auto asked : { version, newest[life] }) {
+                if (asked == 0) {
+                    continue;
+                }
+                const auto id = "probe-" + std::to_string(++probes);
+                HttpRequest request { "GET", versionPrefix(asked), "",
+                    { { "Host", "soak.example" }, { "X-Request-Id", id } }, "" };
+                m_ledger.noteSent(id, RequestKind::Safe, false, "", std::nullopt);
+                const auto answer = co_await fetch(gateway.callers(), std::move(request), probeTimeout);
+                const bool isSameLife = life == gateway.name() + "/" + std::to_string(gateway.starts());
+                if (!answer || !isSameLife) {
+                    continue;
+                }
+                // A version's route is gone with the next one, so a missing route is no fault by itself; one that is
+                // back after a newer version was in force is.
+                if (answer->status != 404 && answer->status != 401 && answer->status != 503) {
+                    m_verdict.note(GatewayPromise::ConfigurationNeverReverts, asked >= newest[life],
+                        life + " went back to version " + std::to_string(asked));
+                    newest[life] = std::max(newest[life], asked);
+                }
+            }
+        }
+    }
+}
+
+Task<> GatewaySoak::checkRecovery()
+{
+    for (auto& gateway : m_gateways) {
+        const auto answer = co_await fetch(gateway.ready(), { "GET", "/api/ready", "", {}, "" }, probeTimeout);
+        m_verdict.note(GatewayPromise::Recovers, answer && answer->status == 200,
+            gateway.name() + " is not ready after the faults");
+    }
+    for (const auto& runner : m_runners) {
+        m_verdict.note(GatewayPromise::Recovers, runner.weights() == m_weights,
+            runner.id() + " has weights " + std::to_string(runner.weights()) + " of " + std::to_string(m_weights));
+    }
+}
+
+std::string formatVerdict(const GatewaySoakVerdict& verdict)
+{
+    std::ostringstream out;
+    for (const auto& row : EnumTable<GatewayPromise>::rows) {
+        const auto it = verdict.promises.find(row.value);
+        const auto tally = it == verdict.promises.end() ? PromiseTally {} : it->second;
+        out << (tally.violations == 0 ? "held    " : "BROKEN  ") << row.name << ": " << tally.violations << " of "
+            << tally.checks << " checks failed\n";
+        for (std::size_t i = 0; i < std::min(keptExamples, tally.examples.size()); ++i) {
+            out << "        " << tally.examples[i] << "\n";
+        }
+    }
+    out << "faults: ";
+    for (const auto& [fault, n] : verdict.faults) {
+        out << nameOf(fault) << " " << n << "  ";
+    }
+    out << "\nrequests " << verdict.requests << ", connections lost " << verdict.connectionsLost << ", answers: ";
+    for (const auto& [status, n] : verdict.answersByStatus) {
+        out << status << " " << n << "  ";
+    }
+    out << "\n";
+    return out.str();
+}
+
+} // namespace Pollenwind
--- /dev/null
+++ b/Source/UnitTests/PlatformSoak/GatewaySoakTypes.h
@@ -0,0 +1,141 @@
+#pragma once
+
+#include "Common/EnumTable.h"
+#include "Soak/Queries/SoakVerdict.h"
+
+#include <chrono>
+#include <cstdint>
+#include <map>
+#include <string>
+
+namespace Pollenwind {
+
+/// Fault drawn by a soak of the gateway.
+enum class GatewayFault {
+    GatewayKilled,
+    GatewayStopped,
+    GatewayPaused,
+    GatewayHerdKilled,
+    StoreLinkDelayed,
+    StoreLinkRefusing,
+    StoreLinkSilent,
+    StoreLinkCutToServer,
+    StoreLinkCutToClient,
+    StoreRefuses,
+    StoreSlow,
+    StoreLosesAnswer,
+    StoreForgetsHistory,
+    StoreEndsLeases,
+    RunnerLinkDelayed,
+    RunnerLinkReset,
+    RunnerLinkSilent,
+    RunnerLinkCutToServer,
+    RunnerLinkCutToClient,
+    RunnerReplaced,
+    RunnerRefuses,
+    RunnerFails,
+    RunnerLosesAnswers,
+    RunnerBreaksStreams,
+    RunnerSlow,
+    ConfigurationChanged,
+    KeyWithdrawn,
+    WeightsNamed,
+};
+
+template <> struct EnumTable<GatewayFault> {
+    static constexpr std::array rows {
+        EnumName { GatewayFault::GatewayKilled, "gateway-killed" },
+        EnumName { GatewayFault::GatewayStopped, "gateway-stopped" },
+        EnumName { GatewayFault::GatewayPaused, "gateway-paused" },
+        EnumName { GatewayFault::GatewayHerdKilled, "gateway-herd-killed" },
+        EnumName { GatewayFault::StoreLinkDelayed, "store-link-delayed" },
+        EnumName { GatewayFault::StoreLinkRefusing, "store-link-refusing" },
+        EnumName { GatewayFault::StoreLinkSilent, "store-link-silent" },
+        EnumName { GatewayFault::StoreLinkCutToServer, "store-link-cut-to-server" },
+        EnumName { GatewayFault::StoreLinkCutToClient, "store-link-cut-to-client" },
+        EnumName { GatewayFault::StoreRefuses, "store-refuses" },
+        EnumName { GatewayFault::StoreSlow, "store-slow" },
+        EnumName { GatewayFault::StoreLosesAnswer, "store-loses-answer" },
+        EnumName { GatewayFault::StoreForgetsHistory, "store-forgets-history" },
+        EnumName { GatewayFault::StoreEndsLeases, "store-ends-leases" },
+        EnumName { GatewayFault::RunnerLinkDelayed, "runner-link-delayed" },
+        EnumName { GatewayFault::RunnerLinkReset, "runner-link-reset" },
+        EnumName { GatewayFault::RunnerLinkSilent, "runner-link-silent" },
+        EnumName { GatewayFault::RunnerLinkCutToServer, "runner-link-cut-to-server" },
+        EnumName { GatewayFault::RunnerLinkCutToClient, "runner-link-cut-to-client" },
+        EnumName { GatewayFault::RunnerReplaced, "runner-replaced" },
+        EnumName { GatewayFault::RunnerRefuses, "runner-refuses" },
+        EnumName { GatewayFault::RunnerFails, "runner-fails" },
+        EnumName { GatewayFault::RunnerLosesAnswers, "runner-loses-answers" },
+        EnumName { GatewayFault::RunnerBreaksStreams, "runner-breaks-streams" },
+        EnumName { GatewayFault::RunnerSlow, "runner-slow" },
+        EnumName { GatewayFault::ConfigurationChanged, "configuration-changed" },
+        EnumName { GatewayFault::KeyWithdrawn, "key-withdrawn" },
+        EnumName { GatewayFault::WeightsNamed, "weights-named" },
+    };
+};
+
+/// What a soak of the gateway checks from outside.
+enum class GatewayPromise {
+    AnswersMatchRequests,
+    StreamsWhole,
+    RunAtMostOnce,
+    NotRunIsTrue,
+    RequestsUnchanged,
+    WithdrawnKeysStop,
+    ConfigurationNeverReverts,
+    AnswersAreDelivered,
+    OneVmGivesOrders,
+    Recovers,
+};
+
+template <> struct EnumTable<GatewayPromise> {
+    static constexpr std::array rows {
+        EnumName { GatewayPromise::AnswersMatchRequests, "a caller gets the whole answer to its own request" },
+        EnumName { GatewayPromise::StreamsWhole, "a stream ends as complete only with every event, in order" },
+        EnumName { GatewayPromise::RunAtMostOnce, "a request that may not be repeated runs at most once" },
+        EnumName { GatewayPromise::NotRunIsTrue, "a refusal that says not run is true" },
+        EnumName { GatewayPromise::RequestsUnchanged, "runners get known requests, unchanged, without the key" },
+        EnumName { GatewayPromise::WithdrawnKeysStop, "a withdrawn key stops within 5 s" },
+        EnumName { GatewayPromise::ConfigurationNeverReverts, "a process never goes back to an older configuration" },
+        EnumName { GatewayPromise::AnswersAreDelivered, "an answer of a sound runner over a sound link is delivered" },
+        EnumName { GatewayPromise::OneVmGivesOrders, "orders of two VMs to one runner are 3 s apart" },
+        EnumName { GatewayPromise::Recovers, "after the faults every VM serves and every runner has the new weights" },
+    };
+};
+
+/// Shape of a soak run.
+struct GatewaySoakOptions {
+    std::uint64_t seed = 1;
+    std::chrono::seconds duration { 40 };
+    std::string program;
+    std::string folder;
+    std::size_t gateways = 5;
+    std::size_t runners = 6;
+    std::size_t callers = 24;
+    /// Mean time between two faults.
+    std::chrono::milliseconds faultInterval { 600 };
+};
+
+/// Checks and faults of a run.
+struct GatewaySoakVerdict {
+    std::map<GatewayPromise, PromiseTally> promises;
+    std::map<GatewayFault, std::uint64_t> faults;
+    std::map<int, std::uint64_t> answersByStatus;
+    std::uint64_t requests = 0;
+    std::uint64_t connectionsLost = 0;
+    /// When a paused process went on, by VM: what it was about to send arrives then.
+    std::map<std::string, std::chrono::steady_clock::time_point> resumedAt;
+
+    void note(GatewayPromise promise, bool holds, const std::string& example)
+    {
+        auto& tally = promises[promise];
+        ++tally.checks;
+        if (!holds) {
+            ++tally.violations;
+            tally.examples.push_back(example);
+        }
+    }
+};
+
+} // namespace Pollenwind
--- /dev/null
+++ b/Source/UnitTests/PlatformSoak/Main.cpp
@@ -0,0 +1,66 @@
+#include "PlatformSoak/GatewaySoak.h"
+
+#include "Support/ProgramMain.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/io_context.hpp>
+
+#include <algorithm>
+#include <iostream>
+
+namespace {
+
+using namespace Pollenwind;
+
+int run(int argc, char** argv)
+{
+    TCLAP::CmdLine line("Runs gateways as processes under faults from outside and checks the promises.", ' ', "0.1.0");
+    line.setExceptionHandling(false);
+    TCLAP::ValueArg<std::uint64_t> seed("", "seed", "Seed of requests and faults", false, 1, "N", line);
+    TCLAP::ValueArg<unsigned> duration("", "seconds", "Length of the faults", false, 40, "N", line);
+    TCLAP::ValueArg<std::string> program("", "program", "Path of pollenwind-gateway", true, "", "FILE", line);
+    TCLAP::ValueArg<std::string> folder("", "folder", "Where settings and logs are written", true, "", "DIR", line);
+    TCLAP::ValueArg<unsigned> gateways("", "gateways", "Gateways", false, 5, "N", line);
+    TCLAP::ValueArg<unsigned> runners("", "runners", "Runners", false, 6, "N", line);
+    TCLAP::ValueArg<unsigned> callers("", "callers", "Callers at a time", false, 24, "N", line);
+    TCLAP::ValueArg<unsigned> interval("", "fault-ms", "Mean time between faults", false, 600, "N", line);
+    line.parse(argc, argv);
+    for (const auto* count : { &gateways, &runners, &callers, &interval, &duration }) {
+        if (count->getValue() == 0 || (count != &interval && count->getValue() > 250 && count != &duration)) {
+            throw TCLAP::ArgException("must be from 1 to 250", count->getName());
+        }
+    }
+
+    GatewaySoakOptions options;
+    options.seed = seed.getValue();
+    options.duration = std::chrono::seconds(duration.getValue());
+    options.program = program.getValue();
+    options.folder = folder.getValue();
+    options.gateways = gateways.getValue();
+    options.runners = runners.getValue();
+    options.callers = callers.getValue();
+    options.faultInterval = std::chrono::milliseconds(interval.getValue());
+
+    asio::io_context context(1);
+    GatewaySoak soak(context.get_executor(), options);
+    Outcome<void> result;
+    asio::co_spawn(context, soak.run(), [&](const std::exception_ptr& error, Outcome<void> outcome) {
+        result = error ? fail(ErrorCode::Unavailable, "the run ended with an exception") : std::move(outcome);
+        context.stop();
+    });
+    context.run();
+    if (!result) {
+        std::cerr << "gateway-soak: " << result.error().message << "\n";
+        return 2;
+    }
+    std::cout << formatVerdict(soak.verdict());
+    return std::ranges::all_of(soak.verdict().promises, [](const auto& it) { return it.second.violations == 0; }) ? 0
+                                                                                                                  : 1;
+}
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    return runProgram("gateway-soak", [&] { return run(argc, argv); });
+}
--- /dev/null
+++ b/Source/UnitTests/PlatformSoak/SoakCaller.cpp
@@ -0,0 +1,137 @@
+#include "PlatformSoak/SoakCaller.h"
+
+#include "Common/Sleep.h"
+#include "PlatformSoak/SoakRunner.h"
+
+#include <array>
+
+namespace Pollenwind {
+
+namespace {
+
+    constexpr std::chrono::milliseconds callTimeout { 4000 };
+    constexpr std::chrono::milliseconds pause { 20 };
+
+    struct KindRow {
+        RequestKind kind;
+        bool isResumable;
+        const char* prefix;
+    };
+
+    constexpr std::array kinds { KindRow { RequestKind::Safe, false, "/safe/" },
+        KindRow { RequestKind::Unsafe, false, "/unsafe/" }, KindRow { RequestKind::Streaming, false, "/stream/" },
+        KindRow { RequestKind::Streaming, true, "/resumable/" } };
+
+    /// Statuses that promise that the request has not run and never will.
+    bool promisesNotRun(int status) { return status == 429 || status == 503 || status == 408 || status == 421; }
+
+} // namespace
+
+SoakCaller::SoakCaller(asio::any_io_executor executor, std::string name, std::uint64_t seed,
+    std::deque<GatewayProcess>& gateways, RequestLedger& ledger, GatewaySoakVerdict& verdict)
+    : m_executor(std::move(executor))
+    , m_name(std::move(name))
+    , m_random(seed)
+    , m_gateways(gateways)
+    , m_ledger(ledger)
+    , m_verdict(verdict)
+{
+}
+
+Task<> SoakCaller::run(std::chrono::steady_clock::time_point end)
+{
+    while (std::chrono::steady_clock::now() < end) {
+        const auto& row = kinds[m_random() % kinds.size()];
+        const auto gateway = static_cast<std::size_t>(m_random() % m_gateways.size());
+        const auto id = m_name + "-" + std::to_string(++m_sent);
+        // Some callers go on with a key that was withdrawn.
+        const auto key = m_random() % 4 == 0 ? m_ledger.previousKeyNumber() : m_ledger.keyNumber();
+        HttpRequest request { "POST", row.prefix + id, "",
+            { { "Host", "soak.example" }, { "X-Request-Id", id },
+                { "Authorization", "Token " + RequestLedger::keyName(key) },
+                { "X-Deadline-Ms", std::to_string(callTimeout.count()) } },
+            "body of " + id };
+        if (row.kind == RequestKind::Streaming) {
+            request.headers.emplace_back("X-Model", "m");
+            request.headers.emplace_back("X-Token-Count", "100,20");
+            request.headers.emplace_back("X-Prompt-Prefix", "a1:50," + std::to_string(m_random() % 9) + ":50");
+        }
+        m_ledger.noteSent(id, row.kind, row.isResumable, request.body, key);
+        const auto answer = co_await send(gateway, std::move(request));
+        check(id, row.kind, row.isResumable, gateway, answer);
+        co_await sleepFor(answer.isComplete && answer.status == 200 ? pause : answer.retryAfter);
+    }
+}
+
+Task<SoakCaller::Answer> SoakCaller::send(std::size_t gateway, HttpRequest request)
+{
+    const auto end = std::chrono::steady_clock::now() + callTimeout;
+    auto& connection = m_connections[gateway];
+    Answer answer;
+    if (!connection || !connection->isReusable()) {
+        connection = std::make_unique<HttpConnection>(m_executor);
+        if (!co_await connection->connect(m_gateways[gateway].callers(), callTimeout)) {
+            connection.reset();
+            co_return answer;
+        }
+    }
+    answer.isSent = true;
+    const auto head = co_await connection->send(request, end - std::chrono::steady_clock::now());
+    if (!head) {
+        connection.reset();
+        co_return answer;
+    }
+    answer.status = head->status;
+    if (const auto id = findHeader(head->headers, "X-Request-Id")) {
+        answer.requestId = std::string(*id);
+    }
+    answer.isStamped = findHeader(head->headers, "X-Server-Stamp").has_value();
+    for (;;) {
+        const auto part = co_await connection->readSome(end - std::chrono::steady_clock::now());
+        if (!part) {
+            connection.reset();
+            co_return answer;
+        }
+        if (part->empty()) {
+            answer.isComplete = true;
+            co_return answer;
+        }
+        answer.body += *part;
+    }
+}
+
+void SoakCaller::check(
+    const std::string& id, RequestKind kind, bool isResumable, std::size_t gateway, const Answer& answer)
+{
+    ++m_verdict.answersByStatus[answer.isComplete ? answer.status : 0];
+    if (answer.status != 0) {
+        m_verdict.note(GatewayPromise::AnswersMatchRequests, answer.requestId == id, id + " got another answer");
+    }
+    if (promisesNotRun(answer.status)) {
+        m_ledger.noteRefused(id);
+    }
+    if (kind == RequestKind::Streaming && answer.status == 200) {
+        std::string whole;
+        for (unsigned number = 1; number <= SoakRunner::streamEvents; ++number) {
+            whole += SoakRunner::eventText(id, number);
+        }
+        const bool isRight = answer.isComplete ? answer.body == whole : whole.starts_with(answer.body);
+        m_verdict.note(GatewayPromise::StreamsWhole, isRight,
+            id + (answer.isComplete ? " complete: " : " cut: ") + std::to_string(answer.body.size()) + " bytes");
+    } else if (answer.status == 200 && answer.isComplete) {
+        m_verdict.note(GatewayPromise::AnswersMatchRequests,
+            answer.isStamped && answer.body == SoakRunner::answerText(id), id + ": " + answer.body);
+    }
+    if (answer.isComplete || !answer.isSent) {
+        return;
+    }
+    ++m_verdict.connectionsLost;
+    // Around a kill or a pause of the process an answer may be lost.
+    const bool wasCalm = m_gateways[gateway].lastDisturbedAt() < m_ledger.sentAt(id);
+    if (kind != RequestKind::Streaming && !isResumable && wasCalm) {
+        m_verdict.note(GatewayPromise::AnswersAreDelivered, !m_ledger.wasAnswered(id),
+            id + " lost at " + m_gateways[gateway].name());
+    }
+}
+
+} // namespace Pollenwind
--- /dev/null
+++ b/Source/UnitTests/PlatformSoak/SoakCaller.h
@@ -0,0 +1,45 @@
+#pragma once
+
+#include "PlatformSoak/GatewayProcess.h"
+#include "PlatformSoak/RequestLedger.h"
+#include "Transport/HttpClient.h"
+
+#include <deque>
+#include <random>
+
+namespace Pollenwind {
+
+/// One caller: sends requests one after the other, keeps its connections while the other side does, and checks each
+/// answer.
+class SoakCaller {
+public:
+    SoakCaller(asio::any_io_executor executor, std::string name, std::uint64_t seed,
+        std::deque<GatewayProcess>& gateways, RequestLedger& ledger, GatewaySoakVerdict& verdict);
+
+    Task<> run(std::chrono::steady_clock::time_point end);
+
+private:
+    struct Answer {
+        bool isSent = false;
+        bool isComplete = false;
+        int status = 0;
+        std::string body;
+        std::optional<std::string> requestId;
+        bool isStamped = false;
+        std::chrono::milliseconds retryAfter { 100 };
+    };
+
+    Task<Answer> send(std::size_t gateway, HttpRequest request);
+    void check(const std::string& id, RequestKind kind, bool isResumable, std::size_t gateway, const Answer& answer);
+
+    asio::any_io_executor m_executor;
+    std::string m_name;
+    std::mt19937_64 m_random;
+    std::deque<GatewayProcess>& m_gateways;
+    RequestLedger& m_ledger;
+    GatewaySoakVerdict& m_verdict;
+    std::map<std::size_t, std::unique_ptr<HttpConnection>> m_connections;
+    unsigned m_sent = 0;
+};
+
+} // namespace Pollenwind
--- /dev/null
+++ b/Source/UnitTests/PlatformSoak/SoakRunner.cpp
@@ -0,0 +1,184 @@
+#include "PlatformSoak/SoakRunner.h"
+
+#include "Common/JsonFields.h"
+#include "Common/Sleep.h"
+
+namespace Pollenwind {
+
+namespace {
+
+    using JsonFields::Json;
+    using JsonFields::readNumber;
+    using JsonFields::readString;
+
+    constexpr std::chrono::milliseconds workTime { 15 };
+    constexpr std::chrono::milliseconds slowWorkTime { 700 };
+    constexpr std::chrono::milliseconds eventPause { 20 };
+    constexpr std::chrono::milliseconds loadTime { 300 };
+    constexpr std::chrono::milliseconds handoverLimit { 3000 };
+    // An order that was under way when its sender was paused or the link was cut arrives within this time after the
+    // end.
+    constexpr std::chrono::milliseconds lateOrderTime { 300 };
+
+} // namespace
+
+SoakRunner::SoakRunner(
+    asio::any_io_executor executor, std::string id, RequestLedger& ledger, GatewaySoakVerdict& verdict)
+    : m_executor(executor)
+    , m_name(std::move(id))
+    , m_id(m_name + "-1")
+    , m_ledger(ledger)
+    , m_verdict(verdict)
+    , m_server(executor, *this, {})
+    , m_link(std::move(executor))
+{
+}
+
+Outcome<void> SoakRunner::listen(const std::string& address)
+{
+    const auto bound = m_server.listen({ "127.0.0.1", 0 });
+    const auto proxied = bound ? m_link.listen(address, *bound) : bound;
+    if (!proxied) {
+        return std::unexpected(proxied.error());
+    }
+    m_endpoint = *proxied;
+    return {};
+}
+
+void SoakRunner::replace()
+{
+    m_id = m_name + "-" + std::to_string(++m_starts);
+    m_orders = 0;
+    m_lastOrder.reset();
+    m_link.resetAll();
+    m_linkChangedAt = std::chrono::steady_clock::now();
+}
+
+void SoakRunner::setLink(LinkState state)
+{
+    m_link.setState(state);
+    m_linkChangedAt = std::chrono::steady_clock::now();
+}
+
+std::string SoakRunner::entry() const
+{
+    return Json {
+        { "service", "app" }, { "address", m_endpoint.toString() }, { "zone", "a" }, { "version", "v1" },
+        { "slots", 16 }, { "state", "ready" }, { "seq", 1 }, { "born", m_starts },
+        { "models", Json::array({ { { "name", "m" }, { "version", m_weights } } }) }
+    }.dump();
+}
+
+std::string SoakRunner::answerText(const std::string& request) { return "answer to " + request; }
+
+std::string SoakRunner::eventText(const std::string& request, unsigned number)
+{
+    return "id: " + std::to_string(number) + "\ndata: " + request + "\n\n";
+}
+
+Task<> SoakRunner::handle(HttpExchange& exchange)
+{
+    const auto& request = exchange.request();
+    if (request.header("X-Expect-Instance").value_or(m_id) != m_id) {
+        co_await exchange.answer({ 421, "", "", { { "X-Instance-Id", m_id } } });
+    } else if (request.path == "/api/report") {
+        const Json report { { "busy", m_isLoading }, { "seq", m_orders },
+            { "models", Json::array({ { { "name", "m" }, { "version", m_weights } } }) } };
+        co_await exchange.answer({ 200, "application/json", report.dump(), {} });
+    } else if (request.path == "/api/order") {
+        co_await takeOrder(exchange);
+    } else {
+        co_await answerRequest(exchange);
+    }
+}
+
+Task<> SoakRunner::takeOrder(HttpExchange& exchange)
+{
+    const auto json = Json::parse(exchange.request().body, nullptr, false);
+    const Order order { readString(json, "holder"), readNumber(json, "fence"), std::chrono::steady_clock::now() };
+    const auto resumed = m_verdict.resumedAt.find(order.holder);
+    const bool isLate = order.at - m_linkChangedAt < lateOrderTime
+        || (resumed != m_verdict.resumedAt.end() && order.at - resumed->second < lateOrderTime);
+    if (m_lastOrder && !isLate) {
+        const bool isSameHolder = order.holder == m_lastOrder->holder;
+        const bool holds = isSameHolder
+            ? order.token >= m_lastOrder->token
+            : order.token > m_lastOrder->token && order.at - m_lastOrder->at >= handoverLimit;
+        m_verdict.note(GatewayPromise::OneVmGivesOrders, holds,
+            m_id + ": " + order.holder + " with token " + std::to_string(order.token) + " after " + m_lastOrder->holder
+                + " with " + std::to_string(m_lastOrder->token) + ", "
+                + std::to_string(
+                    std::chrono::duration_cast<std::chrono::milliseconds>(order.at - m_lastOrder->at).count())
+                + " ms apart");
+    }
+    m_lastOrder = order;
+    if (m_isLoading || readNumber(json, "expected_rev") != m_orders) {
+        co_await exchange.answer({ 409, "", "", {} });
+        co_return;
+    }
+    ++m_orders;
+    m_isLoading = true;
+    co_await exchange.answer({ 202, "", "", {} });
+    co_await sleepFor(loadTime);
+    m_weights = readNumber(json, "version");
+    m_isLoading = false;
+}
+
+Task<> SoakRunner::answerRequest(HttpExchange& exchange)
+{
+    // Copied, since the exchange may end while the runner works.
+    const auto request = exchange.request();
+    const std::string requestId(request.header("X-Request-Id").value_or(""));
+    const auto expected = request.header("X-Expect-Version");
+    if (expected && *expected != std::to_string(m_weights)) {
+        co_await exchange.answer({ 421, "", "", { { "X-Instance-Id", m_id } } });
+        co_return;
+    }
+    if (m_fault == RunnerFault::Refuses || m_isLoading) {
+        co_await exchange.answer({ 503, "", "", { { "X-Not-Run", "1" }, { "X-Request-Id", requestId } } });
+        co_return;
+    }
+    const auto arrivedAt = std::chrono::steady_clock::now();
+    m_ledger.noteRun(request);
+    co_await sleepFor(m_fault == RunnerFault::Slow ? slowWorkTime : workTime);
+    if (m_fault == RunnerFault::LosesAnswers) {
+        exchange.abort();
+        co_return;
+    }
+    const HttpHeaders headers { { "X-Request-Id", requestId }, { "X-Server-Stamp", "stamp-" + m_id } };
+    if (request.path.starts_with("/stream/") || request.path.starts_with("/resumable/")) {
+        co_await answerStream(exchange, headers);
+        co_return;
+    }
+    const bool isFailure = m_fault == RunnerFault::Fails;
+    const auto answered = co_await exchange.answer(
+        { isFailure ? 500 : 200, "text/plain", isFailure ? "failed" : answerText(requestId), headers });
+    if (answered && m_link.state() == LinkState::Sound && m_linkChangedAt < arrivedAt) {
+        m_ledger.noteAnswered(requestId);
+    }
+}
+
+Task<> SoakRunner::answerStream(HttpExchange& exchange, const HttpHeaders& headers)
+{
+    const auto& request = exchange.request();
+    const std::string requestId(request.header("X-Request-Id").value_or(""));
+    const unsigned first = std::stoul(std::string(request.header("Last-Event-Id").value_or("0"))) + 1;
+    if (!co_await exchange.beginStream({ 200, "text/event-stream", "", headers })) {
+        co_return;
+    }
+    for (unsigned number = first; number <= streamEvents; ++number) {
+        const auto event = eventText(requestId, number);
+        if (m_fault == RunnerFault::BreaksStreams && number == streamEvents / 2) {
+            co_await exchange.writeChunk(std::string_view(event).substr(0, event.size() / 2));
+            exchange.abort();
+            co_return;
+        }
+        if (!co_await exchange.writeChunk(event)) {
+            co_return;
+        }
+        co_await sleepFor(eventPause);
+    }
+    co_await exchange.endStream();
+}
+
+} // namespace Pollenwind
