Load weights at runners that are down only after the others

Cause: the driver sorts by the age of the weights and waits 0.4 s after a failed order before it frees the place.

Now a runner whose last order failed comes after the others, its place is free at once, and starts that are known to be over get no orders.

Ruled out: the share of runners that load at the same time (loads were waiting while places were held by runners that are down).

--- a/Source/Core/Gateway/Queries/RunnerQueries.h
+++ b/Source/Core/Gateway/Queries/RunnerQueries.h
@@ -22,7 +22,7 @@
     /// @return A runner's entry while it is on the list.
     virtual std::optional<RunnerEntry> find(const UpstreamId& runner) const = 0;
 
-    /// Entries of all runners on the list.
+    /// Entries of all runners on the list, without starts that are known to be over.
     virtual std::vector<RunnerEntry> entries() const = 0;
 
     /// This VM's own work, by hash of the runner's id.
--- a/Source/Core/Gateway/RunnerTable.cpp
+++ b/Source/Core/Gateway/RunnerTable.cpp
@@ -417,7 +417,7 @@
 {
     std::vector<RunnerEntry> list;
     for (const auto& [id, runner] : m_runners) {
-        if (runner.entry.state != RunnerState::Gone) {
+        if (runner.entry.state != RunnerState::Gone && runner.replacedAt.count() == 0) {
             list.push_back(runner.entry);
         }
     }
--- a/Source/Core/Gateway/WeightsDriver.cpp
+++ b/Source/Core/Gateway/WeightsDriver.cpp
@@ -57,7 +57,9 @@
             }
         }
     }
-    std::ranges::sort(pending, {}, &Pending::current);
+    // A runner that is down must not keep the others from their loads until its entry lapses.
+    std::ranges::sort(pending, {},
+        [this](const Pending& it) { return std::pair(m_failed.contains(runnerHash(it.runner.id)), it.current); });
     return pending;
 }
 
@@ -71,6 +73,7 @@
         std::size_t runnerCount = 0;
         const auto pending = pendingLoads(runnerCount);
         if (pending.empty()) {
+            m_failed.clear();
             if (m_loading.empty()) {
                 co_await m_lease.endOrders();
             }
@@ -104,12 +107,14 @@
 Task<> WeightsDriver::load(Pending pending)
 {
     co_await drain(pending);
+    const auto hash = runnerHash(pending.runner.id);
     if (co_await order(pending)) {
+        m_failed.erase(hash);
         co_await waitUntilLoaded(pending);
     } else {
-        co_await sleepFor(m_options.retryPause);
+        m_failed.insert(hash);
     }
-    m_loading.erase(runnerHash(pending.runner.id));
+    m_loading.erase(hash);
     publishLoading();
 }
 
--- a/Source/Core/Gateway/WeightsDriver.h
+++ b/Source/Core/Gateway/WeightsDriver.h
@@ -24,7 +24,6 @@
     std::chrono::milliseconds pollInterval { 250 };
     /// Time after which an order that was accepted but not carried out is given again.
     std::chrono::milliseconds loadTimeout { 7000 };
-    std::chrono::milliseconds retryPause { 400 };
 };
 
 /// Brings runners to the newest weights while this VM holds the order lease.
@@ -77,6 +76,8 @@
     VmId m_vm;
     WeightsDriverOptions m_options;
     std::set<std::uint64_t> m_loading;
+    /// Runners whose last order failed; they come after the others.
+    std::set<std::uint64_t> m_failed;
     std::vector<Loaded> m_loaded;
     std::function<void()> m_onLoadingChanged;
 };
--- a/Source/UnitTests/PlatformAdapter/GatewayTests.cpp
+++ b/Source/UnitTests/PlatformAdapter/GatewayTests.cpp
@@ -220,6 +220,27 @@
     });
 }
 
+// Guards against crashed runners with older weights that take all places for loads until their entries lapse: on
+// scale-2 of the grown drattur site 42 of 140 runners did so for 3.6 s, three times.
+Test(PlatformGateway, loadsWeightsBesideRunnersThatAreDown)
+{
+    PlatformFixture fixture;
+    fixture.first.weights = fixture.second.weights = 2;
+    for (const auto* runner : { &fixture.first, &fixture.second }) {
+        fixture.store.put("servers/" + runner->id, runner->entry("app"));
+    }
+    for (const auto* id : { "i-0a", "i-0b", "i-0c" }) {
+        RunnerStandIn down(fixture.context.get_executor(), id);
+        down.endpoint = { "127.0.0.1", freePort(fixture.context) };
+        fixture.store.put("servers/" + down.id, down.entry("app"));
+    }
+    fixture.run([&](Gateway&) -> Task<> {
+        fixture.store.put("op/version/m", R"({"model":"m","version":3})");
+        co_await fixture.waitUntil(
+            [&]() -> Task<bool> { co_return fixture.first.weights == 3 && fixture.second.weights == 3; });
+    });
+}
+
 // Guards against idle connections that use up what a runner accepts: on scale-1 of the kutpenz site runners reset 72
 // bookings that arrived on further connections.
 Test(PlatformGateway, keepsFewIdleConnections)
