Ask a store that is down less often

Each VM read again 250 ms after each refused call, and all VMs tried to take a lapsed order lease within 250 ms, while a VM of a large fleet hears of the new holder up to 1.6 s later.

Now the pause after a failed read doubles up to the pause in which changes gather (0.5 s, 1.6 s in large fleets), and the VMs are spread over 60 ms each before they try to take the lease.

--- a/Source/Core/Gateway/Gateway.cpp
+++ b/Source/Core/Gateway/Gateway.cpp
@@ -208,6 +208,7 @@
         }
         client.setIdleLimit(idleLimit(*configuration, fleet.size()));
         policy.setZonesApart(fleet.isLarge());
+        orders.setFleetSize(fleet.size());
         const double seconds = std::chrono::duration<double>(settings.retries.window).count();
         const double perVm = settings.retries.perWindow * retryShare / static_cast<double>(fleet.size());
         retryBudget.setOptions({ settings.retries.perRequest * retryShare, perVm / seconds, seconds });
--- a/Source/Core/Gateway/GatewaySync.cpp
+++ b/Source/Core/Gateway/GatewaySync.cpp
@@ -19,11 +19,16 @@
 
 Task<> GatewaySync::run()
 {
+    auto pause = m_options.retryPause;
     for (;;) {
         if (co_await readAll()) {
+            pause = m_options.retryPause;
             co_await followChanges();
+        } else {
+            // Refused calls are priced like others, and every VM makes them.
+            pause = std::min(2 * pause, std::max(m_options.retryPause, gatherPause()));
         }
-        co_await sleepFor(m_options.retryPause);
+        co_await sleepFor(pause);
     }
 }
 
--- a/Source/Core/Gateway/GatewaySync.h
+++ b/Source/Core/Gateway/GatewaySync.h
@@ -41,7 +41,7 @@
     std::chrono::milliseconds holderGatherPause { 100 };
     /// Time without proof of freshness after which API keys are no longer accepted.
     std::chrono::milliseconds keyLimit { 4300 };
-    /// Pause after a failed call.
+    /// Pause after a failed call; it doubles up to the pause in which changes gather.
     std::chrono::milliseconds retryPause { 250 };
 };
 
--- a/Source/Core/Gateway/OrderLease.cpp
+++ b/Source/Core/Gateway/OrderLease.cpp
@@ -6,14 +6,18 @@
 
 #include <xxhash.h>
 
+#include <algorithm>
+
 namespace Pollenwind {
 
 namespace {
 
     constexpr std::chrono::milliseconds checkInterval { 300 };
 
-    // Spreads the VMs that see a lapsed lease at once, so that most find it taken again before they try.
-    constexpr unsigned acquireSpreadMs = 250;
+    // Spreads the VMs that see a lapsed lease at once, so that most find it taken again before they try. A VM of a
+    // large fleet hears of the new holder up to 1.6 s later.
+    constexpr std::uint64_t shortestSpreadMs = 250;
+    constexpr std::uint64_t spreadMsPerVm = 60;
 
 } // namespace
 
@@ -81,8 +85,7 @@
             continue;
         }
         if (m_isHolderKnown && m_holder.empty()) {
-            const auto spread = XXH3_64bits(m_holderValue.data(), m_holderValue.size()) % acquireSpreadMs;
-            co_await sleepFor(std::chrono::milliseconds(spread));
+            co_await sleepFor(acquireDelay());
             if (m_holder.empty() && !m_isReleased) {
                 co_await acquire();
             }
@@ -91,6 +94,12 @@
     }
 }
 
+std::chrono::milliseconds OrderLease::acquireDelay() const
+{
+    const auto spread = std::max<std::uint64_t>(shortestSpreadMs, spreadMsPerVm * m_fleetSize);
+    return std::chrono::milliseconds(XXH3_64bits(m_holderValue.data(), m_holderValue.size()) % spread);
+}
+
 Task<> OrderLease::acquire()
 {
     const auto askedAt = m_clock.now();
--- a/Source/Core/Gateway/OrderLease.h
+++ b/Source/Core/Gateway/OrderLease.h
@@ -32,6 +32,11 @@
     /// Takes the lease when nobody holds it and renews it, for the life of the process.
     Task<> run();
 
+    /// Sets the number of VMs that may try to take the lease.
+    void setFleetSize(std::size_t size) { m_fleetSize = size; }
+    /// Time that this VM waits before it tries to take a lease that nobody holds; differs between the VMs.
+    std::chrono::milliseconds acquireDelay() const;
+
     /// Takes the holder's record from the store.
     void noteHolder(const std::string& holder, std::int64_t revision);
     void noteHolderGone();
@@ -69,6 +74,8 @@
     std::string m_holderValue;
     OrderLeaseOptions m_options;
 
+    std::size_t m_fleetSize = 1;
+
     bool m_isHolderKnown = false;
     std::string m_holder;
     std::string m_stateVm;
--- a/Source/UnitTests/Gateway/OrderLeaseTests.cpp
+++ b/Source/UnitTests/Gateway/OrderLeaseTests.cpp
@@ -147,3 +147,20 @@
         co_return;
     });
 }
+
+// Guards against 82 VMs that all try to take a lapsed lease before they can hear that one of them has it.
+Test(OrderLease, spreadsALargeFleetOverSeconds)
+{
+    ManualClock clock;
+    Timeline timeline(clock, "test");
+    KeyStore store;
+    unsigned early = 0;
+    for (unsigned n = 0; n < 82; ++n) {
+        OrderLease lease(clock, store, timeline, VmId("vm-" + std::to_string(n)), Incarnation(n), {});
+        cr_assert(lease.acquireDelay() < 250ms);
+        lease.setFleetSize(82);
+        cr_assert(lease.acquireDelay() < 5s);
+        early += lease.acquireDelay() < 1600ms ? 1 : 0;
+    }
+    cr_assert(early > 0 && early < 41);
+}
--- a/Source/UnitTests/PlatformAdapter/GatewayTests.cpp
+++ b/Source/UnitTests/PlatformAdapter/GatewayTests.cpp
@@ -175,6 +175,20 @@
     });
 }
 
+// Guards against a store that is asked as often while it is down: refused calls cost the grown kutpenz site 0.34 of the
+// worth of a day with store trouble.
+Test(PlatformGateway, asksAStoreThatIsDownLessAndLess)
+{
+    PlatformFixture fixture;
+    fixture.run([&](Gateway&) -> Task<> {
+        fixture.store.refusesWith = 503;
+        co_await sleepFor(500ms);
+        const auto before = fixture.store.calls["GET /api/kv-range"];
+        co_await sleepFor(3s);
+        cr_assert_leq(fixture.store.calls["GET /api/kv-range"] - before, 8);
+    });
+}
+
 // Guards against a stream that breaks off at its runner and is not finished by another.
 Test(PlatformGateway, resumesABrokenStream)
 {
