Move what is held against a runner into a class of its own

RunnerTable had grown by refusals, failed connections, replaced starts and guessed weights, each with its own times. RunnerSuspicion keeps them for one start of a runner; the table keeps the list and the work. No decision changes; the 52 tests of the gateway pass.

--- a/Source/Core/Gateway/RunnerTable.cpp
+++ b/Source/Core/Gateway/RunnerTable.cpp
@@ -17,18 +17,6 @@
     // A gone runner is kept for as long as requests that it still serves may report their end.
     constexpr std::chrono::seconds goneRunnerRetention { 60 };
 
-    // A heartbeat of 1.2 s and the pause in which a VM gathers changes.
-    constexpr std::chrono::milliseconds assumedWeightsTime { 2200 };
-
-    // A runner that cannot be reached is tried again after this time; entries of crashed ones lapse after 3.6 s.
-    constexpr std::chrono::milliseconds unreachableTime { 1000 };
-
-    // So many VMs must fail to reach a runner before the others leave it out: one alone may be cut off itself.
-    constexpr std::size_t agreeingVms = 2;
-
-    // Two or three reports tell of a failure.
-    constexpr std::chrono::milliseconds failureNewsTime { 600 };
-
     // Runners fail single requests on their own account, so only a run of failures says something about the runner.
     constexpr BreakerOptions breakerOptions { .failuresToOpen = 3,
         .openTime = std::chrono::milliseconds(700),
@@ -57,7 +45,7 @@
             { { "runner", id.value() }, { "service", entry.service.value() }, { "endpoint", entry.endpoint.toString() },
                 { "state", std::string(nameOf(entry.state)) } });
         const auto hash = runnerHash(id);
-        m_runners.emplace(id, Runner { std::move(entry), hash, {}, {}, {}, CircuitBreaker(m_clock, breakerOptions) });
+        m_runners.emplace(id, Runner { std::move(entry), hash, {}, {}, CircuitBreaker(m_clock, breakerOptions) });
         forgetOldRunners();
         return;
     }
@@ -65,9 +53,7 @@
     if (runner.entry.boot != entry.boot || runner.entry.endpoint != entry.endpoint) {
         runner.breaker.noteRestart();
         runner.own = {};
-        runner.unreachableAt = {};
-        runner.unreachableFor.clear();
-        runner.replacedAt = {};
+        runner.suspicion = {};
         m_timeline.record(
             EventKind::UpstreamIncarnation, { { "runner", id.value() }, { "endpoint", entry.endpoint.toString() } });
     }
@@ -87,8 +73,7 @@
         }
     }
     if (runner.entry.weights != entry.weights) {
-        runner.avoidUntil = {};
-        runner.assumed.reset();
+        runner.suspicion.noteWeightsKnown();
     }
     runner.entry = std::move(entry);
 }
@@ -163,28 +148,19 @@
         for (auto& [model, version] : runner->second.entry.weights) {
             if (modelHash(model) == it.model && version < it.version) {
                 version = it.version;
-                runner->second.avoidUntil = {};
-                runner->second.assumed.reset();
+                runner->second.suspicion.noteWeightsKnown();
             }
         }
     }
 }
 
-void RunnerTable::noteOtherWeights(const UpstreamId& id, const std::string& model, WeightsVersion expected)
+void RunnerTable::noteOtherWeights(const UpstreamId& runner, const std::string& model, WeightsVersion expected)
 {
-    const auto it = m_runners.find(id);
-    const auto newest = m_newestWeights.find(model);
-    if (it == m_runners.end()) {
-        return;
-    }
-    auto& runner = it->second;
-    if (newest == m_newestWeights.end() || newest->second <= expected) {
-        // Neither the weights of the entry nor the newest ones.
-        runner.assumed.reset();
-        runner.avoidUntil = m_clock.now() + assumedWeightsTime;
-        return;
+    if (const auto it = m_runners.find(runner); it != m_runners.end()) {
+        const auto newest = m_newestWeights.find(model);
+        it->second.suspicion.noteOtherWeights(
+            model, expected, newest == m_newestWeights.end() ? 0 : newest->second, m_clock.now());
     }
-    runner.assumed = AssumedWeights { model, newest->second, m_clock.now() + assumedWeightsTime };
 }
 
 std::vector<NamedAge> RunnerTable::namedAges() const
@@ -202,7 +178,7 @@
 void RunnerTable::noteRefusal(const UpstreamId& runner, std::chrono::nanoseconds avoidTime)
 {
     if (const auto it = m_runners.find(runner); it != m_runners.end()) {
-        it->second.avoidUntil = m_clock.now() + avoidTime;
+        it->second.suspicion.noteRefusal(m_clock.now() + avoidTime);
     }
 }
 
@@ -239,16 +215,14 @@
 void RunnerTable::noteUnreachable(const UpstreamId& runner)
 {
     if (const auto it = m_runners.find(runner); it != m_runners.end()) {
-        it->second.unreachableAt = m_clock.now();
-        it->second.avoidUntil = std::max(it->second.avoidUntil, m_clock.now() + unreachableTime);
+        it->second.suspicion.noteUnreachable(m_clock.now());
     }
 }
 
 void RunnerTable::noteReplaced(const UpstreamId& runner)
 {
     const auto it = m_runners.find(runner);
-    if (it != m_runners.end() && it->second.replacedAt.count() == 0) {
-        it->second.replacedAt = m_clock.now();
+    if (it != m_runners.end() && it->second.suspicion.noteReplaced(m_clock.now())) {
         m_timeline.record(EventKind::UpstreamLeaving, { { "runner", runner.value() }, { "entry", "replaced" } });
     }
 }
@@ -260,7 +234,7 @@
     }
     for (auto& [id, runner] : m_runners) {
         if (std::ranges::find(failures.unreachable, runner.hash) != failures.unreachable.end()) {
-            runner.unreachableFor[vm] = m_clock.now();
+            runner.suspicion.noteUnreachableFor(vm, m_clock.now());
         }
         if (std::ranges::find(failures.replaced, holderHash(id, runner.entry.boot)) != failures.replaced.end()) {
             noteReplaced(id);
@@ -270,27 +244,19 @@
 
 RunnerFailures RunnerTable::recentFailures() const
 {
-    const auto since = m_clock.now() - failureNewsTime;
+    const auto now = m_clock.now();
     RunnerFailures failures;
     for (const auto& [id, runner] : m_runners) {
-        if (runner.unreachableAt.count() > 0 && runner.unreachableAt >= since) {
+        if (runner.suspicion.isUnreachableNews(now)) {
             failures.unreachable.push_back(runner.hash);
         }
-        if (runner.replacedAt.count() > 0 && runner.replacedAt >= since) {
+        if (runner.suspicion.isReplacedNews(now)) {
             failures.replaced.push_back(holderHash(id, runner.entry.boot));
         }
     }
     return failures;
 }
 
-bool RunnerTable::isUnreachable(const Runner& runner) const
-{
-    const auto since = m_clock.now() - unreachableTime;
-    const auto agreeing
-        = std::ranges::count_if(runner.unreachableFor, [since](const auto& it) { return it.second >= since; });
-    return static_cast<std::size_t>(agreeing) >= agreeingVms;
-}
-
 void RunnerTable::noteEnded(const UpstreamId& runner, double waitingTokens, RunnerResult result)
 {
     const auto it = m_runners.find(runner);
@@ -375,9 +341,7 @@
     if (const auto it = runner.entry.weights.find(model); it != runner.entry.weights.end()) {
         candidate.weights = it->second;
     }
-    if (runner.assumed && runner.assumed->model == model && m_clock.now() < runner.assumed->until) {
-        candidate.weights = std::max(candidate.weights, runner.assumed->version);
-    }
+    candidate.weights = runner.suspicion.assumedWeights(model, candidate.weights, m_clock.now());
     runner.breaker.refresh();
     candidate.admission = runner.breaker.admission();
     return candidate;
@@ -392,16 +356,16 @@
     for (const auto& [id, runner] : m_runners) {
         const auto state = runner.entry.state;
         const bool isLapsed = state == RunnerState::Gone && now - runner.endedAt < lapsedEntryGrace;
-        const bool isReplaced = runner.replacedAt.count() > 0;
-        if (runner.entry.service != service || isReplaced || (state != RunnerState::Ready && !isLapsed)) {
+        if (runner.entry.service != service || runner.suspicion.isReplaced()
+            || (state != RunnerState::Ready && !isLapsed)) {
             continue;
         }
         auto candidate = toCandidate(runner, model);
         if (!model.empty() && candidate.weights < oldest) {
             continue;
         }
-        const bool isGood = !isLapsed && candidate.admission > 0 && now >= runner.avoidUntil && !isLoading(runner.hash)
-            && !isUnreachable(runner);
+        const bool isGood
+            = !isLapsed && candidate.admission > 0 && !runner.suspicion.isDoubtful(now) && !isLoading(runner.hash);
         (isGood ? good : doubtful).push_back(std::move(candidate));
     }
     return good.empty() ? doubtful : good;
@@ -417,7 +381,7 @@
 {
     std::vector<RunnerEntry> list;
     for (const auto& [id, runner] : m_runners) {
-        if (runner.entry.state != RunnerState::Gone && runner.replacedAt.count() == 0) {
+        if (runner.entry.state != RunnerState::Gone && !runner.suspicion.isReplaced()) {
             list.push_back(runner.entry);
         }
     }
--- a/Source/Core/Gateway/RunnerTable.h
+++ b/Source/Core/Gateway/RunnerTable.h
@@ -2,12 +2,12 @@
 
 #include "Gateway/Commands/RunnerCommands.h"
 #include "Gateway/Queries/RunnerQueries.h"
+#include "Gateway/RunnerSuspicion.h"
 #include "Timeline/Commands/TimelineCommands.h"
 #include "Upstream/CircuitBreaker.h"
 
 #include <chrono>
 #include <map>
-#include <optional>
 #include <vector>
 
 namespace Pollenwind {
@@ -51,27 +51,14 @@
     const std::map<std::string, WeightsVersion>& newestWeights() const override { return m_newestWeights; }
 
 private:
-    /// Weights that a runner is taken to have since it refused requests for the ones of its entry. Never told to
-    /// others, and not used for orders.
-    struct AssumedWeights {
-        std::string model;
-        WeightsVersion version = 0;
-        MonotonicTime until { 0 };
-    };
     struct Runner {
         RunnerEntry entry;
         std::uint64_t hash = 0;
         RunnerLoad own;
         MonotonicTime endedAt { 0 };
-        MonotonicTime avoidUntil { 0 };
         /// Refreshed when read, because a breaker moves on with time.
         mutable CircuitBreaker breaker;
-        std::optional<AssumedWeights> assumed = std::nullopt;
-        /// When this VM last failed to connect, and when others told of the same.
-        MonotonicTime unreachableAt { 0 };
-        std::map<VmId, MonotonicTime> unreachableFor = {};
-        /// When another process was found at the address of this start; 0 when none was.
-        MonotonicTime replacedAt { 0 };
+        RunnerSuspicion suspicion = {};
     };
     struct NamedWeights {
         WeightsVersion version = 0;
@@ -85,7 +72,6 @@
     RunnerCandidate toCandidate(const Runner& runner, const std::string& model) const;
     void forgetOldRunners();
     bool isLoading(std::uint64_t hash) const;
-    bool isUnreachable(const Runner& runner) const;
 
     const Clock& m_clock;
     TimelineCommands& m_timeline;
