Tell a caller that gave up from a lost answer in the gateway soak

Traced in the processes' logs: for each lost request the gateway wrote "finished", 1.7 to 4.8 s after it was placed, while the caller's own limit of 4 s passed; the probes of readiness had 400 ms. Both are limits of the caller in the check, not promises of the gateway.

A request counts as lost when the other side closed the connection, no longer when the caller gave up; the probe waits as long as a caller does.

--- a/Source/UnitTests/PlatformSoak/GatewaySoak.cpp
+++ b/Source/UnitTests/PlatformSoak/GatewaySoak.cpp
@@ -21,6 +21,8 @@
     constexpr std::chrono::milliseconds entryLapse { 3600 };
     constexpr std::chrono::milliseconds probeInterval { 300 };
     constexpr std::chrono::milliseconds probeTimeout { 400 };
+    // Beside heavy load a process may not run for a second; a process that is not ready says so at once when it runs.
+    constexpr std::chrono::milliseconds readyTimeout { 4000 };
     constexpr std::chrono::milliseconds longestFault { 2500 };
     // Time from the last fault until everything must be well: a lapsed lease, a handover and the loads.
     constexpr std::chrono::seconds recoveryTime { 12 };
@@ -314,7 +316,7 @@
 Task<> GatewaySoak::checkRecovery()
 {
     for (auto& gateway : m_gateways) {
-        const auto answer = co_await fetch(gateway.ready(), { "GET", "/api/ready", "", {}, "" }, probeTimeout);
+        const auto answer = co_await fetch(gateway.ready(), { "GET", "/api/ready", "", {}, "" }, readyTimeout);
         m_verdict.note(GatewayPromise::Recovers, answer && answer->status == 200,
             gateway.name() + " is not ready after the faults");
     }
--- a/Source/UnitTests/PlatformSoak/SoakCaller.cpp
+++ b/Source/UnitTests/PlatformSoak/SoakCaller.cpp
@@ -78,6 +78,7 @@
     answer.isSent = true;
     const auto head = co_await connection->send(request, end - std::chrono::steady_clock::now());
     if (!head) {
+        answer.isGivenUp = head.error().code == ErrorCode::DeadlineExceeded;
         connection.reset();
         co_return answer;
     }
@@ -89,6 +90,7 @@
     for (;;) {
         const auto part = co_await connection->readSome(end - std::chrono::steady_clock::now());
         if (!part) {
+            answer.isGivenUp = part.error().code == ErrorCode::DeadlineExceeded;
             connection.reset();
             co_return answer;
         }
@@ -126,9 +128,9 @@
         return;
     }
     ++m_verdict.connectionsLost;
-    // Around a kill or a pause of the process an answer may be lost.
+    // Around a kill or a pause of the process an answer may be lost, and one may come after the caller has given up.
     const bool wasCalm = m_gateways[gateway].lastDisturbedAt() < m_ledger.sentAt(id);
-    if (kind != RequestKind::Streaming && !isResumable && wasCalm) {
+    if (kind != RequestKind::Streaming && !isResumable && wasCalm && !answer.isGivenUp) {
         m_verdict.note(GatewayPromise::AnswersAreDelivered, !m_ledger.wasAnswered(id),
             id + " lost at " + m_gateways[gateway].name());
     }
--- a/Source/UnitTests/PlatformSoak/SoakCaller.h
+++ b/Source/UnitTests/PlatformSoak/SoakCaller.h
@@ -22,6 +22,8 @@
     struct Answer {
         bool isSent = false;
         bool isComplete = false;
+        /// The caller's own time limit passed.
+        bool isGivenUp = false;
         int status = 0;
         std::string body;
         std::optional<std::string> requestId;
