--- a/tools/gateway-soak.sh
+++ b/tools/gateway-soak.sh
@@ -1,35 +1,41 @@
 #!/usr/bin/env bash
 # Runs pollenwind-gateway as processes under faults from outside (proxies, signals, the store and the runners) and checks
 # the promises. Ends only processes that it started.
-# Usage: tools/gateway-soak.sh [--seeds "N N..."] [--seconds S] [--build FOLDER] [--regressions]
+# Usage: tools/gateway-soak.sh [--seeds "N N..."] [--seconds S] [--jobs N] [--build FOLDER] [--regressions]
 set -euo pipefail
 cd "$(dirname "$0")/.."
 seeds="1"
 seconds=40
 build=build
+jobs=4
 while [ $# -gt 0 ]; do
     case $1 in
     --seeds) seeds=$2 && shift ;;
     --seconds) seconds=$2 && shift ;;
     --build) build=$2 && shift ;;
+    --jobs) jobs=$2 && shift ;;
     --regressions) seeds=$(sed -n 's/^\([0-9][0-9]*\) .*/\1/p' Source/UnitTests/PlatformSoak/regressions.txt | tr '\n' ' ') ;;
     *)
-        echo "usage: tools/gateway-soak.sh [--seeds \"N N...\"] [--seconds S] [--build FOLDER] [--regressions]" >&2
+        echo "usage: tools/gateway-soak.sh [--seeds \"N N...\"] [--seconds S] [--jobs N] [--build FOLDER] [--regressions]" >&2
         exit 2
         ;;
     esac
     shift
 done
-failed=0
-for seed in $seeds; do
+play() {
+    local seed=$1 work output
     work=$(mktemp -d)
-    echo "== seed $seed"
-    if "$build/Source/UnitTests/PlatformSoak/gateway-soak" --seed "$seed" --seconds "$seconds" --folder "$work" \
-        --program "$build/platform/pollenwind-gateway"; then
+    output=$("$build/Source/UnitTests/PlatformSoak/gateway-soak" --seed "$seed" --seconds "$seconds" --folder "$work" \
+        --program "$build/platform/pollenwind-gateway" 2>&1) && local status=0 || local status=$?
+    printf '== seed %s\n%s\n' "$seed" "$output"
+    if [ "$status" -eq 0 ]; then
         rm -rf "$work"
     else
-        failed=$((failed + 1))
-        echo "seed $seed broke a promise; logs in $work; repeat with: tools/gateway-soak.sh --seeds $seed --seconds $seconds"
+        echo "seed $seed failed; logs in $work; repeat with: tools/gateway-soak.sh --seeds $seed --seconds $seconds"
     fi
-done
-[ "$failed" -eq 0 ]
+    return "$status"
+}
+export -f play
+export build seconds
+# Each seed has a loopback net of its own, so several run side by side.
+printf '%s\n' $seeds | xargs -r -P "$jobs" -I{} bash -c 'play {}'
