--- a/Source/UnitTests/PlatformSoak/SoakCaller.cpp
+++ b/Source/UnitTests/PlatformSoak/SoakCaller.cpp
@@ -58,7 +58,7 @@
         }
         m_ledger.noteSent(id, row.kind, row.isResumable, request.body, key);
         const auto answer = co_await send(gateway, std::move(request));
-        check(id, row.kind, row.isResumable, gateway, answer);
+        check(id, row.kind, gateway, answer);
         co_await sleepFor(answer.isComplete && answer.status == 200 ? pause : answer.retryAfter);
     }
 }
@@ -102,8 +102,7 @@
     }
 }
 
-void SoakCaller::check(
-    const std::string& id, RequestKind kind, bool isResumable, std::size_t gateway, const Answer& answer)
+void SoakCaller::check(const std::string& id, RequestKind kind, std::size_t gateway, const Answer& answer)
 {
     ++m_verdict.answersByStatus[answer.isComplete ? answer.status : 0];
     if (answer.status != 0) {
@@ -130,7 +129,7 @@
     ++m_verdict.connectionsLost;
     // Around a kill or a pause of the process an answer may be lost, and one may come after the caller has given up.
     const bool wasCalm = m_gateways[gateway].lastDisturbedAt() < m_ledger.sentAt(id);
-    if (kind != RequestKind::Streaming && !isResumable && wasCalm && !answer.isGivenUp) {
+    if (kind != RequestKind::Streaming && wasCalm && !answer.isGivenUp) {
         m_verdict.note(GatewayPromise::AnswersAreDelivered, !m_ledger.wasAnswered(id),
             id + " lost at " + m_gateways[gateway].name());
     }
--- a/Source/UnitTests/PlatformSoak/SoakCaller.h
+++ b/Source/UnitTests/PlatformSoak/SoakCaller.h
@@ -22,7 +22,7 @@
     struct Answer {
         bool isSent = false;
         bool isComplete = false;
-        /// The caller's own time limit passed.
+        /// The caller's own deadline passed.
         bool isGivenUp = false;
         int status = 0;
         std::string body;
@@ -32,7 +32,7 @@
     };
 
     Task<Answer> send(std::size_t gateway, HttpRequest request);
-    void check(const std::string& id, RequestKind kind, bool isResumable, std::size_t gateway, const Answer& answer);
+    void check(const std::string& id, RequestKind kind, std::size_t gateway, const Answer& answer);
 
     asio::any_io_executor m_executor;
     std::string m_name;
