Admit organisations within their rate at every VM of a large fleet

Cause: a VM created an organisation's bucket with its first request, a quarter full of a third of the burst. Each of 295 VMs so refused the first requests of each organisation, from 0.15 s after traffic began. Three more faults of the same table: a relay summed over the VMs in contact, so its sums fell with each VM that left and hid what the others took; a new relay's first sums were ignored; what a cut zone took of its own share became a debt when it was back.

Change: buckets exist from the configuration on and are filled since the start of the process. A fleet with relays holds back only what an organisation can take before reports arrive beyond the operator's tolerance (quota_overage, quota_slack). A request that lacks few tokens waits for them in order, at most 0.4 of its route's objective; others are refused at once with a spread time to come back. Sums of a zone never fall, a new relay starts with the sums of the time when the old one stopped, a VM that starts takes over low levels, and use within the share of a cut part is no debt.

--- a/Source/Core/Gateway/FleetMessages_generated.h
+++ b/Source/Core/Gateway/FleetMessages_generated.h
@@ -176,7 +176,8 @@
     VT_MEMBERS = 20,
     VT_LOADED = 22,
     VT_UNREACHABLE = 24,
-    VT_REPLACED = 26
+    VT_REPLACED = 26,
+    VT_DEBTS = 28
   };
   const flatbuffers::String *vm() const {
     return GetPointer<const flatbuffers::String *>(VT_VM);
@@ -214,6 +215,9 @@
   const flatbuffers::Vector<uint64_t> *replaced() const {
     return GetPointer<const flatbuffers::Vector<uint64_t> *>(VT_REPLACED);
   }
+  const flatbuffers::Vector<const Pollenwind::wire::OrganisationUsage *> *debts() const {
+    return GetPointer<const flatbuffers::Vector<const Pollenwind::wire::OrganisationUsage *> *>(VT_DEBTS);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_VM) &&
@@ -237,6 +241,8 @@
            verifier.VerifyVector(unreachable()) &&
            VerifyOffset(verifier, VT_REPLACED) &&
            verifier.VerifyVector(replaced()) &&
+           VerifyOffset(verifier, VT_DEBTS) &&
+           verifier.VerifyVector(debts()) &&
            verifier.EndTable();
   }
 };
@@ -281,6 +287,9 @@
   void add_replaced(flatbuffers::Offset<flatbuffers::Vector<uint64_t>> replaced) {
     fbb_.AddOffset(FleetReport::VT_REPLACED, replaced);
   }
+  void add_debts(flatbuffers::Offset<flatbuffers::Vector<const Pollenwind::wire::OrganisationUsage *>> debts) {
+    fbb_.AddOffset(FleetReport::VT_DEBTS, debts);
+  }
   explicit FleetReportBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -305,10 +314,12 @@
     uint32_t members = 0,
     flatbuffers::Offset<flatbuffers::Vector<const Pollenwind::wire::LoadedWeights *>> loaded = 0,
     flatbuffers::Offset<flatbuffers::Vector<uint64_t>> unreachable = 0,
-    flatbuffers::Offset<flatbuffers::Vector<uint64_t>> replaced = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<uint64_t>> replaced = 0,
+    flatbuffers::Offset<flatbuffers::Vector<const Pollenwind::wire::OrganisationUsage *>> debts = 0) {
   FleetReportBuilder builder_(_fbb);
   builder_.add_sequence(sequence);
   builder_.add_boot(boot);
+  builder_.add_debts(debts);
   builder_.add_replaced(replaced);
   builder_.add_unreachable(unreachable);
   builder_.add_loaded(loaded);
@@ -335,7 +346,8 @@
     uint32_t members = 0,
     const std::vector<Pollenwind::wire::LoadedWeights> *loaded = nullptr,
     const std::vector<uint64_t> *unreachable = nullptr,
-    const std::vector<uint64_t> *replaced = nullptr) {
+    const std::vector<uint64_t> *replaced = nullptr,
+    const std::vector<Pollenwind::wire::OrganisationUsage> *debts = nullptr) {
   auto vm__ = vm ? _fbb.CreateString(vm) : 0;
   auto usage__ = usage ? _fbb.CreateVectorOfStructs<Pollenwind::wire::OrganisationUsage>(*usage) : 0;
   auto work__ = work ? _fbb.CreateVectorOfStructs<Pollenwind::wire::RunnerWork>(*work) : 0;
@@ -345,6 +357,7 @@
   auto loaded__ = loaded ? _fbb.CreateVectorOfStructs<Pollenwind::wire::LoadedWeights>(*loaded) : 0;
   auto unreachable__ = unreachable ? _fbb.CreateVector<uint64_t>(*unreachable) : 0;
   auto replaced__ = replaced ? _fbb.CreateVector<uint64_t>(*replaced) : 0;
+  auto debts__ = debts ? _fbb.CreateVectorOfStructs<Pollenwind::wire::OrganisationUsage>(*debts) : 0;
   return Pollenwind::wire::CreateFleetReport(
       _fbb,
       vm__,
@@ -358,7 +371,8 @@
       members,
       loaded__,
       unreachable__,
-      replaced__);
+      replaced__,
+      debts__);
 }
 
 inline const Pollenwind::wire::FleetReport *GetFleetReport(const void *buf) {
--- a/Source/Core/Gateway/FleetQuota.cpp
+++ b/Source/Core/Gateway/FleetQuota.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <set>
 
 namespace Pollenwind {
 
@@ -15,75 +16,134 @@
     // A request larger than the burst is admitted if the bucket is nearly full, and leaves a debt.
     constexpr double maxNeededShare = 0.9;
 
+    // What an organisation at 4.2 times its rate takes from the VMs of a large fleet before they receive each other's
+    // reports, in seconds of its rate. Reports between zones take up to a second.
+    constexpr double unreportedSeconds = 1.9;
+
+    // Part of the burst that the buckets of a large fleet hold in any case.
+    constexpr double minBurstShare = 0.2;
+
+    // Time after the start in which the levels of other VMs are taken over. Afterwards the buckets contain the use that
+    // the other VMs report.
+    constexpr std::chrono::milliseconds learningTime { 3000 };
+
+    // Smallest reachable share that is told apart from none.
+    constexpr double minShare = 1e-4;
+
     constexpr std::chrono::milliseconds minRetryAfter { 50 };
 
+    std::uint64_t hashOf(const OrganisationId& organisation)
+    {
+        return XXH3_64bits(organisation.value().data(), organisation.value().size());
+    }
+
 } // namespace
 
-void FleetQuota::Bucket::refill(MonotonicTime now, double newRate, double newBurst)
+void FleetQuota::Bucket::refill(MonotonicTime now, double share)
 {
     const double elapsed = std::chrono::duration<double>(now - refilledAt).count();
-    // The time since the last refill counts at the lower of both rates.
-    level = std::min(newBurst, level + elapsed * std::min(rate, newRate));
-    rate = newRate;
-    burst = newBurst;
+    level = std::min(burst * share, level + elapsed * rate * share);
     refilledAt = now;
 }
 
+double FleetQuota::usableBurst(const OrganisationRule& organisation) const
+{
+    const double full = std::max(organisation.burst, organisation.rate / 4);
+    if (!m_isLargeFleet) {
+        return full;
+    }
+    const double window = std::chrono::duration<double>(m_tolerance.window).count();
+    const double tolerated
+        = m_tolerance.overage * (organisation.rate * window + organisation.burst) + m_tolerance.slack;
+    const double heldBack = std::max(0.0, unreportedSeconds * organisation.rate - tolerated);
+    return std::max(full - heldBack, full * minBurstShare);
+}
+
 FleetQuota::Bucket& FleetQuota::bucketOf(const OrganisationRule& organisation, std::uint64_t hash)
 {
-    const auto now = m_clock.now();
-    auto [it, isNew] = m_buckets.try_emplace(hash);
+    const auto [it, isNew] = m_buckets.try_emplace(hash);
     auto& bucket = it->second;
-    const double rate = organisation.rate * m_share;
-    const double burst = std::max(organisation.burst * m_burstShare, organisation.rate / 4) * m_share;
+    const double burst = usableBurst(organisation);
     if (isNew) {
-        bucket = { burst * initialLevelShare, rate, burst, now };
-        return bucket;
+        bucket = { burst * m_share * initialLevelShare, organisation.rate, burst, m_startedAt };
     }
-    bucket.refill(now, rate, burst);
+    bucket.refill(m_clock.now(), m_share);
+    bucket.rate = organisation.rate;
+    bucket.burst = burst;
+    bucket.level = std::min(bucket.level, burst * m_share);
     return bucket;
 }
 
-Outcome<void> FleetQuota::take(const OrganisationRule& organisation, double tokens)
+void FleetQuota::setReachableShare(double share)
+{
+    if (share == m_share) {
+        return;
+    }
+    const double growth = share / std::max(m_share, minShare);
+    for (auto& [hash, bucket] : m_buckets) {
+        bucket.refill(m_clock.now(), m_share);
+        if (bucket.level > 0) {
+            // Parts of the fleet that meet again add up what each has left.
+            bucket.level *= growth;
+        }
+    }
+    m_share = share;
+}
+
+void FleetQuota::setOrganisations(std::span<const OrganisationRule> organisations)
 {
+    std::set<std::uint64_t> known;
+    for (const auto& organisation : organisations) {
+        if (organisation.rate > 0) {
+            const auto hash = hashOf(organisation.id);
+            known.insert(hash);
+            bucketOf(organisation, hash);
+        }
+    }
+    std::erase_if(m_buckets, [&known](const auto& it) { return !known.contains(it.first); });
+}
+
+Outcome<MonotonicTime> FleetQuota::take(const OrganisationRule& organisation, const QuotaDemand& demand)
+{
+    const auto now = m_clock.now();
     if (organisation.rate <= 0) {
-        return {};
+        return now;
     }
-    const auto hash = XXH3_64bits(organisation.id.value().data(), organisation.id.value().size());
+    const auto hash = hashOf(organisation.id);
     auto& bucket = bucketOf(organisation, hash);
-    const double needed = std::min(tokens, bucket.burst * maxNeededShare);
-    if (bucket.level < needed) {
+    const double needed = std::min(demand.tokens, bucket.burst * m_share * maxNeededShare);
+    const std::chrono::duration<double> wait(
+        std::max(0.0, needed - bucket.level) / std::max(1.0, bucket.rate * m_share));
+    if (wait > demand.maxWait) {
         Error error { ErrorCode::RateExceeded,
             "the token rate of " + organisation.id.value() + " is exceeded: level "
                 + std::to_string(std::lround(bucket.level)) + ", needed " + std::to_string(std::lround(needed))
                 + ", reachable share " + std::to_string(m_share) };
-        const auto wait = std::chrono::duration<double>((needed - bucket.level) / std::max(1.0, bucket.rate));
-        error.retryAfter = std::max(minRetryAfter, std::chrono::duration_cast<std::chrono::milliseconds>(wait));
+        // Requests that are refused together come back over as long a time again, not all at once.
+        const auto retryAfter = std::chrono::duration_cast<std::chrono::milliseconds>(wait * (1 + demand.spread));
+        error.retryAfter = std::max(minRetryAfter, retryAfter);
         return std::unexpected(std::move(error));
     }
-    bucket.level -= tokens;
-    m_ownTotals[hash] += tokens;
-    return {};
+    bucket.level -= demand.tokens;
+    m_ownTotals[hash] += demand.tokens;
+    m_zoneTotals[hash] += demand.tokens;
+    return now + std::chrono::duration_cast<std::chrono::nanoseconds>(wait);
 }
 
-UsageTotals FleetQuota::usageOf(const std::vector<VmId>& vms, const VmId& ownVm) const
+void FleetQuota::takeRemote(std::uint64_t hash, double tokens)
 {
-    UsageTotals sum;
-    for (const auto& vm : vms) {
-        const auto it = m_remotes.find(vm);
-        if (vm != ownVm && it == m_remotes.end()) {
-            continue;
-        }
-        for (const auto& [hash, taken] : vm == ownVm ? m_ownTotals : it->second.taken) {
-            sum[hash] += taken;
-        }
+    if (const auto bucket = m_buckets.find(hash); bucket != m_buckets.end()) {
+        // Refilled first: a later refill, capped at the burst, would otherwise cancel these tokens in a bucket that is
+        // already full by now.
+        bucket->second.refill(m_clock.now(), m_share);
+        bucket->second.level -= tokens;
     }
-    return sum;
 }
 
-void FleetQuota::recordRemoteUsage(const VmId& vm, Incarnation incarnation, const UsageTotals& totals)
+void FleetQuota::recordRemoteUsage(const VmId& vm, Incarnation incarnation, const UsageTotals& totals, bool isOfOwnZone)
 {
-    const auto [it, isNew] = m_remotes.try_emplace(vm, RemoteUsage { incarnation, totals, {} });
+    const auto now = m_clock.now();
+    const auto [it, isNew] = m_remotes.try_emplace(vm, RemoteUsage { incarnation, totals, now });
     if (isNew) {
         // The totals of the first report may have been taken long ago.
         return;
@@ -93,21 +153,61 @@
         remote.totals.clear();
         remote.incarnation = incarnation;
     }
+    const double ownShareSeconds = remote.silentShare * std::chrono::duration<double>(now - remote.reportedAt).count();
     for (const auto& [hash, total] : totals) {
         auto& known = remote.totals[hash];
-        const double taken = total - known;
+        double taken = total - known;
         if (taken <= 0) {
             continue;
         }
         known = total;
-        remote.taken[hash] += taken;
-        if (const auto bucket = m_buckets.find(hash); bucket != m_buckets.end()) {
-            // Refilled first: a later refill, capped at the burst, would otherwise cancel these tokens in a bucket that
-            // is already full by now.
-            bucket->second.refill(m_clock.now(), bucket->second.rate, bucket->second.burst);
-            bucket->second.level -= taken;
+        if (ownShareSeconds > 0) {
+            const auto bucket = m_buckets.find(hash);
+            const double rate = bucket == m_buckets.end() ? 0 : bucket->second.rate;
+            taken = std::max(0.0, taken - ownShareSeconds * rate);
+        }
+        if (isOfOwnZone) {
+            m_zoneTotals[hash] += taken;
+        }
+        takeRemote(hash, taken);
+    }
+    remote.reportedAt = now;
+    remote.silentShare = 0;
+}
+
+UsageTotals FleetQuota::lowLevels() const
+{
+    UsageTotals levels;
+    const auto now = m_clock.now();
+    for (const auto& [hash, bucket] : m_buckets) {
+        auto current = bucket;
+        current.refill(now, m_share);
+        if (current.level < bucket.burst * m_share * initialLevelShare) {
+            levels.emplace(hash, current.level);
         }
     }
+    return levels;
+}
+
+void FleetQuota::recordRemoteLevels(const UsageTotals& levels)
+{
+    const auto now = m_clock.now();
+    if (now - m_startedAt > learningTime) {
+        return;
+    }
+    for (const auto& [hash, level] : levels) {
+        if (const auto it = m_buckets.find(hash); it != m_buckets.end()) {
+            it->second.refill(now, m_share);
+            it->second.level = std::min(it->second.level, level);
+        }
+    }
+}
+
+void FleetQuota::markSilent(const VmId& vm, double share)
+{
+    if (const auto it = m_remotes.find(vm); it != m_remotes.end()) {
+        it->second.silentShare = share;
+    }
 }
 
 } // namespace Pollenwind
--- a/Source/Core/Gateway/FleetReportCodec.cpp
+++ b/Source/Core/Gateway/FleetReportCodec.cpp
@@ -11,6 +11,10 @@
     for (const auto& [organisation, tokens] : report.usage) {
         usage.emplace_back(organisation, tokens);
     }
+    std::vector<wire::OrganisationUsage> lowLevels;
+    for (const auto& [organisation, level] : report.lowLevels) {
+        lowLevels.emplace_back(organisation, level);
+    }
     std::vector<wire::RunnerWork> work;
     for (const auto& [runner, load] : report.work) {
         work.emplace_back(runner, static_cast<float>(load.waitingTokens), load.requests);
@@ -37,9 +41,10 @@
     const auto loadedOffset = builder.CreateVectorOfStructs(loaded);
     const auto unreachableOffset = builder.CreateVector(report.failures.unreachable);
     const auto replacedOffset = builder.CreateVector(report.failures.replaced);
+    const auto lowLevelsOffset = builder.CreateVectorOfStructs(lowLevels);
     builder.Finish(wire::CreateFleetReport(builder, vm, report.incarnation.value(), report.sequence, usageOffset,
         workOffset, loadingOffset, cachedOffset, targetAgesOffset, report.members, loadedOffset, unreachableOffset,
-        replacedOffset));
+        replacedOffset, lowLevelsOffset));
     return { reinterpret_cast<const char*>(builder.GetBufferPointer()), builder.GetSize() };
 }
 
@@ -93,6 +98,11 @@
     if (message->replaced()) {
         report.failures.replaced.assign(message->replaced()->begin(), message->replaced()->end());
     }
+    if (message->debts()) {
+        for (const auto* it : *message->debts()) {
+            report.lowLevels[it->organisation()] = it->tokens();
+        }
+    }
     return report;
 }
 
--- a/Source/Core/Gateway/FleetReportCodec.h
+++ b/Source/Core/Gateway/FleetReportCodec.h
@@ -36,6 +36,8 @@
     /// Weights that runners have recently loaded by order of the VM.
     std::vector<LoadedWeights> loaded;
     RunnerFailures failures;
+    /// Levels of the nearly empty token buckets, which a VM that has just started takes over.
+    UsageTotals lowLevels;
 };
 
 namespace FleetReportCodec {
--- a/Source/Core/Gateway/FleetReporter.cpp
+++ b/Source/Core/Gateway/FleetReporter.cpp
@@ -18,6 +18,9 @@
     // Number of intervals between reports while nothing changes. They only show that the VM is in contact.
     constexpr unsigned keepAliveTicks = 3;
 
+    // Reports between the last one of a relay that stopped and the first one of its successor.
+    constexpr std::size_t takeoverTicks = FleetView::silenceLimit / reportInterval + 1;
+
     constexpr std::size_t maxReportBytes = 16UL * 1024;
 
 } // namespace
@@ -58,15 +61,12 @@
     for (;;) {
         m_timer.expires_after(reportInterval);
         co_await m_timer.async_wait(asTuple);
-        for (const auto& vm : m_context.fleet.takeSilent()) {
-            m_context.runnerCommands.clearRemoteLoad(vm);
-            logStateChange("vm-silent", { { "vm", vm.value() } });
-        }
-        m_context.quota.setBurstShare(m_context.fleet.isLarge() ? FleetQuota::largeFleetBurstShare : 1);
+        recordSilentVms();
+        m_context.quota.setLargeFleet(m_context.fleet.isLarge());
         m_context.quota.setReachableShare(m_context.fleet.reachableShare());
         FleetReport report { m_vm, m_incarnation, 0, m_context.quota.ownTotals(), m_context.runners.ownLoads(),
             m_context.weights.loading(), m_context.directory.takeUpdates(), m_context.runners.targetWeightsAges(), 0,
-            m_context.weights.loaded(), m_context.runners.recentFailures() };
+            m_context.weights.loaded(), m_context.runners.recentFailures(), m_context.quota.lowLevels() };
         const bool isChanged = report.usage != last.usage || report.loading != last.loading || report.work != last.work
             || !report.cachedPrefixes.empty() || !report.loaded.empty() || !report.failures.isEmpty();
         unchanged = isChanged ? 0 : unchanged + 1;
@@ -87,16 +87,39 @@
         }
         isLoading = !report.loading.empty() || !report.loaded.empty();
         auto targetAges = report.targetAges;
-        const RunnerFailures failures { {}, report.failures.replaced };
+        auto replaced = report.failures.replaced;
         co_await sendTo(m_context.fleet.othersOfOwnZone(), std::move(report));
-        if (m_context.fleet.isRelay()) {
-            const auto members = m_context.fleet.reachableOfOwnZone();
-            co_await sendTo(otherZones,
-                { VmId("zone/" + m_zone.value() + "/" + m_vm.value()), m_incarnation, 0,
-                    m_context.quota.usageOf(members, m_vm), {}, {}, std::move(zoneUpdates), std::move(targetAges),
-                    static_cast<unsigned>(members.size()), {}, failures });
-        }
+        co_await relayZone(std::move(zoneUpdates), std::move(targetAges), std::move(replaced));
+    }
+}
+
+void FleetReporter::recordSilentVms()
+{
+    for (const auto& vm : m_context.fleet.takeSilent()) {
+        m_context.runnerCommands.clearRemoteLoad(vm);
+        m_context.quota.markSilent(vm, m_context.fleet.shareOf(vm));
+        logStateChange("vm-silent", { { "vm", vm.value() } });
+    }
+}
+
+Task<> FleetReporter::relayZone(std::vector<CachedPrefix> zoneUpdates, std::vector<TargetWeightsAge> targetAges,
+    std::vector<std::uint64_t> replaced)
+{
+    m_zoneHistory.push_back(m_context.quota.zoneTotals());
+    if (m_zoneHistory.size() > takeoverTicks) {
+        m_zoneHistory.pop_front();
+    }
+    const bool isNewRelay = !std::exchange(m_wasRelay, m_context.fleet.isRelay());
+    if (!m_wasRelay) {
+        co_return;
     }
+    // Receivers take the first sums of a relay as the starting point, so a new relay starts with those of the time when
+    // the previous one stopped.
+    const auto& usage = isNewRelay ? m_zoneHistory.front() : m_zoneHistory.back();
+    co_await sendTo(m_context.fleet.othersOfOtherZones(),
+        { VmId("zone/" + m_zone.value() + "/" + m_vm.value()), m_incarnation, 0, usage, {}, {}, std::move(zoneUpdates),
+            std::move(targetAges), static_cast<unsigned>(m_context.fleet.reachableOfOwnZone().size()), {},
+            { {}, std::move(replaced) } });
 }
 
 Task<> FleetReporter::sendTo(std::vector<Endpoint> endpoints, FleetReport report)
@@ -144,9 +167,11 @@
         || !m_context.fleet.recordReport(report->vm, report->incarnation, report->sequence, report->members)) {
         return;
     }
-    m_context.quota.recordRemoteUsage(report->vm, report->incarnation, report->usage);
+    const bool isOfOwnZone = m_context.fleet.isOfOwnZone(report->vm);
+    m_context.quota.recordRemoteUsage(report->vm, report->incarnation, report->usage, isOfOwnZone);
+    m_context.quota.recordRemoteLevels(report->lowLevels);
     m_context.runnerCommands.setRemoteLoad(report->vm, std::move(report->work));
-    m_context.directory.recordRemoteRead(report->cachedPrefixes, m_context.fleet.isOfOwnZone(report->vm));
+    m_context.directory.recordRemoteRead(report->cachedPrefixes, isOfOwnZone);
     for (const auto& it : report->targetAges) {
         m_context.runnerCommands.setTargetWeightsAge(it.model, it.version, it.age);
     }
--- a/Source/Core/Gateway/FleetReporter.h
+++ b/Source/Core/Gateway/FleetReporter.h
@@ -12,6 +12,7 @@
 #include <boost/asio/ip/udp.hpp>
 #include <boost/asio/steady_timer.hpp>
 
+#include <deque>
 #include <string>
 
 namespace Pollenwind {
@@ -51,6 +52,10 @@
 
 private:
     Task<> sendTo(std::vector<Endpoint> endpoints, FleetReport report);
+    /// Sends the sums of the zone to the other zones, if this VM is its zone's relay.
+    Task<> relayZone(std::vector<CachedPrefix> zoneUpdates, std::vector<TargetWeightsAge> targetAges,
+        std::vector<std::uint64_t> replaced);
+    void recordSilentVms();
     void handleReport(std::string_view bytes);
 
     FleetReporterContext m_context;
@@ -60,6 +65,9 @@
     boost::asio::ip::udp::socket m_socket;
     boost::asio::steady_timer m_timer;
     std::uint64_t m_sequence = 0;
+    /// Sums of the zone at the last reports, the oldest first.
+    std::deque<UsageTotals> m_zoneHistory;
+    bool m_wasRelay = false;
 };
 
 } // namespace Pollenwind
--- a/Source/Core/Gateway/FleetView.cpp
+++ b/Source/Core/Gateway/FleetView.cpp
@@ -9,9 +9,6 @@
 
 namespace {
 
-    // VMs report every 250 ms while there are changes, otherwise every 750 ms.
-    constexpr std::chrono::milliseconds silenceLimit { 1400 };
-
     // Records expire while the store is unavailable, and a VM that is cut off continues to use its share of the rates.
     constexpr std::chrono::seconds endedRecordRetention { 15 };
 
@@ -156,6 +153,13 @@
     return static_cast<double>(reachable) / static_cast<double>(std::max(size(), reachable));
 }
 
+double FleetView::shareOf(const VmId& vm) const
+{
+    const auto it = m_vms.find(vm);
+    const auto represented = it == m_vms.end() ? 1U : std::max(1U, it->second.members);
+    return std::min(1.0, static_cast<double>(represented) / static_cast<double>(size()));
+}
+
 std::vector<VmId> FleetView::takeSilent()
 {
     std::vector<VmId> silent;
--- a/Source/Core/Gateway/FleetView.h
+++ b/Source/Core/Gateway/FleetView.h
@@ -17,6 +17,9 @@
 public:
     /// Largest fleet in which each VM reports to all others.
     static constexpr std::size_t maxFullMeshSize = 16;
+    /// Time without a report after which a VM counts as out of contact. VMs report every 250 ms while there are
+    /// changes, otherwise every 750 ms.
+    static constexpr std::chrono::milliseconds silenceLimit { 1400 };
 
     FleetView(const Clock& clock, TimelineCommands& timeline, VmId ownVm, ZoneId ownZone)
         : m_clock(clock)
@@ -52,6 +55,8 @@
     bool isRelay() const;
     /// Share of the fleet that is in contact with this VM, including itself, from 0 to 1.
     double reachableShare() const;
+    /// Share of the fleet that a VM's reports represent, from 0 to 1: its own or, for a relay, its zone's.
+    double shareOf(const VmId& vm) const;
     /// VMs whose reports have stopped. Each is returned once, until it reports again.
     std::vector<VmId> takeSilent();
     /// Number of VMs in the fleet: those with a record, with a recent report or whose record ended recently.
--- a/Source/Core/Gateway/ForwardDispatcher.cpp
+++ b/Source/Core/Gateway/ForwardDispatcher.cpp
@@ -4,6 +4,9 @@
 #include "Gateway/EventSplitter.h"
 #include "Gateway/Queries/PrefixQueries.h"
 
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/this_coro.hpp>
+
 #include <algorithm>
 #include <utility>
 
@@ -28,6 +31,10 @@
     // after a pause of 2 s at the earliest.
     constexpr std::chrono::milliseconds eventPauseLimit { 1500 };
 
+    // Share of the objective for which a request may wait for the tokens of its organisation. The rest is for the
+    // runner, so that a request that waited is still answered in time.
+    constexpr double maxQuotaWaitShare = 0.4;
+
     // Values of Retry-After. Callers follow them up to a third of their remaining time.
     constexpr std::chrono::milliseconds unavailableRetryAfter { 300 };
     constexpr std::chrono::milliseconds startingRetryAfter { 500 };
@@ -98,7 +105,7 @@
     return request.timeout ? std::min(limit, *request.timeout) : limit;
 }
 
-Outcome<void> ForwardDispatcher::admit(const ForwardRequest& request, Delivery& delivery)
+Outcome<MonotonicTime> ForwardDispatcher::admit(const ForwardRequest& request, Delivery& delivery)
 {
     delivery.configuration = m_context.routing.current();
     if (delivery.configuration->version == 0) {
@@ -129,7 +136,8 @@
         total += share.weight;
     }
     // Selects the service by a hash of the request's id, so that repeating the decision gives the same service.
-    double point = static_cast<double>(std::hash<std::string> {}(request.id.value()) % 10'000) / 10'000 * total;
+    const double spread = static_cast<double>(std::hash<std::string> {}(request.id.value()) % 10'000) / 10'000;
+    double point = spread * total;
     delivery.service = shares.back().service;
     for (const auto& share : shares) {
         if (point < share.weight) {
@@ -148,12 +156,40 @@
     if (organisation) {
         const double tokens = request.tokens ? static_cast<double>(request.tokens->prompt) + request.tokens->maxOutput
                                              : organisation->uncountedTokens;
-        if (auto taken = m_context.quota.take(*organisation, tokens); !taken) {
+        const std::chrono::nanoseconds objective = delivery.route->objective;
+        const auto maxWait = std::chrono::duration_cast<std::chrono::nanoseconds>(objective * maxQuotaWaitShare);
+        auto sendAt = m_context.quota.take(*organisation, { tokens, maxWait, spread });
+        if (!sendAt) {
             m_context.metrics.count(Counter::RateRefusals);
-            return taken;
         }
+        return sendAt;
+    }
+    return m_context.clock.now();
+}
+
+Task<Outcome<void>> ForwardDispatcher::waitUntil(MonotonicTime sendAt, const ForwardRequest& request, ReplySink& sink)
+{
+    const auto wait = sendAt - m_context.clock.now();
+    if (wait.count() <= 0) {
+        co_return Outcome<void> {};
+    }
+    m_context.metrics.count(Counter::QuotaWaits);
+    m_context.metrics.observe(Distribution::QuotaWait, wait);
+    m_context.log.record(RequestEvent::Queued, request.id,
+        { { "reason", "token-rate" },
+            { "wait_ms", std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(wait).count()) } });
+    asio::steady_timer timer(co_await asio::this_coro::executor);
+    timer.expires_after(std::chrono::duration_cast<asio::steady_timer::duration>(wait));
+    sink.onStop([&timer] { timer.cancel(); });
+    co_await timer.async_wait(asTuple);
+    sink.onStop({});
+    if (const auto stopped = sink.stopReason()) {
+        auto error = *stopped;
+        error.message += " while the request waited for tokens";
+        error.runState = RunState::NotRun;
+        co_return std::unexpected(std::move(error));
     }
-    return {};
+    co_return Outcome<void> {};
 }
 
 Outcome<RunnerChoice> ForwardDispatcher::chooseRunner(const ForwardRequest& request, const Delivery& delivery) const
@@ -202,8 +238,12 @@
     Delivery delivery;
     delivery.receivedAt = receivedAt;
     delivery.deadline = receivedAt + timeoutOf(request);
-    if (auto admitted = admit(request, delivery); !admitted) {
-        co_return admitted;
+    const auto sendAt = admit(request, delivery);
+    if (!sendAt) {
+        co_return std::unexpected(sendAt.error());
+    }
+    if (auto waited = co_await waitUntil(*sendAt, request, sink); !waited) {
+        co_return waited;
     }
     m_context.retryBudget.recordRequest(delivery.service);
     for (;;) {
--- a/Source/Core/Gateway/ForwardDispatcher.h
+++ b/Source/Core/Gateway/ForwardDispatcher.h
@@ -56,7 +56,11 @@
     struct Delivery;
 
     /// Finds the route, the organisation and the service of a request, and takes its tokens from the quota.
-    Outcome<void> admit(const ForwardRequest& request, Delivery& delivery);
+    /// @return The time from which the request may be sent.
+    Outcome<MonotonicTime> admit(const ForwardRequest& request, Delivery& delivery);
+    /// Waits until the request may be sent.
+    /// @return The reason if the request is stopped before.
+    Task<Outcome<void>> waitUntil(MonotonicTime sendAt, const ForwardRequest& request, ReplySink& sink);
     Outcome<RunnerChoice> chooseRunner(const ForwardRequest& request, const Delivery& delivery) const;
     /// Sends the request to one runner and relays its response.
     Task<Outcome<void>> attempt(
--- a/Source/Core/Gateway/Gateway.cpp
+++ b/Source/Core/Gateway/Gateway.cpp
@@ -97,11 +97,12 @@
         , routing(timeline)
         , runners(clock, timeline, { subtractMargin(settings.maxOldWeightsTime, weightsMargin) })
         , fleet(clock, timeline, settings.vm, settings.zone)
-        , quota(clock)
+        , quota(clock, settings.quotaTolerance)
         , directory(clock)
         , orders(clock, platform.storeCommands, timeline, settings.vm, incarnation,
               { .handoverPause = settings.minOrderHandoverInterval - handoverMargin })
-        , sync({ clock, platform.storeQueries, platform.records, routing, runners, fleet, orders, timeline, metrics },
+        , sync({ clock, platform.storeQueries, platform.records, routing, runners, quota, fleet, orders, timeline,
+                   metrics },
               { .freshnessGoal = settings.maxKeyWithdrawalDelay * 3 / 5,
                   .largeFleetBatchDelay = settings.maxChangeDelay * batchDelayPercent / 100,
                   .keyLimit = subtractMargin(settings.maxKeyWithdrawalDelay, keyMargin) })
--- a/Source/Core/Gateway/GatewaySettings.h
+++ b/Source/Core/Gateway/GatewaySettings.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Common/Ids.h"
+#include "Gateway/FleetQuota.h"
 #include "Timeline/Log.h"
 #include "Transport/Endpoint.h"
 
@@ -41,6 +42,7 @@
     /// Time from the shutdown request until the process is killed.
     std::chrono::milliseconds shutdownTimeLimit { 8000 };
     FleetRetryLimits retries;
+    QuotaTolerance quotaTolerance;
 
     LogLevel logLevel = LogLevel::Info;
 };
--- a/Source/Core/Gateway/GatewaySync.cpp
+++ b/Source/Core/Gateway/GatewaySync.cpp
@@ -151,7 +151,10 @@
         return;
     }
     if (auto* configuration = std::get_if<RoutingConfiguration>(&*record)) {
-        if (!m_context.routing.adopt(std::move(*configuration))) {
+        const auto organisations = configuration->organisations;
+        if (m_context.routing.adopt(std::move(*configuration))) {
+            m_context.quota.setOrganisations(organisations);
+        } else {
             m_context.metrics.count(Counter::StaleConfigurations);
         }
     } else if (auto* runner = std::get_if<RunnerEntry>(&*record)) {
--- a/Source/Core/Gateway/GatewaySync.h
+++ b/Source/Core/Gateway/GatewaySync.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "Gateway/Commands/QuotaCommands.h"
 #include "Gateway/Commands/RoutingCommands.h"
 #include "Gateway/Commands/RunnerCommands.h"
 #include "Gateway/FleetView.h"
@@ -21,6 +22,7 @@
     const RecordCodec& codec;
     RoutingCommands& routing;
     RunnerCommands& runners;
+    QuotaCommands& quota;
     FleetView& fleet;
     OrderLease& orders;
     TimelineCommands& timeline;
--- a/Source/Core/Gateway/RequestLog.h
+++ b/Source/Core/Gateway/RequestLog.h
@@ -12,6 +12,8 @@
 
 /// Kind of a logged decision about a request.
 enum class RequestEvent {
+    /// Waits for the tokens of its organisation before it is sent.
+    Queued,
     /// Sent to a runner.
     Placed,
     /// An attempt failed; the request may be sent again.
@@ -28,6 +30,7 @@
 
 template <> struct EnumTable<RequestEvent> {
     static constexpr std::array rows {
+        EnumName { RequestEvent::Queued, "queued" },
         EnumName { RequestEvent::Placed, "placed" },
         EnumName { RequestEvent::Repeated, "repeated" },
         EnumName { RequestEvent::Resumed, "resumed" },
--- a/Source/Core/Metrics/Counter.h
+++ b/Source/Core/Metrics/Counter.h
@@ -16,6 +16,8 @@
     PromptTokens,
     CachedPromptTokens,
     RateRefusals,
+    /// Requests that waited for the tokens of their organisation.
+    QuotaWaits,
     KeyRefusals,
     KeyUnconfirmedRefusals,
     UpstreamAttempts,
@@ -57,6 +59,7 @@
         EnumName { Counter::PromptTokens, "prompt_tokens_total" },
         EnumName { Counter::CachedPromptTokens, "cached_prompt_tokens_total" },
         EnumName { Counter::RateRefusals, "rate_refusals_total" },
+        EnumName { Counter::QuotaWaits, "quota_waits_total" },
         EnumName { Counter::KeyRefusals, "key_refusals_total" },
         EnumName { Counter::KeyUnconfirmedRefusals, "key_unconfirmed_refusals_total" },
         EnumName { Counter::UpstreamAttempts, "upstream_attempts_total" },
@@ -89,6 +92,8 @@
     TimeToFirstToken,
     TimeBetweenTokens,
     RequestDuration,
+    /// Time for which requests wait for the tokens of their organisation.
+    QuotaWait,
     StoreCallDuration,
 };
 
@@ -97,6 +102,7 @@
         EnumName { Distribution::TimeToFirstToken, "time_to_first_token_seconds" },
         EnumName { Distribution::TimeBetweenTokens, "time_between_tokens_seconds" },
         EnumName { Distribution::RequestDuration, "request_duration_seconds" },
+        EnumName { Distribution::QuotaWait, "quota_wait_seconds" },
         EnumName { Distribution::StoreCallDuration, "store_call_duration_seconds" },
     };
 };
