Follow the store through one or two watchers of each zone in large fleets

Cause: every VM watched the whole store, and each change caused a call from all of them.

Change: the VMs with the smallest ids of a zone follow the store; the others read records and changes from them by long polls, with the age of the watcher's knowledge, so that a VM's own age is never understated. FeedPolicy decides whom to follow: without an election, back to the store when watchers fail or know nothing new, spread over 0.8 s. The VM that gives orders follows the store. A feed answers only addresses of the zone's VMs, since the records contain API keys. Watchers gather changes for 0.8 s, followers for 0.1 s.

Weighed: gossip of records (no bound on the age without a second protocol) and a tree over all zones (bytes between zones, a cut zone loses its root).

--- /dev/null
+++ b/Source/Core/Gateway/FeedFrontEnd.cpp
@@ -0,0 +1,100 @@
+#include "Gateway/FeedFrontEnd.h"
+
+#include "Gateway/FeedCodec.h"
+
+#include <algorithm>
+#include <charconv>
+
+namespace Pollenwind {
+
+namespace {
+
+    constexpr int statusBadRequest = 400;
+    constexpr int statusNotFound = 404;
+    constexpr int statusUnavailable = 503;
+
+    constexpr std::int64_t maxWaitMs = 5000;
+
+    std::optional<std::int64_t> numberParameter(const HttpRequest& request, std::string_view name)
+    {
+        const auto text = request.parameter(name);
+        std::int64_t number = 0;
+        if (!text || text->empty()) {
+            return std::nullopt;
+        }
+        const auto result = std::from_chars(text->data(), text->data() + text->size(), number);
+        const bool isWhole = result.ec == std::errc() && result.ptr == text->data() + text->size() && number >= 0;
+        return isWhole ? std::optional(number) : std::nullopt;
+    }
+
+} // namespace
+
+FeedFrontEnd::FeedFrontEnd(
+    const Clock& clock, ChangeLog& log, const FreshnessQueries& freshness, const FleetView& fleet)
+    : m_clock(clock)
+    , m_log(log)
+    , m_freshness(freshness)
+    , m_fleet(fleet)
+{
+    m_log.onChanged([this] {
+        for (auto* timer : m_waiting) {
+            timer->cancel();
+        }
+    });
+}
+
+HttpAnswer FeedFrontEnd::refusal(int status, std::string_view reason) const
+{
+    return { status, "text/plain", std::string(reason) + "\n", {} };
+}
+
+Task<> FeedFrontEnd::handle(HttpExchange& exchange)
+{
+    const auto& request = exchange.request();
+    // The records contain API keys, so only VMs of the fleet may read them.
+    if (!m_fleet.isMemberAddress(exchange.remoteAddress())) {
+        co_await exchange.answer(refusal(statusForbidden, "not a VM of this zone"));
+    } else if (m_log.revision() == 0) {
+        co_await exchange.answer(refusal(statusUnavailable, "no records have been read yet"));
+    } else if (request.path == recordsPath) {
+        const FeedRecords records { m_log.records(), m_freshness.age() };
+        co_await exchange.answer({ statusOk, "application/octet-stream", FeedCodec::encode(records), {} });
+    } else if (request.path == changesPath) {
+        const auto answer = co_await answerChanges(request);
+        co_await exchange.answer(answer);
+    } else {
+        co_await exchange.answer(refusal(statusNotFound, "not found"));
+    }
+}
+
+Task<HttpAnswer> FeedFrontEnd::answerChanges(const HttpRequest& request)
+{
+    const auto after = numberParameter(request, "after");
+    const auto wait = numberParameter(request, "wait_ms");
+    if (!after || !wait) {
+        co_return refusal(statusBadRequest, "\"after\" and \"wait_ms\" must be whole numbers");
+    }
+    const auto receivedAt = m_clock.now();
+    co_await waitForChange(*after, std::chrono::milliseconds(std::min(*wait, maxWaitMs)));
+    auto changes = m_log.changesAfter(*after);
+    if (!changes) {
+        co_return refusal(statusGone, "the changes after this revision are no longer known");
+    }
+    const FeedChanges reply { std::move(*changes), m_clock.now() - receivedAt, m_freshness.age() };
+    co_return HttpAnswer { statusOk, "application/octet-stream", FeedCodec::encode(reply), {} };
+}
+
+Task<> FeedFrontEnd::waitForChange(std::int64_t revision, std::chrono::milliseconds wait)
+{
+    const auto known = m_log.changesAfter(revision);
+    if (!known || !known->events.empty()) {
+        co_return;
+    }
+    boost::asio::steady_timer timer(co_await asio::this_coro::executor);
+    timer.expires_after(wait);
+    m_waiting.insert(&timer);
+    co_await timer.async_wait(asTuple);
+    m_waiting.erase(&timer);
+}
+
+} // namespace Pollenwind
--- /dev/null
+++ b/Source/Core/Gateway/FeedFrontEnd.h
@@ -0,0 +1,45 @@
+#pragma once
+
+#include "Common/Clock.h"
+#include "Gateway/ChangeLog.h"
+#include "Gateway/FleetView.h"
+#include "Gateway/Queries/FreshnessQueries.h"
+#include "Transport/HttpServer.h"
+
+#include <boost/asio/steady_timer.hpp>
+
+#include <set>
+#include <string_view>
+
+namespace Pollenwind {
+
+/// Passes the store's records on to the other VMs of the zone, which wait for changes with long polls.
+class FeedFrontEnd final : public HttpHandler {
+public:
+    static constexpr std::string_view recordsPath = "/feed/records";
+    static constexpr std::string_view changesPath = "/feed/changes";
+    static constexpr int statusOk = 200;
+    static constexpr int statusForbidden = 403;
+    /// The changes after the given revision are no longer known.
+    static constexpr int statusGone = 410;
+
+    /// @param log Notifies this object of changes; must outlive it.
+    FeedFrontEnd(const Clock& clock, ChangeLog& log, const FreshnessQueries& freshness, const FleetView& fleet);
+
+    Task<> handle(HttpExchange& exchange) override;
+    HttpAnswer refusal(int status, std::string_view reason) const override;
+
+private:
+    Task<HttpAnswer> answerChanges(const HttpRequest& request);
+    /// Waits until there is a change after a revision.
+    Task<> waitForChange(std::int64_t revision, std::chrono::milliseconds wait);
+
+    const Clock& m_clock;
+    ChangeLog& m_log;
+    const FreshnessQueries& m_freshness;
+    const FleetView& m_fleet;
+    /// Timers of the requests that wait for a change.
+    std::set<boost::asio::steady_timer*> m_waiting;
+};
+
+} // namespace Pollenwind
--- a/Source/Core/Gateway/FleetView.cpp
+++ b/Source/Core/Gateway/FleetView.cpp
@@ -131,6 +131,19 @@
     return it != m_vms.end() && it->second.members == 0 && it->second.zone == m_ownZone;
 }
 
+std::optional<Endpoint> FleetView::endpointOf(const VmId& vm) const
+{
+    const auto it = m_vms.find(vm);
+    return it == m_vms.end() || it->second.reports.port == 0 ? std::nullopt : std::optional(it->second.reports);
+}
+
+bool FleetView::isMemberAddress(std::string_view address) const
+{
+    return std::ranges::any_of(m_vms, [&](const auto& it) {
+        return it.second.zone == m_ownZone && isCounted(it.second) && it.second.reports.address == address;
+    });
+}
+
 std::vector<VmId> FleetView::reachableOfOwnZone() const
 {
     std::vector<VmId> vms { m_ownVm };
--- a/Source/Core/Gateway/FleetView.h
+++ b/Source/Core/Gateway/FleetView.h
@@ -6,8 +6,10 @@
 #include "Transport/Endpoint.h"
 
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace Pollenwind {
@@ -54,6 +56,10 @@
     /// Id under which a VM sends the sums of its zone.
     static VmId relayId(const ZoneId& zone, const VmId& vm);
     bool isOfOwnZone(const VmId& vm) const;
+    /// Where a VM receives reports and passes on the store's records; nothing while its record is not known.
+    std::optional<Endpoint> endpointOf(const VmId& vm) const;
+    /// Whether a VM of this zone has the address.
+    bool isMemberAddress(std::string_view address) const;
     /// VMs of this zone that are in contact with this one, including itself.
     std::vector<VmId> reachableOfOwnZone() const;
     /// Whether this VM is the relay that sends the sums of its zone to the other zones: the one with the smallest id
--- a/Source/Core/Gateway/Gateway.cpp
+++ b/Source/Core/Gateway/Gateway.cpp
@@ -3,6 +3,7 @@
 #include "Common/Digest.h"
 #include "Common/Sleep.h"
 #include "Gateway/AffinityPolicy.h"
+#include "Gateway/FeedFrontEnd.h"
 #include "Gateway/FleetReporter.h"
 #include "Gateway/GatewayFrontEnd.h"
 #include "Gateway/GatewaySync.h"
@@ -36,9 +37,9 @@
     // checks.
     constexpr std::chrono::milliseconds balancerLag { 2600 };
 
-    // Batch delay of a large fleet in percent of the change limit. The rest is for the call itself and for a store that
-    // takes 60 times as long as usual.
-    constexpr int batchDelayPercent = 53;
+    // Longest delay of calls to an unavailable store in a large fleet, in percent of the change limit. The rest is for
+    // the call itself and for a store that takes 60 times as long as usual.
+    constexpr int retryPausePercent = 53;
 
     // Share of the stop limit in which running requests may end. The rest is for the exit of the process.
     constexpr double stopShare = 0.88;
@@ -101,11 +102,12 @@
         , directory(clock)
         , orders(clock, platform.storeCommands, timeline, settings.vm, incarnation,
               { .handoverPause = settings.minOrderHandoverInterval - handoverMargin })
-        , sync({ clock, platform.storeQueries, platform.records, routing, runners, quota, fleet, orders, timeline,
-                   metrics },
+        , feedPolicy(clock, fleet, settings.vm)
+        , feeds(executor, platform.storeQueries, feedPolicy, timeline)
+        , sync({ clock, feeds, changeLog, platform.records, routing, runners, quota, fleet, orders, timeline, metrics },
               { .freshnessGoal = settings.maxKeyWithdrawalDelay * 3 / 5,
-                  .largeFleetBatchDelay = settings.maxChangeDelay * batchDelayPercent / 100,
-                  .keyLimit = subtractMargin(settings.maxKeyWithdrawalDelay, keyMargin) })
+                  .keyLimit = subtractMargin(settings.maxKeyWithdrawalDelay, keyMargin),
+                  .largeFleetRetryPause = settings.maxChangeDelay * retryPausePercent / 100 })
         , registration(
               platform.storeCommands, settings.vm, FleetView::encodeRecord(settings.listenReports, settings.zone))
         , weights(executor, clock, runners, runners, orders, platform.weights, timeline, settings.vm, {})
@@ -119,9 +121,11 @@
               { clock, routing, sync, runners, runners, policy, directory, quota, retryBudget, client, metrics, log })
         , frontEnd(clock, platform.requests, dispatcher, metrics, log)
         , status(settings.readyPath, metrics, [this] { return isReady(); })
+        , feed(clock, changeLog, sync, fleet)
         , callerServer(executor, frontEnd, toServerLimits({}))
         , readyServer(executor, status, {})
         , metricsServer(executor, status, {})
+        , feedServer(executor, feed, {})
     {
     }
 
@@ -141,6 +145,9 @@
     FleetQuota quota;
     CacheDirectory directory;
     OrderLease orders;
+    FeedPolicy feedPolicy;
+    ChangeFeeds feeds;
+    ChangeLog changeLog;
     GatewaySync sync;
     VmRegistration registration;
     WeightsDriver weights;
@@ -152,9 +159,11 @@
     ForwardDispatcher dispatcher;
     GatewayFrontEnd frontEnd;
     StatusFrontEnd status;
+    FeedFrontEnd feed;
     HttpServer callerServer;
     HttpServer readyServer;
     HttpServer metricsServer;
+    HttpServer feedServer;
 
     bool isStopping = false;
     bool isStopped = false;
@@ -180,7 +189,8 @@
     const auto& settings = components.settings;
     for (const auto& [server, endpoint] : { std::pair { &components.callerServer, settings.listenCallers },
              std::pair { &components.readyServer, settings.listenReady },
-             std::pair { &components.metricsServer, settings.listenMetrics } }) {
+             std::pair { &components.metricsServer, settings.listenMetrics },
+             std::pair { &components.feedServer, settings.listenReports } }) {
         if (const auto bound = server->listen(endpoint); !bound) {
             return std::unexpected(bound.error());
         }
--- a/Source/Core/Gateway/GatewaySettings.h
+++ b/Source/Core/Gateway/GatewaySettings.h
@@ -28,7 +28,7 @@
     Endpoint listenReady;
     std::string readyPath = "/ready";
     Endpoint listenMetrics;
-    /// UDP port where the other VMs send reports.
+    /// Where the other VMs send reports (UDP) and read the store's records that this VM passes on (TCP).
     Endpoint listenReports;
 
     /// Longest time after the withdrawal of an API key in which it may still be accepted.
--- a/Source/Core/Gateway/GatewaySync.cpp
+++ b/Source/Core/Gateway/GatewaySync.cpp
@@ -21,14 +21,28 @@
 {
     auto pause = m_options.retryPause;
     for (;;) {
-        if (co_await readAll()) {
+        const auto [feed, watcher] = m_context.feeds.select(age(), m_context.orders.isHeld());
+        const auto result = m_needsRead ? co_await readAll(feed) : co_await readChanges(feed, watcher.has_value());
+        if (!watcher) {
+            setReachable(result.has_value(), result ? "answered" : result.error().message);
+        }
+        if (result) {
             pause = m_options.retryPause;
-            co_await followChanges();
-        } else {
-            // Failed calls cost as much as others, and every VM makes them.
-            pause = std::min(2 * pause, std::max(m_options.retryPause, batchDelay()));
+            continue;
         }
+        if (watcher) {
+            // The changes up to now are complete, so another feed can continue from the same revision.
+            m_needsRead = m_needsRead || result.error().code == ErrorCode::Conflict;
+            if (result.error().code != ErrorCode::Conflict) {
+                m_context.feeds.recordFailure(*watcher, result.error());
+            }
+            continue;
+        }
+        m_needsRead = true;
         co_await sleepFor(pause);
+        // Failed calls cost as much as others, and many VMs make them.
+        const auto longest = m_context.fleet.isLarge() ? m_options.largeFleetRetryPause : m_options.batchDelay;
+        pause = std::min(2 * pause, std::max(m_options.retryPause, longest));
     }
 }
 
@@ -41,18 +55,21 @@
     }
 }
 
-Task<bool> GatewaySync::readAll()
+Task<Outcome<void>> GatewaySync::readAll(ChangeFeed& feed)
 {
     const auto requestedAt = m_context.clock.now();
-    const auto range = co_await m_context.store.readPrefix("");
-    if (!range) {
-        setReachable(false, range.error().message);
-        co_return false;
+    const auto records = co_await feed.readAll();
+    if (!records) {
+        co_return std::unexpected(records.error());
+    }
+    if (records->range.revision < m_revision) {
+        // Another VM's records may be older than what this one has already used.
+        co_return fail(ErrorCode::StoreUnavailable, "the records are older than the local ones");
     }
     std::vector<RunnerEntry> runners;
     std::set<VmId> vms;
     bool hasHolder = false;
-    for (const auto& entry : range->entries) {
+    for (const auto& entry : records->range.entries) {
         if (const auto runner = m_context.codec.runnerOf(entry.key)) {
             auto record = m_context.codec.decode(entry);
             if (record && std::holds_alternative<RunnerEntry>(*record)) {
@@ -73,57 +90,52 @@
     if (!hasHolder) {
         m_context.orders.clearHolder();
     }
-    m_revision = range->revision;
-    m_freshAt = std::max(m_freshAt, requestedAt);
-    setReachable(true, "read");
-    co_return true;
+    m_revision = records->range.revision;
+    m_freshAt = std::max(m_freshAt, requestedAt - records->age);
+    m_needsRead = false;
+    m_context.log.replace(records->range);
+    co_return Outcome<void> {};
 }
 
-Task<> GatewaySync::followChanges()
+Task<Outcome<void>> GatewaySync::readChanges(ChangeFeed& feed, bool isFollower)
 {
-    const auto watch = co_await m_context.store.openWatch("", m_revision + 1);
-    if (!watch) {
-        setReachable(false, watch.error().message);
-        co_return;
+    const auto requestedAt = m_context.clock.now();
+    const auto reply = co_await feed.changesAfter(m_revision, nextWait());
+    if (!reply) {
+        co_return std::unexpected(reply.error());
     }
-    for (;;) {
-        const auto requestedAt = m_context.clock.now();
-        const auto wait = nextWait();
-        const auto changes = co_await m_context.store.nextEventsWithin(*watch, wait);
-        if (!changes) {
-            setReachable(false, changes.error().message);
-            break;
-        }
-        for (const auto& event : changes->events) {
-            if (event.isErased) {
-                applyErased(event.entry.key);
-            } else {
-                apply(event.entry, std::max(m_freshAt, m_context.clock.now() - maxEventDelay - batchDelay()));
-            }
-        }
-        m_revision = std::max(m_revision, changes->revision);
-        // A response without changes was written when the wait ended, one with changes at some time after the call.
-        const auto waited = m_context.clock.now() - requestedAt;
-        const bool isFullWait = changes->events.empty() && waited >= wait;
-        m_freshAt = std::max(m_freshAt, isFullWait ? requestedAt + wait : requestedAt);
-        setReachable(true, "watch");
-        if (!changes->events.empty()) {
-            co_await sleepFor(batchDelay());
+    applyChanges(*reply, requestedAt, batchDelay(isFollower) + reply->age);
+    if (!reply->changes.events.empty()) {
+        co_await sleepFor(batchDelay(isFollower));
+    }
+    co_return Outcome<void> {};
+}
+
+void GatewaySync::applyChanges(const FeedChanges& reply, MonotonicTime requestedAt, std::chrono::nanoseconds delay)
+{
+    for (const auto& event : reply.changes.events) {
+        if (event.isErased) {
+            applyErased(event.entry.key);
+        } else {
+            apply(event.entry, std::max(m_freshAt, m_context.clock.now() - maxEventDelay - delay));
         }
     }
-    m_context.store.closeWatch(*watch);
+    m_revision = std::max(m_revision, reply.changes.revision);
+    // The response was written after the request and after the time for which the feed waited.
+    m_freshAt = std::max(m_freshAt, requestedAt + reply.waited - reply.age);
+    m_context.log.append(reply.changes);
 }
 
 std::chrono::milliseconds GatewaySync::nextWait() const
 {
     const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(m_options.freshnessGoal - age());
-    return std::clamp(left, minWatchWait, m_options.watchWait);
+    return std::clamp(left, minWatchWait, m_context.fleet.isLarge() ? m_options.largeFleetWait : m_options.watchWait);
 }
 
-std::chrono::milliseconds GatewaySync::batchDelay() const
+std::chrono::milliseconds GatewaySync::batchDelay(bool isFollower) const
 {
-    if (m_context.orders.isHeld()) {
-        return m_options.holderBatchDelay;
+    if (isFollower || m_context.orders.isHeld()) {
+        return m_options.shortBatchDelay;
     }
     return m_context.fleet.isLarge() ? m_options.largeFleetBatchDelay : m_options.batchDelay;
 }
--- a/Source/Core/Gateway/GatewaySync.h
+++ b/Source/Core/Gateway/GatewaySync.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "Gateway/ChangeFeeds.h"
+#include "Gateway/ChangeLog.h"
 #include "Gateway/Commands/QuotaCommands.h"
 #include "Gateway/Commands/RoutingCommands.h"
 #include "Gateway/Commands/RunnerCommands.h"
@@ -8,17 +10,15 @@
 #include "Gateway/Queries/FreshnessQueries.h"
 #include "Gateway/Queries/RecordCodec.h"
 #include "Metrics/Commands/MetricCommands.h"
-#include "Store/Queries/StoreQueries.h"
 #include "Timeline/Commands/TimelineCommands.h"
 
-#include <functional>
-
 namespace Pollenwind {
 
 /// Dependencies of the synchronisation with the store.
 struct GatewaySyncContext {
     const Clock& clock;
-    StoreQueries& store;
+    ChangeFeeds& feeds;
+    ChangeLog& log;
     const RecordCodec& codec;
     RoutingCommands& routing;
     RunnerCommands& runners;
@@ -34,22 +34,27 @@
     /// Longest time that a watch waits for a change. With 2.9 s, keys would be refused 0.7 s sooner after the store
     /// becomes unavailable.
     std::chrono::milliseconds watchWait { 2200 };
+    /// Longest time that a call waits in a large fleet, where knowledge reaches most VMs over one more VM.
+    std::chrono::milliseconds largeFleetWait { 1100 };
     /// Age of the local copy up to which a watch may wait. The rest of the key limit is for the delay of the response.
     std::chrono::milliseconds freshnessGoal { 3000 };
     /// Delay after received changes before the next watch call, so that further changes arrive in one batch.
     std::chrono::milliseconds batchDelay { 500 };
-    /// Batch delay in a large fleet, where each change causes a call from every VM.
-    std::chrono::milliseconds largeFleetBatchDelay { 1000 };
-    /// Batch delay of the VM that gives orders, which should receive new target weights early.
-    std::chrono::milliseconds holderBatchDelay { 100 };
+    /// Batch delay in a large fleet, where changes are more frequent.
+    std::chrono::milliseconds largeFleetBatchDelay { 800 };
+    /// Batch delay of the VM that gives orders, which should receive new target weights early, and of a VM that follows
+    /// another one, whose changes are gathered already.
+    std::chrono::milliseconds shortBatchDelay { 100 };
     /// Age of the local copy from which API keys are no longer accepted.
     std::chrono::milliseconds keyLimit { 4300 };
-    /// First delay after a failed call; it doubles up to the batch delay.
+    /// First delay after a failed call to the store; it doubles up to the longest one.
     std::chrono::milliseconds retryPause { 250 };
+    /// Longest delay in a large fleet, where each VM may have to turn to the store; else it is the batch delay.
+    std::chrono::milliseconds largeFleetRetryPause { 1000 };
 };
 
-/// Keeps the local tables in sync with the store: reads all records once, then watches for changes. After a failed call
-/// it starts again.
+/// Keeps the local tables in sync with the store: reads all records once, then follows the changes, from the store or
+/// from a VM that follows it. After a failed call to the store it reads all records again.
 class GatewaySync final : public FreshnessQueries {
 public:
     GatewaySync(GatewaySyncContext context, GatewaySyncOptions options)
@@ -65,14 +70,18 @@
     bool mayAcceptKeys() const override { return m_freshAt.count() > 0 && age() < m_options.keyLimit; }
 
 private:
-    Task<bool> readAll();
-    Task<> followChanges();
+    Task<Outcome<void>> readAll(ChangeFeed& feed);
+    Task<Outcome<void>> readChanges(ChangeFeed& feed, bool isFollower);
+    /// Takes over changes that were requested at a given time.
+    /// @param delay Time for which changes may have waited in this VM's feed.
+    void applyChanges(const FeedChanges& reply, MonotonicTime requestedAt, std::chrono::nanoseconds delay);
     /// @param writtenAfter Earliest time at which the entry may have been written; 0 when that is not known.
     void apply(const StoreEntry& entry, MonotonicTime writtenAfter);
     void applyErased(const std::string& key);
-    /// Longest wait of the next watch call.
+    /// Longest wait of the next call for changes.
     std::chrono::milliseconds nextWait() const;
-    std::chrono::milliseconds batchDelay() const;
+    /// @param isFollower Whether the changes came from another VM.
+    std::chrono::milliseconds batchDelay(bool isFollower) const;
     void setReachable(bool isReachable, std::string_view why);
 
     GatewaySyncContext m_context;
@@ -81,6 +90,8 @@
     /// Time up to which every change has been received; 0 before the first read.
     MonotonicTime m_freshAt { 0 };
     bool m_isReachable = false;
+    /// Whether the changes since the last read may be incomplete.
+    bool m_needsRead = true;
 };
 
 } // namespace Pollenwind
--- a/Source/Core/Timeline/TimelineEvent.h
+++ b/Source/Core/Timeline/TimelineEvent.h
@@ -35,6 +35,9 @@
     UpstreamLeaving,
     StoreDown,
     StoreUp,
+    /// The VM learns of changes in the store from another feed: the store or a VM that follows it.
+    FeedChanged,
+    FeedLost,
     MoveOrdered,
     MoveStep,
     MoveDone,
@@ -69,6 +72,8 @@
         EnumName { EventKind::UpstreamLeaving, "upstream-leaving" },
         EnumName { EventKind::StoreDown, "store-down" },
         EnumName { EventKind::StoreUp, "store-up" },
+        EnumName { EventKind::FeedChanged, "feed-changed" },
+        EnumName { EventKind::FeedLost, "feed-lost" },
         EnumName { EventKind::MoveOrdered, "move-ordered" },
         EnumName { EventKind::MoveStep, "move-step" },
         EnumName { EventKind::MoveDone, "move-done" },
--- a/Source/Core/Transport/HttpServer.cpp
+++ b/Source/Core/Transport/HttpServer.cpp
@@ -74,6 +74,14 @@
         }
 
         const HttpRequest& request() const override { return m_request; }
+
+        std::string remoteAddress() const override
+        {
+            beast::error_code ec;
+            const auto endpoint = m_stream.socket().remote_endpoint(ec);
+            return ec ? std::string() : endpoint.address().to_string();
+        }
+
         bool isComplete() const { return m_isComplete; }
         bool keepAlive() const { return m_keepAlive && m_stream.socket().is_open(); }
 
--- a/Source/Core/Transport/HttpServer.h
+++ b/Source/Core/Transport/HttpServer.h
@@ -9,6 +9,7 @@
 #include <cstddef>
 #include <functional>
 #include <memory>
+#include <string>
 #include <string_view>
 
 namespace Pollenwind {
@@ -23,6 +24,9 @@
 
     virtual const HttpRequest& request() const = 0;
 
+    /// Address of the client, or an empty string if the connection is closed.
+    virtual std::string remoteAddress() const = 0;
+
     /// Sends a complete response.
     virtual Task<Outcome<void>> answer(const HttpAnswer& answer) = 0;
 
--- a/Source/UnitTests/Http/AdminFrontEndTests.cpp
+++ b/Source/UnitTests/Http/AdminFrontEndTests.cpp
@@ -18,6 +18,7 @@
     }
 
     const HttpRequest& request() const override { return m_request; }
+    std::string remoteAddress() const override { return "127.0.0.1"; }
     Task<Outcome<void>> answer(const HttpAnswer& answer) override
     {
         status = answer.status;
