Apply the limit of target weights that a VM never read

Callers saw answers made on weights that had been replaced: "a request began on version 1, 8090 ms after version 2 was acked".

Cause: a VM that restarts, or that reads all records anew, sees only the newest target. With versions 2 and 3 named within seconds it knew no age of version 2, and the age of version 3, which other VMs report, decided for runners with version 1 too. The class of fault is a limit that hangs on a record's history where only the newest value is kept.

Change: a read of records enters the versions between the last known target and the new one with the same earliest time (unknown after a start, which counts as long ago). Reports carry the age of each target that does not exclude older weights yet, not only of the newest.

RunnerTable::appliesTheLimitOfAVersionThatItNeverRead and reportsTheAgesOfAllRecentTargets failed before and pass now.

--- a/Source/Core/Gateway/Commands/RunnerCommands.h
+++ b/Source/Core/Gateway/Commands/RunnerCommands.h
@@ -26,7 +26,9 @@
 
     /// Sets the target weights of a model, unless a newer target is known.
     /// @param setAfter Earliest time at which the operator may have set them; 0 when that is not known.
-    virtual void setTargetWeights(const std::string& model, WeightsVersion version, MonotonicTime setAfter) = 0;
+    virtual void setTargetWeights(
+        const std::string& model, WeightsVersion version, MonotonicTime setAfter, ChangeSource source)
+        = 0;
     /// Sets how long ago a target version was set, as another VM reported it, where this VM does not know it.
     virtual void setTargetWeightsAge(std::uint64_t modelHash, WeightsVersion version, std::chrono::nanoseconds age) = 0;
 
--- a/Source/Core/Gateway/GatewaySync.cpp
+++ b/Source/Core/Gateway/GatewaySync.cpp
@@ -81,7 +81,7 @@
         if (entry.key.starts_with(vmRecordPrefix)) {
             vms.insert(VmId(entry.key.substr(vmRecordPrefix.size())));
         }
-        apply(entry, m_freshAt);
+        apply(entry, m_freshAt, ChangeSource::Read);
     }
     m_context.runners.replaceEntries(std::move(runners));
     m_context.fleet.markOtherRecordsEnded(vms);
@@ -120,7 +120,7 @@
         if (event.isErased) {
             applyErased(event.entry.key);
         } else {
-            apply(event.entry, std::max(m_freshAt, m_context.clock.now() - maxEventDelay - delay));
+            apply(event.entry, std::max(m_freshAt, m_context.clock.now() - maxEventDelay - delay), ChangeSource::Event);
         }
     }
     m_revision = std::max(m_revision, reply.changes.revision);
@@ -146,7 +146,7 @@
     return m_context.fleet.isLarge() ? m_options.largeFleetBatchDelay : m_options.batchDelay;
 }
 
-void GatewaySync::apply(const StoreEntry& entry, MonotonicTime writtenAfter)
+void GatewaySync::apply(const StoreEntry& entry, MonotonicTime writtenAfter, ChangeSource source)
 {
     if (entry.key.starts_with(vmRecordPrefix)) {
         m_context.fleet.updateRecord(VmId(entry.key.substr(vmRecordPrefix.size())), entry.value);
@@ -178,7 +178,7 @@
     } else if (auto* runner = std::get_if<RunnerEntry>(&*record)) {
         m_context.runners.updateEntry(std::move(*runner));
     } else if (const auto* weights = std::get_if<TargetWeights>(&*record)) {
-        m_context.runners.setTargetWeights(weights->model, weights->version, writtenAfter);
+        m_context.runners.setTargetWeights(weights->model, weights->version, writtenAfter, source);
     }
 }
 
--- a/Source/Core/Gateway/GatewaySync.h
+++ b/Source/Core/Gateway/GatewaySync.h
@@ -83,7 +83,7 @@
     /// @param delay Time for which changes may have waited in this VM's feed.
     void applyChanges(const FeedChanges& reply, MonotonicTime requestedAt, std::chrono::nanoseconds delay);
     /// @param writtenAfter Earliest time at which the entry may have been written; 0 when that is not known.
-    void apply(const StoreEntry& entry, MonotonicTime writtenAfter);
+    void apply(const StoreEntry& entry, MonotonicTime writtenAfter, ChangeSource source);
     void applyErased(const std::string& key);
     /// Longest wait of the next call for changes.
     std::chrono::milliseconds nextWait(bool isFollower) const;
--- a/Source/Core/Gateway/Queries/RunnerQueries.h
+++ b/Source/Core/Gateway/Queries/RunnerQueries.h
@@ -38,7 +38,7 @@
     /// Target weights by model.
     virtual const std::map<std::string, WeightsVersion>& targetWeights() const = 0;
 
-    /// How long ago the target weights of each model were set, where known.
+    /// How long ago the target versions were set that may not exclude older weights yet, where known.
     virtual std::vector<TargetWeightsAge> targetWeightsAges() const = 0;
 };
 
--- a/Source/Core/Gateway/RunnerTable.cpp
+++ b/Source/Core/Gateway/RunnerTable.cpp
@@ -14,6 +14,10 @@
     // runner is used if there is no other, but not long enough to violate the drain limit of a runner that did stop.
     constexpr std::chrono::milliseconds expiredEntryGrace { 1500 };
 
+    // Versions before one that was read whose age is asked for. Weights take a second to load, so that runners hardly
+    // ever are further behind.
+    constexpr WeightsVersion maxSkippedTargets = 8;
+
     // Time to keep a runner whose entry has ended, so that running requests can record their end.
     constexpr std::chrono::seconds goneRunnerRetention { 60 };
 
@@ -113,12 +117,20 @@
     });
 }
 
-void RunnerTable::setTargetWeights(const std::string& model, WeightsVersion version, MonotonicTime setAfter)
+void RunnerTable::setTargetWeights(
+    const std::string& model, WeightsVersion version, MonotonicTime setAfter, ChangeSource source)
 {
     auto& target = m_targetWeights[model];
     if (version > target) {
+        auto& named = m_targetVersions[model];
+        if (source == ChangeSource::Read) {
+            // Versions that were set since the last known one have limits of their own.
+            for (auto skipped = std::max(target + 1, version - maxSkippedTargets); skipped < version; ++skipped) {
+                named.push_back({ skipped, setAfter });
+            }
+        }
         target = version;
-        m_targetVersions[model].push_back({ version, setAfter });
+        named.push_back({ version, setAfter });
         m_timeline.record(EventKind::MoveOrdered, { { "model", model }, { "weights", std::to_string(version) } });
     }
 }
@@ -165,11 +177,15 @@
 
 std::vector<TargetWeightsAge> RunnerTable::targetWeightsAges() const
 {
+    const auto now = m_clock.now();
     std::vector<TargetWeightsAge> ages;
     for (const auto& [model, named] : m_targetVersions) {
-        if (!named.empty() && named.back().setAt.count() > 0) {
-            ages.push_back({ modelHash(model), named.back().version,
-                std::chrono::duration_cast<std::chrono::milliseconds>(m_clock.now() - named.back().setAt) });
+        for (const auto& it : named) {
+            // A target of unknown age counts as old, so older ones need no report.
+            if (it.setAt.count() > 0 && now - it.setAt <= m_options.maxOldWeightsTime) {
+                ages.push_back(
+                    { modelHash(model), it.version, std::chrono::ceil<std::chrono::milliseconds>(now - it.setAt) });
+            }
         }
     }
     return ages;
--- a/Source/Core/Gateway/RunnerTable.h
+++ b/Source/Core/Gateway/RunnerTable.h
@@ -26,7 +26,8 @@
     void updateEntry(RunnerEntry entry) override;
     void markEntryEnded(const UpstreamId& runner) override;
     void replaceEntries(std::vector<RunnerEntry> entries) override;
-    void setTargetWeights(const std::string& model, WeightsVersion version, MonotonicTime setAfter) override;
+    void setTargetWeights(
+        const std::string& model, WeightsVersion version, MonotonicTime setAfter, ChangeSource source) override;
     void setTargetWeightsAge(std::uint64_t modelHash, WeightsVersion version, std::chrono::nanoseconds age) override;
     void recordRefusal(const UpstreamId& runner, std::chrono::nanoseconds avoidTime) override;
     void recordLoadedWeights(std::span<const LoadedWeights> loaded) override;
--- a/Source/Core/Gateway/RunnerTypes.h
+++ b/Source/Core/Gateway/RunnerTypes.h
@@ -78,6 +78,21 @@
     bool operator==(const RunnerLoad&) const = default;
 };
 
+/// How a VM learned of a change in the store.
+enum class ChangeSource {
+    /// As one of the events that follow what the VM already knows.
+    Event,
+    /// By reading the current records, which do not show the versions in between.
+    Read,
+};
+
+template <> struct EnumTable<ChangeSource> {
+    static constexpr std::array rows {
+        EnumName { ChangeSource::Event, "event" },
+        EnumName { ChangeSource::Read, "read" },
+    };
+};
+
 /// How long ago the operator set a target version of a model's weights.
 struct TargetWeightsAge {
     /// Hash of the model's name.
--- a/Source/UnitTests/Gateway/RunnerTableTests.cpp
+++ b/Source/UnitTests/Gateway/RunnerTableTests.cpp
@@ -81,7 +81,7 @@
     auto entry = makeRunner("r2");
     entry.weights["model"] = 2;
     fixture.runners.updateEntry(entry);
-    fixture.runners.setTargetWeights("model", 2, fixture.clock.now());
+    fixture.runners.setTargetWeights("model", 2, fixture.clock.now(), ChangeSource::Event);
     fixture.clock.advance(6400ms);
     cr_assert(fixture.candidates("model") == both);
     fixture.clock.advance(200ms);
@@ -92,9 +92,9 @@
 Test(RunnerTable, appliesTheLimitToEachTargetVersion)
 {
     RunnerFixture fixture;
-    fixture.runners.setTargetWeights("model", 2, fixture.clock.now());
+    fixture.runners.setTargetWeights("model", 2, fixture.clock.now(), ChangeSource::Event);
     fixture.clock.advance(4s);
-    fixture.runners.setTargetWeights("model", 3, fixture.clock.now());
+    fixture.runners.setTargetWeights("model", 3, fixture.clock.now(), ChangeSource::Event);
     fixture.clock.advance(3s);
     cr_assert(fixture.candidates("model").empty());
 }
@@ -107,7 +107,7 @@
     auto entry = makeRunner("r2");
     entry.weights["model"] = 2;
     fixture.runners.updateEntry(entry);
-    fixture.runners.setTargetWeights("model", 2, MonotonicTime(0));
+    fixture.runners.setTargetWeights("model", 2, MonotonicTime(0), ChangeSource::Read);
     cr_assert(fixture.candidates("model") == second);
     fixture.runners.setTargetWeightsAge(modelHash("model"), 2, 3s);
     cr_assert(fixture.candidates("model") == both);
@@ -115,6 +115,38 @@
     cr_assert(fixture.candidates("model") == second);
 }
 
+// A VM that restarts after versions were named in quick succession reads only the newest one. Requests began on version
+// 1 up to 6.5 s after version 3 had been named, although the limit of version 2 had passed.
+Test(RunnerTable, appliesTheLimitOfAVersionThatItNeverRead)
+{
+    RunnerFixture fixture;
+    auto entry = makeRunner("r2");
+    entry.weights["model"] = 2;
+    fixture.runners.updateEntry(entry);
+    fixture.runners.setTargetWeights("model", 3, MonotonicTime(0), ChangeSource::Read);
+    fixture.runners.setTargetWeightsAge(modelHash("model"), 3, 1s);
+    cr_assert(fixture.candidates("model") == second);
+    fixture.runners.setTargetWeightsAge(modelHash("model"), 2, 4s);
+    cr_assert(fixture.candidates("model") == both);
+    fixture.clock.advance(2600ms);
+    cr_assert(fixture.candidates("model") == second);
+}
+
+// The other VMs must learn the age of each target that still limits older weights, not only of the newest.
+Test(RunnerTable, reportsTheAgesOfAllRecentTargets)
+{
+    RunnerFixture fixture;
+    fixture.clock.advance(1h);
+    fixture.runners.setTargetWeights("model", 2, fixture.clock.now(), ChangeSource::Event);
+    fixture.clock.advance(4s);
+    fixture.runners.setTargetWeights("model", 3, fixture.clock.now(), ChangeSource::Event);
+    fixture.clock.advance(1s);
+    const auto ages = fixture.runners.targetWeightsAges();
+    cr_assert_eq(ages.size(), 2);
+    cr_assert(ages.front().version == 2 && ages.front().age == 5s);
+    cr_assert(ages.back().version == 3 && ages.back().age == 1s);
+}
+
 // A runner that loads weights by order of any VM gets no requests while others are available.
 Test(RunnerTable, excludesLoadingRunners)
 {
@@ -152,7 +184,7 @@
 {
     RunnerFixture fixture;
     const auto weightsOf = [&fixture] { return fixture.runners.candidates(ServiceId("app"), "model").front().weights; };
-    fixture.runners.setTargetWeights("model", 3, fixture.clock.now());
+    fixture.runners.setTargetWeights("model", 3, fixture.clock.now(), ChangeSource::Event);
     fixture.runners.onWeightsMismatch(UpstreamId("r1"), "model", 1);
     cr_assert_eq(weightsOf(), 3);
     cr_assert_eq(fixture.runners.find(UpstreamId("r1"))->weights.at("model"), 1);
