Count a target of weights from the oldest age that a VM can prove

Callers saw answers made on weights that had been replaced, from VMs that had been paused or whose connection to the store had gone silent.

Cause: a VM took a target that arrived with a watch event for at most 0.8 s old, whatever had happened since the answer before: a pause of the process, a lost answer, a silent connection. Reports of other VMs were used only by a VM that knew no age at all. The class of fault is an age that is counted from the time at which a message was read.

Change: an event counts as new only if the feed has answered in time since the answer before; otherwise the target may be as old as that answer. Of the ages that VMs report, all of which come from events in time, the oldest applies; a VM without such an event takes them over.

--- a/Source/Core/Gateway/Commands/RunnerCommands.h
+++ b/Source/Core/Gateway/Commands/RunnerCommands.h
@@ -29,7 +29,8 @@
     virtual void setTargetWeights(
         const std::string& model, WeightsVersion version, MonotonicTime setAfter, ChangeSource source)
         = 0;
-    /// Sets how long ago a target version was set, as another VM reported it, where this VM does not know it.
+    /// Sets how long ago a target version was set, as another VM reported it: the VM received its event in time. Of
+    /// several such ages the oldest applies, since a VM that was paused meanwhile takes the event for newer.
     virtual void setTargetWeightsAge(std::uint64_t modelHash, WeightsVersion version, std::chrono::nanoseconds age) = 0;
 
     /// Records weights that runners have loaded and that their entries do not show yet.
--- a/Source/Core/Gateway/GatewaySync.cpp
+++ b/Source/Core/Gateway/GatewaySync.cpp
@@ -26,6 +26,7 @@
         if (!watcher) {
             setReachable(result.has_value(), result ? "answered" : result.error().message);
         }
+        m_isAnswerLost = !result;
         if (result) {
             pause = m_options.retryPause;
             continue;
@@ -92,6 +93,7 @@
     }
     m_revision = records->range.revision;
     m_freshAt = std::max(m_freshAt, requestedAt - records->age);
+    m_answeredAt = m_context.clock.now();
     m_needsRead = false;
     m_context.log.replace(records->range);
     if (m_onRead) {
@@ -103,24 +105,31 @@
 Task<Outcome<void>> GatewaySync::readChanges(ChangeFeed& feed, bool isFollower)
 {
     const auto requestedAt = m_context.clock.now();
-    const auto reply = co_await feed.changesAfter(m_revision, nextWait(isFollower));
+    const auto wait = nextWait(isFollower);
+    const auto reply = co_await feed.changesAfter(m_revision, wait);
     if (!reply) {
         co_return std::unexpected(reply.error());
     }
-    applyChanges(*reply, requestedAt, batchDelay(isFollower) + reply->age);
+    const auto delay = batchDelay(isFollower) + reply->age;
+    const auto answeredAt = m_context.clock.now();
+    const bool isTimely
+        = !m_isAnswerLost && answeredAt - std::exchange(m_answeredAt, answeredAt) <= wait + delay + maxEventDelay;
+    applyChanges(*reply, requestedAt, delay, isTimely);
     if (!reply->changes.events.empty()) {
         co_await sleepFor(batchDelay(isFollower));
     }
     co_return Outcome<void> {};
 }
 
-void GatewaySync::applyChanges(const FeedChanges& reply, MonotonicTime requestedAt, std::chrono::nanoseconds delay)
+void GatewaySync::applyChanges(
+    const FeedChanges& reply, MonotonicTime requestedAt, std::chrono::nanoseconds delay, bool isTimely)
 {
+    const auto writtenAfter = isTimely ? std::max(m_freshAt, m_context.clock.now() - maxEventDelay - delay) : m_freshAt;
     for (const auto& event : reply.changes.events) {
         if (event.isErased) {
             applyErased(event.entry.key);
         } else {
-            apply(event.entry, std::max(m_freshAt, m_context.clock.now() - maxEventDelay - delay), ChangeSource::Event);
+            apply(event.entry, writtenAfter, isTimely ? ChangeSource::Event : ChangeSource::LateEvent);
         }
     }
     m_revision = std::max(m_revision, reply.changes.revision);
--- a/Source/Core/Gateway/GatewaySync.h
+++ b/Source/Core/Gateway/GatewaySync.h
@@ -81,7 +81,9 @@
     Task<Outcome<void>> readChanges(ChangeFeed& feed, bool isFollower);
     /// Takes over changes that were requested at a given time.
     /// @param delay Time for which changes may have waited in this VM's feed.
-    void applyChanges(const FeedChanges& reply, MonotonicTime requestedAt, std::chrono::nanoseconds delay);
+    /// @param isTimely Whether the feed has answered in time since the changes before.
+    void applyChanges(
+        const FeedChanges& reply, MonotonicTime requestedAt, std::chrono::nanoseconds delay, bool isTimely);
     /// @param writtenAfter Earliest time at which the entry may have been written; 0 when that is not known.
     void apply(const StoreEntry& entry, MonotonicTime writtenAfter, ChangeSource source);
     void applyErased(const std::string& key);
@@ -96,6 +98,10 @@
     std::int64_t m_revision = 0;
     /// Time up to which every change has been received; 0 before the first read.
     MonotonicTime m_freshAt { 0 };
+    /// Time of the last answer.
+    MonotonicTime m_answeredAt { 0 };
+    /// Whether a call has failed since then.
+    bool m_isAnswerLost = false;
     bool m_isReachable = false;
     /// Whether the changes since the last read may be incomplete.
     bool m_needsRead = true;
--- a/Source/Core/Gateway/RunnerTable.cpp
+++ b/Source/Core/Gateway/RunnerTable.cpp
@@ -126,11 +126,11 @@
         if (source == ChangeSource::Read) {
             // Versions that were set since the last known one have limits of their own.
             for (auto skipped = std::max(target + 1, version - maxSkippedTargets); skipped < version; ++skipped) {
-                named.push_back({ skipped, setAfter });
+                named.push_back({ skipped, setAfter, false });
             }
         }
         target = version;
-        named.push_back({ version, setAfter });
+        named.push_back({ version, setAfter, source == ChangeSource::Event });
         m_timeline.record(EventKind::MoveOrdered, { { "model", model }, { "weights", std::to_string(version) } });
     }
 }
@@ -142,8 +142,10 @@
             continue;
         }
         for (auto& it : named) {
-            if (it.version == version && it.setAt.count() == 0) {
-                it.setAt = m_clock.now() - age;
+            if (it.version == version) {
+                const auto reported = m_clock.now() - age;
+                it.setAt = it.isAgeKnown ? std::min(it.setAt, reported) : reported;
+                it.isAgeKnown = true;
             }
         }
     }
@@ -182,7 +184,7 @@
     for (const auto& [model, named] : m_targetVersions) {
         for (const auto& it : named) {
             // A target of unknown age counts as old, so older ones need no report.
-            if (it.setAt.count() > 0 && now - it.setAt <= m_options.maxOldWeightsTime) {
+            if (it.isAgeKnown && now - it.setAt <= m_options.maxOldWeightsTime) {
                 ages.push_back(
                     { modelHash(model), it.version, std::chrono::ceil<std::chrono::milliseconds>(now - it.setAt) });
             }
--- a/Source/Core/Gateway/RunnerTable.h
+++ b/Source/Core/Gateway/RunnerTable.h
@@ -68,6 +68,8 @@
         WeightsVersion version = 0;
         /// Earliest time at which it may have been set; 0 if that is not known, which counts as long ago.
         MonotonicTime setAt { 0 };
+        /// Whether a VM received the event in time. Otherwise the version may have been set much later than `setAt`.
+        bool isAgeKnown = false;
     };
 
     /// Oldest weights of a model on which a request may begin now; 0 if there is no limit.
--- a/Source/Core/Gateway/RunnerTypes.h
+++ b/Source/Core/Gateway/RunnerTypes.h
@@ -82,6 +82,8 @@
 enum class ChangeSource {
     /// As one of the events that follow what the VM already knows.
     Event,
+    /// As an event that arrived after a lost or late answer. It may be as old as the last answer before.
+    LateEvent,
     /// By reading the current records, which do not show the versions in between.
     Read,
 };
@@ -89,6 +91,7 @@
 template <> struct EnumTable<ChangeSource> {
     static constexpr std::array rows {
         EnumName { ChangeSource::Event, "event" },
+        EnumName { ChangeSource::LateEvent, "late-event" },
         EnumName { ChangeSource::Read, "read" },
     };
 };
--- a/Source/UnitTests/Gateway/RunnerTableTests.cpp
+++ b/Source/UnitTests/Gateway/RunnerTableTests.cpp
@@ -147,6 +147,22 @@
     cr_assert(ages.back().version == 3 && ages.back().age == 1s);
 }
 
+// A VM that was paused reads a change late and takes its target for newer than it is. It must use the older age that
+// another VM reports: requests began on old weights 10 s after the target had been set.
+Test(RunnerTable, takesOverTheOlderAgeOfATarget)
+{
+    RunnerFixture fixture;
+    auto entry = makeRunner("r2");
+    entry.weights["model"] = 2;
+    fixture.runners.updateEntry(entry);
+    fixture.clock.advance(1h);
+    fixture.runners.setTargetWeights("model", 2, fixture.clock.now(), ChangeSource::Event);
+    fixture.runners.setTargetWeightsAge(modelHash("model"), 2, 4s);
+    fixture.runners.setTargetWeightsAge(modelHash("model"), 2, 1s);
+    fixture.clock.advance(2600ms);
+    cr_assert(fixture.candidates("model") == second);
+}
+
 // A runner that loads weights by order of any VM gets no requests while others are available.
 Test(RunnerTable, excludesLoadingRunners)
 {
