Take requests back that would begin on old weights after the limit

Callers saw answers made on weights that had been replaced by requests that a VM had placed in time.

Cause: the limit was applied when a request was placed. The runner begins it later: a request placed 6.7 s after the new target had been named could wait in the runner's queue for three objectives, 2.4 s, or until its deadline where its route allows no repeat. The class of fault is a permission that is checked before a wait and used after it.

A request that cannot be repeated is not placed on old weights when fewer than two objectives are left.

--- a/Source/Core/Gateway/ForwardDispatcher.cpp
+++ b/Source/Core/Gateway/ForwardDispatcher.cpp
@@ -33,6 +33,9 @@
     constexpr std::chrono::milliseconds notRunAvoidTime { 150 };
     constexpr std::chrono::milliseconds misdirectedAvoidTime { 1200 };
 
+    // Time that a request which cannot be taken back may wait at a runner with old weights, in objectives of its route.
+    constexpr int unrepeatableWaitFactor = 2;
+
     constexpr unsigned lowestPriority = 9;
 
     RetryKind retryKindOf(const RouteRule& route)
@@ -73,6 +76,8 @@
     bool isBegun = false;
     /// The current attempt has produced output.
     bool hadOutput = false;
+    /// The current attempt was ended because it would have begun on old weights too late.
+    bool isTakenBack = false;
     RunState runState = RunState::NotRun;
     /// Id of the last event that was sent to the caller.
     std::optional<std::uint64_t> lastEventId;
@@ -80,13 +85,24 @@
     std::optional<std::pair<ReplyHead, std::string>> failure;
 };
 
-Outcome<RunnerChoice> ForwardDispatcher::chooseRunner(const ForwardRequest& request, const Delivery& delivery) const
+std::vector<RunnerCandidate> ForwardDispatcher::candidatesFor(
+    const ForwardRequest& request, const Delivery& delivery) const
 {
     auto candidates = m_context.runners.candidates(delivery.service, request.model);
+    if (retryKindOf(*delivery.route) == RetryKind::NonIdempotentCall) {
+        const auto latest = m_context.clock.now() + delivery.route->objective * unrepeatableWaitFactor;
+        std::erase_if(candidates, [&](const RunnerCandidate& it) { return it.beginBy && *it.beginBy < latest; });
+    }
+    return candidates;
+}
+
+Outcome<RunnerChoice> ForwardDispatcher::chooseRunner(const ForwardRequest& request, const Delivery& delivery) const
+{
+    auto candidates = candidatesFor(request, delivery);
     std::erase_if(candidates, [&](const RunnerCandidate& it) { return delivery.tried.contains(it.id); });
     // A runner that refused may accept the request now. One that may have run it is not tried again.
     if (candidates.empty() && delivery.runs == 0) {
-        candidates = m_context.runners.candidates(delivery.service, request.model);
+        candidates = candidatesFor(request, delivery);
     }
     const auto& targets = m_context.runners.targetWeights();
     const auto it = targets.find(request.model);
@@ -222,6 +238,7 @@
     delivery.runner = choice;
     delivery.tried.insert(choice.id);
     delivery.hadOutput = false;
+    delivery.isTakenBack = false;
     ++delivery.sends;
     const auto& route = *delivery.route;
     checkInvariant(delivery.runs == 0 || retryKindOf(route) != RetryKind::NonIdempotentCall,
@@ -253,13 +270,19 @@
     } else if (route.kind == RequestKind::Streaming && route.isResumable && mayRunAgain) {
         limit = std::min<std::chrono::nanoseconds>(limit, route.objective * firstEventTimeoutFactor);
     }
-    auto head = co_await exchange->begin(limit);
+    auto head = co_await exchange->begin(untilBeginLimit(limit, delivery));
     Outcome<void> result;
     if (!head) {
         result = std::unexpected(head.error());
     } else {
         result = co_await relayAnswer(request, *exchange, *head, sink, delivery);
     }
+    const bool isLate = choice.beginBy && !delivery.hadOutput && m_context.clock.now() >= *choice.beginBy;
+    if (isLate && !result && result.error().code == ErrorCode::DeadlineExceeded) {
+        result.error().message = "the request had not begun when the limit of the runner's old weights passed";
+        delivery.isTakenBack = true;
+        m_context.metrics.count(Counter::OldWeightsRecalls);
+    }
     sink.onStop({});
     if (result) {
         exchange->finish();
@@ -269,6 +292,16 @@
     co_return result;
 }
 
+std::chrono::nanoseconds ForwardDispatcher::untilBeginLimit(
+    std::chrono::nanoseconds limit, const Delivery& delivery) const
+{
+    const auto& beginBy = delivery.runner.beginBy;
+    if (!beginBy || delivery.hadOutput) {
+        return limit;
+    }
+    return std::clamp<std::chrono::nanoseconds>(*beginBy - m_context.clock.now(), std::chrono::nanoseconds(0), limit);
+}
+
 Task<Outcome<void>> ForwardDispatcher::relayAnswer(
     const ForwardRequest& request, RunnerExchange& exchange, const ReplyHead& head, ReplySink& sink, Delivery& delivery)
 {
@@ -328,7 +361,7 @@
         if (mayResume) {
             limit = std::min<std::chrono::nanoseconds>(limit, eventPauseLimit);
         }
-        const auto part = co_await exchange.readSome(limit);
+        const auto part = co_await exchange.readSome(untilBeginLimit(limit, delivery));
         if (!part) {
             co_return std::unexpected(part.error());
         }
@@ -413,7 +446,8 @@
             break;
         default:
             // An error response is more often caused by the request than by the runner.
-            outcome = result.error().runState == RunState::Ran ? RunnerResult::Abandoned : RunnerResult::Failed;
+            outcome = result.error().runState == RunState::Ran || delivery.isTakenBack ? RunnerResult::Abandoned
+                                                                                       : RunnerResult::Failed;
         }
         m_context.metrics.count(Counter::UpstreamFailures);
     }
--- a/Source/Core/Gateway/ForwardDispatcher.h
+++ b/Source/Core/Gateway/ForwardDispatcher.h
@@ -69,6 +69,9 @@
 
     struct Delivery;
 
+    /// Runners that may take the request now. A request that cannot be taken back from a runner's queue gets none whose
+    /// weights expire before it is likely to begin.
+    std::vector<RunnerCandidate> candidatesFor(const ForwardRequest& request, const Delivery& delivery) const;
     Outcome<RunnerChoice> chooseRunner(const ForwardRequest& request, const Delivery& delivery) const;
     /// Sends the request to one runner and relays its response.
     Task<Outcome<void>> attempt(
@@ -77,6 +80,8 @@
         ReplySink& sink, Delivery& delivery);
     Task<Outcome<void>> relayStream(const ForwardRequest& request, RunnerExchange& exchange, const ReplyHead& head,
         ReplySink& sink, Delivery& delivery);
+    /// The limit, or the time until the runner's old weights expire if that is shorter and there is no output yet.
+    std::chrono::nanoseconds untilBeginLimit(std::chrono::nanoseconds limit, const Delivery& delivery) const;
     /// Whether the request may be sent again after an attempt failed. Counts the refusal or the retry.
     bool mayRepeat(const ForwardRequest& request, const Error& error, Delivery& delivery);
     /// Values that an attempt adds to the request.
--- a/Source/Core/Gateway/RunnerTable.cpp
+++ b/Source/Core/Gateway/RunnerTable.cpp
@@ -213,6 +213,20 @@
     return oldest;
 }
 
+std::optional<MonotonicTime> RunnerTable::beginLimit(const std::string& model, WeightsVersion weights) const
+{
+    std::optional<MonotonicTime> limit;
+    if (const auto it = m_targetVersions.find(model); it != m_targetVersions.end()) {
+        for (const auto& named : it->second) {
+            const auto end = named.setAt + m_options.maxOldWeightsTime + m_options.oldWeightsBeginTime;
+            if (named.version > weights && (!limit || end < *limit)) {
+                limit = end;
+            }
+        }
+    }
+    return limit;
+}
+
 void RunnerTable::recordSent(const UpstreamId& runner, double tokens)
 {
     if (const auto it = m_runners.find(runner); it != m_runners.end()) {
@@ -360,6 +374,7 @@
         candidate.weights = it->second;
     }
     candidate.weights = runner.failureState.inferredWeights(model, candidate.weights, m_clock.now());
+    candidate.beginBy = beginLimit(model, candidate.weights);
     runner.breaker.refresh();
     candidate.admission = runner.breaker.admission();
     return candidate;
--- a/Source/Core/Gateway/RunnerTable.h
+++ b/Source/Core/Gateway/RunnerTable.h
@@ -8,14 +8,17 @@
 
 #include <chrono>
 #include <map>
+#include <optional>
 #include <vector>
 
 namespace Pollenwind {
 
 /// Timeouts of the runner table.
 struct RunnerTableOptions {
-    /// Longest time after a new target was set in which requests may still begin on older weights.
+    /// Longest time after a new target was set in which requests are still placed on older weights.
     std::chrono::milliseconds maxOldWeightsTime { 6500 };
+    /// Further time in which a request that was placed on older weights may begin there.
+    std::chrono::milliseconds oldWeightsBeginTime { 900 };
 };
 
 /// The runners with an entry in the store, their failure state and the work in progress at each.
@@ -72,8 +75,10 @@
         bool isAgeKnown = false;
     };
 
-    /// Oldest weights of a model on which a request may begin now; 0 if there is no limit.
+    /// Oldest weights of a model on which a request may be placed now; 0 if there is no limit.
     WeightsVersion oldestAllowedWeights(const std::string& model) const;
+    /// Time by which a request must begin on weights of a model; nothing if there is no newer target.
+    std::optional<MonotonicTime> beginLimit(const std::string& model, WeightsVersion weights) const;
     /// Work from all VMs.
     RunnerLoad loadOf(const Runner& runner) const;
     RunnerCandidate toCandidate(const Runner& runner, const std::string& model) const;
--- a/Source/Core/Gateway/RunnerTypes.h
+++ b/Source/Core/Gateway/RunnerTypes.h
@@ -8,6 +8,7 @@
 #include <chrono>
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -134,6 +135,8 @@
     Incarnation incarnation;
     unsigned slots = 1;
     WeightsVersion weights = 0;
+    /// Time by which a request must begin on these weights; nothing while no newer target is known.
+    std::optional<MonotonicTime> beginBy;
     /// Work from this VM and from the other VMs as they last reported it.
     RunnerLoad load;
     /// Share of its full load that the circuit breaker admits, from 0 to 1. Below 1 after failures.
--- a/Source/Core/Metrics/Counter.h
+++ b/Source/Core/Metrics/Counter.h
@@ -26,6 +26,8 @@
     RetryBudgetExhausted,
     /// Further attempts that continue a stream after its upstream failed.
     Resumes,
+    /// Attempts that were ended since they would have begun on old weights too late.
+    OldWeightsRecalls,
     /// Responses that belonged to another request.
     AnswerMismatches,
     StreamsCut,
@@ -67,6 +69,7 @@
         EnumName { Counter::Retries, "retries_total" },
         EnumName { Counter::RetryBudgetExhausted, "retry_budget_exhausted_total" },
         EnumName { Counter::Resumes, "resumes_total" },
+        EnumName { Counter::OldWeightsRecalls, "old_weights_recalls_total" },
         EnumName { Counter::AnswerMismatches, "answer_mismatches_total" },
         EnumName { Counter::StreamsCut, "streams_cut_total" },
         EnumName { Counter::CallerDisconnects, "caller_disconnects_total" },
--- a/Source/UnitTests/Gateway/ForwardDispatcherTests.cpp
+++ b/Source/UnitTests/Gateway/ForwardDispatcherTests.cpp
@@ -240,3 +240,47 @@
     cr_assert_eq(terms.cacheSalt, "w1/org");
     cr_assert_eq(terms.expectedWeights, 1);
 }
+
+// A request that waits in the queue of a runner with old weights must not begin there after the limit: requests placed
+// 6.7 s after a new target was set began up to 2.4 s later.
+Test(ForwardDispatcher, takesARequestBackThatWouldBeginOnOldWeightsTooLate)
+{
+    GatewayFixture fixture;
+    fixture.clock.advance(1h);
+    fixture.runners.setTargetWeights("model", 2, fixture.clock.now(), ChangeSource::Event);
+    fixture.clock.advance(6300ms);
+    auto request = fixture.makeRequest("/resumable/x");
+    request.model = "model";
+    auto queued = failedBegin({ ErrorCode::DeadlineExceeded, "no response in time", RunState::Unknown });
+    queued.onArrival = [&fixture] {
+        fixture.clock.advance(1100ms);
+        for (const auto* id : { "r1", "r2", "r3" }) {
+            auto entry = makeRunner(id);
+            entry.weights["model"] = 2;
+            fixture.runners.updateEntry(entry);
+        }
+    };
+    fixture.scripted.script = { queued, stream({ "id: 1\ndata: a\n\n" }) };
+    cr_assert(fixture.forward(request).has_value());
+    cr_assert_eq(fixture.scripted.arrivals.size(), 2);
+    cr_assert_leq(fixture.scripted.timeouts.front().count(), std::chrono::nanoseconds(1100ms).count());
+    cr_assert_eq(fixture.scripted.arrivals.back().terms.expectedWeights, 2);
+}
+
+// A request that may not be repeated cannot be taken back from a runner's queue, so it is not placed on old weights so
+// late that it might begin after the limit.
+Test(ForwardDispatcher, placesNoUnrepeatableRequestOnWeightsThatAreAboutToExpire)
+{
+    GatewayFixture fixture;
+    fixture.clock.advance(1h);
+    fixture.runners.setTargetWeights("model", 2, fixture.clock.now(), ChangeSource::Event);
+    auto request = fixture.makeRequest("/stream/x");
+    request.model = "model";
+    fixture.clock.advance(4s);
+    fixture.scripted.script = { stream({ "id: 1\ndata: a\n\n" }) };
+    cr_assert(fixture.forward(request).has_value());
+    fixture.clock.advance(2300ms);
+    const auto result = fixture.forward(request);
+    cr_assert(!result && result.error().runState == RunState::NotRun);
+    cr_assert_eq(fixture.scripted.arrivals.size(), 1);
+}
--- a/Source/UnitTests/Gateway/GatewayFixture.h
+++ b/Source/UnitTests/Gateway/GatewayFixture.h
@@ -74,6 +74,8 @@
 
     std::deque<ScriptedAttempt> script;
     std::vector<Arrival> arrivals;
+    /// Longest time that each request was given until the head of its response.
+    std::vector<std::chrono::nanoseconds> timeouts;
     unsigned cancelled = 0;
     unsigned finished = 0;
 
@@ -86,8 +88,9 @@
         {
         }
 
-        Task<Outcome<ReplyHead>> begin(std::chrono::nanoseconds) override
+        Task<Outcome<ReplyHead>> begin(std::chrono::nanoseconds timeout) override
         {
+            m_owner.timeouts.push_back(timeout);
             if (m_attempt.onArrival) {
                 m_attempt.onArrival();
             }
