Do not resume a stream whose events have no ids

A caller could get the events of a stream twice, with parts of two runs joined: a resumable stream broke off before it had sent an event with an id, and the next attempt had no id to resume after. Its runner started from the beginning, and its events followed those already sent.

Such a stream now ends as broken, like one that may not be resumed.

Found while checking what a second runner may add to a begun stream; not seen in a run. ForwardDispatcher::doesNotResumeAStreamWithoutEventIds failed before (the request ended as complete with the first event twice) and passes now; ForwardDispatcher/* 19 of 19.

--- a/Source/Core/Gateway/ForwardDispatcher.cpp
+++ b/Source/Core/Gateway/ForwardDispatcher.cpp
@@ -195,7 +195,8 @@
         return false;
     }
     const auto progress = delivery.isBegun ? Progress::AnswerBegun : isNotRun ? Progress::NotStarted : Progress::Sent;
-    if (delivery.isBegun && kind != RetryKind::Generation) {
+    // A runner resumes after an event id. Without one, the next run would send the same events again.
+    if (delivery.isBegun && (kind != RetryKind::Generation || !delivery.lastEventId)) {
         return false;
     }
     const auto action = decideRetry(kind, progress, classifyFailure(error), true);
--- a/Source/UnitTests/Gateway/ForwardDispatcherTests.cpp
+++ b/Source/UnitTests/Gateway/ForwardDispatcherTests.cpp
@@ -145,6 +145,16 @@
     cr_assert(!fixture.sink.isComplete);
 }
 
+// A stream whose events have no ids cannot be resumed: a second run would send its events again.
+Test(ForwardDispatcher, doesNotResumeAStreamWithoutEventIds)
+{
+    GatewayFixture fixture;
+    fixture.scripted.script = { stream({ "data: a\n\n" }, lost), stream({ "data: a\n\n", "data: b\n\n" }) };
+    cr_assert(!fixture.forward(fixture.makeRequest("/resumable/x")));
+    cr_assert_eq(fixture.sink.body, "data: a\n\n");
+    cr_assert(!fixture.sink.isComplete);
+}
+
 // A stream that ends within an event must not look complete to the caller.
 Test(ForwardDispatcher, doesNotCompleteAStreamThatEndsWithinAnEvent)
 {
