Do not trust an unnamed response on a kept connection

A runner may write an earlier response once more. Where such a copy names no request, the gateway took it for the response to the request that it had just sent on the kept connection: a copied refusal (X-Not-Run, or status 421) made it send a request that was running to a second runner, or tell the caller "not run"; a copied failure with a stamp reached the caller of another request.

Cause: a refusal was believed without X-Request-Id, and a failure with the stamp alone, on new and on kept connections alike. On a new connection the first response can only belong to the only request; on a kept one it may belong to an earlier request.

A response on a kept connection that names no request now fails the attempt with the outcome unknown, and the connection is closed. The platform's runners echo the id in all responses; the simulated runner of the soak now does so in its 421 responses too.

Before the change RunnerWire::doesNotTrustAnUnnamedRefusalOnAKeptConnection (the request arrived twice, for each of three refusals) and doesNotPassOnAnUnnamedFailureOnAKeptConnection (the caller got the other request's 500) failed.

--- a/Source/Core/Gateway/ForwardTypes.h
+++ b/Source/Core/Gateway/ForwardTypes.h
@@ -95,6 +95,8 @@
     /// End-to-end headers to forward to the caller.
     HttpHeaders headers;
     bool isEventStream = false;
+    /// The response names the request to which it belongs.
+    bool namesRequest = false;
     /// Runner that names itself as the sender of the response, if any.
     std::optional<UpstreamId> answeredBy;
 
--- a/Source/Core/Gateway/HttpRunnerClient.cpp
+++ b/Source/Core/Gateway/HttpRunnerClient.cpp
@@ -70,6 +70,12 @@
                 co_return std::unexpected(head.error());
             }
             auto reply = m_codec.decodeReply(*head, m_request);
+            if (m_isPooled && !reply.namesRequest) {
+                // It may be a copy of an earlier response, so even a refusal does not show that the request did not
+                // run.
+                co_return fail(
+                    ErrorCode::Mismatch, "the response on a kept connection names no request", RunState::Unknown);
+            }
             if (reply.kind != ReplyKind::Stray) {
                 co_return reply;
             }
--- a/Source/UnitTests/PlatformAdapter/RunnerWireTests.cpp
+++ b/Source/UnitTests/PlatformAdapter/RunnerWireTests.cpp
@@ -100,6 +100,39 @@
     });
 }
 
+// Guards against taking a refusal that names no request for the refusal of a running request on a kept connection: it
+// may be another copy of an earlier one. The request must neither run again nor be reported as not run.
+Test(RunnerWire, doesNotTrustAnUnnamedRefusalOnAKeptConnection)
+{
+    const std::array refusals { refusal(), withLength("HTTP/1.1 421 Misdirected Request\r\n", ""),
+        withLength("HTTP/1.1 421 Misdirected Request\r\nX-Instance-Id: r9\r\n", "") };
+    for (const auto& bytes : refusals) {
+        WireFixture fixture;
+        fixture.runner.script = { { answer("a") }, { bytes }, { answer("b") } };
+        fixture.run([&]() -> Task<> {
+            cr_assert((co_await fixture.call("/safe/x", "q1")).isComplete);
+            const auto view = co_await fixture.call("/stream/x", "q2");
+            const auto& arrivals = fixture.runner.arrivals;
+            cr_assert(arrivals[0].connection == arrivals[1].connection);
+            cr_assert_eq(arrivals.size(), 2, "the request ran again after %s", bytes.c_str());
+            cr_assert_eq(view.status, 502);
+        });
+    }
+}
+
+// Guards against passing on a failure that names no request as the response to the next request on its connection.
+Test(RunnerWire, doesNotPassOnAnUnnamedFailureOnAKeptConnection)
+{
+    WireFixture fixture;
+    fixture.runner.script = { { answer("a") },
+        { withLength("HTTP/1.1 500 Internal Server Error\r\nX-Server-Stamp: s\r\n", "failure of another request") } };
+    fixture.run([&]() -> Task<> {
+        cr_assert((co_await fixture.call("/safe/x", "q1")).isComplete);
+        const auto view = co_await fixture.call("/stream/x", "q2");
+        cr_assert_eq(view.status, 502, "%s", view.bytes.c_str());
+    });
+}
+
 // Guards against the error response of the runner that should resume a stream within that stream, and against a stream
 // that ends as complete with it.
 Test(RunnerWire, doesNotSendAnErrorIntoAResumedStream)
--- a/Source/UnitTests/PlatformSoak/SoakRunner.cpp
+++ b/Source/UnitTests/PlatformSoak/SoakRunner.cpp
@@ -79,7 +79,7 @@
 {
     const auto& request = exchange.request();
     if (request.header("X-Expect-Instance").value_or(m_id) != m_id) {
-        co_await exchange.answer({ 421, "", "", { { "X-Instance-Id", m_id } } });
+        co_await answerMisdirected(exchange);
     } else if (request.path == "/api/report") {
         const Json reportBody { { "busy", m_isLoading }, { "seq", m_orders },
             { "models", Json::array({ { { "name", "m" }, { "version", m_weights } } }) } };
@@ -91,6 +91,12 @@
     }
 }
 
+Task<> SoakRunner::answerMisdirected(HttpExchange& exchange)
+{
+    const std::string requestId(exchange.request().header("X-Request-Id").value_or(""));
+    co_await exchange.answer({ 421, "", "", { { "X-Instance-Id", m_id }, { "X-Request-Id", requestId } } });
+}
+
 Task<> SoakRunner::handleOrder(HttpExchange& exchange)
 {
     const auto json = Json::parse(exchange.request().body, nullptr, false);
@@ -130,7 +136,7 @@
     const std::string requestId(request.header("X-Request-Id").value_or(""));
     const auto expected = request.header("X-Expect-Version");
     if (expected && *expected != std::to_string(m_weights)) {
-        co_await exchange.answer({ 421, "", "", { { "X-Instance-Id", m_id } } });
+        co_await answerMisdirected(exchange);
         co_return;
     }
     if (m_fault == RunnerFault::Refuses || m_isLoading) {
--- a/Source/UnitTests/PlatformSoak/SoakRunner.h
+++ b/Source/UnitTests/PlatformSoak/SoakRunner.h
@@ -56,6 +56,8 @@
         std::chrono::steady_clock::time_point at;
     };
 
+    /// Responds that another runner was expected, or other weights.
+    Task<> answerMisdirected(HttpExchange& exchange);
     Task<> handleOrder(HttpExchange& exchange);
     Task<> serveRequest(HttpExchange& exchange);
     Task<> serveStream(HttpExchange& exchange, const HttpHeaders& headers);
