Do not reuse a connection on which bytes wait

A request failed, or got the response to another one, when its kept connection had received bytes after the last response: another copy of a refusal, or bytes that are no response.

Cause: the pool looked for unread bytes in the parser's buffer only. Bytes that had arrived while the connection was idle were still in the socket's receive buffer, and isClosedByPeer(), which looks there, reports only a closed connection.

A connection is now reused only if the socket is open and holds no unread bytes.

Before the change RunnerWire::doesNotReuseAConnectionWithUnreadBytes failed (502 for the next request, whose connection held a refusal). It passes for a refusal with and without an id and for other bytes; PlatformAdapterTests 28 of 28, GatewayTests 75 of 75.

--- a/Source/Core/Transport/HttpClient.cpp
+++ b/Source/Core/Transport/HttpClient.cpp
@@ -192,7 +192,7 @@
 bool HttpConnection::isReusable() const
 {
     return !m_state->isBroken && m_state->buf.size() == 0 && m_state->stream.socket().is_open()
-        && !isClosedByPeer(const_cast<tcp::socket&>(m_state->stream.socket()).native_handle());
+        && isOpenAndDrained(const_cast<tcp::socket&>(m_state->stream.socket()).native_handle());
 }
 
 std::optional<std::chrono::milliseconds> HttpConnection::announcedIdleTimeout() const { return m_state->idleTimeout; }
--- a/Source/Core/Transport/HttpClient.h
+++ b/Source/Core/Transport/HttpClient.h
@@ -57,8 +57,8 @@
     /// @return The bytes, or ProtocolError for a body of more than maxCollectedBytes.
     Task<Outcome<std::string>> readAll(std::chrono::nanoseconds timeout);
 
-    /// Tells whether the connection may carry another request: the last response was read to its end and the server
-    /// keeps the connection open.
+    /// Tells whether the connection may carry another request: the last response was read to its end, nothing followed
+    /// it, and the server keeps the connection open. Bytes after a response belong to no request.
     bool isReusable() const;
 
     /// Time after which the server closes the connection when it is idle, as the last response announced it
--- a/Source/Core/Transport/SocketOptions.cpp
+++ b/Source/Core/Transport/SocketOptions.cpp
@@ -37,4 +37,11 @@
     return n == 0 || (n < 0 && errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR);
 }
 
+bool isOpenAndDrained(int handle)
+{
+    char byte = 0;
+    const auto n = recv(handle, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    return n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK || errno == EINTR);
+}
+
 } // namespace Pollenwind
--- a/Source/Core/Transport/SocketOptions.h
+++ b/Source/Core/Transport/SocketOptions.h
@@ -15,4 +15,7 @@
 /// is unread, it returns false.
 bool isClosedByPeer(int handle);
 
+/// Tells whether a connection is open and all received data has been read. It does not block or consume data.
+bool isOpenAndDrained(int handle);
+
 } // namespace Pollenwind
--- a/Source/UnitTests/PlatformAdapter/RunnerWireTests.cpp
+++ b/Source/UnitTests/PlatformAdapter/RunnerWireTests.cpp
@@ -133,6 +133,26 @@
     });
 }
 
+// Guards against a kept connection on which bytes wait that belong to no request: another copy of an earlier refusal
+// would be read as the response to the next request, and bytes that are no response would fail it.
+Test(RunnerWire, doesNotReuseAConnectionWithUnreadBytes)
+{
+    for (const auto& bytes : { refusal(), refusal("q0"), std::string("\0\1\2", 3) }) {
+        WireFixture fixture;
+        fixture.runner.script = { { answer("a"), WireEnd::Keep, bytes }, { answer("b") } };
+        fixture.run([&]() -> Task<> {
+            cr_assert((co_await fixture.call("/safe/x", "q1")).isComplete);
+            while (fixture.runner.extras == 0) {
+                co_await sleepFor(5ms);
+            }
+            const auto view = co_await fixture.call("/stream/x", "q2");
+            cr_assert(view.isComplete && view.body == "b", "%s", view.bytes.c_str());
+            const auto& arrivals = fixture.runner.arrivals;
+            cr_assert(arrivals.size() == 2 && arrivals[0].connection != arrivals[1].connection);
+        });
+    }
+}
+
 // Guards against the error response of the runner that should resume a stream within that stream, and against a stream
 // that ends as complete with it.
 Test(RunnerWire, doesNotSendAnErrorIntoAResumedStream)
