--- a/Source/UnitTests/PlatformAdapter/RunnerWireTests.cpp
+++ b/Source/UnitTests/PlatformAdapter/RunnerWireTests.cpp
@@ -153,6 +153,84 @@
     }
 }
 
+// Guards against a copy of an earlier refusal that arrives where the response to the next request is expected.
+Test(RunnerWire, skipsACopyOfAnEarlierRefusal)
+{
+    WireFixture fixture;
+    fixture.runner.script = { { answer("a") }, { refusal("q1") + answer("b") } };
+    fixture.run([&]() -> Task<> {
+        cr_assert((co_await fixture.call("/safe/x", "q1")).isComplete);
+        const auto view = co_await fixture.call("/stream/x", "q2");
+        cr_assert(view.isComplete && view.body == "b", "%s", view.bytes.c_str());
+        cr_assert_eq(fixture.runner.arrivals.size(), 2);
+    });
+}
+
+// A request that is sent to the same runner again has the same id, so the id does not identify a copy of its earlier
+// refusal. The repeat must not use the connection of the refusal.
+Test(RunnerWire, doesNotRepeatARequestOnTheConnectionOfItsRefusal)
+{
+    for (const auto* path : { "/safe/x", "/unsafe/x", "/stream/x", "/resumable/x" }) {
+        WireFixture fixture;
+        fixture.runners.replaceEntries({});
+        fixture.addRunner("r1");
+        fixture.runner.script = { { answer("a") }, { refusal("q2") + refusal("q2") }, { answer("b") } };
+        fixture.run([&]() -> Task<> {
+            cr_assert((co_await fixture.call("/safe/x", "q1")).isComplete);
+            const auto view = co_await fixture.call(path, "q2");
+            cr_assert(view.isComplete && view.body == "b", "%s: %s", path, view.bytes.c_str());
+            const auto& arrivals = fixture.runner.arrivals;
+            cr_assert(arrivals.size() == 3 && arrivals[1].connection != arrivals[2].connection, "%s", path);
+        });
+    }
+}
+
+// A response with neither a length nor chunks ends with its connection. It is complete if the connection was closed,
+// and not if it was reset.
+Test(RunnerWire, completesAResponseThatEndsWithItsConnection)
+{
+    WireFixture fixture;
+    const auto whole = std::string(answerHead) + "\r\nwhole";
+    fixture.runner.script = { { whole, WireEnd::Close }, { whole, WireEnd::Reset } };
+    fixture.run([&]() -> Task<> {
+        const auto closed = co_await fixture.call("/unsafe/x", "q1");
+        cr_assert(closed.isComplete && closed.status == 200 && closed.body == "whole", "%s", closed.bytes.c_str());
+        const auto reset = co_await fixture.call("/unsafe/x", "q2");
+        cr_assert_eq(reset.status, 502, "%s", reset.bytes.c_str());
+    });
+}
+
+// A stream with neither a length nor chunks ends with its connection. One that was reset, or that ends within an event,
+// must not look complete, and is resumed where that is allowed.
+Test(RunnerWire, completesAStreamThatEndsWithItsConnection)
+{
+    struct Case {
+        const char* events;
+        WireEnd end;
+        bool isComplete;
+    };
+    const std::string whole = "id: 1\ndata: a\n\nid: 2\ndata: b\n\n";
+    const std::array cases { Case { "id: 1\ndata: a\n\nid: 2\ndata: b\n\n", WireEnd::Close, true },
+        Case { "id: 1\ndata: a\n\n", WireEnd::Reset, false },
+        Case { "id: 1\ndata: a\n\nid: 2\nda", WireEnd::Close, false },
+        Case { "id: 1\ndata: a\n\nid: 2\ndata: b\n", WireEnd::Close, false },
+        Case { "id: 1\ndata: a\n\nid: 2\ndata: b\n", WireEnd::Reset, false } };
+    for (const auto* path : { "/stream/x", "/resumable/x" }) {
+        for (const auto& it : cases) {
+            WireFixture fixture;
+            fixture.runner.script = { { std::string(eventHead) + "\r\n" + it.events, it.end },
+                { std::string(eventHead) + "\r\nid: 2\ndata: b\n\n", WireEnd::Close } };
+            fixture.run([&]() -> Task<> {
+                const auto view = co_await fixture.call(path, "q1");
+                const bool isResumed = !it.isComplete && std::string_view(path) == "/resumable/x";
+                cr_assert_eq(fixture.runner.arrivals.size(), isResumed ? 2 : 1, "%s: %s", path, it.events);
+                cr_assert_eq(view.isComplete, it.isComplete || isResumed, "%s: %s", path, view.bytes.c_str());
+                cr_assert_eq(view.body, view.isComplete ? whole : "id: 1\ndata: a\n\n", "%s: %s", path, it.events);
+            });
+        }
+    }
+}
+
 // Guards against the error response of the runner that should resume a stream within that stream, and against a stream
 // that ends as complete with it.
 Test(RunnerWire, doesNotSendAnErrorIntoAResumedStream)
