Let the gateway soak play parts of prompts that crash runners

Adds the fault crashing-part: for 12 s, one streamed request in eight has a part of its prompt, never the last, that crashes each runner that begins an answer on it. The runner's connections are reset, and it starts again after 1 to 2 s under its id with a later start time. Two guarantees come with it: at most three requests with the part reach runners later than 3 s after the fifth crash, and sound requests with the same first part are served at least half as often, from 6 s after the fifth crash, as at other times (20 or more of each). Requests at a VM that was started, killed or paused in the last 3 s are not counted, and the crashes count anew after all VMs were killed at once.

The default faults, and so the draws of each seed, are as before.

--- a/Source/UnitTests/PlatformSoak/GatewaySoak.cpp
+++ b/Source/UnitTests/PlatformSoak/GatewaySoak.cpp
@@ -25,6 +25,8 @@
     // at once.
     constexpr std::chrono::milliseconds readyTimeout { 4000 };
     constexpr std::chrono::milliseconds maxFaultDuration { 2500 };
+    // Five crashes, twice the time in which VMs learn of each other's failures, and some time to count requests.
+    constexpr std::chrono::seconds crashingPartDuration { 12 };
     // Time from the last fault until full recovery: expiry of a lease, handover to another VM and loading of weights.
     constexpr std::chrono::seconds recoveryTime { 12 };
     constexpr std::chrono::seconds startupTime { 3 };
@@ -66,6 +68,7 @@
     : m_executor(std::move(executor))
     , m_options(std::move(options))
     , m_ledger(m_report)
+    , m_crashingPart(m_gateways, m_report)
     , m_store(m_executor)
     , m_storeLink(m_executor)
 {
@@ -81,7 +84,8 @@
         co_return std::unexpected(storeLink.error());
     }
     for (std::size_t i = 0; i < m_options.runners; ++i) {
-        auto& runner = m_runners.emplace_back(m_executor, "runner-" + std::to_string(i), m_ledger, m_report);
+        auto& runner
+            = m_runners.emplace_back(m_executor, "runner-" + std::to_string(i), m_ledger, m_crashingPart, m_report);
         if (const auto bound = runner.listen(net + "2." + std::to_string(i + 1)); !bound) {
             co_return bound;
         }
@@ -97,8 +101,8 @@
     co_await sleepFor(startupTime);
     m_end = SteadyClock::now() + m_options.duration;
     for (std::size_t i = 0; i < m_options.callers; ++i) {
-        auto& caller = m_callers.emplace_back(
-            m_executor, "caller-" + std::to_string(i), m_options.seed * 1000 + i, m_gateways, m_ledger, m_report);
+        auto& caller = m_callers.emplace_back(m_executor, "caller-" + std::to_string(i), m_options.seed * 1000 + i,
+            m_gateways, m_ledger, m_crashingPart, m_report);
         ++m_activeTasks;
         asio::co_spawn(
             m_executor, caller.run(m_end + recoveryTime), [this](const std::exception_ptr&) { --m_activeTasks; });
@@ -107,6 +111,7 @@
     co_await injectRandomFaults();
     co_await sleepFor(m_end + recoveryTime - SteadyClock::now());
     co_await checkRecovery();
+    m_crashingPart.checkSoundRequests();
     m_isOver = true;
     while (m_activeTasks > 0) {
         co_await sleepFor(heartbeatInterval / 10);
@@ -120,11 +125,11 @@
 Task<> GatewaySoak::injectRandomFaults()
 {
     std::mt19937_64 random(m_options.seed);
-    const auto& rows = EnumTable<GatewayFault>::rows;
+    const auto& faults = m_options.faults;
     while (SteadyClock::now() < m_end - maxFaultDuration) {
         const auto mean = static_cast<std::uint64_t>(m_options.faultInterval.count());
         co_await sleepFor(std::chrono::milliseconds(random() % (2 * mean)));
-        const auto fault = rows[random() % rows.size()].value;
+        const auto fault = faults[random() % faults.size()];
         ++m_report.faults[fault];
         // Not awaited, so that faults overlap.
         asio::co_spawn(m_executor, inject(fault, random()), asio::detached);
@@ -158,6 +163,16 @@
     m_store.erase("servers/" + before);
 }
 
+Task<> GatewaySoak::playCrashingPart()
+{
+    if (!m_crashingPart.begin()) {
+        co_return;
+    }
+    // Ends before the recovery time, in which all weights are loaded.
+    co_await sleepFor(std::min<SteadyClock::duration>(crashingPartDuration, m_end - SteadyClock::now()));
+    m_crashingPart.end();
+}
+
 Task<> GatewaySoak::pauseGateway(std::size_t index, std::chrono::milliseconds time)
 {
     m_gateways[index].signal(SIGSTOP);
@@ -203,6 +218,7 @@
         for (auto& it : m_gateways) {
             it.signal(SIGKILL);
         }
+        m_crashingPart.recordAllKilled();
         break;
     case GatewayFault::StoreRefuses:
         m_store.forcedStatus = 503;
@@ -226,6 +242,9 @@
     case GatewayFault::RunnerReplaced:
         co_await replaceRunner(runner);
         break;
+    case GatewayFault::CrashingPart:
+        co_await playCrashingPart();
+        break;
     case GatewayFault::ConfigurationChanged:
         writeConfiguration();
         break;
--- a/Source/UnitTests/PlatformSoak/GatewaySoak.h
+++ b/Source/UnitTests/PlatformSoak/GatewaySoak.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "PlatformAdapter/PlatformStandIns.h"
+#include "PlatformSoak/CrashingPart.h"
 #include "PlatformSoak/SoakCaller.h"
 #include "PlatformSoak/SoakRunner.h"
 
@@ -23,6 +24,7 @@
     Task<> applyLinkFault(FaultProxy& link, LinkState state, std::chrono::milliseconds time);
     Task<> applyRunnerFault(SoakRunner& runner, RunnerFault fault, std::chrono::milliseconds time);
     Task<> replaceRunner(SoakRunner& runner);
+    Task<> playCrashingPart();
     Task<> pauseGateway(std::size_t index, std::chrono::milliseconds time);
     void writeConfiguration();
     /// Writes the runners' entries to the store at their heartbeat interval.
@@ -35,6 +37,7 @@
     GatewaySoakOptions m_options;
     GatewaySoakReport m_report;
     RequestLedger m_ledger;
+    CrashingPart m_crashingPart;
     KvStoreStandIn m_store;
     FaultProxy m_storeLink;
     std::deque<SoakRunner> m_runners;
--- a/Source/UnitTests/PlatformSoak/GatewaySoakTypes.h
+++ b/Source/UnitTests/PlatformSoak/GatewaySoakTypes.h
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <map>
 #include <string>
+#include <vector>
 
 namespace Pollenwind {
 
@@ -45,6 +46,8 @@
     KeyWithdrawn,
     /// A new target version of the weights is set.
     WeightsNamed,
+    /// Requests with one part of the prompt crash each runner that begins an answer on them.
+    CrashingPart,
 };
 
 template <> struct EnumTable<GatewayFault> {
@@ -77,6 +80,7 @@
         EnumName { GatewayFault::ConfigurationChanged, "configuration-changed" },
         EnumName { GatewayFault::KeyWithdrawn, "key-withdrawn" },
         EnumName { GatewayFault::WeightsNamed, "weights-named" },
+        EnumName { GatewayFault::CrashingPart, "crashing-part" },
     };
 };
 
@@ -91,6 +95,8 @@
     ConfigurationNeverReverts,
     ResponsesAreDelivered,
     OneVmGivesOrders,
+    CrashingPartsStop,
+    SoundRequestsAreServed,
     Recovers,
 };
 
@@ -107,6 +113,10 @@
         EnumName { GatewayGuarantee::ResponsesAreDelivered,
             "a response of a healthy runner over a healthy link is delivered" },
         EnumName { GatewayGuarantee::OneVmGivesOrders, "orders of two VMs to one runner are at least 3 s apart" },
+        EnumName { GatewayGuarantee::CrashingPartsStop,
+            "at most 3 requests with a part that crashes runners reach runners later than 3 s after the fifth crash" },
+        EnumName { GatewayGuarantee::SoundRequestsAreServed,
+            "sound requests with the first part of those that crash runners are served" },
         EnumName {
             GatewayGuarantee::Recovers, "after the faults every VM serves and every runner has the new weights" },
     };
@@ -123,6 +133,8 @@
     std::size_t callers = 24;
     /// Mean time between the starts of two faults.
     std::chrono::milliseconds faultInterval { 600 };
+    /// Faults to inject.
+    std::vector<GatewayFault> faults;
 };
 
 /// Checks, faults and counters of a run.
--- a/Source/UnitTests/PlatformSoak/Main.cpp
+++ b/Source/UnitTests/PlatformSoak/Main.cpp
@@ -7,11 +7,41 @@
 
 #include <algorithm>
 #include <iostream>
+#include <sstream>
 
 namespace {
 
 using namespace Pollenwind;
 
+/// All faults except those whose guarantees the gateway does not keep yet.
+std::vector<GatewayFault> defaultFaults()
+{
+    std::vector<GatewayFault> faults;
+    for (const auto& row : EnumTable<GatewayFault>::rows) {
+        if (row.value != GatewayFault::CrashingPart) {
+            faults.push_back(row.value);
+        }
+    }
+    return faults;
+}
+
+std::vector<GatewayFault> parseFaults(const std::string& names)
+{
+    std::vector<GatewayFault> faults;
+    std::istringstream in(names);
+    for (std::string name; std::getline(in, name, ',');) {
+        const auto fault = fromName<GatewayFault>(name);
+        if (!fault) {
+            throw TCLAP::ArgException("no fault is called \"" + name + "\"", "faults");
+        }
+        faults.push_back(*fault);
+    }
+    if (faults.empty()) {
+        throw TCLAP::ArgException("names no fault", "faults");
+    }
+    return faults;
+}
+
 int run(int argc, char** argv)
 {
     TCLAP::CmdLine line(
@@ -27,6 +57,8 @@
     TCLAP::ValueArg<unsigned> callers("", "callers", "Number of concurrent callers", false, 24, "N", line);
     TCLAP::ValueArg<unsigned> interval(
         "", "fault-ms", "Mean time between faults in milliseconds", false, 600, "N", line);
+    TCLAP::ValueArg<std::string> faults("", "faults",
+        "Faults to inject, separated by commas; by default all except crashing-part", false, "", "NAMES", line);
     line.parse(argc, argv);
     for (const auto* count : { &gateways, &runners, &callers, &interval, &duration }) {
         if (count->getValue() == 0 || (count != &interval && count->getValue() > 250 && count != &duration)) {
@@ -43,6 +75,7 @@
     options.runners = runners.getValue();
     options.callers = callers.getValue();
     options.faultInterval = std::chrono::milliseconds(interval.getValue());
+    options.faults = faults.isSet() ? parseFaults(faults.getValue()) : defaultFaults();
 
     asio::io_context context(1);
     GatewaySoak soak(context.get_executor(), options);
--- a/Source/UnitTests/PlatformSoak/SoakCaller.cpp
+++ b/Source/UnitTests/PlatformSoak/SoakCaller.cpp
@@ -11,6 +11,8 @@
 
     constexpr std::chrono::milliseconds requestTimeout { 4000 };
     constexpr std::chrono::milliseconds requestInterval { 20 };
+    // While a part crashes runners, one streamed request in this many has it.
+    constexpr std::uint64_t requestsPerCrashingOne = 8;
 
     struct KindRow {
         RequestKind kind;
@@ -28,12 +30,13 @@
 } // namespace
 
 SoakCaller::SoakCaller(asio::any_io_executor executor, std::string name, std::uint64_t seed,
-    std::deque<GatewayProcess>& gateways, RequestLedger& ledger, GatewaySoakReport& report)
+    std::deque<GatewayProcess>& gateways, RequestLedger& ledger, CrashingPart& crashingPart, GatewaySoakReport& report)
     : m_executor(std::move(executor))
     , m_name(std::move(name))
     , m_random(seed)
     , m_gateways(gateways)
     , m_ledger(ledger)
+    , m_crashingPart(crashingPart)
     , m_report(report)
 {
 }
@@ -51,14 +54,26 @@
                 { "Authorization", "Token " + RequestLedger::keyName(key) },
                 { "X-Deadline-Ms", std::to_string(requestTimeout.count()) } },
             "body of " + id };
+        const bool isCrashing = row.kind == RequestKind::Streaming && m_crashingPart.isActive()
+            && m_random() % requestsPerCrashingOne == 0;
         if (row.kind == RequestKind::Streaming) {
             request.headers.emplace_back("X-Model", "m");
             request.headers.emplace_back("X-Token-Count", "100,20");
-            request.headers.emplace_back("X-Prompt-Prefix", "a1:50," + std::to_string(m_random() % 9) + ":50");
+            // The last part belongs to the request alone if there is a part that crashes runners.
+            const auto last = isCrashing
+                ? m_crashingPart.id() + ":50," + std::to_string(1000 + m_random() % 1'000'000'000)
+                : std::to_string(m_random() % 9);
+            request.headers.emplace_back("X-Prompt-Prefix", "a1:50," + last + ":50");
+        }
+        if (isCrashing) {
+            m_crashingPart.recordSent(id, gateway);
         }
         m_ledger.recordSent(id, row.kind, row.isResumable, request.body, key);
         const auto response = co_await send(gateway, std::move(request));
         check(id, row.kind, gateway, response);
+        if (row.kind == RequestKind::Streaming && !isCrashing && response.isSent) {
+            m_crashingPart.recordSound(m_ledger.sentAt(id), gateway, response.status == 200);
+        }
         co_await sleepFor(response.isComplete && response.status == 200 ? requestInterval : response.retryAfter);
     }
 }
--- a/Source/UnitTests/PlatformSoak/SoakCaller.h
+++ b/Source/UnitTests/PlatformSoak/SoakCaller.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "PlatformSoak/CrashingPart.h"
 #include "PlatformSoak/GatewayProcess.h"
 #include "PlatformSoak/RequestLedger.h"
 #include "Transport/HttpClient.h"
@@ -13,7 +14,8 @@
 class SoakCaller {
 public:
     SoakCaller(asio::any_io_executor executor, std::string name, std::uint64_t seed,
-        std::deque<GatewayProcess>& gateways, RequestLedger& ledger, GatewaySoakReport& report);
+        std::deque<GatewayProcess>& gateways, RequestLedger& ledger, CrashingPart& crashingPart,
+        GatewaySoakReport& report);
 
     Task<> run(std::chrono::steady_clock::time_point end);
 
@@ -38,6 +40,7 @@
     std::mt19937_64 m_random;
     std::deque<GatewayProcess>& m_gateways;
     RequestLedger& m_ledger;
+    CrashingPart& m_crashingPart;
     GatewaySoakReport& m_report;
     std::map<std::size_t, std::unique_ptr<HttpConnection>> m_connections;
     unsigned m_sent = 0;
--- a/Source/UnitTests/PlatformSoak/SoakRunner.cpp
+++ b/Source/UnitTests/PlatformSoak/SoakRunner.cpp
@@ -15,6 +15,10 @@
     constexpr std::chrono::milliseconds slowWorkTime { 700 };
     constexpr std::chrono::milliseconds eventPause { 20 };
     constexpr std::chrono::milliseconds loadTime { 300 };
+    // A crashed runner starts again after one to two times this time.
+    constexpr std::chrono::milliseconds minDownTime { 1000 };
+    // Difference between the times after two crashes of a runner, so that runners do not return together.
+    constexpr std::int64_t downTimeStep = 370;
     constexpr std::chrono::milliseconds minHandoverInterval { 3000 };
     // An order that was in transit when its sender was paused or the link was cut arrives within this time after the
     // fault has ended. Such orders are not checked.
@@ -22,11 +26,13 @@
 
 } // namespace
 
-SoakRunner::SoakRunner(asio::any_io_executor executor, std::string id, RequestLedger& ledger, GatewaySoakReport& report)
+SoakRunner::SoakRunner(asio::any_io_executor executor, std::string id, RequestLedger& ledger,
+    CrashingPart& crashingPart, GatewaySoakReport& report)
     : m_executor(executor)
     , m_name(std::move(id))
     , m_id(m_name + "-1")
     , m_ledger(ledger)
+    , m_crashingPart(crashingPart)
     , m_report(report)
     , m_server(executor, *this, {})
     , m_link(std::move(executor))
@@ -134,6 +140,10 @@
     // Copied, since the exchange may end while the request is executed.
     const auto request = exchange.request();
     const std::string requestId(request.header("X-Request-Id").value_or(""));
+    const bool isCrashing = m_crashingPart.isIn(request.header("X-Prompt-Prefix").value_or(""));
+    if (isCrashing) {
+        m_crashingPart.recordArrival(requestId);
+    }
     const auto expected = request.header("X-Expect-Version");
     if (expected && *expected != std::to_string(m_weights)) {
         co_await answerMisdirected(exchange);
@@ -146,6 +156,10 @@
     const auto arrivedAt = std::chrono::steady_clock::now();
     m_ledger.recordRun(request);
     co_await sleepFor(m_fault == RunnerFault::Slow ? slowWorkTime : workTime);
+    if (isCrashing) {
+        exchange.abort();
+        co_return co_await crash();
+    }
     if (m_fault == RunnerFault::LosesAnswers) {
         exchange.abort();
         co_return;
@@ -163,6 +177,22 @@
     }
 }
 
+Task<> SoakRunner::crash()
+{
+    if (std::exchange(m_isCrashed, true)) {
+        co_return;
+    }
+    m_crashingPart.recordCrash();
+    setLink(LinkState::Refusing);
+    m_link.resetAll();
+    co_await sleepFor(minDownTime + std::chrono::milliseconds(m_starts * downTimeStep % minDownTime.count()));
+    ++m_starts;
+    m_orders = 0;
+    m_lastOrder.reset();
+    m_isCrashed = false;
+    setLink(LinkState::Healthy);
+}
+
 Task<> SoakRunner::serveStream(HttpExchange& exchange, const HttpHeaders& headers)
 {
     const auto& request = exchange.request();
--- a/Source/UnitTests/PlatformSoak/SoakRunner.h
+++ b/Source/UnitTests/PlatformSoak/SoakRunner.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "PlatformSoak/CrashingPart.h"
 #include "PlatformSoak/FaultProxy.h"
 #include "PlatformSoak/RequestLedger.h"
 #include "Transport/HttpServer.h"
@@ -23,7 +24,8 @@
 /// Simulated runner behind a fault proxy. Checks the requests and orders that it receives.
 class SoakRunner final : public HttpHandler {
 public:
-    SoakRunner(asio::any_io_executor executor, std::string id, RequestLedger& ledger, GatewaySoakReport& report);
+    SoakRunner(asio::any_io_executor executor, std::string id, RequestLedger& ledger, CrashingPart& crashingPart,
+        GatewaySoakReport& report);
 
     Task<> handle(HttpExchange& exchange) override;
     HttpAnswer refusal(int status, std::string_view) const override { return { status, "", "", {} }; }
@@ -60,12 +62,15 @@
     Task<> answerMisdirected(HttpExchange& exchange);
     Task<> handleOrder(HttpExchange& exchange);
     Task<> serveRequest(HttpExchange& exchange);
+    /// Resets the connections and is unreachable until it starts again under the same id.
+    Task<> crash();
     Task<> serveStream(HttpExchange& exchange, const HttpHeaders& headers);
 
     asio::any_io_executor m_executor;
     std::string m_name;
     std::string m_id;
     RequestLedger& m_ledger;
+    CrashingPart& m_crashingPart;
     GatewaySoakReport& m_report;
     HttpServer m_server;
     FaultProxy m_link;
@@ -74,6 +79,7 @@
     std::int64_t m_weights = 1;
     std::int64_t m_orders = 0;
     bool m_isLoading = false;
+    bool m_isCrashed = false;
     std::optional<Order> m_lastOrder;
     RunnerFault m_fault = RunnerFault::None;
     std::chrono::steady_clock::time_point m_linkChangedAt;
