--- a/Source/Core/Gateway/ForwardDispatcher.cpp
+++ b/Source/Core/Gateway/ForwardDispatcher.cpp
@@ -81,7 +81,7 @@
     RunState runState = RunState::NotRun;
     /// Id of the last event that was sent to the caller.
     std::optional<std::uint64_t> lastEventId;
-    /// A runner's error response, which the caller gets if no other attempt succeeds.
+    /// A runner's error response, which the caller gets if no other attempt succeeds or begins a stream.
     std::optional<std::pair<ReplyHead, std::string>> failure;
 };
 
@@ -211,7 +211,8 @@
         return false;
     }
     const auto progress = delivery.isBegun ? Progress::AnswerBegun : isNotRun ? Progress::NotStarted : Progress::Sent;
-    if (delivery.isBegun && kind != RetryKind::Generation) {
+    // A runner resumes after an event id. Without one, the next run would send the same events again.
+    if (delivery.isBegun && (kind != RetryKind::Generation || !delivery.lastEventId)) {
         return false;
     }
     const auto action = decideRetry(kind, progress, classifyFailure(error), true);
@@ -382,6 +383,8 @@
                 co_return begun;
             }
             delivery.isBegun = true;
+            // An error response to an earlier attempt can no longer be sent.
+            delivery.failure.reset();
         }
         if (!std::exchange(delivery.hadOutput, true)) {
             recordFirstOutput(request, delivery);
