Send nothing to runners that have announced their shutdown

Runners that shut down state it in each response (Server-Leaving: 1), before or without a change of their entry in the store. Nothing read the header: requests went on to such a runner until its entry changed, and longer than drain_ms allows while the store was unavailable or the entry was written once more.

The platform adapter decodes the header into ReplyHead::isLeaving and into the runner's report. ReplyHead::showsStateOf() decides whether a response shows the state of the runner that was asked, so that a late copy of another response or another process at the address does not take a sound runner out of use. LeavingRunners keeps announcements by process, apart from the entries: they survive an entry that expires and returns, a new read of all records and a late entry of the same process; the next process of the runner is used at once. Leaving runners show as draining, so they get no orders.

PlatformGateway::sendsNothingToARunnerThatHasAnnouncedItsShutdown, over real sockets with five kinds of responses, failed before the change and passes now.

--- a/Source/Core/Gateway/Commands/RunnerClient.h
+++ b/Source/Core/Gateway/Commands/RunnerClient.h
@@ -19,9 +19,13 @@
     RunnerExchange& operator=(const RunnerExchange&) = delete;
     virtual ~RunnerExchange() = default;
 
-    /// Sends the request and reads the head of its response.
+    /// Connects to the runner, unless a pooled connection is used. Nothing is sent.
+    /// @return An error with RunState::NotRun when there is no connection.
+    virtual Task<Outcome<void>> connect(std::chrono::nanoseconds timeout) = 0;
+
+    /// Sends the request and reads the head of its response. Needs a connection.
     /// @param timeout Longest time until the head has arrived.
-    /// @return The head, ConnectFailed when nothing was sent, or an error with RunState::Unknown.
+    /// @return The head, or an error with RunState::Unknown.
     virtual Task<Outcome<ReplyHead>> begin(std::chrono::nanoseconds timeout) = 0;
 
     /// Reads the next part of the body.
--- a/Source/Core/Gateway/Commands/RunnerCommands.h
+++ b/Source/Core/Gateway/Commands/RunnerCommands.h
@@ -51,7 +51,14 @@
     virtual void recordConnectFailure(const UpstreamId& runner) = 0;
     /// Marks the current incarnation of a runner as ended because another process answered at its address.
     virtual void markReplaced(const UpstreamId& runner) = 0;
-    /// Records failures of runners that another VM reported.
+    /// Records that a runner process announced its shutdown, which is final for that process: it gets no further
+    /// requests.
+    /// @param source How this VM learned it, from the runner itself.
+    /// @param request Request whose response told it; empty if there is none.
+    virtual void recordLeaving(
+        const UpstreamId& runner, Incarnation incarnation, LeavingSource source, const RequestId& request)
+        = 0;
+    /// Records failures and announced shutdowns of runners that another VM reported.
     virtual void recordRemoteFailures(const VmId& vm, const RunnerFailures& failures) = 0;
     /// Records the end of a request.
     /// @param waitingTokens Prompt tokens given to recordSent() if there was no output, otherwise 0.
--- a/Source/Core/Gateway/Commands/WeightsClient.h
+++ b/Source/Core/Gateway/Commands/WeightsClient.h
@@ -18,6 +18,10 @@
     bool isBusy = false;
     /// Orders accepted since the runner started.
     std::int64_t orders = 0;
+    /// Process that reports; 0 if the report does not tell it.
+    Incarnation incarnation;
+    /// The runner shuts down.
+    bool isLeaving = false;
 };
 
 /// Order to a runner to load one version of a model's weights.
--- a/Source/Core/Gateway/FleetMessages_generated.h
+++ b/Source/Core/Gateway/FleetMessages_generated.h
@@ -26,6 +26,8 @@
 
 struct LoadedWeights;
 
+struct LeavingRunner;
+
 struct FleetReport;
 struct FleetReportBuilder;
 
@@ -162,6 +164,29 @@
 };
 FLATBUFFERS_STRUCT_END(LoadedWeights, 24);
 
+FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(8) LeavingRunner FLATBUFFERS_FINAL_CLASS {
+ private:
+  uint64_t process_;
+  uint64_t age_ms_;
+
+ public:
+  LeavingRunner()
+      : process_(0),
+        age_ms_(0) {
+  }
+  LeavingRunner(uint64_t _process, uint64_t _age_ms)
+      : process_(flatbuffers::EndianScalar(_process)),
+        age_ms_(flatbuffers::EndianScalar(_age_ms)) {
+  }
+  uint64_t process() const {
+    return flatbuffers::EndianScalar(process_);
+  }
+  uint64_t age_ms() const {
+    return flatbuffers::EndianScalar(age_ms_);
+  }
+};
+FLATBUFFERS_STRUCT_END(LeavingRunner, 16);
+
 struct FleetReport FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef FleetReportBuilder Builder;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
@@ -179,7 +204,8 @@
     VT_REPLACED = 26,
     VT_DEBTS = 28,
     VT_PASS_ON = 30,
-    VT_UPTIME_MS = 32
+    VT_UPTIME_MS = 32,
+    VT_LEAVING = 34
   };
   const flatbuffers::String *vm() const {
     return GetPointer<const flatbuffers::String *>(VT_VM);
@@ -226,6 +252,9 @@
   uint64_t uptime_ms() const {
     return GetField<uint64_t>(VT_UPTIME_MS, 0);
   }
+  const flatbuffers::Vector<const Pollenwind::wire::LeavingRunner *> *leaving() const {
+    return GetPointer<const flatbuffers::Vector<const Pollenwind::wire::LeavingRunner *> *>(VT_LEAVING);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_VM) &&
@@ -253,6 +282,8 @@
            verifier.VerifyVector(debts()) &&
            VerifyField<uint8_t>(verifier, VT_PASS_ON, 1) &&
            VerifyField<uint64_t>(verifier, VT_UPTIME_MS, 8) &&
+           VerifyOffset(verifier, VT_LEAVING) &&
+           verifier.VerifyVector(leaving()) &&
            verifier.EndTable();
   }
 };
@@ -306,6 +337,9 @@
   void add_uptime_ms(uint64_t uptime_ms) {
     fbb_.AddElement<uint64_t>(FleetReport::VT_UPTIME_MS, uptime_ms, 0);
   }
+  void add_leaving(flatbuffers::Offset<flatbuffers::Vector<const Pollenwind::wire::LeavingRunner *>> leaving) {
+    fbb_.AddOffset(FleetReport::VT_LEAVING, leaving);
+  }
   explicit FleetReportBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -333,11 +367,13 @@
     flatbuffers::Offset<flatbuffers::Vector<uint64_t>> replaced = 0,
     flatbuffers::Offset<flatbuffers::Vector<const Pollenwind::wire::OrganisationUsage *>> debts = 0,
     bool pass_on = false,
-    uint64_t uptime_ms = 0) {
+    uint64_t uptime_ms = 0,
+    flatbuffers::Offset<flatbuffers::Vector<const Pollenwind::wire::LeavingRunner *>> leaving = 0) {
   FleetReportBuilder builder_(_fbb);
   builder_.add_uptime_ms(uptime_ms);
   builder_.add_sequence(sequence);
   builder_.add_boot(boot);
+  builder_.add_leaving(leaving);
   builder_.add_debts(debts);
   builder_.add_replaced(replaced);
   builder_.add_unreachable(unreachable);
@@ -369,7 +405,8 @@
     const std::vector<uint64_t> *replaced = nullptr,
     const std::vector<Pollenwind::wire::OrganisationUsage> *debts = nullptr,
     bool pass_on = false,
-    uint64_t uptime_ms = 0) {
+    uint64_t uptime_ms = 0,
+    const std::vector<Pollenwind::wire::LeavingRunner> *leaving = nullptr) {
   auto vm__ = vm ? _fbb.CreateString(vm) : 0;
   auto usage__ = usage ? _fbb.CreateVectorOfStructs<Pollenwind::wire::OrganisationUsage>(*usage) : 0;
   auto work__ = work ? _fbb.CreateVectorOfStructs<Pollenwind::wire::RunnerWork>(*work) : 0;
@@ -380,6 +417,7 @@
   auto unreachable__ = unreachable ? _fbb.CreateVector<uint64_t>(*unreachable) : 0;
   auto replaced__ = replaced ? _fbb.CreateVector<uint64_t>(*replaced) : 0;
   auto debts__ = debts ? _fbb.CreateVectorOfStructs<Pollenwind::wire::OrganisationUsage>(*debts) : 0;
+  auto leaving__ = leaving ? _fbb.CreateVectorOfStructs<Pollenwind::wire::LeavingRunner>(*leaving) : 0;
   return Pollenwind::wire::CreateFleetReport(
       _fbb,
       vm__,
@@ -396,7 +434,8 @@
       replaced__,
       debts__,
       pass_on,
-      uptime_ms);
+      uptime_ms,
+      leaving__);
 }
 
 inline const Pollenwind::wire::FleetReport *GetFleetReport(const void *buf) {
--- a/Source/Core/Gateway/FleetReportCodec.cpp
+++ b/Source/Core/Gateway/FleetReportCodec.cpp
@@ -4,6 +4,30 @@
 
 namespace Pollenwind::FleetReportCodec {
 
+namespace {
+
+    std::vector<wire::LeavingRunner> toWire(const std::vector<LeavingRunner>& leaving)
+    {
+        std::vector<wire::LeavingRunner> list;
+        for (const auto& it : leaving) {
+            list.emplace_back(it.process, static_cast<std::uint64_t>(it.age.count()));
+        }
+        return list;
+    }
+
+    std::vector<LeavingRunner> leavingOf(const wire::FleetReport& message)
+    {
+        std::vector<LeavingRunner> list;
+        if (message.leaving()) {
+            for (const auto* it : *message.leaving()) {
+                list.push_back({ it->process(), std::chrono::milliseconds(it->age_ms()) });
+            }
+        }
+        return list;
+    }
+
+} // namespace
+
 std::string encode(const FleetReport& report)
 {
     flatbuffers::FlatBufferBuilder builder;
@@ -42,9 +66,11 @@
     const auto unreachableOffset = builder.CreateVector(report.failures.unreachable);
     const auto replacedOffset = builder.CreateVector(report.failures.replaced);
     const auto lowLevelsOffset = builder.CreateVectorOfStructs(lowLevels);
+    const auto leavingOffset = builder.CreateVectorOfStructs(toWire(report.failures.leaving));
     builder.Finish(wire::CreateFleetReport(builder, vm, report.incarnation.value(), report.sequence, usageOffset,
         workOffset, loadingOffset, cachedOffset, targetAgesOffset, report.members, loadedOffset, unreachableOffset,
-        replacedOffset, lowLevelsOffset, report.isForZone, static_cast<std::uint64_t>(report.uptime.count())));
+        replacedOffset, lowLevelsOffset, report.isForZone, static_cast<std::uint64_t>(report.uptime.count()),
+        leavingOffset));
     return { reinterpret_cast<const char*>(builder.GetBufferPointer()), builder.GetSize() };
 }
 
@@ -100,6 +126,7 @@
     if (message->replaced()) {
         report.failures.replaced.assign(message->replaced()->begin(), message->replaced()->end());
     }
+    report.failures.leaving = leavingOf(*message);
     if (message->debts()) {
         for (const auto* it : *message->debts()) {
             report.lowLevels[it->organisation()] = it->tokens();
--- a/Source/Core/Gateway/FleetReporter.cpp
+++ b/Source/Core/Gateway/FleetReporter.cpp
@@ -86,9 +86,10 @@
         }
         isLoading = !report.loading.empty() || !report.loaded.empty();
         auto targetAges = report.targetAges;
-        auto replaced = report.failures.replaced;
+        // The relay sends no failed connections, which tell little about the connections of another zone.
+        RunnerFailures failures { {}, report.failures.replaced, report.failures.leaving };
         co_await sendTo(m_context.fleet.othersOfOwnZone(), std::move(report));
-        co_await relayZone(std::move(zoneUpdates), std::move(targetAges), std::move(replaced));
+        co_await relayZone(std::move(zoneUpdates), std::move(targetAges), std::move(failures));
     }
 }
 
@@ -101,8 +102,8 @@
     }
 }
 
-Task<> FleetReporter::relayZone(std::vector<CachedPrefix> zoneUpdates, std::vector<TargetWeightsAge> targetAges,
-    std::vector<std::uint64_t> replaced)
+Task<> FleetReporter::relayZone(
+    std::vector<CachedPrefix> zoneUpdates, std::vector<TargetWeightsAge> targetAges, RunnerFailures failures)
 {
     m_zoneHistory.push_back(m_context.quota.zoneTotals());
     if (m_zoneHistory.size() > takeoverTicks) {
@@ -117,7 +118,7 @@
     const auto& usage = isNewRelay ? m_zoneHistory.front() : m_zoneHistory.back();
     co_await sendToOtherZones({ FleetView::relayId(m_zone, m_vm), m_incarnation, 0, usage, {}, {},
         std::move(zoneUpdates), std::move(targetAges),
-        static_cast<unsigned>(m_context.fleet.reachableOfOwnZone().size()), {}, { {}, std::move(replaced) } });
+        static_cast<unsigned>(m_context.fleet.reachableOfOwnZone().size()), {}, std::move(failures) });
 }
 
 Task<> FleetReporter::sendToOtherZones(FleetReport report)
--- a/Source/Core/Gateway/FleetReporter.h
+++ b/Source/Core/Gateway/FleetReporter.h
@@ -57,8 +57,8 @@
     Task<> sendToOtherZones(FleetReport report);
     Task<> sendBytes(std::vector<Endpoint> endpoints, std::string bytes);
     /// Sends the sums of the zone to the other zones, if this VM is its zone's relay.
-    Task<> relayZone(std::vector<CachedPrefix> zoneUpdates, std::vector<TargetWeightsAge> targetAges,
-        std::vector<std::uint64_t> replaced);
+    Task<> relayZone(
+        std::vector<CachedPrefix> zoneUpdates, std::vector<TargetWeightsAge> targetAges, RunnerFailures failures);
     void recordSilentVms();
     Task<> handleReport(std::string_view bytes);
 
--- a/Source/Core/Gateway/ForwardDispatcher.cpp
+++ b/Source/Core/Gateway/ForwardDispatcher.cpp
@@ -73,6 +73,8 @@
     bool isBegun = false;
     /// The current attempt has produced output.
     bool hadOutput = false;
+    /// The current attempt was not sent because its runner became unavailable.
+    bool isDiverted = false;
     RunState runState = RunState::NotRun;
     /// Id of the last event that was sent to the caller.
     std::optional<std::uint64_t> lastEventId;
@@ -165,6 +167,12 @@
             error.runState = delivery.runState;
             co_return std::unexpected(std::move(error));
         }
+        if (delivery.isDiverted) {
+            m_context.metrics.count(Counter::RequestsDiverted);
+            m_context.log.record(RequestEvent::Diverted, request.id,
+                { { "runner", choice->id.value() }, { "cause", result.error().message } });
+            continue;
+        }
         m_context.log.record(RequestEvent::Repeated, request.id,
             { { "runner", choice->id.value() }, { "cause", result.error().message },
                 { "run", std::string(nameOf(delivery.runState)) }, { "sends", std::to_string(delivery.sends) } });
@@ -222,6 +230,7 @@
     delivery.runner = choice;
     delivery.tried.insert(choice.id);
     delivery.hadOutput = false;
+    delivery.isDiverted = false;
     ++delivery.sends;
     const auto& route = *delivery.route;
     checkInvariant(delivery.runs == 0 || retryKindOf(route) != RetryKind::NonIdempotentCall,
@@ -253,11 +262,12 @@
     } else if (route.kind == RequestKind::Streaming && route.isResumable && mayRunAgain) {
         limit = std::min<std::chrono::nanoseconds>(limit, route.objective * firstEventTimeoutFactor);
     }
-    auto head = co_await exchange->begin(limit);
+    const auto head = co_await send(*exchange, delivery, limit);
     Outcome<void> result;
     if (!head) {
         result = std::unexpected(head.error());
     } else {
+        recordAvailability(request, *head, delivery);
         result = co_await relayAnswer(request, *exchange, *head, sink, delivery);
     }
     sink.onStop({});
@@ -269,6 +279,33 @@
     co_return result;
 }
 
+Task<Outcome<ReplyHead>> ForwardDispatcher::send(
+    RunnerExchange& exchange, Delivery& delivery, std::chrono::nanoseconds limit)
+{
+    const auto end = m_context.clock.now() + limit;
+    if (const auto connected = co_await exchange.connect(limit); !connected) {
+        co_return std::unexpected(connected.error());
+    }
+    // Others may have heard from the runner while this request waited for its connection.
+    if (!m_context.runners.mayStillSend(delivery.runner.id, delivery.runner.incarnation)) {
+        delivery.isDiverted = true;
+        co_return fail(ErrorCode::Unavailable, "the runner became unavailable before the request was sent");
+    }
+    co_return co_await exchange.begin(end - m_context.clock.now());
+}
+
+void ForwardDispatcher::recordAvailability(
+    const ForwardRequest& request, const ReplyHead& head, const Delivery& delivery)
+{
+    const auto& runner = delivery.runner;
+    if (!head.showsStateOf(runner.id)) {
+        return;
+    }
+    if (head.isLeaving) {
+        m_context.runnerCommands.recordLeaving(runner.id, runner.incarnation, LeavingSource::Response, request.id);
+    }
+}
+
 Task<Outcome<void>> ForwardDispatcher::relayAnswer(
     const ForwardRequest& request, RunnerExchange& exchange, const ReplyHead& head, ReplySink& sink, Delivery& delivery)
 {
--- a/Source/Core/Gateway/ForwardDispatcher.h
+++ b/Source/Core/Gateway/ForwardDispatcher.h
@@ -77,10 +77,14 @@
         ReplySink& sink, Delivery& delivery);
     Task<Outcome<void>> relayStream(const ForwardRequest& request, RunnerExchange& exchange, const ReplyHead& head,
         ReplySink& sink, Delivery& delivery);
+    /// Connects to the runner of the attempt and sends the request, unless the runner has become unavailable meanwhile.
+    Task<Outcome<ReplyHead>> send(RunnerExchange& exchange, Delivery& delivery, std::chrono::nanoseconds limit);
     /// Whether the request may be sent again after an attempt failed. Counts the refusal or the retry.
     bool mayRepeat(const ForwardRequest& request, const Error& error, Delivery& delivery);
     /// Values that an attempt adds to the request.
     AttemptTerms termsOf(const ForwardRequest& request, const RunnerChoice& choice, const Delivery& delivery) const;
+    /// Records what the head of a response says about the runner's further availability.
+    void recordAvailability(const ForwardRequest& request, const ReplyHead& head, const Delivery& delivery);
     void recordRefusal(const ForwardRequest& request, const ReplyHead& head, Delivery& delivery);
     void recordFirstOutput(const ForwardRequest& request, Delivery& delivery);
     void recordAttemptEnd(const RunnerChoice& choice, const Outcome<void>& result, const Delivery& delivery);
--- a/Source/Core/Gateway/ForwardTypes.h
+++ b/Source/Core/Gateway/ForwardTypes.h
@@ -88,6 +88,16 @@
     };
 };
 
+/// What shows who sent a response and for which request.
+struct ReplyOrigin {
+    /// The response names the request.
+    bool namesRequest = false;
+    /// The response has the proof that runners add.
+    bool isStamped = false;
+    /// Nothing was sent or received on the connection before.
+    bool isFirstOnConnection = false;
+};
+
 /// Head of a runner's response.
 struct ReplyHead {
     ReplyKind kind = ReplyKind::Malformed;
@@ -97,8 +107,36 @@
     bool isEventStream = false;
     /// Runner that names itself as the sender of the response, if any.
     std::optional<UpstreamId> answeredBy;
+    ReplyOrigin origin;
+    /// The sender shuts down and wants no further requests.
+    bool isLeaving = false;
 
     bool isSuccess() const { return status >= 200 && status < 300; }
+
+    /// Whether the response shows the state of a runner. A late copy of the response to another request, or the
+    /// response of another process at the address, must not take a sound runner out of use.
+    /// @param runner Runner to which the request was sent.
+    bool showsStateOf(const UpstreamId& runner) const
+    {
+        if (answeredBy && *answeredBy != runner) {
+            return false;
+        }
+        switch (kind) {
+        case ReplyKind::Answer:
+            // It is passed on to the caller, so the router has to act on it as well.
+            return true;
+        case ReplyKind::NotRun:
+            return origin.namesRequest || origin.isFirstOnConnection;
+        case ReplyKind::Misdirected:
+            // Without a name it may be from another process at the address.
+            return answeredBy.has_value();
+        case ReplyKind::Malformed:
+            return origin.isStamped && (origin.namesRequest || origin.isFirstOnConnection);
+        case ReplyKind::Stray:
+            break;
+        }
+        return false;
+    }
 };
 
 } // namespace Pollenwind
--- a/Source/Core/Gateway/HttpRunnerClient.cpp
+++ b/Source/Core/Gateway/HttpRunnerClient.cpp
@@ -25,6 +25,7 @@
         {
         }
 
+        Task<Outcome<void>> connect(std::chrono::nanoseconds timeout) override;
         Task<Outcome<ReplyHead>> begin(std::chrono::nanoseconds timeout) override;
 
         Task<Outcome<std::string>> readSome(std::chrono::nanoseconds timeout) override
@@ -52,18 +53,24 @@
         bool m_isCancelled = false;
     };
 
+    Task<Outcome<void>> HttpRunnerExchange::connect(std::chrono::nanoseconds timeout)
+    {
+        if (m_isPooled) {
+            co_return Outcome<void> {};
+        }
+        const auto connected = co_await m_connection->connect(m_endpoint, std::min(timeout, m_connectTimeout));
+        if (!connected) {
+            co_return std::unexpected(connected.error());
+        }
+        if (m_isCancelled) {
+            co_return fail(ErrorCode::Cancelled, "cancelled while connecting");
+        }
+        co_return Outcome<void> {};
+    }
+
     Task<Outcome<ReplyHead>> HttpRunnerExchange::begin(std::chrono::nanoseconds timeout)
     {
         const auto end = std::chrono::steady_clock::now() + timeout;
-        if (!m_isPooled) {
-            const auto connected = co_await m_connection->connect(m_endpoint, std::min(timeout, m_connectTimeout));
-            if (!connected) {
-                co_return std::unexpected(connected.error());
-            }
-            if (m_isCancelled) {
-                co_return fail(ErrorCode::Cancelled, "cancelled while connecting");
-            }
-        }
         auto head = co_await m_connection->send(m_message, timeout);
         for (unsigned strays = 0;; ++strays) {
             if (!head) {
@@ -71,6 +78,7 @@
             }
             auto reply = m_codec.decodeReply(*head, m_request);
             if (reply.kind != ReplyKind::Stray) {
+                reply.origin.isFirstOnConnection = !m_isPooled;
                 co_return reply;
             }
             // A duplicate response to the previous request on this connection. The response to this one follows it.
--- a/Source/Core/Gateway/Queries/ForwardCodec.h
+++ b/Source/Core/Gateway/Queries/ForwardCodec.h
@@ -22,6 +22,7 @@
 
     /// Reads the head of a runner's response.
     /// @param request Id of the request that was sent last on the connection.
+    /// @return The head, without ReplyOrigin::isFirstOnConnection, which the headers do not show.
     virtual ReplyHead decodeReply(const HttpHead& head, const RequestId& request) const = 0;
 
     /// Encodes the response to a request that the router itself ends with an error.
--- a/Source/Core/Gateway/Queries/RunnerQueries.h
+++ b/Source/Core/Gateway/Queries/RunnerQueries.h
@@ -15,11 +15,15 @@
     RunnerQueries& operator=(const RunnerQueries&) = delete;
     virtual ~RunnerQueries() = default;
 
-    /// Runners of a service that may take a request now. Runners that are suspect, loading weights or whose entry has
-    /// just ended are returned only if there are no others.
+    /// Runners of a service that may take a request now. Runners that are suspect, loading weights, reported as leaving
+    /// by another VM or whose entry has just ended are returned only if there are no others.
     /// @param model Model that the request asks for, or empty. Runners whose weights are too old are excluded.
     virtual std::vector<RunnerCandidate> candidates(const ServiceId& service, const std::string& model) const = 0;
 
+    /// Whether a request that was placed at a runner process may still be sent: false if the process has announced its
+    /// shutdown or has been replaced since.
+    virtual bool mayStillSend(const UpstreamId& runner, Incarnation incarnation) const = 0;
+
     /// @return A runner's entry, also for some time after it ended, or nothing for an unknown runner.
     virtual std::optional<RunnerEntry> find(const UpstreamId& runner) const = 0;
 
@@ -29,7 +33,7 @@
     /// This VM's own work, by hash of the runner's id.
     virtual std::map<std::uint64_t, RunnerLoad> ownLoads() const = 0;
 
-    /// Recent failures of runners to report to the other VMs.
+    /// Recent failures and announced shutdowns of runners to report to the other VMs.
     virtual RunnerFailures recentFailures() const = 0;
 
     /// Number of running requests at a runner, from this VM and as last reported by the others.
--- a/Source/Core/Gateway/RequestLog.h
+++ b/Source/Core/Gateway/RequestLog.h
@@ -16,6 +16,8 @@
     Queued,
     /// Sent to a runner.
     Placed,
+    /// Not sent to its runner, which became unavailable meanwhile; another one is chosen.
+    Diverted,
     /// An attempt failed; the request may be sent again.
     Repeated,
     /// A stream is resumed after its last event.
@@ -32,6 +34,7 @@
     static constexpr std::array rows {
         EnumName { RequestEvent::Queued, "queued" },
         EnumName { RequestEvent::Placed, "placed" },
+        EnumName { RequestEvent::Diverted, "diverted" },
         EnumName { RequestEvent::Repeated, "repeated" },
         EnumName { RequestEvent::Resumed, "resumed" },
         EnumName { RequestEvent::Finished, "finished" },
--- a/Source/Core/Gateway/RunnerTable.cpp
+++ b/Source/Core/Gateway/RunnerTable.cpp
@@ -33,19 +33,30 @@
     : m_clock(clock)
     , m_timeline(timeline)
     , m_options(options)
+    , m_leaving(clock)
 {
 }
 
+void RunnerTable::applyAnnouncement(RunnerEntry& entry) const
+{
+    if (entry.state == RunnerState::Ready && m_leaving.isLeaving(holderHash(entry.id, entry.incarnation))) {
+        entry.state = RunnerState::Draining;
+    }
+}
+
 void RunnerTable::updateEntry(RunnerEntry entry)
 {
     const auto id = entry.id;
+    applyAnnouncement(entry);
+    const auto process = holderHash(id, entry.incarnation);
     const auto it = m_runners.find(id);
     if (it == m_runners.end()) {
         m_timeline.record(EventKind::UpstreamIncarnation,
             { { "runner", id.value() }, { "service", entry.service.value() }, { "endpoint", entry.endpoint.toString() },
                 { "state", std::string(nameOf(entry.state)) } });
         const auto hash = runnerHash(id);
-        m_runners.emplace(id, Runner { std::move(entry), hash, {}, {}, CircuitBreaker(m_clock, breakerOptions) });
+        m_runners.emplace(
+            id, Runner { std::move(entry), hash, process, {}, {}, CircuitBreaker(m_clock, breakerOptions) });
         removeGoneRunners();
         return;
     }
@@ -76,6 +87,7 @@
         runner.failureState.onWeightsReported();
     }
     runner.entry = std::move(entry);
+    runner.process = process;
 }
 
 void RunnerTable::markEntryEnded(const UpstreamId& runner)
@@ -227,16 +239,49 @@
     }
 }
 
+void RunnerTable::recordLeaving(
+    const UpstreamId& runner, Incarnation incarnation, LeavingSource source, const RequestId& request)
+{
+    if (!m_leaving.record(holderHash(runner, incarnation), source, {})) {
+        return;
+    }
+    m_timeline.record(EventKind::UpstreamLeaving,
+        { { "runner", runner.value() }, { "entry", "announced" }, { "source", std::string(nameOf(source)) },
+            { "request", request.value() }, { "age_ms", "0" } });
+    const auto it = m_runners.find(runner);
+    if (it == m_runners.end() || it->second.entry.incarnation != incarnation) {
+        return;
+    }
+    applyAnnouncement(it->second.entry);
+    it->second.endedAt = {};
+}
+
+void RunnerTable::recordReportedLeaving(const VmId& vm, std::span<const LeavingRunner> leaving)
+{
+    for (const auto& it : leaving) {
+        if (!m_leaving.record(it.process, LeavingSource::OtherVm, it.age)) {
+            continue;
+        }
+        const auto runner
+            = std::ranges::find_if(m_runners, [&it](const auto& known) { return known.second.process == it.process; });
+        m_timeline.record(EventKind::UpstreamLeaving,
+            { { "runner", runner == m_runners.end() ? "" : runner->first.value() }, { "entry", "announced" },
+                { "source", std::string(nameOf(LeavingSource::OtherVm)) }, { "vm", vm.value() },
+                { "age_ms", std::to_string(it.age.count()) } });
+    }
+}
+
 void RunnerTable::recordRemoteFailures(const VmId& vm, const RunnerFailures& failures)
 {
     if (failures.isEmpty()) {
         return;
     }
+    recordReportedLeaving(vm, failures.leaving);
     for (auto& [id, runner] : m_runners) {
         if (std::ranges::find(failures.unreachable, runner.hash) != failures.unreachable.end()) {
             runner.failureState.recordRemoteConnectFailure(vm, m_clock.now());
         }
-        if (std::ranges::find(failures.replaced, holderHash(id, runner.entry.incarnation)) != failures.replaced.end()) {
+        if (std::ranges::find(failures.replaced, runner.process) != failures.replaced.end()) {
             markReplaced(id);
         }
     }
@@ -246,12 +291,13 @@
 {
     const auto now = m_clock.now();
     RunnerFailures failures;
+    failures.leaving = m_leaving.recent();
     for (const auto& [id, runner] : m_runners) {
         if (runner.failureState.hasRecentConnectFailure(now)) {
             failures.unreachable.push_back(runner.hash);
         }
         if (runner.failureState.wasRecentlyReplaced(now)) {
-            failures.replaced.push_back(holderHash(id, runner.entry.incarnation));
+            failures.replaced.push_back(runner.process);
         }
     }
     return failures;
@@ -364,13 +410,23 @@
         if (!model.empty() && candidate.weights < oldest) {
             continue;
         }
-        const bool isPreferred
-            = !isExpired && candidate.admission > 0 && !runner.failureState.isSuspect(now) && !isLoading(runner.hash);
+        const bool isPreferred = !isExpired && candidate.admission > 0 && !runner.failureState.isSuspect(now)
+            && !isLoading(runner.hash) && !m_leaving.isReported(runner.process);
         (isPreferred ? preferred : fallback).push_back(std::move(candidate));
     }
     return preferred.empty() ? fallback : preferred;
 }
 
+bool RunnerTable::mayStillSend(const UpstreamId& runner, Incarnation incarnation) const
+{
+    const auto it = m_runners.find(runner);
+    if (it == m_runners.end() || it->second.entry.incarnation != incarnation) {
+        return !m_leaving.isLeaving(holderHash(runner, incarnation));
+    }
+    return it->second.entry.state != RunnerState::Draining && !it->second.failureState.isReplaced()
+        && !m_leaving.isLeaving(it->second.process);
+}
+
 std::optional<RunnerEntry> RunnerTable::find(const UpstreamId& runner) const
 {
     const auto it = m_runners.find(runner);
--- a/Source/Core/Gateway/RunnerTable.h
+++ b/Source/Core/Gateway/RunnerTable.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Gateway/Commands/RunnerCommands.h"
+#include "Gateway/LeavingRunners.h"
 #include "Gateway/Queries/RunnerQueries.h"
 #include "Gateway/RunnerFailureState.h"
 #include "Timeline/Commands/TimelineCommands.h"
@@ -35,6 +36,8 @@
     void recordFirstOutput(const UpstreamId& runner, double tokens) override;
     void recordConnectFailure(const UpstreamId& runner) override;
     void markReplaced(const UpstreamId& runner) override;
+    void recordLeaving(
+        const UpstreamId& runner, Incarnation incarnation, LeavingSource source, const RequestId& request) override;
     void recordRemoteFailures(const VmId& vm, const RunnerFailures& failures) override;
     void recordEnded(const UpstreamId& runner, double waitingTokens, RunnerResult result) override;
     void setRemoteLoad(const VmId& vm, std::map<std::uint64_t, RunnerLoad> loads) override;
@@ -42,6 +45,7 @@
     void setLoadingRunners(const VmId& vm, std::set<std::uint64_t> runners) override;
 
     std::vector<RunnerCandidate> candidates(const ServiceId& service, const std::string& model) const override;
+    bool mayStillSend(const UpstreamId& runner, Incarnation incarnation) const override;
     std::optional<RunnerEntry> find(const UpstreamId& runner) const override;
     std::vector<RunnerEntry> entries() const override;
     std::map<std::uint64_t, RunnerLoad> ownLoads() const override;
@@ -55,6 +59,8 @@
         RunnerEntry entry;
         /// See runnerHash().
         std::uint64_t hash = 0;
+        /// See holderHash().
+        std::uint64_t process = 0;
         /// Work from this VM.
         RunnerLoad own;
         /// Time at which the entry ended; 0 if the runner was draining before, so that it is not used any more.
@@ -75,6 +81,9 @@
     RunnerLoad loadOf(const Runner& runner) const;
     RunnerCandidate toCandidate(const Runner& runner, const std::string& model) const;
     void removeGoneRunners();
+    void recordReportedLeaving(const VmId& vm, std::span<const LeavingRunner> leaving);
+    /// Applies what is known of a runner's process to an entry that was read.
+    void applyAnnouncement(RunnerEntry& entry) const;
     /// Whether any VM ordered the runner to load weights or is about to.
     bool isLoading(std::uint64_t hash) const;
 
@@ -82,6 +91,7 @@
     TimelineCommands& m_timeline;
     RunnerTableOptions m_options;
     std::map<UpstreamId, Runner> m_runners;
+    LeavingRunners m_leaving;
     std::map<VmId, std::map<std::uint64_t, RunnerLoad>> m_remoteLoads;
     std::map<VmId, std::set<std::uint64_t>> m_loading;
 
--- a/Source/Core/Gateway/RunnerTypes.h
+++ b/Source/Core/Gateway/RunnerTypes.h
@@ -97,14 +97,43 @@
     bool operator==(const LoadedWeights&) const = default;
 };
 
-/// Recent failures of runners that one VM observed.
+/// How a VM learned that a runner shuts down.
+enum class LeavingSource {
+    /// The runner's response to a request.
+    Response,
+    /// The runner's report about itself.
+    RunnerReport,
+    /// Another VM's report. It is a hint: the runner is used if there is no other.
+    OtherVm,
+};
+
+template <> struct EnumTable<LeavingSource> {
+    static constexpr std::array rows {
+        EnumName { LeavingSource::Response, "response" },
+        EnumName { LeavingSource::RunnerReport, "runner-report" },
+        EnumName { LeavingSource::OtherVm, "vm-report" },
+    };
+};
+
+/// A runner process that has announced its shutdown.
+struct LeavingRunner {
+    /// Hash of the runner's id and incarnation; see holderHash().
+    std::uint64_t process = 0;
+    /// Time since the runner announced it.
+    std::chrono::milliseconds age { 0 };
+
+    bool operator==(const LeavingRunner&) const = default;
+};
+
+/// Recent failures and announced shutdowns of runners that one VM observed.
 struct RunnerFailures {
     /// Runners to which the VM could not connect, by hash of id.
     std::vector<std::uint64_t> unreachable;
     /// Runner processes at whose addresses another process answered, by hash of id and incarnation; see holderHash().
     std::vector<std::uint64_t> replaced;
+    std::vector<LeavingRunner> leaving = {};
 
-    bool isEmpty() const { return unreachable.empty() && replaced.empty(); }
+    bool isEmpty() const { return unreachable.empty() && replaced.empty() && leaving.empty(); }
     bool operator==(const RunnerFailures&) const = default;
 };
 
--- a/Source/Core/Gateway/WeightsDriver.cpp
+++ b/Source/Core/Gateway/WeightsDriver.cpp
@@ -130,6 +130,16 @@
     }
 }
 
+bool WeightsDriver::recordLeaving(const PendingLoad& pending, const RunnerReport& report)
+{
+    const auto& runner = pending.runner;
+    if (!report.isLeaving || report.incarnation != runner.incarnation) {
+        return false;
+    }
+    m_runnerCommands.recordLeaving(runner.id, runner.incarnation, LeavingSource::RunnerReport, {});
+    return true;
+}
+
 Task<bool> WeightsDriver::order(const PendingLoad& pending)
 {
     const auto report = co_await m_client.report(pending.runner.endpoint, m_options.callTimeout);
@@ -138,6 +148,9 @@
             EventKind::MoveStep, { { "runner", pending.runner.id.value() }, { "cause", report.error().message } });
         co_return false;
     }
+    if (recordLeaving(pending, *report)) {
+        co_return false;
+    }
     const auto current = report->weights.find(pending.model);
     if (report->isBusy || (current != report->weights.end() && current->second >= pending.version)) {
         co_return true;
@@ -191,6 +204,9 @@
         if (!report) {
             continue;
         }
+        if (recordLeaving(pending, *report)) {
+            co_return;
+        }
         const auto current = report->weights.find(pending.model);
         if (current != report->weights.end() && current->second >= pending.version) {
             recordLoaded(pending, current->second);
--- a/Source/Core/Gateway/WeightsDriver.h
+++ b/Source/Core/Gateway/WeightsDriver.h
@@ -70,6 +70,9 @@
     /// Waits until the runner's requests have ended or the drain time has passed, and until the lease allows orders.
     Task<> drain(const PendingLoad& pending);
     /// @return True if the runner has accepted the order, may have accepted it, or needs none.
+    /// Records the shutdown that a runner's report announces. Another process at its address does not count.
+    /// @return Whether the runner shuts down.
+    bool recordLeaving(const PendingLoad& pending, const RunnerReport& report);
     Task<bool> order(const PendingLoad& pending);
     void publishLoading();
     /// Returns also without a result when the load takes too long, the lease is lost or the runner restarts.
--- a/Source/Core/Metrics/Counter.h
+++ b/Source/Core/Metrics/Counter.h
@@ -24,6 +24,8 @@
     UpstreamFailures,
     Retries,
     RetryBudgetExhausted,
+    /// Requests that were not sent to the chosen runner because it became unavailable before its connection was made.
+    RequestsDiverted,
     /// Further attempts that continue a stream after its upstream failed.
     Resumes,
     /// Responses that belonged to another request.
@@ -66,6 +68,7 @@
         EnumName { Counter::UpstreamFailures, "upstream_failures_total" },
         EnumName { Counter::Retries, "retries_total" },
         EnumName { Counter::RetryBudgetExhausted, "retry_budget_exhausted_total" },
+        EnumName { Counter::RequestsDiverted, "requests_diverted_total" },
         EnumName { Counter::Resumes, "resumes_total" },
         EnumName { Counter::AnswerMismatches, "answer_mismatches_total" },
         EnumName { Counter::StreamsCut, "streams_cut_total" },
--- a/Source/UnitTests/Gateway/FleetTests.cpp
+++ b/Source/UnitTests/Gateway/FleetTests.cpp
@@ -19,7 +19,7 @@
     report.targetAges = { { 11, 12, 13ms } };
     report.members = 14;
     report.loaded = { { 15, 16, 17 } };
-    report.failures = { { 18 }, { 19, 20 } };
+    report.failures = { { 18 }, { 19, 20 }, { { 24, 25ms } } };
     report.lowLevels = { { 21, -22.5 } };
     report.isForZone = true;
     report.uptime = 23ms;
--- a/Source/UnitTests/Gateway/GatewayFixture.h
+++ b/Source/UnitTests/Gateway/GatewayFixture.h
@@ -49,6 +49,12 @@
     std::optional<Error> endError = std::nullopt;
     /// Called when the request arrives, e.g. to disconnect the caller.
     std::function<void()> onArrival = {};
+    bool isLeaving = false;
+    ReplyOrigin origin { .namesRequest = true, .isStamped = true };
+    /// Called while the request waits for its connection.
+    std::function<void()> onConnect = {};
+    /// Keeps the request waiting for its connection until it is notified.
+    WaitList* gate = nullptr;
 };
 
 /// One request that arrived at a scripted runner.
@@ -69,25 +75,39 @@
         cr_assert(!script.empty(), "a request arrived that the script does not expect");
         auto attempt = std::move(script.front());
         script.pop_front();
-        return std::make_unique<Exchange>(*this, std::move(attempt));
+        return std::make_unique<Exchange>(*this, endpoint, std::move(attempt));
     }
 
     std::deque<ScriptedAttempt> script;
     std::vector<Arrival> arrivals;
+    /// Runners to which requests were sent after their connections were made.
+    std::vector<Endpoint> sent;
     unsigned cancelled = 0;
     unsigned finished = 0;
 
 private:
     class Exchange final : public RunnerExchange {
     public:
-        Exchange(ScriptedRunners& owner, ScriptedAttempt attempt)
+        Exchange(ScriptedRunners& owner, Endpoint endpoint, ScriptedAttempt attempt)
             : m_owner(owner)
+            , m_endpoint(std::move(endpoint))
             , m_attempt(std::move(attempt))
         {
         }
 
+        Task<Outcome<void>> connect(std::chrono::nanoseconds) override
+        {
+            if (m_attempt.onConnect) {
+                m_attempt.onConnect();
+            }
+            if (m_attempt.gate) {
+                co_await m_attempt.gate->waitFor(std::chrono::minutes(1));
+            }
+            co_return Outcome<void> {};
+        }
         Task<Outcome<ReplyHead>> begin(std::chrono::nanoseconds) override
         {
+            m_owner.sent.push_back(m_endpoint);
             if (m_attempt.onArrival) {
                 m_attempt.onArrival();
             }
@@ -98,6 +118,8 @@
             head.kind = m_attempt.kind;
             head.status = m_attempt.status;
             head.isEventStream = m_attempt.isEventStream;
+            head.isLeaving = m_attempt.isLeaving;
+            head.origin = m_attempt.origin;
             co_return head;
         }
         Task<Outcome<std::string>> readSome(std::chrono::nanoseconds) override
@@ -115,6 +137,7 @@
 
     private:
         ScriptedRunners& m_owner;
+        Endpoint m_endpoint;
         ScriptedAttempt m_attempt;
         std::size_t m_next = 0;
     };
--- a/Source/UnitTests/PlatformAdapter/CodecTests.cpp
+++ b/Source/UnitTests/PlatformAdapter/CodecTests.cpp
@@ -103,6 +103,54 @@
     }
 }
 
+// Guards against taking a sound runner out of use because of a late copy of the response to another request, of a
+// response of another process at its address, or of a malformed response that no runner has signed.
+Test(PlatformRequests, relatesAnAnnouncedShutdownToItsRunner)
+{
+    struct Case {
+        int status;
+        HttpHeaders headers;
+        bool isFirstOnConnection;
+        bool isOfRunner;
+    };
+    const std::pair<std::string, std::string> id { "X-Request-Id", "q" };
+    const std::pair<std::string, std::string> otherId { "X-Request-Id", "p" };
+    const std::pair<std::string, std::string> stamp { "X-Server-Stamp", "s" };
+    const std::pair<std::string, std::string> notRun { "X-Not-Run", "1" };
+    const std::pair<std::string, std::string> own { "X-Instance-Id", "i-1" };
+    const std::pair<std::string, std::string> other { "X-Instance-Id", "i-2" };
+    const std::vector<Case> cases {
+        { 200, { id, stamp }, false, true },
+        { 200, { id, stamp, own }, false, true },
+        { 200, { id, stamp, other }, false, false },
+        { 200, { otherId, stamp }, true, false },
+        { 500, { stamp }, false, true },
+        { 503, { id, notRun }, false, true },
+        { 503, { notRun }, true, true },
+        { 503, { notRun }, false, false },
+        { 503, { otherId, notRun }, true, false },
+        { 421, { own }, false, true },
+        { 421, { other }, true, false },
+        { 421, {}, true, false },
+        { 200, { stamp }, true, true },
+        { 200, { stamp }, false, false },
+        { 200, { id }, true, false },
+        { 502, {}, true, false },
+    };
+    for (const auto& it : cases) {
+        auto headers = it.headers;
+        headers.emplace_back("server-leaving", "1");
+        auto reply = PlatformRequests().decodeReply({ it.status, headers }, RequestId("q"));
+        cr_assert(reply.isLeaving);
+        reply.origin.isFirstOnConnection = it.isFirstOnConnection;
+        cr_assert_eq(reply.showsStateOf(UpstreamId("i-1")), it.isOfRunner, "case %td", &it - cases.data());
+    }
+    for (const auto* value : { "0", "", "yes" }) {
+        const HttpHeaders headers { id, stamp, { "Server-Leaving", value } };
+        cr_assert(!PlatformRequests().decodeReply({ 200, headers }, RequestId("q")).isLeaving, "%s", value);
+    }
+}
+
 struct RefusalCase {
     ErrorCode code;
     RunState runState;
--- a/Source/UnitTests/PlatformAdapter/GatewayTests.cpp
+++ b/Source/UnitTests/PlatformAdapter/GatewayTests.cpp
@@ -411,3 +411,47 @@
         }
     });
 }
+
+// A runner that stops says so in its responses before its entry in the store tells it. Requests went on to such a
+// runner until the entry changed, and longer than allowed while the store was unavailable.
+Test(PlatformGateway, sendsNothingToARunnerThatHasAnnouncedItsShutdown)
+{
+    struct Case {
+        const char* name;
+        const char* path;
+        int status;
+        bool refuses;
+        std::vector<std::string> events;
+    };
+    const std::array cases {
+        Case { "a whole response", "/safe/x", 200, false, {} },
+        Case { "a response to an unsafe request", "/unsafe/x", 200, false, {} },
+        Case { "an error response", "/unsafe/x", 500, false, {} },
+        Case { "the head of a stream", "/stream/x", 200, false, { "id: 1\ndata: a\n\n" } },
+        Case { "a refusal", "/safe/x", 503, true, {} },
+    };
+    for (const auto& it : cases) {
+        PlatformFixture fixture;
+        for (auto* runner : { &fixture.first, &fixture.second }) {
+            runner->status = it.status;
+            runner->refuses = it.refuses;
+            runner->events = it.events;
+            runner->moreHeaders = { { "Server-Leaving", "1" } };
+        }
+        fixture.run([&](Gateway&) -> Task<> {
+            for (int n = 0; n < 4; ++n) {
+                co_await fixture.call(it.path);
+            }
+            cr_assert_eq(fixture.first.requests.size(), 1, "after %s", it.name);
+            cr_assert_eq(fixture.second.requests.size(), 1, "after %s", it.name);
+            // The same process does not become available again when its entry is written once more.
+            fixture.store.put("servers/i-1", fixture.first.entry("app"));
+            fixture.store.erase("servers/i-2");
+            co_await sleepFor(300ms);
+            fixture.store.put("servers/i-2", fixture.second.entry("app"));
+            co_await sleepFor(1s);
+            cr_assert_eq((co_await fixture.call(it.path)).status, 503, "after %s", it.name);
+            cr_assert_eq(fixture.first.requests.size() + fixture.second.requests.size(), 2, "after %s", it.name);
+        });
+    }
+}
--- a/Source/UnitTests/PlatformAdapter/PlatformStandIns.cpp
+++ b/Source/UnitTests/PlatformAdapter/PlatformStandIns.cpp
@@ -232,8 +232,10 @@
 {
     const auto& request = exchange.request();
     if (request.path == "/api/report") {
-        co_await exchange.answer(jsonResponse({ { "busy", false }, { "seq", orders },
-            { "models", JsonFields::Json::array({ { { "name", "m" }, { "version", weights } } }) } }));
+        auto answer = jsonResponse({ { "busy", false }, { "seq", orders }, { "born", 1 },
+            { "models", JsonFields::Json::array({ { { "name", "m" }, { "version", weights } } }) } });
+        answer.headers = moreHeaders;
+        co_await exchange.answer(answer);
     } else if (request.path == "/api/order") {
         const auto order = JsonFields::Json::parse(request.body);
         const bool isExpected = readNumber(order, "expected_rev") == orders;
@@ -253,7 +255,7 @@
     requests.push_back(request);
     const auto requestId = std::string(request.header("X-Request-Id").value_or(""));
     if (request.header("X-Expect-Instance").value_or("") != id) {
-        co_await exchange.answer({ 421, "", "", {} });
+        co_await exchange.answer({ 421, "", "", moreHeaders });
         co_return;
     }
     exchange.onDisconnect([this] { ++disconnectedCallers; });
@@ -261,6 +263,10 @@
         co_await sleepFor(delay);
     }
     HttpHeaders headers { { "X-Request-Id", requestId }, { "X-Server-Stamp", "stamp-of-" + id } };
+    headers.insert(headers.end(), moreHeaders.begin(), moreHeaders.end());
+    if (refuses) {
+        headers.emplace_back("X-Not-Run", "1");
+    }
     if (events.empty()) {
         co_await exchange.answer({ status, "text/plain", "answer of " + id, headers });
         co_return;
--- a/Source/UnitTests/PlatformAdapter/PlatformStandIns.h
+++ b/Source/UnitTests/PlatformAdapter/PlatformStandIns.h
@@ -101,6 +101,10 @@
     std::int64_t orders = 0;
     /// Status of responses to requests.
     int status = 200;
+    /// States in each response to a request that the request did not run.
+    bool refuses = false;
+    /// Further headers of every response to a request and of the report.
+    HttpHeaders moreHeaders;
     /// Events of a streamed response; when empty, the response is not streamed.
     std::vector<std::string> events;
     /// Closes the connection after this many events of a stream that is not resumed.
