Back off from runners for the time that their refusals name

A runner that refuses a request with 503 may name a time in Retry-After for which it wants no others. Nothing read it: a refusing runner was avoided for 0.15 s, was used within that time if there was no other, and a request even returned to a runner that had refused it. Callers were told to return after 0.3 s, long before the runners could serve them.

The adapter decodes the time; dates, signs and other text are counted (invalid_back_offs_total) and have no effect beyond the usual 0.15 s. RunnerBackOff keeps the end on the monotonic clock in the state of the runner's process: at most 30 s for one refusal, extended but never shortened by another, with an eighth of it (0.5 s at most) added by VM so that the VMs return one after the other. In the time candidates() leaves the runner out altogether and requests that wait for its connection are diverted; after it one request at a time is a trial until one is accepted. If no runner is left the caller is refused at once, with the time at which the first one returns, spread by the request's id.

Each back-off is logged with the request, the time named and the time applied; counters back_offs_total and back_off_trials_total, gauges runners_in_back_off and runners_leaving.

PlatformGateway::sendsNothingToARunnerInTheTimeThatItsRefusalNames fails over real sockets when the header is not read, as before the change.

--- a/Source/Core/Gateway/Commands/RunnerCommands.h
+++ b/Source/Core/Gateway/Commands/RunnerCommands.h
@@ -58,6 +58,17 @@
     virtual void recordLeaving(
         const UpstreamId& runner, Incarnation incarnation, LeavingSource source, const RequestId& request)
         = 0;
+    /// Records that a runner refused a request and named a time for which it wants no others. It gets none in that
+    /// time, and one at a time as a trial after it until one is accepted.
+    /// @param wanted The time that the runner named.
+    virtual void recordBackOff(
+        const UpstreamId& runner, Incarnation incarnation, std::chrono::nanoseconds wanted, const RequestId& request)
+        = 0;
+    /// Records that a request is sent as a trial; see RunnerQueries::needsTrial().
+    virtual void beginTrial(const UpstreamId& runner) = 0;
+    /// Records what became of a trial.
+    /// @param isAccepted Whether the runner accepted the request.
+    virtual void endTrial(const UpstreamId& runner, bool isAccepted) = 0;
     /// Records failures and announced shutdowns of runners that another VM reported.
     virtual void recordRemoteFailures(const VmId& vm, const RunnerFailures& failures) = 0;
     /// Records the end of a request.
--- a/Source/Core/Gateway/ForwardDispatcher.cpp
+++ b/Source/Core/Gateway/ForwardDispatcher.cpp
@@ -3,6 +3,7 @@
 #include "Common/Invariant.h"
 #include "Gateway/EventSplitter.h"
 #include "Gateway/Queries/PrefixQueries.h"
+#include "Gateway/ReturnTime.h"
 
 #include <algorithm>
 #include <utility>
@@ -73,6 +74,8 @@
     bool isBegun = false;
     /// The current attempt has produced output.
     bool hadOutput = false;
+    /// The current attempt is a trial after a back-off of its runner, whose result is not known yet.
+    bool isTrial = false;
     /// The current attempt was not sent because its runner became unavailable.
     bool isDiverted = false;
     RunState runState = RunState::NotRun;
@@ -95,8 +98,8 @@
     const auto choice = m_context.policy.choose(
         request, delivery.cacheSalt, it == targets.end() ? 0 : it->second, delivery.stores, candidates);
     if (!choice) {
-        return std::unexpected(Error {
-            ErrorCode::Unavailable, "no runner can take the request now", RunState::NotRun, unavailableRetryAfter });
+        return std::unexpected(Error { ErrorCode::Unavailable, "no runner can take the request now", RunState::NotRun,
+            returnTime(m_context.runners.timeUntilReturn(delivery.service), request.id) });
     }
     return *choice;
 }
@@ -183,7 +186,8 @@
             result.error().runState = delivery.runState;
             if (delivery.runState == RunState::NotRun) {
                 result.error().code = ErrorCode::Unavailable;
-                result.error().retryAfter = unavailableRetryAfter;
+                const auto wait = m_context.runners.timeUntilReturn(delivery.service);
+                result.error().retryAfter = wait ? returnTime(wait, request.id) : unavailableRetryAfter;
             }
             co_return result;
         }
@@ -252,6 +256,11 @@
                     std::chrono::duration_cast<std::chrono::milliseconds>(m_context.freshness.age()).count()) } });
     m_context.metrics.count(Counter::UpstreamAttempts);
     m_context.runnerCommands.recordSent(choice.id, choice.computedTokens);
+    delivery.isTrial = m_context.runners.needsTrial(choice.id);
+    if (delivery.isTrial) {
+        m_context.metrics.count(Counter::BackOffTrials);
+        m_context.runnerCommands.beginTrial(choice.id);
+    }
     const bool mayReuse = route.kind != RequestKind::Unsafe;
     const auto exchange = m_context.client.open(choice.endpoint, request, terms, mayReuse);
     sink.onStop([&exchange] { exchange->cancel(); });
@@ -270,6 +279,7 @@
         recordAvailability(request, *head, delivery);
         result = co_await relayAnswer(request, *exchange, *head, sink, delivery);
     }
+    endTrial(delivery, false);
     sink.onStop({});
     if (result) {
         exchange->finish();
@@ -294,16 +304,32 @@
     co_return co_await exchange.begin(end - m_context.clock.now());
 }
 
-void ForwardDispatcher::recordAvailability(
-    const ForwardRequest& request, const ReplyHead& head, const Delivery& delivery)
+void ForwardDispatcher::recordAvailability(const ForwardRequest& request, const ReplyHead& head, Delivery& delivery)
 {
     const auto& runner = delivery.runner;
+    if (head.kind == ReplyKind::Answer && head.status != 503) {
+        endTrial(delivery, true);
+    }
     if (!head.showsStateOf(runner.id)) {
         return;
     }
     if (head.isLeaving) {
         m_context.runnerCommands.recordLeaving(runner.id, runner.incarnation, LeavingSource::Response, request.id);
     }
+    if (head.unwantedFor) {
+        m_context.metrics.count(Counter::BackOffs);
+        m_context.runnerCommands.recordBackOff(runner.id, runner.incarnation, *head.unwantedFor, request.id);
+    }
+    if (head.isUnwantedTimeInvalid) {
+        m_context.metrics.count(Counter::InvalidBackOffs);
+    }
+}
+
+void ForwardDispatcher::endTrial(Delivery& delivery, bool isAccepted)
+{
+    if (std::exchange(delivery.isTrial, false)) {
+        m_context.runnerCommands.endTrial(delivery.runner.id, isAccepted);
+    }
 }
 
 Task<Outcome<void>> ForwardDispatcher::relayAnswer(
--- a/Source/Core/Gateway/ForwardDispatcher.h
+++ b/Source/Core/Gateway/ForwardDispatcher.h
@@ -84,7 +84,9 @@
     /// Values that an attempt adds to the request.
     AttemptTerms termsOf(const ForwardRequest& request, const RunnerChoice& choice, const Delivery& delivery) const;
     /// Records what the head of a response says about the runner's further availability.
-    void recordAvailability(const ForwardRequest& request, const ReplyHead& head, const Delivery& delivery);
+    void recordAvailability(const ForwardRequest& request, const ReplyHead& head, Delivery& delivery);
+    /// Ends the attempt's trial after a back-off, if it is one.
+    void endTrial(Delivery& delivery, bool isAccepted);
     void recordRefusal(const ForwardRequest& request, const ReplyHead& head, Delivery& delivery);
     void recordFirstOutput(const ForwardRequest& request, Delivery& delivery);
     void recordAttemptEnd(const RunnerChoice& choice, const Outcome<void>& result, const Delivery& delivery);
--- a/Source/Core/Gateway/ForwardTypes.h
+++ b/Source/Core/Gateway/ForwardTypes.h
@@ -110,6 +110,10 @@
     ReplyOrigin origin;
     /// The sender shuts down and wants no further requests.
     bool isLeaving = false;
+    /// Time for which the sender of a refusal wants no further requests, if it names one.
+    std::optional<std::chrono::milliseconds> unwantedFor;
+    /// The time is there but cannot be read.
+    bool isUnwantedTimeInvalid = false;
 
     bool isSuccess() const { return status >= 200 && status < 300; }
 
--- a/Source/Core/Gateway/Gateway.cpp
+++ b/Source/Core/Gateway/Gateway.cpp
@@ -96,7 +96,8 @@
         , metrics(m)
         , timeline(clock, settings.vm.value() + "/" + std::to_string(incarnation.value()))
         , routing(timeline)
-        , runners(clock, timeline, { subtractMargin(settings.maxOldWeightsTime, weightsMargin) })
+        , runners(clock, timeline,
+              { subtractMargin(settings.maxOldWeightsTime, weightsMargin), std::hash<VmId> {}(settings.vm) })
         , fleet(clock, timeline, settings.vm, settings.zone)
         , quota(clock, settings.quotaTolerance)
         , directory(clock)
@@ -228,6 +229,9 @@
         client.setIdleLimit(idleLimit(*configuration, fleet.size()));
         policy.setOtherZoneLoadUnknown(fleet.isLarge());
         orders.setFleetSize(fleet.size());
+        const auto unwilling = runners.unwillingRunners();
+        metrics.set(Gauge::RunnersLeaving, unwilling.leaving);
+        metrics.set(Gauge::RunnersInBackOff, unwilling.inBackOff);
         const double seconds = std::chrono::duration<double>(settings.retries.window).count();
         const double perVm = settings.retries.perWindow * retryShare / static_cast<double>(fleet.size());
         retryBudget.setOptions({ settings.retries.perRequest * retryShare, perVm / seconds, seconds });
--- a/Source/Core/Gateway/Queries/RunnerQueries.h
+++ b/Source/Core/Gateway/Queries/RunnerQueries.h
@@ -15,13 +15,23 @@
     RunnerQueries& operator=(const RunnerQueries&) = delete;
     virtual ~RunnerQueries() = default;
 
-    /// Runners of a service that may take a request now. Runners that are suspect, loading weights, reported as leaving
-    /// by another VM or whose entry has just ended are returned only if there are no others.
+    /// Runners of a service that may take a request now, without those that want none by their own words. Runners that
+    /// are suspect, loading weights, reported as leaving by another VM or whose entry has just ended are returned only
+    /// if there are no others.
     /// @param model Model that the request asks for, or empty. Runners whose weights are too old are excluded.
     virtual std::vector<RunnerCandidate> candidates(const ServiceId& service, const std::string& model) const = 0;
 
+    /// Whether the next request to a runner is a trial after a back-off.
+    virtual bool needsTrial(const UpstreamId& runner) const = 0;
+
+    /// Time until the first of the service's runners in back-off accepts requests again; nothing if none is in
+    /// back-off.
+    virtual std::optional<std::chrono::nanoseconds> timeUntilReturn(const ServiceId& service) const = 0;
+
+    virtual UnwillingRunners unwillingRunners() const = 0;
+
     /// Whether a request that was placed at a runner process may still be sent: false if the process has announced its
-    /// shutdown or has been replaced since.
+    /// shutdown, asked for a back-off or been replaced since.
     virtual bool mayStillSend(const UpstreamId& runner, Incarnation incarnation) const = 0;
 
     /// @return A runner's entry, also for some time after it ended, or nothing for an unknown runner.
--- a/Source/Core/Gateway/RunnerFailureState.h
+++ b/Source/Core/Gateway/RunnerFailureState.h
@@ -2,6 +2,7 @@
 
 #include "Common/Clock.h"
 #include "Common/Ids.h"
+#include "Gateway/RunnerBackOff.h"
 #include "Gateway/RunnerTypes.h"
 
 #include <map>
@@ -30,6 +31,10 @@
     /// Ends the avoidance and the assumption about weights after the runner reported its weights.
     void onWeightsReported();
 
+    /// Back-off that the runner itself asked for.
+    RunnerBackOff& backOff() { return m_backOff; }
+    const RunnerBackOff& backOff() const { return m_backOff; }
+
     /// Whether requests should go to other runners where possible.
     bool isSuspect(MonotonicTime now) const;
     bool isReplaced() const { return m_replacedAt.count() > 0; }
@@ -58,6 +63,7 @@
     /// 0 if the runner was not replaced.
     MonotonicTime m_replacedAt { 0 };
     std::optional<InferredWeights> m_inferred;
+    RunnerBackOff m_backOff;
 };
 
 } // namespace Pollenwind
--- a/Source/Core/Gateway/RunnerTable.cpp
+++ b/Source/Core/Gateway/RunnerTable.cpp
@@ -37,13 +37,6 @@
 {
 }
 
-void RunnerTable::applyAnnouncement(RunnerEntry& entry) const
-{
-    if (entry.state == RunnerState::Ready && m_leaving.isLeaving(holderHash(entry.id, entry.incarnation))) {
-        entry.state = RunnerState::Draining;
-    }
-}
-
 void RunnerTable::updateEntry(RunnerEntry entry)
 {
     const auto id = entry.id;
@@ -239,38 +232,6 @@
     }
 }
 
-void RunnerTable::recordLeaving(
-    const UpstreamId& runner, Incarnation incarnation, LeavingSource source, const RequestId& request)
-{
-    if (!m_leaving.record(holderHash(runner, incarnation), source, {})) {
-        return;
-    }
-    m_timeline.record(EventKind::UpstreamLeaving,
-        { { "runner", runner.value() }, { "entry", "announced" }, { "source", std::string(nameOf(source)) },
-            { "request", request.value() }, { "age_ms", "0" } });
-    const auto it = m_runners.find(runner);
-    if (it == m_runners.end() || it->second.entry.incarnation != incarnation) {
-        return;
-    }
-    applyAnnouncement(it->second.entry);
-    it->second.endedAt = {};
-}
-
-void RunnerTable::recordReportedLeaving(const VmId& vm, std::span<const LeavingRunner> leaving)
-{
-    for (const auto& it : leaving) {
-        if (!m_leaving.record(it.process, LeavingSource::OtherVm, it.age)) {
-            continue;
-        }
-        const auto runner
-            = std::ranges::find_if(m_runners, [&it](const auto& known) { return known.second.process == it.process; });
-        m_timeline.record(EventKind::UpstreamLeaving,
-            { { "runner", runner == m_runners.end() ? "" : runner->first.value() }, { "entry", "announced" },
-                { "source", std::string(nameOf(LeavingSource::OtherVm)) }, { "vm", vm.value() },
-                { "age_ms", std::to_string(it.age.count()) } });
-    }
-}
-
 void RunnerTable::recordRemoteFailures(const VmId& vm, const RunnerFailures& failures)
 {
     if (failures.isEmpty()) {
@@ -403,7 +364,7 @@
         const auto state = runner.entry.state;
         const bool isExpired = state == RunnerState::Gone && now - runner.endedAt < expiredEntryGrace;
         if (runner.entry.service != service || runner.failureState.isReplaced()
-            || (state != RunnerState::Ready && !isExpired)) {
+            || !runner.failureState.backOff().admits(now) || (state != RunnerState::Ready && !isExpired)) {
             continue;
         }
         auto candidate = toCandidate(runner, model);
@@ -417,16 +378,6 @@
     return preferred.empty() ? fallback : preferred;
 }
 
-bool RunnerTable::mayStillSend(const UpstreamId& runner, Incarnation incarnation) const
-{
-    const auto it = m_runners.find(runner);
-    if (it == m_runners.end() || it->second.entry.incarnation != incarnation) {
-        return !m_leaving.isLeaving(holderHash(runner, incarnation));
-    }
-    return it->second.entry.state != RunnerState::Draining && !it->second.failureState.isReplaced()
-        && !m_leaving.isLeaving(it->second.process);
-}
-
 std::optional<RunnerEntry> RunnerTable::find(const UpstreamId& runner) const
 {
     const auto it = m_runners.find(runner);
--- a/Source/Core/Gateway/RunnerTable.h
+++ b/Source/Core/Gateway/RunnerTable.h
@@ -17,6 +17,8 @@
 struct RunnerTableOptions {
     /// Longest time after a new target was set in which requests may still begin on older weights.
     std::chrono::milliseconds maxOldWeightsTime { 6500 };
+    /// Different for each VM, so that the VMs return to a runner one after the other.
+    std::uint64_t spreadSeed = 0;
 };
 
 /// The runners with an entry in the store, their failure state and the work in progress at each.
@@ -38,6 +40,10 @@
     void markReplaced(const UpstreamId& runner) override;
     void recordLeaving(
         const UpstreamId& runner, Incarnation incarnation, LeavingSource source, const RequestId& request) override;
+    void recordBackOff(const UpstreamId& runner, Incarnation incarnation, std::chrono::nanoseconds wanted,
+        const RequestId& request) override;
+    void beginTrial(const UpstreamId& runner) override;
+    void endTrial(const UpstreamId& runner, bool isAccepted) override;
     void recordRemoteFailures(const VmId& vm, const RunnerFailures& failures) override;
     void recordEnded(const UpstreamId& runner, double waitingTokens, RunnerResult result) override;
     void setRemoteLoad(const VmId& vm, std::map<std::uint64_t, RunnerLoad> loads) override;
@@ -45,6 +51,9 @@
     void setLoadingRunners(const VmId& vm, std::set<std::uint64_t> runners) override;
 
     std::vector<RunnerCandidate> candidates(const ServiceId& service, const std::string& model) const override;
+    bool needsTrial(const UpstreamId& runner) const override;
+    std::optional<std::chrono::nanoseconds> timeUntilReturn(const ServiceId& service) const override;
+    UnwillingRunners unwillingRunners() const override;
     bool mayStillSend(const UpstreamId& runner, Incarnation incarnation) const override;
     std::optional<RunnerEntry> find(const UpstreamId& runner) const override;
     std::vector<RunnerEntry> entries() const override;
--- a/Source/Core/Gateway/RunnerTypes.h
+++ b/Source/Core/Gateway/RunnerTypes.h
@@ -137,6 +137,12 @@
     bool operator==(const RunnerFailures&) const = default;
 };
 
+/// Number of runners that want no requests at present, by their own words.
+struct UnwillingRunners {
+    unsigned leaving = 0;
+    unsigned inBackOff = 0;
+};
+
 /// A runner that may take a request now.
 struct RunnerCandidate {
     UpstreamId id;
--- a/Source/Core/Metrics/Commands/MetricCommands.h
+++ b/Source/Core/Metrics/Commands/MetricCommands.h
@@ -18,6 +18,9 @@
     /// Adds to a counter.
     virtual void count(Counter counter, std::uint64_t n = 1) = 0;
 
+    /// Sets a gauge.
+    virtual void set(Gauge gauge, std::uint64_t value) = 0;
+
     /// Adds a sample to a distribution.
     virtual void observe(Distribution distribution, std::chrono::nanoseconds sample) = 0;
 };
--- a/Source/Core/Metrics/Counter.h
+++ b/Source/Core/Metrics/Counter.h
@@ -26,6 +26,12 @@
     RetryBudgetExhausted,
     /// Requests that were not sent to the chosen runner because it became unavailable before its connection was made.
     RequestsDiverted,
+    /// Refusals of runners that named a time for which they want no requests.
+    BackOffs,
+    /// Requests that were sent as a trial after such a time.
+    BackOffTrials,
+    /// Refusals of runners with a time that cannot be read.
+    InvalidBackOffs,
     /// Further attempts that continue a stream after its upstream failed.
     Resumes,
     /// Responses that belonged to another request.
@@ -69,6 +75,9 @@
         EnumName { Counter::Retries, "retries_total" },
         EnumName { Counter::RetryBudgetExhausted, "retry_budget_exhausted_total" },
         EnumName { Counter::RequestsDiverted, "requests_diverted_total" },
+        EnumName { Counter::BackOffs, "back_offs_total" },
+        EnumName { Counter::BackOffTrials, "back_off_trials_total" },
+        EnumName { Counter::InvalidBackOffs, "invalid_back_offs_total" },
         EnumName { Counter::Resumes, "resumes_total" },
         EnumName { Counter::AnswerMismatches, "answer_mismatches_total" },
         EnumName { Counter::StreamsCut, "streams_cut_total" },
@@ -90,6 +99,21 @@
     };
 };
 
+/// Present values of a process.
+enum class Gauge {
+    /// Runners that have announced their shutdown.
+    RunnersLeaving,
+    /// Runners that want no requests for a time that they named.
+    RunnersInBackOff,
+};
+
+template <> struct EnumTable<Gauge> {
+    static constexpr std::array rows {
+        EnumName { Gauge::RunnersLeaving, "runners_leaving" },
+        EnumName { Gauge::RunnersInBackOff, "runners_in_back_off" },
+    };
+};
+
 /// Distributions of a process, exported as Prometheus histograms.
 enum class Distribution {
     TimeToFirstToken,
--- a/Source/Core/Metrics/MetricTable.cpp
+++ b/Source/Core/Metrics/MetricTable.cpp
@@ -50,6 +50,8 @@
 
 void MetricTable::count(Counter counter, std::uint64_t n) { m_counters[static_cast<std::size_t>(counter)] += n; }
 
+void MetricTable::set(Gauge gauge, std::uint64_t value) { m_gauges[static_cast<std::size_t>(gauge)] = value; }
+
 void MetricTable::observe(Distribution distribution, std::chrono::nanoseconds sample)
 {
     const auto seconds = std::chrono::duration<double>(sample).count();
@@ -87,6 +89,10 @@
         out << "# TYPE pollenwind_" << row.name << " counter\n";
         out << "pollenwind_" << row.name << " " << total(row.value) << "\n";
     }
+    for (const auto& row : EnumTable<Gauge>::rows) {
+        out << "# TYPE pollenwind_" << row.name << " gauge\n";
+        out << "pollenwind_" << row.name << " " << m_gauges[static_cast<std::size_t>(row.value)] << "\n";
+    }
     for (const auto& row : EnumTable<Distribution>::rows) {
         const auto index = static_cast<std::size_t>(row.value);
         const auto& histogram = m_histograms->byDistribution[index];
--- a/Source/Core/Metrics/MetricTable.h
+++ b/Source/Core/Metrics/MetricTable.h
@@ -15,6 +15,7 @@
     ~MetricTable() override;
 
     void count(Counter counter, std::uint64_t n = 1) override;
+    void set(Gauge gauge, std::uint64_t value) override;
     void observe(Distribution distribution, std::chrono::nanoseconds sample) override;
     std::uint64_t total(Counter counter) const override;
     double quantile(Distribution distribution, double quantile) const override;
@@ -23,6 +24,7 @@
 private:
     struct Histograms;
     std::array<std::uint64_t, EnumTable<Counter>::rows.size()> m_counters {};
+    std::array<std::uint64_t, EnumTable<Gauge>::rows.size()> m_gauges {};
     std::unique_ptr<Histograms> m_histograms;
 };
 
--- a/Source/Core/Timeline/TimelineEvent.h
+++ b/Source/Core/Timeline/TimelineEvent.h
@@ -33,6 +33,8 @@
     BreakerClosed,
     UpstreamIncarnation,
     UpstreamLeaving,
+    /// An upstream refused a request and named a time for which it wants no others.
+    UpstreamBackOff,
     StoreDown,
     StoreUp,
     /// The VM learns of changes in the store from another feed: the store or a VM that follows it.
@@ -70,6 +72,7 @@
         EnumName { EventKind::BreakerClosed, "breaker-closed" },
         EnumName { EventKind::UpstreamIncarnation, "upstream-incarnation" },
         EnumName { EventKind::UpstreamLeaving, "upstream-leaving" },
+        EnumName { EventKind::UpstreamBackOff, "upstream-back-off" },
         EnumName { EventKind::StoreDown, "store-down" },
         EnumName { EventKind::StoreUp, "store-up" },
         EnumName { EventKind::FeedChanged, "feed-changed" },
--- a/Source/UnitTests/Gateway/GatewayFixture.h
+++ b/Source/UnitTests/Gateway/GatewayFixture.h
@@ -50,6 +50,7 @@
     /// Called when the request arrives, e.g. to disconnect the caller.
     std::function<void()> onArrival = {};
     bool isLeaving = false;
+    std::optional<std::chrono::milliseconds> unwantedFor = std::nullopt;
     ReplyOrigin origin { .namesRequest = true, .isStamped = true };
     /// Called while the request waits for its connection.
     std::function<void()> onConnect = {};
@@ -120,6 +121,7 @@
             head.isEventStream = m_attempt.isEventStream;
             head.isLeaving = m_attempt.isLeaving;
             head.origin = m_attempt.origin;
+            head.unwantedFor = m_attempt.unwantedFor;
             co_return head;
         }
         Task<Outcome<std::string>> readSome(std::chrono::nanoseconds) override
--- a/Source/UnitTests/Gateway/RunnerAvailabilityTests.cpp
+++ b/Source/UnitTests/Gateway/RunnerAvailabilityTests.cpp
@@ -199,3 +199,128 @@
     cr_assert(!result && result.error().runState == RunState::NotRun && result.error().retryAfter);
     cr_assert(fixture.scripted.arrivals.empty());
 }
+
+// A runner must get nothing in the time that its refusal names, not even if there is no other runner, then one request
+// at a time until one is accepted. A second refusal extends the time and never shortens it.
+Test(RunnerBackOff, bindsAtOnceAndEndsWithASingleTrial)
+{
+    AvailabilityFixture fixture;
+    fixture.runners.replaceEntries({ makeRunner("r1") });
+    fixture.announce(r2);
+    fixture.announce(r3);
+    const auto refuse = [&](std::chrono::nanoseconds time) {
+        fixture.runners.recordBackOff(r1, Incarnation(1), time, RequestId("q"));
+    };
+    refuse(4s);
+    cr_assert(fixture.candidates().empty() && !fixture.runners.mayStillSend(r1, Incarnation(1)));
+    fixture.clock.advance(3s);
+    refuse(200ms);
+    fixture.clock.advance(999ms);
+    cr_assert(fixture.candidates().empty());
+    refuse(2s);
+    fixture.clock.advance(1999ms);
+    cr_assert(fixture.candidates().empty());
+    cr_assert_eq(fixture.runners.unwillingRunners().inBackOff, 1);
+    fixture.clock.advance(300ms);
+    for (const bool isAccepted : { false, true }) {
+        cr_assert_eq(fixture.candidates().size(), 1);
+        cr_assert(fixture.runners.needsTrial(r1));
+        fixture.runners.beginTrial(r1);
+        cr_assert(fixture.candidates().empty());
+        fixture.runners.endTrial(r1, isAccepted);
+    }
+    cr_assert(!fixture.runners.needsTrial(r1) && fixture.candidates().size() == 1);
+}
+
+// The time ends with the runner's process and is bounded, so that a runner that names a day is tried again.
+Test(RunnerBackOff, isBoundedAndEndsWithTheProcess)
+{
+    AvailabilityFixture fixture;
+    fixture.runners.recordBackOff(r1, Incarnation(1), 24h, RequestId("q"));
+    fixture.clock.advance(RunnerBackOff::longestTime - 1s);
+    cr_assert_eq(fixture.candidates().size(), 2);
+    fixture.clock.advance(2s);
+    cr_assert_eq(fixture.candidates().size(), 3);
+    fixture.runners.recordBackOff(r1, Incarnation(1), 10s, RequestId("q"));
+    fixture.runners.updateEntry(nextStartOf("r1"));
+    cr_assert(!fixture.runners.needsTrial(r1) && fixture.candidates().size() == 3);
+    // A refusal that arrives late is not of the new process.
+    fixture.runners.recordBackOff(r1, Incarnation(1), 10s, RequestId("q"));
+    cr_assert_eq(fixture.candidates().size(), 3);
+}
+
+// VMs that were refused at the same time must not all return at the same time.
+Test(RunnerBackOff, spreadsTheReturnOfTheVms)
+{
+    AvailabilityFixture fixture;
+    std::set<std::chrono::nanoseconds> ends;
+    for (std::uint64_t vm = 0; vm < 20; ++vm) {
+        RunnerTable runners(fixture.clock, fixture.timeline, { .spreadSeed = vm });
+        runners.updateEntry(makeRunner("r1"));
+        runners.recordBackOff(r1, Incarnation(1), 4s, RequestId("q"));
+        ends.insert(*runners.timeUntilReturn(ServiceId("app")));
+    }
+    cr_assert(*ends.begin() >= 4s && *ends.rbegin() <= 4500ms && *ends.rbegin() - *ends.begin() >= 200ms);
+    cr_assert_geq(ends.size(), 18);
+}
+
+// A request returned to a runner that had refused it when there was no other. If all runners want no requests, it must
+// be refused at once, with the time at which the first of them returns.
+Test(ForwardDispatcher, refusesAtOnceWhileAllRunnersBackOff)
+{
+    AvailabilityFixture fixture;
+    const ScriptedAttempt refusal { .kind = ReplyKind::NotRun, .status = 503, .unwantedFor = 4s };
+    auto shortest = refusal;
+    shortest.unwantedFor = 2s;
+    fixture.scripted.script = { refusal, shortest, refusal };
+    const auto check = [&fixture] {
+        const auto result = fixture.forward(fixture.makeRequest("/unsafe/x"));
+        cr_assert(!result && result.error().code == ErrorCode::Unavailable);
+        cr_assert(result.error().runState == RunState::NotRun);
+        cr_assert(result.error().retryAfter >= 2s && result.error().retryAfter <= 3500ms);
+        return *result.error().retryAfter;
+    };
+    std::set<std::chrono::milliseconds> times;
+    for (int n = 0; n < 20; ++n) {
+        times.insert(check());
+    }
+    cr_assert_eq(fixture.scripted.sent.size(), 3);
+    cr_assert_geq(times.size(), 15, "the callers return together");
+    cr_assert_eq(fixture.metrics.total(Counter::BackOffs), 3);
+}
+
+// After the time only one of the requests that arrive together must be sent; the others follow when it is accepted.
+Test(ForwardDispatcher, sendsOneTrialAfterABackOff)
+{
+    AvailabilityFixture fixture;
+    fixture.runners.replaceEntries({ makeRunner("r1") });
+    fixture.announce(r2);
+    fixture.announce(r3);
+    fixture.scripted.script = { { .kind = ReplyKind::NotRun, .status = 503, .unwantedFor = 1s } };
+    cr_assert(!fixture.forward(fixture.makeRequest("/safe/x")));
+    fixture.clock.advance(1200ms);
+    unsigned refused = 0;
+    ScriptedAttempt trial { .parts = { "body" } };
+    trial.onArrival = [&] {
+        for (int n = 0; n < 10; ++n) {
+            refused += fixture.candidates().empty() ? 1 : 0;
+        }
+    };
+    fixture.scripted.script = { trial, { .parts = { "body" } } };
+    cr_assert(fixture.forward(fixture.makeRequest("/safe/x")).has_value());
+    cr_assert_eq(refused, 10);
+    cr_assert(fixture.forward(fixture.makeRequest("/safe/x")).has_value());
+    cr_assert_eq(fixture.metrics.total(Counter::BackOffTrials), 1);
+}
+
+// A refusal without a usable time must not take a runner out of use for long.
+Test(ForwardDispatcher, avoidsRunnersBrieflyAfterRefusalsWithoutATime)
+{
+    AvailabilityFixture fixture;
+    fixture.scripted.script = { { .kind = ReplyKind::NotRun, .status = 503 },
+        { .kind = ReplyKind::NotRun, .status = 503, .unwantedFor = 9s, .origin = {} }, { .parts = { "body" } } };
+    cr_assert(fixture.forward(fixture.makeRequest("/safe/x")).has_value());
+    cr_assert_eq(fixture.candidates().size(), 1);
+    fixture.clock.advance(200ms);
+    cr_assert_eq(fixture.candidates().size(), 3);
+}
--- a/Source/UnitTests/PlatformAdapter/CodecTests.cpp
+++ b/Source/UnitTests/PlatformAdapter/CodecTests.cpp
@@ -151,6 +151,27 @@
     }
 }
 
+// Guards against a time of a refusal that is read wrongly: it would keep a sound runner out of use or send requests
+// to a runner that wants none.
+Test(PlatformRequests, readsTheTimeOfARefusal)
+{
+    const auto decode = [](int status, const std::string& value) {
+        return PlatformRequests().decodeReply(
+            { status, { { "X-Request-Id", "q" }, { "X-Not-Run", "1" }, { "Retry-After", value } } }, RequestId("q"));
+    };
+    const std::vector<std::pair<std::string, std::chrono::milliseconds>> times { { "2", 2000ms }, { "0.2", 200ms },
+        { "1.2345", 1235ms }, { "0", 0ms }, { "7.", 7000ms }, { "99999999999", 24h }, { std::string(400, '9'), 24h } };
+    for (const auto& [text, time] : times) {
+        cr_assert(decode(503, text).unwantedFor == time, "%s", text.c_str());
+    }
+    for (const auto* text :
+        { "", "-1", "+1", "1e3", "inf", "nan", "0x10", "1.2.3", "1 s", ".", "Fri, 04 Dec 2026 18:00:00 GMT" }) {
+        const auto reply = decode(503, text);
+        cr_assert(!reply.unwantedFor && reply.isUnwantedTimeInvalid, "%s", text);
+    }
+    cr_assert(!decode(429, "2").unwantedFor && !decode(200, "2").unwantedFor);
+}
+
 struct RefusalCase {
     ErrorCode code;
     RunState runState;
--- a/Source/UnitTests/PlatformAdapter/GatewayTests.cpp
+++ b/Source/UnitTests/PlatformAdapter/GatewayTests.cpp
@@ -455,3 +455,30 @@
         });
     }
 }
+
+// A runner that refuses requests may name a time for which it wants none. Requests went on to it 0.15 s after each
+// refusal, and callers were told to return long before it could serve them.
+Test(PlatformGateway, sendsNothingToARunnerInTheTimeThatItsRefusalNames)
+{
+    PlatformFixture fixture;
+    for (auto* runner : { &fixture.first, &fixture.second }) {
+        runner->status = 503;
+        runner->refuses = true;
+        runner->moreHeaders = { { "Retry-After", "2.5" } };
+    }
+    fixture.run([&](Gateway&) -> Task<> {
+        cr_assert_eq((co_await fixture.call("/safe/x")).status, 503);
+        const auto start = std::chrono::steady_clock::now();
+        while (std::chrono::steady_clock::now() - start < 1s) {
+            const auto answer = co_await fixture.call("/unsafe/x");
+            cr_assert_eq(answer.status, 503);
+            cr_assert_geq(std::stod(std::string(findHeader(answer.headers, "Retry-After").value_or("0"))), 1.0);
+            co_await sleepFor(20ms);
+        }
+        cr_assert_eq(fixture.first.requests.size(), 1);
+        cr_assert_eq(fixture.second.requests.size(), 1);
+        fixture.first.refuses = fixture.second.refuses = false;
+        fixture.first.status = fixture.second.status = 200;
+        co_await fixture.waitUntil([&]() -> Task<bool> { co_return (co_await fixture.call("/safe/x")).status == 200; });
+    });
+}
