--- /dev/null
+++ b/Source/UnitTests/Gateway/RefusalFleet.cpp
@@ -0,0 +1,285 @@
+#include "Gateway/RefusalFleet.h"
+
+#include <algorithm>
+
+namespace Pollenwind {
+
+using namespace std::chrono_literals;
+
+namespace {
+
+    constexpr auto networkTime = 1ms;
+    constexpr auto reportInterval = 250ms;
+    constexpr auto refusalsStart = 2s;
+    constexpr auto allowedDelay = 500ms;
+
+} // namespace
+
+/// A simulated runner.
+struct RefusalFleet::Runner {
+    RunnerEntry entry;
+    bool isRefusing = false;
+    unsigned running = 0;
+    /// Ends of the requests in execution and in the queue.
+    std::vector<MonotonicTime> slotFreeAt;
+    /// By VM: the last refusal that named a time, its end, and the requests since.
+    struct BackOff {
+        MonotonicTime from { 0 };
+        MonotonicTime until { 0 };
+        std::size_t requests = 0;
+    };
+    std::vector<BackOff> backOffs;
+};
+
+/// One VM with tables of its own.
+struct RefusalFleet::Vm {
+    Vm(RefusalFleet& fleet, std::size_t n);
+
+    std::size_t index;
+    Timeline timeline;
+    MetricTable metrics;
+    RoutingTable routing;
+    RunnerTable runners;
+    FleetQuota quota;
+    CacheDirectory directory;
+    AffinityPolicy policy;
+    RetryBudget retryBudget;
+    FixedFreshness freshness;
+    RequestLog log;
+    std::unique_ptr<Client> client;
+    ForwardDispatcher dispatcher;
+};
+
+struct RefusalFleet::Request {
+    ForwardRequest message;
+    RecordingSink sink;
+    MonotonicTime arrivedAt { 0 };
+};
+
+class RefusalFleet::Exchange final : public RunnerExchange {
+public:
+    Exchange(RefusalFleet& fleet, std::size_t vm, Runner& runner)
+        : m_fleet(fleet)
+        , m_vm(vm)
+        , m_runner(runner)
+    {
+    }
+
+    Task<Outcome<void>> connect(std::chrono::nanoseconds) override
+    {
+        co_await m_fleet.sleepUntil(m_fleet.m_clock.now() + networkTime);
+        co_return Outcome<void> {};
+    }
+
+    Task<Outcome<ReplyHead>> begin(std::chrono::nanoseconds) override
+    {
+        co_await m_fleet.sleepUntil(m_fleet.m_clock.now() + networkTime);
+        auto head = m_fleet.accept(m_vm, m_runner);
+        if (head.kind == ReplyKind::Answer) {
+            const auto slot = std::ranges::min_element(m_runner.slotFreeAt);
+            *slot = std::max(*slot, m_fleet.m_clock.now()) + m_fleet.m_load.serviceTime;
+            ++m_runner.running;
+            co_await m_fleet.sleepUntil(*slot);
+            --m_runner.running;
+        }
+        co_return head;
+    }
+
+    Task<Outcome<std::string>> readSome(std::chrono::nanoseconds) override { co_return std::exchange(m_body, {}); }
+    void cancel() override { }
+    void finish() override { }
+
+private:
+    RefusalFleet& m_fleet;
+    std::size_t m_vm;
+    Runner& m_runner;
+    std::string m_body = "body";
+};
+
+class RefusalFleet::Client final : public RunnerClient {
+public:
+    Client(RefusalFleet& fleet, std::size_t vm)
+        : m_fleet(fleet)
+        , m_vm(vm)
+    {
+    }
+
+    std::unique_ptr<RunnerExchange> open(
+        const Endpoint& endpoint, const ForwardRequest&, const AttemptTerms&, bool) override
+    {
+        auto& runners = m_fleet.m_runners;
+        const auto it = std::ranges::find_if(runners, [&](const Runner& it) { return it.entry.endpoint == endpoint; });
+        return std::make_unique<Exchange>(m_fleet, m_vm, *it);
+    }
+
+private:
+    RefusalFleet& m_fleet;
+    std::size_t m_vm;
+};
+
+RefusalFleet::Vm::Vm(RefusalFleet& fleet, std::size_t n)
+    : index(n)
+    , timeline(fleet.m_clock, "test")
+    , routing(timeline)
+    , runners(fleet.m_clock, timeline, { .spreadSeed = n })
+    , quota(fleet.m_clock)
+    , directory(fleet.m_clock)
+    , policy(ZoneId("a"), directory)
+    , retryBudget(fleet.m_clock)
+    , log(fleet.m_clock)
+    , client(std::make_unique<Client>(fleet, n))
+    , dispatcher({ fleet.m_clock, routing, freshness, runners, runners, policy, directory, quota, retryBudget, *client,
+          metrics, log })
+{
+    RoutingConfiguration configuration;
+    configuration.version = 1;
+    configuration.routes = { makeRoute("/unsafe/", RequestKind::Unsafe, 2) };
+    configuration.organisations = { makeOrganisation("org", 1e9) };
+    routing.adopt(configuration);
+    for (const auto& it : fleet.m_runners) {
+        runners.updateEntry(it.entry);
+    }
+}
+
+RefusalFleet::RefusalFleet(const RefusalLoad& load, unsigned seed)
+    : m_load(load)
+    , m_random(seed)
+    , m_startedAt(m_clock.now())
+{
+    for (std::size_t n = 0; n < load.runners; ++n) {
+        auto& runner = m_runners.emplace_back();
+        runner.entry = makeRunner("r" + std::to_string(n));
+        runner.entry.slots = load.slots;
+        runner.slotFreeAt.resize(load.slots);
+        runner.backOffs.resize(load.vms);
+    }
+    for (std::size_t n = 0; n < load.vms; ++n) {
+        m_vms.emplace_back(*this, n);
+    }
+}
+
+RefusalFleet::~RefusalFleet() = default;
+
+std::chrono::nanoseconds RefusalOutcome::refusalTime(double quantile) const
+{
+    return refusedAfter.empty()
+        ? 0ns
+        : refusedAfter[static_cast<std::size_t>(quantile * static_cast<double>(refusedAfter.size() - 1))];
+}
+
+Task<> RefusalFleet::sleepUntil(MonotonicTime time)
+{
+    asio::steady_timer timer(m_context, asio::steady_timer::time_point::max());
+    m_wakeUps.emplace(time, &timer);
+    co_await timer.async_wait(asTuple);
+}
+
+void RefusalFleet::poll()
+{
+    m_context.restart();
+    while (m_context.poll() > 0) { }
+}
+
+void RefusalFleet::advanceTo(MonotonicTime end)
+{
+    poll();
+    while (!m_wakeUps.empty() && m_wakeUps.begin()->first <= end) {
+        const auto it = m_wakeUps.begin();
+        m_clock.advance(std::max(0ns, it->first - m_clock.now()));
+        auto* timer = it->second;
+        m_wakeUps.erase(it);
+        timer->cancel();
+        poll();
+    }
+    m_clock.advance(std::max(0ns, end - m_clock.now()));
+}
+
+ReplyHead RefusalFleet::accept(std::size_t vm, Runner& runner)
+{
+    const auto now = m_clock.now();
+    auto& backOff = runner.backOffs[vm];
+    if (now >= backOff.from && now < backOff.until) {
+        m_outcome.mostInBackOff = std::max(m_outcome.mostInBackOff, ++backOff.requests);
+    }
+    ReplyHead head;
+    head.origin = { .namesRequest = true, .isStamped = true };
+    head.status = 200;
+    head.kind = ReplyKind::Answer;
+    const bool isFull = runner.running >= m_load.slots + m_load.queue;
+    if (runner.isRefusing || isFull) {
+        head.status = 503;
+        head.kind = ReplyKind::NotRun;
+    }
+    if (runner.isRefusing) {
+        ++m_outcome.atRefusing;
+        const auto named = m_load.unwantedFor.value_or(2s);
+        if (now >= backOff.until) {
+            backOff = { now + allowedDelay, now + named, 0 };
+        }
+        head.unwantedFor = m_load.unwantedFor;
+    }
+    return head;
+}
+
+Task<> RefusalFleet::serve(Vm& vm, Request& request)
+{
+    const auto result = co_await vm.dispatcher.forward(request.message, request.arrivedAt, request.sink);
+    if (result) {
+        ++m_outcome.served;
+    } else {
+        m_outcome.refusedAfter.push_back(m_clock.now() - request.arrivedAt);
+    }
+}
+
+void RefusalFleet::startRequest()
+{
+    auto& request = m_requests.emplace_back();
+    request.arrivedAt = m_clock.now();
+    request.message.id = RequestId("q" + std::to_string(++m_outcome.requests));
+    request.message.host = "shop.example";
+    request.message.message.method = "POST";
+    request.message.message.path = "/unsafe/x";
+    request.message.keyDigest = sha256("key-of-org");
+    request.message.timeout = 5000ms;
+    auto& vm = m_vms[std::uniform_int_distribution<std::size_t>(0, m_vms.size() - 1)(m_random)];
+    asio::co_spawn(m_context, serve(vm, request), asio::detached);
+}
+
+void RefusalFleet::report()
+{
+    for (auto& from : m_vms) {
+        for (auto& to : m_vms) {
+            if (&from != &to) {
+                to.runners.setRemoteLoad(VmId("vm-" + std::to_string(from.index)), from.runners.ownLoads());
+            }
+        }
+    }
+}
+
+RefusalOutcome RefusalFleet::run()
+{
+    std::exponential_distribution<double> gap(m_load.rate);
+    auto nextRequest = m_startedAt;
+    auto nextReport = m_startedAt;
+    const auto end = m_startedAt + m_load.duration;
+    while (m_clock.now() < end) {
+        advanceTo(std::min(nextRequest, nextReport));
+        const auto elapsed = m_clock.now() - m_startedAt;
+        for (std::size_t n = 0; n < m_load.refusing; ++n) {
+            m_runners[n].isRefusing = elapsed >= refusalsStart && elapsed < m_load.refusalsEnd;
+        }
+        if (m_clock.now() >= nextReport) {
+            report();
+            nextReport += reportInterval;
+        }
+        if (m_clock.now() >= nextRequest) {
+            startRequest();
+            nextRequest += std::chrono::nanoseconds(static_cast<std::int64_t>(gap(m_random) * 1e9));
+        }
+    }
+    advanceTo(end + 10s);
+    std::ranges::sort(m_outcome.refusedAfter);
+    return m_outcome;
+}
+
+} // namespace Pollenwind
