--- a/Source/Core/Gateway/ForwardDispatcher.cpp
+++ b/Source/Core/Gateway/ForwardDispatcher.cpp
@@ -3,6 +3,7 @@
 #include "Common/Invariant.h"
 #include "Gateway/EventSplitter.h"
 #include "Gateway/Queries/PrefixQueries.h"
+#include "Gateway/ReturnTime.h"
 
 #include <algorithm>
 #include <utility>
@@ -78,6 +79,10 @@
     bool hadOutput = false;
     /// The current attempt was ended because it would have begun on old weights too late.
     bool isTakenBack = false;
+    /// The current attempt is a trial after a back-off of its runner, whose result is not known yet.
+    bool isTrial = false;
+    /// The current attempt was not sent because its runner became unavailable.
+    bool isDiverted = false;
     RunState runState = RunState::NotRun;
     /// Id of the last event that was sent to the caller.
     std::optional<std::uint64_t> lastEventId;
@@ -109,8 +114,8 @@
     const auto choice = m_context.policy.choose(
         request, delivery.cacheSalt, it == targets.end() ? 0 : it->second, delivery.stores, candidates);
     if (!choice) {
-        return std::unexpected(Error {
-            ErrorCode::Unavailable, "no runner can take the request now", RunState::NotRun, unavailableRetryAfter });
+        return std::unexpected(Error { ErrorCode::Unavailable, "no runner can take the request now", RunState::NotRun,
+            returnTime(m_context.runners.timeUntilReturn(delivery.service), request.id) });
     }
     return *choice;
 }
@@ -181,6 +186,12 @@
             error.runState = delivery.runState;
             co_return std::unexpected(std::move(error));
         }
+        if (delivery.isDiverted) {
+            m_context.metrics.count(Counter::RequestsDiverted);
+            m_context.log.record(RequestEvent::Diverted, request.id,
+                { { "runner", choice->id.value() }, { "cause", result.error().message } });
+            continue;
+        }
         m_context.log.record(RequestEvent::Repeated, request.id,
             { { "runner", choice->id.value() }, { "cause", result.error().message },
                 { "run", std::string(nameOf(delivery.runState)) }, { "sends", std::to_string(delivery.sends) } });
@@ -191,7 +202,8 @@
             result.error().runState = delivery.runState;
             if (delivery.runState == RunState::NotRun) {
                 result.error().code = ErrorCode::Unavailable;
-                result.error().retryAfter = unavailableRetryAfter;
+                const auto wait = m_context.runners.timeUntilReturn(delivery.service);
+                result.error().retryAfter = wait ? returnTime(wait, request.id) : unavailableRetryAfter;
             }
             co_return result;
         }
@@ -240,6 +252,7 @@
     delivery.tried.insert(choice.id);
     delivery.hadOutput = false;
     delivery.isTakenBack = false;
+    delivery.isDiverted = false;
     ++delivery.sends;
     const auto& route = *delivery.route;
     checkInvariant(delivery.runs == 0 || retryKindOf(route) != RetryKind::NonIdempotentCall,
@@ -261,6 +274,11 @@
                     std::chrono::duration_cast<std::chrono::milliseconds>(m_context.freshness.age()).count()) } });
     m_context.metrics.count(Counter::UpstreamAttempts);
     m_context.runnerCommands.recordSent(choice.id, choice.computedTokens);
+    delivery.isTrial = m_context.runners.needsTrial(choice.id);
+    if (delivery.isTrial) {
+        m_context.metrics.count(Counter::BackOffTrials);
+        m_context.runnerCommands.beginTrial(choice.id);
+    }
     const bool mayReuse = route.kind != RequestKind::Unsafe;
     const auto exchange = m_context.client.open(choice.endpoint, request, terms, mayReuse);
     sink.onStop([&exchange] { exchange->cancel(); });
@@ -271,11 +289,12 @@
     } else if (route.kind == RequestKind::Streaming && route.isResumable && mayRunAgain) {
         limit = std::min<std::chrono::nanoseconds>(limit, route.objective * firstEventTimeoutFactor);
     }
-    auto head = co_await exchange->begin(untilBeginLimit(limit, delivery));
+    const auto head = co_await send(*exchange, delivery, untilBeginLimit(limit, delivery));
     Outcome<void> result;
     if (!head) {
         result = std::unexpected(head.error());
     } else {
+        recordAvailability(request, *head, delivery);
         result = co_await relayAnswer(request, *exchange, *head, sink, delivery);
     }
     const bool isLate = choice.beginBy && !delivery.hadOutput && m_context.clock.now() >= *choice.beginBy;
@@ -284,6 +303,7 @@
         delivery.isTakenBack = true;
         m_context.metrics.count(Counter::OldWeightsRecalls);
     }
+    endTrial(delivery, false);
     sink.onStop({});
     if (result) {
         exchange->finish();
@@ -303,6 +323,49 @@
     return std::clamp<std::chrono::nanoseconds>(*beginBy - m_context.clock.now(), std::chrono::nanoseconds(0), limit);
 }
 
+Task<Outcome<ReplyHead>> ForwardDispatcher::send(
+    RunnerExchange& exchange, Delivery& delivery, std::chrono::nanoseconds limit)
+{
+    const auto end = m_context.clock.now() + limit;
+    if (const auto connected = co_await exchange.connect(limit); !connected) {
+        co_return std::unexpected(connected.error());
+    }
+    // Others may have heard from the runner while this request waited for its connection.
+    if (!m_context.runners.mayStillSend(delivery.runner.id, delivery.runner.incarnation)) {
+        delivery.isDiverted = true;
+        co_return fail(ErrorCode::Unavailable, "the runner became unavailable before the request was sent");
+    }
+    co_return co_await exchange.begin(end - m_context.clock.now());
+}
+
+void ForwardDispatcher::recordAvailability(const ForwardRequest& request, const ReplyHead& head, Delivery& delivery)
+{
+    const auto& runner = delivery.runner;
+    if (head.kind == ReplyKind::Answer && head.status != 503) {
+        endTrial(delivery, true);
+    }
+    if (!head.showsStateOf(runner.id)) {
+        return;
+    }
+    if (head.isLeaving) {
+        m_context.runnerCommands.recordLeaving(runner.id, runner.incarnation, LeavingSource::Response, request.id);
+    }
+    if (head.unwantedFor) {
+        m_context.metrics.count(Counter::BackOffs);
+        m_context.runnerCommands.recordBackOff(runner.id, runner.incarnation, *head.unwantedFor, request.id);
+    }
+    if (head.isUnwantedTimeInvalid) {
+        m_context.metrics.count(Counter::InvalidBackOffs);
+    }
+}
+
+void ForwardDispatcher::endTrial(Delivery& delivery, bool isAccepted)
+{
+    if (std::exchange(delivery.isTrial, false)) {
+        m_context.runnerCommands.endTrial(delivery.runner.id, isAccepted);
+    }
+}
+
 Task<Outcome<void>> ForwardDispatcher::relayAnswer(
     const ForwardRequest& request, RunnerExchange& exchange, const ReplyHead& head, ReplySink& sink, Delivery& delivery)
 {
--- a/Source/Core/Gateway/ForwardDispatcher.h
+++ b/Source/Core/Gateway/ForwardDispatcher.h
@@ -82,10 +82,16 @@
         ReplySink& sink, Delivery& delivery);
     /// The limit, or the time until the runner's old weights expire if that is shorter and there is no output yet.
     std::chrono::nanoseconds untilBeginLimit(std::chrono::nanoseconds limit, const Delivery& delivery) const;
+    /// Connects to the runner of the attempt and sends the request, unless the runner has become unavailable meanwhile.
+    Task<Outcome<ReplyHead>> send(RunnerExchange& exchange, Delivery& delivery, std::chrono::nanoseconds limit);
     /// Whether the request may be sent again after an attempt failed. Counts the refusal or the retry.
     bool mayRepeat(const ForwardRequest& request, const Error& error, Delivery& delivery);
     /// Values that an attempt adds to the request.
     AttemptTerms termsOf(const ForwardRequest& request, const RunnerChoice& choice, const Delivery& delivery) const;
+    /// Records what the head of a response says about the runner's further availability.
+    void recordAvailability(const ForwardRequest& request, const ReplyHead& head, Delivery& delivery);
+    /// Ends the attempt's trial after a back-off, if it is one.
+    void endTrial(Delivery& delivery, bool isAccepted);
     void recordRefusal(const ForwardRequest& request, const ReplyHead& head, Delivery& delivery);
     void recordFirstOutput(const ForwardRequest& request, Delivery& delivery);
     void recordAttemptEnd(const RunnerChoice& choice, const Outcome<void>& result, const Delivery& delivery);
--- a/Source/Core/Gateway/RunnerTable.cpp
+++ b/Source/Core/Gateway/RunnerTable.cpp
@@ -37,19 +37,23 @@
     : m_clock(clock)
     , m_timeline(timeline)
     , m_options(options)
+    , m_leaving(clock)
 {
 }
 
 void RunnerTable::updateEntry(RunnerEntry entry)
 {
     const auto id = entry.id;
+    applyAnnouncement(entry);
+    const auto process = holderHash(id, entry.incarnation);
     const auto it = m_runners.find(id);
     if (it == m_runners.end()) {
         m_timeline.record(EventKind::UpstreamIncarnation,
             { { "runner", id.value() }, { "service", entry.service.value() }, { "endpoint", entry.endpoint.toString() },
                 { "state", std::string(nameOf(entry.state)) } });
         const auto hash = runnerHash(id);
-        m_runners.emplace(id, Runner { std::move(entry), hash, {}, {}, CircuitBreaker(m_clock, breakerOptions) });
+        m_runners.emplace(
+            id, Runner { std::move(entry), hash, process, {}, {}, CircuitBreaker(m_clock, breakerOptions) });
         removeGoneRunners();
         return;
     }
@@ -80,6 +84,7 @@
         runner.failureState.onWeightsReported();
     }
     runner.entry = std::move(entry);
+    runner.process = process;
 }
 
 void RunnerTable::markEntryEnded(const UpstreamId& runner)
@@ -264,11 +269,12 @@
     if (failures.isEmpty()) {
         return;
     }
+    recordReportedLeaving(vm, failures.leaving);
     for (auto& [id, runner] : m_runners) {
         if (std::ranges::find(failures.unreachable, runner.hash) != failures.unreachable.end()) {
             runner.failureState.recordRemoteConnectFailure(vm, m_clock.now());
         }
-        if (std::ranges::find(failures.replaced, holderHash(id, runner.entry.incarnation)) != failures.replaced.end()) {
+        if (std::ranges::find(failures.replaced, runner.process) != failures.replaced.end()) {
             markReplaced(id);
         }
     }
@@ -278,12 +284,13 @@
 {
     const auto now = m_clock.now();
     RunnerFailures failures;
+    failures.leaving = m_leaving.recent();
     for (const auto& [id, runner] : m_runners) {
         if (runner.failureState.hasRecentConnectFailure(now)) {
             failures.unreachable.push_back(runner.hash);
         }
         if (runner.failureState.wasRecentlyReplaced(now)) {
-            failures.replaced.push_back(holderHash(id, runner.entry.incarnation));
+            failures.replaced.push_back(runner.process);
         }
     }
     return failures;
@@ -390,15 +397,15 @@
         const auto state = runner.entry.state;
         const bool isExpired = state == RunnerState::Gone && now - runner.endedAt < expiredEntryGrace;
         if (runner.entry.service != service || runner.failureState.isReplaced()
-            || (state != RunnerState::Ready && !isExpired)) {
+            || !runner.failureState.backOff().admits(now) || (state != RunnerState::Ready && !isExpired)) {
             continue;
         }
         auto candidate = toCandidate(runner, model);
         if (!model.empty() && candidate.weights < oldest) {
             continue;
         }
-        const bool isPreferred
-            = !isExpired && candidate.admission > 0 && !runner.failureState.isSuspect(now) && !isLoading(runner.hash);
+        const bool isPreferred = !isExpired && candidate.admission > 0 && !runner.failureState.isSuspect(now)
+            && !isLoading(runner.hash) && !m_leaving.isReported(runner.process);
         (isPreferred ? preferred : fallback).push_back(std::move(candidate));
     }
     return preferred.empty() ? fallback : preferred;
--- a/Source/Core/Gateway/RunnerTable.h
+++ b/Source/Core/Gateway/RunnerTable.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Gateway/Commands/RunnerCommands.h"
+#include "Gateway/LeavingRunners.h"
 #include "Gateway/Queries/RunnerQueries.h"
 #include "Gateway/RunnerFailureState.h"
 #include "Timeline/Commands/TimelineCommands.h"
@@ -19,6 +20,8 @@
     std::chrono::milliseconds maxOldWeightsTime { 6500 };
     /// Further time in which a request that was placed on older weights may begin there.
     std::chrono::milliseconds oldWeightsBeginTime { 900 };
+    /// Different for each VM, so that the VMs return to a runner one after the other.
+    std::uint64_t spreadSeed = 0;
 };
 
 /// The runners with an entry in the store, their failure state and the work in progress at each.
@@ -39,6 +42,12 @@
     void recordFirstOutput(const UpstreamId& runner, double tokens) override;
     void recordConnectFailure(const UpstreamId& runner) override;
     void markReplaced(const UpstreamId& runner) override;
+    void recordLeaving(
+        const UpstreamId& runner, Incarnation incarnation, LeavingSource source, const RequestId& request) override;
+    void recordBackOff(const UpstreamId& runner, Incarnation incarnation, std::chrono::nanoseconds wanted,
+        const RequestId& request) override;
+    void beginTrial(const UpstreamId& runner) override;
+    void endTrial(const UpstreamId& runner, bool isAccepted) override;
     void recordRemoteFailures(const VmId& vm, const RunnerFailures& failures) override;
     void recordEnded(const UpstreamId& runner, double waitingTokens, RunnerResult result) override;
     void setRemoteLoad(const VmId& vm, std::map<std::uint64_t, RunnerLoad> loads) override;
@@ -46,6 +55,10 @@
     void setLoadingRunners(const VmId& vm, std::set<std::uint64_t> runners) override;
 
     std::vector<RunnerCandidate> candidates(const ServiceId& service, const std::string& model) const override;
+    bool needsTrial(const UpstreamId& runner) const override;
+    std::optional<std::chrono::nanoseconds> timeUntilReturn(const ServiceId& service) const override;
+    UnwillingRunners unwillingRunners() const override;
+    bool mayStillSend(const UpstreamId& runner, Incarnation incarnation) const override;
     std::optional<RunnerEntry> find(const UpstreamId& runner) const override;
     std::vector<RunnerEntry> entries() const override;
     std::map<std::uint64_t, RunnerLoad> ownLoads() const override;
@@ -59,6 +72,8 @@
         RunnerEntry entry;
         /// See runnerHash().
         std::uint64_t hash = 0;
+        /// See holderHash().
+        std::uint64_t process = 0;
         /// Work from this VM.
         RunnerLoad own;
         /// Time at which the entry ended; 0 if the runner was draining before, so that it is not used any more.
@@ -83,6 +98,9 @@
     RunnerLoad loadOf(const Runner& runner) const;
     RunnerCandidate toCandidate(const Runner& runner, const std::string& model) const;
     void removeGoneRunners();
+    void recordReportedLeaving(const VmId& vm, std::span<const LeavingRunner> leaving);
+    /// Applies what is known of a runner's process to an entry that was read.
+    void applyAnnouncement(RunnerEntry& entry) const;
     /// Whether any VM ordered the runner to load weights or is about to.
     bool isLoading(std::uint64_t hash) const;
 
@@ -90,6 +108,7 @@
     TimelineCommands& m_timeline;
     RunnerTableOptions m_options;
     std::map<UpstreamId, Runner> m_runners;
+    LeavingRunners m_leaving;
     std::map<VmId, std::map<std::uint64_t, RunnerLoad>> m_remoteLoads;
     std::map<VmId, std::set<std::uint64_t>> m_loading;
 
