Let the gateway soak play runners that repeat refusals

Adds the fault runner-repeats-refusals to the default faults: a runner refuses one request in four, and up to 11 ms after the responses to others it writes a copy of the last refusal on the same connection, in half of the cases with the id of the refused request. The guarantees "a request that may not be repeated runs at most once" and "a request that was refused as not run did not run" check it.

--- a/Source/UnitTests/PlatformSoak/GatewaySoak.cpp
+++ b/Source/UnitTests/PlatformSoak/GatewaySoak.cpp
@@ -55,6 +55,7 @@
     };
 
     constexpr std::array runnerRows { RunnerRow { GatewayFault::RunnerRefuses, RunnerFault::Refuses },
+        RunnerRow { GatewayFault::RunnerRepeatsRefusals, RunnerFault::RepeatsRefusals },
         RunnerRow { GatewayFault::RunnerFails, RunnerFault::Fails },
         RunnerRow { GatewayFault::RunnerLosesAnswers, RunnerFault::LosesAnswers },
         RunnerRow { GatewayFault::RunnerBreaksStreams, RunnerFault::BreaksStreams },
--- a/Source/UnitTests/PlatformSoak/GatewaySoakTypes.h
+++ b/Source/UnitTests/PlatformSoak/GatewaySoakTypes.h
@@ -38,6 +38,8 @@
     /// A runner restarts under a new id; its old entry expires later.
     RunnerReplaced,
     RunnerRefuses,
+    /// A runner writes earlier refusals once more on kept connections.
+    RunnerRepeatsRefusals,
     RunnerFails,
     RunnerLosesAnswers,
     RunnerBreaksStreams,
@@ -73,6 +75,7 @@
         EnumName { GatewayFault::RunnerLinkCutToClient, "runner-link-cut-to-client" },
         EnumName { GatewayFault::RunnerReplaced, "runner-replaced" },
         EnumName { GatewayFault::RunnerRefuses, "runner-refuses" },
+        EnumName { GatewayFault::RunnerRepeatsRefusals, "runner-repeats-refusals" },
         EnumName { GatewayFault::RunnerFails, "runner-fails" },
         EnumName { GatewayFault::RunnerLosesAnswers, "runner-loses-answers" },
         EnumName { GatewayFault::RunnerBreaksStreams, "runner-breaks-streams" },
--- a/Source/UnitTests/PlatformSoak/SoakRunner.cpp
+++ b/Source/UnitTests/PlatformSoak/SoakRunner.cpp
@@ -14,6 +14,10 @@
     constexpr std::chrono::milliseconds workTime { 15 };
     constexpr std::chrono::milliseconds slowWorkTime { 700 };
     constexpr std::chrono::milliseconds eventPause { 20 };
+    // A runner that repeats refusals refuses one request in this many.
+    constexpr unsigned requestsPerRefusal = 4;
+    // Longest time, in milliseconds, from a response to the copy of a refusal that follows it.
+    constexpr unsigned maxRepeatDelay = 12;
     constexpr std::chrono::milliseconds loadTime { 300 };
     // A crashed runner starts again after one to two times this time.
     constexpr std::chrono::milliseconds minDownTime { 1000 };
@@ -149,7 +153,10 @@
         co_await answerMisdirected(exchange);
         co_return;
     }
-    if (m_fault == RunnerFault::Refuses || m_isLoading) {
+    ++m_requests;
+    const bool isRefused = m_fault == RunnerFault::RepeatsRefusals && m_requests % requestsPerRefusal == 0;
+    if (m_fault == RunnerFault::Refuses || m_isLoading || isRefused) {
+        m_refused = requestId;
         co_await exchange.answer({ 503, "", "", { { "X-Not-Run", "1" }, { "X-Request-Id", requestId } } });
         co_return;
     }
@@ -167,7 +174,7 @@
     const HttpHeaders headers { { "X-Request-Id", requestId }, { "X-Server-Stamp", "stamp-" + m_id } };
     if (request.path.starts_with("/stream/") || request.path.starts_with("/resumable/")) {
         co_await serveStream(exchange, headers);
-        co_return;
+        co_return co_await repeatRefusal(exchange);
     }
     const bool isFailure = m_fault == RunnerFault::Fails;
     const auto answered = co_await exchange.answer(
@@ -175,6 +182,20 @@
     if (answered && m_link.state() == LinkState::Healthy && m_linkChangedAt < arrivedAt) {
         m_ledger.recordAnswered(requestId);
     }
+    co_await repeatRefusal(exchange);
+}
+
+Task<> SoakRunner::repeatRefusal(HttpExchange& exchange)
+{
+    if (m_fault != RunnerFault::RepeatsRefusals || m_refused.empty()) {
+        co_return;
+    }
+    HttpHeaders headers { { "X-Not-Run", "1" } };
+    if (m_requests % 2 == 0) {
+        headers.emplace_back("X-Request-Id", m_refused);
+    }
+    co_await sleepFor(std::chrono::milliseconds(m_requests % maxRepeatDelay));
+    co_await exchange.answer({ 503, "", "", std::move(headers) });
 }
 
 Task<> SoakRunner::crash()
--- a/Source/UnitTests/PlatformSoak/SoakRunner.h
+++ b/Source/UnitTests/PlatformSoak/SoakRunner.h
@@ -12,6 +12,8 @@
     None,
     /// Refuses requests with X-Not-Run.
     Refuses,
+    /// Refuses some requests, and writes copies of refusals after the responses to others.
+    RepeatsRefusals,
     /// Runs requests and responds with status 500.
     Fails,
     /// Runs requests and closes the connection without a response.
@@ -62,6 +64,8 @@
     Task<> answerMisdirected(HttpExchange& exchange);
     Task<> handleOrder(HttpExchange& exchange);
     Task<> serveRequest(HttpExchange& exchange);
+    /// Writes a copy of the last refusal while the connection is idle or the next request on it is running.
+    Task<> repeatRefusal(HttpExchange& exchange);
     /// Resets the connections and is unreachable until it starts again under the same id.
     Task<> crash();
     Task<> serveStream(HttpExchange& exchange, const HttpHeaders& headers);
@@ -81,6 +85,9 @@
     bool m_isLoading = false;
     bool m_isCrashed = false;
     std::optional<Order> m_lastOrder;
+    /// Id of the request that was refused last.
+    std::string m_refused;
+    unsigned m_requests = 0;
     RunnerFault m_fault = RunnerFault::None;
     std::chrono::steady_clock::time_point m_linkChangedAt;
 };
