Judge a slow stream by its events, not by its bytes

A stream that may be resumed was not, and ended at its deadline, when its runner stalled within an event and single bytes still arrived. Callers disconnect after a pause between events of 2 s.

The limit now runs from the last complete event, also one that a resumed runner repeats and the caller does not get. It starts again after the caller has taken the events, since a slow caller delays the next read.

Before the change it failed at 1 byte each 110 ms, an event in 1.65 s, where the stream was not resumed.

--- a/Source/Core/Gateway/ForwardDispatcher.cpp
+++ b/Source/Core/Gateway/ForwardDispatcher.cpp
@@ -324,11 +324,11 @@
     // Only a resumed stream may repeat events. The events of a first attempt are forwarded with any ids.
     EventSplitter events(delivery.isBegun ? delivery.lastEventId : std::nullopt);
     const bool mayResume = delivery.route->isResumable && delivery.runs + 1 < delivery.route->maxAttempts;
+    auto lastEventAt = m_context.clock.now();
     for (;;) {
-        std::chrono::nanoseconds limit = delivery.deadline - m_context.clock.now();
-        if (mayResume) {
-            limit = std::min<std::chrono::nanoseconds>(limit, eventPauseLimit);
-        }
+        // Bytes of an incomplete event do not extend the pause, since the caller gets whole events.
+        const auto until = mayResume ? std::min(delivery.deadline, lastEventAt + eventPauseLimit) : delivery.deadline;
+        const std::chrono::nanoseconds limit = until - m_context.clock.now();
         const auto part = co_await exchange.readSome(limit);
         if (!part) {
             co_return std::unexpected(part.error());
@@ -336,8 +336,13 @@
         if (part->empty()) {
             break;
         }
+        const auto unfinishedBytes = events.partialBytes() + part->size();
         events.append(*part);
         const auto complete = events.takeCompleteEvents();
+        if (events.partialBytes() < unfinishedBytes) {
+            // Also for events that a resumed runner repeats, which the caller does not get.
+            lastEventAt = m_context.clock.now();
+        }
         if (events.partialBytes() > maxEventBytes) {
             co_return fail(ErrorCode::ProtocolError, "the runner sent an event without an end", RunState::Unknown);
         }
@@ -360,6 +365,8 @@
             co_return written;
         }
         delivery.lastEventId = events.lastId();
+        // A slow caller delays the next read. That is no pause of the runner.
+        lastEventAt = m_context.clock.now();
     }
     if (events.hasPartialEvent() || !delivery.isBegun) {
         co_return fail(ErrorCode::ConnectionLost, "the stream ended within an event", RunState::Unknown);
--- a/Source/UnitTests/Gateway/ForwardDispatcherTests.cpp
+++ b/Source/UnitTests/Gateway/ForwardDispatcherTests.cpp
@@ -145,6 +145,55 @@
     cr_assert(!fixture.sink.isComplete);
 }
 
+// A slow stream must not be cut while its events arrive in time, at whatever rate their bytes arrive, and one whose
+// events stall must be resumed although single bytes still arrive: callers disconnect after a pause between events.
+Test(ForwardDispatcher, judgesASlowStreamByItsEventsNotByItsBytes)
+{
+    struct Case {
+        std::size_t bytes;
+        std::chrono::milliseconds interval;
+        bool isInTime;
+    };
+    // An event has 15 bytes. The pause limit is 1.5 s.
+    constexpr std::array cases { Case { 1, 1ms, true }, Case { 1, 20ms, true }, Case { 1, 90ms, true },
+        Case { 1, 110ms, false }, Case { 1, 400ms, false }, Case { 1, 900ms, false }, Case { 4, 300ms, true },
+        Case { 4, 500ms, false }, Case { 15, 1400ms, true }, Case { 15, 1600ms, false } };
+    const std::string whole = "id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\ndata: c\n\n";
+    for (const auto& it : cases) {
+        for (const auto* path : { "/resumable/x", "/stream/x" }) {
+            GatewayFixture fixture;
+            auto slow = stream({ whole.substr(0, 15) });
+            for (std::size_t at = 15; at < whole.size(); at += it.bytes) {
+                slow.parts.push_back(whole.substr(at, it.bytes));
+            }
+            slow.partInterval = it.interval;
+            fixture.scripted.script = { slow, stream({ whole }) };
+            auto request = fixture.makeRequest(path);
+            request.timeout = 60s;
+            const bool isDelivered = fixture.forward(request).has_value();
+            const bool isResumed = !it.isInTime && std::string_view(path) == "/resumable/x";
+            cr_assert(isDelivered && fixture.sink.isComplete && fixture.sink.body == whole, "%zu bytes each %ld ms: %s",
+                it.bytes, it.interval.count(), fixture.sink.body.c_str());
+            cr_assert_eq(fixture.scripted.arrivals.size(), isResumed ? 2 : 1, "%zu bytes each %ld ms", it.bytes,
+                it.interval.count());
+        }
+    }
+}
+
+// A caller that reads slowly must not make its runner look stalled.
+Test(ForwardDispatcher, doesNotResumeTheStreamOfASlowCaller)
+{
+    GatewayFixture fixture;
+    fixture.sink.onWrite = [&fixture] { fixture.clock.advance(4s); };
+    auto attempt = stream({ "id: 1\ndata: a\n\n", "id: 2\ndata: b\n\n" });
+    attempt.partInterval = 10ms;
+    fixture.scripted.script = { attempt };
+    auto request = fixture.makeRequest("/resumable/x");
+    request.timeout = 60s;
+    cr_assert(fixture.forward(request).has_value() && fixture.sink.isComplete);
+    cr_assert_eq(fixture.scripted.arrivals.size(), 1);
+}
+
 // A stream whose events have no ids cannot be resumed: a second run would send its events again.
 Test(ForwardDispatcher, doesNotResumeAStreamWithoutEventIds)
 {
--- a/Source/UnitTests/Gateway/GatewayFixture.h
+++ b/Source/UnitTests/Gateway/GatewayFixture.h
@@ -45,6 +45,8 @@
     int status = 200;
     bool isEventStream = false;
     std::vector<std::string> parts = {};
+    /// Time from one part to the next.
+    std::chrono::milliseconds partInterval { 0 };
     /// Error after the parts instead of the end of the body.
     std::optional<Error> endError = std::nullopt;
     /// Called when the request arrives, e.g. to disconnect the caller.
@@ -62,6 +64,11 @@
 /// Runners that respond as scripted, in the order in which requests arrive.
 class ScriptedRunners final : public RunnerClient {
 public:
+    explicit ScriptedRunners(ManualClock& clock)
+        : m_clock(clock)
+    {
+    }
+
     std::unique_ptr<RunnerExchange> open(
         const Endpoint& endpoint, const ForwardRequest& request, const AttemptTerms& terms, bool mayReuse) override
     {
@@ -100,8 +107,13 @@
             head.isEventStream = m_attempt.isEventStream;
             co_return head;
         }
-        Task<Outcome<std::string>> readSome(std::chrono::nanoseconds) override
+        Task<Outcome<std::string>> readSome(std::chrono::nanoseconds timeout) override
         {
+            if (timeout < m_attempt.partInterval) {
+                m_owner.m_clock.advance(std::max(timeout, std::chrono::nanoseconds(0)));
+                co_return std::unexpected(Error { ErrorCode::DeadlineExceeded, "no byte in time", RunState::Unknown });
+            }
+            m_owner.m_clock.advance(m_attempt.partInterval);
             if (m_next < m_attempt.parts.size()) {
                 co_return m_attempt.parts[m_next++];
             }
@@ -118,6 +130,8 @@
         ScriptedAttempt m_attempt;
         std::size_t m_next = 0;
     };
+
+    ManualClock& m_clock;
 };
 
 /// Records the response that a caller gets.
@@ -137,6 +151,9 @@
     }
     Task<Outcome<void>> write(std::string_view part) override
     {
+        if (onWrite) {
+            onWrite();
+        }
         body += part;
         co_return Outcome<void> {};
     }
@@ -159,6 +176,8 @@
     int status = 0;
     std::string body;
     bool isComplete = false;
+    /// Called before each part is written.
+    std::function<void()> onWrite;
 
 private:
     std::function<void()> m_handler;
@@ -254,7 +273,7 @@
     AffinityPolicy policy { ZoneId("a"), directory };
     RetryBudget retryBudget { clock };
     FixedFreshness freshness;
-    ScriptedRunners scripted;
+    ScriptedRunners scripted { clock };
     RequestLog log { clock };
     RecordingSink sink;
     unsigned requests = 0;
