Play announced shutdowns and refusals with a time in the gateway soak

Replaced runners now announce their shutdown for 4 s before they end, only in their responses, and refusals by a fault name a time of 0.2 to 8 s. Runners check from what they receive that a VM sends nothing 2 s after it was told of the shutdown, and at most two requests from half a second after a refusal to the end of its time. Restarts and pauses of the VM and disturbances of the runner's link excuse it.

--- a/Source/UnitTests/Gateway/RunnerAvailabilityTests.cpp
+++ b/Source/UnitTests/Gateway/RunnerAvailabilityTests.cpp
@@ -143,7 +143,8 @@
     for (const auto& it : responses) {
         AvailabilityFixture fixture;
         fixture.scripted.script = { it, { .parts = { "body" } } };
-        static_cast<void>(fixture.forward(fixture.makeRequest(it.isEventStream ? "/stream/x" : "/unsafe/x")));
+        const auto result = fixture.forward(fixture.makeRequest(it.isEventStream ? "/stream/x" : "/unsafe/x"));
+        cr_assert(result || it.kind == ReplyKind::Malformed);
         cr_assert_eq(fixture.candidates().size(), 2);
     }
     // A late copy of an earlier refusal on a connection in use again does not show which request it answers.
--- a/Source/UnitTests/PlatformSoak/GatewayProcess.h
+++ b/Source/UnitTests/PlatformSoak/GatewayProcess.h
@@ -35,6 +35,8 @@
     const std::string& logFile() const { return m_logFile; }
     /// Number of starts so far; identifies the current incarnation of the process.
     unsigned starts() const { return m_starts; }
+    /// Name and number of the present start.
+    std::string process() const { return m_name + "/" + std::to_string(m_starts); }
     /// Time of the last exit of the process, or of the last signal other than SIGTERM. Requests in progress at that
     /// time may be lost.
     std::chrono::steady_clock::time_point lastDisturbedAt() const { return m_lastDisturbedAt; }
--- a/Source/UnitTests/PlatformSoak/GatewaySoak.cpp
+++ b/Source/UnitTests/PlatformSoak/GatewaySoak.cpp
@@ -28,6 +28,10 @@
     // Time from the last fault until full recovery: expiry of a lease, handover to another VM and loading of weights.
     constexpr std::chrono::seconds recoveryTime { 12 };
     constexpr std::chrono::seconds startupTime { 3 };
+    // Time from a runner's announcement to its end. It is longer than VMs may go on to send it requests.
+    constexpr std::chrono::seconds shutdownTime { 4 };
+    constexpr std::chrono::milliseconds shortestRefusalTime { 200 };
+    constexpr std::uint64_t refusalTimeRange = 7800;
     constexpr std::size_t maxExamples = 5;
 
     struct LinkRow {
@@ -150,6 +154,8 @@
 
 Task<> GatewaySoak::replaceRunner(SoakRunner& runner)
 {
+    runner.announceShutdown();
+    co_await sleepFor(shutdownTime);
     const auto before = runner.id();
     runner.replace();
     m_store.put("servers/" + runner.id(), runner.entry());
@@ -186,6 +192,7 @@
     }
     for (const auto& row : runnerRows) {
         if (row.fault == fault) {
+            runner.setRefusalTime(shortestRefusalTime + std::chrono::milliseconds(draw / 7 % refusalTimeRange));
             co_return co_await applyRunnerFault(runner, row.runnerFault, time);
         }
     }
@@ -287,7 +294,7 @@
     while (!m_isOver) {
         co_await sleepFor(probeInterval);
         for (auto& gateway : m_gateways) {
-            const auto incarnation = gateway.name() + "/" + std::to_string(gateway.starts());
+            const auto incarnation = gateway.process();
             const auto version = m_configuration;
             for (const auto asked : { version, newest[incarnation] }) {
                 if (asked == 0) {
@@ -296,10 +303,9 @@
                 const auto id = "probe-" + std::to_string(++probes);
                 HttpRequest request { "GET", versionPrefix(asked), "",
                     { { "Host", "soak.example" }, { "X-Request-Id", id } }, "" };
-                m_ledger.recordSent(id, RequestKind::Safe, false, "", std::nullopt);
+                m_ledger.recordSent(id, RequestKind::Safe, false, "", std::nullopt, incarnation);
                 const auto response = co_await fetch(gateway.callers(), std::move(request), probeTimeout);
-                const bool isSameIncarnation = incarnation == gateway.name() + "/" + std::to_string(gateway.starts());
-                if (!response || !isSameIncarnation) {
+                if (!response || incarnation != gateway.process()) {
                     continue;
                 }
                 // The next version removes the route of this one, so a missing route is not a violation. A route that
--- a/Source/UnitTests/PlatformSoak/GatewaySoakTypes.h
+++ b/Source/UnitTests/PlatformSoak/GatewaySoakTypes.h
@@ -34,7 +34,7 @@
     RunnerLinkSilent,
     RunnerLinkCutToServer,
     RunnerLinkCutToClient,
-    /// A runner restarts under a new id; its old entry expires later.
+    /// A runner announces its shutdown in its responses and restarts under a new id; its old entry expires later.
     RunnerReplaced,
     RunnerRefuses,
     RunnerFails,
@@ -91,6 +91,8 @@
     ConfigurationNeverReverts,
     ResponsesAreDelivered,
     OneVmGivesOrders,
+    LeavingRunnersAreLeft,
+    RefusalTimesAreKept,
     Recovers,
 };
 
@@ -107,6 +109,10 @@
         EnumName { GatewayGuarantee::ResponsesAreDelivered,
             "a response of a healthy runner over a healthy link is delivered" },
         EnumName { GatewayGuarantee::OneVmGivesOrders, "orders of two VMs to one runner are at least 3 s apart" },
+        EnumName { GatewayGuarantee::LeavingRunnersAreLeft,
+            "a VM sends nothing to a runner 2 s after the runner told it that it leaves" },
+        EnumName {
+            GatewayGuarantee::RefusalTimesAreKept, "a VM sends at most two requests in the time that a refusal names" },
         EnumName {
             GatewayGuarantee::Recovers, "after the faults every VM serves and every runner has the new weights" },
     };
--- a/Source/UnitTests/PlatformSoak/RequestLedger.cpp
+++ b/Source/UnitTests/PlatformSoak/RequestLedger.cpp
@@ -8,10 +8,10 @@
 
 } // namespace
 
-void RequestLedger::recordSent(
-    const std::string& id, RequestKind kind, bool isResumable, std::string body, std::optional<std::size_t> key)
+void RequestLedger::recordSent(const std::string& id, RequestKind kind, bool isResumable, std::string body,
+    std::optional<std::size_t> key, std::string process)
 {
-    m_requests[id] = { kind, isResumable, std::move(body), key, std::chrono::steady_clock::now() };
+    m_requests[id] = { kind, isResumable, std::move(body), key, std::chrono::steady_clock::now(), std::move(process) };
     ++m_report.requests;
 }
 
@@ -54,6 +54,12 @@
 
 void RequestLedger::replaceKey() { ++m_keys; }
 
+std::string RequestLedger::processOf(const std::string& id) const
+{
+    const auto it = m_requests.find(id);
+    return it == m_requests.end() ? "" : it->second.process;
+}
+
 bool RequestLedger::wasAnswered(const std::string& id) const { return m_requests.at(id).isAnswered; }
 
 } // namespace Pollenwind
--- a/Source/UnitTests/PlatformSoak/RequestLedger.h
+++ b/Source/UnitTests/PlatformSoak/RequestLedger.h
@@ -20,8 +20,9 @@
 
     /// Records a request that a caller is about to send.
     /// @param key Number of its caller key, or nothing on a public route.
-    void recordSent(
-        const std::string& id, RequestKind kind, bool isResumable, std::string body, std::optional<std::size_t> key);
+    /// @param process Process that gets the request: name of the VM and number of its start, separated by '/'.
+    void recordSent(const std::string& id, RequestKind kind, bool isResumable, std::string body,
+        std::optional<std::size_t> key, std::string process);
     /// Records that a caller received a response that guarantees that the request did not run.
     void recordRefused(const std::string& id);
     /// Records that a runner starts to execute a request.
@@ -43,6 +44,8 @@
 
     bool wasAnswered(const std::string& id) const;
     Time sentAt(const std::string& id) const { return m_requests.at(id).sentAt; }
+    /// Process to which a caller sent the request; empty for an unknown request.
+    std::string processOf(const std::string& id) const;
 
 private:
     struct Entry {
@@ -51,6 +54,7 @@
         std::string body;
         std::optional<std::size_t> key;
         Time sentAt;
+        std::string process;
         unsigned runs = 0;
         bool isRefused = false;
         bool isAnswered = false;
--- a/Source/UnitTests/PlatformSoak/SoakCaller.cpp
+++ b/Source/UnitTests/PlatformSoak/SoakCaller.cpp
@@ -56,7 +56,7 @@
             request.headers.emplace_back("X-Token-Count", "100,20");
             request.headers.emplace_back("X-Prompt-Prefix", "a1:50," + std::to_string(m_random() % 9) + ":50");
         }
-        m_ledger.recordSent(id, row.kind, row.isResumable, request.body, key);
+        m_ledger.recordSent(id, row.kind, row.isResumable, request.body, key, m_gateways[gateway].process());
         const auto response = co_await send(gateway, std::move(request));
         check(id, row.kind, gateway, response);
         co_await sleepFor(response.isComplete && response.status == 200 ? requestInterval : response.retryAfter);
--- a/Source/UnitTests/PlatformSoak/SoakRunner.cpp
+++ b/Source/UnitTests/PlatformSoak/SoakRunner.cpp
@@ -16,6 +16,10 @@
     constexpr std::chrono::milliseconds eventPause { 20 };
     constexpr std::chrono::milliseconds loadTime { 300 };
     constexpr std::chrono::milliseconds minHandoverInterval { 3000 };
+    // The platform's limits: drain_ms of the gateways' settings; half a second and two requests after a refusal.
+    constexpr std::chrono::milliseconds drainLimit { 2000 };
+    constexpr std::chrono::milliseconds refusalDelay { 500 };
+    constexpr unsigned maxUnwanted = 2;
     // An order that was in transit when its sender was paused or the link was cut arrives within this time after the
     // fault has ended. Such orders are not checked.
     constexpr std::chrono::milliseconds lateOrderWindow { 300 };
@@ -49,6 +53,8 @@
     m_id = m_name + "-" + std::to_string(++m_starts);
     m_orders = 0;
     m_lastOrder.reset();
+    m_isLeaving = false;
+    m_notices.clear();
     m_link.resetAll();
     m_linkChangedAt = std::chrono::steady_clock::now();
 }
@@ -123,6 +129,66 @@
     m_isLoading = false;
 }
 
+bool SoakRunner::isDisturbedSince(const std::string& process, std::chrono::steady_clock::time_point time) const
+{
+    const auto resumed = m_report.resumedAt.find(process.substr(0, process.find('/')));
+    return m_link.state() != LinkState::Healthy || m_linkChangedAt >= time
+        || (resumed != m_report.resumedAt.end() && resumed->second >= time);
+}
+
+void SoakRunner::checkSender(const std::string& request)
+{
+    const auto process = m_ledger.processOf(request);
+    const auto it = m_notices.find(process);
+    if (process.empty() || it == m_notices.end()) {
+        return;
+    }
+    auto& notice = it->second;
+    if (notice.leavingAt && !isDisturbedSince(process, *notice.leavingAt)) {
+        m_report.recordCheck(GatewayGuarantee::LeavingRunnersAreLeft,
+            m_ledger.sentAt(request) <= *notice.leavingAt + drainLimit, m_id + ": " + request + " from " + process);
+    }
+    const auto now = std::chrono::steady_clock::now();
+    const bool isUnwanted = now >= notice.refusedAt + refusalDelay && now < notice.refusedUntil;
+    if (isUnwanted && !isDisturbedSince(process, notice.refusedAt)) {
+        m_report.recordCheck(GatewayGuarantee::RefusalTimesAreKept, ++notice.requests <= maxUnwanted,
+            m_id + ": " + request + " from " + process + " is number " + std::to_string(notice.requests));
+    }
+}
+
+void SoakRunner::recordNotice(const std::string& request, bool isRefusal)
+{
+    const auto now = std::chrono::steady_clock::now();
+    auto& notice = m_notices[m_ledger.processOf(request)];
+    // Each notice counts as a check, since a process that keeps to it sends nothing that could be checked.
+    if (m_isLeaving && !notice.leavingAt) {
+        notice.leavingAt = now;
+        m_report.recordCheck(GatewayGuarantee::LeavingRunnersAreLeft, true, "");
+    }
+    if (isRefusal && now + m_refusalTime > notice.refusedUntil) {
+        notice.requests = now < notice.refusedUntil ? notice.requests : 0;
+        notice.refusedAt = now;
+        notice.refusedUntil = now + m_refusalTime;
+        m_report.recordCheck(GatewayGuarantee::RefusalTimesAreKept, true, "");
+    }
+}
+
+Task<> SoakRunner::refuse(HttpExchange& exchange, const std::string& requestId)
+{
+    HttpHeaders headers { { "X-Not-Run", "1" }, { "X-Request-Id", requestId } };
+    const bool namesTime = m_fault == RunnerFault::Refuses;
+    if (namesTime) {
+        headers.emplace_back("Retry-After", std::to_string(std::chrono::duration<double>(m_refusalTime).count()));
+    }
+    if (m_isLeaving) {
+        headers.emplace_back("Server-Leaving", "1");
+    }
+    const auto answered = co_await exchange.answer({ 503, "", "", headers });
+    if (answered && m_link.state() == LinkState::Healthy) {
+        recordNotice(requestId, namesTime);
+    }
+}
+
 Task<> SoakRunner::serveRequest(HttpExchange& exchange)
 {
     // Copied, since the exchange may end while the request is executed.
@@ -133,8 +199,9 @@
         co_await exchange.answer({ 421, "", "", { { "X-Instance-Id", m_id } } });
         co_return;
     }
+    checkSender(requestId);
     if (m_fault == RunnerFault::Refuses || m_isLoading) {
-        co_await exchange.answer({ 503, "", "", { { "X-Not-Run", "1" }, { "X-Request-Id", requestId } } });
+        co_await refuse(exchange, requestId);
         co_return;
     }
     const auto arrivedAt = std::chrono::steady_clock::now();
@@ -144,7 +211,10 @@
         exchange.abort();
         co_return;
     }
-    const HttpHeaders headers { { "X-Request-Id", requestId }, { "X-Server-Stamp", "stamp-" + m_id } };
+    HttpHeaders headers { { "X-Request-Id", requestId }, { "X-Server-Stamp", "stamp-" + m_id } };
+    if (m_isLeaving) {
+        headers.emplace_back("Server-Leaving", "1");
+    }
     if (request.path.starts_with("/stream/") || request.path.starts_with("/resumable/")) {
         co_await serveStream(exchange, headers);
         co_return;
@@ -154,6 +224,7 @@
         { isFailure ? 500 : 200, "text/plain", isFailure ? "failed" : responseText(requestId), headers });
     if (answered && m_link.state() == LinkState::Healthy && m_linkChangedAt < arrivedAt) {
         m_ledger.recordAnswered(requestId);
+        recordNotice(requestId, false);
     }
 }
 
@@ -165,6 +236,9 @@
     if (!co_await exchange.beginStream({ 200, "text/event-stream", "", headers })) {
         co_return;
     }
+    if (m_link.state() == LinkState::Healthy) {
+        recordNotice(requestId, false);
+    }
     for (unsigned number = first; number <= streamEvents; ++number) {
         const auto event = eventText(requestId, number);
         if (m_fault == RunnerFault::BreaksStreams && number == streamEvents / 2) {
--- a/Source/UnitTests/PlatformSoak/SoakRunner.h
+++ b/Source/UnitTests/PlatformSoak/SoakRunner.h
@@ -31,6 +31,10 @@
     /// Starts the server and the proxy through which the gateways reach it.
     /// @param address Loopback address of the proxy.
     Outcome<void> listen(const std::string& address);
+    /// States in all further responses that the runner shuts down, until it is replaced.
+    void announceShutdown() { m_isLeaving = true; }
+    /// Sets the time that refusals name by a fault.
+    void setRefusalTime(std::chrono::milliseconds time) { m_refusalTime = time; }
     /// Simulates the replacement of the runner: changes its id and resets its connections.
     void replace();
     /// Value of the runner's entry in the store.
@@ -56,6 +60,22 @@
         std::chrono::steady_clock::time_point at;
     };
 
+    /// What a process of a gateway was told by this start of the runner.
+    struct Notice {
+        std::optional<std::chrono::steady_clock::time_point> leavingAt;
+        /// Time of the last refusal that named a time, its end and the requests since half a second after it.
+        std::chrono::steady_clock::time_point refusedAt;
+        std::chrono::steady_clock::time_point refusedUntil;
+        unsigned requests = 0;
+    };
+
+    /// Checks a request against what its sender was told, unless a fault may have delayed the request or the notice.
+    void checkSender(const std::string& request);
+    /// Records that a response reached the sender of a request.
+    void recordNotice(const std::string& request, bool isRefusal);
+    /// Whether the link or the process was disturbed since a time.
+    bool isDisturbedSince(const std::string& process, std::chrono::steady_clock::time_point time) const;
+    Task<> refuse(HttpExchange& exchange, const std::string& requestId);
     Task<> handleOrder(HttpExchange& exchange);
     Task<> serveRequest(HttpExchange& exchange);
     Task<> serveStream(HttpExchange& exchange, const HttpHeaders& headers);
@@ -72,6 +92,10 @@
     std::int64_t m_weights = 1;
     std::int64_t m_orders = 0;
     bool m_isLoading = false;
+    bool m_isLeaving = false;
+    std::chrono::milliseconds m_refusalTime { 0 };
+    /// Notices by process; see RequestLedger::processOf().
+    std::map<std::string, Notice> m_notices;
     std::optional<Order> m_lastOrder;
     RunnerFault m_fault = RunnerFault::None;
     std::chrono::steady_clock::time_point m_linkChangedAt;
