--- a/Source/UnitTests/PlatformSoak/GatewaySoakTypes.h
+++ b/Source/UnitTests/PlatformSoak/GatewaySoakTypes.h
@@ -35,7 +35,7 @@
     RunnerLinkSilent,
     RunnerLinkCutToServer,
     RunnerLinkCutToClient,
-    /// A runner restarts under a new id; its old entry expires later.
+    /// A runner announces its shutdown in its responses and restarts under a new id; its old entry expires later.
     RunnerReplaced,
     RunnerRefuses,
     /// A runner writes earlier refusals once more on kept connections.
@@ -100,6 +100,8 @@
     OneVmGivesOrders,
     CrashingPartsStop,
     SoundRequestsAreServed,
+    LeavingRunnersAreLeft,
+    RefusalTimesAreKept,
     Recovers,
 };
 
@@ -120,6 +122,10 @@
             "at most 3 requests with a part that crashes runners reach runners later than 3 s after the fifth crash" },
         EnumName { GatewayGuarantee::SoundRequestsAreServed,
             "sound requests with the first part of those that crash runners are served" },
+        EnumName { GatewayGuarantee::LeavingRunnersAreLeft,
+            "a VM sends nothing to a runner 2 s after the runner told it that it leaves" },
+        EnumName {
+            GatewayGuarantee::RefusalTimesAreKept, "a VM sends at most two requests in the time that a refusal names" },
         EnumName {
             GatewayGuarantee::Recovers, "after the faults every VM serves and every runner has the new weights" },
     };
--- a/Source/UnitTests/PlatformSoak/SoakCaller.cpp
+++ b/Source/UnitTests/PlatformSoak/SoakCaller.cpp
@@ -68,7 +68,7 @@
         if (isCrashing) {
             m_crashingPart.recordSent(id, gateway);
         }
-        m_ledger.recordSent(id, row.kind, row.isResumable, request.body, key);
+        m_ledger.recordSent(id, row.kind, row.isResumable, request.body, key, m_gateways[gateway].process());
         const auto response = co_await send(gateway, std::move(request));
         check(id, row.kind, gateway, response);
         if (row.kind == RequestKind::Streaming && !isCrashing && response.isSent) {
