Record long times, sizes and outstanding requests as evidence

The time bins ended at 0.3 s, so streams of one second and of eight looked alike. Times per computed token differ between prompts that are mostly cached and others, which makes a new version with an empty cache look slow. A version that does not answer gave no evidence until its requests timed out.

--- a/Source/Core/Moves/MoveTable.cpp
+++ b/Source/Core/Moves/MoveTable.cpp
@@ -14,9 +14,6 @@
     // A crashed engine breaks all of its streams; only one of them counts as a failure of the version.
     constexpr std::chrono::seconds lossWindow { 10 };
 
-    // Fixed cost of a first token, expressed in prompt tokens, so that short prompts do not look slow.
-    constexpr std::uint32_t fixedWorkTokens = 256;
-
     EventKind eventOf(MoveState state)
     {
         switch (state) {
@@ -31,17 +28,9 @@
         }
     }
 
-    void addOutcome(RouteEvidence& evidence, const VersionOutcome& outcome)
+    AnswerOutcome answerOf(const VersionOutcome& outcome)
     {
-        ++evidence.requests;
-        if (!outcome.isComplete) {
-            ++evidence.failures;
-            return;
-        }
-        evidence.firstTokenPerWork.add(outcome.firstToken / (outcome.computedTokens + fixedWorkTokens));
-        if (outcome.betweenTokens.count() > 0) {
-            evidence.timeBetweenTokens.add(outcome.betweenTokens);
-        }
+        return { outcome.isComplete, outcome.firstToken, outcome.betweenTokens, outcome.computedTokens };
     }
 
 } // namespace
@@ -97,9 +86,9 @@
         return;
     }
     if (outcome.version == record.from) {
-        addOutcome(entry.own.oldVersion[outcome.route], outcome);
+        entry.own.oldVersion[outcome.route].add(answerOf(outcome));
     } else if (outcome.version == record.to) {
-        addOutcome(entry.own.newVersion[outcome.route], outcome);
+        entry.own.newVersion[outcome.route].add(answerOf(outcome));
         entry.isRejectedLocally = entry.isRejectedLocally || m_evaluator.evaluate(entry.own).fault != MoveReason::None;
     }
 }
