Judge a new version by slots of time and count requests at one age

The judgement of the total accepts a version that turns bad after many good answers, and rejects a good one when another fault falls into the time in which it has most of the traffic.

EvidenceHistory keeps the evidence of the fleet in slots of time. ChangePointTest compares both versions in each slot: the fault may begin in any slot, and a disturbance may hit both versions. A slow answer is one beyond a quantile of the old version's times for the same class. Requests count at an age of 0.5 s, answered or not, because the answers after a change of the share would otherwise be the slow ones of the version whose share fell; requests under full load are classes of their own for the same reason. FinishedRequests and addOutstanding do this on each VM and replace addLateRequests.

The ramp leaves 15% to the old version under full load as a control, and keeps 1.3 s of allowance for it.

--- a/Source/Core/Moves/ExposureRamp.cpp
+++ b/Source/Core/Moves/ExposureRamp.cpp
@@ -68,7 +68,8 @@
     }
     // The allowance and the time to the end shrink alike under full load, so it goes on until the end once begun.
     const double longest = secondsOf(part(m_settings.maxFullLoadPart, state.duration));
-    const double lasting = remainingAllowance(state) / std::max(1.0, state.requestsPerSecond);
+    const double lasting
+        = remainingAllowance(state) / std::max(1.0, m_settings.fullLoadShare * state.requestsPerSecond);
     return secondsOf(end - state.sinceOrder) <= std::min(longest, lasting) ? RampStage::FullLoad : RampStage::Canary;
 }
 
@@ -88,7 +89,7 @@
         return decision;
     }
     decision.stage = stageOf(state);
-    const double wanted = decision.stage == RampStage::FullLoad ? 1 : canaryShare(state);
+    const double wanted = decision.stage == RampStage::FullLoad ? m_settings.fullLoadShare : canaryShare(state);
     const double remaining = remainingAllowance(state);
     if (remaining < 1) {
         return decision;
--- a/Source/Core/Moves/ExposureRamp.h
+++ b/Source/Core/Moves/ExposureRamp.h
@@ -29,7 +29,7 @@
 enum class RampStage {
     /// A small share collects evidence.
     Canary,
-    /// The new version gets all requests for a short time, which shows faults that depend on load.
+    /// The new version gets most requests for a short time, which shows faults that depend on load.
     FullLoad,
     /// Small share again, until the last answers of the full load have been judged.
     Settling,
@@ -92,8 +92,10 @@
     /// Part of the time in which the share is at most initialShare: a version that fails at once then fails few.
     double initialPart = 0.2;
     double initialShare = 0.04;
+    /// Share under full load. The rest stays with the old version, so that a fault of both is told from one of the new.
+    double fullLoadShare = 0.85;
     /// Length of the full load that the canary leaves allowance for.
-    std::chrono::nanoseconds reservedFullLoad = std::chrono::milliseconds(800);
+    std::chrono::nanoseconds reservedFullLoad = std::chrono::milliseconds(1300);
     /// Largest part of the allowance that is left for the full load; the canary of a large service needs the rest.
     double maxReservedPart = 0.65;
     /// Longest full load, as a part of the time from the order to the time limit.
--- a/Source/Core/Moves/Queries/VersionEvaluator.h
+++ b/Source/Core/Moves/Queries/VersionEvaluator.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "Moves/EvidenceHistory.h"
 #include "Moves/MoveTypes.h"
 #include "Moves/VersionEvidence.h"
 
@@ -16,6 +17,8 @@
     std::string route;
     /// Figures behind the evaluation.
     std::string text;
+    /// How much more likely the evidence is with a faulty version than with a healthy one, where that is known.
+    double likelihoodRatio = 1;
 };
 
 /// Evaluates a new version by comparing its outcomes with those of the old version over the same period.
@@ -26,7 +29,11 @@
     VersionEvaluator& operator=(const VersionEvaluator&) = delete;
     virtual ~VersionEvaluator() = default;
 
+    /// Evaluates all evidence at once.
     virtual Evaluation evaluate(const MoveEvidence& evidence) const = 0;
+
+    /// Evaluates evidence over time, which also shows a version that turned bad after a good start.
+    virtual Evaluation evaluate(const EvidenceHistory& history) const { return evaluate(history.total()); }
 };
 
 /// Evaluates by sequential tests on each route: one on the failure rate, and one on each of the two times by their
@@ -35,9 +42,13 @@
 /// Each test statistic is a product of bets on single outcomes (a test martingale) that a healthy version is not
 /// expected to win, averaged over several bet sizes. For a healthy version the probability that it ever reaches R is at
 /// most 1/R (Ville's inequality), so it may be checked after every request and works from the first few requests on.
+///
+/// A history is evaluated by ChangePointTest on each route and on all routes together: on the part of failed answers,
+/// and on the parts of the two times that are longer than most of the old version's.
 class SequentialEvaluator final : public VersionEvaluator {
 public:
     Evaluation evaluate(const MoveEvidence& evidence) const override;
+    Evaluation evaluate(const EvidenceHistory& history) const override;
 };
 
 namespace detail {
--- a/Source/Core/Moves/VersionEvidence.cpp
+++ b/Source/Core/Moves/VersionEvidence.cpp
@@ -18,20 +18,13 @@
     constexpr std::uint32_t fixedWorkTokens = 256;
 
     constexpr char classSeparator = '#';
-    constexpr double lateQuantile = 0.95;
-    constexpr std::uint32_t minLateSamples = 20;
+    constexpr char fullLoadMark = '+';
 
     std::chrono::nanoseconds perWork(std::chrono::nanoseconds firstToken, std::uint32_t computedTokens)
     {
         return firstToken / (computedTokens + fixedWorkTokens);
     }
 
-    bool isLate(std::chrono::nanoseconds time, const TimeDistribution& reference)
-    {
-        return reference.total() >= minLateSamples
-            && TimeDistribution::binOf(time) > reference.binOfQuantile(lateQuantile);
-    }
-
 } // namespace
 
 std::size_t TimeDistribution::binOf(std::chrono::nanoseconds sample)
@@ -97,6 +90,11 @@
         ++failures;
         return;
     }
+    addTimes(outcome);
+}
+
+void RouteEvidence::addTimes(const AnswerOutcome& outcome)
+{
     firstTokenPerWork.add(perWork(outcome.firstToken, outcome.computedTokens));
     if (outcome.betweenTokens.count() > 0) {
         timeBetweenTokens.add(outcome.betweenTokens);
@@ -128,34 +126,75 @@
         [](std::uint32_t n, const auto& it) { return n + it.second.requests; });
 }
 
-std::string evidenceClass(std::string_view route, std::uint32_t computedTokens)
+std::string sizeClassOf(std::uint32_t computedTokens)
 {
-    // Up to 255 tokens, and each class four times as large as the one below, up to 16,384 and more.
-    const auto size = std::bit_width(std::min(computedTokens / fixedWorkTokens, 64U));
-    return std::string(route) + classSeparator + std::to_string((size + 1) / 2);
+    // The smallest class holds up to 255 tokens, the largest 16,384 and more.
+    const auto width = std::bit_width(std::min(computedTokens / fixedWorkTokens, 64U));
+    return std::to_string((width + 1) / 2);
 }
 
-std::string_view routeOfClass(std::string_view key) { return key.substr(0, key.rfind(classSeparator)); }
+std::string encodeEvidenceClass(const EvidenceClass& evidenceClass)
+{
+    std::string key = evidenceClass.route + classSeparator + evidenceClass.size;
+    if (evidenceClass.isFullLoad) {
+        key += fullLoadMark;
+    }
+    return key;
+}
 
-void addLateRequests(
-    MoveEvidence& report, const MoveEvidence& reference, std::span<const OutstandingRequest> outstanding)
+EvidenceClass decodeEvidenceClass(std::string_view key)
 {
-    for (const auto& it : outstanding) {
-        const auto baseline = reference.oldVersion.find(it.evidenceKey);
-        if (baseline == reference.oldVersion.end()) {
-            continue;
+    const auto end = key.rfind(classSeparator);
+    if (end == std::string_view::npos) {
+        return { std::string(key), {}, false };
+    }
+    auto size = key.substr(end + 1);
+    const bool isFullLoad = size.ends_with(fullLoadMark);
+    if (isFullLoad) {
+        size.remove_suffix(1);
+    }
+    return { std::string(key.substr(0, end)), std::string(size), isFullLoad };
+}
+
+namespace {
+
+    /// Leaves out the time between tokens where none could be seen at the judging age: known only later, it would count
+    /// beside requests of another time.
+    AnswerOutcome atJudgingAge(AnswerOutcome outcome)
+    {
+        if (outcome.firstToken >= judgingAge) {
+            outcome.betweenTokens = std::chrono::nanoseconds(0);
         }
-        const auto firstToken = perWork(it.firstToken, it.computedTokens);
-        const bool isFirstTokenLate = isLate(firstToken, baseline->second.firstTokenPerWork);
-        const bool isTokenLate
-            = it.betweenTokens.count() > 0 && isLate(it.betweenTokens, baseline->second.timeBetweenTokens);
-        if (!isFirstTokenLate && !isTokenLate) {
-            continue;
+        return outcome;
+    }
+
+} // namespace
+
+void addOutstanding(MoveEvidence& report, std::span<const OutstandingRequest> outstanding)
+{
+    for (const auto& it : outstanding) {
+        if (it.age >= judgingAge) {
+            auto& evidence = (it.isNewVersion ? report.newVersion : report.oldVersion)[it.evidenceKey];
+            evidence.addTimes(atJudgingAge({ true, it.firstToken, it.betweenTokens, it.computedTokens }));
         }
-        auto& evidence = (it.isNewVersion ? report.newVersion : report.oldVersion)[it.evidenceKey];
-        evidence.add(AnswerOutcome {
-            true, it.firstToken, isTokenLate ? it.betweenTokens : std::chrono::nanoseconds(0), it.computedTokens });
     }
 }
 
+void FinishedRequests::add(
+    MonotonicTime sentAt, std::string evidenceKey, bool isNewVersion, const AnswerOutcome& outcome)
+{
+    m_requests.push_back({ sentAt, std::move(evidenceKey), isNewVersion, outcome });
+}
+
+void FinishedRequests::moveTo(MoveEvidence& evidence, MonotonicTime now)
+{
+    std::erase_if(m_requests, [&](const Request& it) {
+        if (now - it.sentAt < judgingAge) {
+            return false;
+        }
+        (it.isNewVersion ? evidence.newVersion : evidence.oldVersion)[it.evidenceKey].add(atJudgingAge(it.outcome));
+        return true;
+    });
+}
+
 } // namespace Pollenwind
--- a/Source/Core/Moves/VersionEvidence.h
+++ b/Source/Core/Moves/VersionEvidence.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "Common/Clock.h"
 #include "Common/Ids.h"
 
 #include <array>
@@ -9,6 +10,7 @@
 #include <span>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace Pollenwind {
 
@@ -62,6 +64,8 @@
 
     void add(const RouteEvidence& other);
     void add(const AnswerOutcome& outcome);
+    /// Adds the times of an answer that is not counted as a request.
+    void addTimes(const AnswerOutcome& outcome);
 };
 
 /// Outcomes of the old and the new version of one move, by route or class.
@@ -75,33 +79,71 @@
     std::uint32_t requests() const;
 };
 
-/// Key of the requests of one route that are alike in size. The times of a class are compared with each other only,
-/// since a prompt that is mostly cached has another time per computed token than one that is not.
-/// @param route Name of the route.
+/// Requests of one route that are alike, which are compared with each other only: a prompt that is mostly cached has
+/// another time per computed token than one that is not. Requests under full load are kept apart, since most answers
+/// that end just after it are the slow ones of the version that had the load.
+struct EvidenceClass {
+    std::string route;
+    /// Size class of the request, see sizeClassOf().
+    std::string size;
+    /// True when the new version got most requests at the time at which the request was sent.
+    bool isFullLoad = false;
+};
+
 /// @param computedTokens Prompt tokens that were not cached, or another measure of the size.
-/// @return The route and its size class, for example "chat#2".
-std::string evidenceClass(std::string_view route, std::uint32_t computedTokens);
+/// @return A number in decimal; each class is four times as large as the one below.
+std::string sizeClassOf(std::uint32_t computedTokens);
+
+/// Key of a class in MoveEvidence, for example "chat#2" or "chat#2+" under full load.
+std::string encodeEvidenceClass(const EvidenceClass& evidenceClass);
 
-/// Route of a key of MoveEvidence, which is a route or a class of it.
-std::string_view routeOfClass(std::string_view key);
+/// @param key Key in MoveEvidence; a route without a class has an empty size.
+EvidenceClass decodeEvidenceClass(std::string_view key);
+
+/// Age at which a request counts as evidence, whether it is answered or not. Answers of both versions that count in one
+/// slot of time were then sent in one slot too. Counted when they end, the answers after a change of the share would be
+/// the slow ones of the version whose share fell.
+constexpr std::chrono::milliseconds judgingAge { 500 };
 
 /// A request that has not been answered completely.
 struct OutstandingRequest {
     /// Key of its route or class in MoveEvidence.
     std::string evidenceKey;
     bool isNewVersion = false;
-    /// Time to its first token, or the time since it was sent while there is none.
+    /// Time since it was sent.
+    std::chrono::nanoseconds age { 0 };
+    /// Time to its first token, or its age while there is none.
     std::chrono::nanoseconds firstToken { 0 };
-    /// Longest time between its tokens so far; 0 while there is only one.
+    /// Time between its tokens so far; 0 while there is only one.
     std::chrono::nanoseconds betweenTokens { 0 };
     std::uint32_t computedTokens = 0;
 };
 
-/// Adds the outstanding requests that are already slower than the old version's 95th percentile, as if they were
-/// answered now. Without them a version that does not answer would give no evidence.
-/// @param report Evidence of complete requests; a copy that is made for a report.
-/// @param reference Evidence with the old version's times.
-void addLateRequests(
-    MoveEvidence& report, const MoveEvidence& reference, std::span<const OutstandingRequest> outstanding);
+/// Adds the times of outstanding requests that have reached the judging age, as if they were answered now: a request
+/// without a first token is slow once it is older than most answers of the old version. Without them a version that
+/// does not answer would give no evidence.
+/// @param report Evidence of finished requests; a copy that is made for a report.
+void addOutstanding(MoveEvidence& report, std::span<const OutstandingRequest> outstanding);
+
+/// Holds finished requests until they have reached the judging age.
+class FinishedRequests {
+public:
+    /// @param sentAt Time at which the request was sent.
+    /// @param evidenceKey Key of its route or class in MoveEvidence.
+    void add(MonotonicTime sentAt, std::string evidenceKey, bool isNewVersion, const AnswerOutcome& outcome);
+
+    /// Moves the requests that have reached the judging age to the evidence.
+    void moveTo(MoveEvidence& evidence, MonotonicTime now);
+
+private:
+    struct Request {
+        MonotonicTime sentAt { 0 };
+        std::string evidenceKey;
+        bool isNewVersion = false;
+        AnswerOutcome outcome;
+    };
+
+    std::vector<Request> m_requests;
+};
 
 } // namespace Pollenwind
--- a/Source/UnitTests/Moves/VersionEvidenceTests.cpp
+++ b/Source/UnitTests/Moves/VersionEvidenceTests.cpp
@@ -9,19 +9,7 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-MoveEvidence makeReference(milliseconds firstToken, milliseconds betweenTokens)
-{
-    MoveEvidence evidence;
-    for (int i = 0; i < 100; ++i) {
-        evidence.oldVersion["chat#0"].add(AnswerOutcome { true, firstToken, betweenTokens, 0 });
-    }
-    return evidence;
-}
-
-OutstandingRequest makeOutstanding(milliseconds firstToken, milliseconds betweenTokens)
-{
-    return { "chat#0", true, firstToken, betweenTokens, 0 };
-}
+OutstandingRequest makeOutstanding(milliseconds age) { return { "chat#0", true, age, age, milliseconds(0), 0 }; }
 
 } // namespace
 
@@ -49,47 +37,62 @@
     cr_assert_eq(TimeDistribution().binOfQuantile(0.95), 0);
 }
 
-// Guards against comparing short prompts with long ones, and against losing the route of a class.
-Test(EvidenceClass, separatesSizesAndKeepsTheRoute)
+// Guards against comparing short prompts with long ones.
+Test(EvidenceClass, separatesSizes)
+{
+    cr_assert_eq(sizeClassOf(0), "0");
+    cr_assert_eq(sizeClassOf(255), "0");
+    cr_assert_eq(sizeClassOf(256), "1");
+    cr_assert_neq(sizeClassOf(6000), sizeClassOf(1000));
+    cr_assert_eq(sizeClassOf(4'000'000'000), sizeClassOf(20'000));
+}
+
+// Guards against losing the route of a class, or a key of a router that records routes only.
+Test(EvidenceClass, keepsTheRouteInItsKey)
 {
-    cr_assert_eq(evidenceClass("chat", 10), "chat#0");
-    cr_assert_eq(evidenceClass("chat", 255), evidenceClass("chat", 0));
-    cr_assert_neq(evidenceClass("chat", 256), evidenceClass("chat", 255));
-    cr_assert_neq(evidenceClass("chat", 6000), evidenceClass("chat", 1000));
-    cr_assert_eq(evidenceClass("chat", 4'000'000'000), evidenceClass("chat", 20'000));
-    cr_assert(routeOfClass(evidenceClass("a#b", 5000)) == "a#b");
-    cr_assert(routeOfClass("chat") == "chat");
+    const auto decoded = decodeEvidenceClass(encodeEvidenceClass({ "a#b", "2", true }));
+    cr_assert_eq(decoded.route, "a#b");
+    cr_assert_eq(decoded.size, "2");
+    cr_assert(decoded.isFullLoad);
+    cr_assert_not(decodeEvidenceClass("chat#0").isFullLoad);
+    cr_assert_eq(decodeEvidenceClass("chat").route, "chat");
+    cr_assert(decodeEvidenceClass("chat").size.empty());
 }
 
 // Guards against a version that gives no evidence since it does not answer.
-Test(LateRequests, countsARequestThatIsSlowBeforeItIsAnswered)
+Test(OutstandingRequests, countWithTheirAgeBeforeTheyAreAnswered)
 {
-    const auto reference = makeReference(milliseconds(100), milliseconds(10));
     MoveEvidence report;
-    const std::array young { makeOutstanding(milliseconds(90), milliseconds(0)) };
-    addLateRequests(report, reference, young);
-    cr_assert_eq(report.newRequests(), 0);
-    const std::array old { makeOutstanding(milliseconds(800), milliseconds(0)) };
-    addLateRequests(report, reference, old);
-    cr_assert_eq(report.newVersion.at("chat#0").requests, 1);
-    cr_assert_eq(report.newVersion.at("chat#0").failures, 0);
+    const std::array outstanding { makeOutstanding(milliseconds(400)), makeOutstanding(milliseconds(800)) };
+    addOutstanding(report, outstanding);
+    const auto& evidence = report.newVersion.at("chat#0");
+    cr_assert_eq(evidence.requests, 0);
+    cr_assert_eq(evidence.firstTokenPerWork.total(), 1);
+    cr_assert_eq(evidence.firstTokenPerWork.binOfQuantile(1), TimeDistribution::binOf(milliseconds(800) / 256));
 }
 
 // Guards against a stream that stops after its first token and is judged only when it ends.
-Test(LateRequests, countsAStreamThatPausesTooLong)
+Test(OutstandingRequests, countTheirPauses)
 {
-    const auto reference = makeReference(milliseconds(100), milliseconds(10));
     MoveEvidence report;
-    const std::array outstanding { makeOutstanding(milliseconds(90), milliseconds(80)) };
-    addLateRequests(report, reference, outstanding);
+    auto request = makeOutstanding(milliseconds(800));
+    request.firstToken = milliseconds(90);
+    request.betweenTokens = milliseconds(710);
+    addOutstanding(report, std::array { request });
     cr_assert_eq(report.newVersion.at("chat#0").timeBetweenTokens.total(), 1);
 }
 
-// Guards against calling a request late that cannot be compared.
-Test(LateRequests, needsTimesOfTheOldVersion)
+// Guards against quick answers that count before the slow ones that were sent with them.
+Test(FinishedRequests, countAtTheJudgingAge)
 {
-    MoveEvidence report;
-    const std::array outstanding { makeOutstanding(seconds(9), milliseconds(0)) };
-    addLateRequests(report, {}, outstanding);
-    cr_assert_eq(report.newRequests(), 0);
+    FinishedRequests finished;
+    finished.add(seconds(10), "chat#0", true, { true, milliseconds(5), {}, 0 });
+    finished.add(seconds(10), "chat#0", false, { false, {}, {}, 0 });
+    MoveEvidence evidence;
+    finished.moveTo(evidence, seconds(10) + judgingAge - milliseconds(1));
+    cr_assert_eq(evidence.requests(), 0);
+    finished.moveTo(evidence, seconds(10) + judgingAge);
+    finished.moveTo(evidence, seconds(20));
+    cr_assert_eq(evidence.newVersion.at("chat#0").requests, 1);
+    cr_assert_eq(evidence.oldVersion.at("chat#0").failures, 1);
 }
