Log how far a failed attempt got and the parts of its prompt

Cause: the log did not tell which of the requests that lost their runner crash it.

Change: AttemptPhase (not sent, sent, head received, answering) replaces a flag of the dispatcher; the lines placed and repeated name the parts of the prompt that may be shared, and repeated the phase. No change of decisions.

--- a/Source/Core/Gateway/ForwardDispatcher.cpp
+++ b/Source/Core/Gateway/ForwardDispatcher.cpp
@@ -35,6 +35,9 @@
 
     constexpr unsigned lowestPriority = 9;
 
+    // Parts of a prompt in one log line.
+    constexpr std::size_t maxNamedParts = 8;
+
     RetryKind retryKindOf(const RouteRule& route)
     {
         switch (route.kind) {
@@ -48,6 +51,16 @@
         return RetryKind::NonIdempotentCall;
     }
 
+    /// Ids of the parts that the request may share with others, as its caller writes them.
+    std::string nameParts(const ForwardRequest& request)
+    {
+        std::string names;
+        for (std::size_t n = 0; n + 1 < request.parts.size() && n < maxNamedParts; ++n) {
+            names += (n > 0 ? "," : "") + partName(request.parts[n].id);
+        }
+        return names;
+    }
+
 } // namespace
 
 /// State of one request over all its attempts.
@@ -71,8 +84,8 @@
     unsigned sends = 0;
     /// The head of a streamed response was sent to the caller.
     bool isBegun = false;
-    /// The current attempt has produced output.
-    bool hadOutput = false;
+    /// How far the current attempt got.
+    AttemptPhase phase = AttemptPhase::NotSent;
     RunState runState = RunState::NotRun;
     /// Id of the last event that was sent to the caller.
     std::optional<std::uint64_t> lastEventId;
@@ -167,7 +180,8 @@
         }
         m_context.log.record(RequestEvent::Repeated, request.id,
             { { "runner", choice->id.value() }, { "cause", result.error().message },
-                { "run", std::string(nameOf(delivery.runState)) }, { "sends", std::to_string(delivery.sends) } });
+                { "run", std::string(nameOf(delivery.runState)) }, { "sends", std::to_string(delivery.sends) },
+                { "phase", std::string(nameOf(delivery.phase)) }, { "parts", nameParts(request) } });
         if (!mayRepeat(request, result.error(), delivery)) {
             if (delivery.failure) {
                 co_return co_await sink.answer(delivery.failure->first, std::move(delivery.failure->second));
@@ -221,7 +235,7 @@
 {
     delivery.runner = choice;
     delivery.tried.insert(choice.id);
-    delivery.hadOutput = false;
+    delivery.phase = AttemptPhase::NotSent;
     ++delivery.sends;
     const auto& route = *delivery.route;
     checkInvariant(delivery.runs == 0 || retryKindOf(route) != RetryKind::NonIdempotentCall,
@@ -237,7 +251,7 @@
             { "weights", std::to_string(choice.weights) },
             { "copied_from", choice.cacheSource ? choice.cacheSource->toString() : "" },
             { "computed_tokens", std::to_string(static_cast<long>(choice.computedTokens)) },
-            { "left_ms", std::to_string(terms.timeout.count()) },
+            { "parts", nameParts(request) }, { "left_ms", std::to_string(terms.timeout.count()) },
             { "knowledge_age_ms",
                 std::to_string(
                     std::chrono::duration_cast<std::chrono::milliseconds>(m_context.freshness.age()).count()) } });
@@ -254,6 +268,11 @@
         limit = std::min<std::chrono::nanoseconds>(limit, route.objective * firstEventTimeoutFactor);
     }
     auto head = co_await exchange->begin(limit);
+    if (head) {
+        delivery.phase = AttemptPhase::HeadReceived;
+    } else if (head.error().code != ErrorCode::ConnectFailed) {
+        delivery.phase = AttemptPhase::Sent;
+    }
     Outcome<void> result;
     if (!head) {
         result = std::unexpected(head.error());
@@ -350,7 +369,7 @@
             }
             delivery.isBegun = true;
         }
-        if (!std::exchange(delivery.hadOutput, true)) {
+        if (std::exchange(delivery.phase, AttemptPhase::Answering) != AttemptPhase::Answering) {
             recordFirstOutput(request, delivery);
         }
         if (auto written = co_await sink.write(complete); !written) {
@@ -417,7 +436,8 @@
         }
         m_context.metrics.count(Counter::UpstreamFailures);
     }
-    m_context.runnerCommands.recordEnded(choice.id, delivery.hadOutput ? 0 : choice.computedTokens, outcome);
+    m_context.runnerCommands.recordEnded(
+        choice.id, delivery.phase == AttemptPhase::Answering ? 0 : choice.computedTokens, outcome);
 }
 
 } // namespace Pollenwind
--- a/Source/Core/Gateway/ForwardTypes.h
+++ b/Source/Core/Gateway/ForwardTypes.h
@@ -7,6 +7,8 @@
 #include "Gateway/RunnerTypes.h"
 #include "Transport/HttpTypes.h"
 
+#include <array>
+#include <charconv>
 #include <chrono>
 #include <cstdint>
 #include <optional>
@@ -21,6 +23,14 @@
     std::uint32_t tokens = 0;
 };
 
+/// Id of a part as callers write it: in hexadecimal.
+inline std::string partName(std::uint64_t id)
+{
+    std::array<char, 16> text {};
+    const auto result = std::to_chars(text.begin(), text.end(), id, 16);
+    return { text.begin(), result.ptr };
+}
+
 /// Size of a generation in tokens, as its caller declares it.
 struct TokenCount {
     std::uint32_t prompt = 0;
@@ -64,6 +74,27 @@
     std::optional<std::uint64_t> lastEventId;
 };
 
+/// How far an attempt at a runner got.
+enum class AttemptPhase {
+    /// No connection was made, so the runner has not received the request.
+    NotSent,
+    /// The request was sent; no response has arrived.
+    Sent,
+    /// The head of the response has arrived, but no complete event and no complete body.
+    HeadReceived,
+    /// A complete event or the complete body has arrived.
+    Answering,
+};
+
+template <> struct EnumTable<AttemptPhase> {
+    static constexpr std::array rows {
+        EnumName { AttemptPhase::NotSent, "not-sent" },
+        EnumName { AttemptPhase::Sent, "sent" },
+        EnumName { AttemptPhase::HeadReceived, "head-received" },
+        EnumName { AttemptPhase::Answering, "answering" },
+    };
+};
+
 /// Kind of a runner's response, as its head shows it.
 enum class ReplyKind {
     /// The response of the runner to the request, with any status.
