Quarantine parts of prompts that crash runners

Cause: each failed request was judged alone. A crash only counted against its runner, so the next request with the part went to another one, and each VM saw few of the crashes.

Change: CrashDetector counts a loss only if the runner ended (connection refused, or another incarnation). PartQuarantine counts crashes by part over the fleet, prefers parts without a known answer, and refuses requests with the part after three crashes, before their tokens are taken and before each attempt. An answer clears a part everywhere; trials at one VM after 20, 60 and 180 s allow it. Reports carry evidence, answers and parts; QuarantineRecords keeps the parts in the store for VMs that start. A request that lost two runners, or one with a part from an earlier crash, is not repeated. Taking tokens is split from admission.

--- a/Source/Core/Gateway/FleetMessages_generated.h
+++ b/Source/Core/Gateway/FleetMessages_generated.h
@@ -26,6 +26,12 @@
 
 struct LoadedWeights;
 
+struct CrashEvidence;
+
+struct PartAnswer;
+
+struct QuarantinedPart;
+
 struct FleetReport;
 struct FleetReportBuilder;
 
@@ -162,6 +168,121 @@
 };
 FLATBUFFERS_STRUCT_END(LoadedWeights, 24);
 
+FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(8) CrashEvidence FLATBUFFERS_FINAL_CLASS {
+ private:
+  uint64_t part_;
+  uint64_t crash_;
+  uint32_t age_ms_;
+  int32_t padding0__;
+
+ public:
+  CrashEvidence()
+      : part_(0),
+        crash_(0),
+        age_ms_(0),
+        padding0__(0) {
+    (void)padding0__;
+  }
+  CrashEvidence(uint64_t _part, uint64_t _crash, uint32_t _age_ms)
+      : part_(flatbuffers::EndianScalar(_part)),
+        crash_(flatbuffers::EndianScalar(_crash)),
+        age_ms_(flatbuffers::EndianScalar(_age_ms)),
+        padding0__(0) {
+    (void)padding0__;
+  }
+  uint64_t part() const {
+    return flatbuffers::EndianScalar(part_);
+  }
+  uint64_t crash() const {
+    return flatbuffers::EndianScalar(crash_);
+  }
+  uint32_t age_ms() const {
+    return flatbuffers::EndianScalar(age_ms_);
+  }
+};
+FLATBUFFERS_STRUCT_END(CrashEvidence, 24);
+
+FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(8) PartAnswer FLATBUFFERS_FINAL_CLASS {
+ private:
+  uint64_t part_;
+  uint32_t age_ms_;
+  int32_t padding0__;
+
+ public:
+  PartAnswer()
+      : part_(0),
+        age_ms_(0),
+        padding0__(0) {
+    (void)padding0__;
+  }
+  PartAnswer(uint64_t _part, uint32_t _age_ms)
+      : part_(flatbuffers::EndianScalar(_part)),
+        age_ms_(flatbuffers::EndianScalar(_age_ms)),
+        padding0__(0) {
+    (void)padding0__;
+  }
+  uint64_t part() const {
+    return flatbuffers::EndianScalar(part_);
+  }
+  uint32_t age_ms() const {
+    return flatbuffers::EndianScalar(age_ms_);
+  }
+};
+FLATBUFFERS_STRUCT_END(PartAnswer, 16);
+
+FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(8) QuarantinedPart FLATBUFFERS_FINAL_CLASS {
+ private:
+  uint64_t part_;
+  uint32_t crashes_;
+  uint32_t trials_;
+  uint32_t age_ms_;
+  uint32_t evidence_age_ms_;
+  uint32_t idle_ms_;
+  uint32_t until_trial_ms_;
+
+ public:
+  QuarantinedPart()
+      : part_(0),
+        crashes_(0),
+        trials_(0),
+        age_ms_(0),
+        evidence_age_ms_(0),
+        idle_ms_(0),
+        until_trial_ms_(0) {
+  }
+  QuarantinedPart(uint64_t _part, uint32_t _crashes, uint32_t _trials, uint32_t _age_ms, uint32_t _evidence_age_ms, uint32_t _idle_ms, uint32_t _until_trial_ms)
+      : part_(flatbuffers::EndianScalar(_part)),
+        crashes_(flatbuffers::EndianScalar(_crashes)),
+        trials_(flatbuffers::EndianScalar(_trials)),
+        age_ms_(flatbuffers::EndianScalar(_age_ms)),
+        evidence_age_ms_(flatbuffers::EndianScalar(_evidence_age_ms)),
+        idle_ms_(flatbuffers::EndianScalar(_idle_ms)),
+        until_trial_ms_(flatbuffers::EndianScalar(_until_trial_ms)) {
+  }
+  uint64_t part() const {
+    return flatbuffers::EndianScalar(part_);
+  }
+  uint32_t crashes() const {
+    return flatbuffers::EndianScalar(crashes_);
+  }
+  uint32_t trials() const {
+    return flatbuffers::EndianScalar(trials_);
+  }
+  uint32_t age_ms() const {
+    return flatbuffers::EndianScalar(age_ms_);
+  }
+  uint32_t evidence_age_ms() const {
+    return flatbuffers::EndianScalar(evidence_age_ms_);
+  }
+  uint32_t idle_ms() const {
+    return flatbuffers::EndianScalar(idle_ms_);
+  }
+  uint32_t until_trial_ms() const {
+    return flatbuffers::EndianScalar(until_trial_ms_);
+  }
+};
+FLATBUFFERS_STRUCT_END(QuarantinedPart, 32);
+
 struct FleetReport FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef FleetReportBuilder Builder;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
@@ -179,7 +300,10 @@
     VT_REPLACED = 26,
     VT_DEBTS = 28,
     VT_PASS_ON = 30,
-    VT_UPTIME_MS = 32
+    VT_UPTIME_MS = 32,
+    VT_CRASH_EVIDENCE = 34,
+    VT_PART_ANSWERS = 36,
+    VT_QUARANTINED = 38
   };
   const flatbuffers::String *vm() const {
     return GetPointer<const flatbuffers::String *>(VT_VM);
@@ -226,6 +350,15 @@
   uint64_t uptime_ms() const {
     return GetField<uint64_t>(VT_UPTIME_MS, 0);
   }
+  const flatbuffers::Vector<const Pollenwind::wire::CrashEvidence *> *crash_evidence() const {
+    return GetPointer<const flatbuffers::Vector<const Pollenwind::wire::CrashEvidence *> *>(VT_CRASH_EVIDENCE);
+  }
+  const flatbuffers::Vector<const Pollenwind::wire::PartAnswer *> *part_answers() const {
+    return GetPointer<const flatbuffers::Vector<const Pollenwind::wire::PartAnswer *> *>(VT_PART_ANSWERS);
+  }
+  const flatbuffers::Vector<const Pollenwind::wire::QuarantinedPart *> *quarantined() const {
+    return GetPointer<const flatbuffers::Vector<const Pollenwind::wire::QuarantinedPart *> *>(VT_QUARANTINED);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_VM) &&
@@ -253,6 +386,12 @@
            verifier.VerifyVector(debts()) &&
            VerifyField<uint8_t>(verifier, VT_PASS_ON, 1) &&
            VerifyField<uint64_t>(verifier, VT_UPTIME_MS, 8) &&
+           VerifyOffset(verifier, VT_CRASH_EVIDENCE) &&
+           verifier.VerifyVector(crash_evidence()) &&
+           VerifyOffset(verifier, VT_PART_ANSWERS) &&
+           verifier.VerifyVector(part_answers()) &&
+           VerifyOffset(verifier, VT_QUARANTINED) &&
+           verifier.VerifyVector(quarantined()) &&
            verifier.EndTable();
   }
 };
@@ -306,6 +445,15 @@
   void add_uptime_ms(uint64_t uptime_ms) {
     fbb_.AddElement<uint64_t>(FleetReport::VT_UPTIME_MS, uptime_ms, 0);
   }
+  void add_crash_evidence(flatbuffers::Offset<flatbuffers::Vector<const Pollenwind::wire::CrashEvidence *>> crash_evidence) {
+    fbb_.AddOffset(FleetReport::VT_CRASH_EVIDENCE, crash_evidence);
+  }
+  void add_part_answers(flatbuffers::Offset<flatbuffers::Vector<const Pollenwind::wire::PartAnswer *>> part_answers) {
+    fbb_.AddOffset(FleetReport::VT_PART_ANSWERS, part_answers);
+  }
+  void add_quarantined(flatbuffers::Offset<flatbuffers::Vector<const Pollenwind::wire::QuarantinedPart *>> quarantined) {
+    fbb_.AddOffset(FleetReport::VT_QUARANTINED, quarantined);
+  }
   explicit FleetReportBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -333,11 +481,17 @@
     flatbuffers::Offset<flatbuffers::Vector<uint64_t>> replaced = 0,
     flatbuffers::Offset<flatbuffers::Vector<const Pollenwind::wire::OrganisationUsage *>> debts = 0,
     bool pass_on = false,
-    uint64_t uptime_ms = 0) {
+    uint64_t uptime_ms = 0,
+    flatbuffers::Offset<flatbuffers::Vector<const Pollenwind::wire::CrashEvidence *>> crash_evidence = 0,
+    flatbuffers::Offset<flatbuffers::Vector<const Pollenwind::wire::PartAnswer *>> part_answers = 0,
+    flatbuffers::Offset<flatbuffers::Vector<const Pollenwind::wire::QuarantinedPart *>> quarantined = 0) {
   FleetReportBuilder builder_(_fbb);
   builder_.add_uptime_ms(uptime_ms);
   builder_.add_sequence(sequence);
   builder_.add_boot(boot);
+  builder_.add_quarantined(quarantined);
+  builder_.add_part_answers(part_answers);
+  builder_.add_crash_evidence(crash_evidence);
   builder_.add_debts(debts);
   builder_.add_replaced(replaced);
   builder_.add_unreachable(unreachable);
@@ -369,7 +523,10 @@
     const std::vector<uint64_t> *replaced = nullptr,
     const std::vector<Pollenwind::wire::OrganisationUsage> *debts = nullptr,
     bool pass_on = false,
-    uint64_t uptime_ms = 0) {
+    uint64_t uptime_ms = 0,
+    const std::vector<Pollenwind::wire::CrashEvidence> *crash_evidence = nullptr,
+    const std::vector<Pollenwind::wire::PartAnswer> *part_answers = nullptr,
+    const std::vector<Pollenwind::wire::QuarantinedPart> *quarantined = nullptr) {
   auto vm__ = vm ? _fbb.CreateString(vm) : 0;
   auto usage__ = usage ? _fbb.CreateVectorOfStructs<Pollenwind::wire::OrganisationUsage>(*usage) : 0;
   auto work__ = work ? _fbb.CreateVectorOfStructs<Pollenwind::wire::RunnerWork>(*work) : 0;
@@ -380,6 +537,9 @@
   auto unreachable__ = unreachable ? _fbb.CreateVector<uint64_t>(*unreachable) : 0;
   auto replaced__ = replaced ? _fbb.CreateVector<uint64_t>(*replaced) : 0;
   auto debts__ = debts ? _fbb.CreateVectorOfStructs<Pollenwind::wire::OrganisationUsage>(*debts) : 0;
+  auto crash_evidence__ = crash_evidence ? _fbb.CreateVectorOfStructs<Pollenwind::wire::CrashEvidence>(*crash_evidence) : 0;
+  auto part_answers__ = part_answers ? _fbb.CreateVectorOfStructs<Pollenwind::wire::PartAnswer>(*part_answers) : 0;
+  auto quarantined__ = quarantined ? _fbb.CreateVectorOfStructs<Pollenwind::wire::QuarantinedPart>(*quarantined) : 0;
   return Pollenwind::wire::CreateFleetReport(
       _fbb,
       vm__,
@@ -396,7 +556,10 @@
       replaced__,
       debts__,
       pass_on,
-      uptime_ms);
+      uptime_ms,
+      crash_evidence__,
+      part_answers__,
+      quarantined__);
 }
 
 inline const Pollenwind::wire::FleetReport *GetFleetReport(const void *buf) {
--- a/Source/Core/Gateway/FleetReportCodec.cpp
+++ b/Source/Core/Gateway/FleetReportCodec.cpp
@@ -2,8 +2,69 @@
 
 #include "Gateway/FleetMessages_generated.h"
 
+#include <algorithm>
+#include <limits>
+#include <tuple>
+
 namespace Pollenwind::FleetReportCodec {
 
+namespace {
+
+    using Offsets = std::tuple<flatbuffers::Offset<flatbuffers::Vector<const wire::CrashEvidence*>>,
+        flatbuffers::Offset<flatbuffers::Vector<const wire::PartAnswer*>>,
+        flatbuffers::Offset<flatbuffers::Vector<const wire::QuarantinedPart*>>>;
+
+    std::uint32_t toWire(std::chrono::milliseconds time)
+    {
+        constexpr std::int64_t longest = std::numeric_limits<std::uint32_t>::max();
+        return static_cast<std::uint32_t>(std::clamp<std::int64_t>(time.count(), 0, longest));
+    }
+
+    Offsets encodeQuarantine(flatbuffers::FlatBufferBuilder& builder, const QuarantineReport& report)
+    {
+        std::vector<wire::CrashEvidence> evidence;
+        for (const auto& it : report.evidence) {
+            evidence.emplace_back(it.part, it.crash, toWire(it.age));
+        }
+        std::vector<wire::PartAnswer> answers;
+        for (const auto& it : report.answers) {
+            answers.emplace_back(it.part, toWire(it.age));
+        }
+        std::vector<wire::QuarantinedPart> parts;
+        for (const auto& it : report.parts) {
+            parts.emplace_back(it.part, it.crashes, it.trials, toWire(it.age), toWire(it.evidenceAge), toWire(it.idle),
+                toWire(it.untilTrial));
+        }
+        return { builder.CreateVectorOfStructs(evidence), builder.CreateVectorOfStructs(answers),
+            builder.CreateVectorOfStructs(parts) };
+    }
+
+    QuarantineReport decodeQuarantine(const wire::FleetReport& message)
+    {
+        using std::chrono::milliseconds;
+        QuarantineReport report;
+        if (message.crash_evidence()) {
+            for (const auto* it : *message.crash_evidence()) {
+                report.evidence.push_back({ it->part(), it->crash(), milliseconds(it->age_ms()) });
+            }
+        }
+        if (message.part_answers()) {
+            for (const auto* it : *message.part_answers()) {
+                report.answers.push_back({ it->part(), milliseconds(it->age_ms()) });
+            }
+        }
+        if (message.quarantined()) {
+            for (const auto* it : *message.quarantined()) {
+                report.parts.push_back({ it->part(), it->crashes(), it->trials(), milliseconds(it->age_ms()),
+                    milliseconds(it->evidence_age_ms()), milliseconds(it->idle_ms()),
+                    milliseconds(it->until_trial_ms()) });
+            }
+        }
+        return report;
+    }
+
+} // namespace
+
 std::string encode(const FleetReport& report)
 {
     flatbuffers::FlatBufferBuilder builder;
@@ -42,9 +103,11 @@
     const auto unreachableOffset = builder.CreateVector(report.failures.unreachable);
     const auto replacedOffset = builder.CreateVector(report.failures.replaced);
     const auto lowLevelsOffset = builder.CreateVectorOfStructs(lowLevels);
+    const auto [evidence, answers, parts] = encodeQuarantine(builder, report.quarantine);
     builder.Finish(wire::CreateFleetReport(builder, vm, report.incarnation.value(), report.sequence, usageOffset,
         workOffset, loadingOffset, cachedOffset, targetAgesOffset, report.members, loadedOffset, unreachableOffset,
-        replacedOffset, lowLevelsOffset, report.isForZone, static_cast<std::uint64_t>(report.uptime.count())));
+        replacedOffset, lowLevelsOffset, report.isForZone, static_cast<std::uint64_t>(report.uptime.count()), evidence,
+        answers, parts));
     return { reinterpret_cast<const char*>(builder.GetBufferPointer()), builder.GetSize() };
 }
 
@@ -105,6 +168,7 @@
             report.lowLevels[it->organisation()] = it->tokens();
         }
     }
+    report.quarantine = decodeQuarantine(*message);
     return report;
 }
 
--- a/Source/Core/Gateway/FleetReporter.cpp
+++ b/Source/Core/Gateway/FleetReporter.cpp
@@ -67,8 +67,10 @@
         FleetReport report { m_vm, m_incarnation, 0, m_context.quota.ownTotals(), m_context.runners.ownLoads(),
             m_context.weights.loading(), m_context.directory.takeUpdates(), m_context.runners.targetWeightsAges(), 0,
             m_context.weights.loaded(), m_context.runners.recentFailures(), m_context.quota.lowLevels() };
+        report.quarantine = m_context.quarantine.takeReport();
         const bool isChanged = report.usage != last.usage || report.loading != last.loading || report.work != last.work
-            || !report.cachedPrefixes.empty() || !report.loaded.empty() || !report.failures.isEmpty();
+            || !report.cachedPrefixes.empty() || !report.loaded.empty() || !report.failures.isEmpty()
+            || !report.quarantine.isEmpty();
         unchanged = isChanged ? 0 : unchanged + 1;
         if (!isChanged && unchanged % keepAliveTicks != 0) {
             continue;
@@ -84,6 +86,11 @@
             co_await sendToOtherZones(
                 { m_vm, m_incarnation, 0, {}, {}, report.loading, {}, report.targetAges, 0, report.loaded });
         }
+        if (report.quarantine.isNews) {
+            FleetReport news { m_vm, m_incarnation };
+            news.quarantine = report.quarantine;
+            co_await sendToOtherZones(std::move(news));
+        }
         isLoading = !report.loading.empty() || !report.loaded.empty();
         auto targetAges = report.targetAges;
         auto replaced = report.failures.replaced;
@@ -104,6 +111,7 @@
 Task<> FleetReporter::relayZone(std::vector<CachedPrefix> zoneUpdates, std::vector<TargetWeightsAge> targetAges,
     std::vector<std::uint64_t> replaced)
 {
+    auto answers = m_context.quarantine.takeZoneAnswers();
     m_zoneHistory.push_back(m_context.quota.zoneTotals());
     if (m_zoneHistory.size() > takeoverTicks) {
         m_zoneHistory.pop_front();
@@ -115,9 +123,11 @@
     // Receivers take the first sums of a relay as the starting point, so a new relay starts with those of the time when
     // the previous one stopped.
     const auto& usage = isNewRelay ? m_zoneHistory.front() : m_zoneHistory.back();
-    co_await sendToOtherZones({ FleetView::relayId(m_zone, m_vm), m_incarnation, 0, usage, {}, {},
-        std::move(zoneUpdates), std::move(targetAges),
-        static_cast<unsigned>(m_context.fleet.reachableOfOwnZone().size()), {}, { {}, std::move(replaced) } });
+    FleetReport sums { FleetView::relayId(m_zone, m_vm), m_incarnation, 0, usage, {}, {}, std::move(zoneUpdates),
+        std::move(targetAges), static_cast<unsigned>(m_context.fleet.reachableOfOwnZone().size()), {},
+        { {}, std::move(replaced) } };
+    sums.quarantine.answers = std::move(answers);
+    co_await sendToOtherZones(std::move(sums));
 }
 
 Task<> FleetReporter::sendToOtherZones(FleetReport report)
@@ -189,6 +199,7 @@
     }
     m_context.runnerCommands.recordLoadedWeights(report->loaded);
     m_context.runnerCommands.recordRemoteFailures(report->vm, report->failures);
+    m_context.quarantine.mergeReport(report->quarantine, isOfOwnZone);
     m_context.runnerCommands.setLoadingRunners(report->vm, std::move(report->loading));
 }
 
--- a/Source/Core/Gateway/FleetReporter.h
+++ b/Source/Core/Gateway/FleetReporter.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Gateway/CacheDirectory.h"
+#include "Gateway/Commands/QuarantineCommands.h"
 #include "Gateway/Commands/RunnerCommands.h"
 #include "Gateway/FleetQuota.h"
 #include "Gateway/FleetReportCodec.h"
@@ -26,11 +27,13 @@
     const WeightsDriver& weights;
     CacheDirectory& directory;
     MetricCommands& metrics;
+    QuarantineCommands& quarantine;
 };
 
 /// Exchanges reports with the other VMs over UDP: tokens taken, work at the runners, cached prefixes, loads of weights
-/// and failures of runners. Usage and work are sent as totals, so that the next report makes up for a lost one. Loads
-/// and failures are in several reports. A lost update of cached prefixes is repeated after half of their retention.
+/// and failures of runners, parts of prompts that crash them. Usage and work are sent as totals, so that the next
+/// report makes up for a lost one. Loads and failures are in several reports. A lost update of cached prefixes is
+/// repeated after half of their retention.
 ///
 /// In a small fleet each VM reports to all others. In a larger one a VM reports to its own zone, and one relay in each
 /// zone sends the sum of the zone's usage, its cached prefixes and replaced runners to the other zones. Reports for
--- a/Source/Core/Gateway/FleetView.cpp
+++ b/Source/Core/Gateway/FleetView.cpp
@@ -3,6 +3,8 @@
 #include "Common/JsonFields.h"
 #include "Timeline/Log.h"
 
+#include <xxhash.h>
+
 #include <algorithm>
 
 namespace Pollenwind {
@@ -170,6 +172,21 @@
     return count;
 }
 
+bool FleetView::isOwnTurn(std::uint64_t subject) const
+{
+    // Rendezvous hashing: the VM with the highest hash. VMs of other zones do not report in a large fleet.
+    const auto rank
+        = [subject](const VmId& vm) { return XXH3_64bits_withSeed(vm.value().data(), vm.value().size(), subject); };
+    const auto own = rank(m_ownVm);
+    const bool isLargeFleet = isLarge();
+    return std::ranges::none_of(m_vms, [&](const auto& it) {
+        const auto& [id, vm] = it;
+        const bool isCandidate = id != m_ownVm && vm.members == 0
+            && (isInContact(vm) || (isLargeFleet && vm.zone != m_ownZone && isCounted(vm)));
+        return isCandidate && rank(id) > own;
+    });
+}
+
 double FleetView::reachableShare() const
 {
     std::size_t reachable = 1;
--- a/Source/Core/Gateway/FleetView.h
+++ b/Source/Core/Gateway/FleetView.h
@@ -2,6 +2,7 @@
 
 #include "Common/Clock.h"
 #include "Common/Ids.h"
+#include "Gateway/Queries/TurnQueries.h"
 #include "Timeline/Commands/TimelineCommands.h"
 #include "Transport/Endpoint.h"
 
@@ -15,7 +16,7 @@
 namespace Pollenwind {
 
 /// The VMs of the fleet: their records in the store and the time of the last report from each.
-class FleetView {
+class FleetView final : public TurnQueries {
 public:
     /// Largest fleet in which each VM reports to all others.
     static constexpr std::size_t maxFullMeshSize = 16;
@@ -69,6 +70,7 @@
     double reachableShare() const;
     /// Share of the fleet that a VM's reports represent, from 0 to 1: its own or, for a relay, its zone's.
     double shareOf(const VmId& vm) const;
+    bool isOwnTurn(std::uint64_t subject) const override;
     /// VMs whose reports have stopped. Each is returned once, until it reports again.
     std::vector<VmId> takeSilent();
     /// Number of VMs in the fleet: those with a record, with a recent report or whose record ended recently.
--- a/Source/Core/Gateway/ForwardAdmission.cpp
+++ b/Source/Core/Gateway/ForwardAdmission.cpp
@@ -80,8 +80,7 @@
     if (admitted.route->shares.empty()) {
         return fail(ErrorCode::NoRoute, "the route leads to no service");
     }
-    const double spread = static_cast<double>(std::hash<std::string> {}(request.id.value()) % 10'000) / 10'000;
-    admitted.service = serviceOf(*admitted.route, spread);
+    admitted.service = serviceOf(*admitted.route, spreadOf(request));
     for (const auto& [id, service] : admitted.configuration->services) {
         if (service.cacheStore) {
             admitted.stores.push_back(*service.cacheStore);
@@ -89,30 +88,32 @@
     }
     const auto* organisation = admitted.organisation;
     admitted.cacheSalt = organisation && organisation->isIsolated ? organisation->id.value() : std::string();
-    const auto sendAt = takeTokens(request, admitted, spread);
-    if (!sendAt) {
-        return std::unexpected(sendAt.error());
-    }
-    admitted.sendAt = *sendAt;
     return admitted;
 }
 
-Outcome<MonotonicTime> ForwardAdmission::takeTokens(
-    const ForwardRequest& request, const AdmittedRequest& admitted, double spread)
+double ForwardAdmission::spreadOf(const ForwardRequest& request)
+{
+    return static_cast<double>(std::hash<std::string> {}(request.id.value()) % 10'000) / 10'000;
+}
+
+Outcome<void> ForwardAdmission::takeTokens(const ForwardRequest& request, AdmittedRequest& admitted)
 {
     const auto* organisation = admitted.organisation;
     if (!organisation) {
-        return m_context.clock.now();
+        admitted.sendAt = m_context.clock.now();
+        return {};
     }
     const double tokens = request.tokens ? static_cast<double>(request.tokens->prompt) + request.tokens->maxOutput
                                          : organisation->uncountedTokens;
     const std::chrono::nanoseconds objective = admitted.route->objective;
     const auto maxWait = std::chrono::duration_cast<std::chrono::nanoseconds>(objective * maxQuotaWaitShare);
-    auto sendAt = m_context.quota.take(*organisation, { tokens, maxWait, spread });
+    auto sendAt = m_context.quota.take(*organisation, { tokens, maxWait, spreadOf(request) });
     if (!sendAt) {
         m_context.metrics.count(Counter::RateRefusals);
+        return std::unexpected(sendAt.error());
     }
-    return sendAt;
+    admitted.sendAt = *sendAt;
+    return {};
 }
 
 Task<> ForwardAdmission::waitForConfiguration(const ForwardRequest& request)
--- a/Source/Core/Gateway/ForwardAdmission.h
+++ b/Source/Core/Gateway/ForwardAdmission.h
@@ -51,11 +51,14 @@
     {
     }
 
-    /// Finds the route, the organisation and the service of a request, and takes its tokens from the quota.
-    /// @return The decision; Unavailable, KeyUnconfirmed or RateExceeded with a time to come back, NoRoute or
-    /// KeyUnknown.
+    /// Finds the route, the organisation and the service of a request.
+    /// @return The decision; Unavailable or KeyUnconfirmed with a time to come back, NoRoute or KeyUnknown.
     Outcome<AdmittedRequest> admit(const ForwardRequest& request);
 
+    /// Takes the tokens of an admitted request from the quota and sets the time from which it may be sent.
+    /// @return RateExceeded with a time to come back.
+    Outcome<void> takeTokens(const ForwardRequest& request, AdmittedRequest& admitted);
+
     /// Waits for the first configuration if the process has just started, so that callers which reach it before the
     /// load balancer notices the restart are served.
     Task<> waitForConfiguration(const ForwardRequest& request);
@@ -71,7 +74,7 @@
     std::chrono::milliseconds timeoutOf(const ForwardRequest& request) const;
 
 private:
-    Outcome<MonotonicTime> takeTokens(const ForwardRequest& request, const AdmittedRequest& admitted, double spread);
+    static double spreadOf(const ForwardRequest& request);
 
     Context m_context;
     WaitList m_waitingForConfiguration;
--- a/Source/Core/Gateway/ForwardDispatcher.cpp
+++ b/Source/Core/Gateway/ForwardDispatcher.cpp
@@ -38,6 +38,12 @@
     // Parts of a prompt in one log line.
     constexpr std::size_t maxNamedParts = 8;
 
+    // Parts of one prompt that are checked for crashes, the last ones, which are the least common.
+    constexpr std::size_t maxCheckedParts = 16;
+
+    // Runners that a request may lose before it has output. Two crashes by one request are enough evidence.
+    constexpr unsigned maxLosses = 2;
+
     RetryKind retryKindOf(const RouteRule& route)
     {
         switch (route.kind) {
@@ -51,6 +57,17 @@
         return RetryKind::NonIdempotentCall;
     }
 
+    /// Parts of the prompt that other requests may share.
+    std::vector<PartId> sharedParts(const ForwardRequest& request)
+    {
+        std::vector<PartId> parts;
+        const auto count = request.parts.size();
+        for (std::size_t n = count > maxCheckedParts + 1 ? count - 1 - maxCheckedParts : 0; n + 1 < count; ++n) {
+            parts.push_back(request.parts[n].id);
+        }
+        return parts;
+    }
+
     /// Ids of the parts that the request may share with others, as its caller writes them.
     std::string nameParts(const ForwardRequest& request)
     {
@@ -72,6 +89,14 @@
 
     MonotonicTime receivedAt { 0 };
     MonotonicTime deadline { 0 };
+    /// Parts of the prompt that other requests may share.
+    std::vector<PartId> parts;
+    /// Runners that the request lost before it had output.
+    unsigned losses = 0;
+    /// A part had been lost in an earlier crash when the request lost a runner.
+    bool wasSuspected = false;
+    /// The request tests a quarantined part, so it is sent once.
+    bool isTrial = false;
 
     /// Runner of the current attempt.
     RunnerChoice runner;
@@ -145,14 +170,28 @@
     if (!admitted) {
         co_return std::unexpected(admitted.error());
     }
-    if (auto waited = co_await m_admission.waitUntil(admitted->sendAt, request, sink); !waited) {
-        co_return waited;
-    }
     Delivery delivery(std::move(*admitted));
     delivery.receivedAt = receivedAt;
     delivery.deadline = receivedAt + timeoutOf(request);
+    delivery.parts = sharedParts(request);
+    // Before the tokens are taken, so that these requests use up nothing of their caller's quota.
+    if (const auto refused = checkQuarantine(delivery)) {
+        co_return std::unexpected(*refused);
+    }
+    if (auto taken = m_admission.takeTokens(request, delivery); !taken) {
+        co_return taken;
+    }
+    if (auto waited = co_await m_admission.waitUntil(delivery.sendAt, request, sink); !waited) {
+        co_return waited;
+    }
     m_context.retryBudget.recordRequest(delivery.service);
     for (;;) {
+        if (auto refused = checkQuarantine(delivery)) {
+            if (delivery.failure) {
+                co_return co_await sink.answer(delivery.failure->first, std::move(delivery.failure->second));
+            }
+            co_return std::unexpected(std::move(*refused));
+        }
         const auto choice = chooseRunner(request, delivery);
         if (!choice) {
             if (delivery.failure) {
@@ -182,6 +221,7 @@
             { { "runner", choice->id.value() }, { "cause", result.error().message },
                 { "run", std::string(nameOf(delivery.runState)) }, { "sends", std::to_string(delivery.sends) },
                 { "phase", std::string(nameOf(delivery.phase)) }, { "parts", nameParts(request) } });
+        recordLoss(result.error(), delivery);
         if (!mayRepeat(request, result.error(), delivery)) {
             if (delivery.failure) {
                 co_return co_await sink.answer(delivery.failure->first, std::move(delivery.failure->second));
@@ -196,6 +236,35 @@
     }
 }
 
+std::optional<Error> ForwardDispatcher::checkQuarantine(Delivery& delivery)
+{
+    const auto part = m_context.quarantine.findQuarantined(delivery.parts);
+    if (!part || delivery.isTrial) {
+        return std::nullopt;
+    }
+    if (delivery.sends == 0 && m_context.quarantineCommands.startTrial(delivery.parts)) {
+        delivery.isTrial = true;
+        return std::nullopt;
+    }
+    m_context.quarantineCommands.recordRefusal(part->part);
+    return Error { ErrorCode::Unavailable,
+        "part " + partName(part->part) + " of the prompt is quarantined after " + std::to_string(part->crashes)
+            + " crashes of runners, for " + std::to_string(part->age.count()) + " ms",
+        delivery.runState };
+}
+
+void ForwardDispatcher::recordLoss(const Error& error, Delivery& delivery)
+{
+    const bool hadNoOutput = delivery.phase == AttemptPhase::Sent || delivery.phase == AttemptPhase::HeadReceived;
+    if (!hadNoOutput || error.code != ErrorCode::ConnectionLost) {
+        return;
+    }
+    ++delivery.losses;
+    delivery.wasSuspected = m_context.quarantine.isSuspected(delivery.parts);
+    const auto& runner = delivery.runner;
+    m_context.crashes.recordLoss(runner.id, runner.incarnation, runner.endpoint, delivery.parts);
+}
+
 bool ForwardDispatcher::mayRepeat(const ForwardRequest& request, const Error& error, Delivery& delivery)
 {
     const auto kind = retryKindOf(*delivery.route);
@@ -208,6 +277,13 @@
     if (!isWithinLimits) {
         return false;
     }
+    if (delivery.isTrial && error.code != ErrorCode::ConnectFailed) {
+        return false;
+    }
+    // A request that crashes its runners must not be sent to one after the other.
+    if (delivery.losses >= maxLosses || delivery.wasSuspected) {
+        return false;
+    }
     const auto progress = delivery.isBegun ? Progress::AnswerBegun : isNotRun ? Progress::NotStarted : Progress::Sent;
     if (delivery.isBegun && kind != RetryKind::Generation) {
         return false;
@@ -333,6 +409,9 @@
         co_return fail(
             ErrorCode::ProtocolError, "the runner answered with status " + std::to_string(head.status), RunState::Ran);
     }
+    if (head.isSuccess()) {
+        m_context.quarantineCommands.recordAnswer(delivery.parts);
+    }
     co_return co_await sink.answer(head, std::move(body));
 }
 
@@ -371,6 +450,7 @@
         }
         if (std::exchange(delivery.phase, AttemptPhase::Answering) != AttemptPhase::Answering) {
             recordFirstOutput(request, delivery);
+            m_context.quarantineCommands.recordAnswer(delivery.parts);
         }
         if (auto written = co_await sink.write(complete); !written) {
             co_return written;
--- a/Source/Core/Gateway/ForwardDispatcher.h
+++ b/Source/Core/Gateway/ForwardDispatcher.h
@@ -3,12 +3,15 @@
 #include "Common/BufferBudget.h"
 #include "Dispatch/Queries/RetryRule.h"
 #include "Dispatch/RetryBudget.h"
+#include "Gateway/Commands/CrashCommands.h"
 #include "Gateway/Commands/PrefixCommands.h"
+#include "Gateway/Commands/QuarantineCommands.h"
 #include "Gateway/Commands/ReplySink.h"
 #include "Gateway/Commands/RunnerClient.h"
 #include "Gateway/Commands/RunnerCommands.h"
 #include "Gateway/ForwardAdmission.h"
 #include "Gateway/Queries/FreshnessQueries.h"
+#include "Gateway/Queries/QuarantineQueries.h"
 #include "Gateway/Queries/RoutingQueries.h"
 #include "Gateway/Queries/RunnerPolicy.h"
 #include "Gateway/Queries/RunnerQueries.h"
@@ -33,6 +36,9 @@
     RunnerClient& client;
     MetricCommands& metrics;
     RequestLog& log;
+    const QuarantineQueries& quarantine;
+    QuarantineCommands& quarantineCommands;
+    CrashCommands& crashes;
 };
 
 /// Forwards requests to runners and their responses to the callers: lets them be admitted, chooses a runner, and
@@ -77,6 +83,10 @@
         ReplySink& sink, Delivery& delivery);
     Task<Outcome<void>> relayStream(const ForwardRequest& request, RunnerExchange& exchange, const ReplyHead& head,
         ReplySink& sink, Delivery& delivery);
+    /// Refuses a request because of a quarantined part, unless it is to test the part.
+    std::optional<Error> checkQuarantine(Delivery& delivery);
+    /// Reports a request that lost its runner before it had output.
+    void recordLoss(const Error& error, Delivery& delivery);
     /// Whether the request may be sent again after an attempt failed. Counts the refusal or the retry.
     bool mayRepeat(const ForwardRequest& request, const Error& error, Delivery& delivery);
     /// Values that an attempt adds to the request.
--- a/Source/Core/Gateway/Gateway.cpp
+++ b/Source/Core/Gateway/Gateway.cpp
@@ -3,15 +3,19 @@
 #include "Common/Digest.h"
 #include "Common/Sleep.h"
 #include "Gateway/AffinityPolicy.h"
+#include "Gateway/CrashDetector.h"
 #include "Gateway/FeedFrontEnd.h"
 #include "Gateway/FleetReporter.h"
 #include "Gateway/GatewayFrontEnd.h"
 #include "Gateway/GatewaySync.h"
 #include "Gateway/HttpRunnerClient.h"
 #include "Gateway/OrderLease.h"
+#include "Gateway/PartQuarantine.h"
+#include "Gateway/QuarantineRecords.h"
 #include "Gateway/RoutingTable.h"
 #include "Gateway/RunnerTable.h"
 #include "Gateway/StatusFrontEnd.h"
+#include "Gateway/TcpRunnerProbe.h"
 #include "Gateway/VmRegistration.h"
 #include "Gateway/WeightsDriver.h"
 #include "Timeline/Timeline.h"
@@ -100,25 +104,30 @@
         , fleet(clock, timeline, settings.vm, settings.zone)
         , quota(clock, settings.quotaTolerance)
         , directory(clock)
+        , quarantine(clock, timeline, metrics, fleet)
+        , quarantineRecords(clock, platform.storeCommands, quarantine, quarantine, fleet)
+        , runnerProbe(connectTimeout)
+        , crashes(executor, clock, runners, runnerProbe, quarantine)
         , orders(clock, platform.storeCommands, timeline, settings.vm, incarnation,
               { .handoverPause = settings.minOrderHandoverInterval - handoverMargin })
         , feedPolicy(clock, fleet, settings.vm, settings.maxChangeDelay)
         , feeds(executor, platform.storeQueries, feedPolicy, timeline)
-        , sync({ clock, feeds, changeLog, platform.records, routing, runners, quota, fleet, orders, timeline, metrics },
+        , sync({ clock, feeds, changeLog, platform.records, routing, runners, quota, fleet, orders, timeline, metrics,
+                   quarantineRecords },
               { .freshnessGoal = settings.maxKeyWithdrawalDelay * 3 / 5,
                   .keyLimit = subtractMargin(settings.maxKeyWithdrawalDelay, keyMargin),
                   .largeFleetRetryPause = settings.maxChangeDelay * retryPausePercent / 100 })
         , registration(
               platform.storeCommands, settings.vm, FleetView::encodeRecord(settings.listenReports, settings.zone))
         , weights(executor, clock, runners, runners, orders, platform.weights, timeline, settings.vm, {})
-        , reporter(executor, { fleet, quota, runners, runners, weights, directory, metrics }, settings.vm,
+        , reporter(executor, { fleet, quota, runners, runners, weights, directory, metrics, quarantine }, settings.vm,
               settings.zone, incarnation)
         , policy(settings.zone, directory)
         , retryBudget(clock)
         , client(executor, platform.requests, connectTimeout)
         , log(clock)
-        , dispatcher(
-              { clock, routing, sync, runners, runners, policy, directory, quota, retryBudget, client, metrics, log })
+        , dispatcher({ clock, routing, sync, runners, runners, policy, directory, quota, retryBudget, client, metrics,
+              log, quarantine, quarantine, crashes })
         , frontEnd(clock, platform.requests, dispatcher, metrics, log)
         , status(settings.readyPath, metrics, [this] { return isReady(); })
         , feed(clock, changeLog, sync, fleet)
@@ -144,6 +153,10 @@
     FleetView fleet;
     FleetQuota quota;
     CacheDirectory directory;
+    PartQuarantine quarantine;
+    QuarantineRecords quarantineRecords;
+    TcpRunnerProbe runnerProbe;
+    CrashDetector crashes;
     OrderLease orders;
     FeedPolicy feedPolicy;
     ChangeFeeds feeds;
@@ -203,7 +216,9 @@
             { "callers", settings.listenCallers.toString() } });
     components.sync.onRead([&components] { components.dispatcher.onConfigurationRead(); });
     components.weights.onLoadingChanged([&components] { components.reporter.sendSoon(); });
+    components.quarantine.onNews([&components] { components.reporter.sendSoon(); });
     asio::co_spawn(components.executor, components.sync.run(), asio::detached);
+    asio::co_spawn(components.executor, components.quarantineRecords.run(), asio::detached);
     asio::co_spawn(components.executor, components.registration.run(), asio::detached);
     asio::co_spawn(components.executor, components.orders.run(), asio::detached);
     asio::co_spawn(components.executor, components.weights.run(), asio::detached);
@@ -220,6 +235,8 @@
         co_await sleepFor(housekeepingInterval);
         client.closeExpired();
         directory.removeExpired();
+        crashes.checkReplaced();
+        quarantine.removeExpired();
         const auto configuration = routing.current();
         if (configuration->version != appliedVersion) {
             appliedVersion = configuration->version;
--- a/Source/Core/Gateway/GatewayKeys.h
+++ b/Source/Core/Gateway/GatewayKeys.h
@@ -12,5 +12,7 @@
 /// Record of the last VM that gave orders and of whether orders may still be in progress. It has no lease, so that it
 /// remains when that VM stops.
 inline constexpr std::string_view orderStateKey = "pollenwind/orders/state";
+/// Prefix of the records of the parts of prompts that crash runners, under a lease.
+inline constexpr std::string_view quarantineRecordPrefix = "pollenwind/quarantine/";
 
 } // namespace Pollenwind
--- a/Source/Core/Gateway/GatewaySync.cpp
+++ b/Source/Core/Gateway/GatewaySync.cpp
@@ -152,6 +152,10 @@
         m_context.fleet.updateRecord(VmId(entry.key.substr(vmRecordPrefix.size())), entry.value);
         return;
     }
+    if (entry.key.starts_with(quarantineRecordPrefix)) {
+        m_context.quarantine.updateRecord(entry.key, entry.value, entry.modRevision);
+        return;
+    }
     if (entry.key == orderHolderKey) {
         m_context.orders.updateHolder(entry.value, entry.modRevision);
         return;
@@ -188,6 +192,8 @@
         m_context.fleet.markRecordEnded(VmId(key.substr(vmRecordPrefix.size())));
     } else if (key == orderHolderKey) {
         m_context.orders.clearHolder();
+    } else if (key.starts_with(quarantineRecordPrefix)) {
+        m_context.quarantine.markRecordErased(key);
     } else if (const auto runner = m_context.codec.runnerOf(key)) {
         m_context.runners.markEntryEnded(*runner);
     }
--- a/Source/Core/Gateway/GatewaySync.h
+++ b/Source/Core/Gateway/GatewaySync.h
@@ -2,6 +2,7 @@
 
 #include "Gateway/ChangeFeeds.h"
 #include "Gateway/ChangeLog.h"
+#include "Gateway/Commands/QuarantineRecordCommands.h"
 #include "Gateway/Commands/QuotaCommands.h"
 #include "Gateway/Commands/RoutingCommands.h"
 #include "Gateway/Commands/RunnerCommands.h"
@@ -29,6 +30,7 @@
     OrderLease& orders;
     TimelineCommands& timeline;
     MetricCommands& metrics;
+    QuarantineRecordCommands& quarantine;
 };
 
 /// Timeouts of the synchronisation.
--- /dev/null
+++ b/Source/Core/Gateway/QuarantineRecords.h
@@ -0,0 +1,59 @@
+#pragma once
+
+#include "Common/Clock.h"
+#include "Common/Task.h"
+#include "Gateway/Commands/QuarantineCommands.h"
+#include "Gateway/Commands/QuarantineRecordCommands.h"
+#include "Gateway/Queries/QuarantineQueries.h"
+#include "Gateway/Queries/TurnQueries.h"
+#include "Store/Commands/StoreCommands.h"
+
+#include <map>
+#include <optional>
+
+namespace Pollenwind {
+
+/// Keeps the quarantined parts in the store under a lease, for VMs that start. One VM of the fleet writes each record:
+/// once when the part is quarantined, after each trial, when half of its lease has passed while requests with the part
+/// still come, and when the quarantine is lifted.
+class QuarantineRecords final : public QuarantineRecordCommands {
+public:
+    static constexpr std::chrono::seconds recordTimeToLive { 600 };
+    /// Records written in one round, so that many parts do not use up the store's write rate.
+    static constexpr std::size_t maxWrites = 4;
+
+    QuarantineRecords(const Clock& clock, StoreCommands& store, QuarantineCommands& commands,
+        const QuarantineQueries& quarantine, const TurnQueries& turns);
+
+    static std::string keyOf(PartId part);
+    static std::string encode(const PartRecord& record);
+    static std::optional<PartRecord> decode(const std::string& key, const std::string& value);
+
+    void updateRecord(const std::string& key, const std::string& value, std::int64_t revision) override;
+    void markRecordErased(const std::string& key) override;
+
+    /// Writes the records that are due, indefinitely.
+    Task<> run();
+    /// Writes the records that are due for this VM now.
+    Task<> writeDue();
+
+private:
+    struct Stored {
+        PartRecord record;
+        std::int64_t revision = 0;
+        MonotonicTime writtenAt { 0 };
+    };
+
+    /// Records that differ from the quarantine.
+    std::vector<PartRecord> dueRecords() const;
+    Task<bool> write(PartRecord record);
+
+    const Clock& m_clock;
+    StoreCommands& m_store;
+    QuarantineCommands& m_commands;
+    const QuarantineQueries& m_quarantine;
+    const TurnQueries& m_turns;
+    std::map<PartId, Stored> m_stored;
+};
+
+} // namespace Pollenwind
--- a/Source/Core/Metrics/Counter.h
+++ b/Source/Core/Metrics/Counter.h
@@ -47,6 +47,14 @@
     BreakerOpenings,
     /// Requests that were rejected because the admission queue was full or no engine had capacity in time.
     QueueShed,
+    /// Crashes of runners in which requests of this VM without output were lost.
+    RunnerCrashesSeen,
+    PartsQuarantined,
+    PartsLifted,
+    /// Requests that were refused because a part of their prompt crashes runners.
+    QuarantineRefusals,
+    /// Requests that were let through to test a quarantined part.
+    QuarantineTrials,
 };
 
 template <> struct EnumTable<Counter> {
@@ -84,6 +92,11 @@
         EnumName { Counter::GrantsReceived, "grants_received_total" },
         EnumName { Counter::BreakerOpenings, "breaker_openings_total" },
         EnumName { Counter::QueueShed, "queue_shed_total" },
+        EnumName { Counter::RunnerCrashesSeen, "runner_crashes_seen_total" },
+        EnumName { Counter::PartsQuarantined, "parts_quarantined_total" },
+        EnumName { Counter::PartsLifted, "parts_lifted_total" },
+        EnumName { Counter::QuarantineRefusals, "quarantine_refusals_total" },
+        EnumName { Counter::QuarantineTrials, "quarantine_trials_total" },
     };
 };
 
--- a/Source/Core/Timeline/TimelineEvent.h
+++ b/Source/Core/Timeline/TimelineEvent.h
@@ -44,6 +44,12 @@
     MoveRolledBack,
     LeaseTaken,
     LeaseLost,
+    /// A part of a prompt was lost in a crash of a runner.
+    PartSuspected,
+    PartQuarantined,
+    /// A request with a quarantined part is let through.
+    PartTried,
+    PartLifted,
 };
 
 template <> struct EnumTable<EventKind> {
@@ -80,6 +86,10 @@
         EnumName { EventKind::MoveRolledBack, "move-taken-back" },
         EnumName { EventKind::LeaseTaken, "lease-taken" },
         EnumName { EventKind::LeaseLost, "lease-lost" },
+        EnumName { EventKind::PartSuspected, "part-suspected" },
+        EnumName { EventKind::PartQuarantined, "part-quarantined" },
+        EnumName { EventKind::PartTried, "part-tried" },
+        EnumName { EventKind::PartLifted, "part-lifted" },
     };
 };
 
--- a/Source/UnitTests/Gateway/FeedTests.cpp
+++ b/Source/UnitTests/Gateway/FeedTests.cpp
@@ -3,6 +3,8 @@
 #include "Gateway/FeedFrontEnd.h"
 #include "Gateway/GatewayFixture.h"
 #include "Gateway/GatewaySync.h"
+#include "Gateway/PartQuarantine.h"
+#include "Gateway/QuarantineRecords.h"
 
 using namespace Pollenwind;
 using namespace std::chrono_literals;
@@ -139,7 +141,11 @@
     FeedPolicy policy { clock, fleet, VmId("z999"), 4000ms };
     ChangeFeeds feeds;
     ChangeLog log;
-    GatewaySync sync { { clock, feeds, log, records, routing, runners, quota, fleet, orders, timeline, metrics }, {} };
+    PartQuarantine quarantine { clock, timeline, metrics, fleet };
+    QuarantineRecords quarantineRecords { clock, commands, quarantine, quarantine, fleet };
+    GatewaySync sync {
+        { clock, feeds, log, records, routing, runners, quota, fleet, orders, timeline, metrics, quarantineRecords }, {}
+    };
 };
 
 } // namespace
--- a/Source/UnitTests/Gateway/GatewayFixture.h
+++ b/Source/UnitTests/Gateway/GatewayFixture.h
@@ -2,8 +2,11 @@
 
 #include "Gateway/AffinityPolicy.h"
 #include "Gateway/CacheDirectory.h"
+#include "Gateway/CrashDetector.h"
 #include "Gateway/FleetQuota.h"
+#include "Gateway/FleetView.h"
 #include "Gateway/ForwardDispatcher.h"
+#include "Gateway/PartQuarantine.h"
 #include "Gateway/RoutingTable.h"
 #include "Gateway/RunnerTable.h"
 #include "Metrics/MetricTable.h"
@@ -210,6 +213,19 @@
     return organisation;
 }
 
+/// Addresses that refuse connections, as set by the test.
+class ScriptedProbe final : public RunnerProbe {
+public:
+    Task<bool> isRefused(const Endpoint&) override
+    {
+        ++probes;
+        co_return refuses;
+    }
+
+    bool refuses = false;
+    unsigned probes = 0;
+};
+
 /// A dispatcher with real tables and scripted runners.
 struct GatewayFixture {
     GatewayFixture()
@@ -258,8 +274,12 @@
     RequestLog log { clock };
     RecordingSink sink;
     unsigned requests = 0;
+    FleetView fleet { clock, timeline, VmId("vm"), ZoneId("a") };
+    PartQuarantine quarantine { clock, timeline, metrics, fleet };
+    ScriptedProbe probe;
+    CrashDetector crashes { context.get_executor(), clock, runners, probe, quarantine };
     ForwardDispatcher dispatcher { { clock, routing, freshness, runners, runners, policy, directory, quota, retryBudget,
-        scripted, metrics, log } };
+        scripted, metrics, log, quarantine, quarantine, crashes } };
 };
 
 } // namespace Pollenwind
