Count a crash against a quarantined part once

Cause: the report's parts come with the number of crashes without their ids, and were merged before its evidence.

Change: evidence and answers are merged first, so that each VM names the part with the ids of the crashes; evidence from before a part was quarantined no longer counts.

--- a/Source/Core/Gateway/PartQuarantine.cpp
+++ b/Source/Core/Gateway/PartQuarantine.cpp
@@ -149,7 +149,9 @@
     if (const auto it = m_quarantined.find(part); it != m_quarantined.end()) {
         auto& entry = it->second;
         entry.lastRequestAt = std::max(entry.lastRequestAt, at);
-        const bool isNew = entry.crashes.size() < maxCrashesPerPart && entry.crashes.insert(crash).second;
+        // A part that another VM has named comes with its number of crashes, but not with their ids.
+        const bool isCounted = at <= entry.quarantinedAt;
+        const bool isNew = !isCounted && entry.crashes.size() < maxCrashesPerPart && entry.crashes.insert(crash).second;
         entry.crashCount += isNew ? 1 : 0;
         explain(crash);
         return isNew;
@@ -408,6 +410,18 @@
 void PartQuarantine::mergeReport(const QuarantineReport& report, bool isOfOwnZone)
 {
     const auto now = m_clock.now();
+    for (const auto& it : report.evidence) {
+        addEvidence(it.part, it.crash, now - it.age);
+    }
+    for (const auto& it : report.answers) {
+        std::erase_if(m_answerNews, [&it](const auto& own) { return own.item.part == it.part; });
+        clear(it.part, now - it.age);
+        if (isOfOwnZone) {
+            m_zoneAnswers.push_back({ it, now - it.age, 1, false });
+        }
+    }
+    eraseOldest(m_zoneAnswers, maxReported);
+    evaluate(false);
     for (const auto& it : report.parts) {
         const auto firstCrashAt = now - it.evidenceAge;
         const auto answered = answeredAt(it.part);
@@ -430,18 +444,6 @@
             }
         }
     }
-    for (const auto& it : report.evidence) {
-        addEvidence(it.part, it.crash, now - it.age);
-    }
-    for (const auto& it : report.answers) {
-        std::erase_if(m_answerNews, [&it](const auto& own) { return own.item.part == it.part; });
-        clear(it.part, now - it.age);
-        if (isOfOwnZone) {
-            m_zoneAnswers.push_back({ it, now - it.age, 1, false });
-        }
-    }
-    eraseOldest(m_zoneAnswers, maxReported);
-    evaluate(false);
 }
 
 void PartQuarantine::adoptRecord(const PartRecord& record)
--- a/Source/UnitTests/Gateway/QuarantineTests.cpp
+++ b/Source/UnitTests/Gateway/QuarantineTests.cpp
@@ -183,6 +183,12 @@
     }
     cr_assert_eq(fleet.quarantinedAt(deadly), 9);
     cr_assert_eq(fleet.quarantinedAt(common) + fleet.quarantinedAt(rare), 0);
+    for (unsigned n = 0; n < 4; ++n) {
+        fleet.exchange();
+    }
+    for (const auto& vm : fleet.vms) {
+        cr_assert_eq(vm->quarantine.quarantinedParts().front().crashes, 3, "evidence that is sent again counts once");
+    }
 }
 
 // A crash hits sound requests too. Their parts must not be named when answers are begun on them in between, although
