--- a/Source/Core/Gateway/FleetMessages_generated.h
+++ b/Source/Core/Gateway/FleetMessages_generated.h
@@ -28,6 +28,12 @@
 
 struct LeavingRunner;
 
+struct CrashEvidence;
+
+struct PartAnswer;
+
+struct QuarantinedPart;
+
 struct FleetReport;
 struct FleetReportBuilder;
 
@@ -187,6 +193,121 @@
 };
 FLATBUFFERS_STRUCT_END(LeavingRunner, 16);
 
+FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(8) CrashEvidence FLATBUFFERS_FINAL_CLASS {
+ private:
+  uint64_t part_;
+  uint64_t crash_;
+  uint32_t age_ms_;
+  int32_t padding0__;
+
+ public:
+  CrashEvidence()
+      : part_(0),
+        crash_(0),
+        age_ms_(0),
+        padding0__(0) {
+    (void)padding0__;
+  }
+  CrashEvidence(uint64_t _part, uint64_t _crash, uint32_t _age_ms)
+      : part_(flatbuffers::EndianScalar(_part)),
+        crash_(flatbuffers::EndianScalar(_crash)),
+        age_ms_(flatbuffers::EndianScalar(_age_ms)),
+        padding0__(0) {
+    (void)padding0__;
+  }
+  uint64_t part() const {
+    return flatbuffers::EndianScalar(part_);
+  }
+  uint64_t crash() const {
+    return flatbuffers::EndianScalar(crash_);
+  }
+  uint32_t age_ms() const {
+    return flatbuffers::EndianScalar(age_ms_);
+  }
+};
+FLATBUFFERS_STRUCT_END(CrashEvidence, 24);
+
+FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(8) PartAnswer FLATBUFFERS_FINAL_CLASS {
+ private:
+  uint64_t part_;
+  uint32_t age_ms_;
+  int32_t padding0__;
+
+ public:
+  PartAnswer()
+      : part_(0),
+        age_ms_(0),
+        padding0__(0) {
+    (void)padding0__;
+  }
+  PartAnswer(uint64_t _part, uint32_t _age_ms)
+      : part_(flatbuffers::EndianScalar(_part)),
+        age_ms_(flatbuffers::EndianScalar(_age_ms)),
+        padding0__(0) {
+    (void)padding0__;
+  }
+  uint64_t part() const {
+    return flatbuffers::EndianScalar(part_);
+  }
+  uint32_t age_ms() const {
+    return flatbuffers::EndianScalar(age_ms_);
+  }
+};
+FLATBUFFERS_STRUCT_END(PartAnswer, 16);
+
+FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(8) QuarantinedPart FLATBUFFERS_FINAL_CLASS {
+ private:
+  uint64_t part_;
+  uint32_t crashes_;
+  uint32_t trials_;
+  uint32_t age_ms_;
+  uint32_t evidence_age_ms_;
+  uint32_t idle_ms_;
+  uint32_t until_trial_ms_;
+
+ public:
+  QuarantinedPart()
+      : part_(0),
+        crashes_(0),
+        trials_(0),
+        age_ms_(0),
+        evidence_age_ms_(0),
+        idle_ms_(0),
+        until_trial_ms_(0) {
+  }
+  QuarantinedPart(uint64_t _part, uint32_t _crashes, uint32_t _trials, uint32_t _age_ms, uint32_t _evidence_age_ms, uint32_t _idle_ms, uint32_t _until_trial_ms)
+      : part_(flatbuffers::EndianScalar(_part)),
+        crashes_(flatbuffers::EndianScalar(_crashes)),
+        trials_(flatbuffers::EndianScalar(_trials)),
+        age_ms_(flatbuffers::EndianScalar(_age_ms)),
+        evidence_age_ms_(flatbuffers::EndianScalar(_evidence_age_ms)),
+        idle_ms_(flatbuffers::EndianScalar(_idle_ms)),
+        until_trial_ms_(flatbuffers::EndianScalar(_until_trial_ms)) {
+  }
+  uint64_t part() const {
+    return flatbuffers::EndianScalar(part_);
+  }
+  uint32_t crashes() const {
+    return flatbuffers::EndianScalar(crashes_);
+  }
+  uint32_t trials() const {
+    return flatbuffers::EndianScalar(trials_);
+  }
+  uint32_t age_ms() const {
+    return flatbuffers::EndianScalar(age_ms_);
+  }
+  uint32_t evidence_age_ms() const {
+    return flatbuffers::EndianScalar(evidence_age_ms_);
+  }
+  uint32_t idle_ms() const {
+    return flatbuffers::EndianScalar(idle_ms_);
+  }
+  uint32_t until_trial_ms() const {
+    return flatbuffers::EndianScalar(until_trial_ms_);
+  }
+};
+FLATBUFFERS_STRUCT_END(QuarantinedPart, 32);
+
 struct FleetReport FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef FleetReportBuilder Builder;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
@@ -205,7 +326,10 @@
     VT_DEBTS = 28,
     VT_PASS_ON = 30,
     VT_UPTIME_MS = 32,
-    VT_LEAVING = 34
+    VT_LEAVING = 34,
+    VT_CRASH_EVIDENCE = 36,
+    VT_PART_ANSWERS = 38,
+    VT_QUARANTINED = 40
   };
   const flatbuffers::String *vm() const {
     return GetPointer<const flatbuffers::String *>(VT_VM);
@@ -255,6 +379,15 @@
   const flatbuffers::Vector<const Pollenwind::wire::LeavingRunner *> *leaving() const {
     return GetPointer<const flatbuffers::Vector<const Pollenwind::wire::LeavingRunner *> *>(VT_LEAVING);
   }
+  const flatbuffers::Vector<const Pollenwind::wire::CrashEvidence *> *crash_evidence() const {
+    return GetPointer<const flatbuffers::Vector<const Pollenwind::wire::CrashEvidence *> *>(VT_CRASH_EVIDENCE);
+  }
+  const flatbuffers::Vector<const Pollenwind::wire::PartAnswer *> *part_answers() const {
+    return GetPointer<const flatbuffers::Vector<const Pollenwind::wire::PartAnswer *> *>(VT_PART_ANSWERS);
+  }
+  const flatbuffers::Vector<const Pollenwind::wire::QuarantinedPart *> *quarantined() const {
+    return GetPointer<const flatbuffers::Vector<const Pollenwind::wire::QuarantinedPart *> *>(VT_QUARANTINED);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_VM) &&
@@ -284,6 +417,12 @@
            VerifyField<uint64_t>(verifier, VT_UPTIME_MS, 8) &&
            VerifyOffset(verifier, VT_LEAVING) &&
            verifier.VerifyVector(leaving()) &&
+           VerifyOffset(verifier, VT_CRASH_EVIDENCE) &&
+           verifier.VerifyVector(crash_evidence()) &&
+           VerifyOffset(verifier, VT_PART_ANSWERS) &&
+           verifier.VerifyVector(part_answers()) &&
+           VerifyOffset(verifier, VT_QUARANTINED) &&
+           verifier.VerifyVector(quarantined()) &&
            verifier.EndTable();
   }
 };
@@ -340,6 +479,15 @@
   void add_leaving(flatbuffers::Offset<flatbuffers::Vector<const Pollenwind::wire::LeavingRunner *>> leaving) {
     fbb_.AddOffset(FleetReport::VT_LEAVING, leaving);
   }
+  void add_crash_evidence(flatbuffers::Offset<flatbuffers::Vector<const Pollenwind::wire::CrashEvidence *>> crash_evidence) {
+    fbb_.AddOffset(FleetReport::VT_CRASH_EVIDENCE, crash_evidence);
+  }
+  void add_part_answers(flatbuffers::Offset<flatbuffers::Vector<const Pollenwind::wire::PartAnswer *>> part_answers) {
+    fbb_.AddOffset(FleetReport::VT_PART_ANSWERS, part_answers);
+  }
+  void add_quarantined(flatbuffers::Offset<flatbuffers::Vector<const Pollenwind::wire::QuarantinedPart *>> quarantined) {
+    fbb_.AddOffset(FleetReport::VT_QUARANTINED, quarantined);
+  }
   explicit FleetReportBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -368,11 +516,17 @@
     flatbuffers::Offset<flatbuffers::Vector<const Pollenwind::wire::OrganisationUsage *>> debts = 0,
     bool pass_on = false,
     uint64_t uptime_ms = 0,
-    flatbuffers::Offset<flatbuffers::Vector<const Pollenwind::wire::LeavingRunner *>> leaving = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<const Pollenwind::wire::LeavingRunner *>> leaving = 0,
+    flatbuffers::Offset<flatbuffers::Vector<const Pollenwind::wire::CrashEvidence *>> crash_evidence = 0,
+    flatbuffers::Offset<flatbuffers::Vector<const Pollenwind::wire::PartAnswer *>> part_answers = 0,
+    flatbuffers::Offset<flatbuffers::Vector<const Pollenwind::wire::QuarantinedPart *>> quarantined = 0) {
   FleetReportBuilder builder_(_fbb);
   builder_.add_uptime_ms(uptime_ms);
   builder_.add_sequence(sequence);
   builder_.add_boot(boot);
+  builder_.add_quarantined(quarantined);
+  builder_.add_part_answers(part_answers);
+  builder_.add_crash_evidence(crash_evidence);
   builder_.add_leaving(leaving);
   builder_.add_debts(debts);
   builder_.add_replaced(replaced);
@@ -406,7 +560,10 @@
     const std::vector<Pollenwind::wire::OrganisationUsage> *debts = nullptr,
     bool pass_on = false,
     uint64_t uptime_ms = 0,
-    const std::vector<Pollenwind::wire::LeavingRunner> *leaving = nullptr) {
+    const std::vector<Pollenwind::wire::LeavingRunner> *leaving = nullptr,
+    const std::vector<Pollenwind::wire::CrashEvidence> *crash_evidence = nullptr,
+    const std::vector<Pollenwind::wire::PartAnswer> *part_answers = nullptr,
+    const std::vector<Pollenwind::wire::QuarantinedPart> *quarantined = nullptr) {
   auto vm__ = vm ? _fbb.CreateString(vm) : 0;
   auto usage__ = usage ? _fbb.CreateVectorOfStructs<Pollenwind::wire::OrganisationUsage>(*usage) : 0;
   auto work__ = work ? _fbb.CreateVectorOfStructs<Pollenwind::wire::RunnerWork>(*work) : 0;
@@ -418,6 +575,9 @@
   auto replaced__ = replaced ? _fbb.CreateVector<uint64_t>(*replaced) : 0;
   auto debts__ = debts ? _fbb.CreateVectorOfStructs<Pollenwind::wire::OrganisationUsage>(*debts) : 0;
   auto leaving__ = leaving ? _fbb.CreateVectorOfStructs<Pollenwind::wire::LeavingRunner>(*leaving) : 0;
+  auto crash_evidence__ = crash_evidence ? _fbb.CreateVectorOfStructs<Pollenwind::wire::CrashEvidence>(*crash_evidence) : 0;
+  auto part_answers__ = part_answers ? _fbb.CreateVectorOfStructs<Pollenwind::wire::PartAnswer>(*part_answers) : 0;
+  auto quarantined__ = quarantined ? _fbb.CreateVectorOfStructs<Pollenwind::wire::QuarantinedPart>(*quarantined) : 0;
   return Pollenwind::wire::CreateFleetReport(
       _fbb,
       vm__,
@@ -435,7 +595,10 @@
       debts__,
       pass_on,
       uptime_ms,
-      leaving__);
+      leaving__,
+      crash_evidence__,
+      part_answers__,
+      quarantined__);
 }
 
 inline const Pollenwind::wire::FleetReport *GetFleetReport(const void *buf) {
--- a/Source/Core/Gateway/ForwardDispatcher.cpp
+++ b/Source/Core/Gateway/ForwardDispatcher.cpp
@@ -39,6 +39,15 @@
 
     constexpr unsigned lowestPriority = 9;
 
+    // Parts of a prompt in one log line.
+    constexpr std::size_t maxNamedParts = 8;
+
+    // Parts of one prompt that are checked for crashes, the last ones, which are the least common.
+    constexpr std::size_t maxCheckedParts = 16;
+
+    // Runners that a request may lose before it has output. Two crashes by one request are enough evidence.
+    constexpr unsigned maxLosses = 2;
+
     RetryKind retryKindOf(const RouteRule& route)
     {
         switch (route.kind) {
@@ -52,6 +61,27 @@
         return RetryKind::NonIdempotentCall;
     }
 
+    /// Parts of the prompt that other requests may share.
+    std::vector<PartId> sharedParts(const ForwardRequest& request)
+    {
+        std::vector<PartId> parts;
+        const auto count = request.parts.size();
+        for (std::size_t n = count > maxCheckedParts + 1 ? count - 1 - maxCheckedParts : 0; n + 1 < count; ++n) {
+            parts.push_back(request.parts[n].id);
+        }
+        return parts;
+    }
+
+    /// Ids of the parts that the request may share with others, as its caller writes them.
+    std::string nameParts(const ForwardRequest& request)
+    {
+        std::string names;
+        for (std::size_t n = 0; n + 1 < request.parts.size() && n < maxNamedParts; ++n) {
+            names += (n > 0 ? "," : "") + partName(request.parts[n].id);
+        }
+        return names;
+    }
+
 } // namespace
 
 /// State of one request over all its attempts.
@@ -63,6 +93,14 @@
 
     MonotonicTime receivedAt { 0 };
     MonotonicTime deadline { 0 };
+    /// Parts of the prompt that other requests may share.
+    std::vector<PartId> parts;
+    /// Runners that the request lost before it had output.
+    unsigned losses = 0;
+    /// A part had been lost in an earlier crash when the request lost a runner.
+    bool wasSuspected = false;
+    /// The request tests a quarantined part, so it is sent once.
+    bool isTrial = false;
 
     /// Runner of the current attempt.
     RunnerChoice runner;
@@ -75,12 +113,12 @@
     unsigned sends = 0;
     /// The head of a streamed response was sent to the caller.
     bool isBegun = false;
-    /// The current attempt has produced output.
-    bool hadOutput = false;
+    /// How far the current attempt got.
+    AttemptPhase phase = AttemptPhase::NotSent;
     /// The current attempt was ended because it would have begun on old weights too late.
     bool isTakenBack = false;
     /// The current attempt is a trial after a back-off of its runner, whose result is not known yet.
-    bool isTrial = false;
+    bool isRunnerTrial = false;
     /// The current attempt was not sent because its runner became unavailable.
     bool isDiverted = false;
     RunState runState = RunState::NotRun;
@@ -153,14 +191,28 @@
     if (!admitted) {
         co_return std::unexpected(admitted.error());
     }
-    if (auto waited = co_await m_admission.waitUntil(admitted->sendAt, request, sink); !waited) {
-        co_return waited;
-    }
     Delivery delivery(std::move(*admitted));
     delivery.receivedAt = receivedAt;
     delivery.deadline = receivedAt + timeoutOf(request);
+    delivery.parts = sharedParts(request);
+    // Before the tokens are taken, so that these requests use up nothing of their caller's quota.
+    if (const auto refused = checkQuarantine(delivery)) {
+        co_return std::unexpected(*refused);
+    }
+    if (auto taken = m_admission.takeTokens(request, delivery); !taken) {
+        co_return taken;
+    }
+    if (auto waited = co_await m_admission.waitUntil(delivery.sendAt, request, sink); !waited) {
+        co_return waited;
+    }
     m_context.retryBudget.recordRequest(delivery.service);
     for (;;) {
+        if (auto refused = checkQuarantine(delivery)) {
+            if (delivery.failure) {
+                co_return co_await sink.answer(delivery.failure->first, std::move(delivery.failure->second));
+            }
+            co_return std::unexpected(std::move(*refused));
+        }
         const auto choice = chooseRunner(request, delivery);
         if (!choice) {
             if (delivery.failure) {
@@ -194,7 +246,9 @@
         }
         m_context.log.record(RequestEvent::Repeated, request.id,
             { { "runner", choice->id.value() }, { "cause", result.error().message },
-                { "run", std::string(nameOf(delivery.runState)) }, { "sends", std::to_string(delivery.sends) } });
+                { "run", std::string(nameOf(delivery.runState)) }, { "sends", std::to_string(delivery.sends) },
+                { "phase", std::string(nameOf(delivery.phase)) }, { "parts", nameParts(request) } });
+        recordLoss(result.error(), delivery);
         if (!mayRepeat(request, result.error(), delivery)) {
             if (delivery.failure) {
                 co_return co_await sink.answer(delivery.failure->first, std::move(delivery.failure->second));
@@ -210,6 +264,35 @@
     }
 }
 
+std::optional<Error> ForwardDispatcher::checkQuarantine(Delivery& delivery)
+{
+    const auto part = m_context.quarantine.findQuarantined(delivery.parts);
+    if (!part || delivery.isTrial) {
+        return std::nullopt;
+    }
+    if (delivery.sends == 0 && m_context.quarantineCommands.startTrial(delivery.parts)) {
+        delivery.isTrial = true;
+        return std::nullopt;
+    }
+    m_context.quarantineCommands.recordRefusal(part->part);
+    return Error { ErrorCode::Unavailable,
+        "part " + partName(part->part) + " of the prompt is quarantined after " + std::to_string(part->crashes)
+            + " crashes of runners, for " + std::to_string(part->age.count()) + " ms",
+        delivery.runState };
+}
+
+void ForwardDispatcher::recordLoss(const Error& error, Delivery& delivery)
+{
+    const bool hadNoOutput = delivery.phase == AttemptPhase::Sent || delivery.phase == AttemptPhase::HeadReceived;
+    if (!hadNoOutput || error.code != ErrorCode::ConnectionLost) {
+        return;
+    }
+    ++delivery.losses;
+    delivery.wasSuspected = m_context.quarantine.isSuspected(delivery.parts);
+    const auto& runner = delivery.runner;
+    m_context.crashes.recordLoss(runner.id, runner.incarnation, runner.endpoint, delivery.parts);
+}
+
 bool ForwardDispatcher::mayRepeat(const ForwardRequest& request, const Error& error, Delivery& delivery)
 {
     const auto kind = retryKindOf(*delivery.route);
@@ -222,6 +305,13 @@
     if (!isWithinLimits) {
         return false;
     }
+    if (delivery.isTrial && error.code != ErrorCode::ConnectFailed) {
+        return false;
+    }
+    // A request that crashes its runners must not be sent to one after the other.
+    if (delivery.losses >= maxLosses || delivery.wasSuspected) {
+        return false;
+    }
     const auto progress = delivery.isBegun ? Progress::AnswerBegun : isNotRun ? Progress::NotStarted : Progress::Sent;
     // A runner resumes after an event id. Without one, the next run would send the same events again.
     if (delivery.isBegun && (kind != RetryKind::Generation || !delivery.lastEventId)) {
@@ -250,7 +340,7 @@
 {
     delivery.runner = choice;
     delivery.tried.insert(choice.id);
-    delivery.hadOutput = false;
+    delivery.phase = AttemptPhase::NotSent;
     delivery.isTakenBack = false;
     delivery.isDiverted = false;
     ++delivery.sends;
@@ -268,14 +358,14 @@
             { "weights", std::to_string(choice.weights) },
             { "copied_from", choice.cacheSource ? choice.cacheSource->toString() : "" },
             { "computed_tokens", std::to_string(static_cast<long>(choice.computedTokens)) },
-            { "left_ms", std::to_string(terms.timeout.count()) },
+            { "parts", nameParts(request) }, { "left_ms", std::to_string(terms.timeout.count()) },
             { "knowledge_age_ms",
                 std::to_string(
                     std::chrono::duration_cast<std::chrono::milliseconds>(m_context.freshness.age()).count()) } });
     m_context.metrics.count(Counter::UpstreamAttempts);
     m_context.runnerCommands.recordSent(choice.id, choice.computedTokens);
-    delivery.isTrial = m_context.runners.needsTrial(choice.id);
-    if (delivery.isTrial) {
+    delivery.isRunnerTrial = m_context.runners.needsTrial(choice.id);
+    if (delivery.isRunnerTrial) {
         m_context.metrics.count(Counter::BackOffTrials);
         m_context.runnerCommands.beginTrial(choice.id);
     }
@@ -290,6 +380,11 @@
         limit = std::min<std::chrono::nanoseconds>(limit, route.objective * firstEventTimeoutFactor);
     }
     const auto head = co_await send(*exchange, delivery, untilBeginLimit(limit, delivery));
+    if (head) {
+        delivery.phase = AttemptPhase::HeadReceived;
+    } else if (head.error().code != ErrorCode::ConnectFailed && !delivery.isDiverted) {
+        delivery.phase = AttemptPhase::Sent;
+    }
     Outcome<void> result;
     if (!head) {
         result = std::unexpected(head.error());
@@ -297,7 +392,8 @@
         recordAvailability(request, *head, delivery);
         result = co_await relayAnswer(request, *exchange, *head, sink, delivery);
     }
-    const bool isLate = choice.beginBy && !delivery.hadOutput && m_context.clock.now() >= *choice.beginBy;
+    const bool isLate
+        = choice.beginBy && delivery.phase != AttemptPhase::Answering && m_context.clock.now() >= *choice.beginBy;
     if (isLate && !result && result.error().code == ErrorCode::DeadlineExceeded) {
         result.error().message = "the request had not begun when the limit of the runner's old weights passed";
         delivery.isTakenBack = true;
@@ -317,7 +413,7 @@
     std::chrono::nanoseconds limit, const Delivery& delivery) const
 {
     const auto& beginBy = delivery.runner.beginBy;
-    if (!beginBy || delivery.hadOutput) {
+    if (!beginBy || delivery.phase == AttemptPhase::Answering) {
         return limit;
     }
     return std::min<std::chrono::nanoseconds>(limit, *beginBy - m_context.clock.now());
@@ -361,7 +457,7 @@
 
 void ForwardDispatcher::endTrial(Delivery& delivery, bool isAccepted)
 {
-    if (std::exchange(delivery.isTrial, false)) {
+    if (std::exchange(delivery.isRunnerTrial, false)) {
         m_context.runnerCommands.endTrial(delivery.runner.id, isAccepted);
     }
 }
@@ -411,6 +507,9 @@
         co_return fail(
             ErrorCode::ProtocolError, "the runner answered with status " + std::to_string(head.status), RunState::Ran);
     }
+    if (head.isSuccess()) {
+        m_context.quarantineCommands.recordAnswer(delivery.parts);
+    }
     co_return co_await sink.answer(head, std::move(body));
 }
 
@@ -454,8 +553,9 @@
             // An error response to an earlier attempt can no longer be sent.
             delivery.failure.reset();
         }
-        if (!std::exchange(delivery.hadOutput, true)) {
+        if (std::exchange(delivery.phase, AttemptPhase::Answering) != AttemptPhase::Answering) {
             recordFirstOutput(request, delivery);
+            m_context.quarantineCommands.recordAnswer(delivery.parts);
         }
         if (auto written = co_await sink.write(complete); !written) {
             co_return written;
@@ -524,7 +624,8 @@
         }
         m_context.metrics.count(Counter::UpstreamFailures);
     }
-    m_context.runnerCommands.recordEnded(choice.id, delivery.hadOutput ? 0 : choice.computedTokens, outcome);
+    m_context.runnerCommands.recordEnded(
+        choice.id, delivery.phase == AttemptPhase::Answering ? 0 : choice.computedTokens, outcome);
 }
 
 } // namespace Pollenwind
--- a/Source/UnitTests/Gateway/GatewaySyncTests.cpp
+++ b/Source/UnitTests/Gateway/GatewaySyncTests.cpp
@@ -1,6 +1,7 @@
 #include "Common/Sleep.h"
 #include "Gateway/GatewayFixture.h"
 #include "Gateway/GatewaySync.h"
+#include "Gateway/QuarantineRecords.h"
 
 using namespace Pollenwind;
 using namespace std::chrono_literals;
@@ -106,7 +107,11 @@
     FeedPolicy policy { clock, fleet, VmId("vm"), 4000ms };
     ChangeFeeds feeds { context.get_executor(), store, policy, timeline };
     ChangeLog log;
-    GatewaySync sync { { clock, feeds, log, codec, routing, runners, quota, fleet, orders, timeline, metrics }, {} };
+    PartQuarantine quarantine { clock, timeline, metrics, fleet };
+    QuarantineRecords quarantineRecords { clock, commands, quarantine, quarantine, fleet };
+    GatewaySync sync {
+        { clock, feeds, log, codec, routing, runners, quota, fleet, orders, timeline, metrics, quarantineRecords }, {}
+    };
 };
 
 } // namespace
--- a/Source/UnitTests/Gateway/RefusalFleet.cpp
+++ b/Source/UnitTests/Gateway/RefusalFleet.cpp
@@ -47,6 +47,10 @@
     FixedFreshness freshness;
     RequestLog log;
     std::unique_ptr<Client> client;
+    FleetView view;
+    PartQuarantine quarantine;
+    ScriptedProbe probe;
+    CrashDetector crashes;
     ForwardDispatcher dispatcher;
 };
 
@@ -128,8 +132,11 @@
     , retryBudget(fleet.m_clock)
     , log(fleet.m_clock)
     , client(std::make_unique<Client>(fleet, n))
+    , view(fleet.m_clock, timeline, VmId("vm"), ZoneId("a"))
+    , quarantine(fleet.m_clock, timeline, metrics, view)
+    , crashes(fleet.m_context.get_executor(), fleet.m_clock, runners, probe, quarantine)
     , dispatcher({ fleet.m_clock, routing, freshness, runners, runners, policy, directory, quota, retryBudget, *client,
-          metrics, log })
+          metrics, log, quarantine, quarantine, crashes })
 {
     RoutingConfiguration configuration;
     configuration.version = 1;
