--- a/Source/Core/Gateway/AffinityPolicy.cpp
+++ b/Source/Core/Gateway/AffinityPolicy.cpp
@@ -170,6 +170,7 @@
     RunnerChoice choice { best->candidate->id, best->candidate->endpoint };
     choice.incarnation = best->candidate->incarnation;
     choice.weights = best->candidate->weights;
+    choice.software = best->candidate->software;
     choice.computedTokens = best->missedTokens() + best->ownTokens;
     if (best->source && best->copiedTokens > best->cachedTokens) {
         choice.cacheSource = best->source->endpoint;
--- a/Source/Core/Gateway/FleetMessages_generated.h
+++ b/Source/Core/Gateway/FleetMessages_generated.h
@@ -26,6 +26,14 @@
 
 struct LoadedWeights;
 
+struct BinCount;
+
+struct VersionOutcomes;
+struct VersionOutcomesBuilder;
+
+struct Rollout;
+struct RolloutBuilder;
+
 struct FleetReport;
 struct FleetReportBuilder;
 
@@ -162,6 +170,279 @@
 };
 FLATBUFFERS_STRUCT_END(LoadedWeights, 24);
 
+FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(4) BinCount FLATBUFFERS_FINAL_CLASS {
+ private:
+  uint8_t bin_;
+  int8_t padding0__;  int16_t padding1__;
+  uint32_t samples_;
+
+ public:
+  BinCount()
+      : bin_(0),
+        padding0__(0),
+        padding1__(0),
+        samples_(0) {
+    (void)padding0__;
+    (void)padding1__;
+  }
+  BinCount(uint8_t _bin, uint32_t _samples)
+      : bin_(flatbuffers::EndianScalar(_bin)),
+        padding0__(0),
+        padding1__(0),
+        samples_(flatbuffers::EndianScalar(_samples)) {
+    (void)padding0__;
+    (void)padding1__;
+  }
+  uint8_t bin() const {
+    return flatbuffers::EndianScalar(bin_);
+  }
+  uint32_t samples() const {
+    return flatbuffers::EndianScalar(samples_);
+  }
+};
+FLATBUFFERS_STRUCT_END(BinCount, 8);
+
+struct VersionOutcomes FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef VersionOutcomesBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_ROUTE = 4,
+    VT_IS_TARGET = 6,
+    VT_REQUESTS = 8,
+    VT_FAILURES = 10,
+    VT_FIRST_OUTPUT = 12,
+    VT_PAUSES = 14
+  };
+  const flatbuffers::String *route() const {
+    return GetPointer<const flatbuffers::String *>(VT_ROUTE);
+  }
+  bool is_target() const {
+    return GetField<uint8_t>(VT_IS_TARGET, 0) != 0;
+  }
+  uint32_t requests() const {
+    return GetField<uint32_t>(VT_REQUESTS, 0);
+  }
+  uint32_t failures() const {
+    return GetField<uint32_t>(VT_FAILURES, 0);
+  }
+  const flatbuffers::Vector<const Pollenwind::wire::BinCount *> *first_output() const {
+    return GetPointer<const flatbuffers::Vector<const Pollenwind::wire::BinCount *> *>(VT_FIRST_OUTPUT);
+  }
+  const flatbuffers::Vector<const Pollenwind::wire::BinCount *> *pauses() const {
+    return GetPointer<const flatbuffers::Vector<const Pollenwind::wire::BinCount *> *>(VT_PAUSES);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_ROUTE) &&
+           verifier.VerifyString(route()) &&
+           VerifyField<uint8_t>(verifier, VT_IS_TARGET, 1) &&
+           VerifyField<uint32_t>(verifier, VT_REQUESTS, 4) &&
+           VerifyField<uint32_t>(verifier, VT_FAILURES, 4) &&
+           VerifyOffset(verifier, VT_FIRST_OUTPUT) &&
+           verifier.VerifyVector(first_output()) &&
+           VerifyOffset(verifier, VT_PAUSES) &&
+           verifier.VerifyVector(pauses()) &&
+           verifier.EndTable();
+  }
+};
+
+struct VersionOutcomesBuilder {
+  typedef VersionOutcomes Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_route(flatbuffers::Offset<flatbuffers::String> route) {
+    fbb_.AddOffset(VersionOutcomes::VT_ROUTE, route);
+  }
+  void add_is_target(bool is_target) {
+    fbb_.AddElement<uint8_t>(VersionOutcomes::VT_IS_TARGET, static_cast<uint8_t>(is_target), 0);
+  }
+  void add_requests(uint32_t requests) {
+    fbb_.AddElement<uint32_t>(VersionOutcomes::VT_REQUESTS, requests, 0);
+  }
+  void add_failures(uint32_t failures) {
+    fbb_.AddElement<uint32_t>(VersionOutcomes::VT_FAILURES, failures, 0);
+  }
+  void add_first_output(flatbuffers::Offset<flatbuffers::Vector<const Pollenwind::wire::BinCount *>> first_output) {
+    fbb_.AddOffset(VersionOutcomes::VT_FIRST_OUTPUT, first_output);
+  }
+  void add_pauses(flatbuffers::Offset<flatbuffers::Vector<const Pollenwind::wire::BinCount *>> pauses) {
+    fbb_.AddOffset(VersionOutcomes::VT_PAUSES, pauses);
+  }
+  explicit VersionOutcomesBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<VersionOutcomes> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<VersionOutcomes>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<VersionOutcomes> CreateVersionOutcomes(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> route = 0,
+    bool is_target = false,
+    uint32_t requests = 0,
+    uint32_t failures = 0,
+    flatbuffers::Offset<flatbuffers::Vector<const Pollenwind::wire::BinCount *>> first_output = 0,
+    flatbuffers::Offset<flatbuffers::Vector<const Pollenwind::wire::BinCount *>> pauses = 0) {
+  VersionOutcomesBuilder builder_(_fbb);
+  builder_.add_pauses(pauses);
+  builder_.add_first_output(first_output);
+  builder_.add_failures(failures);
+  builder_.add_requests(requests);
+  builder_.add_route(route);
+  builder_.add_is_target(is_target);
+  return builder_.Finish();
+}
+
+inline flatbuffers::Offset<VersionOutcomes> CreateVersionOutcomesDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *route = nullptr,
+    bool is_target = false,
+    uint32_t requests = 0,
+    uint32_t failures = 0,
+    const std::vector<Pollenwind::wire::BinCount> *first_output = nullptr,
+    const std::vector<Pollenwind::wire::BinCount> *pauses = nullptr) {
+  auto route__ = route ? _fbb.CreateString(route) : 0;
+  auto first_output__ = first_output ? _fbb.CreateVectorOfStructs<Pollenwind::wire::BinCount>(*first_output) : 0;
+  auto pauses__ = pauses ? _fbb.CreateVectorOfStructs<Pollenwind::wire::BinCount>(*pauses) : 0;
+  return Pollenwind::wire::CreateVersionOutcomes(
+      _fbb,
+      route__,
+      is_target,
+      requests,
+      failures,
+      first_output__,
+      pauses__);
+}
+
+struct Rollout FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef RolloutBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_SERVICE = 4,
+    VT_ORDER = 6,
+    VT_STATE = 8,
+    VT_AGE_MS = 10,
+    VT_REQUESTS = 12,
+    VT_TARGET_REQUESTS = 14,
+    VT_OUTCOMES = 16
+  };
+  const flatbuffers::String *service() const {
+    return GetPointer<const flatbuffers::String *>(VT_SERVICE);
+  }
+  int64_t order() const {
+    return GetField<int64_t>(VT_ORDER, 0);
+  }
+  uint8_t state() const {
+    return GetField<uint8_t>(VT_STATE, 0);
+  }
+  uint64_t age_ms() const {
+    return GetField<uint64_t>(VT_AGE_MS, 0);
+  }
+  uint64_t requests() const {
+    return GetField<uint64_t>(VT_REQUESTS, 0);
+  }
+  uint64_t target_requests() const {
+    return GetField<uint64_t>(VT_TARGET_REQUESTS, 0);
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<Pollenwind::wire::VersionOutcomes>> *outcomes() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<Pollenwind::wire::VersionOutcomes>> *>(VT_OUTCOMES);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_SERVICE) &&
+           verifier.VerifyString(service()) &&
+           VerifyField<int64_t>(verifier, VT_ORDER, 8) &&
+           VerifyField<uint8_t>(verifier, VT_STATE, 1) &&
+           VerifyField<uint64_t>(verifier, VT_AGE_MS, 8) &&
+           VerifyField<uint64_t>(verifier, VT_REQUESTS, 8) &&
+           VerifyField<uint64_t>(verifier, VT_TARGET_REQUESTS, 8) &&
+           VerifyOffset(verifier, VT_OUTCOMES) &&
+           verifier.VerifyVector(outcomes()) &&
+           verifier.VerifyVectorOfTables(outcomes()) &&
+           verifier.EndTable();
+  }
+};
+
+struct RolloutBuilder {
+  typedef Rollout Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_service(flatbuffers::Offset<flatbuffers::String> service) {
+    fbb_.AddOffset(Rollout::VT_SERVICE, service);
+  }
+  void add_order(int64_t order) {
+    fbb_.AddElement<int64_t>(Rollout::VT_ORDER, order, 0);
+  }
+  void add_state(uint8_t state) {
+    fbb_.AddElement<uint8_t>(Rollout::VT_STATE, state, 0);
+  }
+  void add_age_ms(uint64_t age_ms) {
+    fbb_.AddElement<uint64_t>(Rollout::VT_AGE_MS, age_ms, 0);
+  }
+  void add_requests(uint64_t requests) {
+    fbb_.AddElement<uint64_t>(Rollout::VT_REQUESTS, requests, 0);
+  }
+  void add_target_requests(uint64_t target_requests) {
+    fbb_.AddElement<uint64_t>(Rollout::VT_TARGET_REQUESTS, target_requests, 0);
+  }
+  void add_outcomes(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<Pollenwind::wire::VersionOutcomes>>> outcomes) {
+    fbb_.AddOffset(Rollout::VT_OUTCOMES, outcomes);
+  }
+  explicit RolloutBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<Rollout> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<Rollout>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<Rollout> CreateRollout(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> service = 0,
+    int64_t order = 0,
+    uint8_t state = 0,
+    uint64_t age_ms = 0,
+    uint64_t requests = 0,
+    uint64_t target_requests = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<Pollenwind::wire::VersionOutcomes>>> outcomes = 0) {
+  RolloutBuilder builder_(_fbb);
+  builder_.add_target_requests(target_requests);
+  builder_.add_requests(requests);
+  builder_.add_age_ms(age_ms);
+  builder_.add_order(order);
+  builder_.add_outcomes(outcomes);
+  builder_.add_service(service);
+  builder_.add_state(state);
+  return builder_.Finish();
+}
+
+inline flatbuffers::Offset<Rollout> CreateRolloutDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *service = nullptr,
+    int64_t order = 0,
+    uint8_t state = 0,
+    uint64_t age_ms = 0,
+    uint64_t requests = 0,
+    uint64_t target_requests = 0,
+    const std::vector<flatbuffers::Offset<Pollenwind::wire::VersionOutcomes>> *outcomes = nullptr) {
+  auto service__ = service ? _fbb.CreateString(service) : 0;
+  auto outcomes__ = outcomes ? _fbb.CreateVector<flatbuffers::Offset<Pollenwind::wire::VersionOutcomes>>(*outcomes) : 0;
+  return Pollenwind::wire::CreateRollout(
+      _fbb,
+      service__,
+      order,
+      state,
+      age_ms,
+      requests,
+      target_requests,
+      outcomes__);
+}
+
 struct FleetReport FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef FleetReportBuilder Builder;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
@@ -179,7 +460,8 @@
     VT_REPLACED = 26,
     VT_DEBTS = 28,
     VT_PASS_ON = 30,
-    VT_UPTIME_MS = 32
+    VT_UPTIME_MS = 32,
+    VT_ROLLOUTS = 34
   };
   const flatbuffers::String *vm() const {
     return GetPointer<const flatbuffers::String *>(VT_VM);
@@ -226,6 +508,9 @@
   uint64_t uptime_ms() const {
     return GetField<uint64_t>(VT_UPTIME_MS, 0);
   }
+  const flatbuffers::Vector<flatbuffers::Offset<Pollenwind::wire::Rollout>> *rollouts() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<Pollenwind::wire::Rollout>> *>(VT_ROLLOUTS);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_VM) &&
@@ -253,6 +538,9 @@
            verifier.VerifyVector(debts()) &&
            VerifyField<uint8_t>(verifier, VT_PASS_ON, 1) &&
            VerifyField<uint64_t>(verifier, VT_UPTIME_MS, 8) &&
+           VerifyOffset(verifier, VT_ROLLOUTS) &&
+           verifier.VerifyVector(rollouts()) &&
+           verifier.VerifyVectorOfTables(rollouts()) &&
            verifier.EndTable();
   }
 };
@@ -306,6 +594,9 @@
   void add_uptime_ms(uint64_t uptime_ms) {
     fbb_.AddElement<uint64_t>(FleetReport::VT_UPTIME_MS, uptime_ms, 0);
   }
+  void add_rollouts(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<Pollenwind::wire::Rollout>>> rollouts) {
+    fbb_.AddOffset(FleetReport::VT_ROLLOUTS, rollouts);
+  }
   explicit FleetReportBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -333,11 +624,13 @@
     flatbuffers::Offset<flatbuffers::Vector<uint64_t>> replaced = 0,
     flatbuffers::Offset<flatbuffers::Vector<const Pollenwind::wire::OrganisationUsage *>> debts = 0,
     bool pass_on = false,
-    uint64_t uptime_ms = 0) {
+    uint64_t uptime_ms = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<Pollenwind::wire::Rollout>>> rollouts = 0) {
   FleetReportBuilder builder_(_fbb);
   builder_.add_uptime_ms(uptime_ms);
   builder_.add_sequence(sequence);
   builder_.add_boot(boot);
+  builder_.add_rollouts(rollouts);
   builder_.add_debts(debts);
   builder_.add_replaced(replaced);
   builder_.add_unreachable(unreachable);
@@ -369,7 +662,8 @@
     const std::vector<uint64_t> *replaced = nullptr,
     const std::vector<Pollenwind::wire::OrganisationUsage> *debts = nullptr,
     bool pass_on = false,
-    uint64_t uptime_ms = 0) {
+    uint64_t uptime_ms = 0,
+    const std::vector<flatbuffers::Offset<Pollenwind::wire::Rollout>> *rollouts = nullptr) {
   auto vm__ = vm ? _fbb.CreateString(vm) : 0;
   auto usage__ = usage ? _fbb.CreateVectorOfStructs<Pollenwind::wire::OrganisationUsage>(*usage) : 0;
   auto work__ = work ? _fbb.CreateVectorOfStructs<Pollenwind::wire::RunnerWork>(*work) : 0;
@@ -380,6 +674,7 @@
   auto unreachable__ = unreachable ? _fbb.CreateVector<uint64_t>(*unreachable) : 0;
   auto replaced__ = replaced ? _fbb.CreateVector<uint64_t>(*replaced) : 0;
   auto debts__ = debts ? _fbb.CreateVectorOfStructs<Pollenwind::wire::OrganisationUsage>(*debts) : 0;
+  auto rollouts__ = rollouts ? _fbb.CreateVector<flatbuffers::Offset<Pollenwind::wire::Rollout>>(*rollouts) : 0;
   return Pollenwind::wire::CreateFleetReport(
       _fbb,
       vm__,
@@ -396,7 +691,8 @@
       replaced__,
       debts__,
       pass_on,
-      uptime_ms);
+      uptime_ms,
+      rollouts__);
 }
 
 inline const Pollenwind::wire::FleetReport *GetFleetReport(const void *buf) {
--- a/Source/Core/Gateway/FleetReportCodec.cpp
+++ b/Source/Core/Gateway/FleetReportCodec.cpp
@@ -1,6 +1,7 @@
 #include "Gateway/FleetReportCodec.h"
 
 #include "Gateway/FleetMessages_generated.h"
+#include "Gateway/RolloutReportCodec.h"
 
 namespace Pollenwind::FleetReportCodec {
 
@@ -42,9 +43,11 @@
     const auto unreachableOffset = builder.CreateVector(report.failures.unreachable);
     const auto replacedOffset = builder.CreateVector(report.failures.replaced);
     const auto lowLevelsOffset = builder.CreateVectorOfStructs(lowLevels);
+    const auto rolloutsOffset = RolloutReportCodec::create(builder, report.rollouts);
     builder.Finish(wire::CreateFleetReport(builder, vm, report.incarnation.value(), report.sequence, usageOffset,
         workOffset, loadingOffset, cachedOffset, targetAgesOffset, report.members, loadedOffset, unreachableOffset,
-        replacedOffset, lowLevelsOffset, report.isForZone, static_cast<std::uint64_t>(report.uptime.count())));
+        replacedOffset, lowLevelsOffset, report.isForZone, static_cast<std::uint64_t>(report.uptime.count()),
+        rolloutsOffset));
     return { reinterpret_cast<const char*>(builder.GetBufferPointer()), builder.GetSize() };
 }
 
@@ -105,6 +108,7 @@
             report.lowLevels[it->organisation()] = it->tokens();
         }
     }
+    report.rollouts = RolloutReportCodec::read(message->rollouts());
     return report;
 }
 
--- a/Source/Core/Gateway/FleetReportCodec.h
+++ b/Source/Core/Gateway/FleetReportCodec.h
@@ -3,6 +3,7 @@
 #include "Common/Ids.h"
 #include "Gateway/Commands/PrefixCommands.h"
 #include "Gateway/Commands/QuotaCommands.h"
+#include "Gateway/RolloutTypes.h"
 #include "Gateway/RunnerTypes.h"
 
 #include <cstdint>
@@ -42,6 +43,8 @@
     bool isForZone = false;
     /// Time since the process started; 0 if the sender does not tell it.
     std::chrono::milliseconds uptime { 0 };
+    /// Counts and evidence of the VM's roll-outs.
+    std::vector<RolloutReport> rollouts;
 };
 
 namespace FleetReportCodec {
--- a/Source/Core/Gateway/FleetReporter.cpp
+++ b/Source/Core/Gateway/FleetReporter.cpp
@@ -67,8 +67,10 @@
         FleetReport report { m_vm, m_incarnation, 0, m_context.quota.ownTotals(), m_context.runners.ownLoads(),
             m_context.weights.loading(), m_context.directory.takeUpdates(), m_context.runners.targetWeightsAges(), 0,
             m_context.weights.loaded(), m_context.runners.recentFailures(), m_context.quota.lowLevels() };
+        report.rollouts = m_context.rollouts.reports();
         const bool isChanged = report.usage != last.usage || report.loading != last.loading || report.work != last.work
-            || !report.cachedPrefixes.empty() || !report.loaded.empty() || !report.failures.isEmpty();
+            || !report.cachedPrefixes.empty() || !report.loaded.empty() || !report.failures.isEmpty()
+            || !report.rollouts.empty();
         unchanged = isChanged ? 0 : unchanged + 1;
         if (!isChanged && unchanged % keepAliveTicks != 0) {
             continue;
@@ -190,6 +192,7 @@
     m_context.runnerCommands.recordLoadedWeights(report->loaded);
     m_context.runnerCommands.recordRemoteFailures(report->vm, report->failures);
     m_context.runnerCommands.setLoadingRunners(report->vm, std::move(report->loading));
+    m_context.rolloutCommands.recordRemote(report->vm, std::move(report->rollouts));
 }
 
 } // namespace Pollenwind
--- a/Source/Core/Gateway/FleetReporter.h
+++ b/Source/Core/Gateway/FleetReporter.h
@@ -1,10 +1,12 @@
 #pragma once
 
 #include "Gateway/CacheDirectory.h"
+#include "Gateway/Commands/RolloutCommands.h"
 #include "Gateway/Commands/RunnerCommands.h"
 #include "Gateway/FleetQuota.h"
 #include "Gateway/FleetReportCodec.h"
 #include "Gateway/FleetView.h"
+#include "Gateway/Queries/RolloutQueries.h"
 #include "Gateway/Queries/RunnerQueries.h"
 #include "Gateway/WeightsDriver.h"
 #include "Metrics/Commands/MetricCommands.h"
@@ -26,6 +28,8 @@
     const WeightsDriver& weights;
     CacheDirectory& directory;
     MetricCommands& metrics;
+    const RolloutQueries& rollouts;
+    RolloutCommands& rolloutCommands;
 };
 
 /// Exchanges reports with the other VMs over UDP: tokens taken, work at the runners, cached prefixes, loads of weights
--- a/Source/Core/Gateway/ForwardDispatcher.cpp
+++ b/Source/Core/Gateway/ForwardDispatcher.cpp
@@ -78,16 +78,40 @@
     std::optional<std::uint64_t> lastEventId;
     /// A runner's error response, which the caller gets if no other attempt succeeds.
     std::optional<std::pair<ReplyHead, std::string>> failure;
+
+    /// Version of the software of the last attempt's runner.
+    std::optional<VersionId> lastVersion;
+    /// The current attempt as evidence on that version.
+    RolloutAttemptId rolloutAttempt;
+    /// Status of the current attempt's response; 0 before its head.
+    int status = 0;
 };
 
-Outcome<RunnerChoice> ForwardDispatcher::chooseRunner(const ForwardRequest& request, const Delivery& delivery) const
+std::vector<RunnerCandidate> ForwardDispatcher::candidatesFor(
+    const ForwardRequest& request, const Delivery& delivery) const
 {
-    auto candidates = m_context.runners.candidates(delivery.service, request.model);
-    std::erase_if(candidates, [&](const RunnerCandidate& it) { return delivery.tried.contains(it.id); });
+    std::optional<PreviousAttempt> previous;
+    if (delivery.lastVersion) {
+        previous = { *delivery.lastVersion, delivery.isBegun };
+    }
+    const auto versions = m_context.rollouts.versionsFor(delivery.service, request.id, previous);
+    for (const auto& rule : versions) {
+        auto candidates = m_context.runners.candidates(delivery.service, request.model, rule);
+        std::erase_if(candidates, [&](const RunnerCandidate& it) { return delivery.tried.contains(it.id); });
+        if (!candidates.empty()) {
+            return candidates;
+        }
+    }
     // A runner that refused may accept the request now. One that may have run it is not tried again.
-    if (candidates.empty() && delivery.runs == 0) {
-        candidates = m_context.runners.candidates(delivery.service, request.model);
+    if (delivery.runs == 0 && !delivery.tried.empty()) {
+        return m_context.runners.candidates(delivery.service, request.model, versions.front());
     }
+    return {};
+}
+
+Outcome<RunnerChoice> ForwardDispatcher::chooseRunner(const ForwardRequest& request, const Delivery& delivery) const
+{
+    const auto candidates = candidatesFor(request, delivery);
     const auto& targets = m_context.runners.targetWeights();
     const auto it = targets.find(request.model);
     const auto choice = m_context.policy.choose(
@@ -222,6 +246,9 @@
     delivery.runner = choice;
     delivery.tried.insert(choice.id);
     delivery.hadOutput = false;
+    delivery.rolloutAttempt = {};
+    delivery.status = 0;
+    delivery.lastVersion = choice.software;
     ++delivery.sends;
     const auto& route = *delivery.route;
     checkInvariant(delivery.runs == 0 || retryKindOf(route) != RetryKind::NonIdempotentCall,
@@ -234,7 +261,7 @@
         { { "runner", choice.id.value() }, { "service", delivery.service.value() }, { "route", route.name },
             { "organisation", delivery.organisation ? delivery.organisation->id.value() : "" },
             { "configuration", std::to_string(delivery.configuration->version) },
-            { "weights", std::to_string(choice.weights) },
+            { "weights", std::to_string(choice.weights) }, { "software", choice.software.value() },
             { "copied_from", choice.cacheSource ? choice.cacheSource->toString() : "" },
             { "computed_tokens", std::to_string(static_cast<long>(choice.computedTokens)) },
             { "left_ms", std::to_string(terms.timeout.count()) },
@@ -243,6 +270,8 @@
                     std::chrono::duration_cast<std::chrono::milliseconds>(m_context.freshness.age()).count()) } });
     m_context.metrics.count(Counter::UpstreamAttempts);
     m_context.runnerCommands.recordSent(choice.id, choice.computedTokens);
+    delivery.rolloutAttempt
+        = m_context.rolloutCommands.recordSent(delivery.service, choice.software, route.name, choice.computedTokens);
     const bool mayReuse = route.kind != RequestKind::Unsafe;
     const auto exchange = m_context.client.open(choice.endpoint, request, terms, mayReuse);
     sink.onStop([&exchange] { exchange->cancel(); });
@@ -272,6 +301,7 @@
 Task<Outcome<void>> ForwardDispatcher::relayAnswer(
     const ForwardRequest& request, RunnerExchange& exchange, const ReplyHead& head, ReplySink& sink, Delivery& delivery)
 {
+    delivery.status = head.status;
     switch (head.kind) {
     case ReplyKind::NotRun:
     case ReplyKind::Misdirected:
@@ -343,6 +373,7 @@
         if (complete.empty()) {
             continue;
         }
+        m_context.rolloutCommands.recordOutput(delivery.rolloutAttempt);
         if (!delivery.isBegun) {
             m_context.metrics.observe(Distribution::TimeToFirstToken, m_context.clock.now() - delivery.receivedAt);
             if (auto begun = co_await sink.begin(head); !begun) {
@@ -418,6 +449,27 @@
         m_context.metrics.count(Counter::UpstreamFailures);
     }
     m_context.runnerCommands.recordEnded(choice.id, delivery.hadOutput ? 0 : choice.computedTokens, outcome);
+    recordVersionResult(result, delivery);
+}
+
+void ForwardDispatcher::recordVersionResult(const Outcome<void>& result, const Delivery& delivery)
+{
+    constexpr int firstErrorStatus = 500;
+    auto outcome = VersionResult::Succeeded;
+    if (result) {
+        outcome = delivery.status >= firstErrorStatus ? VersionResult::Failed : VersionResult::Succeeded;
+    } else {
+        switch (result.error().code) {
+        case ErrorCode::ConnectFailed:
+        case ErrorCode::Unavailable:
+        case ErrorCode::Cancelled:
+            outcome = VersionResult::Inconclusive;
+            break;
+        default:
+            outcome = VersionResult::Failed;
+        }
+    }
+    m_context.rolloutCommands.recordEnded(delivery.rolloutAttempt, outcome);
 }
 
 } // namespace Pollenwind
--- a/Source/Core/Gateway/ForwardDispatcher.h
+++ b/Source/Core/Gateway/ForwardDispatcher.h
@@ -5,10 +5,12 @@
 #include "Dispatch/RetryBudget.h"
 #include "Gateway/Commands/PrefixCommands.h"
 #include "Gateway/Commands/ReplySink.h"
+#include "Gateway/Commands/RolloutCommands.h"
 #include "Gateway/Commands/RunnerClient.h"
 #include "Gateway/Commands/RunnerCommands.h"
 #include "Gateway/ForwardAdmission.h"
 #include "Gateway/Queries/FreshnessQueries.h"
+#include "Gateway/Queries/RolloutQueries.h"
 #include "Gateway/Queries/RoutingQueries.h"
 #include "Gateway/Queries/RunnerPolicy.h"
 #include "Gateway/Queries/RunnerQueries.h"
@@ -33,6 +35,8 @@
     RunnerClient& client;
     MetricCommands& metrics;
     RequestLog& log;
+    const RolloutQueries& rollouts;
+    RolloutCommands& rolloutCommands;
 };
 
 /// Forwards requests to runners and their responses to the callers: lets them be admitted, chooses a runner, and
@@ -69,6 +73,8 @@
 
     struct Delivery;
 
+    /// Runners that may take the next attempt.
+    std::vector<RunnerCandidate> candidatesFor(const ForwardRequest& request, const Delivery& delivery) const;
     Outcome<RunnerChoice> chooseRunner(const ForwardRequest& request, const Delivery& delivery) const;
     /// Sends the request to one runner and relays its response.
     Task<Outcome<void>> attempt(
@@ -84,6 +90,8 @@
     void recordRefusal(const ForwardRequest& request, const ReplyHead& head, Delivery& delivery);
     void recordFirstOutput(const ForwardRequest& request, Delivery& delivery);
     void recordAttemptEnd(const RunnerChoice& choice, const Outcome<void>& result, const Delivery& delivery);
+    /// Records the end of an attempt as evidence on the version of its runner.
+    void recordVersionResult(const Outcome<void>& result, const Delivery& delivery);
 
     ForwardContext m_context;
     ForwardAdmission m_admission;
--- a/Source/Core/Gateway/Gateway.cpp
+++ b/Source/Core/Gateway/Gateway.cpp
@@ -9,6 +9,8 @@
 #include "Gateway/GatewaySync.h"
 #include "Gateway/HttpRunnerClient.h"
 #include "Gateway/OrderLease.h"
+#include "Gateway/RolloutDriver.h"
+#include "Gateway/RolloutTable.h"
 #include "Gateway/RoutingTable.h"
 #include "Gateway/RunnerTable.h"
 #include "Gateway/StatusFrontEnd.h"
@@ -104,21 +106,26 @@
               { .handoverPause = settings.minOrderHandoverInterval - handoverMargin })
         , feedPolicy(clock, fleet, settings.vm, settings.maxChangeDelay)
         , feeds(executor, platform.storeQueries, feedPolicy, timeline)
-        , sync({ clock, feeds, changeLog, platform.records, routing, runners, quota, fleet, orders, timeline, metrics },
+        , rollouts(clock, timeline, metrics, { settings.exposure })
+        , sync({ clock, feeds, changeLog, platform.records, routing, runners, quota, fleet, orders, timeline, metrics,
+                   rollouts },
               { .freshnessGoal = settings.maxKeyWithdrawalDelay * 3 / 5,
                   .keyLimit = subtractMargin(settings.maxKeyWithdrawalDelay, keyMargin),
                   .largeFleetRetryPause = settings.maxChangeDelay * retryPausePercent / 100 })
         , registration(
               platform.storeCommands, settings.vm, FleetView::encodeRecord(settings.listenReports, settings.zone))
         , weights(executor, clock, runners, runners, orders, platform.weights, timeline, settings.vm, {})
-        , reporter(executor, { fleet, quota, runners, runners, weights, directory, metrics }, settings.vm,
-              settings.zone, incarnation)
+        , rolloutDriver(
+              { clock, rollouts, rollouts, sync, fleet, orders, platform.storeCommands, platform.records, timeline },
+              settings.vm)
+        , reporter(executor, { fleet, quota, runners, runners, weights, directory, metrics, rollouts, rollouts },
+              settings.vm, settings.zone, incarnation)
         , policy(settings.zone, directory)
         , retryBudget(clock)
         , client(executor, platform.requests, connectTimeout)
         , log(clock)
-        , dispatcher(
-              { clock, routing, sync, runners, runners, policy, directory, quota, retryBudget, client, metrics, log })
+        , dispatcher({ clock, routing, sync, runners, runners, policy, directory, quota, retryBudget, client, metrics,
+              log, rollouts, rollouts })
         , frontEnd(clock, platform.requests, dispatcher, metrics, log)
         , status(settings.readyPath, metrics, [this] { return isReady(); })
         , feed(clock, changeLog, sync, fleet)
@@ -148,9 +155,11 @@
     FeedPolicy feedPolicy;
     ChangeFeeds feeds;
     ChangeLog changeLog;
+    RolloutTable rollouts;
     GatewaySync sync;
     VmRegistration registration;
     WeightsDriver weights;
+    RolloutDriver rolloutDriver;
     FleetReporter reporter;
     AffinityPolicy policy;
     RetryBudget retryBudget;
@@ -203,10 +212,12 @@
             { "callers", settings.listenCallers.toString() } });
     components.sync.onRead([&components] { components.dispatcher.onConfigurationRead(); });
     components.weights.onLoadingChanged([&components] { components.reporter.sendSoon(); });
+    components.rolloutDriver.onWritten([&components] { components.reporter.sendSoon(); });
     asio::co_spawn(components.executor, components.sync.run(), asio::detached);
     asio::co_spawn(components.executor, components.registration.run(), asio::detached);
     asio::co_spawn(components.executor, components.orders.run(), asio::detached);
     asio::co_spawn(components.executor, components.weights.run(), asio::detached);
+    asio::co_spawn(components.executor, components.rolloutDriver.run(), asio::detached);
     asio::co_spawn(components.executor, components.reporter.send(), asio::detached);
     asio::co_spawn(components.executor, components.reporter.receive(), asio::detached);
     asio::co_spawn(components.executor, components.runHousekeeping(), asio::detached);
--- a/Source/Core/Gateway/GatewayKeys.h
+++ b/Source/Core/Gateway/GatewayKeys.h
@@ -12,5 +12,7 @@
 /// Record of the last VM that gave orders and of whether orders may still be in progress. It has no lease, so that it
 /// remains when that VM stops.
 inline constexpr std::string_view orderStateKey = "pollenwind/orders/state";
+/// Prefix of the store keys of roll-outs, by service.
+inline constexpr std::string_view rolloutRecordPrefix = "pollenwind/rollouts/";
 
 } // namespace Pollenwind
--- a/Source/Core/Gateway/GatewaySettings.h
+++ b/Source/Core/Gateway/GatewaySettings.h
@@ -2,6 +2,7 @@
 
 #include "Common/Ids.h"
 #include "Gateway/FleetQuota.h"
+#include "Moves/ExposureRamp.h"
 #include "Timeline/Log.h"
 #include "Transport/Endpoint.h"
 
@@ -43,6 +44,10 @@
     std::chrono::milliseconds shutdownTimeLimit { 8000 };
     FleetRetryLimits retries;
     QuotaTolerance quotaTolerance;
+    /// Requests that a version without a verdict may get during its roll-out.
+    ExposureAllowance exposure;
+    /// Longest time after a version has shown that it is bad in which it may still get requests.
+    std::chrono::milliseconds maxRollbackDelay { 5000 };
 
     LogLevel logLevel = LogLevel::Info;
 };
--- a/Source/Core/Gateway/GatewaySync.cpp
+++ b/Source/Core/Gateway/GatewaySync.cpp
@@ -2,6 +2,7 @@
 
 #include "Common/Sleep.h"
 #include "Gateway/GatewayKeys.h"
+#include "Gateway/RolloutRecords.h"
 #include "Timeline/Log.h"
 
 #include <algorithm>
@@ -160,6 +161,13 @@
         m_context.orders.updateState(entry.value, entry.modRevision);
         return;
     }
+    if (entry.key.starts_with(rolloutRecordPrefix)) {
+        const ServiceId service(entry.key.substr(rolloutRecordPrefix.size()));
+        // An unreadable record counts as one of no order, and is replaced.
+        const auto rollout = RolloutRecords::decode(service, entry.value).value_or(RolloutRecord { service });
+        m_context.rollouts.adoptRecord(rollout, entry.modRevision);
+        return;
+    }
     auto record = m_context.codec.decode(entry);
     if (!record) {
         logStateChange("record-unreadable", { { "key", entry.key }, { "cause", record.error().message } });
@@ -179,6 +187,8 @@
         m_context.runners.updateEntry(std::move(*runner));
     } else if (const auto* weights = std::get_if<TargetWeights>(&*record)) {
         m_context.runners.setTargetWeights(weights->model, weights->version, writtenAfter);
+    } else if (const auto* rollout = std::get_if<RolloutOrder>(&*record)) {
+        m_context.rollouts.adoptOrder(*rollout, writtenAfter);
     }
 }
 
@@ -190,6 +200,8 @@
         m_context.orders.clearHolder();
     } else if (const auto runner = m_context.codec.runnerOf(key)) {
         m_context.runners.markEntryEnded(*runner);
+    } else if (const auto service = m_context.codec.rolloutOrderOf(key)) {
+        m_context.rollouts.withdrawOrder(*service);
     }
 }
 
--- a/Source/Core/Gateway/GatewaySync.h
+++ b/Source/Core/Gateway/GatewaySync.h
@@ -3,6 +3,7 @@
 #include "Gateway/ChangeFeeds.h"
 #include "Gateway/ChangeLog.h"
 #include "Gateway/Commands/QuotaCommands.h"
+#include "Gateway/Commands/RolloutCommands.h"
 #include "Gateway/Commands/RoutingCommands.h"
 #include "Gateway/Commands/RunnerCommands.h"
 #include "Gateway/FleetView.h"
@@ -29,6 +30,7 @@
     OrderLease& orders;
     TimelineCommands& timeline;
     MetricCommands& metrics;
+    RolloutCommands& rollouts;
 };
 
 /// Timeouts of the synchronisation.
--- a/Source/Core/Gateway/Queries/RecordCodec.h
+++ b/Source/Core/Gateway/Queries/RecordCodec.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Common/Error.h"
+#include "Gateway/RolloutTypes.h"
 #include "Gateway/RoutingTypes.h"
 #include "Gateway/RunnerTypes.h"
 #include "Store/StoreTypes.h"
@@ -19,9 +20,9 @@
 };
 
 /// Record that the operator or a runner wrote to the store; monostate for one that routers do not use.
-using DecodedRecord = std::variant<std::monostate, RoutingConfiguration, RunnerEntry, TargetWeights>;
+using DecodedRecord = std::variant<std::monostate, RoutingConfiguration, RunnerEntry, TargetWeights, RolloutOrder>;
 
-/// Decodes the records that the operator and the runners write to the store.
+/// Decodes the records that the operator and the runners write to the store, and encodes those that the operator reads.
 class RecordCodec {
 public:
     RecordCodec() = default;
@@ -35,6 +36,12 @@
 
     /// @return The runner whose entry is kept under a key, or nothing for other keys.
     virtual std::optional<UpstreamId> runnerOf(std::string_view key) const = 0;
+
+    /// @return The service whose roll-out is ordered under a key, or nothing for other keys.
+    virtual std::optional<ServiceId> rolloutOrderOf(std::string_view key) const = 0;
+
+    /// Encodes the state of a roll-out for the operator.
+    virtual StoreWrite encodeStatus(const RolloutStatus& status) const = 0;
 };
 
 } // namespace Pollenwind
--- a/Source/Core/Gateway/Queries/RunnerPolicy.h
+++ b/Source/Core/Gateway/Queries/RunnerPolicy.h
@@ -17,6 +17,8 @@
     Incarnation incarnation;
     /// The runner's weights of the request's model.
     WeightsVersion weights = 0;
+    /// Version of the runner's software.
+    VersionId software;
     /// Prompt tokens that the runner is expected to compute.
     double computedTokens = 0;
     /// Runner or store from which the runner copies shared parts of the prompt that it does not have cached or may have
--- a/Source/Core/Gateway/Queries/RunnerQueries.h
+++ b/Source/Core/Gateway/Queries/RunnerQueries.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "Gateway/RolloutTypes.h"
 #include "Gateway/RunnerTypes.h"
 
 #include <optional>
@@ -18,7 +19,15 @@
     /// Runners of a service that may take a request now. Runners that are suspect, loading weights or whose entry has
     /// just ended are returned only if there are no others.
     /// @param model Model that the request asks for, or empty. Runners whose weights are too old are excluded.
-    virtual std::vector<RunnerCandidate> candidates(const ServiceId& service, const std::string& model) const = 0;
+    /// @param versions Versions of the software that may be used.
+    virtual std::vector<RunnerCandidate> candidates(
+        const ServiceId& service, const std::string& model, const VersionRule& versions) const
+        = 0;
+    /// Runners with any version of the software.
+    std::vector<RunnerCandidate> candidates(const ServiceId& service, const std::string& model) const
+    {
+        return candidates(service, model, {});
+    }
 
     /// @return A runner's entry, also for some time after it ended, or nothing for an unknown runner.
     virtual std::optional<RunnerEntry> find(const UpstreamId& runner) const = 0;
--- /dev/null
+++ b/Source/Core/Gateway/RolloutTable.cpp
@@ -0,0 +1,374 @@
+#include "Gateway/RolloutTable.h"
+
+#include <xxhash.h>
+
+#include <algorithm>
+#include <cstdio>
+
+namespace Pollenwind {
+
+namespace {
+
+    // Time over which the rate of requests is measured.
+    constexpr std::chrono::seconds rateWindow { 2 };
+
+    // Time for which a verdict is reported to VMs that do not receive the store's changes.
+    constexpr std::chrono::seconds verdictReportTime { 10 };
+
+    // Share of the target version on a VM that does not receive the store's changes.
+    constexpr double staleShare = 0.04;
+
+    /// A number from 0 to 1 that all VMs derive from a request alike.
+    double fractionOf(const RequestId& request)
+    {
+        const auto hash = XXH3_64bits(request.value().data(), request.value().size());
+        return static_cast<double>(hash >> 11) / 9007199254740992.0;
+    }
+
+    std::string percent(double share)
+    {
+        std::array<char, 32> buf {};
+        std::snprintf(buf.data(), buf.size(), "%.1f%%", 100 * share);
+        return buf.data();
+    }
+
+    RampSettings rampSettings(double usedAllowance)
+    {
+        RampSettings settings;
+        settings.usedAllowance = usedAllowance;
+        return settings;
+    }
+
+} // namespace
+
+RolloutTable::RolloutTable(
+    const Clock& clock, TimelineCommands& timeline, MetricCommands& metrics, RolloutTableOptions options)
+    : m_clock(clock)
+    , m_timeline(timeline)
+    , m_metrics(metrics)
+    , m_options(options)
+    , m_ramp(rampSettings(options.usedAllowance))
+{
+}
+
+void RolloutTable::adoptOrder(const RolloutOrder& order, MonotonicTime orderedAfter)
+{
+    const auto it = m_rollouts.find(order.service);
+    if (it != m_rollouts.end() && it->second.order.revision >= order.revision) {
+        return;
+    }
+    m_rollouts.erase(order.service);
+    Rollout rollout { .order = order, .recorder = VersionEvidenceRecorder(m_clock) };
+    rollout.orderedAfter = orderedAfter;
+    rollout.hasSlack = orderedAfter.count() > 0;
+    m_rollouts.emplace(order.service, std::move(rollout));
+    m_rejected[order.service].erase(order.target);
+    m_timeline.record(EventKind::MoveOrdered,
+        { { "service", order.service.value() }, { "target", order.target.value() },
+            { "order", std::to_string(order.revision) }, { "duration_ms", std::to_string(order.duration.count()) } });
+    applyRecord(order.service);
+}
+
+void RolloutTable::withdrawOrder(const ServiceId& service)
+{
+    if (const auto it = m_rollouts.find(service); it != m_rollouts.end()) {
+        it->second.isWithdrawn = true;
+    }
+}
+
+void RolloutTable::adoptRecord(const RolloutRecord& record, std::int64_t revision)
+{
+    auto& known = m_records[record.service];
+    if (revision > known.revision) {
+        known = { record, revision };
+        applyRecord(record.service);
+    }
+}
+
+void RolloutTable::applyRecord(const ServiceId& service)
+{
+    const auto record = m_records.find(service);
+    const auto it = m_rollouts.find(service);
+    if (record == m_records.end()) {
+        return;
+    }
+    const auto& known = record->second.record;
+    if (it == m_rollouts.end()) {
+        // The order was withdrawn after the verdict, or it has not been received yet.
+        if (known.state == RolloutState::RolledBack) {
+            m_rejected[service].insert(known.target);
+        }
+        return;
+    }
+    if (known.order != it->second.order.revision) {
+        return;
+    }
+    auto& rollout = it->second;
+    if (rollout.orderedAfter.count() == 0) {
+        const auto age
+            = std::max<std::chrono::nanoseconds>(std::chrono::nanoseconds(0), m_clock.wallNow() - known.orderedAt);
+        rollout.orderedAfter = m_clock.now() - age;
+    }
+    setState(rollout, known.state, known.evidence);
+}
+
+void RolloutTable::setState(Rollout& rollout, RolloutState state, const std::string& source)
+{
+    if (isFinal(rollout.state) || !isFinal(state)) {
+        return;
+    }
+    rollout.state = state;
+    rollout.decidedAt = m_clock.now();
+    if (state == RolloutState::RolledBack) {
+        m_rejected[rollout.order.service].insert(rollout.order.target);
+    }
+    m_timeline.record(state == RolloutState::Complete ? EventKind::MoveDone : EventKind::MoveRolledBack,
+        { { "service", rollout.order.service.value() }, { "target", rollout.order.target.value() },
+            { "order", std::to_string(rollout.order.revision) },
+            { "age_ms", std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(ageOf(rollout)).count()) },
+            { "evidence", source } });
+}
+
+void RolloutTable::recordRemote(const VmId& vm, std::vector<RolloutReport> reports)
+{
+    for (auto& report : reports) {
+        const auto it = m_rollouts.find(report.service);
+        if (it == m_rollouts.end() || it->second.order.revision != report.order) {
+            continue;
+        }
+        auto& rollout = it->second;
+        setState(rollout, report.state, "reported by " + vm.value());
+        if (report.age.count() > 0) {
+            // The order is at most as old as any VM takes it to be.
+            rollout.orderedAfter = std::max(rollout.orderedAfter, m_clock.now() - report.age);
+        }
+        rollout.remote[vm] = std::move(report);
+    }
+}
+
+std::chrono::nanoseconds RolloutTable::ageOf(const Rollout& rollout) const
+{
+    return rollout.orderedAfter.count() == 0 ? std::chrono::nanoseconds(0) : m_clock.now() - rollout.orderedAfter;
+}
+
+bool RolloutTable::isRejected(const Rollout& rollout)
+{
+    return rollout.state == RolloutState::RolledBack || rollout.isWithdrawn
+        || rollout.decision.action == RampAction::RollBack;
+}
+
+MoveEvidence RolloutTable::pooledEvidence(const Rollout& rollout) const
+{
+    auto pooled = rollout.recorder.totals();
+    for (const auto& [vm, report] : rollout.remote) {
+        pooled.add(report.evidence);
+    }
+    return pooled;
+}
+
+RampState RolloutTable::rampStateOf(Rollout& rollout) const
+{
+    RampState state;
+    state.sinceOrder = ageOf(rollout);
+    state.duration = rollout.order.duration;
+    state.requests = rollout.requests;
+    state.newRequests = rollout.targetRequests;
+    for (const auto& [vm, report] : rollout.remote) {
+        state.requests += report.requests;
+        state.newRequests += report.targetRequests;
+    }
+    const auto now = m_clock.now();
+    auto& counts = rollout.counts;
+    counts.push_back({ now, state.requests });
+    while (counts.size() > 2 && now - counts[1].at >= rateWindow) {
+        counts.pop_front();
+    }
+    const double seconds = std::chrono::duration<double>(now - counts.front().at).count();
+    // A VM that restarts reports smaller totals than before.
+    const auto first = std::min(counts.front().requests, state.requests);
+    state.requestsPerSecond = seconds > 0 ? static_cast<double>(state.requests - first) / seconds : 0;
+    state.allowance = m_options.allowance;
+    return state;
+}
+
+void RolloutTable::refresh(bool isFresh, std::size_t fleetSize)
+{
+    m_fleetSize = std::max<std::size_t>(1, fleetSize);
+    for (auto& [service, rollout] : m_rollouts) {
+        if (!isUndecided(rollout)) {
+            continue;
+        }
+        if (rollout.orderedAfter.count() == 0) {
+            // Neither a record nor another VM tells the age.
+            rollout.orderedAfter = m_clock.now();
+        }
+        evaluate(rollout, isFresh);
+    }
+}
+
+void RolloutTable::evaluate(Rollout& rollout, bool isFresh)
+{
+    rollout.recorder.refresh(pooledEvidence(rollout).oldVersion);
+    const bool wasRejected = isRejected(rollout);
+    const auto pooled = pooledEvidence(rollout);
+    rollout.evaluation = m_evaluator.evaluate(pooled);
+    auto state = rampStateOf(rollout);
+    state.isSuspect = rollout.evaluation.isSuspect;
+    // A rejection is final, also if the evidence becomes weaker.
+    state.isRejected = wasRejected || rollout.evaluation.fault != MoveReason::None;
+    const auto before = rollout.decision;
+    rollout.decision = m_ramp.decide(state);
+    if (!isFresh) {
+        rollout.decision.share = std::min({ before.share, rollout.decision.share, staleShare });
+    }
+    if (before.stage != rollout.decision.stage || before.action != rollout.decision.action) {
+        logDecision(rollout, state);
+    }
+}
+
+void RolloutTable::logDecision(const Rollout& rollout, const RampState& state)
+{
+    const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(state.sinceOrder);
+    m_timeline.record(EventKind::MoveStep,
+        { { "service", rollout.order.service.value() }, { "target", rollout.order.target.value() },
+            { "stage", std::string(nameOf(rollout.decision.stage)) },
+            { "action", std::string(nameOf(rollout.decision.action)) }, { "share", percent(rollout.decision.share) },
+            { "age_ms", std::to_string(age.count()) }, { "requests", std::to_string(state.requests) },
+            { "target_requests", std::to_string(state.newRequests) },
+            { "suspect", rollout.evaluation.isSuspect ? "true" : "false" }, { "route", rollout.evaluation.route },
+            { "evidence", rollout.evaluation.text } });
+}
+
+double RolloutTable::allowanceLeft(const Rollout& rollout) const
+{
+    const auto& allowance = m_options.allowance;
+    const double slack = rollout.hasSlack ? allowance.slack / static_cast<double>(m_fleetSize) : 0;
+    return m_options.usedAllowance * (allowance.share * static_cast<double>(rollout.requests) + slack)
+        - static_cast<double>(rollout.targetRequests);
+}
+
+std::set<VersionId> RolloutTable::rejectedVersions(const ServiceId& service) const
+{
+    const auto it = m_rejected.find(service);
+    return it == m_rejected.end() ? std::set<VersionId>() : it->second;
+}
+
+std::vector<VersionRule> RolloutTable::versionsFor(
+    const ServiceId& service, const RequestId& request, const std::optional<PreviousAttempt>& previous) const
+{
+    const VersionRule others { std::nullopt, rejectedVersions(service) };
+    const auto it = m_rollouts.find(service);
+    if (it == m_rollouts.end()) {
+        return { others };
+    }
+    const auto& rollout = it->second;
+    const VersionRule target { rollout.order.target, {} };
+    if (rollout.state == RolloutState::Complete) {
+        return { target, others };
+    }
+    auto current = others;
+    current.excluded.insert(rollout.order.target);
+    if (isRejected(rollout) || allowanceLeft(rollout) < 1) {
+        return { current };
+    }
+    const bool prefersTarget = previous ? previous->isBegun && previous->version == rollout.order.target
+                                        : fractionOf(request) < rollout.decision.share;
+    return prefersTarget ? std::vector { target, current } : std::vector { current, target };
+}
+
+RolloutAttemptId RolloutTable::recordSent(
+    const ServiceId& service, const VersionId& version, const std::string& route, double work)
+{
+    const auto it = m_rollouts.find(service);
+    if (it == m_rollouts.end() || !isUndecided(it->second)) {
+        return {};
+    }
+    auto& rollout = it->second;
+    const bool isTarget = version == rollout.order.target;
+    ++rollout.requests;
+    rollout.targetRequests += isTarget ? 1 : 0;
+    m_metrics.count(isTarget ? Counter::RolloutTargetRequests : Counter::RolloutCurrentRequests);
+    const RolloutAttemptId attempt(++m_attempts);
+    rollout.recorder.start(attempt, isTarget, route, work);
+    return attempt;
+}
+
+void RolloutTable::recordOutput(RolloutAttemptId attempt)
+{
+    for (auto& [service, rollout] : m_rollouts) {
+        rollout.recorder.recordOutput(attempt);
+    }
+}
+
+void RolloutTable::recordEnded(RolloutAttemptId attempt, VersionResult result)
+{
+    for (auto& [service, rollout] : m_rollouts) {
+        const auto isTarget = rollout.recorder.end(attempt, result);
+        if (isTarget && result == VersionResult::Failed) {
+            m_metrics.count(*isTarget ? Counter::RolloutTargetFailures : Counter::RolloutCurrentFailures);
+        }
+    }
+}
+
+RolloutRecord RolloutTable::nextRecord(const Rollout& rollout, RolloutState state) const
+{
+    RolloutRecord record;
+    record.service = rollout.order.service;
+    record.order = rollout.order.revision;
+    record.target = rollout.order.target;
+    record.state = state;
+    record.orderedAt = m_clock.wallNow() - ageOf(rollout);
+    record.reason = rollout.isWithdrawn   ? MoveReason::Cancelled
+        : state == RolloutState::Complete ? MoveReason::Healthy
+                                          : rollout.evaluation.fault;
+    if (state == RolloutState::RolledBack && record.reason == MoveReason::None) {
+        record.reason = MoveReason::DeadlinePassed;
+    }
+    record.evidence = rollout.evaluation.route + ": " + rollout.evaluation.text;
+    return record;
+}
+
+std::vector<RolloutChange> RolloutTable::dueChanges() const
+{
+    std::vector<RolloutChange> changes;
+    for (const auto& [service, rollout] : m_rollouts) {
+        const auto record = m_records.find(service);
+        const auto revision = record == m_records.end() ? 0 : record->second.revision;
+        const bool hasRecord = revision > 0 && record->second.record.order >= rollout.order.revision;
+        if (hasRecord && isFinal(record->second.record.state)) {
+            continue;
+        }
+        if (isRejected(rollout)) {
+            changes.push_back({ nextRecord(rollout, RolloutState::RolledBack), revision });
+        } else if (rollout.decision.action == RampAction::Complete) {
+            changes.push_back({ nextRecord(rollout, RolloutState::Complete), revision });
+        } else if (!hasRecord) {
+            changes.push_back({ nextRecord(rollout, RolloutState::Running), revision });
+        }
+    }
+    return changes;
+}
+
+std::vector<RolloutReport> RolloutTable::reports() const
+{
+    std::vector<RolloutReport> list;
+    for (const auto& [service, rollout] : m_rollouts) {
+        if (!isUndecided(rollout) && m_clock.now() - rollout.decidedAt > verdictReportTime) {
+            continue;
+        }
+        RolloutReport report;
+        report.service = service;
+        report.order = rollout.order.revision;
+        report.state = rollout.state;
+        report.age = std::chrono::ceil<std::chrono::milliseconds>(ageOf(rollout));
+        if (isUndecided(rollout)) {
+            report.requests = rollout.requests;
+            report.targetRequests = rollout.targetRequests;
+            report.evidence = rollout.recorder.totals();
+        }
+        list.push_back(std::move(report));
+    }
+    return list;
+}
+
+} // namespace Pollenwind
--- /dev/null
+++ b/Source/Core/Gateway/RolloutTable.h
@@ -0,0 +1,110 @@
+#pragma once
+
+#include "Gateway/Commands/RolloutCommands.h"
+#include "Gateway/Queries/RolloutQueries.h"
+#include "Gateway/VersionEvidenceRecorder.h"
+#include "Metrics/Commands/MetricCommands.h"
+#include "Moves/ExposureRamp.h"
+#include "Moves/Queries/VersionEvaluator.h"
+#include "Timeline/Commands/TimelineCommands.h"
+
+#include <deque>
+#include <map>
+
+namespace Pollenwind {
+
+/// Limits of the roll-out table.
+struct RolloutTableOptions {
+    /// Requests that a version without a verdict may get, over the whole fleet.
+    ExposureAllowance allowance;
+    /// Part of the allowance that is used.
+    double usedAllowance = 0.7;
+};
+
+/// The roll-outs of all services: orders, verdicts, evidence of all VMs, and the share of the target version.
+///
+/// The exposure of a version without a verdict is bounded without messages: each VM sends it at most its part of the
+/// allowance, the share of its own requests and an equal part of the constant. The parts of all VMs add up to the
+/// allowance whatever the VMs know of each other.
+class RolloutTable final : public RolloutCommands, public RolloutQueries {
+public:
+    RolloutTable(
+        const Clock& clock, TimelineCommands& timeline, MetricCommands& metrics, RolloutTableOptions options = {});
+
+    void adoptOrder(const RolloutOrder& order, MonotonicTime orderedAfter) override;
+    void withdrawOrder(const ServiceId& service) override;
+    void adoptRecord(const RolloutRecord& record, std::int64_t revision) override;
+    void recordRemote(const VmId& vm, std::vector<RolloutReport> reports) override;
+    void refresh(bool isFresh, std::size_t fleetSize) override;
+    RolloutAttemptId recordSent(
+        const ServiceId& service, const VersionId& version, const std::string& route, double work) override;
+    void recordOutput(RolloutAttemptId attempt) override;
+    void recordEnded(RolloutAttemptId attempt, VersionResult result) override;
+
+    std::vector<VersionRule> versionsFor(const ServiceId& service, const RequestId& request,
+        const std::optional<PreviousAttempt>& previous) const override;
+    std::vector<RolloutChange> dueChanges() const override;
+    std::vector<RolloutReport> reports() const override;
+
+private:
+    /// Requests of the whole fleet to a service.
+    struct RequestCount {
+        MonotonicTime at { 0 };
+        std::uint64_t requests = 0;
+    };
+
+    struct Rollout {
+        RolloutOrder order;
+        /// Earliest time at which the order may have been given; 0 if that is not known.
+        MonotonicTime orderedAfter { 0 };
+        RolloutState state = RolloutState::Running;
+        MonotonicTime decidedAt { 0 };
+        bool isWithdrawn = false;
+        /// This VM's requests since the order.
+        std::uint64_t requests = 0;
+        std::uint64_t targetRequests = 0;
+        /// Whether this VM was running when the order was given. A VM that was not may have used its part of the
+        /// allowance's constant before it restarted.
+        bool hasSlack = false;
+        VersionEvidenceRecorder recorder;
+        std::map<VmId, RolloutReport> remote;
+        std::deque<RequestCount> counts;
+        Evaluation evaluation;
+        RampDecision decision;
+    };
+
+    struct KnownRecord {
+        RolloutRecord record;
+        std::int64_t revision = 0;
+    };
+
+    bool isUndecided(const Rollout& rollout) const { return !isFinal(rollout.state); }
+    /// Whether the target version may get no requests any more.
+    static bool isRejected(const Rollout& rollout);
+    void setState(Rollout& rollout, RolloutState state, const std::string& source);
+    void applyRecord(const ServiceId& service);
+    void evaluate(Rollout& rollout, bool isFresh);
+    void logDecision(const Rollout& rollout, const RampState& state);
+    RampState rampStateOf(Rollout& rollout) const;
+    MoveEvidence pooledEvidence(const Rollout& rollout) const;
+    std::chrono::nanoseconds ageOf(const Rollout& rollout) const;
+    /// Requests that this VM may still send to the target version.
+    double allowanceLeft(const Rollout& rollout) const;
+    RolloutRecord nextRecord(const Rollout& rollout, RolloutState state) const;
+    /// Versions of a service that were rolled back.
+    std::set<VersionId> rejectedVersions(const ServiceId& service) const;
+
+    const Clock& m_clock;
+    TimelineCommands& m_timeline;
+    MetricCommands& m_metrics;
+    RolloutTableOptions m_options;
+    ExposureRamp m_ramp;
+    SequentialEvaluator m_evaluator;
+    std::size_t m_fleetSize = 1;
+    std::map<ServiceId, Rollout> m_rollouts;
+    std::map<ServiceId, KnownRecord> m_records;
+    std::map<ServiceId, std::set<VersionId>> m_rejected;
+    std::uint64_t m_attempts = 0;
+};
+
+} // namespace Pollenwind
--- a/Source/Core/Gateway/RunnerTable.cpp
+++ b/Source/Core/Gateway/RunnerTable.cpp
@@ -39,11 +39,12 @@
 void RunnerTable::updateEntry(RunnerEntry entry)
 {
     const auto id = entry.id;
+    m_versions.record(entry.service, entry.software, m_clock.now());
     const auto it = m_runners.find(id);
     if (it == m_runners.end()) {
         m_timeline.record(EventKind::UpstreamIncarnation,
             { { "runner", id.value() }, { "service", entry.service.value() }, { "endpoint", entry.endpoint.toString() },
-                { "state", std::string(nameOf(entry.state)) } });
+                { "software", entry.software.value() }, { "state", std::string(nameOf(entry.state)) } });
         const auto hash = runnerHash(id);
         m_runners.emplace(id, Runner { std::move(entry), hash, {}, {}, CircuitBreaker(m_clock, breakerOptions) });
         removeGoneRunners();
@@ -111,6 +112,11 @@
         return it.second.entry.state == RunnerState::Gone && it.second.own.requests == 0
             && now - it.second.endedAt > goneRunnerRetention;
     });
+    std::set<std::pair<ServiceId, VersionId>> versions;
+    for (const auto& [id, runner] : m_runners) {
+        versions.emplace(runner.entry.service, runner.entry.software);
+    }
+    m_versions.retain(versions);
 }
 
 void RunnerTable::setTargetWeights(const std::string& model, WeightsVersion version, MonotonicTime setAfter)
@@ -337,6 +343,7 @@
     candidate.zone = runner.entry.zone;
     candidate.incarnation = runner.entry.incarnation;
     candidate.slots = runner.entry.slots;
+    candidate.software = runner.entry.software;
     candidate.load = loadOf(runner);
     if (const auto it = runner.entry.weights.find(model); it != runner.entry.weights.end()) {
         candidate.weights = it->second;
@@ -347,7 +354,8 @@
     return candidate;
 }
 
-std::vector<RunnerCandidate> RunnerTable::candidates(const ServiceId& service, const std::string& model) const
+std::vector<RunnerCandidate> RunnerTable::candidates(
+    const ServiceId& service, const std::string& model, const VersionRule& versions) const
 {
     const auto oldest = oldestAllowedWeights(model);
     const auto now = m_clock.now();
@@ -356,16 +364,16 @@
     for (const auto& [id, runner] : m_runners) {
         const auto state = runner.entry.state;
         const bool isExpired = state == RunnerState::Gone && now - runner.endedAt < expiredEntryGrace;
-        if (runner.entry.service != service || runner.failureState.isReplaced()
-            || (state != RunnerState::Ready && !isExpired)) {
+        if (runner.entry.service != service || !versions.permits(runner.entry.software)
+            || runner.failureState.isReplaced() || (state != RunnerState::Ready && !isExpired)) {
             continue;
         }
         auto candidate = toCandidate(runner, model);
         if (!model.empty() && candidate.weights < oldest) {
             continue;
         }
-        const bool isPreferred
-            = !isExpired && candidate.admission > 0 && !runner.failureState.isSuspect(now) && !isLoading(runner.hash);
+        const bool isPreferred = !isExpired && candidate.admission > 0 && !runner.failureState.isSuspect(now)
+            && !isLoading(runner.hash) && !m_versions.isNew(service, runner.entry.software, now);
         (isPreferred ? preferred : fallback).push_back(std::move(candidate));
     }
     return preferred.empty() ? fallback : preferred;
--- a/Source/Core/Gateway/RunnerTable.h
+++ b/Source/Core/Gateway/RunnerTable.h
@@ -3,6 +3,7 @@
 #include "Gateway/Commands/RunnerCommands.h"
 #include "Gateway/Queries/RunnerQueries.h"
 #include "Gateway/RunnerFailureState.h"
+#include "Gateway/SoftwareVersions.h"
 #include "Timeline/Commands/TimelineCommands.h"
 #include "Upstream/CircuitBreaker.h"
 
@@ -41,7 +42,9 @@
     void clearRemoteLoad(const VmId& vm) override;
     void setLoadingRunners(const VmId& vm, std::set<std::uint64_t> runners) override;
 
-    std::vector<RunnerCandidate> candidates(const ServiceId& service, const std::string& model) const override;
+    using RunnerQueries::candidates;
+    std::vector<RunnerCandidate> candidates(
+        const ServiceId& service, const std::string& model, const VersionRule& versions) const override;
     std::optional<RunnerEntry> find(const UpstreamId& runner) const override;
     std::vector<RunnerEntry> entries() const override;
     std::map<std::uint64_t, RunnerLoad> ownLoads() const override;
@@ -82,6 +85,7 @@
     TimelineCommands& m_timeline;
     RunnerTableOptions m_options;
     std::map<UpstreamId, Runner> m_runners;
+    SoftwareVersions m_versions;
     std::map<VmId, std::map<std::uint64_t, RunnerLoad>> m_remoteLoads;
     std::map<VmId, std::set<std::uint64_t>> m_loading;
 
--- a/Source/Core/Gateway/RunnerTypes.h
+++ b/Source/Core/Gateway/RunnerTypes.h
@@ -115,6 +115,8 @@
     ZoneId zone;
     Incarnation incarnation;
     unsigned slots = 1;
+    /// Version of the runner's software.
+    VersionId software;
     WeightsVersion weights = 0;
     /// Work from this VM and from the other VMs as they last reported it.
     RunnerLoad load;
--- a/Source/Core/Metrics/Counter.h
+++ b/Source/Core/Metrics/Counter.h
@@ -47,6 +47,12 @@
     BreakerOpenings,
     /// Requests that were rejected because the admission queue was full or no engine had capacity in time.
     QueueShed,
+    /// Requests to services with a roll-out that went to runners of the version in use before.
+    RolloutCurrentRequests,
+    RolloutCurrentFailures,
+    /// Requests that went to runners of a roll-out's target version before its verdict.
+    RolloutTargetRequests,
+    RolloutTargetFailures,
 };
 
 template <> struct EnumTable<Counter> {
@@ -84,6 +90,10 @@
         EnumName { Counter::GrantsReceived, "grants_received_total" },
         EnumName { Counter::BreakerOpenings, "breaker_openings_total" },
         EnumName { Counter::QueueShed, "queue_shed_total" },
+        EnumName { Counter::RolloutCurrentRequests, "rollout_current_requests_total" },
+        EnumName { Counter::RolloutCurrentFailures, "rollout_current_failures_total" },
+        EnumName { Counter::RolloutTargetRequests, "rollout_target_requests_total" },
+        EnumName { Counter::RolloutTargetFailures, "rollout_target_failures_total" },
     };
 };
 
--- a/Source/Core/Store/Commands/StoreCommands.h
+++ b/Source/Core/Store/Commands/StoreCommands.h
@@ -25,6 +25,19 @@
         std::string key, std::int64_t expectedRevision, std::string value, LeaseId lease = {})
         = 0;
 
+    /// Writes a key if its last change has the expected revision, and another key in the same transaction. Not every
+    /// store supports this; the others fail with StoreUnavailable.
+    /// @param expectedRevision Revision of the first key's last change; 0 when that key must not exist.
+    /// @param also Written whatever it held before, if the first key is written.
+    virtual Task<Outcome<SwapResult>> compareAndSwapWith(
+        StoreWrite write, std::int64_t expectedRevision, StoreWrite also)
+    {
+        static_cast<void>(write);
+        static_cast<void>(expectedRevision);
+        static_cast<void>(also);
+        co_return fail(ErrorCode::StoreUnavailable, "the store has no transactions over two keys");
+    }
+
     /// Erases a key if its last change has the expected revision.
     virtual Task<Outcome<SwapResult>> compareAndErase(std::string key, std::int64_t expectedRevision) = 0;
 
--- a/Source/Core/Store/StoreTypes.h
+++ b/Source/Core/Store/StoreTypes.h
@@ -45,6 +45,12 @@
     std::int64_t revision = 0;
 };
 
+/// A key and its new value.
+struct StoreWrite {
+    std::string key;
+    std::string value;
+};
+
 /// Result of a compare-and-swap.
 struct SwapResult {
     bool isSwapped = false;
--- a/Source/UnitTests/Gateway/FeedTests.cpp
+++ b/Source/UnitTests/Gateway/FeedTests.cpp
@@ -3,6 +3,7 @@
 #include "Gateway/FeedFrontEnd.h"
 #include "Gateway/GatewayFixture.h"
 #include "Gateway/GatewaySync.h"
+#include "Gateway/RolloutTable.h"
 
 using namespace Pollenwind;
 using namespace std::chrono_literals;
@@ -115,6 +116,8 @@
 public:
     Outcome<DecodedRecord> decode(const StoreEntry&) const override { return DecodedRecord {}; }
     std::optional<UpstreamId> runnerOf(std::string_view) const override { return std::nullopt; }
+    std::optional<ServiceId> rolloutOrderOf(std::string_view) const override { return std::nullopt; }
+    StoreWrite encodeStatus(const RolloutStatus&) const override { return {}; }
 };
 
 /// The synchronisation of a VM of zone "z" in a large fleet.
@@ -132,6 +135,7 @@
     RunnerTable runners { clock, timeline, {} };
     FleetQuota quota { clock };
     FleetView fleet { clock, timeline, VmId("z999"), ZoneId("z") };
+    RolloutTable rollouts { clock, timeline, metrics };
     NoStoreCommands commands;
     OrderLease orders { clock, commands, timeline, VmId("z999"), Incarnation(1), {} };
     MemoryStore store;
@@ -139,7 +143,9 @@
     FeedPolicy policy { clock, fleet, VmId("z999"), 4000ms };
     ChangeFeeds feeds;
     ChangeLog log;
-    GatewaySync sync { { clock, feeds, log, records, routing, runners, quota, fleet, orders, timeline, metrics }, {} };
+    GatewaySync sync {
+        { clock, feeds, log, records, routing, runners, quota, fleet, orders, timeline, metrics, rollouts }, {}
+    };
 };
 
 } // namespace
--- a/Source/UnitTests/Gateway/ForwardDispatcherTests.cpp
+++ b/Source/UnitTests/Gateway/ForwardDispatcherTests.cpp
@@ -179,9 +179,9 @@
 {
     GatewayFixture fixture;
     RoutingTable empty(fixture.timeline);
-    ForwardDispatcher dispatcher(
-        { fixture.clock, empty, fixture.freshness, fixture.runners, fixture.runners, fixture.policy, fixture.directory,
-            fixture.quota, fixture.retryBudget, fixture.scripted, fixture.metrics, fixture.log });
+    ForwardDispatcher dispatcher({ fixture.clock, empty, fixture.freshness, fixture.runners, fixture.runners,
+        fixture.policy, fixture.directory, fixture.quota, fixture.retryBudget, fixture.scripted, fixture.metrics,
+        fixture.log, fixture.rollouts, fixture.rollouts });
     const auto request = fixture.makeRequest("/safe/x");
     const auto result = runTask(fixture.context, dispatcher.forward(request, fixture.clock.now(), fixture.sink));
     cr_assert(result.error().code == ErrorCode::Unavailable && result.error().retryAfter.has_value());
@@ -193,9 +193,9 @@
 {
     GatewayFixture fixture;
     RoutingTable starting(fixture.timeline);
-    ForwardDispatcher dispatcher(
-        { fixture.clock, starting, fixture.freshness, fixture.runners, fixture.runners, fixture.policy,
-            fixture.directory, fixture.quota, fixture.retryBudget, fixture.scripted, fixture.metrics, fixture.log });
+    ForwardDispatcher dispatcher({ fixture.clock, starting, fixture.freshness, fixture.runners, fixture.runners,
+        fixture.policy, fixture.directory, fixture.quota, fixture.retryBudget, fixture.scripted, fixture.metrics,
+        fixture.log, fixture.rollouts, fixture.rollouts });
     fixture.scripted.script = { { .parts = { "body" } } };
     asio::steady_timer timer(fixture.context, 30ms);
     timer.async_wait([&](const boost::system::error_code&) {
--- a/Source/UnitTests/Gateway/GatewayFixture.h
+++ b/Source/UnitTests/Gateway/GatewayFixture.h
@@ -4,6 +4,7 @@
 #include "Gateway/CacheDirectory.h"
 #include "Gateway/FleetQuota.h"
 #include "Gateway/ForwardDispatcher.h"
+#include "Gateway/RolloutTable.h"
 #include "Gateway/RoutingTable.h"
 #include "Gateway/RunnerTable.h"
 #include "Metrics/MetricTable.h"
@@ -253,13 +254,14 @@
     CacheDirectory directory { clock };
     AffinityPolicy policy { ZoneId("a"), directory };
     RetryBudget retryBudget { clock };
+    RolloutTable rollouts { clock, timeline, metrics, { { 0.1, 50 } } };
     FixedFreshness freshness;
     ScriptedRunners scripted;
     RequestLog log { clock };
     RecordingSink sink;
     unsigned requests = 0;
     ForwardDispatcher dispatcher { { clock, routing, freshness, runners, runners, policy, directory, quota, retryBudget,
-        scripted, metrics, log } };
+        scripted, metrics, log, rollouts, rollouts } };
 };
 
 } // namespace Pollenwind
--- a/Source/UnitTests/PlatformAdapter/CodecTests.cpp
+++ b/Source/UnitTests/PlatformAdapter/CodecTests.cpp
@@ -1,3 +1,4 @@
+#include "Common/JsonFields.h"
 #include "platform/PlatformRecords.h"
 #include "platform/PlatformRequests.h"
 #include "platform/PlatformSettings.h"
@@ -183,17 +184,37 @@
 // Guards against decoding keys of other writers, such as the routers themselves, as the operator's records.
 Test(PlatformRecords, ignoresOtherKeys)
 {
-    for (const auto* key : { "pollenwind/vms/a", "op/rollout/a", "op/", "status/rollout/a" }) {
+    for (const auto* key : { "pollenwind/vms/a", "op/rollouts/a", "op/", "status/rollout/a" }) {
         decode<std::monostate>(key, "no JSON");
     }
     cr_assert(decode<TargetWeights>("op/version/m", R"({"model":"m","version":2})").version == 2);
     cr_assert(!PlatformRecords().decode(entry("op/version/m", R"({"model":"m"})")));
 }
 
+// Guards against a roll-out that is not started because its order cannot be read, or whose state the operator cannot
+// read.
+Test(PlatformRecords, readsOrdersOfRolloutsAndWritesTheirState)
+{
+    const PlatformRecords records;
+    auto stored = entry("op/rollout/a", R"({"service":"a","target":"v2","duration_s":12.5})");
+    stored.modRevision = 77;
+    const auto order = std::get<RolloutOrder>(records.decode(stored).value());
+    cr_assert(order.service == ServiceId("a") && order.target == VersionId("v2"));
+    cr_assert(order.duration == 12500ms && order.revision == 77);
+    cr_assert(records.rolloutOrderOf("op/rollout/a") == ServiceId("a") && !records.rolloutOrderOf("op/config"));
+    for (const auto* text : { "5", "{}", R"({"service":"a","target":"v2"})", R"({"service":"a","duration_s":3})" }) {
+        cr_assert(!records.decode(entry("op/rollout/a", text)), "%s", text);
+    }
+    const auto write = records.encodeStatus({ ServiceId("a"), VersionId("v2"), RolloutState::RolledBack });
+    const auto json = JsonFields::Json::parse(write.value);
+    cr_assert_eq(write.key, std::string("status/rollout/a"));
+    cr_assert(json.at("state") == "rolled_back" && json.at("target") == "v2");
+}
+
 constexpr auto settingsText = R"({"node":"edge-1","zone":"a","listen":{"front":"10.1.0.24:8606",
     "ready":"10.1.0.24:8605"},"port_range":[7600,7615],"provider":{"address":"10.200.1.7:8601"},"later":1,
     "bounds":{"revoke_ms":4000,"grace_s":6,"retry_ratio":0.3,"retry_slack":58,"retry_window_s":10,"version_ms":9000,
-    "config_apply_ms":3500,"drain_ms":3000}})";
+    "config_apply_ms":3500,"drain_ms":3000,"exposure_share":0.2,"exposure_slack":40}})";
 
 // Guards against ignoring a bound that the platform sets.
 Test(PlatformSettings, readsAddressesAndBounds)
@@ -206,6 +227,8 @@
     cr_assert(gateway.maxKeyWithdrawalDelay == 4000ms && gateway.shutdownTimeLimit == 6000ms
         && gateway.maxOldWeightsTime == 9000ms);
     cr_assert(gateway.maxChangeDelay == 3000ms);
+    cr_assert_float_eq(gateway.exposure.share, 0.2, 1e-9);
+    cr_assert_float_eq(gateway.exposure.slack, 40, 1e-9);
     cr_assert_float_eq(gateway.retries.perRequest, 0.3, 1e-9);
 }
 
--- a/Source/UnitTests/PlatformAdapter/GatewayTests.cpp
+++ b/Source/UnitTests/PlatformAdapter/GatewayTests.cpp
@@ -269,6 +269,52 @@
     });
 }
 
+// Guards against orders of roll-outs that nobody carries out: good versions were never completed.
+Test(PlatformGateway, completesARolloutWithinItsTimeLimit)
+{
+    PlatformFixture fixture;
+    fixture.second.software = "v2";
+    fixture.store.erase("servers/" + fixture.second.id);
+    fixture.run([&](Gateway&) -> Task<> {
+        fixture.store.put("op/rollout/app", R"({"service":"app","target":"v2","duration_s":2})");
+        fixture.store.put("servers/" + fixture.second.id, fixture.second.entry("app"));
+        co_await fixture.waitUntil([&]() -> Task<bool> {
+            const auto status = fixture.store.value("status/rollout/app");
+            co_return status&& JsonFields::Json::parse(*status).at("state") == "complete";
+        });
+        const auto before = fixture.first.requests.size();
+        for (unsigned i = 0; i < 5; ++i) {
+            cr_assert_eq((co_await fixture.call("/safe/x")).status, 200);
+        }
+        cr_assert_eq(fixture.first.requests.size(), before);
+    });
+}
+
+// Guards against a bad version that is kept, or that gets more requests than a roll-out allows.
+Test(PlatformGateway, rollsBackAVersionThatFails)
+{
+    PlatformFixture fixture;
+    fixture.second.software = "v2";
+    fixture.second.status = 500;
+    fixture.store.erase("servers/" + fixture.second.id);
+    fixture.run([&](Gateway&) -> Task<> {
+        fixture.store.put("op/rollout/app", R"({"service":"app","target":"v2","duration_s":60})");
+        fixture.store.put("servers/" + fixture.second.id, fixture.second.entry("app"));
+        co_await fixture.waitUntil([&]() -> Task<bool> {
+            // Repeated at the old version.
+            cr_assert_eq((co_await fixture.call("/safe/x")).status, 200);
+            const auto status = fixture.store.value("status/rollout/app").value_or("{}");
+            co_return JsonFields::Json::parse(status).value("state", "") == "rolled_back";
+        });
+        const auto before = fixture.second.requests.size();
+        cr_assert(before > 0 && before < 20);
+        for (unsigned i = 0; i < 50; ++i) {
+            cr_assert_eq((co_await fixture.call("/safe/x")).status, 200);
+        }
+        cr_assert_eq(fixture.second.requests.size(), before);
+    });
+}
+
 // Guards against idle connections that use up the connection limit of a runner: runners reset further connections, and
 // 72 requests failed in one run.
 Test(PlatformGateway, keepsFewIdleConnections)
--- a/Source/UnitTests/PlatformAdapter/PlatformStandIns.cpp
+++ b/Source/UnitTests/PlatformAdapter/PlatformStandIns.cpp
@@ -222,7 +222,7 @@
 std::string RunnerStandIn::entry(const std::string& service) const
 {
     return JsonFields::Json {
-        { "service", service }, { "address", endpoint.toString() }, { "zone", "a" }, { "version", "v1" },
+        { "service", service }, { "address", endpoint.toString() }, { "zone", "a" }, { "version", software },
         { "slots", 8 }, { "state", "ready" }, { "seq", 1 }, { "born", 1 },
         { "models", JsonFields::Json::array({ { { "name", "m" }, { "version", weights } } }) }
     }.dump();
--- a/Source/UnitTests/PlatformAdapter/PlatformStandIns.h
+++ b/Source/UnitTests/PlatformAdapter/PlatformStandIns.h
@@ -95,6 +95,8 @@
 
     std::string id;
     Endpoint endpoint;
+    /// Version of the software.
+    std::string software = "v1";
     /// Version of the loaded weights.
     std::int64_t weights = 1;
     /// Number of accepted orders.
