Do not count short time limits and empty caches against a new version

Good versions were rolled back. Requests whose time limit is too short for any version counted as failures (3 of 3 on one route of workshop-app). The time to first output was divided by an estimate that assumes unreported cache entries at the preferred runner, which a runner that has just started does not have.

A time limit that passes counts as a time and not as a failure, and the time is divided by the prompt tokens that no report shows as cached.

--- a/Source/Core/Gateway/AffinityPolicy.cpp
+++ b/Source/Core/Gateway/AffinityPolicy.cpp
@@ -172,6 +172,8 @@
     choice.weights = best->candidate->weights;
     choice.software = best->candidate->software;
     choice.computedTokens = best->missedTokens() + best->ownTokens;
+    choice.uncachedTokens
+        = std::max(0.0, best->sharedTokens - std::max(best->cachedTokens, best->copiedTokens)) + best->ownTokens;
     if (best->source && best->copiedTokens > best->cachedTokens) {
         choice.cacheSource = best->source->endpoint;
     }
@@ -194,6 +196,7 @@
         // VMs of another zone may have saved parts that were not reported here.
         choice.cacheSource = store.endpoint;
         choice.computedTokens = isStored ? option.ownTokens : choice.computedTokens;
+        choice.uncachedTokens = isStored ? option.ownTokens : choice.uncachedTokens;
     }
     if (isStored) {
         return;
--- a/Source/Core/Gateway/ForwardDispatcher.cpp
+++ b/Source/Core/Gateway/ForwardDispatcher.cpp
@@ -175,6 +175,7 @@
         }
         auto result = co_await attempt(request, *choice, sink, delivery);
         recordAttemptEnd(*choice, result, delivery);
+        recordVersionResult(result, sink.stopReason(), delivery);
         if (result) {
             co_return result;
         }
@@ -271,7 +272,7 @@
     m_context.metrics.count(Counter::UpstreamAttempts);
     m_context.runnerCommands.recordSent(choice.id, choice.computedTokens);
     delivery.rolloutAttempt
-        = m_context.rolloutCommands.recordSent(delivery.service, choice.software, route.name, choice.computedTokens);
+        = m_context.rolloutCommands.recordSent(delivery.service, choice.software, route.name, choice.uncachedTokens);
     const bool mayReuse = route.kind != RequestKind::Unsafe;
     const auto exchange = m_context.client.open(choice.endpoint, request, terms, mayReuse);
     sink.onStop([&exchange] { exchange->cancel(); });
@@ -449,17 +450,24 @@
         m_context.metrics.count(Counter::UpstreamFailures);
     }
     m_context.runnerCommands.recordEnded(choice.id, delivery.hadOutput ? 0 : choice.computedTokens, outcome);
-    recordVersionResult(result, delivery);
 }
 
-void ForwardDispatcher::recordVersionResult(const Outcome<void>& result, const Delivery& delivery)
+void ForwardDispatcher::recordVersionResult(
+    const Outcome<void>& result, const std::optional<Error>& stopReason, const Delivery& delivery)
 {
     constexpr int firstErrorStatus = 500;
+    constexpr int timeoutStatus = 504;
     auto outcome = VersionResult::Succeeded;
-    if (result) {
+    if (delivery.status == timeoutStatus) {
+        outcome = VersionResult::TimedOut;
+    } else if (result) {
         outcome = delivery.status >= firstErrorStatus ? VersionResult::Failed : VersionResult::Succeeded;
     } else {
-        switch (result.error().code) {
+        // An attempt that was stopped ends with the error of its connection.
+        switch (stopReason ? stopReason->code : result.error().code) {
+        case ErrorCode::DeadlineExceeded:
+            outcome = VersionResult::TimedOut;
+            break;
         case ErrorCode::ConnectFailed:
         case ErrorCode::Unavailable:
         case ErrorCode::Cancelled:
--- a/Source/Core/Gateway/ForwardDispatcher.h
+++ b/Source/Core/Gateway/ForwardDispatcher.h
@@ -91,7 +91,9 @@
     void recordFirstOutput(const ForwardRequest& request, Delivery& delivery);
     void recordAttemptEnd(const RunnerChoice& choice, const Outcome<void>& result, const Delivery& delivery);
     /// Records the end of an attempt as evidence on the version of its runner.
-    void recordVersionResult(const Outcome<void>& result, const Delivery& delivery);
+    /// @param stopReason Why the request was stopped during the attempt, if it was.
+    void recordVersionResult(
+        const Outcome<void>& result, const std::optional<Error>& stopReason, const Delivery& delivery);
 
     ForwardContext m_context;
     ForwardAdmission m_admission;
--- a/Source/Core/Gateway/Queries/RunnerPolicy.h
+++ b/Source/Core/Gateway/Queries/RunnerPolicy.h
@@ -21,6 +21,9 @@
     VersionId software;
     /// Prompt tokens that the runner is expected to compute.
     double computedTokens = 0;
+    /// Prompt tokens that the runner computes if it has only the parts cached that were reported. Unlike
+    /// computedTokens, it makes no assumption that favours runners which have been in use for longer.
+    double uncachedTokens = 0;
     /// Runner or store from which the runner copies shared parts of the prompt that it does not have cached or may have
     /// evicted.
     std::optional<Endpoint> cacheSource;
--- a/Source/Core/Gateway/RolloutTypes.h
+++ b/Source/Core/Gateway/RolloutTypes.h
@@ -52,7 +52,7 @@
     VersionId target;
     RolloutState state = RolloutState::Running;
     WallTime orderedAt { 0 };
-    /// VM that wrote the record, with the fencing token of its lease.
+    /// VM that wrote the record, with the fencing token of its lease; 0 if it did not hold the lease.
     VmId vm;
     std::int64_t token = 0;
     MoveReason reason = MoveReason::None;
@@ -97,8 +97,10 @@
 /// End of an attempt as evidence on the version that served it.
 enum class VersionResult {
     Succeeded,
-    /// An error response, or a response that is invalid, incomplete or late.
+    /// An error response, or a response that is invalid or incomplete.
     Failed,
+    /// The time limit passed. Only the time counts: limits that are too short pass on any version.
+    TimedOut,
     /// Says nothing about the version, e.g. because the caller disconnected.
     Inconclusive,
 };
@@ -107,6 +109,7 @@
     static constexpr std::array rows {
         EnumName { VersionResult::Succeeded, "succeeded" },
         EnumName { VersionResult::Failed, "failed" },
+        EnumName { VersionResult::TimedOut, "timed-out" },
         EnumName { VersionResult::Inconclusive, "inconclusive" },
     };
 };
@@ -116,6 +119,8 @@
     RolloutRecord record;
     /// Revision of the record that it replaces; 0 if there is none.
     std::int64_t expectedRevision = 0;
+    /// Time since the change has been due.
+    std::chrono::nanoseconds overdue { 0 };
 };
 
 } // namespace Pollenwind
--- a/Source/Core/Gateway/VersionEvidenceRecorder.cpp
+++ b/Source/Core/Gateway/VersionEvidenceRecorder.cpp
@@ -87,7 +87,10 @@
         return std::nullopt;
     }
     auto& known = it->second;
-    if (result != VersionResult::Inconclusive) {
+    if (result == VersionResult::TimedOut && known.firstOutputAt.count() == 0) {
+        takeFirstOutput(known, m_clock.now() - known.sentAt);
+    }
+    if (result == VersionResult::Succeeded || result == VersionResult::Failed) {
         auto& evidence = evidenceOf(known);
         ++evidence.requests;
         evidence.failures += result == VersionResult::Failed ? 1 : 0;
--- a/Source/UnitTests/Gateway/RolloutTests.cpp
+++ b/Source/UnitTests/Gateway/RolloutTests.cpp
@@ -212,6 +212,19 @@
     cr_assert_eq(recorder.totals().newVersion.at("route").requests, 1);
 }
 
+// Guards against good versions that are rolled back because of requests whose time limit is too short for any version:
+// 3 of 3 such requests counted as failures of the target version.
+Test(VersionEvidenceRecorder, countsTimeLimitsAsTimesAndNotAsFailures)
+{
+    ManualClock clock;
+    VersionEvidenceRecorder recorder(clock);
+    recorder.start(RolloutAttemptId(1), true, "route", 0);
+    clock.advance(400ms);
+    recorder.end(RolloutAttemptId(1), VersionResult::TimedOut);
+    const auto& evidence = recorder.totals().newVersion.at("route");
+    cr_assert(evidence.failures == 0 && evidence.requests == 0 && evidence.firstTokenPerWork.total() == 1);
+}
+
 // Runners of a new version must not get requests before the order of their roll-out has been received. A release that
 // has no order must go on working, and so must a service whose old runners have gone.
 Test(RunnerTable, holdsBackANewVersionUntilItsOrderMayBeKnown)
