Write an overdue verdict from a VM without the lease

With the holder of the order lease killed at 17.5 s, a good version was complete 0.1 s after the time limit, since the lease expires 2 s after its last renewal and the verdict is due 0.4 s before the limit.

A VM that knows of a verdict for 0.12 to 0.28 s without seeing it written writes it. The transaction requires the record's last revision, so it stays one verdict. The record keeps the figures of the rejection instead of later ones.

--- a/Source/Core/Gateway/RolloutDriver.cpp
+++ b/Source/Core/Gateway/RolloutDriver.cpp
@@ -3,17 +3,24 @@
 #include "Common/Sleep.h"
 #include "Gateway/RolloutRecords.h"
 
+#include <xxhash.h>
+
 namespace Pollenwind {
 
 namespace {
 
-    constexpr std::chrono::milliseconds checkInterval { 100 };
+    constexpr std::chrono::milliseconds checkInterval { 50 };
     // A watch without changes is answered after up to 2.2 s, so an age below this limit does not show that the store is
     // out of reach.
     constexpr std::chrono::milliseconds freshnessLimit { 3200 };
     // Pause after a failed write, since failed calls count against the store's limit too.
     constexpr std::chrono::milliseconds retryPause { 200 };
 
+    // Time after which a VM without the lease writes a verdict. It differs between the VMs, so that the others have
+    // learned the verdict before they try. ExposureRamp leaves 0.4 s between the verdict and the time limit.
+    constexpr std::chrono::milliseconds standInDelay { 120 };
+    constexpr std::uint64_t standInSpreadMs = 160;
+
 } // namespace
 
 Task<> RolloutDriver::run()
@@ -21,10 +28,10 @@
     for (;;) {
         co_await sleepFor(checkInterval);
         m_context.rolloutCommands.refresh(m_context.freshness.age() < freshnessLimit, m_context.fleet.size());
-        if (!m_context.lease.isHeld()) {
-            continue;
-        }
         for (auto& change : m_context.rollouts.dueChanges()) {
+            if (!mayWrite(change)) {
+                continue;
+            }
             if (!co_await write(std::move(change))) {
                 co_await sleepFor(retryPause);
                 break;
@@ -33,11 +40,20 @@
     }
 }
 
+bool RolloutDriver::mayWrite(const RolloutChange& change) const
+{
+    const auto delay = standInDelay
+        + std::chrono::milliseconds(XXH3_64bits(m_vm.value().data(), m_vm.value().size()) % standInSpreadMs);
+    const bool isStandIn
+        = isFinal(change.record.state) && change.overdue >= delay && m_context.freshness.age() < freshnessLimit;
+    return m_context.lease.isHeld() || isStandIn;
+}
+
 Task<bool> RolloutDriver::write(RolloutChange change)
 {
     auto& record = change.record;
     record.vm = m_vm;
-    record.token = m_context.lease.fencingToken();
+    record.token = m_context.lease.isHeld() ? m_context.lease.fencingToken() : 0;
     const auto swapped = co_await m_context.store.compareAndSwapWith(
         { RolloutRecords::keyOf(record.service), RolloutRecords::encode(record) }, change.expectedRevision,
         m_context.codec.encodeStatus({ record.service, record.target, record.state }));
--- a/Source/Core/Gateway/RolloutDriver.h
+++ b/Source/Core/Gateway/RolloutDriver.h
@@ -26,9 +26,12 @@
     TimelineCommands& timeline;
 };
 
-/// Evaluates the roll-outs on every VM, and writes their states to the store on the VM that holds the order lease. The
-/// record and the state for the operator are written in one transaction that requires the record's last revision, so
-/// that only one verdict can be written, whatever the VMs believe about the lease.
+/// Evaluates the roll-outs on every VM, and writes their states to the store on the VM that holds the order lease. A
+/// verdict that the holder does not write in time is written by another VM, since a lease whose holder has stopped
+/// expires too late for a verdict that is due shortly before the time limit.
+///
+/// The record and the state for the operator are written in one transaction that requires the record's last revision,
+/// so that only one verdict can be written, whatever the VMs believe about the lease.
 class RolloutDriver {
 public:
     RolloutDriver(RolloutDriverContext context, VmId vm)
@@ -44,6 +47,8 @@
     void onWritten(std::function<void()> handler) { m_onWritten = std::move(handler); }
 
 private:
+    /// Whether this VM writes the change now.
+    bool mayWrite(const RolloutChange& change) const;
     /// @return False if the store could not be reached.
     Task<bool> write(RolloutChange change);
 
--- a/Source/Core/Gateway/RolloutTable.cpp
+++ b/Source/Core/Gateway/RolloutTable.cpp
@@ -210,8 +210,10 @@
 {
     rollout.recorder.refresh(pooledEvidence(rollout).oldVersion);
     const bool wasRejected = isRejected(rollout);
-    const auto pooled = pooledEvidence(rollout);
-    rollout.evaluation = m_evaluator.evaluate(pooled);
+    if (!wasRejected) {
+        // After a rejection, the figures behind it are kept for the record.
+        rollout.evaluation = m_evaluator.evaluate(pooledEvidence(rollout));
+    }
     auto state = rampStateOf(rollout);
     state.isSuspect = rollout.evaluation.isSuspect;
     // A rejection is final, also if the evidence becomes weaker.
@@ -221,6 +223,9 @@
     if (!isFresh) {
         rollout.decision.share = std::min({ before.share, rollout.decision.share, staleShare });
     }
+    if (rollout.actionAt.count() == 0 || before.action != rollout.decision.action) {
+        rollout.actionAt = m_clock.now();
+    }
     if (before.stage != rollout.decision.stage || before.action != rollout.decision.action) {
         logDecision(rollout, state);
     }
@@ -338,10 +343,11 @@
         if (hasRecord && isFinal(record->second.record.state)) {
             continue;
         }
+        const auto overdue = m_clock.now() - rollout.actionAt;
         if (isRejected(rollout)) {
-            changes.push_back({ nextRecord(rollout, RolloutState::RolledBack), revision });
+            changes.push_back({ nextRecord(rollout, RolloutState::RolledBack), revision, overdue });
         } else if (rollout.decision.action == RampAction::Complete) {
-            changes.push_back({ nextRecord(rollout, RolloutState::Complete), revision });
+            changes.push_back({ nextRecord(rollout, RolloutState::Complete), revision, overdue });
         } else if (!hasRecord) {
             changes.push_back({ nextRecord(rollout, RolloutState::Running), revision });
         }
--- a/Source/Core/Gateway/RolloutTable.h
+++ b/Source/Core/Gateway/RolloutTable.h
@@ -59,6 +59,8 @@
         MonotonicTime orderedAfter { 0 };
         RolloutState state = RolloutState::Running;
         MonotonicTime decidedAt { 0 };
+        /// Time at which the decision last changed.
+        MonotonicTime actionAt { 0 };
         bool isWithdrawn = false;
         /// This VM's requests since the order.
         std::uint64_t requests = 0;
--- a/Source/UnitTests/Gateway/RolloutDriverTests.cpp
+++ b/Source/UnitTests/Gateway/RolloutDriverTests.cpp
@@ -94,7 +94,9 @@
 
     void run(asio::io_context& context)
     {
-        asio::co_spawn(context, lease.run(), asio::detached);
+        if (takesLease) {
+            asio::co_spawn(context, lease.run(), asio::detached);
+        }
         asio::co_spawn(context, driver.run(), asio::detached);
     }
 
@@ -105,6 +107,7 @@
         }
     }
 
+    bool takesLease = true;
     ManualClock& clock;
     Timeline timeline { clock, "test" };
     MetricTable metrics;
@@ -189,3 +192,23 @@
         cr_assert(fixture.store.statuses == std::vector<std::string>({ "running", "rolled-back" }));
     });
 }
+
+// Guards against a verdict that misses the time limit because the holder of the lease has just stopped: its lease
+// expires 2 s later, and the verdict is due 0.4 s before the limit.
+Test(RolloutDriver, writesTheVerdictForAHolderThatHasStopped)
+{
+    DriverFixture fixture;
+    fixture.first.takesLease = fixture.second.takesLease = false;
+    fixture.run([&]() -> Task<> {
+        fixture.clock.advance(14550ms);
+        co_await sleepFor(150ms);
+        cr_assert_eq(fixture.store.stateInStore(), RolloutState::Running);
+        fixture.clock.advance(80ms);
+        co_await sleepFor(150ms);
+        cr_assert(fixture.store.statuses.empty());
+        fixture.clock.advance(300ms);
+        co_await sleepFor(300ms);
+        cr_assert_eq(fixture.store.stateInStore(), RolloutState::Complete);
+        cr_assert(fixture.store.statuses == std::vector<std::string>({ "complete" }));
+    });
+}
