Report the evidence of a zone to the other zones of a large fleet

Above 16 VMs, reports stay within a zone, so each zone judged a new version by its own answers only. The relay of a zone sends the sums of its VMs, and the sums of a relay that has stopped are forgotten.

Measured by RolloutTable::reportsTheSumsOfAZone only; no large fleet was played.

--- a/Source/Core/Gateway/Commands/RolloutCommands.h
+++ b/Source/Core/Gateway/Commands/RolloutCommands.h
@@ -22,6 +22,8 @@
     virtual void adoptRecord(const RolloutRecord& record, std::int64_t revision) = 0;
     /// Takes over what another VM reported. It replaces what that VM reported before.
     virtual void recordRemote(const VmId& vm, std::vector<RolloutReport> reports) = 0;
+    /// Forgets what a relay reported, when another one reports the same VMs.
+    virtual void clearRemote(const VmId& vm) = 0;
 
     /// Updates what changes with time: outstanding requests count as slow, and the evidence is evaluated.
     /// @param isFresh Whether the local copy of the store is recent. Without it, the share of the target version does
--- a/Source/Core/Gateway/FleetReporter.cpp
+++ b/Source/Core/Gateway/FleetReporter.cpp
@@ -99,6 +99,10 @@
     for (const auto& vm : m_context.fleet.takeSilent()) {
         m_context.runnerCommands.clearRemoteLoad(vm);
         m_context.quota.markSilent(vm, m_context.fleet.shareOf(vm));
+        // The totals of a VM that has stopped remain, those of a relay are in its successor's.
+        if (FleetView::isRelayId(vm)) {
+            m_context.rolloutCommands.clearRemote(vm);
+        }
         logStateChange("vm-silent", { { "vm", vm.value() } });
     }
 }
@@ -117,9 +121,11 @@
     // Receivers take the first sums of a relay as the starting point, so a new relay starts with those of the time when
     // the previous one stopped.
     const auto& usage = isNewRelay ? m_zoneHistory.front() : m_zoneHistory.back();
-    co_await sendToOtherZones({ FleetView::relayId(m_zone, m_vm), m_incarnation, 0, usage, {}, {},
-        std::move(zoneUpdates), std::move(targetAges),
-        static_cast<unsigned>(m_context.fleet.reachableOfOwnZone().size()), {}, { {}, std::move(replaced) } });
+    const auto zone = m_context.fleet.reachableOfOwnZone();
+    FleetReport report { FleetView::relayId(m_zone, m_vm), m_incarnation, 0, usage, {}, {}, std::move(zoneUpdates),
+        std::move(targetAges), static_cast<unsigned>(zone.size()), {}, { {}, std::move(replaced) } };
+    report.rollouts = m_context.rollouts.reportsOfZone(zone);
+    co_await sendToOtherZones(std::move(report));
 }
 
 Task<> FleetReporter::sendToOtherZones(FleetReport report)
--- a/Source/Core/Gateway/FleetView.cpp
+++ b/Source/Core/Gateway/FleetView.cpp
@@ -12,6 +12,8 @@
     // Records expire while the store is unavailable, and a VM that is cut off continues to use its share of the rates.
     constexpr std::chrono::seconds endedRecordRetention { 15 };
 
+    constexpr std::string_view relayIdPrefix = "zone/";
+
 } // namespace
 
 std::string FleetView::encodeRecord(const Endpoint& reports, const ZoneId& zone)
@@ -105,7 +107,12 @@
     return endpointsOf([this](const Vm& vm) { return vm.zone == m_ownZone; });
 }
 
-VmId FleetView::relayId(const ZoneId& zone, const VmId& vm) { return VmId("zone/" + zone.value() + "/" + vm.value()); }
+VmId FleetView::relayId(const ZoneId& zone, const VmId& vm)
+{
+    return VmId(std::string(relayIdPrefix) + zone.value() + "/" + vm.value());
+}
+
+bool FleetView::isRelayId(const VmId& vm) { return vm.value().starts_with(relayIdPrefix); }
 
 std::vector<Endpoint> FleetView::entryPointsOfOtherZones(std::uint64_t round) const
 {
--- a/Source/Core/Gateway/FleetView.h
+++ b/Source/Core/Gateway/FleetView.h
@@ -55,6 +55,7 @@
     std::vector<Endpoint> entryPointsOfOtherZones(std::uint64_t round) const;
     /// Id under which a VM sends the sums of its zone.
     static VmId relayId(const ZoneId& zone, const VmId& vm);
+    static bool isRelayId(const VmId& vm);
     bool isOfOwnZone(const VmId& vm) const;
     /// Where a VM receives reports and passes on the store's records; nothing while its record is not known.
     std::optional<Endpoint> endpointOf(const VmId& vm) const;
--- a/Source/Core/Gateway/Queries/RolloutQueries.h
+++ b/Source/Core/Gateway/Queries/RolloutQueries.h
@@ -33,6 +33,9 @@
 
     /// What to report to the other VMs.
     virtual std::vector<RolloutReport> reports() const = 0;
+    /// What a relay reports to the other zones.
+    /// @param zone VMs of its zone.
+    virtual std::vector<RolloutReport> reportsOfZone(const std::vector<VmId>& zone) const = 0;
 };
 
 } // namespace Pollenwind
--- a/Source/Core/Gateway/RolloutTable.cpp
+++ b/Source/Core/Gateway/RolloutTable.cpp
@@ -146,6 +146,13 @@
     }
 }
 
+void RolloutTable::clearRemote(const VmId& vm)
+{
+    for (auto& [service, rollout] : m_rollouts) {
+        rollout.remote.erase(vm);
+    }
+}
+
 std::chrono::nanoseconds RolloutTable::ageOf(const Rollout& rollout) const
 {
     return rollout.orderedAfter.count() == 0 ? std::chrono::nanoseconds(0) : m_clock.now() - rollout.orderedAfter;
@@ -377,4 +384,20 @@
     return list;
 }
 
+std::vector<RolloutReport> RolloutTable::reportsOfZone(const std::vector<VmId>& zone) const
+{
+    auto list = reports();
+    for (auto& report : list) {
+        const auto& remote = m_rollouts.at(report.service).remote;
+        for (const auto& vm : zone) {
+            if (const auto it = remote.find(vm); it != remote.end() && !isFinal(report.state)) {
+                report.requests += it->second.requests;
+                report.targetRequests += it->second.targetRequests;
+                report.evidence.add(it->second.evidence);
+            }
+        }
+    }
+    return list;
+}
+
 } // namespace Pollenwind
--- a/Source/Core/Gateway/RolloutTable.h
+++ b/Source/Core/Gateway/RolloutTable.h
@@ -35,6 +35,7 @@
     void withdrawOrder(const ServiceId& service) override;
     void adoptRecord(const RolloutRecord& record, std::int64_t revision) override;
     void recordRemote(const VmId& vm, std::vector<RolloutReport> reports) override;
+    void clearRemote(const VmId& vm) override;
     void refresh(bool isFresh, std::size_t fleetSize) override;
     RolloutAttemptId recordSent(
         const ServiceId& service, const VersionId& version, const std::string& route, double work) override;
@@ -45,6 +46,7 @@
         const std::optional<PreviousAttempt>& previous) const override;
     std::vector<RolloutChange> dueChanges() const override;
     std::vector<RolloutReport> reports() const override;
+    std::vector<RolloutReport> reportsOfZone(const std::vector<VmId>& zone) const override;
 
 private:
     /// Requests of the whole fleet to a service.
--- a/Source/UnitTests/Gateway/RolloutTests.cpp
+++ b/Source/UnitTests/Gateway/RolloutTests.cpp
@@ -225,6 +225,17 @@
     cr_assert(evidence.failures == 0 && evidence.requests == 0 && evidence.firstTokenPerWork.total() == 1);
 }
 
+// Guards against zones of a large fleet that judge a version by their own answers only.
+Test(RolloutTable, reportsTheSumsOfAZone)
+{
+    RolloutFleet fleet(3);
+    fleet.run(4s, 60, failTarget);
+    const auto own = fleet.vms[0]->reports().at(0);
+    const auto sums = fleet.vms[0]->reportsOfZone({ VmId("vm0"), VmId("vm1") }).at(0);
+    cr_assert(sums.requests > own.requests && sums.requests < fleet.requests);
+    cr_assert_gt(sums.evidence.requests(), own.evidence.requests());
+}
+
 // Runners of a new version must not get requests before the order of their roll-out has been received. A release that
 // has no order must go on working, and so must a service whose old runners have gone.
 Test(RunnerTable, holdsBackANewVersionUntilItsOrderMayBeKnown)
