--- a/Source/Core/Gateway/FleetReportCodec.cpp
+++ b/Source/Core/Gateway/FleetReportCodec.cpp
@@ -1,6 +1,7 @@
 #include "Gateway/FleetReportCodec.h"
 
 #include "Gateway/FleetMessages_generated.h"
+#include "Gateway/RolloutReportCodec.h"
 
 #include <algorithm>
 #include <limits>
@@ -125,10 +126,11 @@
     const auto lowLevelsOffset = builder.CreateVectorOfStructs(lowLevels);
     const auto [evidence, answers, parts] = encodeQuarantine(builder, report.quarantine);
     const auto leavingOffset = builder.CreateVectorOfStructs(toWire(report.failures.leaving));
+    const auto rolloutsOffset = RolloutReportCodec::create(builder, report.rollouts);
     builder.Finish(wire::CreateFleetReport(builder, vm, report.incarnation.value(), report.sequence, usageOffset,
         workOffset, loadingOffset, cachedOffset, targetAgesOffset, report.members, loadedOffset, unreachableOffset,
         replacedOffset, lowLevelsOffset, report.isForZone, static_cast<std::uint64_t>(report.uptime.count()),
-        leavingOffset, evidence, answers, parts));
+        leavingOffset, evidence, answers, parts, rolloutsOffset));
     return { reinterpret_cast<const char*>(builder.GetBufferPointer()), builder.GetSize() };
 }
 
@@ -191,6 +193,7 @@
         }
     }
     report.quarantine = decodeQuarantine(*message);
+    report.rollouts = RolloutReportCodec::read(message->rollouts());
     return report;
 }
 
--- a/Source/Core/Gateway/FleetReportCodec.h
+++ b/Source/Core/Gateway/FleetReportCodec.h
@@ -4,6 +4,7 @@
 #include "Gateway/Commands/PrefixCommands.h"
 #include "Gateway/Commands/QuotaCommands.h"
 #include "Gateway/QuarantineTypes.h"
+#include "Gateway/RolloutTypes.h"
 #include "Gateway/RunnerTypes.h"
 
 #include <cstdint>
@@ -45,6 +46,8 @@
     std::chrono::milliseconds uptime { 0 };
     /// Parts of prompts that crash runners.
     QuarantineReport quarantine;
+    /// Counts and evidence of the VM's roll-outs.
+    std::vector<RolloutReport> rollouts;
 };
 
 namespace FleetReportCodec {
--- a/Source/Core/Gateway/FleetReporter.cpp
+++ b/Source/Core/Gateway/FleetReporter.cpp
@@ -68,9 +68,10 @@
             m_context.weights.loading(), m_context.directory.takeUpdates(), m_context.runners.targetWeightsAges(), 0,
             m_context.weights.loaded(), m_context.runners.recentFailures(), m_context.quota.lowLevels() };
         report.quarantine = m_context.quarantine.takeReport();
+        report.rollouts = m_context.rollouts.reports();
         const bool isChanged = report.usage != last.usage || report.loading != last.loading || report.work != last.work
             || !report.cachedPrefixes.empty() || !report.loaded.empty() || !report.failures.isEmpty()
-            || !report.quarantine.isEmpty();
+            || !report.quarantine.isEmpty() || !report.rollouts.empty();
         unchanged = isChanged ? 0 : unchanged + 1;
         if (!isChanged && unchanged % keepAliveTicks != 0) {
             continue;
@@ -105,6 +106,10 @@
     for (const auto& vm : m_context.fleet.takeSilent()) {
         m_context.runnerCommands.clearRemoteLoad(vm);
         m_context.quota.markSilent(vm, m_context.fleet.shareOf(vm));
+        // The totals of a VM that has stopped remain, those of a relay are in its successor's.
+        if (FleetView::isRelayId(vm)) {
+            m_context.rolloutCommands.clearRemote(vm);
+        }
         logStateChange("vm-silent", { { "vm", vm.value() } });
     }
 }
@@ -124,10 +129,11 @@
     // Receivers take the first sums of a relay as the starting point, so a new relay starts with those of the time when
     // the previous one stopped.
     const auto& usage = isNewRelay ? m_zoneHistory.front() : m_zoneHistory.back();
+    const auto zone = m_context.fleet.reachableOfOwnZone();
     FleetReport sums { FleetView::relayId(m_zone, m_vm), m_incarnation, 0, usage, {}, {}, std::move(zoneUpdates),
-        std::move(targetAges), static_cast<unsigned>(m_context.fleet.reachableOfOwnZone().size()), {},
-        std::move(failures) };
+        std::move(targetAges), static_cast<unsigned>(zone.size()), {}, std::move(failures) };
     sums.quarantine.answers = std::move(answers);
+    sums.rollouts = m_context.rollouts.reportsOfZone(zone);
     co_await sendToOtherZones(std::move(sums));
 }
 
@@ -202,6 +208,7 @@
     m_context.runnerCommands.recordRemoteFailures(report->vm, report->failures);
     m_context.quarantine.mergeReport(report->quarantine, isOfOwnZone);
     m_context.runnerCommands.setLoadingRunners(report->vm, std::move(report->loading));
+    m_context.rolloutCommands.recordRemote(report->vm, std::move(report->rollouts));
 }
 
 } // namespace Pollenwind
--- a/Source/Core/Gateway/FleetReporter.h
+++ b/Source/Core/Gateway/FleetReporter.h
@@ -2,10 +2,12 @@
 
 #include "Gateway/CacheDirectory.h"
 #include "Gateway/Commands/QuarantineCommands.h"
+#include "Gateway/Commands/RolloutCommands.h"
 #include "Gateway/Commands/RunnerCommands.h"
 #include "Gateway/FleetQuota.h"
 #include "Gateway/FleetReportCodec.h"
 #include "Gateway/FleetView.h"
+#include "Gateway/Queries/RolloutQueries.h"
 #include "Gateway/Queries/RunnerQueries.h"
 #include "Gateway/WeightsDriver.h"
 #include "Metrics/Commands/MetricCommands.h"
@@ -28,6 +30,8 @@
     CacheDirectory& directory;
     MetricCommands& metrics;
     QuarantineCommands& quarantine;
+    const RolloutQueries& rollouts;
+    RolloutCommands& rolloutCommands;
 };
 
 /// Exchanges reports with the other VMs over UDP: tokens taken, work at the runners, cached prefixes, loads of weights
--- a/Source/Core/Gateway/ForwardDispatcher.cpp
+++ b/Source/Core/Gateway/ForwardDispatcher.cpp
@@ -126,27 +126,48 @@
     std::optional<std::uint64_t> lastEventId;
     /// A runner's error response, which the caller gets if no other attempt succeeds or begins a stream.
     std::optional<std::pair<ReplyHead, std::string>> failure;
+
+    /// Version of the software of the last attempt's runner.
+    std::optional<VersionId> lastVersion;
+    /// The current attempt as evidence on that version.
+    RolloutAttemptId rolloutAttempt;
+    /// Status of the current attempt's response; 0 before its head.
+    int status = 0;
 };
 
 std::vector<RunnerCandidate> ForwardDispatcher::candidatesFor(
     const ForwardRequest& request, const Delivery& delivery) const
 {
-    auto candidates = m_context.runners.candidates(delivery.service, request.model);
-    if (retryKindOf(*delivery.route) == RetryKind::NonIdempotentCall) {
-        const auto latest = m_context.clock.now() + delivery.route->objective * unrepeatableWaitFactor;
-        std::erase_if(candidates, [&](const RunnerCandidate& it) { return it.beginBy && *it.beginBy < latest; });
+    std::optional<PreviousAttempt> previous;
+    if (delivery.lastVersion) {
+        previous = { *delivery.lastVersion, delivery.isBegun };
+    }
+    const bool isRepeatable = retryKindOf(*delivery.route) != RetryKind::NonIdempotentCall;
+    const auto latest = m_context.clock.now() + delivery.route->objective * unrepeatableWaitFactor;
+    const auto candidatesOf = [&](const VersionRule& rule) {
+        auto candidates = m_context.runners.candidates(delivery.service, request.model, rule);
+        std::erase_if(
+            candidates, [&](const RunnerCandidate& it) { return !isRepeatable && it.beginBy && *it.beginBy < latest; });
+        return candidates;
+    };
+    const auto versions = m_context.rollouts.versionsFor(delivery.service, request.id, previous);
+    for (const auto& rule : versions) {
+        auto candidates = candidatesOf(rule);
+        std::erase_if(candidates, [&](const RunnerCandidate& it) { return delivery.tried.contains(it.id); });
+        if (!candidates.empty()) {
+            return candidates;
+        }
     }
-    return candidates;
+    // A runner that refused may accept the request now. One that may have run it is not tried again.
+    if (delivery.runs == 0 && !delivery.tried.empty()) {
+        return candidatesOf(versions.front());
+    }
+    return {};
 }
 
 Outcome<RunnerChoice> ForwardDispatcher::chooseRunner(const ForwardRequest& request, const Delivery& delivery) const
 {
-    auto candidates = candidatesFor(request, delivery);
-    std::erase_if(candidates, [&](const RunnerCandidate& it) { return delivery.tried.contains(it.id); });
-    // A runner that refused may accept the request now. One that may have run it is not tried again.
-    if (candidates.empty() && delivery.runs == 0) {
-        candidates = candidatesFor(request, delivery);
-    }
+    const auto candidates = candidatesFor(request, delivery);
     const auto& targets = m_context.runners.targetWeights();
     const auto it = targets.find(request.model);
     const auto choice = m_context.policy.choose(
@@ -224,6 +245,7 @@
         }
         auto result = co_await attempt(request, *choice, sink, delivery);
         recordAttemptEnd(*choice, result, delivery);
+        recordVersionResult(result, sink.stopReason(), delivery);
         if (result) {
             co_return result;
         }
@@ -343,6 +365,9 @@
     delivery.phase = AttemptPhase::NotSent;
     delivery.isTakenBack = false;
     delivery.isDiverted = false;
+    delivery.rolloutAttempt = {};
+    delivery.status = 0;
+    delivery.lastVersion = choice.software;
     ++delivery.sends;
     const auto& route = *delivery.route;
     checkInvariant(delivery.runs == 0 || retryKindOf(route) != RetryKind::NonIdempotentCall,
@@ -355,7 +380,7 @@
         { { "runner", choice.id.value() }, { "service", delivery.service.value() }, { "route", route.name },
             { "organisation", delivery.organisation ? delivery.organisation->id.value() : "" },
             { "configuration", std::to_string(delivery.configuration->version) },
-            { "weights", std::to_string(choice.weights) },
+            { "weights", std::to_string(choice.weights) }, { "software", choice.software.value() },
             { "copied_from", choice.cacheSource ? choice.cacheSource->toString() : "" },
             { "computed_tokens", std::to_string(static_cast<long>(choice.computedTokens)) },
             { "parts", nameParts(request) }, { "left_ms", std::to_string(terms.timeout.count()) },
@@ -369,6 +394,8 @@
         m_context.metrics.count(Counter::BackOffTrials);
         m_context.runnerCommands.beginTrial(choice.id);
     }
+    delivery.rolloutAttempt
+        = m_context.rolloutCommands.recordSent(delivery.service, choice.software, route.name, choice.uncachedTokens);
     const bool mayReuse = route.kind != RequestKind::Unsafe;
     const auto exchange = m_context.client.open(choice.endpoint, request, terms, mayReuse);
     sink.onStop([&exchange] { exchange->cancel(); });
@@ -465,6 +492,7 @@
 Task<Outcome<void>> ForwardDispatcher::relayAnswer(
     const ForwardRequest& request, RunnerExchange& exchange, const ReplyHead& head, ReplySink& sink, Delivery& delivery)
 {
+    delivery.status = head.status;
     switch (head.kind) {
     case ReplyKind::NotRun:
     case ReplyKind::Misdirected:
@@ -544,6 +572,7 @@
         if (complete.empty()) {
             continue;
         }
+        m_context.rolloutCommands.recordOutput(delivery.rolloutAttempt);
         if (!delivery.isBegun) {
             m_context.metrics.observe(Distribution::TimeToFirstToken, m_context.clock.now() - delivery.receivedAt);
             if (auto begun = co_await sink.begin(head); !begun) {
@@ -628,4 +657,34 @@
         choice.id, delivery.phase == AttemptPhase::Answering ? 0 : choice.computedTokens, outcome);
 }
 
+void ForwardDispatcher::recordVersionResult(
+    const Outcome<void>& result, const std::optional<Error>& stopReason, const Delivery& delivery)
+{
+    constexpr int firstErrorStatus = 500;
+    constexpr int timeoutStatus = 504;
+    auto outcome = VersionResult::Succeeded;
+    if (delivery.isTakenBack) {
+        outcome = VersionResult::Inconclusive;
+    } else if (delivery.status == timeoutStatus) {
+        outcome = VersionResult::TimedOut;
+    } else if (result) {
+        outcome = delivery.status >= firstErrorStatus ? VersionResult::Failed : VersionResult::Succeeded;
+    } else {
+        // An attempt that was stopped ends with the error of its connection.
+        switch (stopReason ? stopReason->code : result.error().code) {
+        case ErrorCode::DeadlineExceeded:
+            outcome = VersionResult::TimedOut;
+            break;
+        case ErrorCode::ConnectFailed:
+        case ErrorCode::Unavailable:
+        case ErrorCode::Cancelled:
+            outcome = VersionResult::Inconclusive;
+            break;
+        default:
+            outcome = VersionResult::Failed;
+        }
+    }
+    m_context.rolloutCommands.recordEnded(delivery.rolloutAttempt, outcome);
+}
+
 } // namespace Pollenwind
--- a/Source/Core/Gateway/ForwardDispatcher.h
+++ b/Source/Core/Gateway/ForwardDispatcher.h
@@ -7,11 +7,13 @@
 #include "Gateway/Commands/PrefixCommands.h"
 #include "Gateway/Commands/QuarantineCommands.h"
 #include "Gateway/Commands/ReplySink.h"
+#include "Gateway/Commands/RolloutCommands.h"
 #include "Gateway/Commands/RunnerClient.h"
 #include "Gateway/Commands/RunnerCommands.h"
 #include "Gateway/ForwardAdmission.h"
 #include "Gateway/Queries/FreshnessQueries.h"
 #include "Gateway/Queries/QuarantineQueries.h"
+#include "Gateway/Queries/RolloutQueries.h"
 #include "Gateway/Queries/RoutingQueries.h"
 #include "Gateway/Queries/RunnerPolicy.h"
 #include "Gateway/Queries/RunnerQueries.h"
@@ -39,6 +41,8 @@
     const QuarantineQueries& quarantine;
     QuarantineCommands& quarantineCommands;
     CrashCommands& crashes;
+    const RolloutQueries& rollouts;
+    RolloutCommands& rolloutCommands;
 };
 
 /// Forwards requests to runners and their responses to the callers: lets them be admitted, chooses a runner, and
@@ -75,8 +79,8 @@
 
     struct Delivery;
 
-    /// Runners that may take the request now. A request that cannot be taken back from a runner's queue gets none whose
-    /// weights expire before it is likely to begin.
+    /// Runners that may take the next attempt. A request that cannot be taken back from a runner's queue gets none
+    /// whose weights expire before it is likely to begin.
     std::vector<RunnerCandidate> candidatesFor(const ForwardRequest& request, const Delivery& delivery) const;
     Outcome<RunnerChoice> chooseRunner(const ForwardRequest& request, const Delivery& delivery) const;
     /// Sends the request to one runner and relays its response.
@@ -105,6 +109,10 @@
     void recordRefusal(const ForwardRequest& request, const ReplyHead& head, Delivery& delivery);
     void recordFirstOutput(const ForwardRequest& request, Delivery& delivery);
     void recordAttemptEnd(const RunnerChoice& choice, const Outcome<void>& result, const Delivery& delivery);
+    /// Records the end of an attempt as evidence on the version of its runner.
+    /// @param stopReason Why the request was stopped during the attempt, if it was.
+    void recordVersionResult(
+        const Outcome<void>& result, const std::optional<Error>& stopReason, const Delivery& delivery);
 
     ForwardContext m_context;
     ForwardAdmission m_admission;
--- a/Source/Core/Gateway/GatewayKeys.h
+++ b/Source/Core/Gateway/GatewayKeys.h
@@ -14,5 +14,7 @@
 inline constexpr std::string_view orderStateKey = "pollenwind/orders/state";
 /// Prefix of the records of the parts of prompts that crash runners, under a lease.
 inline constexpr std::string_view quarantineRecordPrefix = "pollenwind/quarantine/";
+/// Prefix of the store keys of roll-outs, by service.
+inline constexpr std::string_view rolloutRecordPrefix = "pollenwind/rollouts/";
 
 } // namespace Pollenwind
--- a/Source/Core/Gateway/GatewaySync.h
+++ b/Source/Core/Gateway/GatewaySync.h
@@ -4,6 +4,7 @@
 #include "Gateway/ChangeLog.h"
 #include "Gateway/Commands/QuarantineRecordCommands.h"
 #include "Gateway/Commands/QuotaCommands.h"
+#include "Gateway/Commands/RolloutCommands.h"
 #include "Gateway/Commands/RoutingCommands.h"
 #include "Gateway/Commands/RunnerCommands.h"
 #include "Gateway/FleetView.h"
@@ -31,6 +32,7 @@
     TimelineCommands& timeline;
     MetricCommands& metrics;
     QuarantineRecordCommands& quarantine;
+    RolloutCommands& rollouts;
 };
 
 /// Timeouts of the synchronisation.
--- a/Source/Core/Gateway/Queries/RunnerQueries.h
+++ b/Source/Core/Gateway/Queries/RunnerQueries.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "Gateway/RolloutTypes.h"
 #include "Gateway/RunnerTypes.h"
 
 #include <optional>
@@ -19,7 +20,15 @@
     /// are suspect, loading weights, reported as leaving by another VM or whose entry has just ended are returned only
     /// if there are no others.
     /// @param model Model that the request asks for, or empty. Runners whose weights are too old are excluded.
-    virtual std::vector<RunnerCandidate> candidates(const ServiceId& service, const std::string& model) const = 0;
+    /// @param versions Versions of the software that may be used.
+    virtual std::vector<RunnerCandidate> candidates(
+        const ServiceId& service, const std::string& model, const VersionRule& versions) const
+        = 0;
+    /// Runners with any version of the software.
+    std::vector<RunnerCandidate> candidates(const ServiceId& service, const std::string& model) const
+    {
+        return candidates(service, model, {});
+    }
 
     /// Whether the next request to a runner is a trial after a back-off.
     virtual bool needsTrial(const UpstreamId& runner) const = 0;
--- a/Source/Core/Gateway/RunnerTable.h
+++ b/Source/Core/Gateway/RunnerTable.h
@@ -4,6 +4,7 @@
 #include "Gateway/LeavingRunners.h"
 #include "Gateway/Queries/RunnerQueries.h"
 #include "Gateway/RunnerFailureState.h"
+#include "Gateway/SoftwareVersions.h"
 #include "Timeline/Commands/TimelineCommands.h"
 #include "Upstream/CircuitBreaker.h"
 
@@ -54,7 +55,9 @@
     void clearRemoteLoad(const VmId& vm) override;
     void setLoadingRunners(const VmId& vm, std::set<std::uint64_t> runners) override;
 
-    std::vector<RunnerCandidate> candidates(const ServiceId& service, const std::string& model) const override;
+    using RunnerQueries::candidates;
+    std::vector<RunnerCandidate> candidates(
+        const ServiceId& service, const std::string& model, const VersionRule& versions) const override;
     bool needsTrial(const UpstreamId& runner) const override;
     std::optional<std::chrono::nanoseconds> timeUntilReturn(const ServiceId& service) const override;
     UnwillingRunners unwillingRunners() const override;
@@ -109,6 +112,7 @@
     RunnerTableOptions m_options;
     std::map<UpstreamId, Runner> m_runners;
     LeavingRunners m_leaving;
+    SoftwareVersions m_versions;
     std::map<VmId, std::map<std::uint64_t, RunnerLoad>> m_remoteLoads;
     std::map<VmId, std::set<std::uint64_t>> m_loading;
 
--- a/Source/Core/Gateway/RunnerTypes.h
+++ b/Source/Core/Gateway/RunnerTypes.h
@@ -169,6 +169,8 @@
     ZoneId zone;
     Incarnation incarnation;
     unsigned slots = 1;
+    /// Version of the runner's software.
+    VersionId software;
     WeightsVersion weights = 0;
     /// Time by which a request must begin on these weights; nothing while no newer target is known.
     std::optional<MonotonicTime> beginBy;
--- a/Source/Core/Metrics/Counter.h
+++ b/Source/Core/Metrics/Counter.h
@@ -65,6 +65,12 @@
     QuarantineRefusals,
     /// Requests that were let through to test a quarantined part.
     QuarantineTrials,
+    /// Requests to services with a roll-out that went to runners of the version in use before.
+    RolloutCurrentRequests,
+    RolloutCurrentFailures,
+    /// Requests that went to runners of a roll-out's target version before its verdict.
+    RolloutTargetRequests,
+    RolloutTargetFailures,
 };
 
 template <> struct EnumTable<Counter> {
@@ -112,6 +118,10 @@
         EnumName { Counter::PartsLifted, "parts_lifted_total" },
         EnumName { Counter::QuarantineRefusals, "quarantine_refusals_total" },
         EnumName { Counter::QuarantineTrials, "quarantine_trials_total" },
+        EnumName { Counter::RolloutCurrentRequests, "rollout_current_requests_total" },
+        EnumName { Counter::RolloutCurrentFailures, "rollout_current_failures_total" },
+        EnumName { Counter::RolloutTargetRequests, "rollout_target_requests_total" },
+        EnumName { Counter::RolloutTargetFailures, "rollout_target_failures_total" },
     };
 };
 
--- a/Source/UnitTests/Gateway/FeedTests.cpp
+++ b/Source/UnitTests/Gateway/FeedTests.cpp
@@ -5,6 +5,7 @@
 #include "Gateway/GatewaySync.h"
 #include "Gateway/PartQuarantine.h"
 #include "Gateway/QuarantineRecords.h"
+#include "Gateway/RolloutTable.h"
 
 using namespace Pollenwind;
 using namespace std::chrono_literals;
@@ -117,6 +118,8 @@
 public:
     Outcome<DecodedRecord> decode(const StoreEntry&) const override { return DecodedRecord {}; }
     std::optional<UpstreamId> runnerOf(std::string_view) const override { return std::nullopt; }
+    std::optional<ServiceId> rolloutOrderOf(std::string_view) const override { return std::nullopt; }
+    StoreWrite encodeStatus(const RolloutStatus&) const override { return {}; }
 };
 
 /// The synchronisation of a VM of zone "z" in a large fleet.
@@ -134,6 +137,7 @@
     RunnerTable runners { clock, timeline, {} };
     FleetQuota quota { clock };
     FleetView fleet { clock, timeline, VmId("z999"), ZoneId("z") };
+    RolloutTable rollouts { clock, timeline, metrics };
     NoStoreCommands commands;
     OrderLease orders { clock, commands, timeline, VmId("z999"), Incarnation(1), {} };
     MemoryStore store;
@@ -143,9 +147,9 @@
     ChangeLog log;
     PartQuarantine quarantine { clock, timeline, metrics, fleet };
     QuarantineRecords quarantineRecords { clock, commands, quarantine, quarantine, fleet };
-    GatewaySync sync {
-        { clock, feeds, log, records, routing, runners, quota, fleet, orders, timeline, metrics, quarantineRecords }, {}
-    };
+    GatewaySync sync { { clock, feeds, log, records, routing, runners, quota, fleet, orders, timeline, metrics,
+                           quarantineRecords, rollouts },
+        {} };
 };
 
 } // namespace
--- a/Source/UnitTests/Gateway/GatewayFixture.h
+++ b/Source/UnitTests/Gateway/GatewayFixture.h
@@ -7,6 +7,7 @@
 #include "Gateway/FleetView.h"
 #include "Gateway/ForwardDispatcher.h"
 #include "Gateway/PartQuarantine.h"
+#include "Gateway/RolloutTable.h"
 #include "Gateway/RoutingTable.h"
 #include "Gateway/RunnerTable.h"
 #include "Metrics/MetricTable.h"
@@ -316,6 +317,7 @@
     CacheDirectory directory { clock };
     AffinityPolicy policy { ZoneId("a"), directory };
     RetryBudget retryBudget { clock };
+    RolloutTable rollouts { clock, timeline, metrics, { { 0.1, 50 } } };
     FixedFreshness freshness;
     ScriptedRunners scripted { clock };
     RequestLog log { clock };
@@ -326,7 +328,7 @@
     ScriptedProbe probe;
     CrashDetector crashes { context.get_executor(), clock, runners, probe, quarantine };
     ForwardDispatcher dispatcher { { clock, routing, freshness, runners, runners, policy, directory, quota, retryBudget,
-        scripted, metrics, log, quarantine, quarantine, crashes } };
+        scripted, metrics, log, quarantine, quarantine, crashes, rollouts, rollouts } };
 };
 
 } // namespace Pollenwind
--- a/Source/UnitTests/Gateway/GatewaySyncTests.cpp
+++ b/Source/UnitTests/Gateway/GatewaySyncTests.cpp
@@ -107,11 +107,12 @@
     FeedPolicy policy { clock, fleet, VmId("vm"), 4000ms };
     ChangeFeeds feeds { context.get_executor(), store, policy, timeline };
     ChangeLog log;
+    RolloutTable rollouts { clock, timeline, metrics, { { 0.1, 50 } } };
     PartQuarantine quarantine { clock, timeline, metrics, fleet };
     QuarantineRecords quarantineRecords { clock, commands, quarantine, quarantine, fleet };
-    GatewaySync sync {
-        { clock, feeds, log, codec, routing, runners, quota, fleet, orders, timeline, metrics, quarantineRecords }, {}
-    };
+    GatewaySync sync { { clock, feeds, log, codec, routing, runners, quota, fleet, orders, timeline, metrics,
+                           quarantineRecords, rollouts },
+        {} };
 };
 
 } // namespace
--- a/Source/UnitTests/Gateway/RefusalFleet.cpp
+++ b/Source/UnitTests/Gateway/RefusalFleet.cpp
@@ -51,6 +51,7 @@
     PartQuarantine quarantine;
     ScriptedProbe probe;
     CrashDetector crashes;
+    RolloutTable rollouts;
     ForwardDispatcher dispatcher;
 };
 
@@ -135,8 +136,9 @@
     , view(fleet.m_clock, timeline, VmId("vm"), ZoneId("a"))
     , quarantine(fleet.m_clock, timeline, metrics, view)
     , crashes(fleet.m_context.get_executor(), fleet.m_clock, runners, probe, quarantine)
+    , rollouts(fleet.m_clock, timeline, metrics, { { 0.1, 50 } })
     , dispatcher({ fleet.m_clock, routing, freshness, runners, runners, policy, directory, quota, retryBudget, *client,
-          metrics, log, quarantine, quarantine, crashes })
+          metrics, log, quarantine, quarantine, crashes, rollouts, rollouts })
 {
     RoutingConfiguration configuration;
     configuration.version = 1;
