Do not name a common part when many runners end at once

Cause: in a zone that is cut off, connections can be refused, which looks like crashes of several runners at one moment; a common part lost at three of them would be quarantined until its next answer.

Change: a part with a known answer is named only if its crashes are spread over 2 s.

--- a/Source/Core/Gateway/PartQuarantine.cpp
+++ b/Source/Core/Gateway/PartQuarantine.cpp
@@ -207,15 +207,22 @@
     notifyNews();
 }
 
+std::chrono::nanoseconds PartQuarantine::Suspect::span() const
+{
+    const auto [first, last] = std::ranges::minmax_element(crashes, {}, &Crash::at);
+    return first == crashes.end() ? std::chrono::nanoseconds(0) : last->at - first->at;
+}
+
 std::vector<PartId> PartQuarantine::mostLikelyCauses() const
 {
     std::vector<PartId> causes;
+    const auto isUnanswered = [this](PartId part) { return answeredAt(part).count() == 0; };
     for (const auto& [part, suspect] : m_suspects) {
-        if (suspect.crashes.size() >= crashesToQuarantine) {
+        if (suspect.crashes.size() >= crashesToQuarantine
+            && (isUnanswered(part) || suspect.span() >= minAnsweredSpan)) {
             causes.push_back(part);
         }
     }
-    const auto isUnanswered = [this](PartId part) { return answeredAt(part).count() == 0; };
     if (std::ranges::any_of(causes, isUnanswered)) {
         std::erase_if(causes, [&](PartId part) { return !isUnanswered(part); });
     }
--- a/Source/Core/Gateway/PartQuarantine.h
+++ b/Source/Core/Gateway/PartQuarantine.h
@@ -29,6 +29,10 @@
     /// a request is repeated.
     static constexpr std::size_t crashesToQuarantine = 3;
 
+    /// Shortest time from the first to the last of these crashes for a part with a known answer. A cut zone or a failed
+    /// rack ends many runners at once, and common parts are lost at several of them.
+    static constexpr std::chrono::seconds minAnsweredSpan { 2 };
+
     /// Bounds of memory, for all organisations and prompts together. Entries are evicted oldest first.
     static constexpr std::size_t maxSuspects = 512;
     static constexpr std::size_t maxQuarantined = 64;
@@ -79,6 +83,9 @@
     struct Suspect {
         std::vector<Crash> crashes;
         MonotonicTime lastAt { 0 };
+
+        /// Time from the first to the last crash.
+        std::chrono::nanoseconds span() const;
     };
     struct Quarantine {
         std::set<std::uint64_t> crashes;
--- a/Source/UnitTests/Gateway/QuarantineTests.cpp
+++ b/Source/UnitTests/Gateway/QuarantineTests.cpp
@@ -204,6 +204,31 @@
     cr_assert_eq(fleet.quarantinedAt(common), 0);
 }
 
+// When a zone is cut off or a rack fails, many runners end at once. The parts that are common among the requests there
+// must not be refused.
+Test(PartQuarantine, doesNotNameACommonPartWhenManyRunnersEndAtOnce)
+{
+    QuarantineFleet fleet(3);
+    fleet.answer(2, { common });
+    for (std::uint64_t crash = 1; crash <= 6; ++crash) {
+        fleet.vms[crash % 3]->quarantine.recordCrash("runner", crash, std::array { common, PartId(100 + crash) });
+        fleet.clock.advance(100ms);
+        fleet.exchange();
+    }
+    cr_assert_eq(fleet.quarantinedAt(common), 0);
+}
+
+// A part that becomes deadly after it was answered must be named too.
+Test(PartQuarantine, namesAPartThatWasAnsweredBefore)
+{
+    QuarantineFleet fleet(3);
+    fleet.answer(2, { deadly });
+    for (const std::size_t vm : { 0, 1, 2 }) {
+        fleet.crash(vm, { deadly });
+    }
+    cr_assert_eq(fleet.quarantinedAt(deadly), 3);
+}
+
 // Several requests that are lost in one crash, at one VM or at several, are evidence of one crash only.
 Test(PartQuarantine, countsEachCrashOnce)
 {
