--- a/Source/UnitTests/Gateway/GatewaySyncTests.cpp
+++ b/Source/UnitTests/Gateway/GatewaySyncTests.cpp
@@ -68,6 +68,8 @@
                                       : DecodedRecord {};
     }
     std::optional<UpstreamId> runnerOf(std::string_view) const override { return std::nullopt; }
+    std::optional<ServiceId> rolloutOrderOf(std::string_view) const override { return std::nullopt; }
+    StoreWrite encodeStatus(const RolloutStatus&) const override { return {}; }
 };
 
 /// A VM that follows a store and knows one runner with old and one with new weights.
--- a/Source/UnitTests/PlatformAdapter/RunnerWireTests.cpp
+++ b/Source/UnitTests/PlatformAdapter/RunnerWireTests.cpp
@@ -77,7 +77,7 @@
     WireRunner runner { context };
     HttpRunnerClient client { context.get_executor(), codec, 1s };
     ForwardDispatcher wireDispatcher { { clock, routing, freshness, runners, runners, policy, directory, quota,
-        retryBudget, client, metrics, log } };
+        retryBudget, client, metrics, log, quarantine, quarantine, crashes, rollouts, rollouts } };
     GatewayFrontEnd frontEnd { clock, codec, wireDispatcher, metrics, log };
     HttpServer server { context.get_executor(), frontEnd, {} };
     Endpoint callers;
