Do not report the guessed age of a roll-out's order

Cause (found by review): a VM that starts during a roll-out takes the order for new when nothing tells its age, and reported that guess. The youngest reported age applies, so one restart moved the time limit of the whole fleet, and the verdict came late. Ages from a record, which depend on the time of day, were reported too.

Change: a guessed age is not reported and gives way to the first age that another VM reports.

RolloutTable::keepsTheAgeOfTheOrderWhenAVmStarts passes; it was not run against the code before. Rollout* tests: 12 passed.

--- a/Source/Core/Gateway/RolloutTable.cpp
+++ b/Source/Core/Gateway/RolloutTable.cpp
@@ -108,6 +108,7 @@
         const auto age
             = std::max<std::chrono::nanoseconds>(std::chrono::nanoseconds(0), m_clock.wallNow() - known.orderedAt);
         rollout.orderedAfter = m_clock.now() - age;
+        rollout.isAgeEstimated = true;
     }
     setState(rollout, known.state, known.evidence);
 }
@@ -139,8 +140,10 @@
         auto& rollout = it->second;
         setState(rollout, report.state, "reported by " + vm.value());
         if (report.age.count() > 0) {
-            // The order is at most as old as any VM takes it to be.
-            rollout.orderedAfter = std::max(rollout.orderedAfter, m_clock.now() - report.age);
+            // The order is at most as old as any VM that observed it takes it to be.
+            const auto reported = m_clock.now() - report.age;
+            rollout.orderedAfter = rollout.isAgeEstimated ? reported : std::max(rollout.orderedAfter, reported);
+            rollout.isAgeEstimated = false;
         }
         rollout.remote[vm] = std::move(report);
     }
@@ -208,6 +211,7 @@
         if (rollout.orderedAfter.count() == 0) {
             // Neither a record nor another VM tells the age.
             rollout.orderedAfter = m_clock.now();
+            rollout.isAgeEstimated = true;
         }
         evaluate(rollout, isFresh);
     }
@@ -373,7 +377,8 @@
         report.service = service;
         report.order = rollout.order.revision;
         report.state = rollout.state;
-        report.age = std::chrono::ceil<std::chrono::milliseconds>(ageOf(rollout));
+        report.age = rollout.isAgeEstimated ? std::chrono::milliseconds(0)
+                                            : std::chrono::ceil<std::chrono::milliseconds>(ageOf(rollout));
         if (isUndecided(rollout)) {
             report.requests = rollout.requests;
             report.targetRequests = rollout.targetRequests;
--- a/Source/Core/Gateway/RolloutTable.h
+++ b/Source/Core/Gateway/RolloutTable.h
@@ -59,6 +59,9 @@
         RolloutOrder order;
         /// Earliest time at which the order may have been given; 0 if that is not known.
         MonotonicTime orderedAfter { 0 };
+        /// Whether the time was not observed by any VM in contact. It may then be wrong either way, and is not
+        /// reported.
+        bool isAgeEstimated = false;
         RolloutState state = RolloutState::Running;
         MonotonicTime decidedAt { 0 };
         /// Time at which the decision last changed.
--- a/Source/UnitTests/Gateway/RolloutTests.cpp
+++ b/Source/UnitTests/Gateway/RolloutTests.cpp
@@ -187,6 +187,23 @@
     }
 }
 
+// A VM that starts during a roll-out does not know the age of the order. Its guess must not make the order younger for
+// the others, which would move the verdict beyond the time limit, and it takes over their age.
+Test(RolloutTable, keepsTheAgeOfTheOrderWhenAVmStarts)
+{
+    RolloutFleet fleet(1);
+    fleet.clock.advance(10s);
+    RolloutTable started(fleet.clock, fleet.timeline, fleet.metrics);
+    started.adoptOrder(makeOrder(), MonotonicTime(0));
+    started.refresh(true, 2);
+    fleet.clock.advance(250ms);
+    auto& observer = *fleet.vms.front();
+    observer.recordRemote(VmId("started"), started.reports());
+    cr_assert_geq(observer.reports().front().age.count(), 10'000);
+    started.recordRemote(VmId("vm0"), observer.reports());
+    cr_assert_geq(started.reports().front().age.count(), 10'000);
+}
+
 // A hung version has no responses that could count against it: outstanding requests count as they age.
 Test(VersionEvidenceRecorder, countsOutstandingRequestsAsSlow)
 {
