Keep the loading runners in reports of crashes

Cause (found by review): the report that takes news of crashing parts to other zones names no loading runners, and receivers replace the set that they know, so a runner that was about to load weights got requests until the next report. Change: the report carries the set. Read, not shown by a test.

--- a/Source/Core/Gateway/FleetReporter.cpp
+++ b/Source/Core/Gateway/FleetReporter.cpp
@@ -89,6 +89,8 @@
         }
         if (report.quarantine.isNews) {
             FleetReport news { m_vm, m_incarnation };
+            // A report replaces the set of loading runners that the receivers know.
+            news.loading = report.loading;
             news.quarantine = report.quarantine;
             co_await sendToOtherZones(std::move(news));
         }
