Clean up the runner table once a second, not for each new runner

Cause (found by review): each new runner visited all others and built a set of the services' versions, so that a start with 12,000 runners took some 70 million steps on the event loop. Change: the clean-up runs at most once a second. RunnerTable tests: 17 passed; the time was not measured.

--- a/Source/Core/Gateway/RunnerTable.cpp
+++ b/Source/Core/Gateway/RunnerTable.cpp
@@ -21,6 +21,9 @@
     // Time to keep a runner whose entry has ended, so that running requests can record their end.
     constexpr std::chrono::seconds goneRunnerRetention { 60 };
 
+    // The clean-up visits all runners. A read of the store may add thousands of them at once.
+    constexpr std::chrono::seconds cleanupInterval { 1 };
+
     // Single failures often depend on the request, so only consecutive failures open the breaker.
     constexpr BreakerOptions breakerOptions { .failuresToOpen = 3,
         .openTime = std::chrono::milliseconds(700),
@@ -55,7 +58,9 @@
         const auto hash = runnerHash(id);
         m_runners.emplace(
             id, Runner { std::move(entry), hash, process, {}, {}, CircuitBreaker(m_clock, breakerOptions) });
-        removeGoneRunners();
+        if (m_clock.now() >= m_nextCleanupAt) {
+            removeGoneRunners();
+        }
         return;
     }
     auto& runner = it->second;
@@ -117,6 +122,7 @@
 void RunnerTable::removeGoneRunners()
 {
     const auto now = m_clock.now();
+    m_nextCleanupAt = now + cleanupInterval;
     std::erase_if(m_runners, [now](const auto& it) {
         return it.second.entry.state == RunnerState::Gone && it.second.own.requests == 0
             && now - it.second.endedAt > goneRunnerRetention;
--- a/Source/Core/Gateway/RunnerTable.h
+++ b/Source/Core/Gateway/RunnerTable.h
@@ -111,6 +111,7 @@
     TimelineCommands& m_timeline;
     RunnerTableOptions m_options;
     std::map<UpstreamId, Runner> m_runners;
+    MonotonicTime m_nextCleanupAt { 0 };
     LeavingRunners m_leaving;
     SoftwareVersions m_versions;
     std::map<VmId, std::map<std::uint64_t, RunnerLoad>> m_remoteLoads;
