Keep the trial of a quarantined part for a request that is sent

Cause (found by review): the trial of a quarantined part was started before the request took its tokens and had a runner. A request that was refused or stopped meanwhile used it up, and the next trial was a minute later, so that a sound part named by mistake stayed refused. Two losses also ended the repeats of requests without a prompt, which cannot hold such a part.

Change: the trial starts right before the request is sent, and only requests with shared parts count losses.

--- a/Source/Core/Gateway/ForwardDispatcher.cpp
+++ b/Source/Core/Gateway/ForwardDispatcher.cpp
@@ -243,6 +243,10 @@
             error.runState = delivery.runState;
             co_return std::unexpected(std::move(error));
         }
+        // Only now, since a request that is not sent would use the trial up.
+        if (!delivery.isTrial && m_context.quarantine.isTrialDue(delivery.parts)) {
+            delivery.isTrial = m_context.quarantineCommands.startTrial(delivery.parts);
+        }
         auto result = co_await attempt(request, *choice, sink, delivery);
         recordAttemptEnd(*choice, result, delivery);
         recordVersionResult(result, sink.stopReason(), delivery);
@@ -292,8 +296,7 @@
     if (!part || delivery.isTrial) {
         return std::nullopt;
     }
-    if (delivery.sends == 0 && m_context.quarantineCommands.startTrial(delivery.parts)) {
-        delivery.isTrial = true;
+    if (delivery.sends == 0 && m_context.quarantine.isTrialDue(delivery.parts)) {
         return std::nullopt;
     }
     m_context.quarantineCommands.recordRefusal(part->part);
@@ -306,7 +309,7 @@
 void ForwardDispatcher::recordLoss(const Error& error, Delivery& delivery)
 {
     const bool hadNoOutput = delivery.phase == AttemptPhase::Sent || delivery.phase == AttemptPhase::HeadReceived;
-    if (!hadNoOutput || error.code != ErrorCode::ConnectionLost) {
+    if (!hadNoOutput || error.code != ErrorCode::ConnectionLost || delivery.parts.empty()) {
         return;
     }
     ++delivery.losses;
--- a/Source/Core/Gateway/PartQuarantine.cpp
+++ b/Source/Core/Gateway/PartQuarantine.cpp
@@ -337,7 +337,7 @@
     }
 }
 
-bool PartQuarantine::startTrial(std::span<const PartId> parts)
+std::optional<PartId> PartQuarantine::partToTry(std::span<const PartId> parts) const
 {
     auto found = m_quarantined.end();
     for (const auto part : parts) {
@@ -347,26 +347,33 @@
         }
         if (found != m_quarantined.end()) {
             // Would not show which of the parts crashes the runner.
-            return false;
+            return std::nullopt;
         }
         found = it;
     }
     const auto now = m_clock.now();
     if (found == m_quarantined.end() || now < found->second.nextTrialAt) {
-        return false;
+        return std::nullopt;
     }
-    auto& [part, entry] = *found;
-    const auto turn = static_cast<std::uint64_t>((now - entry.nextTrialAt) / turnLength);
-    if (!m_turns.isOwnTurn(part + turn)) {
+    const auto turn = static_cast<std::uint64_t>((now - found->second.nextTrialAt) / turnLength);
+    return m_turns.isOwnTurn(found->first + turn) ? std::optional(found->first) : std::nullopt;
+}
+
+bool PartQuarantine::startTrial(std::span<const PartId> parts)
+{
+    const auto part = partToTry(parts);
+    if (!part) {
         return false;
     }
+    const auto now = m_clock.now();
+    auto& entry = m_quarantined.find(*part)->second;
     ++entry.trials;
     entry.nextTrialAt = now + trialInterval(entry.trials);
     entry.lastRequestAt = now;
     entry.sends = newsSends;
     m_metrics.count(Counter::QuarantineTrials);
     m_timeline.record(EventKind::PartTried,
-        { { "part", partName(part) }, { "trials", std::to_string(entry.trials) },
+        { { "part", partName(*part) }, { "trials", std::to_string(entry.trials) },
             { "crashes", std::to_string(entry.crashCount) },
             { "age_ms", std::to_string(toMilliseconds(now - entry.quarantinedAt).count()) } });
     notifyNews();
--- a/Source/Core/Gateway/PartQuarantine.h
+++ b/Source/Core/Gateway/PartQuarantine.h
@@ -63,6 +63,7 @@
     void adoptRecord(const PartRecord& record) override;
 
     std::optional<QuarantinedPart> findQuarantined(std::span<const PartId> parts) const override;
+    bool isTrialDue(std::span<const PartId> parts) const override { return partToTry(parts).has_value(); }
     bool isSuspected(std::span<const PartId> parts) const override;
     std::vector<QuarantinedPart> quarantinedParts() const override;
 
@@ -76,6 +77,8 @@
     std::size_t size() const;
 
 private:
+    /// The quarantined part that a request with the parts may test now, if any.
+    std::optional<PartId> partToTry(std::span<const PartId> parts) const;
     struct Crash {
         std::uint64_t id = 0;
         MonotonicTime at { 0 };
--- a/Source/Core/Gateway/Queries/QuarantineQueries.h
+++ b/Source/Core/Gateway/Queries/QuarantineQueries.h
@@ -19,6 +19,9 @@
     /// @return The first of a request's parts that is quarantined, or nothing.
     virtual std::optional<QuarantinedPart> findQuarantined(std::span<const PartId> parts) const = 0;
 
+    /// Whether a request with the parts may test a quarantined one now; see QuarantineCommands::startTrial().
+    virtual bool isTrialDue(std::span<const PartId> parts) const = 0;
+
     /// Whether one of the parts was lost in a crash and no runner is known to have ever begun an answer on it.
     virtual bool isSuspected(std::span<const PartId> parts) const = 0;
 
--- a/Source/UnitTests/Gateway/QuarantineTests.cpp
+++ b/Source/UnitTests/Gateway/QuarantineTests.cpp
@@ -434,6 +434,32 @@
     cr_assert(fixture.forward(makePrompt(fixture, "/stream/x", { common, rare })).has_value());
 }
 
+// A request that cannot be sent must not use up the trial of a quarantined part: a sound part that was named by mistake
+// stayed refused for another minute.
+Test(ForwardDispatcher, keepsTheTrialOfAPartForARequestThatIsSent)
+{
+    GatewayFixture fixture;
+    fixture.probe.refuses = true;
+    fixture.scripted.script = { begunStream() };
+    cr_assert(fixture.forward(makePrompt(fixture, "/stream/x", { common, rare })).has_value());
+    for (unsigned n = 0; n < 3; ++n) {
+        fixture.scripted.script = { crashedStream() };
+        cr_assert(!fixture.forward(makePrompt(fixture, "/stream/x", { common, deadly })));
+        restartRunners(fixture);
+    }
+    fixture.runners.replaceEntries({});
+    fixture.clock.advance(PartQuarantine::firstTrialInterval);
+    const auto refused = fixture.forward(makePrompt(fixture, "/stream/x", { common, deadly }));
+    cr_assert(!refused && refused.error().message.find("no runner") != std::string::npos);
+    auto entry = makeRunner("r1");
+    entry.incarnation = Incarnation(99);
+    fixture.runners.updateEntry(entry);
+    fixture.scripted.arrivals.clear();
+    fixture.scripted.script = { begunStream() };
+    cr_assert(fixture.forward(makePrompt(fixture, "/stream/x", { common, deadly })).has_value());
+    cr_assert_eq(fixture.scripted.arrivals.size(), 1);
+}
+
 // Without a crash, lost connections must not stop the requests of a route.
 Test(ForwardDispatcher, sendsRequestsOnAfterLossesWithoutACrash)
 {
@@ -446,6 +472,20 @@
     cr_assert_eq(fixture.scripted.arrivals.size(), 10);
 }
 
+// A request without a prompt cannot crash runners by a part of it. It was not sent a third time after two resets.
+Test(ForwardDispatcher, repeatsARequestWithoutAPromptAfterTwoLosses)
+{
+    GatewayFixture fixture;
+    auto configuration = *fixture.routing.current();
+    configuration.version = 2;
+    configuration.routes.push_back(makeRoute("/often/", RequestKind::Safe, 3));
+    fixture.routing.adopt(configuration);
+    const Error reset { ErrorCode::ConnectionLost, "reset", RunState::Unknown };
+    fixture.scripted.script = { { .beginError = reset }, { .beginError = reset }, { .parts = { "body" } } };
+    cr_assert(fixture.forward(fixture.makeRequest("/often/x")).has_value());
+    cr_assert_eq(fixture.sink.body, "body");
+}
+
 // A request whose part has been lost in an earlier crash must not be repeated, since it may crash the next runner. Its
 // caller must not be told that it has not run.
 Test(ForwardDispatcher, doesNotRepeatARequestWithASuspectedPart)
