Let a holder look idle only some time after its last order

Cause: a holder counted as idle as soon as its loads were completed, however recent its last order was.

Change: the record says idle only 3.2 s after the last order, so that a holder that is killed before is followed with the usual pause.

OrderLease::looksIdleOnlySomeTimeAfterItsLastOrder passes (6 OrderLease tests); it was not run against the code before.

--- a/Source/Core/Gateway/OrderLease.cpp
+++ b/Source/Core/Gateway/OrderLease.cpp
@@ -166,7 +166,10 @@
 
 Task<> OrderLease::endOrders()
 {
-    if (m_isStateActive && m_stateVm == m_vm.value() && isHeld()) {
+    // The orders of two holders to one runner must be apart, also if the first one completed its orders in between.
+    const bool isIdle = m_lastOrderAt.count() == 0
+        || m_clock.now() - m_lastOrderAt >= m_options.handoverPause + m_options.safetyMargin;
+    if (isIdle && m_isStateActive && m_stateVm == m_vm.value() && isHeld()) {
         co_await writeState(false);
     }
 }
--- a/Source/Core/Gateway/OrderLease.h
+++ b/Source/Core/Gateway/OrderLease.h
@@ -58,7 +58,10 @@
     /// Records in the store that orders begin, so that the next holder waits before it gives its own.
     /// @return False if the record could not be written; no order may be given then.
     Task<bool> beginOrders();
-    /// Records in the store that all orders are completed.
+    /// Records that an order is sent or may have just arrived.
+    void recordOrder() { m_lastOrderAt = m_clock.now(); }
+    /// Records in the store that all orders are completed, once the last one is so long ago that the next holder need
+    /// not wait.
     Task<> endOrders();
 
     /// Releases the lease and stops run().
@@ -91,6 +94,8 @@
     std::int64_t m_fencingToken = 0;
     MonotonicTime m_validUntil { 0 };
     MonotonicTime m_orderFrom { 0 };
+    /// 0 if this VM has given no order.
+    MonotonicTime m_lastOrderAt { 0 };
 };
 
 } // namespace Pollenwind
--- a/Source/Core/Gateway/WeightsDriver.cpp
+++ b/Source/Core/Gateway/WeightsDriver.cpp
@@ -161,7 +161,9 @@
     }
     const WeightsOrder order { pending.runner.id, pending.runner.endpoint, pending.model, pending.version, m_vm,
         m_lease.fencingToken(), report->orders };
+    m_lease.recordOrder();
     const auto accepted = co_await m_client.load(order, m_options.callTimeout);
+    m_lease.recordOrder();
     m_timeline.record(EventKind::MoveStep,
         { { "runner", pending.runner.id.value() }, { "model", pending.model },
             { "weights", std::to_string(pending.version) }, { "token", std::to_string(order.fencingToken) },
--- a/Source/UnitTests/Gateway/OrderLeaseTests.cpp
+++ b/Source/UnitTests/Gateway/OrderLeaseTests.cpp
@@ -116,6 +116,30 @@
     });
 }
 
+// A holder that completes its orders and is killed within seconds must not look idle to the next one, whose orders came
+// 2.8 s after the last one at the same runner (gateway soak, seed 2, 20 s).
+Test(OrderLease, looksIdleOnlySomeTimeAfterItsLastOrder)
+{
+    LeaseFixture fixture;
+    fixture.run([&]() -> Task<> {
+        fixture.lease.clearHolder();
+        co_await fixture.waitUntilHeld();
+        cr_assert(co_await fixture.lease.beginOrders());
+        fixture.lease.recordOrder();
+        const auto isActive = [&fixture] {
+            return fixture.store.entries.at(std::string(orderStateKey)).value.find("true") != std::string::npos;
+        };
+        for (unsigned n = 0; n < 3; ++n) {
+            co_await fixture.advance(1s);
+            co_await fixture.lease.endOrders();
+            cr_assert(isActive());
+        }
+        co_await fixture.advance(300ms);
+        co_await fixture.lease.endOrders();
+        cr_assert(!isActive());
+    });
+}
+
 // A holder that cannot renew its lease must stop giving orders before the lease can expire.
 Test(OrderLease, stopsBeforeTheLeaseCanExpire)
 {
