--- a/Source/UnitTests/PlatformAdapter/PlatformStandIns.cpp
+++ b/Source/UnitTests/PlatformAdapter/PlatformStandIns.cpp
@@ -32,14 +32,14 @@
 
 void KvStoreStandIn::write(const std::string& key, std::optional<Item> item)
 {
-    ++m_revision;
+    ++m_content.revision;
     if (item) {
-        item->revision = m_revision;
-        m_items[key] = *item;
+        item->revision = m_content.revision;
+        m_content.items[key] = *item;
     } else {
-        m_items.erase(key);
+        m_content.items.erase(key);
     }
-    m_changes.push_back({ key, item, m_revision });
+    m_changes.push_back({ key, item, m_content.revision });
 }
 
 void KvStoreStandIn::put(const std::string& key, const std::string& value) { write(key, Item { value }); }
@@ -47,14 +47,14 @@
 
 std::optional<std::string> KvStoreStandIn::value(const std::string& key) const
 {
-    const auto it = m_items.find(key);
-    return it == m_items.end() ? std::nullopt : std::optional(it->second.value);
+    const auto it = m_content.items.find(key);
+    return it == m_content.items.end() ? std::nullopt : std::optional(it->second.value);
 }
 
 void KvStoreStandIn::eraseKeysOfLease(std::int64_t lease)
 {
     std::vector<std::string> keys;
-    for (const auto& [key, item] : m_items) {
+    for (const auto& [key, item] : m_content.items) {
         if (item.lease == lease) {
             keys.push_back(key);
         }
@@ -66,7 +66,7 @@
 
 void KvStoreStandIn::endLeases()
 {
-    for (const auto& [id, lease] : std::exchange(m_leases, {})) {
+    for (const auto& [id, lease] : std::exchange(m_content.leases, {})) {
         eraseKeysOfLease(id);
     }
 }
@@ -74,17 +74,26 @@
 void KvStoreStandIn::expireLeases()
 {
     const auto now = std::chrono::steady_clock::now();
-    for (auto it = m_leases.begin(); it != m_leases.end();) {
+    for (auto it = m_content.leases.begin(); it != m_content.leases.end();) {
         if (now < it->second.until) {
             ++it;
             continue;
         }
         const auto ended = it->first;
-        it = m_leases.erase(it);
+        it = m_content.leases.erase(it);
         eraseKeysOfLease(ended);
     }
 }
 
+void KvStoreStandIn::copy() { m_copy = m_content; }
+
+void KvStoreStandIn::restore()
+{
+    m_content = m_copy;
+    std::erase_if(m_changes, [this](const auto& change) { return change.revision > m_content.revision; });
+    ++m_era;
+}
+
 KvStoreStandIn::Json KvStoreStandIn::toJson(const std::string& key, const Item& item) const
 {
     return { { "key", key }, { "value", base64Encode(item.value) }, { "revision", item.revision },
@@ -96,8 +105,8 @@
     const auto prefix = std::string(request.parameter("prefix").value_or(""));
     auto items = Json::array();
     bool hasMore = false;
-    for (auto it = m_items.upper_bound(std::string(request.parameter("after").value_or(""))); it != m_items.end();
-        ++it) {
+    for (auto it = m_content.items.upper_bound(std::string(request.parameter("after").value_or("")));
+        it != m_content.items.end(); ++it) {
         if (!it->first.starts_with(prefix)) {
             continue;
         }
@@ -107,7 +116,7 @@
         }
         items.push_back(toJson(it->first, it->second));
     }
-    return jsonResponse({ { "items", items }, { "more_pages", hasMore }, { "current_rev", m_revision } });
+    return jsonResponse({ { "items", items }, { "more_pages", hasMore }, { "current_rev", m_content.revision } });
 }
 
 HttpAnswer KvStoreStandIn::answerTransaction(const Json& body)
@@ -116,17 +125,18 @@
     bool holds = true;
     for (const auto& expected : body.at("expected_rev")) {
         const auto key = readString(expected, "key");
-        const auto it = m_items.find(key);
-        const auto revision = it == m_items.end() ? 0 : it->second.revision;
+        const auto it = m_content.items.find(key);
+        const auto revision = it == m_content.items.end() ? 0 : it->second.revision;
         holds = holds && revision == readNumber(expected, "revision");
-        found.push_back(it == m_items.end() ? Json { { "key", key }, { "revision", 0 } } : toJson(key, it->second));
+        found.push_back(
+            it == m_content.items.end() ? Json { { "key", key }, { "revision", 0 } } : toJson(key, it->second));
     }
     if (!holds) {
         return jsonResponse({ { "items", found } }, 412);
     }
     for (const auto& it : body.at("writes")) {
         const auto lease = readNumber(it, "lease");
-        if (lease != 0 && !m_leases.contains(lease)) {
+        if (lease != 0 && !m_content.leases.contains(lease)) {
             return jsonResponse(Json::object(), 404);
         }
         write(readString(it, "key"), Item { base64Decode(readString(it, "value")).value_or("?"), 0, lease });
@@ -134,15 +144,16 @@
     for (const auto& key : body.at("deletes")) {
         erase(key.get<std::string>());
     }
-    return jsonResponse({ { "revision", m_revision } });
+    return jsonResponse({ { "revision", m_content.revision } });
 }
 
 Task<HttpAnswer> KvStoreStandIn::answerWatch(const HttpRequest& request)
 {
     const auto after = number(request, "after");
-    if (after < m_compactedRevision) {
+    if (after < m_compactedRevision || after > m_content.revision) {
         co_return jsonResponse(Json::object(), 410);
     }
+    const auto era = m_era;
     const auto end = std::chrono::steady_clock::now() + std::chrono::milliseconds(number(request, "wait_ms"));
     for (;;) {
         expireLeases();
@@ -154,8 +165,8 @@
                         : Json { { "key", change.key }, { "revision", change.revision }, { "removed", true } });
             }
         }
-        if (!events.empty() || std::chrono::steady_clock::now() >= end || forcedStatus != 0) {
-            co_return jsonResponse({ { "events", events }, { "current_rev", m_revision } });
+        if (!events.empty() || std::chrono::steady_clock::now() >= end || forcedStatus != 0 || m_era != era) {
+            co_return jsonResponse({ { "events", events }, { "current_rev", m_content.revision } });
         }
         co_await sleepFor(watchPollInterval);
     }
@@ -169,10 +180,17 @@
     if (delay.count() > 0) {
         co_await sleepFor(delay);
     }
-    if (forcedStatus != 0) {
-        co_await exchange.answer({ forcedStatus, "", "", {} });
+    auto answer = forcedStatus != 0 ? HttpAnswer { forcedStatus, "", "", {} } : co_await respond(request);
+    if (request.method == "POST" && std::exchange(dropsNextResponse, false)) {
+        exchange.abort();
         co_return;
     }
+    answer.headers.emplace_back("Store-Era", std::to_string(m_era));
+    co_await exchange.answer(answer);
+}
+
+Task<HttpAnswer> KvStoreStandIn::respond(const HttpRequest& request)
+{
     HttpAnswer answer { 404, "", "", {} };
     if (request.path == "/api/kv-range") {
         answer = answerRange(request);
@@ -182,28 +200,25 @@
         answer = answerTransaction(Json::parse(request.body));
     } else if (request.path == "/api/kv-lease") {
         const std::chrono::milliseconds timeToLive(readNumber(Json::parse(request.body), "ttl_ms"));
-        m_leases[++m_nextLease] = { timeToLive, std::chrono::steady_clock::now() + timeToLive };
-        answer = jsonResponse({ { "lease", m_nextLease }, { "ttl_ms", timeToLive.count() } });
+        m_content.leases[++m_content.nextLease] = { timeToLive, std::chrono::steady_clock::now() + timeToLive };
+        answer = jsonResponse({ { "lease", m_content.nextLease }, { "ttl_ms", timeToLive.count() } });
     } else if (request.path.starts_with("/api/kv-keep/")) {
-        if (const auto lease = m_leases.find(std::stoll(request.path.substr(13))); lease != m_leases.end()) {
+        if (const auto lease = m_content.leases.find(std::stoll(request.path.substr(13)));
+            lease != m_content.leases.end()) {
             lease->second.until = std::chrono::steady_clock::now() + lease->second.timeToLive;
             answer = jsonResponse({ { "ttl_ms", lease->second.timeToLive.count() } });
         }
     } else if (request.path.starts_with("/api/kv-lease-end/")) {
         const auto lease = std::stoll(request.path.substr(18));
-        m_leases.erase(lease);
+        m_content.leases.erase(lease);
         eraseKeysOfLease(lease);
         answer = jsonResponse(Json::object());
-    } else if (const auto key = std::string(request.parameter("key").value_or("")); m_items.contains(key)) {
-        auto json = toJson(key, m_items.at(key));
-        json["current_rev"] = m_revision;
+    } else if (const auto key = std::string(request.parameter("key").value_or("")); m_content.items.contains(key)) {
+        auto json = toJson(key, m_content.items.at(key));
+        json["current_rev"] = m_content.revision;
         answer = jsonResponse(json);
     }
-    if (request.method == "POST" && std::exchange(dropsNextResponse, false)) {
-        exchange.abort();
-        co_return;
-    }
-    co_await exchange.answer(answer);
+    co_return answer;
 }
 
 RunnerStandIn::RunnerStandIn(asio::any_io_executor executor, std::string runnerId)
--- a/Source/UnitTests/PlatformAdapter/PlatformStandIns.h
+++ b/Source/UnitTests/PlatformAdapter/PlatformStandIns.h
@@ -31,7 +31,12 @@
     /// Ends all leases at once.
     void endLeases();
     /// Compacts the history: a watch from a revision before this call fails with status 410.
-    void compact() { m_compactedRevision = m_revision; }
+    void compact() { m_compactedRevision = m_content.revision; }
+    /// Keeps a copy of the records and leases from which restore() brings the store back.
+    void copy();
+    /// Goes back to the copy: later records and leases are gone, revisions and lease ids are given out again, and the
+    /// era rises. Waiting watches end.
+    void restore();
 
     /// Status of the response to every call; 0 serves the calls.
     int forcedStatus = 0;
@@ -59,8 +64,16 @@
         std::optional<Item> item;
         std::int64_t revision = 0;
     };
+    /// What a copy of the store holds.
+    struct Content {
+        std::int64_t revision = 10;
+        std::int64_t nextLease = 500;
+        std::map<std::string, Item> items;
+        std::map<std::int64_t, Lease> leases;
+    };
     using Json = JsonFields::Json;
 
+    Task<HttpAnswer> respond(const HttpRequest& request);
     HttpAnswer answerRange(const HttpRequest& request);
     HttpAnswer answerTransaction(const Json& body);
     Task<HttpAnswer> answerWatch(const HttpRequest& request);
@@ -72,12 +85,11 @@
 
     asio::any_io_executor m_executor;
     HttpServer m_server;
-    std::int64_t m_revision = 10;
+    Content m_content;
+    Content m_copy;
+    std::int64_t m_era = 1;
     std::int64_t m_compactedRevision = 0;
-    std::int64_t m_nextLease = 500;
-    std::map<std::string, Item> m_items;
     std::vector<Change> m_changes;
-    std::map<std::int64_t, Lease> m_leases;
 };
 
 /// Stand-in for a runner: sends scripted responses and accepts orders to load weights.
