Give revisions of the store positions that rise across eras

Cause: revisions, lease ids and fencing tokens are valid in one era of the store only, and were compared, sent and renewed across it. GatewaySync rejected the restored records as old ones.

The store client now packs the era of each response (Store-Era) and the revision into one position. Positions of a later era are greater than all earlier ones, so each comparison in the gateway, its feeds and its reports holds across a restore, and fencing tokens rise. Positions and leases of an earlier era are refused without a call; a response from another era than its request is an error. A new era ends the pending calls of all watches and is logged. A response without its revision is an error too; it read as 0.

--- a/Source/Core/Metrics/Counter.h
+++ b/Source/Core/Metrics/Counter.h
@@ -131,12 +131,15 @@
     RunnersLeaving,
     /// Runners that want no requests for a time that they named.
     RunnersInBackOff,
+    /// Era of the platform's store; 0 if it does not tell its era.
+    StoreEra,
 };
 
 template <> struct EnumTable<Gauge> {
     static constexpr std::array rows {
         EnumName { Gauge::RunnersLeaving, "runners_leaving" },
         EnumName { Gauge::RunnersInBackOff, "runners_in_back_off" },
+        EnumName { Gauge::StoreEra, "store_era" },
     };
 };
 
--- a/Source/Core/Store/Commands/StoreCommands.h
+++ b/Source/Core/Store/Commands/StoreCommands.h
@@ -9,8 +9,11 @@
 
 namespace Pollenwind {
 
-/// Writes to the platform's key-value store. Errors: StoreUnavailable; with RunState::Unknown the write may have taken
-/// effect, because the response can be lost after the store has executed it.
+/// Writes to the platform's key-value store. Revisions and leases are positions (see StorePosition).
+///
+/// Errors: StoreUnavailable; Conflict when the condition names a position of an earlier era of the store; NotFound when
+/// the lease has ended, also with its era. With RunState::Unknown the write may have taken effect, because the response
+/// can be lost after the store has executed it, or because the store was restored meanwhile.
 class StoreCommands {
 public:
     StoreCommands() = default;
--- a/Source/Core/Store/Queries/StoreQueries.h
+++ b/Source/Core/Store/Queries/StoreQueries.h
@@ -9,8 +9,9 @@
 
 namespace Pollenwind {
 
-/// Reads the platform's key-value store. Errors: StoreUnavailable for every failure of the store or of the connection
-/// to it.
+/// Reads the platform's key-value store. Revisions are positions (see StorePosition). Errors: StoreUnavailable for
+/// every failure of the store or of the connection to it; for a watch, Conflict when the store does not have the
+/// changes from its position, because they are no longer kept or belong to an earlier era.
 class StoreQueries {
 public:
     StoreQueries() = default;
--- a/Source/Core/Store/StoreTypes.h
+++ b/Source/Core/Store/StoreTypes.h
@@ -15,11 +15,11 @@
 /// Open watch of this process.
 using WatchId = Id<struct WatchTag, std::uint64_t>;
 
-/// One key of the store.
+/// One key of the store. Revisions and leases are positions: see StorePosition.
 struct StoreEntry {
     std::string key;
     std::string value;
-    /// Store revision of the last change of the key; 0 when the key is absent.
+    /// Position of the last change of the key; 0 when the key is absent.
     std::int64_t modRevision = 0;
     LeaseId lease;
 };
@@ -27,7 +27,7 @@
 /// Result of a read.
 struct StoreRange {
     std::vector<StoreEntry> entries;
-    /// Revision of the whole store at the time of the read.
+    /// Position of the whole store at the time of the read.
     std::int64_t revision = 0;
 };
 
@@ -41,7 +41,7 @@
 /// Changes reported by a watch. An empty list is a progress notice: the watch works and nothing changed.
 struct StoreEvents {
     std::vector<StoreEvent> events;
-    /// Revision of the store up to which the changes are complete.
+    /// Position of the store up to which the changes are complete.
     std::int64_t revision = 0;
 };
 
@@ -54,7 +54,7 @@
 /// Result of a compare-and-swap.
 struct SwapResult {
     bool isSwapped = false;
-    /// Revision of the write when swapped.
+    /// Position of the write when swapped.
     std::int64_t revision = 0;
     /// The entry found when not swapped; absent when the key does not exist.
     std::optional<StoreEntry> found;
