Let lease ids have any size

A lease now keeps its id and the era in which it was granted. With such ids in the stand-in, doesNotRenewALeaseOfAnEarlierEra failed on the commit before ('lease.has_value() is false'); the 44 tests of PlatformAdapterTests pass.

--- a/Source/Core/Store/Commands/StoreCommands.h
+++ b/Source/Core/Store/Commands/StoreCommands.h
@@ -9,7 +9,7 @@
 
 namespace Pollenwind {
 
-/// Writes to the platform's key-value store. Revisions and leases are positions (see StorePosition).
+/// Writes to the platform's key-value store. Revisions are positions (see StorePosition).
 ///
 /// Errors: StoreUnavailable; Conflict when the condition names a position of an earlier era of the store; NotFound when
 /// the lease has ended, also with its era. With RunState::Unknown the write may have taken effect, because the response
--- a/Source/Core/Store/StorePosition.h
+++ b/Source/Core/Store/StorePosition.h
@@ -14,7 +14,7 @@
 /// Positions in the history of the store: an era and a revision in one number. A position of a later era is greater
 /// than all positions of earlier ones, so a position never falls although revisions do.
 ///
-/// Revisions, lease ids and fencing tokens are positions everywhere but in the store's own messages. A store without
+/// Revisions and fencing tokens are positions everywhere but in the store's own messages. A store without
 /// eras has positions that equal its revisions. Fencing tokens stay exact in JSON numbers up to era 8191.
 namespace StorePosition {
 
@@ -22,18 +22,18 @@
     inline constexpr std::int64_t maxRevision = (std::int64_t { 1 } << revisionBits) - 1;
     inline constexpr std::int64_t maxEra = (std::int64_t { 1 } << (62 - revisionBits)) - 1;
 
-    /// @param number A revision or lease id of the era; 0, which means none, is the same in each era.
+    /// @param revision A revision of the era; 0, which means that a key is absent, is the same in each era.
     /// @return The position, or nothing if a number is out of range.
-    constexpr std::optional<std::int64_t> encode(const StoreEra& era, std::int64_t number)
+    constexpr std::optional<std::int64_t> encode(const StoreEra& era, std::int64_t revision)
     {
-        if (number < 0 || number > maxRevision || era.value() < 0 || era.value() > maxEra) {
+        if (revision < 0 || revision > maxRevision || era.value() < 0 || era.value() > maxEra) {
             return std::nullopt;
         }
-        return number == 0 ? 0 : (era.value() << revisionBits) + number;
+        return revision == 0 ? 0 : (era.value() << revisionBits) + revision;
     }
 
-    /// Revision or lease id of a position, as the store counts it.
-    constexpr std::int64_t numberOf(std::int64_t position) { return position & maxRevision; }
+    /// Revision of a position, as the store counts it.
+    constexpr std::int64_t revisionOf(std::int64_t position) { return position & maxRevision; }
 
     constexpr StoreEra eraOf(std::int64_t position) { return StoreEra(position >> revisionBits); }
 
--- a/Source/Core/Store/StoreTypes.h
+++ b/Source/Core/Store/StoreTypes.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Common/Ids.h"
+#include "Store/StorePosition.h"
 #include "Transport/Endpoint.h"
 
 #include <cstdint>
@@ -10,12 +11,33 @@
 
 namespace Pollenwind {
 
-/// Lease of the platform's store: its keys are erased when it is not renewed in time. 0 means no lease.
-using LeaseId = Id<struct LeaseTag, std::int64_t>;
+/// Lease of the platform's store: its keys are erased when it is not renewed in time. It ends with the era in which it
+/// was granted, after which its id may be given to another owner. 0 means no lease.
+class LeaseId {
+public:
+    LeaseId() = default;
+    explicit LeaseId(std::int64_t value, StoreEra era = {})
+        : m_value(value)
+        , m_era(era)
+    {
+    }
+
+    /// Id as the store counts it.
+    std::int64_t value() const { return m_value; }
+    /// Whether the lease was granted in an earlier era.
+    bool isBefore(const StoreEra& era) const { return m_value != 0 && m_era < era; }
+    auto operator<=>(const LeaseId&) const = default;
+    bool operator==(const LeaseId&) const = default;
+
+private:
+    std::int64_t m_value = 0;
+    StoreEra m_era;
+};
+
 /// Open watch of this process.
 using WatchId = Id<struct WatchTag, std::uint64_t>;
 
-/// One key of the store. Revisions and leases are positions: see StorePosition.
+/// One key of the store. Revisions are positions: see StorePosition.
 struct StoreEntry {
     std::string key;
     std::string value;
--- a/Source/UnitTests/PlatformAdapter/PlatformStandIns.h
+++ b/Source/UnitTests/PlatformAdapter/PlatformStandIns.h
@@ -67,7 +67,8 @@
     /// What a copy of the store holds.
     struct Content {
         std::int64_t revision = 10;
-        std::int64_t nextLease = 500;
+        /// Lease ids use more bits than revisions.
+        std::int64_t nextLease = 7'000'000'000'000'000;
         std::map<std::string, Item> items;
         std::map<std::int64_t, Lease> leases;
     };
