Name no runner in an odd entry of the list

What callers saw: with odd entries of another writer in the list of runners (address of no host, slots out of range, a field of another type, a deeply nested field), requests went to runners that do not exist.

Cause: an entry was used as soon as six of its fields could be read. A whole number beyond 32 bits was cut (slots became 0), a "born" that is no whole number read as 0 or as a saturated number, which looks like a restart of that runner, and a key without id, or one with a line break, became the value of X-Expect-Instance.

Nesting of 100,000 levels ended no process: the JSON library parses and destroys without recursion. It is now rejected before parsing.

Fields that a deployment may lack (version, cold_left_ms, seq, born, models) may be missing.

--- a/Source/Core/Common/JsonFields.h
+++ b/Source/Core/Common/JsonFields.h
@@ -8,6 +8,7 @@
 #include <limits>
 #include <optional>
 #include <string>
+#include <string_view>
 
 /// Reads fields of JSON objects that other processes wrote. A field that is missing, has another type or is out of
 /// range reads as empty, 0 or the fallback, so that records of another release do not throw.
@@ -15,6 +16,47 @@
 
 using Json = nlohmann::json;
 
+/// Deepest nesting of a record. Those of the platform have up to 5 levels.
+inline constexpr std::size_t maxDepth = 64;
+
+namespace detail {
+
+    /// Whether arrays and objects are nested deeper than maxDepth. The text may be malformed.
+    inline bool isTooDeep(std::string_view text)
+    {
+        std::size_t depth = 0;
+        bool isInString = false;
+        for (std::size_t i = 0; i < text.size(); ++i) {
+            const char c = text[i];
+            if (isInString) {
+                i += c == '\\' ? 1 : 0;
+                isInString = c != '"';
+            } else if (c == '"') {
+                isInString = true;
+            } else if (c == '[' || c == '{') {
+                if (++depth > maxDepth) {
+                    return true;
+                }
+            } else if ((c == ']' || c == '}') && depth > 0) {
+                --depth;
+            }
+        }
+        return false;
+    }
+
+} // namespace detail
+
+/// Parses a record of another process.
+/// @return The object; nothing for text that is malformed, nested deeper than maxDepth or no object.
+inline std::optional<Json> parseObject(std::string_view text)
+{
+    if (detail::isTooDeep(text)) {
+        return std::nullopt;
+    }
+    auto json = Json::parse(text, nullptr, false);
+    return json.is_object() ? std::optional(std::move(json)) : std::nullopt;
+}
+
 /// @return The integer; nothing for another type, a fraction or a number that does not fit into 64 bits.
 inline std::optional<std::int64_t> wholeNumber(const Json& json)
 {
--- a/Source/UnitTests/PlatformAdapter/OddEntryTests.cpp
+++ b/Source/UnitTests/PlatformAdapter/OddEntryTests.cpp
@@ -1,12 +1,49 @@
+#include "Common/JsonFields.h"
 #include "platform/PlatformRecords.h"
 
 #include <criterion/criterion.h>
 
+#include <functional>
+
 using namespace Pollenwind;
 using namespace std::chrono_literals;
 
 namespace {
 
+using JsonFields::Json;
+
+constexpr std::size_t deepLevels = 100'000;
+
+Json goodEntry()
+{
+    return { { "service", "app" }, { "address", "10.0.0.1:80" }, { "zone", "a" }, { "version", "v1" }, { "slots", 8 },
+        { "state", "ready" }, { "cold_left_ms", 0 }, { "seq", 4 }, { "born", 1'796'380'000'123 },
+        { "models", Json::array({ { { "name", "m" }, { "version", 3 } } }) } };
+}
+
+/// The text of a good entry with one field replaced by other JSON text.
+std::string entryWith(const char* field, const std::string& value)
+{
+    constexpr std::string_view mark = "\"@\"";
+    auto json = goodEntry();
+    json[field] = "@";
+    auto text = json.dump();
+    return text.replace(text.find(mark), mark.size(), value);
+}
+
+std::string nested(std::size_t levels, const std::string& open, const std::string& close)
+{
+    std::string text;
+    for (std::size_t i = 0; i < levels; ++i) {
+        text += open;
+    }
+    text += "1";
+    for (std::size_t i = 0; i < levels; ++i) {
+        text += close;
+    }
+    return text;
+}
+
 Outcome<DecodedRecord> decode(const std::string& key, const std::string& value)
 {
     return PlatformRecords().decode({ key, value, 1, LeaseId() });
@@ -14,6 +51,83 @@
 
 } // namespace
 
+// Guards against using a runner whose entry another writer left in the list, or ending the process while reading it.
+Test(PlatformRecords, namesNoRunnerInAnOddEntry)
+{
+    cr_assert(decode("servers/i-1", goodEntry().dump()).has_value());
+    struct Case {
+        const char* field;
+        std::vector<std::string> values;
+    };
+    const std::string longText = "\"" + std::string(1'000'000, 'x') + "\"";
+    const std::vector<std::string> notWhole { "-1", "1.5", "1e3", "1e300", "1e400", "99999999999999999999",
+        "18446744073709551615", std::string(40, '9'), "NaN", "\"4\"", "null", "true", "[]", "{}" };
+    const std::vector<std::string> notName { "\"\"", "7", "null", "[]", R"("a\r\nb")", R"("a\u0000")", R"("\u001b[2J")",
+        "\"\xff\xfe\"", R"("\ud800")", longText };
+    const std::vector<Case> cases {
+        { "service", notName },
+        { "zone", notName },
+        { "version", { "7", "null", "{}", R"("v1\n")", "\"\xff\"", longText } },
+        { "address",
+            { "7", "null", "\"\"", "\":80\"", "\"10.0.0.1\"", "\"10.0.0.1:\"", "\"10.0.0.1:0\"", "\"10.0.0.1:65536\"",
+                "\"10.0.0.1:70000\"", "\"10.0.0.1:-1\"", "\"10.0.0.1:80a\"", "\"10.0.0.1: 80\"", "\"10.0.0.1:1e2\"",
+                "\"[::1]:80\"", "\"::1:80\"", "\"host:80\"", "\"0.0.0.0:80\"", "\"255.255.255.255:80\"",
+                "\"224.0.0.1:80\"", R"("10.0.0.1\u0000:80")", longText } },
+        { "slots", notWhole },
+        { "slots", { "0", "4294967295", "4294967296", "4294967304" } },
+        { "state", { "\"gone\"", "\"Ready\"", "\"\"", "1", "null", longText } },
+        { "seq", notWhole },
+        { "cold_left_ms", { "-1", "1e400", "\"0\"", "null", "[]" } },
+        { "born", notWhole },
+        { "models",
+            { "7", "{}", "null", "[7]", "[null]", R"([{"version":1}])", R"([{"name":"","version":1}])",
+                R"([{"name":7,"version":1}])", R"([{"name":"m"}])", R"([{"name":"m","version":"1"}])",
+                R"([{"name":"m","version":-1}])", R"([{"name":"m","version":1e300}])",
+                R"([{"name":"m","version":99999999999999999999}])" } },
+        { "more",
+            { nested(deepLevels, "[", "]"), nested(deepLevels, "{\"a\":", "}"), nested(1000, "[", "]"),
+                std::string(deepLevels, '['), "1e400", "\"\xc3\x28\"" } },
+        { "service", { nested(deepLevels, "[", "]") } },
+        { "models", { nested(deepLevels, "[", "]"), nested(deepLevels, "[{\"name\":", "}]") } },
+    };
+    unsigned accepted = 0;
+    for (const auto& it : cases) {
+        for (const auto& value : it.values) {
+            if (decode("servers/i-1", entryWith(it.field, value))) {
+                ++accepted;
+                cr_log_error("accepted: %s: %s", it.field, value.substr(0, 60).c_str());
+            }
+        }
+    }
+    for (const auto* key : { "servers/", "servers/a b", "servers/a\r\nX-Hold: 1", "servers/\x7f", "servers/\xff" }) {
+        if (decode(key, goodEntry().dump())) {
+            ++accepted;
+            cr_log_error("accepted: key %s", key);
+        }
+    }
+    for (const auto& text : { nested(deepLevels, "[", "]"), nested(deepLevels, "{\"service\":", "}"),
+             std::string(deepLevels, '['), std::string("1e400"), std::string("\0", 1), std::string() }) {
+        accepted += decode("servers/i-1", text) ? 1 : 0;
+    }
+    cr_assert_eq(accepted, 0, "%u odd entries name a runner", accepted);
+}
+
+// Guards against rejecting the runners of a deployment whose entries have fewer or further fields.
+Test(PlatformRecords, readsEntriesWithFewerOrFurtherFields)
+{
+    for (const auto* field : { "version", "cold_left_ms", "seq", "born", "models" }) {
+        auto json = goodEntry();
+        json.erase(field);
+        cr_assert(decode("servers/i-1", json.dump()).has_value(), "%s", field);
+    }
+    cr_assert(decode("servers/i-1", entryWith("stage", "\"warm\"")).has_value());
+    cr_assert(decode("servers/i-1", entryWith("more", nested(8, "[", "]"))).has_value());
+    cr_assert(decode("servers/i-1", entryWith("cold_left_ms", "12.5")).has_value());
+    cr_assert(decode("servers/i-1", entryWith("zone", "\"z\xc3\xbcrich\"")).has_value());
+    const auto longKey = "servers/" + std::string(192, 'i');
+    cr_assert(decode(longKey, goodEntry().dump()).has_value());
+}
+
 // Guards against undefined conversions and overflowing times when a number of the operator's records is out of range.
 Test(PlatformRecords, readsRecordsWithNumbersOutOfRange)
 {
@@ -43,4 +157,8 @@
         cr_assert(
             !decode("op/version/m", R"({"model":"m","version":)" + value + "}") || value == "\"7\"", "%s", number);
     }
+    for (const auto* key : { "op/config", "op/version/m", "op/rollout/a" }) {
+        cr_assert(!decode(key, nested(deepLevels, "{\"a\":", "}")), "%s", key);
+        cr_assert(!decode(key, "\xff"), "%s", key);
+    }
 }
