--- /dev/null
+++ b/Source/UnitTests/PlatformAdapter/OddResponseTests.cpp
@@ -0,0 +1,108 @@
+#include "Common/JsonFields.h"
+#include "Metrics/MetricTable.h"
+#include "Transport/HttpServer.h"
+#include "platform/KvStoreClient.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/io_context.hpp>
+
+#include <criterion/criterion.h>
+
+using namespace Pollenwind;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr unsigned maxCalls = 50;
+
+/// A server that sends a given body to every request, and fails a test whose client does not stop to call it.
+struct ScriptedServer final : HttpHandler {
+    explicit ScriptedServer(const asio::any_io_executor& executor)
+        : server(executor, *this, {})
+    {
+        endpoint = server.listen({ "127.0.0.1", 0 }).value_or(Endpoint());
+    }
+
+    Task<> handle(HttpExchange& exchange) override
+    {
+        cr_assert(++calls <= maxCalls, "the client repeats its call without end");
+        co_await exchange.answer({ status, "application/json", body, {} });
+    }
+    HttpAnswer refusal(int refused, std::string_view) const override { return { refused, "", "", {} }; }
+
+    HttpServer server;
+    Endpoint endpoint;
+    int status = 200;
+    std::string body;
+    unsigned calls = 0;
+};
+
+struct ResponseFixture {
+    template <typename Scenario> void run(Scenario scenario)
+    {
+        asio::co_spawn(
+            context,
+            [&]() -> Task<> {
+                co_await scenario();
+                context.stop();
+            },
+            [](const std::exception_ptr& error) { cr_assert(!error, "an exception left the client"); });
+        context.run();
+    }
+
+    asio::io_context context { 1 };
+    MetricTable metrics;
+    ScriptedServer server { context.get_executor() };
+    KvStoreClient store { context.get_executor(), server.endpoint, {}, metrics };
+};
+
+std::string nested(std::size_t levels, const std::string& open, const std::string& close)
+{
+    std::string text;
+    for (std::size_t i = 0; i < levels; ++i) {
+        text += open;
+    }
+    text += "1";
+    for (std::size_t i = 0; i < levels; ++i) {
+        text += close;
+    }
+    return text;
+}
+
+} // namespace
+
+// Guards against losing the records of a list of which one item cannot be read.
+Test(KvStoreClient, keepsTheOtherItemsOfAListWithAnOddOne)
+{
+    const std::string good = R"({"key":"servers/a","value":"YQ==","revision":5,"lease":0})";
+    ResponseFixture fixture;
+    fixture.run([&]() -> Task<> {
+        for (const auto& odd : { std::string("7"), std::string("null"), std::string("[]"), std::string("{}"),
+                 std::string(R"({"key":7,"value":"YQ=="})"), std::string(R"({"key":"","value":"YQ=="})"),
+                 std::string(R"({"key":"z","value":"!","revision":"x","lease":1e300})"),
+                 std::string(R"({"key":"z","value":7,"revision":-1,"lease":99999999999999999999})"),
+                 nested(100'000, "[", "]"), R"({"key":"z","value":)" + nested(100'000, "{\"a\":", "}") + "}" }) {
+            fixture.server.calls = 0;
+            fixture.server.body = R"({"items":[)" + odd + "," + good + "," + odd + R"(],"current_rev":9})";
+            const auto range = co_await fixture.store.readPrefix("");
+            cr_assert(range && range->revision == 9, "%s", odd.substr(0, 60).c_str());
+            cr_assert(std::ranges::any_of(range->entries,
+                [](const auto& it) { return it.key == "servers/a" && it.value == "a" && it.modRevision == 5; }));
+            cr_assert(std::ranges::none_of(range->entries, [](const auto& it) { return it.key.empty(); }),
+                "an item without a key became a record: %s", odd.substr(0, 60).c_str());
+        }
+    });
+}
+
+// Guards against reading the first page again and again when the last item of a page has no key or an earlier one.
+Test(KvStoreClient, endsAListWhosePagesDoNotAdvance)
+{
+    ResponseFixture fixture;
+    fixture.run([&]() -> Task<> {
+        for (const auto* items : { "{}", "7", R"({"key":"a"},{})", R"({"key":"a"})", R"({"key":"b"},{"key":"a"})" }) {
+            fixture.server.calls = 0;
+            fixture.server.body = std::string(R"({"items":[)") + items + R"(],"more_pages":true,"current_rev":9})";
+            cr_assert(!co_await fixture.store.readPrefix(""), "%s", items);
+        }
+    });
+}
