--- a/Source/UnitTests/PlatformAdapter/OddResponseTests.cpp
+++ b/Source/UnitTests/PlatformAdapter/OddResponseTests.cpp
@@ -69,6 +69,9 @@
     return text;
 }
 
+const std::vector<std::string> notRevisions { "0", "-1", "1.5", "1e300", "99999999999999999999", "18446744073709551615",
+    "\"x\"", "\"80a\"", "null", "[]" };
+
 } // namespace
 
 // Guards against losing the records of a list of which one item cannot be read.
@@ -106,3 +109,27 @@
         }
     });
 }
+
+// Guards against a list or changes without a readable revision: changes were then missed or repeated without end, and
+// a revision beyond the store's made the gateway ignore every later change.
+Test(KvStoreClient, rejectsAListWithoutARevision)
+{
+    ResponseFixture fixture;
+    fixture.run([&]() -> Task<> {
+        for (const auto& revision : notRevisions) {
+            fixture.server.calls = 0;
+            fixture.server.body = R"({"items":[],"events":[],"current_rev":)" + revision + "}";
+            cr_assert(!co_await fixture.store.readPrefix(""), "list: %s", revision.c_str());
+            const auto watch = co_await fixture.store.openWatch("", 5);
+            cr_assert(!co_await fixture.store.nextEventsWithin(*watch, 10ms), "changes: %s", revision.c_str());
+        }
+        fixture.server.body = R"({"items":[],"events":[]})";
+        cr_assert(!co_await fixture.store.readPrefix(""));
+        fixture.server.body = R"({"current_rev":9})";
+        const auto watch = co_await fixture.store.openWatch("", 5);
+        cr_assert(!co_await fixture.store.nextEventsWithin(*watch, 10ms), "a response without changes was accepted");
+        fixture.server.body = R"({"items":[],"events":[],"current_rev":9})";
+        cr_assert(co_await fixture.store.readPrefix(""));
+        cr_assert(co_await fixture.store.nextEventsWithin(*watch, 10ms));
+    });
+}
