--- a/Source/UnitTests/PlatformAdapter/OddResponseTests.cpp
+++ b/Source/UnitTests/PlatformAdapter/OddResponseTests.cpp
@@ -133,3 +133,23 @@
         cr_assert(co_await fixture.store.nextEventsWithin(*watch, 10ms));
     });
 }
+
+// Guards against records that never expire because the response named no lease, and against a write whose revision is
+// unknown.
+Test(KvStoreClient, rejectsALeaseOrAWriteWithoutANumber)
+{
+    ResponseFixture fixture;
+    fixture.run([&]() -> Task<> {
+        for (const auto& number : notRevisions) {
+            fixture.server.calls = 0;
+            fixture.server.body = R"({"lease":)" + number + R"(,"ttl_ms":1000,"revision":)" + number + "}";
+            cr_assert(!co_await fixture.store.grantLease(1s), "lease: %s", number.c_str());
+            const auto swapped = co_await fixture.store.compareAndSwap("k", 0, "v", LeaseId());
+            cr_assert(!swapped && swapped.error().runState == RunState::Unknown, "write: %s", number.c_str());
+        }
+        fixture.server.status = 412;
+        fixture.server.body = R"({"items":[{"revision":3,"value":"YQ=="}]})";
+        const auto swapped = co_await fixture.store.compareAndSwap("k", 0, "v", LeaseId());
+        cr_assert(!swapped || (!swapped->isSwapped && !swapped->found), "a record without a key was found");
+    });
+}
