--- a/Source/UnitTests/PlatformAdapter/OddResponseTests.cpp
+++ b/Source/UnitTests/PlatformAdapter/OddResponseTests.cpp
@@ -2,6 +2,7 @@
 #include "Metrics/MetricTable.h"
 #include "Transport/HttpServer.h"
 #include "platform/KvStoreClient.h"
+#include "platform/RunnerControl.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/io_context.hpp>
@@ -54,6 +55,7 @@
     MetricTable metrics;
     ScriptedServer server { context.get_executor() };
     KvStoreClient store { context.get_executor(), server.endpoint, {}, metrics };
+    RunnerControl control;
 };
 
 std::string nested(std::size_t levels, const std::string& open, const std::string& close)
@@ -153,3 +155,34 @@
         cr_assert(!swapped || (!swapped->isSwapped && !swapped->found), "a record without a key was found");
     });
 }
+
+// Guards against taking an odd report for one of an idle runner without weights that has just restarted.
+Test(RunnerControl, rejectsAnOddReport)
+{
+    ResponseFixture fixture;
+    fixture.run([&]() -> Task<> {
+        const auto read = [&](std::string body) -> Task<bool> {
+            fixture.server.calls = 0;
+            fixture.server.body = std::move(body);
+            co_return (co_await fixture.control.report(fixture.server.endpoint, 2s)).has_value();
+        };
+        const std::string models = R"("models":[{"name":"m","version":3}])";
+        cr_assert(co_await read(R"({"busy":false,"seq":4,"born":1796380000123,)" + models + "}"));
+        cr_assert(co_await read(R"({"busy":true,"seq":0})"));
+        for (const auto& number :
+            { "-1", "1.5", "1e300", "99999999999999999999", "18446744073709551615", "\"x\"", "null", "[]", "true" }) {
+            const std::string text = number;
+            cr_assert(!co_await read(R"({"busy":false,"seq":)" + text + "," + models + "}"), "seq: %s", number);
+            cr_assert(!co_await read(R"({"busy":false,"seq":1,"born":)" + text + "}"), "born: %s", number);
+            cr_assert(!co_await read(R"({"busy":false,"seq":1,"models":[{"name":"m","version":)" + text + "}]}"),
+                "version: %s", number);
+        }
+        for (const auto& body : { std::string("{}"), std::string(R"({"seq":1})"), std::string(R"({"busy":false})"),
+                 std::string(R"({"busy":"no","seq":1})"), std::string(R"({"busy":false,"seq":1,"models":{}})"),
+                 std::string(R"({"busy":false,"seq":1,"models":[7]})"),
+                 std::string(R"({"busy":false,"seq":1,"models":[{"version":1}]})"), nested(100'000, "[", "]"),
+                 R"({"busy":false,"seq":1,"models":)" + nested(100'000, "[", "]") + "}" }) {
+            cr_assert(!co_await read(body), "%s", body.substr(0, 60).c_str());
+        }
+    });
+}
