Read quarantine records with short keys without an exception

What callers would see: quarantined parts that are not renewed, and lifted ones that stay, after one odd response of the store.

Cause: decode() and markRecordErased() cut the prefix off the key without a look at its length, which throws for a shorter key. A write whose precondition fails passes the key of the store's response on to decode(); the exception ends the task that writes the records, and a detached task ends without a log line.

Evidence: QuarantineRecords::rejectsARecordWithAShortKey failed with "unexpected exception: basic_string_view::substr: __pos (which is 22) > __size (which is 0)".

Now a key without the prefix has an empty name, which is no part.

--- a/Source/Core/Gateway/QuarantineRecords.cpp
+++ b/Source/Core/Gateway/QuarantineRecords.cpp
@@ -16,6 +16,12 @@
     // Another VM gets the turn to write after this time, in case the first one has just stopped.
     constexpr std::chrono::seconds turnLength { 3 };
 
+    /// Part of a key behind the prefix; empty for a key without it.
+    std::string_view nameOfKey(std::string_view key)
+    {
+        return key.starts_with(quarantineRecordPrefix) ? key.substr(quarantineRecordPrefix.size()) : std::string_view();
+    }
+
     template <typename T> std::optional<T> takeNumber(std::string_view& text, int base = 10)
     {
         T value = 0;
@@ -50,7 +56,7 @@
 
 std::optional<PartRecord> QuarantineRecords::decode(const std::string& key, const std::string& value)
 {
-    auto name = std::string_view(key).substr(quarantineRecordPrefix.size());
+    auto name = nameOfKey(key);
     std::string_view text = value;
     const auto part = takeNumber<PartId>(name, 16);
     const auto crashes = takeNumber<unsigned>(text);
@@ -79,7 +85,7 @@
 
 void QuarantineRecords::markRecordErased(const std::string& key)
 {
-    auto name = std::string_view(key).substr(quarantineRecordPrefix.size());
+    auto name = nameOfKey(key);
     if (const auto part = takeNumber<PartId>(name, 16)) {
         m_stored.erase(*part);
     }
--- a/Source/UnitTests/PlatformAdapter/OddEntryTests.cpp
+++ b/Source/UnitTests/PlatformAdapter/OddEntryTests.cpp
@@ -1,4 +1,5 @@
 #include "Common/JsonFields.h"
+#include "Gateway/QuarantineRecords.h"
 #include "platform/PlatformRecords.h"
 
 #include <criterion/criterion.h>
@@ -162,3 +163,13 @@
         cr_assert(!decode(key, "\xff"), "%s", key);
     }
 }
+
+// Guards against an exception that ends the task which writes the records, when the store returns a record whose key is
+// shorter than the prefix.
+Test(QuarantineRecords, rejectsARecordWithAShortKey)
+{
+    for (const auto* key : { "", "p", "pollenwind/quarantine", "pollenwind/quarantine/", "servers/a" }) {
+        cr_assert(!QuarantineRecords::decode(key, "3 1 quarantined"), "%s", key);
+    }
+    cr_assert(QuarantineRecords::decode("pollenwind/quarantine/a", "3 1 quarantined").has_value());
+}
