--- a/Source/UnitTests/PlatformAdapter/OddEntryTests.cpp
+++ b/Source/UnitTests/PlatformAdapter/OddEntryTests.cpp
@@ -1,6 +1,7 @@
 #include "Common/JsonFields.h"
 #include "Gateway/QuarantineRecords.h"
 #include "platform/PlatformRecords.h"
+#include "platform/PlatformRequests.h"
 
 #include <criterion/criterion.h>
 
@@ -173,3 +174,15 @@
     }
     cr_assert(QuarantineRecords::decode("pollenwind/quarantine/a", "3 1 quarantined").has_value());
 }
+
+// Guards against a caller's time limit that overflows in nanoseconds and then counts as exceeded.
+Test(PlatformRequests, cutsTimeLimitsThatOverflow)
+{
+    const std::vector<std::pair<std::string, std::chrono::milliseconds>> cases { { "9223372036854775807", 24h },
+        { "9223372036855", 24h }, { "-9223372036854775808", 0ms }, { "86400001", 24h }, { "6000", 6000ms } };
+    for (const auto& [text, time] : cases) {
+        const auto request = PlatformRequests().decodeRequest(
+            { "GET", "/", "", { { "X-Request-Id", "q" }, { "X-Deadline-Ms", text } }, "" });
+        cr_assert(request && request->timeout == time, "%s", text.c_str());
+    }
+}
