--- a/Source/UnitTests/PlatformAdapter/OddEntryTests.cpp
+++ b/Source/UnitTests/PlatformAdapter/OddEntryTests.cpp
@@ -2,6 +2,7 @@
 #include "Gateway/QuarantineRecords.h"
 #include "platform/PlatformRecords.h"
 #include "platform/PlatformRequests.h"
+#include "platform/PlatformSettings.h"
 
 #include <criterion/criterion.h>
 
@@ -186,3 +187,25 @@
         cr_assert(request && request->timeout == time, "%s", text.c_str());
     }
 }
+
+// Guards against listening on other ports than those of the settings, and against bounds that overflow.
+Test(PlatformSettings, rejectsPortsOutOfRange)
+{
+    const auto parse = [](const std::string& ports, const std::string& bound) {
+        return parsePlatformSettings(R"({"node":"e","zone":"a","listen":{"front":"10.1.0.2:80","ready":"10.1.0.2:81"},
+            "provider":{"address":"10.1.0.3:80"},"port_range":)"
+            + ports + R"(,"bounds":{"grace_s":)" + bound + R"(,"quota_window_s":)" + bound + R"(,"retry_window_s":)"
+            + bound + R"(,"drain_ms":)" + bound + "}}");
+    };
+    cr_assert(parse("[7600,7609]", "6").has_value());
+    for (const auto* ports : { "[0,9]", "[65535,65536]", "[70000,70009]", "[-1,5]", "[7600,7600]", "[7600,7599]",
+             "[7600,70000]", "[7600,\"7601\"]", "[7600.5,7602]", "[7600]", "[4294974896,4294974897]", "7600" }) {
+        cr_assert(!parse(ports, "6"), "%s", ports);
+    }
+    for (const auto* bound : { "1e300", "-1e300", "99999999999999999999", "1e18" }) {
+        const auto settings = parse("[7600,7609]", bound);
+        cr_assert(settings.has_value(), "%s", bound);
+        cr_assert(settings->gateway.shutdownTimeLimit >= 0ms && settings->gateway.shutdownTimeLimit <= 24h * 366);
+        cr_assert(settings->gateway.retries.window >= 1s && settings->gateway.retries.window <= 24h * 366);
+    }
+}
