Count connections that end without an answer

The server reports these ends to its handler; the gateway counts them by cause (caller_idle_closes, caller_request_timeouts, caller_requests_cut_off, caller_requests_stopped, caller_connections_rejected, caller_requests_unanswered) and logs the server's refusals as it does its own.

--- a/Source/Core/Gateway/GatewayFrontEnd.cpp
+++ b/Source/Core/Gateway/GatewayFrontEnd.cpp
@@ -76,6 +76,25 @@
         bool m_isBegun = false;
     };
 
+    Counter counterOf(ConnectionEvent event)
+    {
+        switch (event) {
+        case ConnectionEvent::IdleClosed:
+            return Counter::CallerIdleCloses;
+        case ConnectionEvent::RequestTimedOut:
+            return Counter::CallerRequestTimeouts;
+        case ConnectionEvent::RequestCutOff:
+            return Counter::CallerRequestsCutOff;
+        case ConnectionEvent::RequestStopped:
+            return Counter::CallerRequestsStopped;
+        case ConnectionEvent::Rejected:
+            return Counter::CallerConnectionsRejected;
+        case ConnectionEvent::Unanswered:
+            break;
+        }
+        return Counter::CallerRequestsUnanswered;
+    }
+
 } // namespace
 
 GatewayFrontEnd::GatewayFrontEnd(const Clock& clock, const ForwardCodec& codec, ForwardDispatcher& dispatcher,
@@ -93,9 +112,13 @@
     const auto code = status == 413 || status == 431 ? ErrorCode::TooLarge : ErrorCode::Malformed;
     auto answer = m_codec.encodeRefusal(Error { code, std::string(reason) }, {});
     answer.status = status;
+    m_metrics.count(Counter::RequestsRefused);
+    m_log.record(RequestEvent::Refused, {}, { { "status", std::to_string(status) }, { "cause", std::string(reason) } });
     return answer;
 }
 
+void GatewayFrontEnd::onConnectionEvent(ConnectionEvent event) { m_metrics.count(counterOf(event)); }
+
 Task<> GatewayFrontEnd::handle(HttpExchange& exchange)
 {
     const auto receivedAt = m_clock.now();
--- a/Source/Core/Gateway/GatewayFrontEnd.h
+++ b/Source/Core/Gateway/GatewayFrontEnd.h
@@ -18,6 +18,7 @@
 
     Task<> handle(HttpExchange& exchange) override;
     HttpAnswer refusal(int status, std::string_view reason) const override;
+    void onConnectionEvent(ConnectionEvent event) override;
 
     /// Number of requests that are being forwarded.
     std::size_t runningRequests() const { return m_running; }
--- a/Source/Core/Metrics/Counter.h
+++ b/Source/Core/Metrics/Counter.h
@@ -40,6 +40,18 @@
     AnswerMismatches,
     StreamsCut,
     CallerDisconnects,
+    /// Connections of callers that were closed after the time limit for the next request.
+    CallerIdleCloses,
+    /// Requests of callers of which a part had arrived when their time limit passed.
+    CallerRequestTimeouts,
+    /// Requests of callers whose connection ended in the middle of the request.
+    CallerRequestsCutOff,
+    /// Requests of callers that were being read when the server stopped.
+    CallerRequestsStopped,
+    /// Connections of callers beyond the limit of their number.
+    CallerConnectionsRejected,
+    /// Requests of callers that were handled without a complete response.
+    CallerRequestsUnanswered,
     /// Requests that were still running when the shutdown limit ended.
     ShutdownCuts,
     ClaimsCreated,
@@ -99,6 +111,12 @@
         EnumName { Counter::AnswerMismatches, "answer_mismatches_total" },
         EnumName { Counter::StreamsCut, "streams_cut_total" },
         EnumName { Counter::CallerDisconnects, "caller_disconnects_total" },
+        EnumName { Counter::CallerIdleCloses, "caller_idle_closes_total" },
+        EnumName { Counter::CallerRequestTimeouts, "caller_request_timeouts_total" },
+        EnumName { Counter::CallerRequestsCutOff, "caller_requests_cut_off_total" },
+        EnumName { Counter::CallerRequestsStopped, "caller_requests_stopped_total" },
+        EnumName { Counter::CallerConnectionsRejected, "caller_connections_rejected_total" },
+        EnumName { Counter::CallerRequestsUnanswered, "caller_requests_unanswered_total" },
         EnumName { Counter::ShutdownCuts, "shutdown_cuts_total" },
         EnumName { Counter::ClaimsCreated, "claims_created_total" },
         EnumName { Counter::ClaimsReplayed, "claims_replayed_total" },
--- a/Source/Core/Transport/HttpServer.cpp
+++ b/Source/Core/Transport/HttpServer.cpp
@@ -192,6 +192,7 @@
     Task<> acceptLoop();
     Task<> serve(ConnectionId id);
     Task<> serveRequests(beast::tcp_stream& stream, ConnectionId id);
+    void recordReadEnd(const beast::error_code& ec, bool isRequestBegun);
 
     asio::any_io_executor executor;
     HttpHandler& handler;
@@ -219,6 +220,7 @@
             continue;
         }
         if (connections.size() >= limits.connections) {
+            handler.onConnectionEvent(ConnectionEvent::Rejected);
             continue;
         }
         setLowLatencyOptions(socket.native_handle(), limits.writeTimeout);
@@ -268,15 +270,29 @@
             co_return;
         }
         if (ec) {
+            recordReadEnd(ec, parser.got_some() || buf.size() > 0);
             co_return;
         }
         const bool keepAlive = parser.get().keep_alive() && !isStopping && !isCloseAnnounced;
         stream.expires_never();
         Exchange exchange(stream, toRequest(parser.release()), limits, keepAlive);
         co_await handler.handle(exchange);
-        if (!exchange.isComplete() || !exchange.keepAlive() || isStopping) {
+        if (!exchange.isComplete()) {
+            handler.onConnectionEvent(ConnectionEvent::Unanswered);
             co_return;
         }
+        if (!exchange.keepAlive() || isStopping) {
+            co_return;
+        }
+    }
+}
+
+void HttpServer::State::recordReadEnd(const beast::error_code& ec, bool isRequestBegun)
+{
+    if (ec == beast::error::timeout) {
+        handler.onConnectionEvent(isRequestBegun ? ConnectionEvent::RequestTimedOut : ConnectionEvent::IdleClosed);
+    } else if (isRequestBegun) {
+        handler.onConnectionEvent(isStopping ? ConnectionEvent::RequestStopped : ConnectionEvent::RequestCutOff);
     }
 }
 
--- a/Source/Core/Transport/HttpServer.h
+++ b/Source/Core/Transport/HttpServer.h
@@ -1,10 +1,12 @@
 #pragma once
 
+#include "Common/EnumTable.h"
 #include "Common/Error.h"
 #include "Common/Task.h"
 #include "Transport/Endpoint.h"
 #include "Transport/HttpTypes.h"
 
+#include <array>
 #include <chrono>
 #include <cstddef>
 #include <functional>
@@ -51,6 +53,33 @@
     virtual void abort() = 0;
 };
 
+/// What happened to a connection, where it matters for the question whether a request got a response.
+enum class ConnectionEvent {
+    /// Closed after the time limit for the next request, of which nothing had arrived.
+    IdleClosed,
+    /// A time limit passed in the middle of a request.
+    RequestTimedOut,
+    /// The connection failed or the client closed it in the middle of a request.
+    RequestCutOff,
+    /// A stop of the server ended the connection in the middle of a request.
+    RequestStopped,
+    /// There were too many connections.
+    Rejected,
+    /// A request was handled without a complete response.
+    Unanswered,
+};
+
+template <> struct EnumTable<ConnectionEvent> {
+    static constexpr std::array rows {
+        EnumName { ConnectionEvent::IdleClosed, "idle-closed" },
+        EnumName { ConnectionEvent::RequestTimedOut, "request-timed-out" },
+        EnumName { ConnectionEvent::RequestCutOff, "request-cut-off" },
+        EnumName { ConnectionEvent::RequestStopped, "request-stopped" },
+        EnumName { ConnectionEvent::Rejected, "rejected" },
+        EnumName { ConnectionEvent::Unanswered, "unanswered" },
+    };
+};
+
 /// Handles the requests of a server.
 class HttpHandler {
 public:
@@ -66,6 +95,10 @@
     /// @param status 400, 413 or 431.
     /// @param reason Text of the parser.
     virtual HttpAnswer refusal(int status, std::string_view reason) const = 0;
+
+    /// Called when a connection ends or is rejected, except after a complete response or a close by the client between
+    /// two requests.
+    virtual void onConnectionEvent(ConnectionEvent) { }
 };
 
 /// Limits of a server.
