Serve requests that arrived before a time limit took effect

Callers saw their connection closed without an answer although they had sent a whole request in time: a process that was held up (busy, or out of its processor allotment) reacted to the idle limit of a kept connection, or to the header or body limit, without looking at the socket again. Beast's time limit closes the socket, and the bytes in it are thrown away. When the timer and the bytes are ready in the same turn, bytes that the reactor has already seen win; bytes that arrive between the expiry and its handler lose.

Evidence: HttpServer/servesARequestThatArrivedBeforeTheIdleLimitTookEffect, servesAFirstRequestThatArrivedBeforeTheHeaderLimitTookEffect and servesARequestWhoseBodyArrivedBeforeTheBodyLimitTookEffect failed before, each with "fixture.responseStatus(client) == 200 is false" (connection closed, no byte received). They let the limit expire while the context does not run and send the rest of the request in a handler that runs before that of the limit.

The server reads with timers of its own, which cancel the read and leave the socket open. A cancelled read is followed by one read that does not wait; only when it finds nothing has the limit passed. Bytes that were found so are counted (caller_late_reads).

--- a/Source/Core/Gateway/GatewayFrontEnd.cpp
+++ b/Source/Core/Gateway/GatewayFrontEnd.cpp
@@ -79,6 +79,8 @@
     Counter counterOf(ConnectionEvent event)
     {
         switch (event) {
+        case ConnectionEvent::ReadLate:
+            return Counter::CallerLateReads;
         case ConnectionEvent::IdleClosed:
             return Counter::CallerIdleCloses;
         case ConnectionEvent::RequestTimedOut:
--- a/Source/Core/Metrics/Counter.h
+++ b/Source/Core/Metrics/Counter.h
@@ -40,6 +40,8 @@
     AnswerMismatches,
     StreamsCut,
     CallerDisconnects,
+    /// Reads from callers after a time limit or a stop, of bytes that had arrived before the process reacted to it.
+    CallerLateReads,
     /// Connections of callers that were closed after the time limit for the next request.
     CallerIdleCloses,
     /// Requests of callers of which a part had arrived when their time limit passed.
@@ -111,6 +113,7 @@
         EnumName { Counter::AnswerMismatches, "answer_mismatches_total" },
         EnumName { Counter::StreamsCut, "streams_cut_total" },
         EnumName { Counter::CallerDisconnects, "caller_disconnects_total" },
+        EnumName { Counter::CallerLateReads, "caller_late_reads_total" },
         EnumName { Counter::CallerIdleCloses, "caller_idle_closes_total" },
         EnumName { Counter::CallerRequestTimeouts, "caller_request_timeouts_total" },
         EnumName { Counter::CallerRequestsCutOff, "caller_requests_cut_off_total" },
--- a/Source/Core/Transport/HttpServer.cpp
+++ b/Source/Core/Transport/HttpServer.cpp
@@ -6,12 +6,14 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http.hpp>
 
 #include <sys/socket.h>
 
+#include <algorithm>
 #include <cstdint>
 #include <map>
 #include <set>
@@ -21,9 +23,39 @@
 namespace beast = boost::beast;
 namespace http = boost::beast::http;
 using tcp = asio::ip::tcp;
+using RequestParser = http::request_parser<http::string_body>;
+using TimePoint = std::chrono::steady_clock::time_point;
 
 namespace {
 
+    // Smallest space for one read.
+    constexpr std::size_t minReadBytes = 512;
+
+    /// Cancels the operations of a socket at a point in time. The socket stays open, so that bytes which arrived before
+    /// the process reacted to the limit can still be read.
+    class SocketTimer {
+    public:
+        SocketTimer(tcp::socket& socket, TimePoint until)
+            : m_timer(socket.get_executor(), until)
+        {
+            // The handler may run after the timer was destroyed; then the weak pointer has expired.
+            m_timer.async_wait([this, &socket, alive = std::weak_ptr<bool>(m_alive)](const beast::error_code& ec) {
+                if (!ec && alive.lock()) {
+                    m_isExpired = true;
+                    beast::error_code ignored;
+                    socket.cancel(ignored);
+                }
+            });
+        }
+
+        bool isExpired() const { return m_isExpired; }
+
+    private:
+        asio::steady_timer m_timer;
+        std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
+        bool m_isExpired = false;
+    };
+
     HttpRequest toRequest(http::request<http::string_body>&& message)
     {
         HttpRequest request;
@@ -189,16 +221,36 @@
     {
     }
 
+    /// One client.
+    struct Connection {
+        explicit Connection(tcp::socket socket)
+            : stream(std::move(socket))
+        {
+        }
+
+        beast::tcp_stream stream;
+        /// Bytes that were received and not parsed.
+        beast::flat_buffer buf;
+    };
+
+    /// How much of a request to read.
+    enum class ReadUntil { Header, Body };
+
     Task<> acceptLoop();
     Task<> serve(ConnectionId id);
-    Task<> serveRequests(beast::tcp_stream& stream, ConnectionId id);
+    Task<> serveRequests(Connection& connection, ConnectionId id);
+    /// Reads and parses a request up to the end of its header or body.
+    /// @return beast::error::timeout when that has not arrived at the time limit.
+    Task<beast::error_code> readRequest(Connection& connection, RequestParser& parser, ReadUntil end, TimePoint until);
+    /// Appends what arrives next to the connection's buffer.
+    Task<beast::error_code> readSome(Connection& connection, TimePoint until);
     void recordReadEnd(const beast::error_code& ec, bool isRequestBegun);
 
     asio::any_io_executor executor;
     HttpHandler& handler;
     HttpServerLimits limits;
     tcp::acceptor acceptor;
-    std::map<ConnectionId, beast::tcp_stream> connections;
+    std::map<ConnectionId, Connection> connections;
     std::set<ConnectionId> idle;
     ConnectionId nextId = 1;
     bool isStopping = false;
@@ -225,7 +277,9 @@
         }
         setLowLatencyOptions(socket.native_handle(), limits.writeTimeout);
         const auto id = nextId++;
-        connections.emplace(id, beast::tcp_stream(std::move(socket)));
+        // Applies to operations without a handler; others never block.
+        socket.non_blocking(true, ec);
+        connections.try_emplace(id, std::move(socket));
         asio::co_spawn(executor, serve(id), asio::detached);
     }
 }
@@ -236,35 +290,82 @@
     const auto it = connections.find(id);
     co_await serveRequests(it->second, id);
     beast::error_code ec;
-    it->second.socket().shutdown(tcp::socket::shutdown_both, ec);
+    it->second.stream.socket().shutdown(tcp::socket::shutdown_both, ec);
     idle.erase(id);
     connections.erase(it);
 }
 
-Task<> HttpServer::State::serveRequests(beast::tcp_stream& stream, ConnectionId id)
+Task<beast::error_code> HttpServer::State::readSome(Connection& connection, TimePoint until)
+{
+    auto& socket = connection.stream.socket();
+    auto& buf = connection.buf;
+    const auto space = buf.prepare(std::max(minReadBytes, buf.capacity() - buf.size()));
+    beast::error_code ec;
+    std::size_t n = 0;
+    bool isLate = false;
+    {
+        const SocketTimer timer(socket, until);
+        std::tie(ec, n) = co_await socket.async_read_some(space, asTuple);
+        isLate = timer.isExpired();
+    }
+    if (ec == asio::error::operation_aborted && socket.is_open()) {
+        // The process may have been held up, so the bytes may have arrived long before the operation was cancelled.
+        n = socket.read_some(space, ec);
+        if (ec == asio::error::would_block) {
+            ec = isLate ? beast::error_code(beast::error::timeout) : asio::error::operation_aborted;
+        } else if (!ec) {
+            handler.onConnectionEvent(ConnectionEvent::ReadLate);
+        }
+    }
+    buf.commit(n);
+    co_return ec;
+}
+
+Task<beast::error_code> HttpServer::State::readRequest(
+    Connection& connection, RequestParser& parser, ReadUntil end, TimePoint until)
+{
+    auto& buf = connection.buf;
+    const auto isDone = [&] { return end == ReadUntil::Header ? parser.is_header_done() : parser.is_done(); };
+    parser.eager(end == ReadUntil::Body);
+    for (;;) {
+        beast::error_code ec;
+        while (!ec && !isDone() && buf.size() > 0) {
+            buf.consume(parser.put(buf.data(), ec));
+        }
+        if (isDone() || (ec && ec != http::error::need_more)) {
+            co_return ec;
+        }
+        if (const auto failure = co_await readSome(connection, until)) {
+            co_return failure;
+        }
+    }
+}
+
+Task<> HttpServer::State::serveRequests(Connection& connection, ConnectionId id)
 {
-    beast::flat_buffer buf;
+    auto& stream = connection.stream;
+    auto& buf = connection.buf;
     for (bool isFirst = true;; isFirst = false) {
-        http::request_parser<http::string_body> parser;
+        RequestParser parser;
         parser.header_limit(static_cast<std::uint32_t>(limits.headerBytes));
         parser.body_limit(limits.bodyBytes);
         if (buf.size() == 0) {
             idle.insert(id);
         }
-        stream.expires_after(isFirst ? limits.headerTimeout : limits.idleTimeout);
-        auto [ec, n] = co_await http::async_read_header(stream, buf, parser, asTuple);
+        const auto headerLimit = isFirst ? limits.headerTimeout : limits.idleTimeout;
+        auto ec = co_await readRequest(
+            connection, parser, ReadUntil::Header, std::chrono::steady_clock::now() + headerLimit);
         idle.erase(id);
         if (!ec) {
-            stream.expires_after(limits.bodyTimeout);
-            std::tie(ec, n) = co_await http::async_read(stream, buf, parser, asTuple);
+            ec = co_await readRequest(
+                connection, parser, ReadUntil::Body, std::chrono::steady_clock::now() + limits.bodyTimeout);
         }
         if (ec == http::error::body_limit || ec == http::error::header_limit) {
             Exchange exchange(stream, {}, limits, false);
             co_await exchange.answer(handler.refusal(ec == http::error::body_limit ? 413 : 431, ec.message()));
             co_return;
         }
-        if (ec && ec.category() == make_error_code(http::error::bad_method).category()
-            && ec != http::error::end_of_stream && ec != http::error::partial_message) {
+        if (ec && ec.category() == make_error_code(http::error::bad_method).category()) {
             Exchange exchange(stream, {}, limits, false);
             co_await exchange.answer(handler.refusal(400, ec.message()));
             co_return;
@@ -274,7 +375,6 @@
             co_return;
         }
         const bool keepAlive = parser.get().keep_alive() && !isStopping && !isCloseAnnounced;
-        stream.expires_never();
         Exchange exchange(stream, toRequest(parser.release()), limits, keepAlive);
         co_await handler.handle(exchange);
         if (!exchange.isComplete()) {
@@ -343,14 +443,14 @@
     m_state->acceptor.close(ec);
     // Connections that wait for their next request have nothing to finish and would delay the shutdown.
     for (const auto id : m_state->idle) {
-        m_state->connections.at(id).cancel();
+        m_state->connections.at(id).stream.cancel();
     }
 }
 
 void HttpServer::closeAll()
 {
-    for (auto& [id, stream] : m_state->connections) {
-        stream.close();
+    for (auto& [id, connection] : m_state->connections) {
+        connection.stream.close();
     }
 }
 
--- a/Source/Core/Transport/HttpServer.h
+++ b/Source/Core/Transport/HttpServer.h
@@ -55,6 +55,8 @@
 
 /// What happened to a connection, where it matters for the question whether a request got a response.
 enum class ConnectionEvent {
+    /// Bytes were read that had arrived before the server reacted to the end of a time limit or to a stop.
+    ReadLate,
     /// Closed after the time limit for the next request, of which nothing had arrived.
     IdleClosed,
     /// A time limit passed in the middle of a request.
@@ -71,6 +73,7 @@
 
 template <> struct EnumTable<ConnectionEvent> {
     static constexpr std::array rows {
+        EnumName { ConnectionEvent::ReadLate, "read-late" },
         EnumName { ConnectionEvent::IdleClosed, "idle-closed" },
         EnumName { ConnectionEvent::RequestTimedOut, "request-timed-out" },
         EnumName { ConnectionEvent::RequestCutOff, "request-cut-off" },
@@ -96,8 +99,7 @@
     /// @param reason Text of the parser.
     virtual HttpAnswer refusal(int status, std::string_view reason) const = 0;
 
-    /// Called when a connection ends or is rejected, except after a complete response or a close by the client between
-    /// two requests.
+    /// Reports an event of a connection. A complete response and a close by the client between two requests are none.
     virtual void onConnectionEvent(ConnectionEvent) { }
 };
 
--- a/Source/UnitTests/Transport/HttpServerTests.cpp
+++ b/Source/UnitTests/Transport/HttpServerTests.cpp
@@ -1,10 +1,14 @@
 #include "Transport/ServerFixture.h"
 
+#include <boost/asio/steady_timer.hpp>
+
 using namespace Pollenwind;
 using namespace std::chrono_literals;
 
 namespace {
 
+// Limit under test. All others are longer than a test.
+constexpr std::chrono::milliseconds shortLimit { 100 };
 constexpr std::chrono::milliseconds longLimit { 600'000 };
 
 HttpServerLimits longLimits()
@@ -14,6 +18,25 @@
     return limits;
 }
 
+/// Lets a time limit pass that the server waits for, and sends bytes after that and before the server reacts to it, as
+/// when the process was held up meanwhile.
+/// @return False if the server had reacted to the limit already, since the test itself was held up.
+bool sendAfterLimit(ServerFixture& fixture, RawClient& client, std::string_view bytes)
+{
+    bool isSent = false;
+    // Expires before the limit, so its handler runs first when both have expired.
+    asio::steady_timer timer(fixture.context, std::chrono::steady_clock::now());
+    timer.async_wait([&](const boost::system::error_code&) {
+        isSent = client.receive();
+        if (isSent) {
+            client.send(bytes);
+        }
+    });
+    std::this_thread::sleep_for(2 * shortLimit);
+    fixture.poll();
+    return isSent;
+}
+
 } // namespace
 
 // Guards against connections that end without a trace in the counters.
@@ -30,3 +53,49 @@
     const std::map<ConnectionEvent, unsigned> expected { { ConnectionEvent::RequestCutOff, 1 } };
     cr_assert(fixture.handler.events == expected);
 }
+
+// Guards against closing a connection without an answer to a request that arrived before the server reacted to the end
+// of the idle limit.
+Test(HttpServer, servesARequestThatArrivedBeforeTheIdleLimitTookEffect)
+{
+    auto limits = longLimits();
+    limits.idleTimeout = shortLimit;
+    for (bool isSent = false; !isSent;) {
+        ServerFixture fixture(limits);
+        RawClient client(fixture.endpoint);
+        fixture.exchange(client, "/first");
+        isSent = sendAfterLimit(fixture, client, requestOf("/second"));
+        cr_assert(!isSent || fixture.responseStatus(client) == 200);
+    }
+}
+
+// The same for the first request of a connection and its header limit.
+Test(HttpServer, servesAFirstRequestThatArrivedBeforeTheHeaderLimitTookEffect)
+{
+    auto limits = longLimits();
+    limits.headerTimeout = shortLimit;
+    for (bool isSent = false; !isSent;) {
+        ServerFixture fixture(limits);
+        RawClient client(fixture.endpoint);
+        fixture.runUntil([&] { return fixture.server.connectionCount() == 1; });
+        isSent = sendAfterLimit(fixture, client, requestOf("/first"));
+        cr_assert(!isSent || fixture.responseStatus(client) == 200);
+    }
+}
+
+// The same for the rest of a request's body and the body limit.
+Test(HttpServer, servesARequestWhoseBodyArrivedBeforeTheBodyLimitTookEffect)
+{
+    auto limits = longLimits();
+    limits.bodyTimeout = shortLimit;
+    for (bool isSent = false; !isSent;) {
+        ServerFixture fixture(limits);
+        RawClient client(fixture.endpoint);
+        const auto request = requestOf("/first", 1000);
+        client.send(std::string_view(request).substr(0, request.size() - 500));
+        fixture.runUntil([&] { return fixture.server.connectionCount() == 1; });
+        fixture.poll();
+        isSent = sendAfterLimit(fixture, client, std::string_view(request).substr(request.size() - 500));
+        cr_assert(!isSent || fixture.responseStatus(client) == 200);
+    }
+}
