Answer whole requests that a stop meets in the socket or the listen queue

Callers of a VM in a planned stop lost requests without an answer: a connection that the kernel had accepted and the process had not was reset with the closing acceptor, one that had just been taken from the queue was dropped, and a connection counted as idle until the header of its request was complete, so a request of which a part had been read was cancelled. A response that began after the stop, to a request read before, still promised to keep the connection.

stopAccepting() takes over the connections of the listen queue before it closes the acceptor, an accept that has succeeded is always served, only connections without any byte of a request are idle, and each is looked at once more before it is closed. New connections get one second for their first request, as clients allow for a new connection. Responses decide on "Connection: close" when their head is sent.

--- a/Source/Core/Transport/HttpServer.cpp
+++ b/Source/Core/Transport/HttpServer.cpp
@@ -16,10 +16,12 @@
 #include <algorithm>
 #include <cstdint>
 #include <map>
-#include <set>
+#include <optional>
 
 namespace Pollenwind {
 
+using namespace std::chrono_literals;
+
 namespace beast = boost::beast;
 namespace http = boost::beast::http;
 using tcp = asio::ip::tcp;
@@ -28,6 +30,10 @@
 
 namespace {
 
+    // Longest wait after a stop for the first request of a new connection, which may be on its way. Clients allow a
+    // second for a new connection.
+    constexpr std::chrono::milliseconds firstRequestWait { 1000 };
+
     // Smallest space for one read.
     constexpr std::size_t minReadBytes = 512;
 
@@ -97,11 +103,14 @@
 
     class Exchange final : public HttpExchange {
     public:
-        Exchange(beast::tcp_stream& stream, HttpRequest request, const HttpServerLimits& limits, bool keepAlive)
+        /// @param isClosing Whether the server closes connections after their next response; may change until then.
+        Exchange(beast::tcp_stream& stream, HttpRequest request, const HttpServerLimits& limits, bool keepAlive,
+            const bool& isClosing)
             : m_stream(stream)
             , m_request(std::move(request))
             , m_limits(limits)
             , m_keepAlive(keepAlive)
+            , m_isClosing(isClosing)
         {
         }
 
@@ -120,6 +129,7 @@
         Task<Outcome<void>> answer(const HttpAnswer& answer) override
         {
             http::response<http::string_body> message;
+            m_keepAlive = m_keepAlive && !m_isClosing;
             fillHead(message, answer, m_keepAlive);
             message.body() = answer.body;
             message.prepare_payload();
@@ -135,6 +145,7 @@
         Task<Outcome<void>> beginStream(const HttpAnswer& head) override
         {
             http::response<http::empty_body> message;
+            m_keepAlive = m_keepAlive && !m_isClosing;
             fillHead(message, head, m_keepAlive);
             message.chunked(true);
             http::response_serializer<http::empty_body> serializer(message);
@@ -203,6 +214,7 @@
         HttpRequest m_request;
         const HttpServerLimits& m_limits;
         bool m_keepAlive;
+        const bool& m_isClosing;
         bool m_isComplete = false;
         /// The pending wait has only a weak pointer to it, so that it has no effect after the exchange has ended.
         std::shared_ptr<std::function<void()>> m_disconnectHandler;
@@ -231,14 +243,22 @@
         beast::tcp_stream stream;
         /// Bytes that were received and not parsed.
         beast::flat_buffer buf;
+        /// Waits for a request of which nothing has arrived.
+        bool isIdle = false;
     };
 
     /// How much of a request to read.
     enum class ReadUntil { Header, Body };
 
     Task<> acceptLoop();
-    Task<> serve(ConnectionId id);
-    Task<> serveRequests(Connection& connection, ConnectionId id);
+    void addConnection(tcp::socket socket);
+    /// Takes over the connections that the kernel has accepted for this server.
+    void acceptQueued();
+    static Task<> serve(std::shared_ptr<State> state, ConnectionId id);
+    Task<> serveRequests(Connection& connection);
+    /// Waits until the first bytes of the next request are in the buffer.
+    /// @param limit Longest wait, unless the server stops.
+    Task<beast::error_code> waitForRequest(Connection& connection, bool isFirst, std::chrono::milliseconds limit);
     /// Reads and parses a request up to the end of its header or body.
     /// @return beast::error::timeout when that has not arrived at the time limit.
     Task<beast::error_code> readRequest(Connection& connection, RequestParser& parser, ReadUntil end, TimePoint until);
@@ -251,10 +271,10 @@
     HttpServerLimits limits;
     tcp::acceptor acceptor;
     std::map<ConnectionId, Connection> connections;
-    std::set<ConnectionId> idle;
     ConnectionId nextId = 1;
-    bool isStopping = false;
-    bool isCloseAnnounced = false;
+    std::optional<TimePoint> stoppedAt;
+    /// Each connection is closed after its next response.
+    bool isClosing = false;
 };
 
 Task<> HttpServer::State::acceptLoop()
@@ -263,36 +283,54 @@
     const auto self = shared_from_this();
     while (acceptor.is_open()) {
         auto [ec, socket] = co_await acceptor.async_accept(asTuple);
+        if (!ec) {
+            // Also when the server has stopped meanwhile, since its client may have sent a request.
+            addConnection(std::move(socket));
+            continue;
+        }
         if (ec == asio::error::operation_aborted || !acceptor.is_open()) {
             co_return;
         }
-        if (ec) {
-            // For example, no file descriptors are left. The pause lets some connections end.
-            co_await sleepFor(std::chrono::milliseconds(50));
-            continue;
-        }
-        if (connections.size() >= limits.connections) {
-            handler.onConnectionEvent(ConnectionEvent::Rejected);
-            continue;
+        // For example, no file descriptors are left. The pause lets some connections end.
+        co_await sleepFor(std::chrono::milliseconds(50));
+    }
+}
+
+void HttpServer::State::addConnection(tcp::socket socket)
+{
+    if (connections.size() >= limits.connections) {
+        handler.onConnectionEvent(ConnectionEvent::Rejected);
+        return;
+    }
+    setLowLatencyOptions(socket.native_handle(), limits.writeTimeout);
+    // Applies to operations without a handler; others never block.
+    beast::error_code ec;
+    socket.non_blocking(true, ec);
+    const auto id = nextId++;
+    connections.try_emplace(id, std::move(socket));
+    asio::co_spawn(executor, serve(shared_from_this(), id), asio::detached);
+}
+
+void HttpServer::State::acceptQueued()
+{
+    beast::error_code ec;
+    acceptor.non_blocking(true, ec);
+    while (!ec) {
+        tcp::socket socket(executor);
+        acceptor.accept(socket, ec);
+        if (!ec) {
+            addConnection(std::move(socket));
         }
-        setLowLatencyOptions(socket.native_handle(), limits.writeTimeout);
-        const auto id = nextId++;
-        // Applies to operations without a handler; others never block.
-        socket.non_blocking(true, ec);
-        connections.try_emplace(id, std::move(socket));
-        asio::co_spawn(executor, serve(id), asio::detached);
     }
 }
 
-Task<> HttpServer::State::serve(ConnectionId id)
+Task<> HttpServer::State::serve(std::shared_ptr<State> state, ConnectionId id)
 {
-    const auto self = shared_from_this();
-    const auto it = connections.find(id);
-    co_await serveRequests(it->second, id);
+    const auto it = state->connections.find(id);
+    co_await state->serveRequests(it->second);
     beast::error_code ec;
     it->second.stream.socket().shutdown(tcp::socket::shutdown_both, ec);
-    idle.erase(id);
-    connections.erase(it);
+    state->connections.erase(it);
 }
 
 Task<beast::error_code> HttpServer::State::readSome(Connection& connection, TimePoint until)
@@ -341,7 +379,23 @@
     }
 }
 
-Task<> HttpServer::State::serveRequests(Connection& connection, ConnectionId id)
+Task<beast::error_code> HttpServer::State::waitForRequest(
+    Connection& connection, bool isFirst, std::chrono::milliseconds limit)
+{
+    const auto limitEnd = std::chrono::steady_clock::now() + limit;
+    const auto until
+        = [&] { return stoppedAt ? std::min(limitEnd, *stoppedAt + (isFirst ? firstRequestWait : 0ms)) : limitEnd; };
+    beast::error_code ec;
+    connection.isIdle = true;
+    do {
+        // A stop cancels the wait, which then goes on with the shorter limit.
+        ec = co_await readSome(connection, until());
+    } while (ec == asio::error::operation_aborted && connection.stream.socket().is_open());
+    connection.isIdle = false;
+    co_return ec;
+}
+
+Task<> HttpServer::State::serveRequests(Connection& connection)
 {
     auto& stream = connection.stream;
     auto& buf = connection.buf;
@@ -349,24 +403,26 @@
         RequestParser parser;
         parser.header_limit(static_cast<std::uint32_t>(limits.headerBytes));
         parser.body_limit(limits.bodyBytes);
+        const auto headerLimit = isFirst ? limits.headerTimeout : limits.idleTimeout;
+        const auto headerUntil = std::chrono::steady_clock::now() + headerLimit;
+        beast::error_code ec;
         if (buf.size() == 0) {
-            idle.insert(id);
+            ec = co_await waitForRequest(connection, isFirst, headerLimit);
+        }
+        if (!ec) {
+            ec = co_await readRequest(connection, parser, ReadUntil::Header, headerUntil);
         }
-        const auto headerLimit = isFirst ? limits.headerTimeout : limits.idleTimeout;
-        auto ec = co_await readRequest(
-            connection, parser, ReadUntil::Header, std::chrono::steady_clock::now() + headerLimit);
-        idle.erase(id);
         if (!ec) {
             ec = co_await readRequest(
                 connection, parser, ReadUntil::Body, std::chrono::steady_clock::now() + limits.bodyTimeout);
         }
         if (ec == http::error::body_limit || ec == http::error::header_limit) {
-            Exchange exchange(stream, {}, limits, false);
+            Exchange exchange(stream, {}, limits, false, isClosing);
             co_await exchange.answer(handler.refusal(ec == http::error::body_limit ? 413 : 431, ec.message()));
             co_return;
         }
         if (ec && ec.category() == make_error_code(http::error::bad_method).category()) {
-            Exchange exchange(stream, {}, limits, false);
+            Exchange exchange(stream, {}, limits, false, isClosing);
             co_await exchange.answer(handler.refusal(400, ec.message()));
             co_return;
         }
@@ -374,14 +430,15 @@
             recordReadEnd(ec, parser.got_some() || buf.size() > 0);
             co_return;
         }
-        const bool keepAlive = parser.get().keep_alive() && !isStopping && !isCloseAnnounced;
-        Exchange exchange(stream, toRequest(parser.release()), limits, keepAlive);
+        const bool keepAlive = parser.get().keep_alive();
+        Exchange exchange(stream, toRequest(parser.release()), limits, keepAlive, isClosing);
         co_await handler.handle(exchange);
         if (!exchange.isComplete()) {
             handler.onConnectionEvent(ConnectionEvent::Unanswered);
             co_return;
         }
-        if (!exchange.keepAlive() || isStopping) {
+        // The client may have sent a request in reliance on a response that was sent before a stop.
+        if (!exchange.keepAlive()) {
             co_return;
         }
     }
@@ -392,7 +449,7 @@
     if (ec == beast::error::timeout) {
         handler.onConnectionEvent(isRequestBegun ? ConnectionEvent::RequestTimedOut : ConnectionEvent::IdleClosed);
     } else if (isRequestBegun) {
-        handler.onConnectionEvent(isStopping ? ConnectionEvent::RequestStopped : ConnectionEvent::RequestCutOff);
+        handler.onConnectionEvent(stoppedAt ? ConnectionEvent::RequestStopped : ConnectionEvent::RequestCutOff);
     }
 }
 
@@ -403,7 +460,8 @@
 
 HttpServer::~HttpServer()
 {
-    stopAccepting();
+    beast::error_code ec;
+    m_state->acceptor.close(ec);
     closeAll();
 }
 
@@ -434,16 +492,25 @@
 
 void HttpServer::setLimits(const HttpServerLimits& limits) { m_state->limits = limits; }
 
-void HttpServer::announceClose() { m_state->isCloseAnnounced = true; }
+void HttpServer::announceClose() { m_state->isClosing = true; }
 
 void HttpServer::stopAccepting()
 {
-    m_state->isStopping = true;
+    auto& state = *m_state;
+    if (state.stoppedAt) {
+        return;
+    }
+    state.stoppedAt = std::chrono::steady_clock::now();
+    state.isClosing = true;
+    // Closing the acceptor resets the connections that are still in its queue.
+    state.acceptQueued();
     beast::error_code ec;
-    m_state->acceptor.close(ec);
+    state.acceptor.close(ec);
     // Connections that wait for their next request have nothing to finish and would delay the shutdown.
-    for (const auto id : m_state->idle) {
-        m_state->connections.at(id).stream.cancel();
+    for (auto& [id, connection] : state.connections) {
+        if (connection.isIdle) {
+            connection.stream.socket().cancel(ec);
+        }
     }
 }
 
--- a/Source/Core/Transport/HttpServer.h
+++ b/Source/Core/Transport/HttpServer.h
@@ -142,7 +142,9 @@
     /// connections are still accepted.
     void announceClose();
 
-    /// Stops accepting and closes idle connections. Busy connections finish their request and are then closed.
+    /// Stops accepting and closes idle connections. Requests that have begun to arrive, those on connections that the
+    /// kernel has accepted included, are served; then their connections are closed. New connections get some time to
+    /// send their first request.
     void stopAccepting();
 
     /// Closes idle and busy connections at once.
--- a/Source/UnitTests/Transport/HttpServerTests.cpp
+++ b/Source/UnitTests/Transport/HttpServerTests.cpp
@@ -99,3 +99,106 @@
         cr_assert(!isSent || fixture.responseStatus(client) == 200);
     }
 }
+
+// Guards against closing a kept connection at a stop with a request in its socket.
+Test(HttpServer, servesARequestThatHadArrivedWhenItStopped)
+{
+    ServerFixture fixture(longLimits());
+    RawClient client(fixture.endpoint);
+    fixture.exchange(client, "/first");
+    client.send(requestOf("/second"));
+    fixture.server.stopAccepting();
+    cr_assert_eq(fixture.responseStatus(client), 200);
+    cr_assert(client.received().contains("Connection: close"));
+}
+
+// Guards against cancelling a request at a stop of which a part has been read.
+Test(HttpServer, servesARequestThatWasArrivingWhenItStopped)
+{
+    ServerFixture fixture(longLimits());
+    RawClient client(fixture.endpoint);
+    fixture.exchange(client, "/first");
+    const auto request = requestOf("/second");
+    client.send(std::string_view(request).substr(0, 10));
+    fixture.poll();
+    fixture.server.stopAccepting();
+    fixture.poll();
+    client.send(std::string_view(request).substr(10));
+    cr_assert_eq(fixture.responseStatus(client), 200);
+}
+
+// Guards against resetting connections at a stop that only the kernel has accepted.
+Test(HttpServer, servesConnectionsOfTheListenQueueWhenItStops)
+{
+    ServerFixture fixture(longLimits());
+    fixture.poll();
+    RawClient first(fixture.endpoint);
+    RawClient second(fixture.endpoint);
+    first.send(requestOf("/first"));
+    second.send(requestOf("/second"));
+    fixture.server.stopAccepting();
+    cr_assert_eq(fixture.responseStatus(first), 200);
+    cr_assert_eq(fixture.responseStatus(second), 200);
+}
+
+// The same for a connection that was taken from the queue and not yet served.
+Test(HttpServer, servesAConnectionThatItHadJustAcceptedWhenItStops)
+{
+    ServerFixture fixture(longLimits());
+    RawClient first(fixture.endpoint);
+    RawClient second(fixture.endpoint);
+    first.send(requestOf("/first"));
+    second.send(requestOf("/second"));
+    while (fixture.server.connectionCount() == 0) {
+        fixture.context.restart();
+        fixture.context.poll_one();
+    }
+    fixture.server.stopAccepting();
+    cr_assert_eq(fixture.responseStatus(first), 200);
+    cr_assert_eq(fixture.responseStatus(second), 200);
+}
+
+// Guards against closing a new connection at a stop whose request is on its way.
+Test(HttpServer, waitsForTheFirstRequestOfANewConnectionWhenItStops)
+{
+    ServerFixture fixture(longLimits());
+    RawClient client(fixture.endpoint);
+    fixture.runUntil([&] { return fixture.server.connectionCount() == 1; });
+    fixture.poll();
+    fixture.server.stopAccepting();
+    fixture.poll();
+    client.send(requestOf("/first"));
+    cr_assert_eq(fixture.responseStatus(client), 200);
+    cr_assert(client.received().contains("Connection: close"));
+}
+
+// Guards against a response that promises to keep a connection which a stop closes, together with a request that was
+// sent in reliance on it.
+Test(HttpServer, announcesTheCloseInResponsesThatBeginAfterAStop)
+{
+    ServerFixture fixture(longLimits());
+    RawClient client(fixture.endpoint);
+    fixture.handler.isHeld = true;
+    client.send(requestOf("/first"));
+    fixture.runUntil([&] { return fixture.handler.requests == 1; });
+    fixture.server.stopAccepting();
+    fixture.handler.isHeld = false;
+    cr_assert_eq(fixture.responseStatus(client), 200);
+    cr_assert(client.received().contains("Connection: close"));
+}
+
+// Guards against a stop that waits for connections without a request: until the idle limit for kept ones, until the
+// header limit for new ones.
+Test(HttpServer, stopsDespiteConnectionsWithoutARequest)
+{
+    ServerFixture fixture(longLimits());
+    RawClient kept(fixture.endpoint);
+    fixture.exchange(kept, "/first");
+    RawClient silent(fixture.endpoint);
+    fixture.runUntil([&] { return fixture.server.connectionCount() == 2; });
+    fixture.server.stopAccepting();
+    fixture.runUntil([&] { return fixture.server.connectionCount() <= 1; });
+    cr_assert(!kept.receive());
+    fixture.runUntil([&] { return fixture.server.connectionCount() == 0; });
+    cr_assert(!silent.receive());
+}
--- a/Source/UnitTests/Transport/ServerFixture.h
+++ b/Source/UnitTests/Transport/ServerFixture.h
@@ -1,6 +1,8 @@
 #pragma once
 
+#include "Common/Sleep.h"
 #include "Transport/HttpServer.h"
+#include "Transport/SocketOptions.h"
 
 #include <boost/asio/io_context.hpp>
 
@@ -39,11 +41,15 @@
     RawClient& operator=(const RawClient&) = delete;
     ~RawClient() { close(m_handle); }
 
-    /// Sends bytes and waits until the kernel has acknowledged them.
+    /// Sends bytes and waits until the kernel has acknowledged them or the server has closed the connection.
     void send(std::string_view bytes) const
     {
-        cr_assert_eq(::send(m_handle, bytes.data(), bytes.size(), MSG_NOSIGNAL), static_cast<ssize_t>(bytes.size()));
-        for (int unacknowledged = 1; unacknowledged > 0;) {
+        const auto n = ::send(m_handle, bytes.data(), bytes.size(), MSG_NOSIGNAL);
+        if (n < 0 || isClosedByPeer(m_handle)) {
+            return;
+        }
+        cr_assert_eq(n, static_cast<ssize_t>(bytes.size()));
+        for (int unacknowledged = 1; unacknowledged > 0 && !isClosedByPeer(m_handle);) {
             cr_assert_eq(ioctl(m_handle, SIOCOUTQ, &unacknowledged), 0);
             std::this_thread::yield();
         }
@@ -79,11 +85,18 @@
     Task<> handle(HttpExchange& exchange) override
     {
         const auto& request = exchange.request();
+        ++requests;
+        while (isHeld) {
+            co_await sleepFor(std::chrono::milliseconds(1));
+        }
         co_await exchange.answer({ 200, "", request.path + " " + std::to_string(request.body.size()), {} });
     }
     HttpAnswer refusal(int status, std::string_view) const override { return { status, "", "", {} }; }
     void onConnectionEvent(ConnectionEvent event) override { ++events[event]; }
 
+    /// Delays the responses.
+    bool isHeld = false;
+    unsigned requests = 0;
     std::map<ConnectionEvent, unsigned> events;
 };
 
