Take no request in a stop that may be cut, and answer those that run at its end

Callers of a VM in a planned stop saw requests that came late in the grace cut without an answer, among them ones that may not be repeated: the VM accepted requests until the load balancer had left it and passed them on with the whole of their own time, although less was left, and at the end of the grace it closed their connections.

From the start of a stop, a request whose time limit (its own or its route's) lies beyond the end of the grace is refused as not run, with a Retry-After of 50 ms, if it may not be repeated; its caller goes to another VM. The time of a request that may be repeated is cut to what is left, and the runner gets no more. At the end of the grace running requests are stopped and get 503 if they have not run and 502 otherwise, and the process waits up to 4% of the stop limit for these answers. Streams that have begun can only be closed.

--- a/Source/Core/Gateway/Gateway.cpp
+++ b/Source/Core/Gateway/Gateway.cpp
@@ -49,6 +49,8 @@
 
     // Share of the stop limit in which running requests may end. The rest is for the exit of the process.
     constexpr double stopShare = 0.88;
+    // Share of the stop limit for the responses to requests that are still running then.
+    constexpr double lastAnswersShare = 0.04;
 
     // Share of the fleet's retry limit that the VMs use. The rest is a margin, since their windows and their views of
     // the fleet differ.
@@ -279,6 +281,10 @@
 Task<> Gateway::Components::drain()
 {
     const auto startedAt = clock.now();
+    const auto limit = std::chrono::duration_cast<std::chrono::nanoseconds>(settings.shutdownTimeLimit * stopShare);
+    const auto exitLimit
+        = limit + std::chrono::duration_cast<std::chrono::nanoseconds>(settings.shutdownTimeLimit * lastAnswersShare);
+    frontEnd.beginShutdown(routing, startedAt + limit);
     callerServer.announceClose();
     // Not awaited, since a slow store must not reduce the time for running requests.
     asio::co_spawn(executor, orders.release(), asio::detached);
@@ -287,11 +293,13 @@
         co_await sleepFor(drainPollInterval);
     }
     callerServer.stopAccepting();
-    const auto limit = std::chrono::duration_cast<std::chrono::nanoseconds>(settings.shutdownTimeLimit * stopShare);
     while (callerServer.connectionCount() > 0 && clock.now() - startedAt < limit) {
         co_await sleepFor(drainPollInterval);
     }
-    cutRequests = frontEnd.runningRequests();
+    cutRequests = frontEnd.stopRunning();
+    while (callerServer.connectionCount() > 0 && clock.now() - startedAt < exitLimit) {
+        co_await sleepFor(drainPollInterval);
+    }
     metrics.count(Counter::ShutdownCuts, cutRequests);
     timeline.record(EventKind::ProcessStopped, { { "cut_requests", std::to_string(cutRequests) } });
     isStopped = true;
--- a/Source/Core/Gateway/GatewayFrontEnd.cpp
+++ b/Source/Core/Gateway/GatewayFrontEnd.cpp
@@ -9,6 +9,9 @@
     // The response at the deadline is sent this much earlier, so that it reaches the caller in time.
     constexpr std::chrono::milliseconds timeoutMargin { 15 };
 
+    // Value of Retry-After of a process that ends. Callers may turn to other VMs at once.
+    constexpr std::chrono::milliseconds shutdownRetryAfter { 50 };
+
     /// Writes a response to the caller and stops the request when the caller disconnects or the deadline passes.
     class ExchangeSink final : public ReplySink {
     public:
@@ -57,7 +60,6 @@
         std::optional<Error> stopReason() const override { return m_reason; }
         bool isBegun() const { return m_isBegun; }
 
-    private:
         void stop(Error reason)
         {
             if (!m_reason) {
@@ -68,14 +70,30 @@
             }
         }
 
+        /// Stops the request because the process ends. For the runner that is the same as a caller that disconnects.
+        void stopForShutdown()
+        {
+            m_isStoppedForShutdown = !m_reason;
+            stop({ ErrorCode::Cancelled, "the process ends" });
+        }
+
+        bool isStoppedForShutdown() const { return m_isStoppedForShutdown; }
+
+    private:
         HttpExchange& m_exchange;
         asio::steady_timer m_timer;
         std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
         std::function<void()> m_handler;
         std::optional<Error> m_reason;
         bool m_isBegun = false;
+        bool m_isStoppedForShutdown = false;
     };
 
+    bool mayBeRepeated(const RouteRule& route)
+    {
+        return route.kind == RequestKind::Safe || (route.kind == RequestKind::Streaming && route.isResumable);
+    }
+
     Counter counterOf(ConnectionEvent event)
     {
         switch (event) {
@@ -125,19 +143,24 @@
 {
     const auto receivedAt = m_clock.now();
     m_metrics.count(Counter::Requests);
-    const auto request = m_codec.decodeRequest(exchange.request());
-    if (!request) {
+    auto request = m_codec.decodeRequest(exchange.request());
+    auto accepted = request ? limitToShutdown(*request, receivedAt) : std::unexpected(request.error());
+    if (!accepted) {
+        const auto id = request ? request->id : RequestId();
         m_metrics.count(Counter::RequestsRefused);
-        m_log.record(RequestEvent::Refused, {}, { { "cause", request.error().message } });
-        co_await exchange.answer(m_codec.encodeRefusal(request.error(), {}));
+        m_log.record(RequestEvent::Refused, id, { { "cause", accepted.error().message } });
+        co_await exchange.answer(m_codec.encodeRefusal(accepted.error(), id));
         co_return;
     }
     ExchangeSink sink(exchange, co_await asio::this_coro::executor);
     const auto timeout = m_dispatcher.timeoutOf(*request);
     sink.startTimer(timeout > 2 * timeoutMargin ? timeout - timeoutMargin : timeout);
-    ++m_running;
-    const auto result = co_await m_dispatcher.forward(*request, receivedAt, sink);
-    --m_running;
+    const auto running = m_running.emplace(m_nextId++, [&sink] { sink.stopForShutdown(); }).first;
+    auto result = co_await m_dispatcher.forward(*request, receivedAt, sink);
+    m_running.erase(running);
+    if (!result && sink.isStoppedForShutdown()) {
+        result.error().code = ErrorCode::ShuttingDown;
+    }
     recordEnd(request->id, result, m_clock.now() - receivedAt);
     if (result) {
         co_return;
@@ -150,6 +173,39 @@
     co_await exchange.answer(m_codec.encodeRefusal(result.error(), request->id));
 }
 
+void GatewayFrontEnd::beginShutdown(const RoutingQueries& routing, MonotonicTime endsAt)
+{
+    m_shutdown.emplace(Shutdown { routing, endsAt });
+}
+
+Outcome<void> GatewayFrontEnd::limitToShutdown(ForwardRequest& request, MonotonicTime now) const
+{
+    if (!m_shutdown) {
+        return {};
+    }
+    const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(m_shutdown->endsAt - now);
+    if (left >= m_dispatcher.timeoutOf(request)) {
+        return {};
+    }
+    const auto* route = m_shutdown->routing.findRoute(request.host, request.message.path);
+    if (left.count() <= 0 || (route && !mayBeRepeated(*route))) {
+        return std::unexpected(Error { ErrorCode::ShuttingDown,
+            "the process ends in " + std::to_string(left.count()) + " ms, before the request must", RunState::NotRun,
+            shutdownRetryAfter });
+    }
+    request.timeout = left;
+    return {};
+}
+
+std::size_t GatewayFrontEnd::stopRunning()
+{
+    const auto count = m_running.size();
+    for (const auto& [id, stop] : m_running) {
+        stop();
+    }
+    return count;
+}
+
 void GatewayFrontEnd::recordEnd(
     const RequestId& request, const Outcome<void>& result, std::chrono::nanoseconds duration)
 {
--- a/Source/UnitTests/PlatformAdapter/GatewayTests.cpp
+++ b/Source/UnitTests/PlatformAdapter/GatewayTests.cpp
@@ -360,6 +360,72 @@
     });
 }
 
+namespace {
+
+/// Configuration whose requests may last longer than any stop in these tests.
+std::string configurationWithLongTimeouts()
+{
+    return R"({"version":1,"routes":[
+        {"name":"s","host":"h","prefix":"/safe/","kind":"safe","service":"app","timeout_ms":600000},
+        {"name":"u","host":"h","prefix":"/unsafe/","kind":"unsafe","service":"app","timeout_ms":600000}],
+        "services":[{"name":"app"}]})";
+}
+
+Task<HttpAnswer> callWithoutDeadline(Endpoint endpoint, std::string path)
+{
+    constexpr std::chrono::seconds limit { 60 };
+    HttpRequest request { "POST", path, "", { { "Host", "h" }, { "X-Request-Id", "q" + path } }, "body" };
+    const auto answer = co_await fetch(endpoint, std::move(request), limit);
+    co_return answer.value_or(HttpAnswer { 0, "", "", {} });
+}
+
+} // namespace
+
+// Guards against passing on a request during a planned stop that may outlast it and may not be repeated: at the end it
+// was cut without an answer.
+Test(PlatformGateway, refusesUnrepeatableRequestsThatMayOutlastItsStop)
+{
+    PlatformFixture fixture;
+    fixture.store.put("op/config", configurationWithLongTimeouts());
+    fixture.settings.shutdownTimeLimit = 60s;
+    fixture.run([&](Gateway& gateway) -> Task<> {
+        gateway.requestShutdown();
+        const auto refused = co_await callWithoutDeadline(fixture.settings.listenCallers, "/unsafe/x");
+        cr_assert_eq(refused.status, 503);
+        cr_assert(findHeader(refused.headers, "Retry-After").has_value());
+        cr_assert(fixture.first.requests.empty() && fixture.second.requests.empty());
+        const auto answered = co_await callWithoutDeadline(fixture.settings.listenCallers, "/safe/x");
+        cr_assert_eq(answered.status, 200);
+        const auto& runner = fixture.first.requests.empty() ? fixture.second : fixture.first;
+        // The runner must not work on it after the stop.
+        cr_assert_leq(std::stoi(std::string(*runner.requests.front().header("X-Deadline-Ms"))), 60'000);
+    });
+}
+
+// Guards against a closed connection instead of an answer for a request that still runs at the end of a planned stop.
+Test(PlatformGateway, answersRequestsThatStillRunAtTheEndOfItsStop)
+{
+    PlatformFixture fixture;
+    fixture.store.put("op/config", configurationWithLongTimeouts());
+    fixture.first.delay = fixture.second.delay = 600s;
+    fixture.settings.shutdownTimeLimit = 2000ms;
+    fixture.run([&](Gateway& gateway) -> Task<> {
+        int status = 0;
+        asio::co_spawn(
+            fixture.context,
+            [&]() -> Task<> {
+                status = (co_await callWithoutDeadline(fixture.settings.listenCallers, "/unsafe/x")).status;
+            },
+            asio::detached);
+        co_await fixture.waitUntil(
+            [&]() -> Task<bool> { co_return fixture.first.requests.size() + fixture.second.requests.size() == 1; });
+        gateway.requestShutdown();
+        cr_assert_eq(co_await gateway.waitUntilStopped(), 1);
+        co_await fixture.waitUntil([&]() -> Task<bool> { co_return status != 0; });
+        cr_assert_eq(status, 502);
+    });
+}
+
 // Guards against a write that is reported as failed, or executed twice, when its response is lost.
 Test(KvStoreClient, reportsALostAnswerAsUnknown)
 {
