Judge a request by the limits in force when it arrives

Callers saw 413 or 431 for requests that the configuration in force allowed: the limits went into the parser before the wait for the next request, so a request on a kept connection that had been idle across a change was judged by the limits of before.

Evidence: HttpServer/judgesARequestByTheLimitsInForceWhenItArrives and judgesAHeaderByTheLimitsInForceWhenItArrives failed before with "(fixture.responseStatus(client)) == (200) is false". The opposite question, whether a request whose reading has begun is rejected half way under smaller limits, does not hold: readsARequestToItsEndUnderTheLimitsOfItsStart passed before and stays.

The server waits for the first bytes of a request and takes the limits then. The idle limit covers the wait, the header limit the header from its first byte.

--- a/Source/Core/Transport/HttpServer.cpp
+++ b/Source/Core/Transport/HttpServer.cpp
@@ -400,17 +400,18 @@
     auto& stream = connection.stream;
     auto& buf = connection.buf;
     for (bool isFirst = true;; isFirst = false) {
-        RequestParser parser;
-        parser.header_limit(static_cast<std::uint32_t>(limits.headerBytes));
-        parser.body_limit(limits.bodyBytes);
-        const auto headerLimit = isFirst ? limits.headerTimeout : limits.idleTimeout;
-        const auto headerUntil = std::chrono::steady_clock::now() + headerLimit;
         beast::error_code ec;
+        auto headerBegin = std::chrono::steady_clock::now();
         if (buf.size() == 0) {
-            ec = co_await waitForRequest(connection, isFirst, headerLimit);
+            ec = co_await waitForRequest(connection, isFirst, isFirst ? limits.headerTimeout : limits.idleTimeout);
+            headerBegin = isFirst ? headerBegin : std::chrono::steady_clock::now();
         }
+        // Only now, since the limits may have been replaced during the wait.
+        RequestParser parser;
+        parser.header_limit(static_cast<std::uint32_t>(limits.headerBytes));
+        parser.body_limit(limits.bodyBytes);
         if (!ec) {
-            ec = co_await readRequest(connection, parser, ReadUntil::Header, headerUntil);
+            ec = co_await readRequest(connection, parser, ReadUntil::Header, headerBegin + limits.headerTimeout);
         }
         if (!ec) {
             ec = co_await readRequest(
--- a/Source/Core/Transport/HttpServer.h
+++ b/Source/Core/Transport/HttpServer.h
@@ -109,11 +109,12 @@
     std::size_t bodyBytes = 8UL * 1024 * 1024;
     /// Open connections; further ones are closed when they are accepted.
     std::size_t connections = 10'000;
-    /// Longest time until the header of a connection's first request is complete.
+    /// Longest time until the header of a request is complete, from the begin of the connection for its first request,
+    /// else from the first byte.
     std::chrono::milliseconds headerTimeout { 10'000 };
     /// Longest time from the header of a request to the end of its body.
     std::chrono::milliseconds bodyTimeout { 30'000 };
-    /// Longest time from a response until the header of the next request is complete.
+    /// Longest time from a response until the first byte of the next request.
     std::chrono::milliseconds idleTimeout { 60'000 };
     /// Longest time for one write; the connection fails after it.
     std::chrono::milliseconds writeTimeout { 10'000 };
@@ -134,8 +135,8 @@
     /// @return The bound endpoint, or an error when the address cannot be bound.
     Outcome<Endpoint> listen(const Endpoint& endpoint);
 
-    /// Replaces the limits. Open connections use them from their next request on, and the write timeout from their next
-    /// write on.
+    /// Replaces the limits. They apply to requests that begin to arrive from now on, and the write timeout applies from
+    /// the next write on.
     void setLimits(const HttpServerLimits& limits);
 
     /// Closes each connection after the response to its next request, which announces it ("Connection: close"). New
--- a/Source/UnitTests/Transport/HttpServerTests.cpp
+++ b/Source/UnitTests/Transport/HttpServerTests.cpp
@@ -202,3 +202,48 @@
     fixture.runUntil([&] { return fixture.server.connectionCount() == 0; });
     cr_assert(!silent.receive());
 }
+
+// Guards against judging a request by limits that were replaced while its connection was idle: it was rejected although
+// the limits in force allowed it.
+Test(HttpServer, judgesARequestByTheLimitsInForceWhenItArrives)
+{
+    auto limits = longLimits();
+    limits.bodyBytes = 10;
+    ServerFixture fixture(limits);
+    RawClient client(fixture.endpoint);
+    fixture.exchange(client, "/first");
+    limits.bodyBytes = 1000;
+    fixture.server.setLimits(limits);
+    client.send(requestOf("/second", 500));
+    cr_assert_eq(fixture.responseStatus(client), 200);
+}
+
+// The same for the size of the header.
+Test(HttpServer, judgesAHeaderByTheLimitsInForceWhenItArrives)
+{
+    auto limits = longLimits();
+    limits.headerBytes = 100;
+    ServerFixture fixture(limits);
+    RawClient client(fixture.endpoint);
+    fixture.exchange(client, "/first");
+    limits.headerBytes = 1000;
+    fixture.server.setLimits(limits);
+    client.send(requestOf("/" + std::string(200, 'x')));
+    cr_assert_eq(fixture.responseStatus(client), 200);
+}
+
+// Guards against rejecting a request half way under limits that came into force while it was read.
+Test(HttpServer, readsARequestToItsEndUnderTheLimitsOfItsStart)
+{
+    auto limits = longLimits();
+    ServerFixture fixture(limits);
+    RawClient client(fixture.endpoint);
+    const auto request = requestOf("/first", 500);
+    client.send(std::string_view(request).substr(0, request.size() - 200));
+    fixture.runUntil([&] { return fixture.server.connectionCount() == 1; });
+    fixture.poll();
+    limits.bodyBytes = limits.headerBytes = 10;
+    fixture.server.setLimits(limits);
+    client.send(std::string_view(request).substr(request.size() - 200));
+    cr_assert_eq(fixture.responseStatus(client), 200);
+}
