Keep idle connections for the idle limit that their clients know

Callers that reused a connection within the idle limit found it closed: a shorter limit of a new configuration applied to the next wait at once, although clients learn of it only some time after it was confirmed, and a longer one did not apply to waits that had begun.

A wait ends at the longest idle limit that was in force when it began or within the 10 s before, in which a configuration comes into force everywhere, or at a longer one that came into force meanwhile. No Keep-Alive header is sent, as before: it could only state whole seconds, and the limit that clients know from the configuration is kept.

--- a/Source/Core/Transport/HttpServer.cpp
+++ b/Source/Core/Transport/HttpServer.cpp
@@ -17,6 +17,8 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <utility>
+#include <vector>
 
 namespace Pollenwind {
 
@@ -34,6 +36,10 @@
     // second for a new connection.
     constexpr std::chrono::milliseconds firstRequestWait { 1000 };
 
+    // Time for which a longer idle limit applies after it was replaced. Clients reuse connections up to the limit that
+    // they know, and a configuration is in force everywhere within this time.
+    constexpr std::chrono::seconds replacedLimitTime { 10 };
+
     // Smallest space for one read.
     constexpr std::size_t minReadBytes = 512;
 
@@ -247,6 +253,11 @@
         bool isIdle = false;
     };
 
+    struct ReplacedLimit {
+        std::chrono::milliseconds limit;
+        TimePoint replacedAt;
+    };
+
     /// How much of a request to read.
     enum class ReadUntil { Header, Body };
 
@@ -257,8 +268,9 @@
     static Task<> serve(std::shared_ptr<State> state, ConnectionId id);
     Task<> serveRequests(Connection& connection);
     /// Waits until the first bytes of the next request are in the buffer.
-    /// @param limit Longest wait, unless the server stops.
-    Task<beast::error_code> waitForRequest(Connection& connection, bool isFirst, std::chrono::milliseconds limit);
+    Task<beast::error_code> waitForRequest(Connection& connection, bool isFirst);
+    /// Longest idle limit that clients may still rely on.
+    std::chrono::milliseconds longestIdleLimit();
     /// Reads and parses a request up to the end of its header or body.
     /// @return beast::error::timeout when that has not arrived at the time limit.
     Task<beast::error_code> readRequest(Connection& connection, RequestParser& parser, ReadUntil end, TimePoint until);
@@ -272,6 +284,7 @@
     tcp::acceptor acceptor;
     std::map<ConnectionId, Connection> connections;
     ConnectionId nextId = 1;
+    std::vector<ReplacedLimit> replacedIdleLimits;
     std::optional<TimePoint> stoppedAt;
     /// Each connection is closed after its next response.
     bool isClosing = false;
@@ -379,18 +392,40 @@
     }
 }
 
-Task<beast::error_code> HttpServer::State::waitForRequest(
-    Connection& connection, bool isFirst, std::chrono::milliseconds limit)
+std::chrono::milliseconds HttpServer::State::longestIdleLimit()
 {
-    const auto limitEnd = std::chrono::steady_clock::now() + limit;
-    const auto until
-        = [&] { return stoppedAt ? std::min(limitEnd, *stoppedAt + (isFirst ? firstRequestWait : 0ms)) : limitEnd; };
+    const auto oldest = std::chrono::steady_clock::now() - replacedLimitTime;
+    std::erase_if(replacedIdleLimits, [&](const ReplacedLimit& it) { return it.replacedAt < oldest; });
+    auto longest = limits.idleTimeout;
+    for (const auto& it : replacedIdleLimits) {
+        longest = std::max(longest, it.limit);
+    }
+    return longest;
+}
+
+Task<beast::error_code> HttpServer::State::waitForRequest(Connection& connection, bool isFirst)
+{
+    const auto since = std::chrono::steady_clock::now();
+    auto limit = isFirst ? limits.headerTimeout : longestIdleLimit();
+    const auto until = [&] {
+        return stoppedAt ? std::min(since + limit, *stoppedAt + (isFirst ? firstRequestWait : 0ms)) : since + limit;
+    };
     beast::error_code ec;
     connection.isIdle = true;
-    do {
-        // A stop cancels the wait, which then goes on with the shorter limit.
+    for (;;) {
         ec = co_await readSome(connection, until());
-    } while (ec == asio::error::operation_aborted && connection.stream.socket().is_open());
+        if (ec == beast::error::timeout && !isFirst && !stoppedAt) {
+            // A limit that has become longer applies at once.
+            const auto longest = std::max(limit, longestIdleLimit());
+            if (std::exchange(limit, longest) < longest) {
+                continue;
+            }
+        }
+        // A stop cancels the wait, which then goes on with a shorter limit.
+        if (ec != asio::error::operation_aborted || !connection.stream.socket().is_open()) {
+            break;
+        }
+    }
     connection.isIdle = false;
     co_return ec;
 }
@@ -403,7 +438,7 @@
         beast::error_code ec;
         auto headerBegin = std::chrono::steady_clock::now();
         if (buf.size() == 0) {
-            ec = co_await waitForRequest(connection, isFirst, isFirst ? limits.headerTimeout : limits.idleTimeout);
+            ec = co_await waitForRequest(connection, isFirst);
             headerBegin = isFirst ? headerBegin : std::chrono::steady_clock::now();
         }
         // Only now, since the limits may have been replaced during the wait.
@@ -491,7 +526,14 @@
     return Endpoint { endpoint.address, acceptor.local_endpoint().port() };
 }
 
-void HttpServer::setLimits(const HttpServerLimits& limits) { m_state->limits = limits; }
+void HttpServer::setLimits(const HttpServerLimits& limits)
+{
+    auto& state = *m_state;
+    if (limits.idleTimeout != state.limits.idleTimeout) {
+        state.replacedIdleLimits.push_back({ state.limits.idleTimeout, std::chrono::steady_clock::now() });
+    }
+    state.limits = limits;
+}
 
 void HttpServer::announceClose() { m_state->isClosing = true; }
 
--- a/Source/Core/Transport/HttpServer.h
+++ b/Source/Core/Transport/HttpServer.h
@@ -114,7 +114,8 @@
     std::chrono::milliseconds headerTimeout { 10'000 };
     /// Longest time from the header of a request to the end of its body.
     std::chrono::milliseconds bodyTimeout { 30'000 };
-    /// Longest time from a response until the first byte of the next request.
+    /// Longest time from a response until the first byte of the next request. Clients may rely on it, so a shorter
+    /// limit does not apply to waits that have begun, nor in the first seconds.
     std::chrono::milliseconds idleTimeout { 60'000 };
     /// Longest time for one write; the connection fails after it.
     std::chrono::milliseconds writeTimeout { 10'000 };
--- a/Source/UnitTests/Transport/HttpServerTests.cpp
+++ b/Source/UnitTests/Transport/HttpServerTests.cpp
@@ -247,3 +247,54 @@
     client.send(std::string_view(request).substr(request.size() - 200));
     cr_assert_eq(fixture.responseStatus(client), 200);
 }
+
+// Guards against closing connections under a limit of which their clients cannot know yet: they reuse connections up to
+// the limit that they know.
+Test(HttpServer, keepsIdleConnectionsForTheLimitThatTheirClientsKnow)
+{
+    auto limits = longLimits();
+    ServerFixture fixture(limits);
+    RawClient idle(fixture.endpoint);
+    RawClient busy(fixture.endpoint);
+    fixture.exchange(idle, "/first");
+    limits.idleTimeout = 1ms;
+    fixture.server.setLimits(limits);
+    fixture.exchange(busy, "/first");
+    std::this_thread::sleep_for(20ms);
+    fixture.poll();
+    for (auto* client : { &idle, &busy }) {
+        client->send(requestOf("/second"));
+        cr_assert_eq(fixture.responseStatus(*client), 200);
+    }
+}
+
+// Guards against closing connections under the limit of before, when the limit in force is longer.
+Test(HttpServer, extendsTheWaitOfIdleConnections)
+{
+    auto limits = longLimits();
+    limits.idleTimeout = shortLimit;
+    for (bool isOpen = false; !isOpen;) {
+        ServerFixture fixture(limits);
+        RawClient client(fixture.endpoint);
+        fixture.exchange(client, "/first");
+        fixture.server.setLimits(longLimits());
+        // A test that was held up may have reached the limit already.
+        isOpen = client.receive();
+        std::this_thread::sleep_for(2 * shortLimit);
+        fixture.poll();
+        client.send(requestOf("/second"));
+        cr_assert(!isOpen || fixture.responseStatus(client) == 200);
+    }
+}
+
+// Guards against connections that stay open without a request.
+Test(HttpServer, closesAConnectionAfterItsIdleLimit)
+{
+    auto limits = longLimits();
+    limits.idleTimeout = shortLimit;
+    ServerFixture fixture(limits);
+    RawClient client(fixture.endpoint);
+    fixture.exchange(client, "/first");
+    fixture.runUntil([&] { return fixture.server.connectionCount() == 0; });
+    cr_assert_eq(fixture.handler.events[ConnectionEvent::IdleClosed], 1);
+}
