--- a/Source/Core/Transport/HttpServer.cpp
+++ b/Source/Core/Transport/HttpServer.cpp
@@ -6,24 +6,68 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http.hpp>
 
 #include <sys/socket.h>
 
+#include <algorithm>
 #include <cstdint>
 #include <map>
-#include <set>
+#include <optional>
+#include <utility>
+#include <vector>
 
 namespace Pollenwind {
 
+using namespace std::chrono_literals;
+
 namespace beast = boost::beast;
 namespace http = boost::beast::http;
 using tcp = asio::ip::tcp;
+using RequestParser = http::request_parser<http::string_body>;
+using TimePoint = std::chrono::steady_clock::time_point;
 
 namespace {
 
+    // Longest wait after a stop for the first request of a new connection, which may be on its way. Clients allow a
+    // second for a new connection.
+    constexpr std::chrono::milliseconds firstRequestWait { 1000 };
+
+    // Time for which a longer idle limit applies after it was replaced. Clients reuse connections up to the limit that
+    // they know, and a configuration is in force everywhere within this time.
+    constexpr std::chrono::seconds replacedLimitTime { 10 };
+
+    // Smallest space for one read.
+    constexpr std::size_t minReadBytes = 512;
+
+    /// Cancels the operations of a socket at a point in time. The socket stays open, so that bytes which arrived before
+    /// the process reacted to the limit can still be read.
+    class SocketTimer {
+    public:
+        SocketTimer(tcp::socket& socket, TimePoint until)
+            : m_timer(socket.get_executor(), until)
+        {
+            // The handler may run after the timer was destroyed; then the weak pointer has expired.
+            m_timer.async_wait([this, &socket, alive = std::weak_ptr<bool>(m_alive)](const beast::error_code& ec) {
+                if (!ec && alive.lock()) {
+                    m_isExpired = true;
+                    beast::error_code ignored;
+                    socket.cancel(ignored);
+                }
+            });
+        }
+
+        bool isExpired() const { return m_isExpired; }
+
+    private:
+        asio::steady_timer m_timer;
+        std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
+        bool m_isExpired = false;
+    };
+
     HttpRequest toRequest(http::request<http::string_body>&& message)
     {
         HttpRequest request;
@@ -65,11 +109,14 @@
 
     class Exchange final : public HttpExchange {
     public:
-        Exchange(beast::tcp_stream& stream, HttpRequest request, const HttpServerLimits& limits, bool keepAlive)
+        /// @param isClosing Whether the server closes connections after their next response; may change until then.
+        Exchange(beast::tcp_stream& stream, HttpRequest request, const HttpServerLimits& limits, bool keepAlive,
+            const bool& isClosing)
             : m_stream(stream)
             , m_request(std::move(request))
             , m_limits(limits)
             , m_keepAlive(keepAlive)
+            , m_isClosing(isClosing)
         {
         }
 
@@ -88,6 +135,7 @@
         Task<Outcome<void>> answer(const HttpAnswer& answer) override
         {
             http::response<http::string_body> message;
+            m_keepAlive = m_keepAlive && !m_isClosing;
             fillHead(message, answer, m_keepAlive);
             message.body() = answer.body;
             message.prepare_payload();
@@ -103,6 +151,7 @@
         Task<Outcome<void>> beginStream(const HttpAnswer& head) override
         {
             http::response<http::empty_body> message;
+            m_keepAlive = m_keepAlive && !m_isClosing;
             fillHead(message, head, m_keepAlive);
             message.chunked(true);
             http::response_serializer<http::empty_body> serializer(message);
@@ -171,6 +220,7 @@
         HttpRequest m_request;
         const HttpServerLimits& m_limits;
         bool m_keepAlive;
+        const bool& m_isClosing;
         bool m_isComplete = false;
         /// The pending wait has only a weak pointer to it, so that it has no effect after the exchange has ended.
         std::shared_ptr<std::function<void()>> m_disconnectHandler;
@@ -189,19 +239,55 @@
     {
     }
 
+    /// One client.
+    struct Connection {
+        explicit Connection(tcp::socket socket)
+            : stream(std::move(socket))
+        {
+        }
+
+        beast::tcp_stream stream;
+        /// Bytes that were received and not parsed.
+        beast::flat_buffer buf;
+        /// Waits for a request of which nothing has arrived.
+        bool isIdle = false;
+    };
+
+    struct ReplacedLimit {
+        std::chrono::milliseconds limit;
+        TimePoint replacedAt;
+    };
+
+    /// How much of a request to read.
+    enum class ReadUntil { Header, Body };
+
     Task<> acceptLoop();
-    Task<> serve(ConnectionId id);
-    Task<> serveRequests(beast::tcp_stream& stream, ConnectionId id);
+    void addConnection(tcp::socket socket);
+    /// Takes over the connections that the kernel has accepted for this server.
+    void acceptQueued();
+    static Task<> serve(std::shared_ptr<State> state, ConnectionId id);
+    Task<> serveRequests(Connection& connection);
+    /// Waits until the first bytes of the next request are in the buffer.
+    Task<beast::error_code> waitForRequest(Connection& connection, bool isFirst);
+    /// Longest idle limit that clients may still rely on.
+    std::chrono::milliseconds longestIdleLimit();
+    /// Reads and parses a request up to the end of its header or body.
+    /// @return beast::error::timeout when that has not arrived at the time limit.
+    Task<beast::error_code> readRequest(Connection& connection, RequestParser& parser, ReadUntil end, TimePoint until);
+    /// Appends what arrives next to the connection's buffer.
+    Task<beast::error_code> readSome(Connection& connection, TimePoint until);
+    void recordReadEnd(const beast::error_code& ec, bool isRequestBegun);
 
     asio::any_io_executor executor;
     HttpHandler& handler;
     HttpServerLimits limits;
     tcp::acceptor acceptor;
-    std::map<ConnectionId, beast::tcp_stream> connections;
-    std::set<ConnectionId> idle;
+    std::map<ConnectionId, Connection> connections;
     ConnectionId nextId = 1;
-    bool isStopping = false;
-    bool isCloseAnnounced = false;
+    std::vector<ReplacedLimit> replacedIdleLimits;
+    std::optional<TimePoint> stoppedAt;
+    /// Each connection is closed after its next response.
+    bool isClosing = false;
 };
 
 Task<> HttpServer::State::acceptLoop()
@@ -210,76 +296,199 @@
     const auto self = shared_from_this();
     while (acceptor.is_open()) {
         auto [ec, socket] = co_await acceptor.async_accept(asTuple);
+        if (!ec) {
+            // Also when the server has stopped meanwhile, since its client may have sent a request.
+            addConnection(std::move(socket));
+            continue;
+        }
         if (ec == asio::error::operation_aborted || !acceptor.is_open()) {
             co_return;
         }
-        if (ec) {
-            // For example, no file descriptors are left. The pause lets some connections end.
-            co_await sleepFor(std::chrono::milliseconds(50));
-            continue;
+        // For example, no file descriptors are left. The pause lets some connections end.
+        co_await sleepFor(std::chrono::milliseconds(50));
+    }
+}
+
+void HttpServer::State::addConnection(tcp::socket socket)
+{
+    if (connections.size() >= limits.connections) {
+        handler.onConnectionEvent(ConnectionEvent::Rejected);
+        return;
+    }
+    setLowLatencyOptions(socket.native_handle(), limits.writeTimeout);
+    // Applies to operations without a handler; others never block.
+    beast::error_code ec;
+    socket.non_blocking(true, ec);
+    const auto id = nextId++;
+    connections.try_emplace(id, std::move(socket));
+    asio::co_spawn(executor, serve(shared_from_this(), id), asio::detached);
+}
+
+void HttpServer::State::acceptQueued()
+{
+    beast::error_code ec;
+    acceptor.non_blocking(true, ec);
+    while (!ec) {
+        tcp::socket socket(executor);
+        acceptor.accept(socket, ec);
+        if (!ec) {
+            addConnection(std::move(socket));
         }
-        if (connections.size() >= limits.connections) {
-            continue;
+    }
+}
+
+Task<> HttpServer::State::serve(std::shared_ptr<State> state, ConnectionId id)
+{
+    const auto it = state->connections.find(id);
+    co_await state->serveRequests(it->second);
+    beast::error_code ec;
+    it->second.stream.socket().shutdown(tcp::socket::shutdown_both, ec);
+    state->connections.erase(it);
+}
+
+Task<beast::error_code> HttpServer::State::readSome(Connection& connection, TimePoint until)
+{
+    auto& socket = connection.stream.socket();
+    auto& buf = connection.buf;
+    const auto space = buf.prepare(std::max(minReadBytes, buf.capacity() - buf.size()));
+    beast::error_code ec;
+    std::size_t n = 0;
+    bool isLate = false;
+    {
+        const SocketTimer timer(socket, until);
+        std::tie(ec, n) = co_await socket.async_read_some(space, asTuple);
+        isLate = timer.isExpired();
+    }
+    if (ec == asio::error::operation_aborted && socket.is_open()) {
+        // The process may have been held up, so the bytes may have arrived long before the operation was cancelled.
+        n = socket.read_some(space, ec);
+        if (ec == asio::error::would_block) {
+            ec = isLate ? beast::error_code(beast::error::timeout) : asio::error::operation_aborted;
+        } else if (!ec) {
+            handler.onConnectionEvent(ConnectionEvent::ReadLate);
         }
-        setLowLatencyOptions(socket.native_handle(), limits.writeTimeout);
-        const auto id = nextId++;
-        connections.emplace(id, beast::tcp_stream(std::move(socket)));
-        asio::co_spawn(executor, serve(id), asio::detached);
     }
+    buf.commit(n);
+    co_return ec;
 }
 
-Task<> HttpServer::State::serve(ConnectionId id)
+Task<beast::error_code> HttpServer::State::readRequest(
+    Connection& connection, RequestParser& parser, ReadUntil end, TimePoint until)
 {
-    const auto self = shared_from_this();
-    const auto it = connections.find(id);
-    co_await serveRequests(it->second, id);
+    auto& buf = connection.buf;
+    const auto isDone = [&] { return end == ReadUntil::Header ? parser.is_header_done() : parser.is_done(); };
+    parser.eager(end == ReadUntil::Body);
+    for (;;) {
+        beast::error_code ec;
+        while (!ec && !isDone() && buf.size() > 0) {
+            buf.consume(parser.put(buf.data(), ec));
+        }
+        if (isDone() || (ec && ec != http::error::need_more)) {
+            co_return ec;
+        }
+        if (const auto failure = co_await readSome(connection, until)) {
+            co_return failure;
+        }
+    }
+}
+
+std::chrono::milliseconds HttpServer::State::longestIdleLimit()
+{
+    const auto oldest = std::chrono::steady_clock::now() - replacedLimitTime;
+    std::erase_if(replacedIdleLimits, [&](const ReplacedLimit& it) { return it.replacedAt < oldest; });
+    auto longest = limits.idleTimeout;
+    for (const auto& it : replacedIdleLimits) {
+        longest = std::max(longest, it.limit);
+    }
+    return longest;
+}
+
+Task<beast::error_code> HttpServer::State::waitForRequest(Connection& connection, bool isFirst)
+{
+    const auto since = std::chrono::steady_clock::now();
+    auto limit = isFirst ? limits.headerTimeout : longestIdleLimit();
+    const auto until = [&] {
+        return stoppedAt ? std::min(since + limit, *stoppedAt + (isFirst ? firstRequestWait : 0ms)) : since + limit;
+    };
     beast::error_code ec;
-    it->second.socket().shutdown(tcp::socket::shutdown_both, ec);
-    idle.erase(id);
-    connections.erase(it);
+    connection.isIdle = true;
+    for (;;) {
+        ec = co_await readSome(connection, until());
+        if (ec == beast::error::timeout && !isFirst && !stoppedAt) {
+            // A limit that has become longer applies at once.
+            const auto longest = std::max(limit, longestIdleLimit());
+            if (std::exchange(limit, longest) < longest) {
+                continue;
+            }
+        }
+        // A stop cancels the wait, which then goes on with a shorter limit.
+        if (ec != asio::error::operation_aborted || !connection.stream.socket().is_open()) {
+            break;
+        }
+    }
+    connection.isIdle = false;
+    co_return ec;
 }
 
-Task<> HttpServer::State::serveRequests(beast::tcp_stream& stream, ConnectionId id)
+Task<> HttpServer::State::serveRequests(Connection& connection)
 {
-    beast::flat_buffer buf;
+    auto& stream = connection.stream;
+    auto& buf = connection.buf;
     for (bool isFirst = true;; isFirst = false) {
-        http::request_parser<http::string_body> parser;
+        beast::error_code ec;
+        auto headerBegin = std::chrono::steady_clock::now();
+        if (buf.size() == 0) {
+            ec = co_await waitForRequest(connection, isFirst);
+            headerBegin = isFirst ? headerBegin : std::chrono::steady_clock::now();
+        }
+        // Only now, since the limits may have been replaced during the wait.
+        RequestParser parser;
         parser.header_limit(static_cast<std::uint32_t>(limits.headerBytes));
         parser.body_limit(limits.bodyBytes);
-        if (buf.size() == 0) {
-            idle.insert(id);
+        if (!ec) {
+            ec = co_await readRequest(connection, parser, ReadUntil::Header, headerBegin + limits.headerTimeout);
         }
-        stream.expires_after(isFirst ? limits.headerTimeout : limits.idleTimeout);
-        auto [ec, n] = co_await http::async_read_header(stream, buf, parser, asTuple);
-        idle.erase(id);
         if (!ec) {
-            stream.expires_after(limits.bodyTimeout);
-            std::tie(ec, n) = co_await http::async_read(stream, buf, parser, asTuple);
+            ec = co_await readRequest(
+                connection, parser, ReadUntil::Body, std::chrono::steady_clock::now() + limits.bodyTimeout);
         }
         if (ec == http::error::body_limit || ec == http::error::header_limit) {
-            Exchange exchange(stream, {}, limits, false);
+            Exchange exchange(stream, {}, limits, false, isClosing);
             co_await exchange.answer(handler.refusal(ec == http::error::body_limit ? 413 : 431, ec.message()));
             co_return;
         }
-        if (ec && ec.category() == make_error_code(http::error::bad_method).category()
-            && ec != http::error::end_of_stream && ec != http::error::partial_message) {
-            Exchange exchange(stream, {}, limits, false);
+        if (ec && ec.category() == make_error_code(http::error::bad_method).category()) {
+            Exchange exchange(stream, {}, limits, false, isClosing);
             co_await exchange.answer(handler.refusal(400, ec.message()));
             co_return;
         }
         if (ec) {
+            recordReadEnd(ec, parser.got_some() || buf.size() > 0);
             co_return;
         }
-        const bool keepAlive = parser.get().keep_alive() && !isStopping && !isCloseAnnounced;
-        stream.expires_never();
-        Exchange exchange(stream, toRequest(parser.release()), limits, keepAlive);
+        const bool keepAlive = parser.get().keep_alive();
+        Exchange exchange(stream, toRequest(parser.release()), limits, keepAlive, isClosing);
         co_await handler.handle(exchange);
-        if (!exchange.isComplete() || !exchange.keepAlive() || isStopping) {
+        if (!exchange.isComplete()) {
+            handler.onConnectionEvent(ConnectionEvent::Unanswered);
+            co_return;
+        }
+        // The client may have sent a request in reliance on a response that was sent before a stop.
+        if (!exchange.keepAlive()) {
             co_return;
         }
     }
 }
 
+void HttpServer::State::recordReadEnd(const beast::error_code& ec, bool isRequestBegun)
+{
+    if (ec == beast::error::timeout) {
+        handler.onConnectionEvent(isRequestBegun ? ConnectionEvent::RequestTimedOut : ConnectionEvent::IdleClosed);
+    } else if (isRequestBegun) {
+        handler.onConnectionEvent(stoppedAt ? ConnectionEvent::RequestStopped : ConnectionEvent::RequestCutOff);
+    }
+}
+
 HttpServer::HttpServer(asio::any_io_executor executor, HttpHandler& handler, HttpServerLimits limits)
     : m_state(std::make_shared<State>(std::move(executor), handler, limits))
 {
@@ -287,7 +496,8 @@
 
 HttpServer::~HttpServer()
 {
-    stopAccepting();
+    beast::error_code ec;
+    m_state->acceptor.close(ec);
     closeAll();
 }
 
@@ -316,25 +526,41 @@
     return Endpoint { endpoint.address, acceptor.local_endpoint().port() };
 }
 
-void HttpServer::setLimits(const HttpServerLimits& limits) { m_state->limits = limits; }
+void HttpServer::setLimits(const HttpServerLimits& limits)
+{
+    auto& state = *m_state;
+    if (limits.idleTimeout != state.limits.idleTimeout) {
+        state.replacedIdleLimits.push_back({ state.limits.idleTimeout, std::chrono::steady_clock::now() });
+    }
+    state.limits = limits;
+}
 
-void HttpServer::announceClose() { m_state->isCloseAnnounced = true; }
+void HttpServer::announceClose() { m_state->isClosing = true; }
 
 void HttpServer::stopAccepting()
 {
-    m_state->isStopping = true;
+    auto& state = *m_state;
+    if (state.stoppedAt) {
+        return;
+    }
+    state.stoppedAt = std::chrono::steady_clock::now();
+    state.isClosing = true;
+    // Closing the acceptor resets the connections that are still in its queue.
+    state.acceptQueued();
     beast::error_code ec;
-    m_state->acceptor.close(ec);
+    state.acceptor.close(ec);
     // Connections that wait for their next request have nothing to finish and would delay the shutdown.
-    for (const auto id : m_state->idle) {
-        m_state->connections.at(id).cancel();
+    for (auto& [id, connection] : state.connections) {
+        if (connection.isIdle) {
+            connection.stream.socket().cancel(ec);
+        }
     }
 }
 
 void HttpServer::closeAll()
 {
-    for (auto& [id, stream] : m_state->connections) {
-        stream.close();
+    for (auto& [id, connection] : m_state->connections) {
+        connection.stream.close();
     }
 }
 
--- a/Source/Core/Transport/HttpServer.h
+++ b/Source/Core/Transport/HttpServer.h
@@ -1,10 +1,12 @@
 #pragma once
 
+#include "Common/EnumTable.h"
 #include "Common/Error.h"
 #include "Common/Task.h"
 #include "Transport/Endpoint.h"
 #include "Transport/HttpTypes.h"
 
+#include <array>
 #include <chrono>
 #include <cstddef>
 #include <functional>
@@ -51,6 +53,36 @@
     virtual void abort() = 0;
 };
 
+/// What happened to a connection, where it matters for the question whether a request got a response.
+enum class ConnectionEvent {
+    /// Bytes were read that had arrived before the server reacted to the end of a time limit or to a stop.
+    ReadLate,
+    /// Closed after the time limit for the next request, of which nothing had arrived.
+    IdleClosed,
+    /// A time limit passed in the middle of a request.
+    RequestTimedOut,
+    /// The connection failed or the client closed it in the middle of a request.
+    RequestCutOff,
+    /// A stop of the server ended the connection in the middle of a request.
+    RequestStopped,
+    /// There were too many connections.
+    Rejected,
+    /// A request was handled without a complete response.
+    Unanswered,
+};
+
+template <> struct EnumTable<ConnectionEvent> {
+    static constexpr std::array rows {
+        EnumName { ConnectionEvent::ReadLate, "read-late" },
+        EnumName { ConnectionEvent::IdleClosed, "idle-closed" },
+        EnumName { ConnectionEvent::RequestTimedOut, "request-timed-out" },
+        EnumName { ConnectionEvent::RequestCutOff, "request-cut-off" },
+        EnumName { ConnectionEvent::RequestStopped, "request-stopped" },
+        EnumName { ConnectionEvent::Rejected, "rejected" },
+        EnumName { ConnectionEvent::Unanswered, "unanswered" },
+    };
+};
+
 /// Handles the requests of a server.
 class HttpHandler {
 public:
@@ -66,6 +98,9 @@
     /// @param status 400, 413 or 431.
     /// @param reason Text of the parser.
     virtual HttpAnswer refusal(int status, std::string_view reason) const = 0;
+
+    /// Reports an event of a connection. A complete response and a close by the client between two requests are none.
+    virtual void onConnectionEvent(ConnectionEvent) { }
 };
 
 /// Limits of a server.
@@ -74,11 +109,13 @@
     std::size_t bodyBytes = 8UL * 1024 * 1024;
     /// Open connections; further ones are closed when they are accepted.
     std::size_t connections = 10'000;
-    /// Longest time until the header of a connection's first request is complete.
+    /// Longest time until the header of a request is complete, from the begin of the connection for its first request,
+    /// else from the first byte.
     std::chrono::milliseconds headerTimeout { 10'000 };
     /// Longest time from the header of a request to the end of its body.
     std::chrono::milliseconds bodyTimeout { 30'000 };
-    /// Longest time from a response until the header of the next request is complete.
+    /// Longest time from a response until the first byte of the next request. Clients may rely on it, so a shorter
+    /// limit does not apply to waits that have begun, nor in the first seconds.
     std::chrono::milliseconds idleTimeout { 60'000 };
     /// Longest time for one write; the connection fails after it.
     std::chrono::milliseconds writeTimeout { 10'000 };
@@ -99,15 +136,17 @@
     /// @return The bound endpoint, or an error when the address cannot be bound.
     Outcome<Endpoint> listen(const Endpoint& endpoint);
 
-    /// Replaces the limits. Open connections use them from their next request on, and the write timeout from their next
-    /// write on.
+    /// Replaces the limits. They apply to requests that begin to arrive from now on, and the write timeout applies from
+    /// the next write on.
     void setLimits(const HttpServerLimits& limits);
 
     /// Closes each connection after the response to its next request, which announces it ("Connection: close"). New
     /// connections are still accepted.
     void announceClose();
 
-    /// Stops accepting and closes idle connections. Busy connections finish their request and are then closed.
+    /// Stops accepting and closes idle connections. Requests that have begun to arrive, those on connections that the
+    /// kernel has accepted included, are served; then their connections are closed. New connections get some time to
+    /// send their first request.
     void stopAccepting();
 
     /// Closes idle and busy connections at once.
