Test responses that their runner cuts at each byte

Operators of another system saw a runner that stopped in the middle of the head of its response, and callers that got a 200 with an empty or short body, framed as whole.

A safe request is repeated and its caller gets the second response alone. Heads and bodies whose framing contradicts itself become a 502, and their connection carries no other request.

The scripted runner closes at once now, so that the end arrives together with the bytes, and can cut a response after a number of bytes.

--- a/Source/UnitTests/PlatformAdapter/RunnerWireTests.cpp
+++ b/Source/UnitTests/PlatformAdapter/RunnerWireTests.cpp
@@ -22,6 +22,17 @@
 
 std::string answer(std::string_view body) { return withLength(answerHead, body); }
 
+std::string inChunks(std::string_view head, const std::vector<std::string>& parts)
+{
+    auto text = std::string(head) + "Transfer-Encoding: chunked\r\n\r\n";
+    for (const auto& part : parts) {
+        std::array<char, 16> size {};
+        std::snprintf(size.data(), size.size(), "%zx", part.size());
+        text += std::string(size.data()) + "\r\n" + part + "\r\n";
+    }
+    return text + "0\r\n\r\n";
+}
+
 /// Start of a stream in chunks, without the last chunk.
 std::string openStream(std::string_view events)
 {
@@ -83,6 +94,55 @@
     Endpoint callers;
 };
 
+/// Ends a response after each of its bytes, on fresh and on kept connections. Only one that ends with its connection
+/// may be passed on, and no request may be reported as not run.
+void cutAfterEachByte(WireEnd end)
+{
+    struct Case {
+        const char* name;
+        std::string bytes;
+        bool endsWithConnection;
+    };
+    const std::string oldHead = "HTTP/1.0 200 OK\r\nX-Request-Id: {id}\r\nX-Server-Stamp: s\r\n";
+    const std::array cases {
+        Case { "with a length", answer("twelve bytes"), false },
+        Case { "in chunks", inChunks(answerHead, { "first", "second" }), false },
+        Case { "without a length", std::string(answerHead) + "\r\nbody", true },
+        Case { "of an old server, with a length", withLength(oldHead, "twelve bytes"), false },
+        Case { "of an old server", oldHead + "\r\nbody", true },
+    };
+    // Ids of the length of "{id}", so that a place in the script is the same place on the connection.
+    unsigned requests = 1000;
+    for (const auto& it : cases) {
+        const auto headEnd = it.bytes.find("\r\n\r\n") + 4;
+        for (std::size_t n = 0; n < it.bytes.size(); ++n) {
+            WireFixture fixture;
+            fixture.run([&]() -> Task<> {
+                for (const bool isKept : { false, true }) {
+                    // A connection is kept only for this request.
+                    fixture.client.setIdleLimit(isKept ? 1 : 0);
+                    fixture.runner.arrivals.clear();
+                    fixture.runner.script = { { answer("a") }, { it.bytes, end, {}, n } };
+                    const auto first = co_await fixture.call("/safe/x", std::to_string(++requests));
+                    cr_assert(first.isComplete);
+                    const auto view = co_await fixture.call("/stream/x", std::to_string(++requests));
+                    const auto& arrivals = fixture.runner.arrivals;
+                    cr_assert_eq(arrivals.size(), 2, "a response %s, cut after %zu bytes", it.name, n);
+                    cr_assert_eq(arrivals[0].connection == arrivals[1].connection, isKept);
+                    if (it.endsWithConnection && end == WireEnd::Close && n >= headEnd) {
+                        cr_assert(view.isComplete && view.status == 200, "a response %s, cut after %zu bytes: %s",
+                            it.name, n, view.bytes.c_str());
+                        continue;
+                    }
+                    cr_assert(view.status == 502 && view.isComplete, "a response %s, cut after %zu bytes: %s", it.name,
+                        n, view.bytes.c_str());
+                    cr_assert(view.body.find("not-run") == std::string::npos, "%s", view.body.c_str());
+                }
+            });
+        }
+    }
+}
+
 } // namespace
 
 // Guards against the error response of a safe request's first attempt in the middle of the stream of its second.
@@ -250,3 +310,75 @@
         });
     }
 }
+
+// Guards against a response that its runner cut in its head or body and that the caller gets as a complete one.
+Test(RunnerWire, passesOnNoResponseWhoseConnectionWasClosed) { cutAfterEachByte(WireEnd::Close); }
+Test(RunnerWire, passesOnNoResponseWhoseConnectionWasReset) { cutAfterEachByte(WireEnd::Reset); }
+
+// A safe request whose response was cut may run again, and the caller gets the second response alone.
+Test(RunnerWire, repeatsASafeRequestWhoseResponseWasCut)
+{
+    const auto cut = answer("twelve bytes");
+    for (std::size_t n = 0; n < cut.size(); n += 7) {
+        WireFixture fixture;
+        fixture.run([&]() -> Task<> {
+            fixture.runner.script = { { cut, n % 2 == 0 ? WireEnd::Close : WireEnd::Reset, {}, n }, { answer("b") } };
+            const auto view = co_await fixture.call("/safe/x", "q" + std::to_string(n));
+            cr_assert(view.isComplete && view.status == 200 && view.body == "b", "%s", view.bytes.c_str());
+            cr_assert_eq(fixture.runner.arrivals.size(), 2);
+        });
+    }
+}
+
+// Guards against heads and bodies whose framing contradicts itself: the caller would get a body that is not the
+// runner's.
+Test(RunnerWire, judgesAResponseByItsFraming)
+{
+    struct Case {
+        const char* name;
+        std::string bytes;
+        int status;
+        /// Whether the connection may carry the next request.
+        bool isKept;
+    };
+    const std::string head(answerHead);
+    const std::string chunked = "Transfer-Encoding: chunked\r\n";
+    const std::array cases {
+        Case { "a length that is too long", head + "Content-Length: 9\r\n\r\nbody", 502, false },
+        Case { "a length that is too short", head + "Content-Length: 4\r\n\r\nbody and more", 200, false },
+        Case { "two lengths", head + "Content-Length: 4\r\nContent-Length: 2\r\n\r\nbody", 502, false },
+        Case { "two lengths in one field", head + "Content-Length: 4, 2\r\n\r\nbody", 502, false },
+        Case { "a negative length", head + "Content-Length: -4\r\n\r\nbody", 502, false },
+        Case { "a length without digits", head + "Content-Length: \r\n\r\nbody", 502, false },
+        Case { "a length and chunks", head + chunked + "Content-Length: 4\r\n\r\n4\r\nbody\r\n0\r\n\r\n", 502, false },
+        Case { "a chunk longer than its size", head + chunked + "\r\n2\r\nbody\r\n0\r\n\r\n", 502, false },
+        Case { "a chunk size that is no number", head + chunked + "\r\nzz\r\nbody\r\n0\r\n\r\n", 502, false },
+        Case { "a last chunk without its end", head + chunked + "\r\n4\r\nbody\r\n0\r\n", 502, false },
+        Case { "no chunk", head + chunked + "\r\nbody", 502, false },
+        Case { "a header without a name", head + ": v\r\nContent-Length: 4\r\n\r\nbody", 502, false },
+        Case { "a folded header", head + "X-A: a\r\n b\r\nContent-Length: 4\r\n\r\nbody", 200, true },
+        Case { "another protocol", "HTTP/2.0 200 OK\r\n\r\nbody", 502, false },
+    };
+    for (const bool usesKept : { false, true }) {
+        for (const auto& it : cases) {
+            WireFixture fixture;
+            fixture.client.setIdleLimit(usesKept ? 1 : 0);
+            // A connection that cannot carry another request is closed by the runner in the end.
+            fixture.runner.script
+                = { { answer("a") }, { it.bytes, it.isKept ? WireEnd::Keep : WireEnd::Close }, { answer("c") } };
+            fixture.run([&]() -> Task<> {
+                cr_assert((co_await fixture.call("/safe/x", "q1")).isComplete);
+                const auto view = co_await fixture.call("/stream/x", "q2");
+                cr_assert(view.isComplete && view.status == it.status, "%s: %s", it.name, view.bytes.c_str());
+                cr_assert(view.status != 200 || view.body == "body", "%s: %s", it.name, view.bytes.c_str());
+                const auto next = co_await fixture.call("/stream/x", "q3");
+                cr_assert(next.isComplete && next.body == "c", "after %s: %s", it.name, next.bytes.c_str());
+                const auto& arrivals = fixture.runner.arrivals;
+                cr_assert_eq(arrivals.size(), 3, "%s", it.name);
+                cr_assert_eq(arrivals[0].connection == arrivals[1].connection, usesKept, "%s", it.name);
+                cr_assert_eq(
+                    arrivals[1].connection == arrivals[2].connection, usesKept && it.isKept, "after %s", it.name);
+            });
+        }
+    }
+}
--- a/Source/UnitTests/PlatformAdapter/WireRunner.cpp
+++ b/Source/UnitTests/PlatformAdapter/WireRunner.cpp
@@ -17,8 +17,8 @@
 
     // Longer than the gateway needs for the response, so that the extra bytes arrive on an idle connection.
     constexpr std::chrono::milliseconds extraDelay { 50 };
-    // The gateway reads the bytes before it sees the end of the connection.
-    constexpr std::chrono::milliseconds endDelay { 20 };
+    // The gateway reads the bytes before it sees the reset of the connection, which would discard them.
+    constexpr std::chrono::milliseconds resetDelay { 20 };
 
 } // namespace
 
@@ -54,9 +54,10 @@
         const auto reply = std::move(script.front());
         script.pop_front();
         auto bytes = reply.bytes;
-        if (const auto place = bytes.find("{id}"); place != std::string::npos) {
+        for (auto place = bytes.find("{id}"); place != std::string::npos; place = bytes.find("{id}")) {
             bytes.replace(place, 4, id);
         }
+        bytes.resize(std::min(bytes.size(), reply.cutAfter));
         co_await asio::async_write(socket, asio::buffer(bytes), asTuple);
         if (!reply.extraBytes.empty()) {
             co_await sleepFor(extraDelay);
@@ -64,7 +65,9 @@
             ++extras;
         }
         if (reply.end != WireEnd::Keep) {
-            co_await sleepFor(endDelay);
+            if (reply.end == WireEnd::Reset) {
+                co_await sleepFor(resetDelay);
+            }
             socket.set_option(asio::socket_base::linger(reply.end == WireEnd::Reset, 0));
             // The destructor would not reset the connection.
             socket.close();
--- a/Source/UnitTests/PlatformAdapter/WireRunner.h
+++ b/Source/UnitTests/PlatformAdapter/WireRunner.h
@@ -24,6 +24,8 @@
     WireEnd end = WireEnd::Keep;
     /// Bytes that follow later on the kept connection, while no request is outstanding.
     std::string extraBytes = {};
+    /// Number of bytes that are written, with the id in its place; all by default.
+    std::size_t cutAfter = std::string::npos;
 };
 
 /// Runner that responds with scripted bytes, in the order in which requests arrive on any of its connections.
