Skip informational responses of runners

A response with a 1xx status ended the exchange as if it were the response: the caller got a 502 "protocol-error" with the outcome unknown for a request that its runner served. The parser takes a 1xx head for a complete response, since it has no body.

The client skips up to 16 informational responses within the time of the response's head and reads the one that follows. A change of the protocol (101), which the gateway never asks for, and more informational responses are an error with the outcome unknown, so that they neither reach the caller nor go on without end.

RunnerWire::judgesAResponseByItsFraming failed before at "an informational response: HTTP/1.1 502 Bad Gateway ... protocol-error".

--- a/Source/Core/Transport/HttpClient.cpp
+++ b/Source/Core/Transport/HttpClient.cpp
@@ -26,6 +26,12 @@
     // which a peer in trouble may never end.
     constexpr std::size_t maxUnparsedBytes = 128UL * 1024;
 
+    // Informational responses before one response. A server in trouble may send them without end.
+    constexpr unsigned maxInformational = 16;
+    constexpr int switchingProtocols = 101;
+
+    bool isInformational(int status) { return status >= 100 && status < 200; }
+
     /// Parses the timeout of a Keep-Alive header such as "timeout=5, max=100".
     std::optional<std::chrono::milliseconds> parseIdleTimeout(std::string_view header)
     {
@@ -130,15 +136,25 @@
     auto& state = *m_state;
     state.isBroken = true;
     state.stream.expires_after(timeout);
-    state.parser.emplace();
-    state.parser->header_limit(maxAnswerHeaderBytes);
-    state.parser->body_limit(std::numeric_limits<std::uint64_t>::max());
-    const auto [ec, n] = co_await http::async_read_header(state.stream, state.buf, *state.parser, asTuple);
-    if (ec) {
-        co_return std::unexpected(transportError("read response head", ec));
-    }
     HttpHead head;
-    head.status = static_cast<int>(state.parser->get().result_int());
+    for (unsigned informational = 0;; ++informational) {
+        state.parser.emplace();
+        state.parser->header_limit(maxAnswerHeaderBytes);
+        state.parser->body_limit(std::numeric_limits<std::uint64_t>::max());
+        const auto [ec, n] = co_await http::async_read_header(state.stream, state.buf, *state.parser, asTuple);
+        if (ec) {
+            co_return std::unexpected(transportError("read response head", ec));
+        }
+        head.status = static_cast<int>(state.parser->get().result_int());
+        if (!isInformational(head.status)) {
+            break;
+        }
+        // The final response follows it. A change of the protocol was not asked for.
+        if (head.status == switchingProtocols || informational == maxInformational) {
+            co_return fail(ErrorCode::ProtocolError,
+                "read response head: informational response " + std::to_string(head.status), RunState::Unknown);
+        }
+    }
     for (const auto& field : state.parser->get()) {
         head.headers.emplace_back(field.name_string(), field.value());
     }
--- a/Source/Core/Transport/HttpClient.h
+++ b/Source/Core/Transport/HttpClient.h
@@ -34,7 +34,7 @@
     /// @param timeout Longest time to wait.
     Task<Outcome<void>> connect(const Endpoint& endpoint, std::chrono::nanoseconds timeout);
 
-    /// Sends a request and reads the head of its response.
+    /// Sends a request and reads the head of its response. Informational responses (1xx) before it are skipped.
     /// @param request The request; Content-Length is added, and Host where it is missing.
     /// @param timeout Longest time until the head has arrived.
     Task<Outcome<HttpHead>> send(const HttpRequest& request, std::chrono::nanoseconds timeout);
--- a/Source/UnitTests/PlatformAdapter/RunnerWireTests.cpp
+++ b/Source/UnitTests/PlatformAdapter/RunnerWireTests.cpp
@@ -330,8 +330,8 @@
     }
 }
 
-// Guards against heads and bodies whose framing contradicts itself: the caller would get a body that is not the
-// runner's.
+// Guards against heads and bodies whose framing contradicts itself, and against an informational response that is
+// taken for the response: the caller would get a body that is not the runner's.
 Test(RunnerWire, judgesAResponseByItsFraming)
 {
     struct Case {
@@ -357,6 +357,14 @@
         Case { "no chunk", head + chunked + "\r\nbody", 502, false },
         Case { "a header without a name", head + ": v\r\nContent-Length: 4\r\n\r\nbody", 502, false },
         Case { "a folded header", head + "X-A: a\r\n b\r\nContent-Length: 4\r\n\r\nbody", 200, true },
+        Case { "an informational response", "HTTP/1.1 100 Continue\r\n\r\n" + answer("body"), 200, true },
+        Case { "informational responses with headers",
+            "HTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\nHTTP/1.1 102 Processing\r\n\r\n" + answer("body"), 200, true },
+        Case { "an informational response that names the request",
+            "HTTP/1.1 100 Continue\r\nX-Request-Id: {id}\r\nX-Server-Stamp: s\r\n\r\n" + answer("body"), 200, true },
+        Case { "only an informational response", "HTTP/1.1 100 Continue\r\n\r\n", 502, false },
+        Case { "a change of the protocol",
+            "HTTP/1.1 101 Switching Protocols\r\nX-Request-Id: {id}\r\nX-Server-Stamp: s\r\n\r\n", 502, false },
         Case { "another protocol", "HTTP/2.0 200 OK\r\n\r\nbody", 502, false },
     };
     for (const bool usesKept : { false, true }) {
