Do not blame a runner for a request that was not sent in time

A request whose time was over when its wait for tokens ended, e.g. in a process that was paused, was given a runner and failed before the attempt was recorded as sent. Its end was recorded all the same: the runner's count of running requests lost another request, its circuit breaker counted a failure, and the trial of a quarantined part was used up. Callers got the right answer (503, not run).

The deadline is checked before a runner is chosen, beside the check of the quarantine, so that such a request touches no runner. An error response of an earlier attempt is still sent to the caller.

ConfigurationChange::blamesNoRunnerForARequestWhoseTimeIsOverBeforeItIsSent failed before: "the runner has no request".

--- a/Source/Core/Gateway/ForwardDispatcher.cpp
+++ b/Source/Core/Gateway/ForwardDispatcher.cpp
@@ -179,6 +179,11 @@
     return *choice;
 }
 
+std::chrono::milliseconds ForwardDispatcher::timeLeft(const Delivery& delivery) const
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(delivery.deadline - m_context.clock.now());
+}
+
 AttemptTerms ForwardDispatcher::termsOf(
     const ForwardRequest& request, const RunnerChoice& choice, const Delivery& delivery) const
 {
@@ -187,7 +192,7 @@
     if (delivery.organisation) {
         terms.organisation = delivery.organisation->id;
     }
-    terms.timeout = std::chrono::duration_cast<std::chrono::milliseconds>(delivery.deadline - m_context.clock.now());
+    terms.timeout = timeLeft(delivery);
     terms.urgency = std::min(lowestPriority,
         delivery.organisation ? delivery.organisation->priority.value_or(delivery.route->priority)
                               : delivery.route->priority);
@@ -228,7 +233,14 @@
     }
     m_context.retryBudget.recordRequest(delivery.service);
     for (;;) {
-        if (auto refused = checkQuarantine(delivery)) {
+        auto refused = checkQuarantine(delivery);
+        // Before a runner is chosen, since a request that is not sent tells nothing about it. In a process that was
+        // paused the timer of the deadline may be late.
+        if (!refused && timeLeft(delivery).count() <= 0) {
+            refused = Error { ErrorCode::DeadlineExceeded, "the deadline passed before the request was sent",
+                delivery.runState };
+        }
+        if (refused) {
             if (delivery.failure) {
                 co_return co_await sink.answer(delivery.failure->first, std::move(delivery.failure->second));
             }
@@ -376,9 +388,6 @@
     checkInvariant(delivery.runs == 0 || retryKindOf(route) != RetryKind::NonIdempotentCall,
         "a request that must run at most once is not sent again after it may have run");
     const auto terms = termsOf(request, choice, delivery);
-    if (terms.timeout.count() <= 0) {
-        co_return fail(ErrorCode::DeadlineExceeded, "the deadline passed before the request was sent");
-    }
     m_context.log.record(RequestEvent::Placed, request.id,
         { { "runner", choice.id.value() }, { "service", delivery.service.value() }, { "route", route.name },
             { "organisation", delivery.organisation ? delivery.organisation->id.value() : "" },
--- a/Source/Core/Gateway/ForwardDispatcher.h
+++ b/Source/Core/Gateway/ForwardDispatcher.h
@@ -100,6 +100,8 @@
     void recordLoss(const Error& error, Delivery& delivery);
     /// Whether the request may be sent again after an attempt failed. Counts the refusal or the retry.
     bool mayRepeat(const ForwardRequest& request, const Error& error, Delivery& delivery);
+    /// Time until the request's deadline, in the whole milliseconds that runners are told.
+    std::chrono::milliseconds timeLeft(const Delivery& delivery) const;
     /// Values that an attempt adds to the request.
     AttemptTerms termsOf(const ForwardRequest& request, const RunnerChoice& choice, const Delivery& delivery) const;
     /// Records what the head of a response says about the runner's further availability.
--- a/Source/UnitTests/Gateway/ConfigurationChangeTests.cpp
+++ b/Source/UnitTests/Gateway/ConfigurationChangeTests.cpp
@@ -312,3 +312,33 @@
         }
     }
 }
+
+// A request whose time is over when its wait for tokens ends, e.g. in a process that was paused, was recorded as an
+// attempt that its runner had failed: the runner got one request less than it has, and its circuit breaker counted a
+// failure.
+Test(ConfigurationChange, blamesNoRunnerForARequestWhoseTimeIsOverBeforeItIsSent)
+{
+    ChangeFixture fixture(WaitKind::Head);
+    fixture.runners.replaceEntries({ makeRunner("r1") });
+    fixture.start("/unsafe/x");
+    cr_assert_eq(fixture.holding.sent, 1);
+    const auto load = [&] { return fixture.runners.ownLoads().at(runnerHash(UpstreamId("r1"))).requests; };
+    cr_assert_eq(load(), 1);
+    while (fixture.quota.take(fixture.routing.current()->organisations.front(), { 10'000 })) { }
+    auto late = fixture.makeRequest("/unsafe/x");
+    late.tokens = TokenCount { 50'000, 0 };
+    RecordingSink sink;
+    std::optional<Outcome<void>> result;
+    asio::co_spawn(fixture.context, fixture.holdingDispatcher.forward(late, fixture.clock.now(), sink),
+        [&result](const std::exception_ptr&, Outcome<void> outcome) { result = std::move(outcome); });
+    fixture.context.poll();
+    fixture.clock.advance(*late.timeout);
+    while (!result) {
+        fixture.context.run_one();
+    }
+    cr_assert(!*result && result->error().runState == RunState::NotRun);
+    cr_assert_eq(fixture.runners.ownLoads().size(), 1, "the runner has no request");
+    cr_assert_eq(load(), 1);
+    cr_assert_eq(fixture.metrics.total(Counter::UpstreamFailures), 0);
+    fixture.endWait(WaitEnd::Released);
+}
