Report reads that are not used since they are older than the local records

The first rejected read in a row is now an event with both positions, and each counts in store_reads_rejected_total.

StoreCrossing::reportsReadsThatAreOlderThanTheLocalRecords needs the new counter and event; there was nothing that it could have checked before.

--- a/Source/Core/Gateway/GatewaySync.cpp
+++ b/Source/Core/Gateway/GatewaySync.cpp
@@ -55,6 +55,15 @@
     }
 }
 
+void GatewaySync::recordRejectedRead(std::int64_t revision)
+{
+    m_context.metrics.count(Counter::StoreReadsRejected);
+    if (!std::exchange(m_isReadRejected, true)) {
+        m_context.timeline.record(EventKind::StoreReadRejected,
+            { { "read", std::to_string(revision) }, { "local", std::to_string(m_revision) } });
+    }
+}
+
 Task<Outcome<void>> GatewaySync::readAll(ChangeFeed& feed)
 {
     const auto requestedAt = m_context.clock.now();
@@ -64,6 +73,7 @@
     }
     if (records->range.revision < m_revision) {
         // Another VM's records may be older than what this one has already used.
+        recordRejectedRead(records->range.revision);
         co_return fail(ErrorCode::StoreUnavailable, "the records are older than the local ones");
     }
     std::vector<RunnerEntry> runners;
@@ -96,6 +106,7 @@
     m_freshAt = std::max(m_freshAt, requestedAt - records->age);
     m_answeredAt = m_context.clock.now();
     m_needsRead = false;
+    m_isReadRejected = false;
     m_context.log.replace(records->range);
     if (m_onRead) {
         m_onRead();
--- a/Source/Core/Gateway/GatewaySync.h
+++ b/Source/Core/Gateway/GatewaySync.h
@@ -95,6 +95,8 @@
     std::chrono::milliseconds nextWait(bool isFollower) const;
     /// @param isFollower Whether the changes came from another VM.
     std::chrono::milliseconds batchDelay(bool isFollower) const;
+    /// Counts a read whose records are older than the local ones; the first one in a row is logged.
+    void recordRejectedRead(std::int64_t revision);
     void setReachable(bool isReachable, std::string_view why);
 
     GatewaySyncContext m_context;
@@ -107,6 +109,8 @@
     /// Whether a call has failed since then.
     bool m_isAnswerLost = false;
     bool m_isReachable = false;
+    /// Whether the last read was rejected.
+    bool m_isReadRejected = false;
     /// Whether the changes since the last read may be incomplete.
     bool m_needsRead = true;
     std::function<void()> m_onRead;
--- a/Source/Core/Metrics/Counter.h
+++ b/Source/Core/Metrics/Counter.h
@@ -47,6 +47,8 @@
     ClaimsReplayed,
     StoreCalls,
     StoreFailures,
+    /// Reads of all records whose result was older than the local records.
+    StoreReadsRejected,
     StaleConfigurations,
     PeerBytesSent,
     PeerBytesReceived,
@@ -104,6 +106,7 @@
         EnumName { Counter::ClaimsReplayed, "claims_replayed_total" },
         EnumName { Counter::StoreCalls, "store_calls_total" },
         EnumName { Counter::StoreFailures, "store_failures_total" },
+        EnumName { Counter::StoreReadsRejected, "store_reads_rejected_total" },
         EnumName { Counter::StaleConfigurations, "stale_configurations_total" },
         EnumName { Counter::PeerBytesSent, "peer_bytes_sent_total" },
         EnumName { Counter::PeerBytesReceived, "peer_bytes_received_total" },
--- /dev/null
+++ b/Source/UnitTests/Gateway/StoreCrossingTests.cpp
@@ -0,0 +1,89 @@
+#include "Gateway/GatewayFixture.h"
+#include "Gateway/GatewaySync.h"
+#include "Gateway/QuarantineRecords.h"
+#include "Gateway/RestoringStore.h"
+
+using namespace Pollenwind;
+using namespace std::chrono_literals;
+
+namespace {
+
+// Longest time for which a test waits for a condition.
+constexpr std::chrono::seconds conditionTimeout { 20 };
+
+/// A VM that follows a store with one configuration and two runners. The time of its tables passes only by hand.
+struct CrossingFixture {
+    CrossingFixture()
+    {
+        store.put("config", "1 k1 k2");
+        store.put("runner/r1", "1 ready");
+        store.put("runner/r2", "1 ready");
+        asio::co_spawn(context, sync.run(), asio::detached);
+        runUntil([this] { return candidates() == 2; });
+    }
+
+    /// Runs the synchronisation until a condition holds; fails the test when it does not within the timeout.
+    template <typename Condition> void runUntil(Condition condition)
+    {
+        const auto limit = std::chrono::steady_clock::now() + conditionTimeout;
+        while (!condition()) {
+            cr_assert(std::chrono::steady_clock::now() < limit, "the condition did not hold in time");
+            context.run_for(1ms);
+        }
+    }
+    /// Runs the synchronisation until it has taken over a change that is written now.
+    void runUntilFollowed()
+    {
+        const auto version = ++target;
+        store.put("target", std::to_string(version));
+        runUntil([&] {
+            return runners.targetWeights().contains("model") && runners.targetWeights().at("model") == version;
+        });
+    }
+    std::size_t candidates() const { return runners.candidates(ServiceId("app"), "").size(); }
+    bool hasKey(const std::string& key) const { return routing.findOrganisation(sha256(key)) != nullptr; }
+    std::vector<TimelineEvent> eventsOf(EventKind kind) const
+    {
+        auto events = timeline.events();
+        std::erase_if(events, [kind](const auto& it) { return it.kind != kind; });
+        return events;
+    }
+
+    asio::io_context context;
+    ManualClock clock;
+    MetricTable metrics;
+    Timeline timeline { clock, "test" };
+    RoutingTable routing { timeline };
+    RunnerTable runners { clock, timeline, {} };
+    FleetQuota quota { clock };
+    FleetView fleet { clock, timeline, VmId("vm"), ZoneId("a") };
+    IgnoredCommands commands;
+    OrderLease orders { clock, commands, timeline, VmId("vm"), Incarnation(1), {} };
+    RestoringStore store;
+    TextCodec codec;
+    FeedPolicy policy { clock, fleet, VmId("vm"), 4000ms };
+    ChangeFeeds feeds { context.get_executor(), store, policy, timeline };
+    ChangeLog log;
+    RolloutTable rollouts { clock, timeline, metrics, { { 0.1, 50 } } };
+    PartQuarantine quarantine { clock, timeline, metrics, fleet };
+    QuarantineRecords quarantineRecords { clock, commands, quarantine, quarantine, fleet };
+    GatewaySync sync { { clock, feeds, log, codec, routing, runners, quota, fleet, orders, timeline, metrics,
+                           quarantineRecords, rollouts },
+        { .watchWait = 200ms, .batchDelay = 1ms, .retryPause = 1ms } };
+    std::int64_t target = 1;
+};
+
+} // namespace
+
+// Guards against reads that are not used and leave no trace: all requests were refused for seconds, and the log did not
+// differ from that of a store which did not answer.
+Test(StoreCrossing, reportsReadsThatAreOlderThanTheLocalRecords)
+{
+    CrossingFixture fixture;
+    fixture.store.readPosition = fixture.store.position() - 1;
+    fixture.store.forgetHistory();
+    fixture.runUntil([&] { return fixture.metrics.total(Counter::StoreReadsRejected) >= 3; });
+    cr_assert_eq(fixture.eventsOf(EventKind::StoreReadRejected).size(), 1);
+    fixture.store.readPosition.reset();
+    fixture.runUntilFollowed();
+}
