End the right to give orders with the era of the store

Runners could get orders of two VMs in turns: after a restore the holder went on until it failed to renew its lease, and the next holder gave orders at once when the copy lacked the record that the last one may be giving orders.

The holder now loses the lease with the first position of a new era. Only the VM that still held the lease by its own clock goes on without a pause and acquires the lease first. A store in its first era is taken for a fresh one, so nothing changes there. Holder records of an earlier era are ignored.

The fencing token is a position and rises although revisions fall.

--- a/Source/Core/Gateway/OrderLease.cpp
+++ b/Source/Core/Gateway/OrderLease.cpp
@@ -32,11 +32,30 @@
 {
 }
 
+void OrderLease::updateStorePosition(std::int64_t position)
+{
+    if (!m_era.update(position)) {
+        return;
+    }
+    const auto now = m_clock.now();
+    m_wasHolder = now < m_validUntil;
+    m_earlierLeasesEnd = now + m_options.timeToLive;
+    m_isHolderKnown = false;
+    if (m_isHeld) {
+        lose("the store was restored");
+    }
+}
+
 void OrderLease::updateHolder(const std::string& holder, std::int64_t revision)
 {
+    updateStorePosition(revision);
+    if (m_era.isEarlier(revision)) {
+        return;
+    }
     m_isHolderKnown = true;
     m_holder = holder;
     if (m_isHeld && holder != m_holderValue && revision > m_fencingToken) {
+        m_validUntil = MonotonicTime(0);
         lose("another VM holds the lease");
     }
 }
@@ -49,6 +68,7 @@
 
 void OrderLease::updateState(const std::string& value, std::int64_t revision)
 {
+    updateStorePosition(revision);
     if (revision <= m_stateRevision) {
         return;
     }
@@ -86,7 +106,7 @@
         }
         if (m_isHolderKnown && m_holder.empty()) {
             co_await sleepFor(acquireDelay());
-            if (m_holder.empty() && !m_isReleased) {
+            if (m_isHolderKnown && m_holder.empty() && !m_isReleased) {
                 co_await acquire();
             }
         }
@@ -96,10 +116,23 @@
 
 std::chrono::milliseconds OrderLease::acquireDelay() const
 {
+    if (m_wasHolder) {
+        return std::chrono::milliseconds(0);
+    }
     const auto spread = std::max<std::uint64_t>(minSpreadMs, spreadMsPerVm * m_fleetSize);
     return std::chrono::milliseconds(XXH3_64bits(m_holderValue.data(), m_holderValue.size()) % spread);
 }
 
+MonotonicTime OrderLease::firstOrderTime() const
+{
+    const auto now = m_clock.now();
+    const bool mayFollowOther = m_isStateActive && m_stateVm != m_vm.value();
+    const bool mayFollowEarlierEra = m_earlierLeasesEnd.count() > 0 && !m_wasHolder;
+    // The pause of an earlier lease of this VM may not have passed.
+    return std::max({ now, m_orderFrom, mayFollowOther ? now + m_options.handoverPause : now,
+        mayFollowEarlierEra ? m_earlierLeasesEnd + m_options.handoverPause : now });
+}
+
 Task<> OrderLease::acquire()
 {
     const auto requestedAt = m_clock.now();
@@ -115,16 +148,22 @@
         }
         co_return;
     }
+    updateStorePosition(swapped->revision);
+    if (m_era.isEarlier(swapped->revision)) {
+        co_return;
+    }
     m_isHeld = true;
     m_lease = *lease;
     m_fencingToken = swapped->revision;
     m_validUntil = requestedAt + m_options.timeToLive;
+    m_isHolderKnown = true;
     m_holder = m_holderValue;
-    const bool mayFollowOther = m_isStateActive && m_stateVm != m_vm.value();
-    m_orderFrom = m_clock.now() + (mayFollowOther ? m_options.handoverPause : std::chrono::milliseconds(0));
+    m_orderFrom = firstOrderTime();
+    const auto pause = std::chrono::duration_cast<std::chrono::milliseconds>(m_orderFrom - m_clock.now());
     m_timeline.record(EventKind::LeaseTaken,
         { { "lease", "orders" }, { "token", std::to_string(m_fencingToken) },
-            { "follows_active_holder", mayFollowOther ? "true" : "false" } });
+            { "follows_active_holder", pause.count() > 0 ? "true" : "false" },
+            { "pause_ms", std::to_string(pause.count()) } });
 }
 
 Task<> OrderLease::renew()
--- a/Source/Core/Gateway/OrderLease.h
+++ b/Source/Core/Gateway/OrderLease.h
@@ -3,6 +3,7 @@
 #include "Common/Clock.h"
 #include "Common/Ids.h"
 #include "Common/Task.h"
+#include "Gateway/StoreEraTracker.h"
 #include "Store/Commands/StoreCommands.h"
 #include "Timeline/Commands/TimelineCommands.h"
 
@@ -24,6 +25,10 @@
 };
 
 /// The right to give orders to runners, which one VM at a time holds through a lease in the store.
+///
+/// A lease ends with the era of the store. The store that comes back from a copy does not tell who held it last or
+/// whether orders were given, so the first orders of an era wait until no holder of an earlier one can give orders any
+/// more, and for the handover pause. Only the VM that still held the lease of the earlier era need not wait.
 class OrderLease {
 public:
     OrderLease(const Clock& clock, StoreCommands& store, TimelineCommands& timeline, VmId vm, Incarnation incarnation,
@@ -37,6 +42,9 @@
     /// Time that this VM waits before it tries to acquire a lease without a holder. It differs between the VMs.
     std::chrono::milliseconds acquireDelay() const;
 
+    /// Takes over a position of the store. With a new era this VM loses the lease, and it acquires the lease again only
+    /// after the holder of the new era has been set.
+    void updateStorePosition(std::int64_t position);
     /// Sets the holder from its record in the store. This VM loses the lease if the record names another holder and is
     /// newer than its own.
     void updateHolder(const std::string& holder, std::int64_t revision);
@@ -51,8 +59,8 @@
     bool mayOrderWithin(std::chrono::nanoseconds time) const;
     /// Whether this VM holds the lease.
     bool isHeld() const { return m_isHeld && m_clock.now() < m_validUntil; }
-    /// Revision of the holder's record in the store, which increases with each new holder. It is sent with each
-    /// order.
+    /// Position of the holder's record in the store, which increases with each new holder, also across eras. It is sent
+    /// with each order.
     std::int64_t fencingToken() const { return m_fencingToken; }
 
     /// Records in the store that orders begin, so that the next holder waits before it gives its own.
@@ -70,6 +78,8 @@
 private:
     Task<> acquire();
     Task<> renew();
+    /// Time of the first order under a lease that has just been acquired.
+    MonotonicTime firstOrderTime() const;
     Task<bool> writeState(bool isActive);
     void lose(std::string_view why);
 
@@ -96,6 +106,13 @@
     MonotonicTime m_orderFrom { 0 };
     /// 0 if this VM has given no order.
     MonotonicTime m_lastOrderAt { 0 };
+
+    StoreEraTracker m_era;
+    /// Time at which each lease of an earlier era has ended; 0 if there was no earlier era.
+    MonotonicTime m_earlierLeasesEnd { 0 };
+    /// Whether this VM still held the lease of the earlier era when it learned of this one, so that no other VM can
+    /// have given orders.
+    bool m_wasHolder = false;
 };
 
 } // namespace Pollenwind
