Erase a holder record that names this VM without a lease

No VM could give orders while a copy of the store named a VM as the holder whose lease was void, or after a write of the holder that took effect and got no answer: the VM took its own name for another holder and waited for the end of a lease that the copy may not end.

The VM now erases such a record by its position and acquires the lease as usual.

Failed before: OrderLeaseEra/erasesItsOwnRecordOfTheCopy ("fencingToken() > token is false"), erasesItsOwnRecordOfAWriteInDoubt ("lease.isHeld() is false").

--- a/Source/Core/Gateway/OrderLease.cpp
+++ b/Source/Core/Gateway/OrderLease.cpp
@@ -54,6 +54,7 @@
     }
     m_isHolderKnown = true;
     m_holder = holder;
+    m_holderRevision = revision;
     if (m_isHeld && holder != m_holderValue && revision > m_fencingToken) {
         m_validUntil = MonotonicTime(0);
         lose("another VM holds the lease");
@@ -104,6 +105,9 @@
             co_await sleepFor(m_options.renewInterval);
             continue;
         }
+        if (m_isHolderKnown && m_holder == m_holderValue) {
+            co_await eraseOwnRecord();
+        }
         if (m_isHolderKnown && m_holder.empty()) {
             co_await sleepFor(acquireDelay());
             if (m_isHolderKnown && m_holder.empty() && !m_isReleased) {
@@ -123,6 +127,20 @@
     return std::chrono::milliseconds(XXH3_64bits(m_holderValue.data(), m_holderValue.size()) % spread);
 }
 
+Task<> OrderLease::eraseOwnRecord()
+{
+    const auto revision = m_holderRevision;
+    const auto erased = co_await m_store.compareAndErase(std::string(orderHolderKey), revision);
+    if (!erased || revision != m_holderRevision) {
+        co_return;
+    }
+    if (!erased->isSwapped && erased->found) {
+        updateHolder(erased->found->value, erased->found->modRevision);
+    } else {
+        clearHolder();
+    }
+}
+
 MonotonicTime OrderLease::firstOrderTime() const
 {
     const auto now = m_clock.now();
@@ -158,6 +176,7 @@
     m_validUntil = requestedAt + m_options.timeToLive;
     m_isHolderKnown = true;
     m_holder = m_holderValue;
+    m_holderRevision = swapped->revision;
     m_orderFrom = firstOrderTime();
     const auto pause = std::chrono::duration_cast<std::chrono::milliseconds>(m_orderFrom - m_clock.now());
     m_timeline.record(EventKind::LeaseTaken,
--- a/Source/Core/Gateway/OrderLease.h
+++ b/Source/Core/Gateway/OrderLease.h
@@ -78,6 +78,9 @@
 private:
     Task<> acquire();
     Task<> renew();
+    /// Erases a holder record that names this VM although it does not hold the lease, e.g. one that came back with a
+    /// copy of the store, or one whose write got no answer.
+    Task<> eraseOwnRecord();
     /// Time of the first order under a lease that has just been acquired.
     MonotonicTime firstOrderTime() const;
     Task<bool> writeState(bool isActive);
@@ -94,6 +97,7 @@
 
     bool m_isHolderKnown = false;
     std::string m_holder;
+    std::int64_t m_holderRevision = 0;
     std::string m_stateVm;
     bool m_isStateActive = false;
     std::int64_t m_stateRevision = 0;
--- a/Source/UnitTests/Gateway/OrderLeaseEraTests.cpp
+++ b/Source/UnitTests/Gateway/OrderLeaseEraTests.cpp
@@ -197,3 +197,39 @@
         cr_assert(fixture.lease.mayOrder());
     });
 }
+
+// Guards against a lease without a holder until the copy's lease ends, or for ever if it does not: the copy may name
+// this VM although its lease is void.
+Test(OrderLeaseEra, erasesItsOwnRecordOfTheCopy)
+{
+    EraFixture fixture;
+    fixture.run([&]() -> Task<> {
+        fixture.readAll();
+        co_await fixture.waitUntilHeld();
+        const auto token = fixture.lease.fencingToken();
+        fixture.store.restore(fixture.store.copy());
+        fixture.readAll();
+        cr_assert_eq(fixture.store.find(holderKey).value, "own/1");
+        co_await fixture.waitUntilHeld();
+        cr_assert_gt(fixture.lease.fencingToken(), token);
+    });
+}
+
+// Guards against the same when a write got no answer and took effect: its lease is never renewed, yet the record must
+// not be taken for another VM's.
+Test(OrderLeaseEra, erasesItsOwnRecordOfAWriteInDoubt)
+{
+    EraFixture fixture;
+    fixture.run([&]() -> Task<> {
+        fixture.store.losesNextAnswer = true;
+        fixture.readAll();
+        for (unsigned n = 0; n < 200 && fixture.store.losesNextAnswer; ++n) {
+            co_await sleepFor(5ms);
+        }
+        cr_assert(!fixture.lease.isHeld());
+        cr_assert_eq(fixture.store.find(holderKey).value, "own/1");
+        fixture.readAll();
+        co_await fixture.waitUntilHeld();
+        cr_assert(fixture.lease.mayOrder());
+    });
+}
