Write the state of the orders by positions of the present era

After a restore a VM could give no orders for the rest of its life when the copy lacked the state record: the condition named a position of the earlier era, which is refused each time, and no record came that would replace it. A VM that had recorded its orders in the earlier era also took them for recorded.

A state of an earlier era now counts as absent. If the copy has one, the refusal shows it, and the next attempt replaces it.

--- a/Source/Core/Gateway/OrderLease.cpp
+++ b/Source/Core/Gateway/OrderLease.cpp
@@ -198,10 +198,14 @@
     }
 }
 
+bool OrderLease::isStateStored() const { return !m_era.isEarlier(m_stateRevision); }
+
 Task<bool> OrderLease::writeState(bool isActive)
 {
     const JsonFields::Json record { { "vm", m_vm.value() }, { "active", isActive } };
-    const auto swapped = co_await m_store.compareAndSwap(std::string(orderStateKey), m_stateRevision, record.dump());
+    // The copy from which the store was restored may not have the record.
+    const auto expected = isStateStored() ? m_stateRevision : 0;
+    const auto swapped = co_await m_store.compareAndSwap(std::string(orderStateKey), expected, record.dump());
     if (swapped && swapped->isSwapped) {
         m_stateRevision = swapped->revision;
         m_stateVm = m_vm.value();
@@ -216,7 +220,7 @@
 
 Task<bool> OrderLease::beginOrders()
 {
-    if (m_isStateActive && m_stateVm == m_vm.value()) {
+    if (m_isStateActive && m_stateVm == m_vm.value() && isStateStored()) {
         co_return true;
     }
     co_return co_await writeState(true);
--- a/Source/Core/Gateway/OrderLease.h
+++ b/Source/Core/Gateway/OrderLease.h
@@ -83,6 +83,8 @@
     Task<> eraseOwnRecord();
     /// Time of the first order under a lease that has just been acquired.
     MonotonicTime firstOrderTime() const;
+    /// Whether the known state belongs to the present era of the store.
+    bool isStateStored() const;
     Task<bool> writeState(bool isActive);
     void lose(std::string_view why);
 
--- a/Source/UnitTests/Gateway/OrderLeaseEraTests.cpp
+++ b/Source/UnitTests/Gateway/OrderLeaseEraTests.cpp
@@ -233,3 +233,50 @@
         cr_assert(fixture.lease.mayOrder());
     });
 }
+
+// Guards against a VM that can give no orders for the rest of its life, because the record that it would replace has
+// been lost with the earlier era.
+Test(OrderLeaseEra, writesTheStateAnewWhenTheCopyLacksIt)
+{
+    EraFixture fixture;
+    fixture.run([&]() -> Task<> {
+        const auto copied = fixture.store.copy();
+        fixture.readAll();
+        co_await fixture.waitUntilHeld();
+        cr_assert(co_await fixture.lease.beginOrders());
+        fixture.lease.recordOrder();
+        fixture.store.restore(copied);
+        fixture.readAll();
+        co_await fixture.waitUntilHeld();
+        cr_assert(co_await fixture.lease.beginOrders());
+        cr_assert(fixture.store.find(stateKey).value.find("true") != std::string::npos);
+        // The end of the orders is recorded in the new era too.
+        co_await fixture.advance(4s);
+        co_await fixture.lease.endOrders();
+        cr_assert(fixture.store.find(stateKey).value.find("false") != std::string::npos);
+    });
+}
+
+// The copy may have an older state than this VM knows.
+Test(OrderLeaseEra, replacesAnOlderStateOfTheCopy)
+{
+    EraFixture fixture;
+    fixture.run([&]() -> Task<> {
+        fixture.store.write(stateKey, R"({"vm":"other","active":false})");
+        const auto copied = fixture.store.copy();
+        fixture.readAll();
+        co_await fixture.waitUntilHeld();
+        cr_assert(co_await fixture.lease.beginOrders());
+        fixture.store.restore(copied);
+        // The first attempt may come before the records have been read, and finds the record of the copy.
+        fixture.lease.updateStorePosition(fixture.store.currentPosition());
+        fixture.lease.clearHolder();
+        co_await fixture.waitUntilHeld();
+        bool isBegun = false;
+        for (unsigned n = 0; n < 3 && !isBegun; ++n) {
+            isBegun = co_await fixture.lease.beginOrders();
+        }
+        cr_assert(isBegun);
+        cr_assert(fixture.store.find(stateKey).value.find("own") != std::string::npos);
+    });
+}
