--- a/Source/Core/Gateway/OrderLease.cpp
+++ b/Source/Core/Gateway/OrderLease.cpp
@@ -32,11 +32,31 @@
 {
 }
 
+void OrderLease::updateStorePosition(std::int64_t position)
+{
+    if (!m_era.update(position)) {
+        return;
+    }
+    const auto now = m_clock.now();
+    m_wasHolder = now < m_validUntil;
+    m_earlierLeasesEnd = now + m_options.timeToLive;
+    m_isHolderKnown = false;
+    if (m_isHeld) {
+        lose("the store was restored");
+    }
+}
+
 void OrderLease::updateHolder(const std::string& holder, std::int64_t revision)
 {
+    updateStorePosition(revision);
+    if (m_era.isEarlier(revision)) {
+        return;
+    }
     m_isHolderKnown = true;
     m_holder = holder;
+    m_holderRevision = revision;
     if (m_isHeld && holder != m_holderValue && revision > m_fencingToken) {
+        m_validUntil = MonotonicTime(0);
         lose("another VM holds the lease");
     }
 }
@@ -49,6 +69,7 @@
 
 void OrderLease::updateState(const std::string& value, std::int64_t revision)
 {
+    updateStorePosition(revision);
     if (revision <= m_stateRevision) {
         return;
     }
@@ -84,9 +105,12 @@
             co_await sleepFor(m_options.renewInterval);
             continue;
         }
+        if (m_isHolderKnown && m_holder == m_holderValue) {
+            co_await eraseOwnRecord();
+        }
         if (m_isHolderKnown && m_holder.empty()) {
             co_await sleepFor(acquireDelay());
-            if (m_holder.empty() && !m_isReleased) {
+            if (m_isHolderKnown && m_holder.empty() && !m_isReleased) {
                 co_await acquire();
             }
         }
@@ -96,10 +120,37 @@
 
 std::chrono::milliseconds OrderLease::acquireDelay() const
 {
+    if (m_wasHolder) {
+        return std::chrono::milliseconds(0);
+    }
     const auto spread = std::max<std::uint64_t>(minSpreadMs, spreadMsPerVm * m_fleetSize);
     return std::chrono::milliseconds(XXH3_64bits(m_holderValue.data(), m_holderValue.size()) % spread);
 }
 
+Task<> OrderLease::eraseOwnRecord()
+{
+    const auto revision = m_holderRevision;
+    const auto erased = co_await m_store.compareAndErase(std::string(orderHolderKey), revision);
+    if (!erased || revision != m_holderRevision) {
+        co_return;
+    }
+    if (!erased->isSwapped && erased->found) {
+        updateHolder(erased->found->value, erased->found->modRevision);
+    } else {
+        clearHolder();
+    }
+}
+
+MonotonicTime OrderLease::firstOrderTime() const
+{
+    const auto now = m_clock.now();
+    const bool mayFollowOther = m_isStateActive && m_stateVm != m_vm.value();
+    const bool mayFollowEarlierEra = m_earlierLeasesEnd.count() > 0 && !m_wasHolder;
+    // The pause of an earlier lease of this VM may not have passed.
+    return std::max({ now, m_orderFrom, mayFollowOther ? now + m_options.handoverPause : now,
+        mayFollowEarlierEra ? m_earlierLeasesEnd + m_options.handoverPause : now });
+}
+
 Task<> OrderLease::acquire()
 {
     const auto requestedAt = m_clock.now();
@@ -115,16 +166,23 @@
         }
         co_return;
     }
+    updateStorePosition(swapped->revision);
+    if (m_era.isEarlier(swapped->revision)) {
+        co_return;
+    }
     m_isHeld = true;
     m_lease = *lease;
     m_fencingToken = swapped->revision;
     m_validUntil = requestedAt + m_options.timeToLive;
+    m_isHolderKnown = true;
     m_holder = m_holderValue;
-    const bool mayFollowOther = m_isStateActive && m_stateVm != m_vm.value();
-    m_orderFrom = m_clock.now() + (mayFollowOther ? m_options.handoverPause : std::chrono::milliseconds(0));
+    m_holderRevision = swapped->revision;
+    m_orderFrom = firstOrderTime();
+    const auto pause = std::chrono::duration_cast<std::chrono::milliseconds>(m_orderFrom - m_clock.now());
     m_timeline.record(EventKind::LeaseTaken,
         { { "lease", "orders" }, { "token", std::to_string(m_fencingToken) },
-            { "follows_active_holder", mayFollowOther ? "true" : "false" } });
+            { "follows_active_holder", pause.count() > 0 ? "true" : "false" },
+            { "pause_ms", std::to_string(pause.count()) } });
 }
 
 Task<> OrderLease::renew()
@@ -140,10 +198,14 @@
     }
 }
 
+bool OrderLease::isStateStored() const { return !m_era.isEarlier(m_stateRevision); }
+
 Task<bool> OrderLease::writeState(bool isActive)
 {
     const JsonFields::Json record { { "vm", m_vm.value() }, { "active", isActive } };
-    const auto swapped = co_await m_store.compareAndSwap(std::string(orderStateKey), m_stateRevision, record.dump());
+    // The copy from which the store was restored may not have the record.
+    const auto expected = isStateStored() ? m_stateRevision : 0;
+    const auto swapped = co_await m_store.compareAndSwap(std::string(orderStateKey), expected, record.dump());
     if (swapped && swapped->isSwapped) {
         m_stateRevision = swapped->revision;
         m_stateVm = m_vm.value();
@@ -158,7 +220,7 @@
 
 Task<bool> OrderLease::beginOrders()
 {
-    if (m_isStateActive && m_stateVm == m_vm.value()) {
+    if (m_isStateActive && m_stateVm == m_vm.value() && isStateStored()) {
         co_return true;
     }
     co_return co_await writeState(true);
