Send no request whose time passed while it was connected

A request whose time ran out while it waited for its connection was sent all the same. From reading: a write is tried at once, before its timer, so the runner works in vain, and the caller of a request that may not be repeated is told 504 with the outcome unknown.

The time is checked again when the connection is made, where the runner's availability is checked. The request then ends as not run, and counts neither against the runner nor against its version. An attempt is in the phase "sent" from the moment its request is handed to the connection, instead of by the kind of its error.

ConfigurationChange::doesNotSendARequestWhoseTimeIsOverWhenItsConnectionIsMade failed before: the check that nothing was sent, for "/safe/x". GatewayTests after the change: 144 pass.

--- a/Source/Core/Gateway/ForwardDispatcher.cpp
+++ b/Source/Core/Gateway/ForwardDispatcher.cpp
@@ -419,15 +419,11 @@
         limit = std::min<std::chrono::nanoseconds>(limit, route.objective * firstEventTimeoutFactor);
     }
     const auto head = co_await send(*exchange, delivery, untilBeginLimit(limit, delivery));
-    if (head) {
-        delivery.phase = AttemptPhase::HeadReceived;
-    } else if (head.error().code != ErrorCode::ConnectFailed && !delivery.isDiverted) {
-        delivery.phase = AttemptPhase::Sent;
-    }
     Outcome<void> result;
     if (!head) {
         result = std::unexpected(head.error());
     } else {
+        delivery.phase = AttemptPhase::HeadReceived;
         recordAvailability(request, *head, delivery);
         result = co_await relayAnswer(request, *exchange, *head, sink, delivery);
     }
@@ -470,7 +466,13 @@
         delivery.isDiverted = true;
         co_return fail(ErrorCode::Unavailable, "the runner became unavailable before the request was sent");
     }
-    co_return co_await exchange.begin(end - m_context.clock.now());
+    const auto left = end - m_context.clock.now();
+    if (left.count() <= 0) {
+        // Unavailable, since the runner has not received the request: it is no evidence on the runner or its version.
+        co_return fail(ErrorCode::Unavailable, "the time of the attempt passed before the request was sent");
+    }
+    delivery.phase = AttemptPhase::Sent;
+    co_return co_await exchange.begin(left);
 }
 
 void ForwardDispatcher::recordAvailability(const ForwardRequest& request, const ReplyHead& head, Delivery& delivery)
--- a/Source/UnitTests/Gateway/ConfigurationChangeTests.cpp
+++ b/Source/UnitTests/Gateway/ConfigurationChangeTests.cpp
@@ -342,3 +342,17 @@
     cr_assert_eq(fixture.metrics.total(Counter::UpstreamFailures), 0);
     fixture.endWait(WaitEnd::Released);
 }
+
+// A request whose time runs out while it waits for its connection must not be sent: it would run in vain, and its
+// caller would be told that it may have run.
+Test(ConfigurationChange, doesNotSendARequestWhoseTimeIsOverWhenItsConnectionIsMade)
+{
+    for (const auto* path : { "/safe/x", "/unsafe/x", "/stream/x", "/resumable/x" }) {
+        ChangeFixture fixture(WaitKind::Connection);
+        fixture.start(path);
+        fixture.clock.advance(*fixture.request.timeout);
+        fixture.endWait(WaitEnd::Released);
+        cr_assert_eq(fixture.holding.sent, 0, "%s", path);
+        cr_assert(!*fixture.result && fixture.result->error().runState == RunState::NotRun, "%s", path);
+    }
+}
