Log an unreadable record once until it can be read again

What an operator would see: a line about one odd entry of another writer with each of its heartbeats and with each full read of the store.

Cause: the line was written whenever the record was read.

Evidence: OddEntry::isLoggedOncePerChangeOfState failed at its first count (more than one line for seven reads of one odd entry), and ofAVmIsLoggedOncePerChangeOfState with "log.count(odd) == (1) is false".

Now the keys of unreadable records are kept until the record can be read or is gone, so their number is bounded by the store's. The runners' entries are logged as record-unreadable with key and cause, in a full read as in a watch.

--- a/Source/Core/Gateway/FleetView.cpp
+++ b/Source/Core/Gateway/FleetView.cpp
@@ -25,23 +25,27 @@
 
 void FleetView::updateRecord(const VmId& vm, const std::string& value)
 {
-    const auto record = JsonFields::Json::parse(value, nullptr, false);
-    const auto endpoint = parseEndpoint(record.is_object() ? JsonFields::readString(record, "reports") : "");
+    const auto record = JsonFields::parseObject(value);
+    const auto endpoint = parseEndpoint(record ? JsonFields::readString(*record, "reports") : "");
     if (!endpoint) {
-        logStateChange("vm-record-unreadable", { { "vm", vm.value() } });
+        if (m_unreadableRecords.insert(vm).second) {
+            logStateChange("vm-record-unreadable", { { "vm", vm.value() } });
+        }
         return;
     }
+    m_unreadableRecords.erase(vm);
     auto& known = m_vms[vm];
     if (!known.hasRecord) {
         m_timeline.record(EventKind::MemberJoined, { { "vm", vm.value() }, { "reports", endpoint->toString() } });
     }
     known.reports = *endpoint;
-    known.zone = ZoneId(JsonFields::readString(record, "zone"));
+    known.zone = ZoneId(JsonFields::readString(*record, "zone"));
     known.hasRecord = true;
 }
 
 void FleetView::markRecordEnded(const VmId& vm)
 {
+    m_unreadableRecords.erase(vm);
     const auto it = m_vms.find(vm);
     if (it != m_vms.end() && it->second.hasRecord) {
         it->second.hasRecord = false;
@@ -52,6 +56,7 @@
 
 void FleetView::markOtherRecordsEnded(const std::set<VmId>& vms)
 {
+    std::erase_if(m_unreadableRecords, [&vms](const VmId& vm) { return !vms.contains(vm); });
     for (const auto& [vm, known] : m_vms) {
         if (!vms.contains(vm)) {
             markRecordEnded(vm);
--- a/Source/Core/Gateway/FleetView.h
+++ b/Source/Core/Gateway/FleetView.h
@@ -36,7 +36,7 @@
     /// @param reports Where the VM receives reports.
     static std::string encodeRecord(const Endpoint& reports, const ZoneId& zone);
 
-    /// Adds or updates a VM's record. An unreadable record is logged and ignored.
+    /// Adds or updates a VM's record. An unreadable record is ignored, and logged once.
     void updateRecord(const VmId& vm, const std::string& value);
     void markRecordEnded(const VmId& vm);
     /// Marks the records of all other VMs as ended.
@@ -107,6 +107,8 @@
     VmId m_ownVm;
     ZoneId m_ownZone;
     std::map<VmId, Vm> m_vms;
+    /// VMs whose records cannot be read.
+    std::set<VmId> m_unreadableRecords;
 };
 
 } // namespace Pollenwind
--- a/Source/Core/Gateway/GatewaySync.cpp
+++ b/Source/Core/Gateway/GatewaySync.cpp
@@ -74,8 +74,9 @@
             auto record = m_context.codec.decode(entry);
             if (record && std::holds_alternative<RunnerEntry>(*record)) {
                 runners.push_back(std::get<RunnerEntry>(std::move(*record)));
+                m_unreadableKeys.erase(entry.key);
             } else {
-                logStateChange("runner-entry-unreadable", { { "runner", runner->value() } });
+                recordUnreadable(entry.key, record ? "not a runner's entry" : record.error().message);
             }
             continue;
         }
@@ -85,6 +86,9 @@
         }
         apply(entry, m_freshAt, ChangeSource::Read);
     }
+    std::erase_if(m_unreadableKeys, [&records](const std::string& key) {
+        return std::ranges::find(records->range.entries, key, &StoreEntry::key) == records->range.entries.end();
+    });
     m_context.runners.replaceEntries(std::move(runners));
     m_context.fleet.markOtherRecordsEnded(vms);
     // Known before the first requests are admitted.
@@ -183,12 +187,13 @@
     }
     auto record = m_context.codec.decode(entry);
     if (!record) {
-        logStateChange("record-unreadable", { { "key", entry.key }, { "cause", record.error().message } });
+        recordUnreadable(entry.key, record.error().message);
         if (const auto runner = m_context.codec.runnerOf(entry.key)) {
             m_context.runners.markEntryEnded(*runner);
         }
         return;
     }
+    m_unreadableKeys.erase(entry.key);
     if (auto* configuration = std::get_if<RoutingConfiguration>(&*record)) {
         const auto organisations = configuration->organisations;
         if (m_context.routing.adopt(std::move(*configuration))) {
@@ -205,8 +210,16 @@
     }
 }
 
+void GatewaySync::recordUnreadable(const std::string& key, const std::string& cause)
+{
+    if (m_unreadableKeys.insert(key).second) {
+        logStateChange("record-unreadable", { { "key", key }, { "cause", cause } });
+    }
+}
+
 void GatewaySync::applyErased(const std::string& key)
 {
+    m_unreadableKeys.erase(key);
     if (key.starts_with(vmRecordPrefix)) {
         m_context.fleet.markRecordEnded(VmId(key.substr(vmRecordPrefix.size())));
     } else if (key == orderHolderKey) {
--- a/Source/Core/Gateway/GatewaySync.h
+++ b/Source/Core/Gateway/GatewaySync.h
@@ -15,6 +15,8 @@
 #include "Timeline/Commands/TimelineCommands.h"
 
 #include <functional>
+#include <set>
+#include <string>
 
 namespace Pollenwind {
 
@@ -91,6 +93,8 @@
     /// @param writtenAfter Earliest time at which the entry may have been written; 0 when that is not known.
     void apply(const StoreEntry& entry, MonotonicTime writtenAfter, ChangeSource source);
     void applyErased(const std::string& key);
+    /// Logs a record that cannot be read when it was readable or absent before.
+    void recordUnreadable(const std::string& key, const std::string& cause);
     /// Longest wait of the next call for changes.
     std::chrono::milliseconds nextWait(bool isFollower) const;
     /// @param isFollower Whether the changes came from another VM.
@@ -109,6 +113,8 @@
     bool m_isReachable = false;
     /// Whether the changes since the last read may be incomplete.
     bool m_needsRead = true;
+    /// Keys whose records cannot be read. Their writers repeat them with each heartbeat.
+    std::set<std::string> m_unreadableKeys;
     std::function<void()> m_onRead;
 };
 
--- a/Source/UnitTests/PlatformAdapter/OddEntryGatewayTests.cpp
+++ b/Source/UnitTests/PlatformAdapter/OddEntryGatewayTests.cpp
@@ -1,6 +1,9 @@
 #include "Common/Sleep.h"
+#include "Gateway/FleetView.h"
 #include "Gateway/Gateway.h"
 #include "PlatformAdapter/PlatformStandIns.h"
+#include "Timeline/Log.h"
+#include "Timeline/Timeline.h"
 #include "Transport/HttpClient.h"
 #include "platform/KvStoreClient.h"
 #include "platform/PlatformRecords.h"
@@ -12,6 +15,8 @@
 
 #include <criterion/criterion.h>
 
+#include <array>
+#include <cstdio>
 #include <unistd.h>
 
 using namespace Pollenwind;
@@ -24,6 +29,39 @@
 constexpr std::uint16_t firstGatewayPort = 7600;
 constexpr unsigned checkedCalls = 20;
 
+/// Takes the log of this process, which goes to the standard output.
+class LogCapture {
+public:
+    LogCapture()
+        : m_file(std::tmpfile())
+    {
+        cr_assert(m_file && dup2(fileno(m_file), STDOUT_FILENO) >= 0);
+        configureLog(LogLevel::Info);
+    }
+    LogCapture(const LogCapture&) = delete;
+    LogCapture& operator=(const LogCapture&) = delete;
+    ~LogCapture() { std::fclose(m_file); }
+
+    /// Number of lines that contain a text.
+    std::size_t count(std::string_view text) const
+    {
+        std::string all;
+        std::array<char, 4096> buf {};
+        off_t at = 0;
+        for (ssize_t n = 0; (n = pread(fileno(m_file), buf.data(), buf.size(), at)) > 0; at += n) {
+            all.append(buf.data(), static_cast<std::size_t>(n));
+        }
+        std::size_t lines = 0;
+        for (auto found = all.find(text); found != std::string::npos; found = all.find(text, found + 1)) {
+            ++lines;
+        }
+        return lines;
+    }
+
+private:
+    std::FILE* m_file;
+};
+
 /// A gateway and a store whose list of runners has odd entries between two good ones.
 struct OddEntryFixture {
     OddEntryFixture()
@@ -222,3 +260,52 @@
         cr_assert_geq(fixture.store.calls["GET /api/kv-range"], reads);
     });
 }
+
+// Guards against a log that fills with lines about one odd entry, which its writer repeats with each heartbeat.
+Test(OddEntry, isLoggedOncePerChangeOfState)
+{
+    const LogCapture log;
+    OddEntryFixture fixture;
+    fixture.store.put("servers/i-1", fixture.first.entry("app"));
+    fixture.store.put("servers/odd", "7");
+    fixture.run([&]() -> Task<> {
+        for (unsigned i = 0; i < 3; ++i) {
+            fixture.store.put("servers/odd", "[]");
+            co_await fixture.changeRoute();
+            fixture.store.put("servers/odd", "{}");
+            fixture.store.compact();
+            co_await fixture.changeRoute();
+        }
+        cr_assert_eq(log.count("servers/odd"), 1, "%zu lines", log.count("servers/odd"));
+        for (const bool isErased : { true, false }) {
+            if (isErased) {
+                fixture.store.erase("servers/odd");
+            } else {
+                fixture.store.put("servers/odd", fixture.first.entry("other"));
+            }
+            co_await fixture.changeRoute();
+            fixture.store.put("servers/odd", "7");
+            co_await fixture.changeRoute();
+        }
+        cr_assert_eq(log.count("servers/odd"), 3, "%zu lines", log.count("servers/odd"));
+    });
+}
+
+// Guards against a line about an unreadable record of a VM with each read of the store.
+Test(OddEntry, ofAVmIsLoggedOncePerChangeOfState)
+{
+    const LogCapture log;
+    const SystemClock clock;
+    Timeline timeline(clock, "test");
+    FleetView fleet(clock, timeline, VmId("vm"), ZoneId("a"));
+    const auto good = FleetView::encodeRecord({ "10.0.0.1", 80 }, ZoneId("a"));
+    for (const auto* text : { "7", "{}", R"({"reports":"10.0.0.1:70000"})", R"({"reports":"10.0.0.1:0"})", "\xff" }) {
+        fleet.updateRecord(VmId("odd"), text);
+    }
+    cr_assert_eq(log.count("odd"), 1);
+    cr_assert(!fleet.endpointOf(VmId("odd")));
+    fleet.updateRecord(VmId("odd"), good);
+    fleet.updateRecord(VmId("odd"), "7");
+    cr_assert(fleet.endpointOf(VmId("odd")) == (Endpoint { "10.0.0.1", 80 }));
+    cr_assert_eq(log.count("vm-record-unreadable"), 2);
+}
