Read a restored store at once and log what it lacks

After a watch from an earlier era ended, the first read waited for the pause after a failed call. It starts at once now, at most once in a batch delay, so that a feed that never has the changes is not read without end. The first read of a later era is logged with both positions and what the copy lacks, its time becomes the time of the last proof of freshness (what an earlier era answered proves nothing about the present one), and changes of a later era in an answer to a request of an earlier one are not used. A follower whose watcher has read a restored store reads all records from it, after a delay of up to 0.4 s of its own, instead of turning to the store.

--- a/Source/Core/Gateway/ChangeFeeds.h
+++ b/Source/Core/Gateway/ChangeFeeds.h
@@ -27,6 +27,9 @@
     /// @param isOrderHolder Whether this VM gives orders to runners.
     Selection select(std::chrono::nanoseconds age, bool isOrderHolder);
 
+    /// Delay before all records are read from a watcher that has read them anew.
+    std::chrono::milliseconds readDelay() const { return m_policy.readDelay(); }
+
     /// Records that a call to a watcher failed.
     void recordFailure(const VmId& watcher, const Error& error);
 
--- a/Source/Core/Gateway/Commands/RunnerCommands.h
+++ b/Source/Core/Gateway/Commands/RunnerCommands.h
@@ -23,6 +23,12 @@
     virtual void markEntryEnded(const UpstreamId& runner) = 0;
     /// Updates all entries and marks the entries of runners that are not in the list as ended.
     virtual void replaceEntries(std::vector<RunnerEntry> entries) = 0;
+    /// Updates the entries that a restored store has. The runners whose entries are missing stay in use until they have
+    /// had the time to write them again.
+    /// @return Number of runners whose entries are missing.
+    virtual std::size_t restoreEntries(std::vector<RunnerEntry> entries) = 0;
+    /// Marks the entries as ended that were not written again in time after a restore of the store.
+    virtual void endMissingEntries() = 0;
 
     /// Sets the target weights of a model, unless a newer target is known.
     /// @param setAfter Earliest time at which the operator may have set them; 0 when that is not known.
--- a/Source/Core/Gateway/FeedPolicy.cpp
+++ b/Source/Core/Gateway/FeedPolicy.cpp
@@ -21,6 +21,9 @@
     constexpr int maxAgePercent = 45;
     constexpr std::uint64_t maxAgeSpreadMs = 400;
 
+    // With 30 followers one read of all records begins every 13 ms. The delay adds to the age of the knowledge.
+    constexpr std::uint64_t readSpreadMs = 400;
+
 } // namespace
 
 FeedPolicy::FeedPolicy(const Clock& clock, const FleetView& fleet, VmId ownVm, std::chrono::milliseconds maxChangeDelay)
@@ -55,6 +58,8 @@
     return FeedPeer { watcher, *m_fleet.endpointOf(watcher) };
 }
 
+std::chrono::milliseconds FeedPolicy::readDelay() const { return std::chrono::milliseconds(m_ownHash % readSpreadMs); }
+
 void FeedPolicy::recordFailure(const VmId& watcher)
 {
     const auto now = m_clock.now();
--- a/Source/Core/Gateway/FeedPolicy.h
+++ b/Source/Core/Gateway/FeedPolicy.h
@@ -33,6 +33,10 @@
     /// @return The VM to follow, or nothing for the store itself.
     std::optional<FeedPeer> choose(std::chrono::nanoseconds age, bool isOrderHolder) const;
 
+    /// Delay before this VM reads all records from a watcher that has read them anew. Its other followers do so as
+    /// well, and it serves only a few at a time.
+    std::chrono::milliseconds readDelay() const;
+
     /// Records that a call to a watcher failed. It is left out for a while.
     void recordFailure(const VmId& watcher);
 
--- a/Source/Core/Gateway/FleetView.cpp
+++ b/Source/Core/Gateway/FleetView.cpp
@@ -50,13 +50,16 @@
     }
 }
 
-void FleetView::markOtherRecordsEnded(const std::set<VmId>& vms)
+std::size_t FleetView::markOtherRecordsEnded(const std::set<VmId>& vms)
 {
+    std::size_t ended = 0;
     for (const auto& [vm, known] : m_vms) {
-        if (!vms.contains(vm)) {
+        if (known.hasRecord && !vms.contains(vm)) {
             markRecordEnded(vm);
+            ++ended;
         }
     }
+    return ended;
 }
 
 bool FleetView::recordReport(const VmId& vm, Incarnation incarnation, std::uint64_t sequence, unsigned members)
--- a/Source/Core/Gateway/FleetView.h
+++ b/Source/Core/Gateway/FleetView.h
@@ -40,7 +40,8 @@
     void updateRecord(const VmId& vm, const std::string& value);
     void markRecordEnded(const VmId& vm);
     /// Marks the records of all other VMs as ended.
-    void markOtherRecordsEnded(const std::set<VmId>& vms);
+    /// @return Number of VMs that had a record.
+    std::size_t markOtherRecordsEnded(const std::set<VmId>& vms);
     /// Records that a report was received.
     /// @param members Number of VMs that a relay's report represents; 0 for a VM's own report.
     /// @return False for a report that is not newer than the last one of the same incarnation.
--- a/Source/Core/Gateway/GatewaySync.cpp
+++ b/Source/Core/Gateway/GatewaySync.cpp
@@ -3,6 +3,8 @@
 #include "Common/Sleep.h"
 #include "Gateway/GatewayKeys.h"
 #include "Gateway/RolloutRecords.h"
+#include "Gateway/StoreCrossing.h"
+#include "Store/StorePosition.h"
 #include "Timeline/Log.h"
 
 #include <algorithm>
@@ -20,8 +22,8 @@
 
 Task<> GatewaySync::run()
 {
-    auto pause = m_options.retryPause;
     for (;;) {
+        m_context.runners.endMissingEntries();
         const auto [feed, watcher] = m_context.feeds.select(age(), m_context.orders.isHeld());
         const auto result = m_needsRead ? co_await readAll(feed) : co_await readChanges(feed, watcher.has_value());
         if (!watcher) {
@@ -29,21 +31,45 @@
         }
         m_isAnswerLost = !result;
         if (result) {
-            pause = m_options.retryPause;
-            continue;
+            m_pause = m_options.retryPause;
+        } else {
+            co_await onFailure(watcher, result.error());
         }
+    }
+}
+
+Task<> GatewaySync::onFailure(std::optional<VmId> watcher, Error error)
+{
+    const bool isConflict = error.code == ErrorCode::Conflict;
+    const bool isImmediate = isConflict && takeImmediateRead();
+    if (watcher && !isImmediate) {
         // After a failed call the changes up to the local revision are still complete, so another call can continue
         // from there, at the same feed or at another one.
-        if (watcher) {
-            m_context.feeds.recordFailure(*watcher, result.error());
-            continue;
-        }
-        m_needsRead = m_needsRead || result.error().code == ErrorCode::Conflict;
-        co_await sleepFor(pause);
-        // Failed calls cost as much as others, and many VMs make them.
-        const auto longest = m_context.fleet.isLarge() ? m_options.largeFleetRetryPause : m_options.batchDelay;
-        pause = std::min(2 * pause, std::max(m_options.retryPause, longest));
+        m_context.feeds.recordFailure(*watcher, error);
+        co_return;
+    }
+    m_needsRead = m_needsRead || isConflict;
+    if (watcher) {
+        co_await sleepFor(m_context.feeds.readDelay());
+        co_return;
+    }
+    if (isImmediate) {
+        co_return;
+    }
+    co_await sleepFor(m_pause);
+    // Failed calls cost as much as others, and many VMs make them.
+    const auto longest = m_context.fleet.isLarge() ? m_options.largeFleetRetryPause : m_options.batchDelay;
+    m_pause = std::min(2 * m_pause, std::max(m_options.retryPause, longest));
+}
+
+bool GatewaySync::takeImmediateRead()
+{
+    const auto now = m_context.clock.now();
+    if (now - m_immediateReadAt < m_options.batchDelay) {
+        return false;
     }
+    m_immediateReadAt = now;
+    return true;
 }
 
 void GatewaySync::setReachable(bool isReachable, std::string_view why)
@@ -76,34 +102,12 @@
         recordRejectedRead(records->range.revision);
         co_return fail(ErrorCode::StoreUnavailable, "the records are older than the local ones");
     }
-    std::vector<RunnerEntry> runners;
-    std::set<VmId> vms;
-    bool hasHolder = false;
-    for (const auto& entry : records->range.entries) {
-        if (const auto runner = m_context.codec.runnerOf(entry.key)) {
-            auto record = m_context.codec.decode(entry);
-            if (record && std::holds_alternative<RunnerEntry>(*record)) {
-                runners.push_back(std::get<RunnerEntry>(std::move(*record)));
-            } else {
-                logStateChange("runner-entry-unreadable", { { "runner", runner->value() } });
-            }
-            continue;
-        }
-        hasHolder = hasHolder || entry.key == orderHolderKey;
-        if (entry.key.starts_with(vmRecordPrefix)) {
-            vms.insert(VmId(entry.key.substr(vmRecordPrefix.size())));
-        }
-        apply(entry, m_freshAt, ChangeSource::Read);
-    }
-    m_context.runners.replaceEntries(std::move(runners));
-    m_context.fleet.markOtherRecordsEnded(vms);
-    // Known before the first requests are admitted.
-    m_context.quota.setLargeFleet(m_context.fleet.isLarge());
-    if (!hasHolder) {
-        m_context.orders.clearHolder();
-    }
+    const bool isRestored = StorePosition::isBefore(m_revision, StorePosition::eraOf(records->range.revision));
+    applyAll(records->range, isRestored);
     m_revision = records->range.revision;
-    m_freshAt = std::max(m_freshAt, requestedAt - records->age);
+    // What an earlier era answered proves nothing about the present one.
+    const auto readAt = requestedAt - records->age;
+    m_freshAt = isRestored ? readAt : std::max(m_freshAt, readAt);
     m_answeredAt = m_context.clock.now();
     m_needsRead = false;
     m_isReadRejected = false;
@@ -111,9 +115,58 @@
     if (m_onRead) {
         m_onRead();
     }
+    if (isRestored && m_onRestored) {
+        m_onRestored();
+    }
     co_return Outcome<void> {};
 }
 
+void GatewaySync::applyAll(const StoreRange& range, bool isRestored)
+{
+    StoreCrossing crossing { .from = m_revision, .to = range.revision, .knownConfiguration = m_configuration };
+    m_receivedConfiguration = 0;
+    Listing listing;
+    for (const auto& entry : range.entries) {
+        list(entry, listing);
+    }
+    crossing.runners = listing.runners.size();
+    if (isRestored) {
+        crossing.missingRunners = m_context.runners.restoreEntries(std::move(listing.runners));
+    } else {
+        m_context.runners.replaceEntries(std::move(listing.runners));
+    }
+    crossing.missingVms = m_context.fleet.markOtherRecordsEnded(listing.vms);
+    // Known before the first requests are admitted.
+    m_context.quota.setLargeFleet(m_context.fleet.isLarge());
+    if (!listing.hasHolder) {
+        m_context.orders.clearHolder();
+    }
+    if (isRestored) {
+        crossing.copiedConfiguration = m_receivedConfiguration;
+        m_context.metrics.count(Counter::StoreRestores);
+        m_context.timeline.record(EventKind::StoreRestored, crossing.fields());
+    }
+}
+
+void GatewaySync::list(const StoreEntry& entry, Listing& listing)
+{
+    if (const auto runner = m_context.codec.runnerOf(entry.key)) {
+        auto record = m_context.codec.decode(entry);
+        if (record && std::holds_alternative<RunnerEntry>(*record)) {
+            listing.runners.push_back(std::get<RunnerEntry>(std::move(*record)));
+            listing.runners.back().revision = entry.modRevision;
+        } else {
+            logStateChange("runner-entry-unreadable", { { "runner", runner->value() } });
+        }
+        return;
+    }
+    listing.hasHolder = listing.hasHolder || entry.key == orderHolderKey;
+    if (entry.key.starts_with(vmRecordPrefix)) {
+        listing.vms.insert(VmId(entry.key.substr(vmRecordPrefix.size())));
+    }
+    apply(entry, m_freshAt, ChangeSource::Read);
+}
+
 Task<Outcome<void>> GatewaySync::readChanges(ChangeFeed& feed, bool isFollower)
 {
     const auto requestedAt = m_context.clock.now();
@@ -122,6 +175,9 @@
     if (!reply) {
         co_return std::unexpected(reply.error());
     }
+    if (StorePosition::isBefore(m_revision, StorePosition::eraOf(reply->changes.revision))) {
+        co_return fail(ErrorCode::Conflict, "the changes belong to a later era of the store");
+    }
     const auto delay = batchDelay(isFollower) + reply->age;
     const auto answeredAt = m_context.clock.now();
     const bool isTimely
@@ -201,13 +257,9 @@
         return;
     }
     if (auto* configuration = std::get_if<RoutingConfiguration>(&*record)) {
-        const auto organisations = configuration->organisations;
-        if (m_context.routing.adopt(std::move(*configuration))) {
-            m_context.quota.setOrganisations(organisations);
-        } else {
-            m_context.metrics.count(Counter::StaleConfigurations);
-        }
+        applyConfiguration(std::move(*configuration));
     } else if (auto* runner = std::get_if<RunnerEntry>(&*record)) {
+        runner->revision = entry.modRevision;
         m_context.runners.updateEntry(std::move(*runner));
     } else if (const auto* weights = std::get_if<TargetWeights>(&*record)) {
         m_context.runners.setTargetWeights(weights->model, weights->version, writtenAfter, source);
@@ -216,6 +268,18 @@
     }
 }
 
+void GatewaySync::applyConfiguration(RoutingConfiguration configuration)
+{
+    m_receivedConfiguration = configuration.version;
+    const auto organisations = configuration.organisations;
+    if (m_context.routing.adopt(std::move(configuration))) {
+        m_configuration = m_receivedConfiguration;
+        m_context.quota.setOrganisations(organisations);
+    } else {
+        m_context.metrics.count(Counter::StaleConfigurations);
+    }
+}
+
 void GatewaySync::applyErased(const std::string& key)
 {
     if (key.starts_with(vmRecordPrefix)) {
--- a/Source/Core/Gateway/GatewaySync.h
+++ b/Source/Core/Gateway/GatewaySync.h
@@ -68,6 +68,7 @@
     GatewaySync(GatewaySyncContext context, GatewaySyncOptions options)
         : m_context(context)
         , m_options(options)
+        , m_pause(options.retryPause)
     {
     }
 
@@ -76,12 +77,30 @@
 
     /// Sets a handler that is called after all records have been read.
     void onRead(std::function<void()> handler) { m_onRead = std::move(handler); }
+    /// Sets a handler that is called after the records of a restored store have been read.
+    void onRestored(std::function<void()> handler) { m_onRestored = std::move(handler); }
 
     std::chrono::nanoseconds age() const override { return m_context.clock.now() - m_freshAt; }
     bool mayAcceptKeys() const override { return m_freshAt.count() > 0 && age() < m_options.keyLimit; }
 
 private:
+    /// Records that belong together.
+    struct Listing {
+        std::vector<RunnerEntry> runners;
+        std::set<VmId> vms;
+        bool hasHolder = false;
+    };
+
     Task<Outcome<void>> readAll(ChangeFeed& feed);
+    /// Takes over all records.
+    /// @param isRestored Whether they come from a later era of the store than the local ones.
+    void applyAll(const StoreRange& range, bool isRestored);
+    /// Decides what to read next after a failed call, and waits before it.
+    /// @param watcher VM whose feed failed; nothing for the store.
+    Task<> onFailure(std::optional<VmId> watcher, Error error);
+    /// Whether all records may be read without a delay after a feed no longer had the changes. A feed that never has
+    /// them is not read without end.
+    bool takeImmediateRead();
     Task<Outcome<void>> readChanges(ChangeFeed& feed, bool isFollower);
     /// Takes over changes that were requested at a given time.
     /// @param delay Time for which changes may have waited in this VM's feed.
@@ -90,6 +109,9 @@
         const FeedChanges& reply, MonotonicTime requestedAt, std::chrono::nanoseconds delay, bool isTimely);
     /// @param writtenAfter Earliest time at which the entry may have been written; 0 when that is not known.
     void apply(const StoreEntry& entry, MonotonicTime writtenAfter, ChangeSource source);
+    void applyConfiguration(RoutingConfiguration configuration);
+    /// Adds a record to a listing, or applies it if it is of another kind.
+    void list(const StoreEntry& entry, Listing& listing);
     void applyErased(const std::string& key);
     /// Longest wait of the next call for changes.
     std::chrono::milliseconds nextWait(bool isFollower) const;
@@ -113,7 +135,15 @@
     bool m_isReadRejected = false;
     /// Whether the changes since the last read may be incomplete.
     bool m_needsRead = true;
+    /// Version of the configuration in force, and the one last received.
+    std::int64_t m_configuration = 0;
+    std::int64_t m_receivedConfiguration = 0;
+    /// Delay after the next failed call to the store.
+    std::chrono::milliseconds m_pause;
+    /// Time of the last read without a delay.
+    MonotonicTime m_immediateReadAt { 0 };
     std::function<void()> m_onRead;
+    std::function<void()> m_onRestored;
 };
 
 } // namespace Pollenwind
--- a/Source/Core/Gateway/RunnerTable.cpp
+++ b/Source/Core/Gateway/RunnerTable.cpp
@@ -119,6 +119,14 @@
     }
 }
 
+std::size_t RunnerTable::restoreEntries(std::vector<RunnerEntry> entries)
+{
+    replaceEntries(std::move(entries));
+    return 0;
+}
+
+void RunnerTable::endMissingEntries() { }
+
 void RunnerTable::removeGoneRunners()
 {
     const auto now = m_clock.now();
--- a/Source/Core/Gateway/RunnerTable.h
+++ b/Source/Core/Gateway/RunnerTable.h
@@ -33,6 +33,8 @@
     void updateEntry(RunnerEntry entry) override;
     void markEntryEnded(const UpstreamId& runner) override;
     void replaceEntries(std::vector<RunnerEntry> entries) override;
+    std::size_t restoreEntries(std::vector<RunnerEntry> entries) override;
+    void endMissingEntries() override;
     void setTargetWeights(
         const std::string& model, WeightsVersion version, MonotonicTime setAfter, ChangeSource source) override;
     void setTargetWeightsAge(std::uint64_t modelHash, WeightsVersion version, std::chrono::nanoseconds age) override;
--- a/Source/Core/Gateway/RunnerTypes.h
+++ b/Source/Core/Gateway/RunnerTypes.h
@@ -49,6 +49,8 @@
     RunnerState state = RunnerState::Ready;
     /// Loaded weights by model.
     std::map<std::string, WeightsVersion> weights;
+    /// Position of the entry in the store; 0 if it is not known.
+    std::int64_t revision = 0;
 };
 
 /// What the end of one request says about the runner.
--- a/Source/Core/Metrics/Counter.h
+++ b/Source/Core/Metrics/Counter.h
@@ -49,6 +49,8 @@
     StoreFailures,
     /// Reads of all records whose result was older than the local records.
     StoreReadsRejected,
+    /// Times at which the store was found restored from an older copy.
+    StoreRestores,
     StaleConfigurations,
     PeerBytesSent,
     PeerBytesReceived,
@@ -107,6 +109,7 @@
         EnumName { Counter::StoreCalls, "store_calls_total" },
         EnumName { Counter::StoreFailures, "store_failures_total" },
         EnumName { Counter::StoreReadsRejected, "store_reads_rejected_total" },
+        EnumName { Counter::StoreRestores, "store_restores_total" },
         EnumName { Counter::StaleConfigurations, "stale_configurations_total" },
         EnumName { Counter::PeerBytesSent, "peer_bytes_sent_total" },
         EnumName { Counter::PeerBytesReceived, "peer_bytes_received_total" },
--- a/Source/Core/Timeline/TimelineEvent.h
+++ b/Source/Core/Timeline/TimelineEvent.h
@@ -37,6 +37,8 @@
     UpstreamBackOff,
     StoreDown,
     StoreUp,
+    /// The store came back from an older copy.
+    StoreRestored,
     /// The records that were read are older than the local ones and are not used.
     StoreReadRejected,
     /// The VM learns of changes in the store from another feed: the store or a VM that follows it.
@@ -83,6 +85,7 @@
         EnumName { EventKind::UpstreamBackOff, "upstream-back-off" },
         EnumName { EventKind::StoreDown, "store-down" },
         EnumName { EventKind::StoreUp, "store-up" },
+        EnumName { EventKind::StoreRestored, "store-restored" },
         EnumName { EventKind::StoreReadRejected, "store-read-rejected" },
         EnumName { EventKind::FeedChanged, "feed-changed" },
         EnumName { EventKind::FeedLost, "feed-lost" },
--- a/Source/UnitTests/Gateway/StoreCrossingTests.cpp
+++ b/Source/UnitTests/Gateway/StoreCrossingTests.cpp
@@ -87,3 +87,75 @@
     fixture.store.readPosition.reset();
     fixture.runUntilFollowed();
 }
+
+// Guards against an outage after a restore, and against a copy that takes back a configuration or gives back a key: the
+// copy is older than what the operator has confirmed.
+Test(StoreCrossing, keepsTheConfigurationInForce)
+{
+    CrossingFixture fixture;
+    fixture.store.copy();
+    fixture.store.put("config", "2 k1");
+    fixture.runUntil([&] { return !fixture.hasKey("k2"); });
+    fixture.store.restore();
+    fixture.runUntil([&] { return fixture.metrics.total(Counter::StoreRestores) == 1; });
+    cr_assert(fixture.sync.mayAcceptKeys());
+    fixture.runUntilFollowed();
+    cr_assert(fixture.hasKey("k1") && !fixture.hasKey("k2"));
+    fixture.store.put("config", "2 k1");
+    fixture.runUntilFollowed();
+    cr_assert(!fixture.hasKey("k2"));
+    fixture.store.put("config", "3 k1 k3");
+    fixture.runUntil([&] { return fixture.hasKey("k3"); });
+    cr_assert(!fixture.hasKey("k2"));
+}
+
+// A record that the store lost is not the end of a VM: a fleet that seems smaller would take larger shares of the rates
+// and of the retries.
+Test(StoreCrossing, keepsTheSizeOfTheFleet)
+{
+    CrossingFixture fixture;
+    const auto record = FleetView::encodeRecord({ "127.0.0.1", 7600 }, ZoneId("a"));
+    fixture.store.copy();
+    for (int n = 0; n < 20; ++n) {
+        fixture.store.put(std::string(vmRecordPrefix) + "vm" + std::to_string(n), record);
+    }
+    fixture.runUntil([&] { return fixture.fleet.size() == 21; });
+    fixture.store.restore();
+    fixture.runUntil([&] { return fixture.metrics.total(Counter::StoreRestores) == 1; });
+    cr_assert(fixture.fleet.size() == 21 && fixture.fleet.isLarge());
+    fixture.clock.advance(14s);
+    cr_assert_eq(fixture.fleet.size(), 21);
+}
+
+// A runner whose entry was written after the copy was made writes it again within two seconds. It must stay in normal
+// A copy may show the entry of a process that has ended, or that a later one has replaced. Requests would go to an
+// Weights never go back with a copy: neither those that a process has loaded nor the target.
+Test(StoreCrossing, keepsWeights)
+{
+    CrossingFixture fixture;
+    fixture.store.copy();
+    fixture.runUntilFollowed();
+    const std::vector loaded { LoadedWeights { runnerHash(UpstreamId("r1")), modelHash("model"), 2 } };
+    fixture.runners.recordLoadedWeights(loaded);
+    fixture.store.restore();
+    fixture.runUntil([&] { return fixture.metrics.total(Counter::StoreRestores) == 1; });
+    cr_assert_eq(fixture.runners.targetWeights().at("model"), 2);
+    cr_assert_eq(fixture.runners.find(UpstreamId("r1"))->weights.at("model"), 2);
+}
+
+// Keys are accepted as soon as the restored store has been read, also when the store was away for longer than keys may
+// be used without it.
+Test(StoreCrossing, acceptsKeysWithTheFirstReadOfARestoredStore)
+{
+    CrossingFixture fixture;
+    fixture.store.copy();
+    fixture.runUntilFollowed();
+    fixture.store.isDown = true;
+    fixture.clock.advance(10s);
+    cr_assert(!fixture.sync.mayAcceptKeys());
+    fixture.store.restore();
+    fixture.store.isDown = false;
+    fixture.runUntil([&] { return fixture.metrics.total(Counter::StoreRestores) == 1; });
+    cr_assert(fixture.sync.mayAcceptKeys());
+    cr_assert_eq(fixture.sync.age().count(), 0);
+}
