Tell runners whose entries a restored store lost from those that ended

A runner whose entry was written after the copy was made counted as gone at the first read, although it writes the entry again within two seconds, and a process that had ended came into use again since the copy still showed its entry. A missing entry now ends 2 s after the read unless it is written again. An entry that a read shows with at most the known revision, of a process that has ended or was replaced, is an old copy and changes nothing; an event or a greater revision brings the process back.

--- a/Source/Core/Gateway/RunnerTable.cpp
+++ b/Source/Core/Gateway/RunnerTable.cpp
@@ -1,6 +1,7 @@
 #include "Gateway/RunnerTable.h"
 
 #include "Gateway/Queries/PrefixQueries.h"
+#include "Store/StorePosition.h"
 
 #include <xxhash.h>
 
@@ -14,6 +15,10 @@
     // runner is used if there is no other, but not long enough to violate the drain limit of a runner that did stop.
     constexpr std::chrono::milliseconds expiredEntryGrace { 1500 };
 
+    // Runners write their entries again within about 2 s of the store's return; one that is missing after that time
+    // counts as gone.
+    constexpr std::chrono::milliseconds restoredEntryGrace { 2000 };
+
     // Versions before one that was read whose age is asked for. Weights take a second to load, so that runners hardly
     // ever are further behind.
     constexpr WeightsVersion maxSkippedTargets = 8;
@@ -91,29 +96,54 @@
     }
     runner.entry = std::move(entry);
     runner.process = process;
+    runner.endsAt = MonotonicTime(0);
 }
 
 void RunnerTable::markEntryEnded(const UpstreamId& runner)
 {
     const auto it = m_runners.find(runner);
-    if (it == m_runners.end() || it->second.entry.state == RunnerState::Gone) {
-        return;
+    if (it != m_runners.end() && it->second.entry.state != RunnerState::Gone) {
+        endEntry(it->second, m_clock.now());
     }
-    const bool wasDraining = it->second.entry.state == RunnerState::Draining;
-    it->second.entry.state = RunnerState::Gone;
-    it->second.endedAt = wasDraining ? MonotonicTime(0) : m_clock.now();
-    m_timeline.record(EventKind::UpstreamLeaving, { { "runner", runner.value() }, { "entry", "ended" } });
 }
 
-void RunnerTable::replaceEntries(std::vector<RunnerEntry> entries)
+void RunnerTable::endEntry(Runner& runner, MonotonicTime at)
+{
+    const bool wasDraining = runner.entry.state == RunnerState::Draining;
+    runner.entry.state = RunnerState::Gone;
+    runner.endedAt = wasDraining ? MonotonicTime(0) : at;
+    runner.endsAt = MonotonicTime(0);
+    m_timeline.record(EventKind::UpstreamLeaving, { { "runner", runner.entry.id.value() }, { "entry", "ended" } });
+}
+
+bool RunnerTable::isOldCopy(const Runner& known, const RunnerEntry& entry)
+{
+    // A copy shows the last entry that this VM knew, or one before it.
+    if (entry.revision == 0
+        || StorePosition::numberOf(entry.revision) > StorePosition::numberOf(known.entry.revision)) {
+        return false;
+    }
+    return known.entry.state == RunnerState::Gone ? entry.incarnation <= known.entry.incarnation
+                                                  : entry.incarnation < known.entry.incarnation;
+}
+
+std::set<UpstreamId> RunnerTable::updateListed(std::vector<RunnerEntry> entries)
 {
     std::set<UpstreamId> listed;
     for (auto& entry : entries) {
-        listed.insert(entry.id);
-        updateEntry(std::move(entry));
+        if (const auto it = m_runners.find(entry.id); it == m_runners.end() || !isOldCopy(it->second, entry)) {
+            listed.insert(entry.id);
+            updateEntry(std::move(entry));
+        }
     }
+    return listed;
+}
+
+void RunnerTable::replaceEntries(std::vector<RunnerEntry> entries)
+{
+    const auto listed = updateListed(std::move(entries));
     for (const auto& [id, runner] : m_runners) {
-        if (!listed.contains(id)) {
+        if (!listed.contains(id) && !runner.isAwaited(m_clock.now())) {
             markEntryEnded(id);
         }
     }
@@ -121,11 +151,27 @@
 
 std::size_t RunnerTable::restoreEntries(std::vector<RunnerEntry> entries)
 {
-    replaceEntries(std::move(entries));
-    return 0;
+    const auto listed = updateListed(std::move(entries));
+    std::size_t missing = 0;
+    for (auto& [id, runner] : m_runners) {
+        if (!listed.contains(id) && runner.entry.state != RunnerState::Gone) {
+            runner.endsAt = m_clock.now() + restoredEntryGrace;
+            ++missing;
+        }
+    }
+    return missing;
 }
 
-void RunnerTable::endMissingEntries() { }
+void RunnerTable::endMissingEntries()
+{
+    for (auto& [id, runner] : m_runners) {
+        if (runner.isOverdue(m_clock.now())) {
+            endEntry(runner, runner.endsAt);
+            // The copy lacks the entry, so one that is read later has been written since.
+            runner.entry.revision = 0;
+        }
+    }
+}
 
 void RunnerTable::removeGoneRunners()
 {
@@ -416,8 +462,10 @@
     std::vector<RunnerCandidate> preferred;
     std::vector<RunnerCandidate> fallback;
     for (const auto& [id, runner] : m_runners) {
-        const auto state = runner.entry.state;
-        const bool isExpired = state == RunnerState::Gone && now - runner.endedAt < expiredEntryGrace;
+        const auto state = runner.isOverdue(now) && runner.entry.state == RunnerState::Ready ? RunnerState::Gone
+                                                                                             : runner.entry.state;
+        const auto endedAt = runner.isOverdue(now) ? runner.endsAt : runner.endedAt;
+        const bool isExpired = state == RunnerState::Gone && now - endedAt < expiredEntryGrace;
         if (runner.entry.service != service || !versions.permits(runner.entry.software)
             || runner.failureState.isReplaced() || !runner.failureState.backOff().admits(now)
             || (state != RunnerState::Ready && !isExpired)) {
--- a/Source/Core/Gateway/RunnerTable.h
+++ b/Source/Core/Gateway/RunnerTable.h
@@ -86,6 +86,14 @@
         /// Mutable because reading refreshes it: its state changes with time.
         mutable CircuitBreaker breaker;
         RunnerFailureState failureState = {};
+        /// Time at which an entry that a restored store lacks ends unless it is written again; 0 if there is no such
+        /// limit.
+        MonotonicTime endsAt { 0 };
+
+        /// Whether a restored store still waits for the entry.
+        bool isAwaited(MonotonicTime now) const { return endsAt.count() > 0 && now < endsAt; }
+        /// Whether the entry was not written again in time.
+        bool isOverdue(MonotonicTime now) const { return endsAt.count() > 0 && now >= endsAt; }
     };
     struct TargetVersion {
         WeightsVersion version = 0;
@@ -103,6 +111,13 @@
     RunnerLoad loadOf(const Runner& runner) const;
     RunnerCandidate toCandidate(const Runner& runner, const std::string& model) const;
     void removeGoneRunners();
+    /// Marks an entry as ended at a time.
+    void endEntry(Runner& runner, MonotonicTime at);
+    /// Updates the entries of a list, except copies that are older than what is known.
+    /// @return The runners whose entries were used.
+    std::set<UpstreamId> updateListed(std::vector<RunnerEntry> entries);
+    /// Whether an entry that was read is a copy of one that this runner has replaced or ended.
+    static bool isOldCopy(const Runner& known, const RunnerEntry& entry);
     void recordReportedLeaving(const VmId& vm, std::span<const LeavingRunner> leaving);
     /// Applies what is known of a runner's process to an entry that was read.
     void applyAnnouncement(RunnerEntry& entry) const;
--- a/Source/UnitTests/Gateway/StoreCrossingTests.cpp
+++ b/Source/UnitTests/Gateway/StoreCrossingTests.cpp
@@ -109,6 +109,28 @@
     cr_assert(!fixture.hasKey("k2"));
 }
 
+// The log must tell what a restored store lacks, once for each restore.
+Test(StoreCrossing, reportsWhatACopyLacks)
+{
+    CrossingFixture fixture;
+    const auto record = FleetView::encodeRecord({ "127.0.0.1", 7600 }, ZoneId("a"));
+    fixture.store.copy();
+    fixture.store.put("config", "2 k1");
+    fixture.store.put("runner/r3", "1 ready");
+    fixture.store.put(std::string(vmRecordPrefix) + "other", record);
+    fixture.runUntil([&] { return fixture.candidates() == 3 && fixture.fleet.size() == 2; });
+    for (std::size_t n = 1; n <= 2; ++n) {
+        fixture.store.restore();
+        fixture.runUntil([&] { return fixture.eventsOf(EventKind::StoreRestored).size() == n; });
+    }
+    const EventFields expected { { "from", "1/16" }, { "to", "2/13" }, { "runners", "2" }, { "missing_runners", "1" },
+        { "missing_vms", "1" }, { "configuration", "older" }, { "version", "1" }, { "known_version", "2" } };
+    const auto events = fixture.eventsOf(EventKind::StoreRestored);
+    cr_assert(events.front().fields == expected);
+    cr_assert(events.back().fields.front().second == "2/13");
+    cr_assert_eq(fixture.eventsOf(EventKind::StoreReadRejected).size(), 0);
+}
+
 // A record that the store lost is not the end of a VM: a fleet that seems smaller would take larger shares of the rates
 // and of the retries.
 Test(StoreCrossing, keepsTheSizeOfTheFleet)
@@ -128,7 +150,78 @@
 }
 
 // A runner whose entry was written after the copy was made writes it again within two seconds. It must stay in normal
+// use until then, and count as gone after that.
+Test(StoreCrossing, keepsRunnersInUseUntilTheirEntriesAreBack)
+{
+    CrossingFixture fixture;
+    fixture.store.copy();
+    for (const auto* key : { "runner/r3", "runner/r4" }) {
+        fixture.store.put(key, "1 ready");
+    }
+    fixture.runUntil([&] { return fixture.candidates() == 4; });
+    fixture.store.restore();
+    fixture.runUntil([&] { return fixture.metrics.total(Counter::StoreRestores) == 1; });
+    cr_assert_eq(fixture.candidates(), 4);
+    fixture.clock.advance(1900ms);
+    // Records that are read again meanwhile still lack the entries.
+    fixture.store.forgetHistory();
+    fixture.store.put("runner/r3", "1 ready");
+    fixture.runUntilFollowed();
+    cr_assert_eq(fixture.candidates(), 4);
+    fixture.clock.advance(200ms);
+    cr_assert_eq(fixture.candidates(), 3);
+    fixture.runUntil([&] { return fixture.runners.find(UpstreamId("r4"))->state == RunnerState::Gone; });
+    cr_assert(fixture.runners.find(UpstreamId("r3"))->state == RunnerState::Ready);
+}
+
 // A copy may show the entry of a process that has ended, or that a later one has replaced. Requests would go to an
+// address where nothing listens, or where a runner of another service does.
+Test(StoreCrossing, doesNotUseEndedProcessesAgain)
+{
+    CrossingFixture fixture;
+    fixture.store.copy();
+    fixture.store.erase("runner/r1");
+    fixture.store.put("runner/r2", "2 ready");
+    fixture.runUntil([&] { return fixture.runners.find(UpstreamId("r2"))->incarnation == Incarnation(2); });
+    fixture.clock.advance(5s);
+    cr_assert_eq(fixture.candidates(), 1);
+    for (std::size_t n = 1; n <= 2; ++n) {
+        fixture.store.restore();
+        fixture.runUntil([&] { return fixture.metrics.total(Counter::StoreRestores) == n; });
+        // Also when all records are read once more.
+        fixture.store.forgetHistory();
+        fixture.runUntilFollowed();
+        cr_assert(fixture.runners.find(UpstreamId("r1"))->state == RunnerState::Gone);
+        cr_assert(fixture.runners.find(UpstreamId("r2"))->incarnation == Incarnation(2));
+        cr_assert_eq(fixture.candidates(), 1);
+    }
+    fixture.store.put("runner/r1", "1 ready");
+    fixture.runUntil([&] { return fixture.candidates() == 2; });
+}
+
+// A copy must not take back that a process shuts down, whether its entry or the process itself has said so.
+Test(StoreCrossing, doesNotUseDrainingProcessesAgain)
+{
+    CrossingFixture fixture;
+    fixture.store.put("runner/r3", "1 ready");
+    fixture.store.put("runner/r4", "1 ready");
+    fixture.runUntil([&] { return fixture.candidates() == 4; });
+    fixture.store.copy();
+    fixture.store.put("runner/r1", "1 draining");
+    fixture.store.put("runner/r2", "1 draining");
+    fixture.runUntil([&] { return fixture.candidates() == 2; });
+    fixture.store.erase("runner/r2");
+    fixture.runners.recordLeaving(UpstreamId("r3"), Incarnation(1), LeavingSource::Response, RequestId("q"));
+    fixture.runUntilFollowed();
+    cr_assert_eq(fixture.candidates(), 1);
+    fixture.store.restore();
+    fixture.runUntil([&] { return fixture.metrics.total(Counter::StoreRestores) == 1; });
+    cr_assert_eq(fixture.candidates(), 1);
+    fixture.store.put("runner/r3", "1 ready");
+    fixture.runUntilFollowed();
+    cr_assert_eq(fixture.candidates(), 1);
+}
+
 // Weights never go back with a copy: neither those that a process has loaded nor the target.
 Test(StoreCrossing, keepsWeights)
 {
