Refuse followers of a later era until the restored store has been read

A watcher that had not read the restored store answered a follower that had with no changes and the age of its own knowledge, which the follower took for a proof of freshness in the new era. It answers 503 now, and the follower turns to the next watcher or to the store.

Failed before: FeedFrontEnd::refusesFollowersOfALaterEra: !ahead && ... == StoreUnavailable is false GatewaySync::leavesAWatcherOfAnEarlierEra: the watcher is still in use (after 20 s)

--- a/Source/Core/Gateway/FeedFrontEnd.cpp
+++ b/Source/Core/Gateway/FeedFrontEnd.cpp
@@ -1,6 +1,7 @@
 #include "Gateway/FeedFrontEnd.h"
 
 #include "Gateway/FeedCodec.h"
+#include "Store/StorePosition.h"
 
 #include <algorithm>
 #include <charconv>
@@ -85,6 +86,10 @@
     if (!after || !wait) {
         co_return refusal(statusBadRequest, "\"after\" and \"wait_ms\" must be whole numbers");
     }
+    if (StorePosition::isBefore(m_log.revision(), StorePosition::eraOf(*after))) {
+        // The age of this VM's knowledge is no proof of freshness in the follower's era.
+        co_return refusal(statusUnavailable, "this VM has not read the restored store yet");
+    }
     const auto receivedAt = m_clock.now();
     auto changes = m_log.changesAfter(*after);
     if (changes && changes->events.empty()) {
--- a/Source/UnitTests/Gateway/FeedTests.cpp
+++ b/Source/UnitTests/Gateway/FeedTests.cpp
@@ -6,6 +6,7 @@
 #include "Gateway/PartQuarantine.h"
 #include "Gateway/QuarantineRecords.h"
 #include "Gateway/RolloutTable.h"
+#include "Store/StorePosition.h"
 
 using namespace Pollenwind;
 using namespace std::chrono_literals;
@@ -22,6 +23,11 @@
     return { std::move(events), revision };
 }
 
+std::int64_t positionOf(std::int64_t era, std::int64_t revision)
+{
+    return *StorePosition::encode(StoreEra(era), revision);
+}
+
 /// Adds VMs with records and recent reports to a fleet.
 void addVms(FleetView& fleet, const std::string& zone, int count, const Endpoint& endpoint = { "127.0.0.1", 7600 })
 {
@@ -370,3 +376,78 @@
         cr_assert_eq(follower.log.revision(), 13);
     }());
 }
+
+// A watcher that has not read a restored store yet must not tell a follower that has that nothing changed: the follower
+// would take the answer for a proof of freshness, and use keys that were withdrawn since.
+Test(FeedFrontEnd, refusesFollowersOfALaterEra)
+{
+    ServedFeed served;
+    served.log.replace({ { makeEntry("a", positionOf(1, 40)) }, positionOf(1, 40) });
+    PeerFeed peer(served.context.get_executor(), served.endpoint);
+    runScenario(served.context, [&]() -> Task<> {
+        const auto ahead = co_await peer.changesAfter(positionOf(2, 20), 50ms);
+        cr_assert(!ahead && ahead.error().code == ErrorCode::StoreUnavailable);
+        const auto equal = co_await peer.changesAfter(positionOf(1, 40), 50ms);
+        cr_assert(equal && equal->changes.events.empty());
+    }());
+}
+
+// When a watcher has read a restored store, its followers must read all records anew, from the watcher: 300 VMs that
+// turn to a store which has just come back would overload it.
+Test(GatewaySync, readsTheRecordsOfALaterEraFromItsWatcher)
+{
+    ServedFeed served;
+    served.log.replace({ { makeEntry("a", positionOf(1, 40)) }, positionOf(1, 40) });
+    Follower follower(served.context);
+    addVms(follower.fleet, "z", 3, served.endpoint);
+    follower.store.records.revision = positionOf(1, 40);
+    runScenario(served.context, [&]() -> Task<> {
+        asio::co_spawn(served.context, follower.sync.run(), asio::detached);
+        const auto limit = std::chrono::steady_clock::now() + 20s;
+        std::uint64_t sequence = 0;
+        const auto waitFor = [&](std::int64_t position) -> Task<> {
+            while (follower.log.revision() != position) {
+                cr_assert(std::chrono::steady_clock::now() < limit, "the records were not read");
+                follower.fleet.recordReport(VmId("z100"), Incarnation(2), ++sequence);
+                co_await sleepFor(5ms);
+            }
+        };
+        co_await waitFor(positionOf(1, 40));
+        const auto calls = follower.store.calls;
+        for (const auto position : { positionOf(2, 20), positionOf(3, 10) }) {
+            served.log.replace({ { makeEntry("b", position) }, position });
+            co_await waitFor(position);
+            cr_assert_eq(follower.log.records().entries.size(), 1);
+            // All records are read without a delay only once in this time.
+            co_await sleepFor(600ms);
+        }
+        cr_assert_eq(follower.store.calls, calls, "a follower does not call the store");
+    }());
+}
+
+// The same seen from the follower: it must leave a watcher of an earlier era for the store.
+Test(GatewaySync, leavesAWatcherOfAnEarlierEra)
+{
+    ServedFeed served;
+    served.log.replace({ {}, positionOf(1, 40) });
+    Follower follower(served.context);
+    follower.store.records.revision = positionOf(2, 20);
+    runScenario(served.context, [&]() -> Task<> {
+        asio::co_spawn(served.context, follower.sync.run(), asio::detached);
+        const auto isLeft = [&] {
+            return std::ranges::any_of(
+                follower.timeline.events(), [](const auto& it) { return it.kind == EventKind::FeedLost; });
+        };
+        while (follower.log.revision() == 0) {
+            co_await sleepFor(5ms);
+        }
+        addVms(follower.fleet, "z", 3, served.endpoint);
+        const auto limit = std::chrono::steady_clock::now() + 20s;
+        for (std::uint64_t sequence = 1; !isLeft(); ++sequence) {
+            cr_assert(std::chrono::steady_clock::now() < limit, "the watcher is still in use");
+            follower.fleet.recordReport(VmId("z100"), Incarnation(2), sequence);
+            co_await sleepFor(5ms);
+        }
+        cr_assert_eq(follower.log.revision(), positionOf(2, 20));
+    }());
+}
