Keep the identity of a roll-out's order when the store is restored

After a restore an order has another revision, in the copy or because the operator wrote it again. It counted as a new order: the evidence began from zero, a rejected version came back into use, and a second verdict could differ from the first. An order that had been replaced came back with the copy and ended the one that replaced it.

An order is now identified by its first position. The first order of a later era with the same service, target and time limit is the same order, and so is one that follows within 10 s of the restore; a withdrawn order is the same only if the copy has its revision. A second order in one era is a new one as before. An order that was replaced and comes back under its old revision is ignored. A VM that started after the restore takes the identity from the record or from the reports, which now name the first and the latest position (one field, sent only when they differ).

--- a/Source/Core/Gateway/Commands/RolloutCommands.h
+++ b/Source/Core/Gateway/Commands/RolloutCommands.h
@@ -12,7 +12,8 @@
     RolloutCommands& operator=(const RolloutCommands&) = delete;
     virtual ~RolloutCommands() = default;
 
-    /// Takes over an order, unless a newer one for the service is known.
+    /// Takes over an order, unless a newer one for the service is known. An order that came back with a copy of the
+    /// store, or that was written again after a restore, is the same order.
     /// @param orderedAfter Earliest time at which the operator may have given it; 0 when that is not known.
     virtual void adoptOrder(const RolloutOrder& order, MonotonicTime orderedAfter) = 0;
     /// Ends an undecided roll-out whose order was withdrawn: it is rolled back.
@@ -20,6 +21,9 @@
     /// Takes over a record of the store, unless a newer one is known.
     /// @param revision Revision of the record.
     virtual void adoptRecord(const RolloutRecord& record, std::int64_t revision) = 0;
+    /// Notes that all records of the store have been taken over as of a position. After a restore, records that were
+    /// not among them are lost, and orders that were not are expected to be written again.
+    virtual void endRead(std::int64_t position) = 0;
     /// Takes over what another VM reported. It replaces what that VM reported before.
     virtual void recordRemote(const VmId& vm, std::vector<RolloutReport> reports) = 0;
     /// Forgets what a relay reported, when another one reports the same VMs.
--- a/Source/Core/Gateway/FleetMessages_generated.h
+++ b/Source/Core/Gateway/FleetMessages_generated.h
@@ -472,7 +472,8 @@
     VT_AGE_MS = 10,
     VT_REQUESTS = 12,
     VT_TARGET_REQUESTS = 14,
-    VT_OUTCOMES = 16
+    VT_OUTCOMES = 16,
+    VT_LATEST = 18
   };
   const flatbuffers::String *service() const {
     return GetPointer<const flatbuffers::String *>(VT_SERVICE);
@@ -495,6 +496,9 @@
   const flatbuffers::Vector<flatbuffers::Offset<Pollenwind::wire::VersionOutcomes>> *outcomes() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<Pollenwind::wire::VersionOutcomes>> *>(VT_OUTCOMES);
   }
+  int64_t latest() const {
+    return GetField<int64_t>(VT_LATEST, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_SERVICE) &&
@@ -507,6 +511,7 @@
            VerifyOffset(verifier, VT_OUTCOMES) &&
            verifier.VerifyVector(outcomes()) &&
            verifier.VerifyVectorOfTables(outcomes()) &&
+           VerifyField<int64_t>(verifier, VT_LATEST, 8) &&
            verifier.EndTable();
   }
 };
@@ -536,6 +541,9 @@
   void add_outcomes(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<Pollenwind::wire::VersionOutcomes>>> outcomes) {
     fbb_.AddOffset(Rollout::VT_OUTCOMES, outcomes);
   }
+  void add_latest(int64_t latest) {
+    fbb_.AddElement<int64_t>(Rollout::VT_LATEST, latest, 0);
+  }
   explicit RolloutBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -555,8 +563,10 @@
     uint64_t age_ms = 0,
     uint64_t requests = 0,
     uint64_t target_requests = 0,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<Pollenwind::wire::VersionOutcomes>>> outcomes = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<Pollenwind::wire::VersionOutcomes>>> outcomes = 0,
+    int64_t latest = 0) {
   RolloutBuilder builder_(_fbb);
+  builder_.add_latest(latest);
   builder_.add_target_requests(target_requests);
   builder_.add_requests(requests);
   builder_.add_age_ms(age_ms);
@@ -575,7 +585,8 @@
     uint64_t age_ms = 0,
     uint64_t requests = 0,
     uint64_t target_requests = 0,
-    const std::vector<flatbuffers::Offset<Pollenwind::wire::VersionOutcomes>> *outcomes = nullptr) {
+    const std::vector<flatbuffers::Offset<Pollenwind::wire::VersionOutcomes>> *outcomes = nullptr,
+    int64_t latest = 0) {
   auto service__ = service ? _fbb.CreateString(service) : 0;
   auto outcomes__ = outcomes ? _fbb.CreateVector<flatbuffers::Offset<Pollenwind::wire::VersionOutcomes>>(*outcomes) : 0;
   return Pollenwind::wire::CreateRollout(
@@ -586,7 +597,8 @@
       age_ms,
       requests,
       target_requests,
-      outcomes__);
+      outcomes__,
+      latest);
 }
 
 struct FleetReport FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
--- a/Source/Core/Gateway/RolloutReportCodec.cpp
+++ b/Source/Core/Gateway/RolloutReportCodec.cpp
@@ -47,6 +47,7 @@
         RolloutReport report;
         report.service = ServiceId(message.service() ? message.service()->str() : "");
         report.order = message.order();
+        report.latest = message.latest() == 0 ? report.order : message.latest();
         report.state = message.state() <= static_cast<std::uint8_t>(RolloutState::RolledBack)
             ? static_cast<RolloutState>(message.state())
             : RolloutState::Running;
@@ -79,7 +80,8 @@
         const auto service = builder.CreateString(report.service.value());
         const auto outcomesOffset = builder.CreateVector(outcomes);
         offsets.push_back(wire::CreateRollout(builder, service, report.order, static_cast<std::uint8_t>(report.state),
-            static_cast<std::uint64_t>(report.age.count()), report.requests, report.targetRequests, outcomesOffset));
+            static_cast<std::uint64_t>(report.age.count()), report.requests, report.targetRequests, outcomesOffset,
+            report.latest == report.order ? 0 : report.latest));
     }
     return builder.CreateVector(offsets);
 }
--- a/Source/Core/Gateway/RolloutTable.cpp
+++ b/Source/Core/Gateway/RolloutTable.cpp
@@ -15,6 +15,17 @@
     // Time for which a verdict is reported to VMs that do not receive the store's changes.
     constexpr std::chrono::seconds verdictReportTime { 10 };
 
+    // Time after a restore in which an order of the same content is the earlier one, written again.
+    constexpr std::chrono::seconds rewriteTime { 10 };
+
+    // Replaced orders of a service that are remembered, more than an operator gives in the age of a copy.
+    constexpr std::size_t maxReplacedOrders = 8;
+
+    bool hasSameContent(const RolloutOrder& a, const RolloutOrder& b)
+    {
+        return a.service == b.service && a.target == b.target && a.duration == b.duration;
+    }
+
     // Share of the target version on a VM that does not receive the store's changes.
     constexpr double staleShare = 0.04;
 
@@ -51,16 +62,87 @@
 {
 }
 
+void RolloutTable::updateEra(std::int64_t position)
+{
+    if (!m_era.update(position)) {
+        return;
+    }
+    m_restoredAt = m_clock.now();
+}
+
+bool RolloutTable::isSameOrder(const Rollout& rollout, const RolloutOrder& order) const
+{
+    if (rollout.positions.contains(order.revision)) {
+        return true;
+    }
+    const auto latest = *rollout.positions.rbegin();
+    if (order.revision < latest || !hasSameContent(rollout.order, order)) {
+        return false;
+    }
+    if (m_era.isEarlier(latest)) {
+        // The operator does not write an order again that it has withdrawn, but the copy may have it.
+        return !rollout.isWithdrawn
+            || std::ranges::any_of(rollout.positions, [number = StorePosition::numberOf(order.revision)](auto it) {
+                   return StorePosition::numberOf(it) == number;
+               });
+    }
+    const bool isOlder = m_era.isEarlier(*rollout.positions.begin()) || rollout.mayBeOlder;
+    return isOlder && !rollout.isWithdrawn && m_clock.now() - m_restoredAt < rewriteTime;
+}
+
+bool RolloutTable::isReplaced(const RolloutOrder& order) const
+{
+    const auto replaced = m_replaced.find(order.service);
+    return replaced != m_replaced.end()
+        && std::ranges::any_of(replaced->second, [this, &order](const RolloutOrder& it) {
+               return hasSameContent(it, order) && m_era.isEarlier(it.revision)
+                   && StorePosition::numberOf(it.revision) == StorePosition::numberOf(order.revision);
+           });
+}
+
+void RolloutTable::recordReplaced(const Rollout& rollout)
+{
+    auto& replaced = m_replaced[rollout.order.service];
+    for (const auto position : rollout.positions) {
+        replaced.push_back(rollout.order);
+        replaced.back().revision = position;
+    }
+    while (replaced.size() > maxReplacedOrders) {
+        replaced.pop_front();
+    }
+}
+
+void RolloutTable::addPosition(Rollout& rollout, std::int64_t position)
+{
+    rollout.positions.insert(position);
+    rollout.order.revision = *rollout.positions.begin();
+}
+
 void RolloutTable::adoptOrder(const RolloutOrder& order, MonotonicTime orderedAfter)
 {
+    updateEra(order.revision);
     const auto it = m_rollouts.find(order.service);
-    if (it != m_rollouts.end() && it->second.order.revision >= order.revision) {
-        return;
+    const bool isKnownService = it != m_rollouts.end();
+    if (isKnownService) {
+        if (isSameOrder(it->second, order)) {
+            addPosition(it->second, order.revision);
+            applyRecord(order.service);
+            return;
+        }
+        if (*it->second.positions.rbegin() >= order.revision || isReplaced(order)) {
+            return;
+        }
+        recordReplaced(it->second);
+        m_rollouts.erase(it);
     }
-    m_rollouts.erase(order.service);
     Rollout rollout { .order = order, .recorder = VersionEvidenceRecorder(m_clock) };
+    rollout.positions = { order.revision };
     rollout.orderedAfter = orderedAfter;
     rollout.hasSlack = orderedAfter.count() > 0;
+    if (m_era.isRestored() && m_clock.now() - m_restoredAt < rewriteTime) {
+        // It may have been given in an earlier era, lost, and written again before this VM received it.
+        rollout.mayBeOlder = !isKnownService;
+    }
     m_rollouts.emplace(order.service, std::move(rollout));
     m_rejected[order.service].erase(order.target);
     m_timeline.record(EventKind::MoveOrdered,
@@ -78,11 +160,25 @@
 
 void RolloutTable::adoptRecord(const RolloutRecord& record, std::int64_t revision)
 {
+    updateEra(revision);
     auto& known = m_records[record.service];
-    if (revision > known.revision) {
-        known = { record, revision };
-        applyRecord(record.service);
+    if (revision <= known.revision) {
+        return;
     }
+    known = { record, revision };
+    applyRecord(record.service);
+}
+
+void RolloutTable::endRead(std::int64_t position)
+{
+    updateEra(position);
+}
+
+bool RolloutTable::belongs(const RolloutRecord& record, const Rollout& rollout)
+{
+    return rollout.positions.contains(record.order)
+        || (rollout.mayBeOlder && record.target == rollout.order.target && record.order > 0
+            && StorePosition::eraOf(record.order) < StorePosition::eraOf(rollout.order.revision));
 }
 
 void RolloutTable::applyRecord(const ServiceId& service)
@@ -100,10 +196,11 @@
         }
         return;
     }
-    if (known.order != it->second.order.revision) {
+    auto& rollout = it->second;
+    if (!belongs(known, rollout)) {
         return;
     }
-    auto& rollout = it->second;
+    addPosition(rollout, known.order);
     if (rollout.orderedAfter.count() == 0) {
         const auto age
             = std::max<std::chrono::nanoseconds>(std::chrono::nanoseconds(0), m_clock.wallNow() - known.orderedAt);
@@ -134,10 +231,17 @@
 {
     for (auto& report : reports) {
         const auto it = m_rollouts.find(report.service);
-        if (it == m_rollouts.end() || it->second.order.revision != report.order) {
+        if (it == m_rollouts.end()) {
             continue;
         }
         auto& rollout = it->second;
+        if (!rollout.positions.contains(report.order) && !rollout.positions.contains(report.latest)) {
+            continue;
+        }
+        if (report.order < rollout.order.revision) {
+            addPosition(rollout, report.order);
+            applyRecord(report.service);
+        }
         setState(rollout, report.state, "reported by " + vm.value());
         if (report.age.count() > 0) {
             // The order is at most as old as any VM that observed it takes it to be.
@@ -348,13 +452,16 @@
 {
     std::vector<RolloutChange> changes;
     for (const auto& [service, rollout] : m_rollouts) {
+        const auto now = m_clock.now();
         const auto record = m_records.find(service);
         const auto revision = record == m_records.end() ? 0 : record->second.revision;
-        const bool hasRecord = revision > 0 && record->second.record.order >= rollout.order.revision;
+        const bool hasRecord = revision > 0
+            && (belongs(record->second.record, rollout)
+                || record->second.record.order > *rollout.positions.rbegin());
         if (hasRecord && isFinal(record->second.record.state)) {
             continue;
         }
-        const auto overdue = m_clock.now() - rollout.actionAt;
+        const auto overdue = now - rollout.actionAt;
         if (isRejected(rollout)) {
             changes.push_back({ nextRecord(rollout, RolloutState::RolledBack), revision, overdue });
         } else if (rollout.decision.action == RampAction::Complete) {
@@ -376,6 +483,7 @@
         RolloutReport report;
         report.service = service;
         report.order = rollout.order.revision;
+        report.latest = *rollout.positions.rbegin();
         report.state = rollout.state;
         report.age = rollout.isAgeEstimated ? std::chrono::milliseconds(0)
                                             : std::chrono::ceil<std::chrono::milliseconds>(ageOf(rollout));
--- a/Source/Core/Gateway/RolloutTable.h
+++ b/Source/Core/Gateway/RolloutTable.h
@@ -2,6 +2,7 @@
 
 #include "Gateway/Commands/RolloutCommands.h"
 #include "Gateway/Queries/RolloutQueries.h"
+#include "Gateway/StoreEraTracker.h"
 #include "Gateway/VersionEvidenceRecorder.h"
 #include "Metrics/Commands/MetricCommands.h"
 #include "Moves/ExposureRamp.h"
@@ -26,6 +27,9 @@
 /// The exposure of a version without a verdict is bounded without messages: each VM sends it at most its part of the
 /// allowance, the share of its own requests and an equal part of the constant. The parts of all VMs add up to the
 /// allowance whatever the VMs know of each other.
+///
+/// When the store comes back from a copy, orders have other positions, and verdicts may be lost or not yet given there.
+/// An order keeps its identity.
 class RolloutTable final : public RolloutCommands, public RolloutQueries {
 public:
     RolloutTable(
@@ -34,6 +38,7 @@
     void adoptOrder(const RolloutOrder& order, MonotonicTime orderedAfter) override;
     void withdrawOrder(const ServiceId& service) override;
     void adoptRecord(const RolloutRecord& record, std::int64_t revision) override;
+    void endRead(std::int64_t position) override;
     void recordRemote(const VmId& vm, std::vector<RolloutReport> reports) override;
     void clearRemote(const VmId& vm) override;
     void refresh(bool isFresh, std::size_t fleetSize) override;
@@ -67,6 +72,10 @@
         /// Time at which the decision last changed.
         MonotonicTime actionAt { 0 };
         bool isWithdrawn = false;
+        /// All known positions of the order's record. The first one is that of the order.
+        std::set<std::int64_t> positions;
+        /// Whether it may be an order of an earlier era, which this VM does not know.
+        bool mayBeOlder = false;
         /// This VM's requests since the order.
         std::uint64_t requests = 0;
         std::uint64_t targetRequests = 0;
@@ -85,6 +94,16 @@
         std::int64_t revision = 0;
     };
 
+    /// Takes over a position. 
+    void updateEra(std::int64_t position);
+    /// Whether an order's record is that of a known roll-out under another position.
+    bool isSameOrder(const Rollout& rollout, const RolloutOrder& order) const;
+    /// Whether an order was replaced before the store was restored, and came back with the copy.
+    bool isReplaced(const RolloutOrder& order) const;
+    void recordReplaced(const Rollout& rollout);
+    static void addPosition(Rollout& rollout, std::int64_t position);
+    /// Whether a record belongs to a roll-out.
+    static bool belongs(const RolloutRecord& record, const Rollout& rollout);
     bool isUndecided(const Rollout& rollout) const { return !isFinal(rollout.state); }
     /// Whether the target version may get no requests any more.
     static bool isRejected(const Rollout& rollout);
@@ -112,6 +131,12 @@
     std::map<ServiceId, KnownRecord> m_records;
     std::map<ServiceId, std::set<VersionId>> m_rejected;
     std::uint64_t m_attempts = 0;
+
+    StoreEraTracker m_era;
+    /// Time of the last restore, as far as known.
+    MonotonicTime m_restoredAt { 0 };
+    /// Orders that were replaced by others, the latest last.
+    std::map<ServiceId, std::deque<RolloutOrder>> m_replaced;
 };
 
 } // namespace Pollenwind
--- a/Source/Core/Gateway/RolloutTypes.h
+++ b/Source/Core/Gateway/RolloutTypes.h
@@ -40,14 +40,15 @@
     VersionId target;
     /// Time limit of the roll-out, from the moment of the order.
     std::chrono::milliseconds duration { 0 };
-    /// Revision of the order's record in the store. It identifies the order.
+    /// Position of the order's record in the store. The first one identifies the order; the record gets another one
+    /// when the store is restored.
     std::int64_t revision = 0;
 };
 
 /// State of a roll-out as kept in the store. Routers change it by compare-and-swap.
 struct RolloutRecord {
     ServiceId service;
-    /// Revision of the order.
+    /// First position of the order.
     std::int64_t order = 0;
     VersionId target;
     RolloutState state = RolloutState::Running;
@@ -70,6 +71,7 @@
 /// What one VM tells the others about a roll-out. Counts and evidence are totals since the order.
 struct RolloutReport {
     ServiceId service;
+    /// First position of the order that is known.
     std::int64_t order = 0;
     /// Final states are reported only after they have been written to the store.
     RolloutState state = RolloutState::Running;
@@ -80,6 +82,8 @@
     /// Those of them that went to the target version.
     std::uint64_t targetRequests = 0;
     MoveEvidence evidence;
+    /// Latest position of the order's record.
+    std::int64_t latest = 0;
 };
 
 /// Restricts the runners of a request by the version of their software.
@@ -121,6 +125,8 @@
     std::int64_t expectedRevision = 0;
     /// Time since the change has been due.
     std::chrono::nanoseconds overdue { 0 };
+    /// Whether it is a verdict that the store had and lost.
+    bool isRepeat = false;
 };
 
 } // namespace Pollenwind
--- a/Source/UnitTests/Gateway/EraStore.h
+++ b/Source/UnitTests/Gateway/EraStore.h
@@ -115,6 +115,8 @@
     unsigned renewals = 0;
     /// Executes the next write and reports it as in doubt.
     bool losesNextAnswer = false;
+    /// Key whose writes fail without an effect.
+    std::string failingKey;
 
 private:
     bool hasLease(const LeaseId& lease) const
@@ -126,6 +128,9 @@
     Outcome<SwapResult> swap(const std::string& key, std::int64_t expected, std::string value, LeaseId lease)
     {
         ++writes;
+        if (key == failingKey) {
+            return fail(ErrorCode::StoreUnavailable, "rejected");
+        }
         if (StorePosition::isBefore(expected, era)) {
             return fail(ErrorCode::Conflict, "an earlier era");
         }
