Write a verdict again that the store has lost

A verdict that the copy lacks was never written again, and one that the copy has as running stayed so for a completed version: the operator saw no end of the roll-out. A VM that started after the restore could decide otherwise than the verdict that the others knew.

A VM now writes the verdict that it knows again when the records of the new era do not have it: the holder of the order lease at once, else after 4 s the VM that has the turn, so that one VM writes it once. Known verdicts are reported for 10 s after a restore and until the store has them. Decisions wait for 2 s after a restore, in which the others report what they know.

Failed before: RolloutTableEra/keepsTheVerdictOfAnOrderThatIsWrittenAgain ("!vm.mayUse(target) is false"), replacesAnOlderStateOfTheCopy ("state == Complete is false"), learnsTheVerdictFromTheOthersOnAVmThatStarted (dueChanges not empty), writesTheVerdictOfAnUnknownOrderAgain ("changes.size() == 1 is false"), RolloutDriverEra/writesALostVerdictOnce ("pairs.size() == 1 is false").

--- a/Source/Core/Gateway/RolloutDriver.cpp
+++ b/Source/Core/Gateway/RolloutDriver.cpp
@@ -21,6 +21,10 @@
     constexpr std::chrono::milliseconds standInDelay { 120 };
     constexpr std::uint64_t standInSpreadMs = 160;
 
+    // Time after which a VM without the lease writes a verdict again that the store has lost, enough for the lease to
+    // be acquired. Another VM gets the turn after the same time.
+    constexpr std::chrono::seconds repeatDelay { 4 };
+
 } // namespace
 
 Task<> RolloutDriver::run()
@@ -42,6 +46,13 @@
 
 bool RolloutDriver::mayWrite(const RolloutChange& change) const
 {
+    if (change.isRepeat) {
+        const auto turn = static_cast<std::uint64_t>(m_context.clock.wallNow() / repeatDelay);
+        const auto& service = change.record.service.value();
+        return m_context.lease.isHeld()
+            || (change.overdue >= repeatDelay && m_context.freshness.age() < freshnessLimit
+                && m_context.fleet.isOwnTurn(XXH3_64bits(service.data(), service.size()) + turn));
+    }
     const auto delay = standInDelay
         + std::chrono::milliseconds(XXH3_64bits(m_vm.value().data(), m_vm.value().size()) % standInSpreadMs);
     const bool isStandIn
--- a/Source/Core/Gateway/RolloutTable.cpp
+++ b/Source/Core/Gateway/RolloutTable.cpp
@@ -15,6 +15,9 @@
     // Time for which a verdict is reported to VMs that do not receive the store's changes.
     constexpr std::chrono::seconds verdictReportTime { 10 };
 
+    // After a restore, time for the reports of the other VMs to arrive, also through a relay and if one is lost.
+    constexpr std::chrono::seconds reportTime { 2 };
+
     // Time after a restore in which an order of the same content is the earlier one, written again.
     constexpr std::chrono::seconds rewriteTime { 10 };
 
@@ -68,6 +71,9 @@
         return;
     }
     m_restoredAt = m_clock.now();
+    for (auto& [service, rollout] : m_rollouts) {
+        rollout.reportUntil = m_restoredAt + verdictReportTime;
+    }
 }
 
 bool RolloutTable::isSameOrder(const Rollout& rollout, const RolloutOrder& order) const
@@ -165,6 +171,9 @@
     if (revision <= known.revision) {
         return;
     }
+    if (m_era.isEarlier(known.revision) && isFinal(known.record.state)) {
+        m_lost[record.service] = known.record;
+    }
     known = { record, revision };
     applyRecord(record.service);
 }
@@ -172,6 +181,19 @@
 void RolloutTable::endRead(std::int64_t position)
 {
     updateEra(position);
+    for (auto it = m_records.begin(); it != m_records.end();) {
+        const auto& [service, known] = *it;
+        if (!m_era.isEarlier(known.revision)) {
+            ++it;
+            continue;
+        }
+        if (isFinal(known.record.state)) {
+            m_lost[service] = known.record;
+        } else {
+            m_lost.erase(service);
+        }
+        it = m_records.erase(it);
+    }
 }
 
 bool RolloutTable::belongs(const RolloutRecord& record, const Rollout& rollout)
@@ -181,6 +203,18 @@
             && StorePosition::eraOf(record.order) < StorePosition::eraOf(rollout.order.revision));
 }
 
+const RolloutTable::KnownRecord* RolloutTable::storedRecord(const ServiceId& service) const
+{
+    const auto it = m_records.find(service);
+    return it == m_records.end() || m_era.isEarlier(it->second.revision) ? nullptr : &it->second;
+}
+
+bool RolloutTable::isVerdictLost(const Rollout& rollout) const
+{
+    return m_era.isRestored() && isFinal(rollout.state)
+        && (rollout.verdictRevision == 0 || m_era.isEarlier(rollout.verdictRevision));
+}
+
 void RolloutTable::applyRecord(const ServiceId& service)
 {
     const auto record = m_records.find(service);
@@ -208,6 +242,12 @@
         rollout.isAgeEstimated = true;
     }
     setState(rollout, known.state, known.evidence);
+    if (isFinal(known.state)) {
+        rollout.verdictRevision = record->second.revision;
+        if (known.state == rollout.state) {
+            rollout.verdict = known;
+        }
+    }
 }
 
 void RolloutTable::setState(Rollout& rollout, RolloutState state, const std::string& source)
@@ -217,6 +257,7 @@
     }
     rollout.state = state;
     rollout.decidedAt = m_clock.now();
+    rollout.reportUntil = rollout.decidedAt + verdictReportTime;
     if (state == RolloutState::RolledBack) {
         m_rejected[rollout.order.service].insert(rollout.order.target);
     }
@@ -453,12 +494,21 @@
     std::vector<RolloutChange> changes;
     for (const auto& [service, rollout] : m_rollouts) {
         const auto now = m_clock.now();
-        const auto record = m_records.find(service);
-        const auto revision = record == m_records.end() ? 0 : record->second.revision;
-        const bool hasRecord = revision > 0
-            && (belongs(record->second.record, rollout)
-                || record->second.record.order > *rollout.positions.rbegin());
-        if (hasRecord && isFinal(record->second.record.state)) {
+        const auto* stored = storedRecord(service);
+        const auto revision = stored ? stored->revision : 0;
+        const bool hasRecord
+            = stored && (belongs(stored->record, rollout) || stored->record.order > *rollout.positions.rbegin());
+        if (hasRecord && isFinal(stored->record.state)) {
+            continue;
+        }
+        if (isVerdictLost(rollout)) {
+            auto record = rollout.verdict.value_or(nextRecord(rollout, rollout.state));
+            record.order = rollout.order.revision;
+            changes.push_back({ std::move(record), revision, now - std::max(m_restoredAt, rollout.decidedAt), true });
+            continue;
+        }
+        if (m_era.isRestored() && now - m_restoredAt < reportTime) {
+            // Another VM may know of a verdict that the store has lost.
             continue;
         }
         const auto overdue = now - rollout.actionAt;
@@ -470,6 +520,13 @@
             changes.push_back({ nextRecord(rollout, RolloutState::Running), revision });
         }
     }
+    for (const auto& [service, record] : m_lost) {
+        const auto* stored = storedRecord(service);
+        const bool isStored = stored && (isFinal(stored->record.state) || stored->record.order > record.order);
+        if (!isStored && !m_rollouts.contains(service)) {
+            changes.push_back({ record, stored ? stored->revision : 0, m_clock.now() - m_restoredAt, true });
+        }
+    }
     return changes;
 }
 
@@ -477,7 +534,7 @@
 {
     std::vector<RolloutReport> list;
     for (const auto& [service, rollout] : m_rollouts) {
-        if (!isUndecided(rollout) && m_clock.now() - rollout.decidedAt > verdictReportTime) {
+        if (!isUndecided(rollout) && m_clock.now() > rollout.reportUntil && !isVerdictLost(rollout)) {
             continue;
         }
         RolloutReport report;
--- a/Source/Core/Gateway/RolloutTable.h
+++ b/Source/Core/Gateway/RolloutTable.h
@@ -29,7 +29,8 @@
 /// allowance whatever the VMs know of each other.
 ///
 /// When the store comes back from a copy, orders have other positions, and verdicts may be lost or not yet given there.
-/// An order keeps its identity.
+/// An order keeps its identity, and a verdict is written again until the store has it. A VM that started after the
+/// restore learns both from the records and from the reports of the others before it decides anything.
 class RolloutTable final : public RolloutCommands, public RolloutQueries {
 public:
     RolloutTable(
@@ -76,6 +77,12 @@
         std::set<std::int64_t> positions;
         /// Whether it may be an order of an earlier era, which this VM does not know.
         bool mayBeOlder = false;
+        /// Record of the verdict, if this VM has received it.
+        std::optional<RolloutRecord> verdict;
+        /// Position at which the store is known to have had a verdict; 0 if none.
+        std::int64_t verdictRevision = 0;
+        /// Time until which the verdict is reported.
+        MonotonicTime reportUntil { 0 };
         /// This VM's requests since the order.
         std::uint64_t requests = 0;
         std::uint64_t targetRequests = 0;
@@ -94,7 +101,7 @@
         std::int64_t revision = 0;
     };
 
-    /// Takes over a position. 
+    /// Takes over a position. After a restore, decisions wait for the reports of the other VMs.
     void updateEra(std::int64_t position);
     /// Whether an order's record is that of a known roll-out under another position.
     bool isSameOrder(const Rollout& rollout, const RolloutOrder& order) const;
@@ -104,6 +111,10 @@
     static void addPosition(Rollout& rollout, std::int64_t position);
     /// Whether a record belongs to a roll-out.
     static bool belongs(const RolloutRecord& record, const Rollout& rollout);
+    /// Whether the store has lost the verdict of a roll-out.
+    bool isVerdictLost(const Rollout& rollout) const;
+    /// The record of a service if the store has it in the present era, or null.
+    const KnownRecord* storedRecord(const ServiceId& service) const;
     bool isUndecided(const Rollout& rollout) const { return !isFinal(rollout.state); }
     /// Whether the target version may get no requests any more.
     static bool isRejected(const Rollout& rollout);
@@ -137,6 +148,8 @@
     MonotonicTime m_restoredAt { 0 };
     /// Orders that were replaced by others, the latest last.
     std::map<ServiceId, std::deque<RolloutOrder>> m_replaced;
+    /// Verdicts that the store has lost, for services without a known order.
+    std::map<ServiceId, RolloutRecord> m_lost;
 };
 
 } // namespace Pollenwind
--- a/Source/UnitTests/Gateway/RolloutEraTests.cpp
+++ b/Source/UnitTests/Gateway/RolloutEraTests.cpp
@@ -86,6 +86,47 @@
 
 } // namespace
 
+// Guards against a rejected version that comes back into use, and gets a second verdict, because the store lost the
+// verdict and has the order at another revision.
+Test(RolloutTableEra, keepsTheVerdictOfAnOrderThatIsWrittenAgain)
+{
+    // The copy has the order, or the operator writes it again.
+    for (const std::int64_t number : { 50, 45 }) {
+        RolloutEraFleet fleet;
+        auto& vm = fleet.first;
+        fleet.adoptRecord(makeRecord(at(1, 50), RolloutState::RolledBack), at(1, 60));
+        vm.table.endRead(at(2, 44));
+        vm.table.adoptOrder(makeOrder(at(2, number)), fleet.clock.now());
+        vm.table.refresh(true, 2);
+        cr_assert(!vm.mayUse(target));
+        const auto changes = vm.table.dueChanges();
+        cr_assert_eq(changes.size(), 1);
+        cr_assert(changes[0].record.state == RolloutState::RolledBack && changes[0].isRepeat);
+        cr_assert_eq(changes[0].record.order, at(1, 50));
+        cr_assert_eq(changes[0].record.evidence, "seen");
+        cr_assert_eq(changes[0].expectedRevision, 0);
+        vm.table.adoptRecord(changes[0].record, at(2, 46));
+        cr_assert(vm.table.dueChanges().empty());
+    }
+}
+
+// Guards against a good version whose completion the operator never sees, because the copy has an older state.
+Test(RolloutTableEra, replacesAnOlderStateOfTheCopy)
+{
+    RolloutEraFleet fleet;
+    auto& vm = fleet.first;
+    fleet.adoptRecord(makeRecord(at(1, 50), RolloutState::Running), at(1, 51));
+    fleet.adoptRecord(makeRecord(at(1, 50), RolloutState::Complete), at(1, 60));
+    vm.table.adoptOrder(makeOrder(at(2, 50)), MonotonicTime(0));
+    vm.table.adoptRecord(makeRecord(at(1, 50), RolloutState::Running), at(2, 51));
+    vm.table.endRead(at(2, 51));
+    vm.table.refresh(true, 2);
+    const auto changes = vm.table.dueChanges();
+    cr_assert_eq(changes.size(), 1);
+    cr_assert_eq(changes[0].record.state, RolloutState::Complete);
+    cr_assert_eq(changes[0].expectedRevision, at(2, 51));
+}
+
 // Guards against evidence that begins from zero, which lets a bad version have its allowance twice.
 Test(RolloutTableEra, keepsTheEvidenceOfAnOrderThatIsWrittenAgain)
 {
@@ -157,6 +198,29 @@
     cr_assert(vm.mayUse(target));
 }
 
+// Guards against a verdict of a VM that started after the restore, while the others know one that the store has lost.
+Test(RolloutTableEra, learnsTheVerdictFromTheOthersOnAVmThatStarted)
+{
+    RolloutEraFleet fleet;
+    fleet.adoptRecord(makeRecord(at(1, 50), RolloutState::RolledBack), at(1, 60));
+    fleet.clock.advance(20s);
+    auto& started = fleet.started;
+    started.table.adoptOrder(makeOrder(at(2, 50)), MonotonicTime(0));
+    started.table.endRead(at(2, 55));
+    started.send(20, VersionResult::Failed);
+    started.table.refresh(true, 2);
+    cr_assert(started.table.dueChanges().empty(), "the others may know a verdict");
+    // The verdict is old, but the store does not have it.
+    auto& running = fleet.first;
+    running.table.adoptOrder(makeOrder(at(2, 50)), MonotonicTime(0));
+    running.table.endRead(at(2, 55));
+    fleet.clock.advance(11s);
+    started.table.recordRemote(VmId("first"), running.table.reports());
+    cr_assert(!started.mayUse(target));
+    cr_assert_eq(started.table.dueChanges().at(0).record.order, at(1, 50));
+    cr_assert_eq(started.table.dueChanges().at(0).record.state, RolloutState::RolledBack);
+}
+
 // Guards against the same when the record of the verdict is in the copy and only the order was lost.
 Test(RolloutTableEra, takesTheOrderFromItsRecordOnAVmThatStarted)
 {
@@ -172,6 +236,23 @@
     cr_assert_eq(started.table.reports().at(0).order, at(1, 50));
 }
 
+// The verdict is written again although its order has been withdrawn since, or has not been written again.
+Test(RolloutTableEra, writesTheVerdictOfAnUnknownOrderAgain)
+{
+    ManualClock clock;
+    RolloutVm vm(clock);
+    vm.table.adoptRecord(makeRecord(at(1, 50), RolloutState::RolledBack), at(1, 60));
+    vm.table.endRead(at(1, 60));
+    cr_assert(vm.table.dueChanges().empty());
+    vm.table.endRead(at(2, 44));
+    const auto changes = vm.table.dueChanges();
+    cr_assert(changes.size() == 1 && changes[0].isRepeat);
+    cr_assert_eq(changes[0].record.order, at(1, 50));
+    cr_assert(!vm.mayUse(target));
+    vm.table.adoptRecord(changes[0].record, at(2, 45));
+    cr_assert(vm.table.dueChanges().empty());
+}
+
 // Both positions of an order must survive the way between the VMs.
 Test(FleetReportCodec, keepsThePositionsOfAnOrder)
 {
@@ -236,6 +317,54 @@
 
 } // namespace
 
+// Guards against a verdict that is lost for good, and against writes of every VM at once, which would use up the
+// store's write rate: one VM writes it, also when no VM holds the order lease.
+Test(RolloutDriverEra, writesALostVerdictOnce)
+{
+    asio::io_context context;
+    ManualClock clock;
+    EraStore store;
+    DriverVm first(clock, store, "vm1");
+    DriverVm second(clock, store, "vm2");
+    const auto copied = store.copy();
+    const auto order = store.write("order", "").modRevision;
+    const auto record = makeRecord(order, RolloutState::Complete);
+    const auto verdict = store.write(RolloutRecords::keyOf(service), RolloutRecords::encode(record)).modRevision;
+    for (auto* vm : { &first, &second }) {
+        vm->table.adoptOrder(makeOrder(order), clock.now());
+        vm->table.adoptRecord(record, verdict);
+        vm->readAll();
+    }
+    store.restore(copied);
+    for (auto* vm : { &first, &second }) {
+        vm->readAll();
+        asio::co_spawn(context, vm->driver.run(), asio::detached);
+    }
+    asio::co_spawn(
+        context,
+        [&]() -> Task<> {
+            for (unsigned n = 0; n < 100; ++n) {
+                clock.advance(200ms);
+                first.hear(VmId("vm2"));
+                second.hear(VmId("vm1"));
+                first.readAll();
+                second.readAll();
+                co_await sleepFor(60ms);
+                if (n == 15) {
+                    cr_assert(store.pairs.empty(), "the holder of the lease would write first");
+                }
+            }
+            context.stop();
+        },
+        [](const std::exception_ptr& error) { cr_assert(!error); });
+    context.run();
+    cr_assert_eq(store.pairs.size(), 1);
+    cr_assert_eq(store.pairs[0].value, "complete");
+    cr_assert_eq(store.writes, 1);
+    const auto stored = RolloutRecords::decode(service, store.find(RolloutRecords::keyOf(service)).value);
+    cr_assert(stored && stored->state == RolloutState::Complete && stored->order == order);
+}
+
 // A write of the verdict that is in doubt is checked by what the store has, and not written a second time.
 Test(RolloutDriverEra, checksAWriteInDoubtByItsContent)
 {
