Take the age of a rewritten order from the VMs that know it

A VM that started after a restore took an order that was written again for a new one. Its report made the order younger for all VMs, so that the verdict came after the time limit, and it used its part of the constant allowance a second time.

Failed before: RolloutTableEra/doesNotMakeTheOrderYoungerOnAVmThatStarted ("!started.mayUse(target) is false").

--- a/Source/Core/Gateway/RolloutTable.cpp
+++ b/Source/Core/Gateway/RolloutTable.cpp
@@ -148,6 +148,11 @@
     if (m_era.isRestored() && m_clock.now() - m_restoredAt < rewriteTime) {
         // It may have been given in an earlier era, lost, and written again before this VM received it.
         rollout.mayBeOlder = !isKnownService;
+        rollout.isAgeEstimated = true;
+        if (!m_era.hasCrossed()) {
+            rollout.orderedAfter = MonotonicTime(0);
+            rollout.hasSlack = false;
+        }
     }
     m_rollouts.emplace(order.service, std::move(rollout));
     m_rejected[order.service].erase(order.target);
--- a/Source/UnitTests/Gateway/RolloutEraTests.cpp
+++ b/Source/UnitTests/Gateway/RolloutEraTests.cpp
@@ -236,6 +236,27 @@
     cr_assert_eq(started.table.reports().at(0).order, at(1, 50));
 }
 
+// Guards against a verdict beyond the time limit: a VM that receives the order when it is written again takes it for
+// young, and its report would make it younger for all. Nor may it use its part of the constant allowance again.
+Test(RolloutTableEra, doesNotMakeTheOrderYoungerOnAVmThatStarted)
+{
+    RolloutEraFleet fleet;
+    fleet.clock.advance(5s);
+    auto& started = fleet.started;
+    started.table.endRead(at(2, 44));
+    started.table.adoptOrder(makeOrder(at(2, 45)), fleet.clock.now());
+    started.table.refresh(true, 2);
+    cr_assert(!started.mayUse(target));
+    auto& running = fleet.first;
+    running.table.endRead(at(2, 44));
+    running.table.adoptOrder(makeOrder(at(2, 45)), fleet.clock.now());
+    running.table.recordRemote(VmId("started"), started.table.reports());
+    cr_assert_geq(running.table.reports().at(0).age.count(), 5000);
+    started.table.recordRemote(VmId("first"), running.table.reports());
+    cr_assert_geq(started.table.reports().at(0).age.count(), 5000);
+    cr_assert_eq(started.table.reports().at(0).order, at(1, 50));
+}
+
 // The verdict is written again although its order has been withdrawn since, or has not been written again.
 Test(RolloutTableEra, writesTheVerdictOfAnUnknownOrderAgain)
 {
