Write records of quarantined parts again that the store has lost

Records that a restore had removed were never written again before half of their lease had passed, so that VMs that started then, or all VMs after a restart, sent the parts to runners that crash of them.

After all records of a new era have been read, those of earlier eras count as absent, and the VM whose turn it is writes them again, at most maxWrites in a round.

Failed before: QuarantineRecordsEra/writesLostRecordsAgain ("entries.size() == maxWrites is false").

--- a/Source/Core/Gateway/QuarantineRecords.cpp
+++ b/Source/Core/Gateway/QuarantineRecords.cpp
@@ -62,6 +62,17 @@
     return PartRecord { *part, *state, *crashes, *trials };
 }
 
+void QuarantineRecords::updateEra(std::int64_t position)
+{
+    m_era.update(position);
+}
+
+void QuarantineRecords::endRead(std::int64_t position)
+{
+    updateEra(position);
+    std::erase_if(m_stored, [this](const auto& it) { return m_era.isEarlier(it.second.revision); });
+}
+
 void QuarantineRecords::updateRecord(const std::string& key, const std::string& value, std::int64_t revision)
 {
     const auto record = decode(key, value);
@@ -69,12 +80,13 @@
         logStateChange("record-unreadable", { { "key", key } });
         return;
     }
-    auto& stored = m_stored[record->part];
-    if (revision <= stored.revision) {
+    updateEra(revision);
+    const auto known = m_stored.find(record->part);
+    if (known != m_stored.end() && revision <= known->second.revision) {
         return;
     }
-    stored = { *record, revision, m_clock.now() };
     m_commands.adoptRecord(*record);
+    m_stored[record->part] = { *record, revision, m_clock.now() };
 }
 
 void QuarantineRecords::markRecordErased(const std::string& key)
@@ -122,6 +134,7 @@
         co_return false;
     }
     if (swapped->isSwapped) {
+        updateEra(swapped->revision);
         m_stored[record.part] = { record, swapped->revision, m_clock.now() };
     } else if (swapped->found) {
         updateRecord(swapped->found->key, swapped->found->value, swapped->found->modRevision);
--- a/Source/Core/Gateway/QuarantineRecords.h
+++ b/Source/Core/Gateway/QuarantineRecords.h
@@ -6,6 +6,7 @@
 #include "Gateway/Commands/QuarantineRecordCommands.h"
 #include "Gateway/Queries/QuarantineQueries.h"
 #include "Gateway/Queries/TurnQueries.h"
+#include "Gateway/StoreEraTracker.h"
 #include "Store/Commands/StoreCommands.h"
 
 #include <map>
@@ -31,6 +32,7 @@
 
     void updateRecord(const std::string& key, const std::string& value, std::int64_t revision) override;
     void markRecordErased(const std::string& key) override;
+    void endRead(std::int64_t position) override;
 
     /// Writes the records that are due, indefinitely.
     Task<> run();
@@ -44,6 +46,7 @@
         MonotonicTime writtenAt { 0 };
     };
 
+    void updateEra(std::int64_t position);
     /// Records that differ from the quarantine.
     std::vector<PartRecord> dueRecords() const;
     Task<bool> write(PartRecord record);
@@ -54,6 +57,7 @@
     const QuarantineQueries& m_quarantine;
     const TurnQueries& m_turns;
     std::map<PartId, Stored> m_stored;
+    StoreEraTracker m_era;
 };
 
 } // namespace Pollenwind
