Do not change the quarantine by older records of a copy

A copy of the store has records that are older than what the VMs know. A part whose quarantine had ended was refused again on all VMs, and one that had been quarantined again came back into use by the record of its earlier end.

While the records of a new era are read for the first time, a record that contradicts this VM's quarantine is not adopted, and it is corrected like any other that differs. A VM that started after the restore takes the copy's word until then.

Failed without the check: QuarantineRecordsEra/ doesNotQuarantineALiftedPartByTheCopy ("!vm.isQuarantined(deadly) is false"), doesNotLiftAQuarantineByTheCopy ("vm.isQuarantined(deadly) is false").

--- a/Source/Core/Gateway/QuarantineRecords.cpp
+++ b/Source/Core/Gateway/QuarantineRecords.cpp
@@ -64,15 +64,28 @@
 
 void QuarantineRecords::updateEra(std::int64_t position)
 {
-    m_era.update(position);
+    if (m_era.update(position) && m_era.hasCrossed()) {
+        m_isCopyUnread = true;
+    }
 }
 
 void QuarantineRecords::endRead(std::int64_t position)
 {
     updateEra(position);
+    m_isCopyUnread = false;
     std::erase_if(m_stored, [this](const auto& it) { return m_era.isEarlier(it.second.revision); });
 }
 
+bool QuarantineRecords::isOutdated(const PartRecord& record) const
+{
+    if (!m_isCopyUnread) {
+        return false;
+    }
+    const bool isQuarantined = std::ranges::any_of(
+        m_quarantine.quarantinedParts(), [&record](const auto& it) { return it.part == record.part; });
+    return record.state == PartState::Lifted ? isQuarantined : !isQuarantined && m_stored.contains(record.part);
+}
+
 void QuarantineRecords::updateRecord(const std::string& key, const std::string& value, std::int64_t revision)
 {
     const auto record = decode(key, value);
@@ -85,7 +98,9 @@
     if (known != m_stored.end() && revision <= known->second.revision) {
         return;
     }
-    m_commands.adoptRecord(*record);
+    if (!isOutdated(*record)) {
+        m_commands.adoptRecord(*record);
+    }
     m_stored[record->part] = { *record, revision, m_clock.now() };
 }
 
--- a/Source/Core/Gateway/QuarantineRecords.h
+++ b/Source/Core/Gateway/QuarantineRecords.h
@@ -17,6 +17,9 @@
 /// Keeps the quarantined parts in the store under a lease, for VMs that start. One VM of the fleet writes each record:
 /// once when the part is quarantined, after each trial, when half of its lease has passed while requests with the part
 /// still come, and when the quarantine is lifted.
+///
+/// When the store comes back from a copy, what this VM knows goes before the records, which are corrected like any that
+/// differ from the quarantine. A VM that starts after the restore takes over the records.
 class QuarantineRecords final : public QuarantineRecordCommands {
 public:
     static constexpr std::chrono::seconds recordTimeToLive { 600 };
@@ -47,6 +50,8 @@
     };
 
     void updateEra(std::int64_t position);
+    /// Whether a record of the copy from which the store was restored is older than what this VM knows.
+    bool isOutdated(const PartRecord& record) const;
     /// Records that differ from the quarantine.
     std::vector<PartRecord> dueRecords() const;
     Task<bool> write(PartRecord record);
@@ -58,6 +63,8 @@
     const TurnQueries& m_turns;
     std::map<PartId, Stored> m_stored;
     StoreEraTracker m_era;
+    /// Whether the store was restored and its records have not all been read since.
+    bool m_isCopyUnread = false;
 };
 
 } // namespace Pollenwind
--- a/Source/UnitTests/Gateway/QuarantineEraTests.cpp
+++ b/Source/UnitTests/Gateway/QuarantineEraTests.cpp
@@ -115,6 +115,60 @@
     }
 }
 
+// Guards against a part that is refused again after its quarantine ended, because the copy has its older record. A VM
+// that starts across the restore takes the copy's word until the record is corrected.
+Test(QuarantineRecordsEra, doesNotQuarantineALiftedPartByTheCopy)
+{
+    for (const bool isLiftingStored : { true, false }) {
+        EraStore store;
+        ManualClock clock;
+        RecordingVm vm(clock, store);
+        vm.readAll();
+        vm.crash(deadly);
+        vm.runRound();
+        const auto copied = store.copy();
+        // Lifted because no request came, so no answer is known either.
+        clock.advance(PartQuarantine::idleLimit + 1s);
+        vm.quarantine.removeExpired();
+        cr_assert(!vm.isQuarantined(deadly));
+        if (isLiftingStored) {
+            vm.runRound();
+            cr_assert(vm.stored(deadly)->state == PartState::Lifted);
+        }
+        store.restore(copied);
+        vm.readAll();
+        cr_assert(!vm.isQuarantined(deadly));
+        RecordingVm started(clock, store);
+        started.readAll();
+        cr_assert(started.isQuarantined(deadly));
+        vm.runRound();
+        cr_assert(vm.stored(deadly)->state == PartState::Lifted);
+        started.receive();
+        cr_assert(!started.isQuarantined(deadly));
+    }
+}
+
+// Guards against a part that comes back into use because the copy has the record of an earlier quarantine that was
+// lifted.
+Test(QuarantineRecordsEra, doesNotLiftAQuarantineByTheCopy)
+{
+    EraStore store;
+    ManualClock clock;
+    RecordingVm vm(clock, store);
+    vm.readAll();
+    store.write(QuarantineRecords::keyOf(deadly), QuarantineRecords::encode({ deadly, PartState::Lifted, 3, 1 }));
+    vm.receive();
+    const auto copied = store.copy();
+    vm.crash(deadly);
+    vm.runRound();
+    cr_assert(vm.stored(deadly)->state == PartState::Quarantined);
+    store.restore(copied);
+    vm.readAll();
+    cr_assert(vm.isQuarantined(deadly));
+    vm.runRound();
+    cr_assert(vm.stored(deadly)->state == PartState::Quarantined);
+}
+
 // A lifting that comes after the restore holds as any other.
 Test(QuarantineRecordsEra, takesOverRecordsAfterTheRestore)
 {
