Tell the readers of records when all of a store's records were read

The order lease learns of the era before the first record, the roll-outs and the quarantine when the last one was taken over. GatewaySync calls them in readAll().

--- a/Source/Core/Gateway/GatewaySync.cpp
+++ b/Source/Core/Gateway/GatewaySync.cpp
@@ -66,6 +66,7 @@
         // Another VM's records may be older than what this one has already used.
         co_return fail(ErrorCode::StoreUnavailable, "the records are older than the local ones");
     }
+    m_context.orders.updateStorePosition(records->range.revision);
     std::vector<RunnerEntry> runners;
     std::set<VmId> vms;
     bool hasHolder = false;
@@ -92,6 +93,8 @@
     if (!hasHolder) {
         m_context.orders.clearHolder();
     }
+    m_context.quarantine.endRead(records->range.revision);
+    m_context.rollouts.endRead(records->range.revision);
     m_revision = records->range.revision;
     m_freshAt = std::max(m_freshAt, requestedAt - records->age);
     m_answeredAt = m_context.clock.now();
