Record orders to runners in the store again when the lease was lost meanwhile

A load that began under one lease of this VM could be ordered under a later one, in a new era of the store too, before the record that orders may be in progress was there. The next holder would not have waited for the handover pause.

The driver now makes sure of the record, and checks the lease again, directly before each order. A record that a write in doubt or another load has brought there counts as written.

Failed before: WeightsDriver/givesNoOrderBeforeItIsRecordedInTheNewEra ("weights.orders.empty() is false").

--- a/Source/Core/Gateway/OrderLease.cpp
+++ b/Source/Core/Gateway/OrderLease.cpp
@@ -214,6 +214,8 @@
     }
     if (swapped && swapped->found) {
         updateState(swapped->found->value, swapped->found->modRevision);
+        // An earlier write without an answer, or one of another task, may have taken effect.
+        co_return isStateStored() && m_stateVm == m_vm.value() && m_isStateActive == isActive;
     }
     co_return false;
 }
--- a/Source/Core/Gateway/WeightsDriver.cpp
+++ b/Source/Core/Gateway/WeightsDriver.cpp
@@ -155,8 +155,9 @@
     if (report->isBusy || (current != report->weights.end() && current->second >= pending.version)) {
         co_return true;
     }
-    // The lease may have been lost while this task waited for the report.
-    if (!m_lease.mayOrder()) {
+    // The lease may have been lost while this task waited for the report, and acquired again, also in another era of
+    // the store, which may not have the record of the orders.
+    if (!m_lease.mayOrder() || !co_await m_lease.beginOrders() || !m_lease.mayOrder()) {
         co_return false;
     }
     const WeightsOrder order { pending.runner.id, pending.runner.endpoint, pending.model, pending.version, m_vm,
--- a/Source/UnitTests/Gateway/OrderLeaseEraTests.cpp
+++ b/Source/UnitTests/Gateway/OrderLeaseEraTests.cpp
@@ -280,3 +280,16 @@
         cr_assert(fixture.store.find(stateKey).value.find("own") != std::string::npos);
     });
 }
+
+// A write in doubt is checked by what the store has, so that orders need no further attempt.
+Test(OrderLeaseEra, checksAWriteInDoubtByItsContent)
+{
+    EraFixture fixture;
+    fixture.run([&]() -> Task<> {
+        fixture.readAll();
+        co_await fixture.waitUntilHeld();
+        fixture.store.losesNextAnswer = true;
+        cr_assert(!co_await fixture.lease.beginOrders());
+        cr_assert(co_await fixture.lease.beginOrders());
+    });
+}
