--- a/Source/Core/Gateway/GatewaySync.cpp
+++ b/Source/Core/Gateway/GatewaySync.cpp
@@ -103,7 +103,10 @@
         co_return fail(ErrorCode::StoreUnavailable, "the records are older than the local ones");
     }
     const bool isRestored = StorePosition::isBefore(m_revision, StorePosition::eraOf(records->range.revision));
+    m_context.orders.updateStorePosition(records->range.revision);
     applyAll(records->range, isRestored);
+    m_context.quarantine.endRead(records->range.revision);
+    m_context.rollouts.endRead(records->range.revision);
     m_revision = records->range.revision;
     // What an earlier era answered proves nothing about the present one.
     const auto readAt = requestedAt - records->age;
--- a/Source/Core/Gateway/RolloutTable.cpp
+++ b/Source/Core/Gateway/RolloutTable.cpp
@@ -15,6 +15,20 @@
     // Time for which a verdict is reported to VMs that do not receive the store's changes.
     constexpr std::chrono::seconds verdictReportTime { 10 };
 
+    // After a restore, time for the reports of the other VMs to arrive, also through a relay and if one is lost.
+    constexpr std::chrono::seconds reportTime { 2 };
+
+    // Time after a restore in which an order of the same content is the earlier one, written again.
+    constexpr std::chrono::seconds rewriteTime { 10 };
+
+    // Replaced orders of a service that are remembered, more than an operator gives in the age of a copy.
+    constexpr std::size_t maxReplacedOrders = 8;
+
+    bool hasSameContent(const RolloutOrder& a, const RolloutOrder& b)
+    {
+        return a.service == b.service && a.target == b.target && a.duration == b.duration;
+    }
+
     // Share of the target version on a VM that does not receive the store's changes.
     constexpr double staleShare = 0.04;
 
@@ -51,16 +65,95 @@
 {
 }
 
+void RolloutTable::updateEra(std::int64_t position)
+{
+    if (!m_era.update(position)) {
+        return;
+    }
+    m_restoredAt = m_clock.now();
+    for (auto& [service, rollout] : m_rollouts) {
+        rollout.reportUntil = m_restoredAt + verdictReportTime;
+    }
+}
+
+bool RolloutTable::isSameOrder(const Rollout& rollout, const RolloutOrder& order) const
+{
+    if (rollout.positions.contains(order.revision)) {
+        return true;
+    }
+    const auto latest = *rollout.positions.rbegin();
+    if (order.revision < latest || !hasSameContent(rollout.order, order)) {
+        return false;
+    }
+    if (m_era.isEarlier(latest)) {
+        // The operator does not write an order again that it has withdrawn, but the copy may have it.
+        return !rollout.isWithdrawn
+            || std::ranges::any_of(rollout.positions, [number = StorePosition::numberOf(order.revision)](auto it) {
+                   return StorePosition::numberOf(it) == number;
+               });
+    }
+    const bool isOlder = m_era.isEarlier(*rollout.positions.begin()) || rollout.mayBeOlder;
+    return isOlder && !rollout.isWithdrawn && m_clock.now() - m_restoredAt < rewriteTime;
+}
+
+bool RolloutTable::isReplaced(const RolloutOrder& order) const
+{
+    const auto replaced = m_replaced.find(order.service);
+    return replaced != m_replaced.end()
+        && std::ranges::any_of(replaced->second, [this, &order](const RolloutOrder& it) {
+               return hasSameContent(it, order) && m_era.isEarlier(it.revision)
+                   && StorePosition::numberOf(it.revision) == StorePosition::numberOf(order.revision);
+           });
+}
+
+void RolloutTable::recordReplaced(const Rollout& rollout)
+{
+    auto& replaced = m_replaced[rollout.order.service];
+    for (const auto position : rollout.positions) {
+        replaced.push_back(rollout.order);
+        replaced.back().revision = position;
+    }
+    while (replaced.size() > maxReplacedOrders) {
+        replaced.pop_front();
+    }
+}
+
+void RolloutTable::addPosition(Rollout& rollout, std::int64_t position)
+{
+    rollout.positions.insert(position);
+    rollout.order.revision = *rollout.positions.begin();
+}
+
 void RolloutTable::adoptOrder(const RolloutOrder& order, MonotonicTime orderedAfter)
 {
+    updateEra(order.revision);
     const auto it = m_rollouts.find(order.service);
-    if (it != m_rollouts.end() && it->second.order.revision >= order.revision) {
-        return;
+    const bool isKnownService = it != m_rollouts.end();
+    if (isKnownService) {
+        if (isSameOrder(it->second, order)) {
+            addPosition(it->second, order.revision);
+            applyRecord(order.service);
+            return;
+        }
+        if (*it->second.positions.rbegin() >= order.revision || isReplaced(order)) {
+            return;
+        }
+        recordReplaced(it->second);
+        m_rollouts.erase(it);
     }
-    m_rollouts.erase(order.service);
     Rollout rollout { .order = order, .recorder = VersionEvidenceRecorder(m_clock) };
+    rollout.positions = { order.revision };
     rollout.orderedAfter = orderedAfter;
     rollout.hasSlack = orderedAfter.count() > 0;
+    if (m_era.isRestored() && m_clock.now() - m_restoredAt < rewriteTime) {
+        // It may have been given in an earlier era, lost, and written again before this VM received it.
+        rollout.mayBeOlder = !isKnownService;
+        rollout.isAgeEstimated = true;
+        if (!m_era.hasCrossed()) {
+            rollout.orderedAfter = MonotonicTime(0);
+            rollout.hasSlack = false;
+        }
+    }
     m_rollouts.emplace(order.service, std::move(rollout));
     m_rejected[order.service].erase(order.target);
     m_timeline.record(EventKind::MoveOrdered,
@@ -78,13 +171,55 @@
 
 void RolloutTable::adoptRecord(const RolloutRecord& record, std::int64_t revision)
 {
+    updateEra(revision);
     auto& known = m_records[record.service];
-    if (revision > known.revision) {
-        known = { record, revision };
-        applyRecord(record.service);
+    if (revision <= known.revision) {
+        return;
+    }
+    if (m_era.isEarlier(known.revision) && isFinal(known.record.state)) {
+        m_lost[record.service] = known.record;
+    }
+    known = { record, revision };
+    applyRecord(record.service);
+}
+
+void RolloutTable::endRead(std::int64_t position)
+{
+    updateEra(position);
+    for (auto it = m_records.begin(); it != m_records.end();) {
+        const auto& [service, known] = *it;
+        if (!m_era.isEarlier(known.revision)) {
+            ++it;
+            continue;
+        }
+        if (isFinal(known.record.state)) {
+            m_lost[service] = known.record;
+        } else {
+            m_lost.erase(service);
+        }
+        it = m_records.erase(it);
     }
 }
 
+bool RolloutTable::belongs(const RolloutRecord& record, const Rollout& rollout)
+{
+    return rollout.positions.contains(record.order)
+        || (rollout.mayBeOlder && record.target == rollout.order.target && record.order > 0
+            && StorePosition::eraOf(record.order) < StorePosition::eraOf(rollout.order.revision));
+}
+
+const RolloutTable::KnownRecord* RolloutTable::storedRecord(const ServiceId& service) const
+{
+    const auto it = m_records.find(service);
+    return it == m_records.end() || m_era.isEarlier(it->second.revision) ? nullptr : &it->second;
+}
+
+bool RolloutTable::isVerdictLost(const Rollout& rollout) const
+{
+    return m_era.isRestored() && isFinal(rollout.state)
+        && (rollout.verdictRevision == 0 || m_era.isEarlier(rollout.verdictRevision));
+}
+
 void RolloutTable::applyRecord(const ServiceId& service)
 {
     const auto record = m_records.find(service);
@@ -100,10 +235,11 @@
         }
         return;
     }
-    if (known.order != it->second.order.revision) {
+    auto& rollout = it->second;
+    if (!belongs(known, rollout)) {
         return;
     }
-    auto& rollout = it->second;
+    addPosition(rollout, known.order);
     if (rollout.orderedAfter.count() == 0) {
         const auto age
             = std::max<std::chrono::nanoseconds>(std::chrono::nanoseconds(0), m_clock.wallNow() - known.orderedAt);
@@ -111,6 +247,12 @@
         rollout.isAgeEstimated = true;
     }
     setState(rollout, known.state, known.evidence);
+    if (isFinal(known.state)) {
+        rollout.verdictRevision = record->second.revision;
+        if (known.state == rollout.state) {
+            rollout.verdict = known;
+        }
+    }
 }
 
 void RolloutTable::setState(Rollout& rollout, RolloutState state, const std::string& source)
@@ -120,6 +262,7 @@
     }
     rollout.state = state;
     rollout.decidedAt = m_clock.now();
+    rollout.reportUntil = rollout.decidedAt + verdictReportTime;
     if (state == RolloutState::RolledBack) {
         m_rejected[rollout.order.service].insert(rollout.order.target);
     }
@@ -134,10 +277,17 @@
 {
     for (auto& report : reports) {
         const auto it = m_rollouts.find(report.service);
-        if (it == m_rollouts.end() || it->second.order.revision != report.order) {
+        if (it == m_rollouts.end()) {
             continue;
         }
         auto& rollout = it->second;
+        if (!rollout.positions.contains(report.order) && !rollout.positions.contains(report.latest)) {
+            continue;
+        }
+        if (report.order < rollout.order.revision) {
+            addPosition(rollout, report.order);
+            applyRecord(report.service);
+        }
         setState(rollout, report.state, "reported by " + vm.value());
         if (report.age.count() > 0) {
             // The order is at most as old as any VM that observed it takes it to be.
@@ -348,13 +498,25 @@
 {
     std::vector<RolloutChange> changes;
     for (const auto& [service, rollout] : m_rollouts) {
-        const auto record = m_records.find(service);
-        const auto revision = record == m_records.end() ? 0 : record->second.revision;
-        const bool hasRecord = revision > 0 && record->second.record.order >= rollout.order.revision;
-        if (hasRecord && isFinal(record->second.record.state)) {
+        const auto now = m_clock.now();
+        const auto* stored = storedRecord(service);
+        const auto revision = stored ? stored->revision : 0;
+        const bool hasRecord
+            = stored && (belongs(stored->record, rollout) || stored->record.order > *rollout.positions.rbegin());
+        if (hasRecord && isFinal(stored->record.state)) {
+            continue;
+        }
+        if (isVerdictLost(rollout)) {
+            auto record = rollout.verdict.value_or(nextRecord(rollout, rollout.state));
+            record.order = rollout.order.revision;
+            changes.push_back({ std::move(record), revision, now - std::max(m_restoredAt, rollout.decidedAt), true });
             continue;
         }
-        const auto overdue = m_clock.now() - rollout.actionAt;
+        if (m_era.isRestored() && now - m_restoredAt < reportTime) {
+            // Another VM may know of a verdict that the store has lost.
+            continue;
+        }
+        const auto overdue = now - rollout.actionAt;
         if (isRejected(rollout)) {
             changes.push_back({ nextRecord(rollout, RolloutState::RolledBack), revision, overdue });
         } else if (rollout.decision.action == RampAction::Complete) {
@@ -363,6 +525,13 @@
             changes.push_back({ nextRecord(rollout, RolloutState::Running), revision });
         }
     }
+    for (const auto& [service, record] : m_lost) {
+        const auto* stored = storedRecord(service);
+        const bool isStored = stored && (isFinal(stored->record.state) || stored->record.order > record.order);
+        if (!isStored && !m_rollouts.contains(service)) {
+            changes.push_back({ record, stored ? stored->revision : 0, m_clock.now() - m_restoredAt, true });
+        }
+    }
     return changes;
 }
 
@@ -370,12 +539,13 @@
 {
     std::vector<RolloutReport> list;
     for (const auto& [service, rollout] : m_rollouts) {
-        if (!isUndecided(rollout) && m_clock.now() - rollout.decidedAt > verdictReportTime) {
+        if (!isUndecided(rollout) && m_clock.now() > rollout.reportUntil && !isVerdictLost(rollout)) {
             continue;
         }
         RolloutReport report;
         report.service = service;
         report.order = rollout.order.revision;
+        report.latest = *rollout.positions.rbegin();
         report.state = rollout.state;
         report.age = rollout.isAgeEstimated ? std::chrono::milliseconds(0)
                                             : std::chrono::ceil<std::chrono::milliseconds>(ageOf(rollout));
