--- a/Source/Core/Gateway/RolloutTable.cpp
+++ b/Source/Core/Gateway/RolloutTable.cpp
@@ -88,8 +88,8 @@
     if (m_era.isEarlier(latest)) {
         // The operator does not write an order again that it has withdrawn, but the copy may have it.
         return !rollout.isWithdrawn
-            || std::ranges::any_of(rollout.positions, [number = StorePosition::numberOf(order.revision)](auto it) {
-                   return StorePosition::numberOf(it) == number;
+            || std::ranges::any_of(rollout.positions, [number = StorePosition::revisionOf(order.revision)](auto it) {
+                   return StorePosition::revisionOf(it) == number;
                });
     }
     const bool isOlder = m_era.isEarlier(*rollout.positions.begin()) || rollout.mayBeOlder;
@@ -102,7 +102,7 @@
     return replaced != m_replaced.end()
         && std::ranges::any_of(replaced->second, [this, &order](const RolloutOrder& it) {
                return hasSameContent(it, order) && m_era.isEarlier(it.revision)
-                   && StorePosition::numberOf(it.revision) == StorePosition::numberOf(order.revision);
+                   && StorePosition::revisionOf(it.revision) == StorePosition::revisionOf(order.revision);
            });
 }
 
--- a/Source/Core/Gateway/RunnerTable.cpp
+++ b/Source/Core/Gateway/RunnerTable.cpp
@@ -120,7 +120,7 @@
 {
     // A copy shows the last entry that this VM knew, or one before it.
     if (entry.revision == 0
-        || StorePosition::numberOf(entry.revision) > StorePosition::numberOf(known.entry.revision)) {
+        || StorePosition::revisionOf(entry.revision) > StorePosition::revisionOf(known.entry.revision)) {
         return false;
     }
     return known.entry.state == RunnerState::Gone ? entry.incarnation <= known.entry.incarnation
--- a/Source/Core/Gateway/StoreCrossing.cpp
+++ b/Source/Core/Gateway/StoreCrossing.cpp
@@ -9,7 +9,7 @@
     std::string toText(std::int64_t position)
     {
         return std::to_string(StorePosition::eraOf(position).value()) + "/"
-            + std::to_string(StorePosition::numberOf(position));
+            + std::to_string(StorePosition::revisionOf(position));
     }
 
     std::string compareConfigurations(std::int64_t copied, std::int64_t known)
--- a/Source/UnitTests/Gateway/EraStore.h
+++ b/Source/UnitTests/Gateway/EraStore.h
@@ -28,8 +28,8 @@
         content = std::move(copied);
         era = StoreEra(era.value() + 1);
         for (auto& [key, entry] : content.entries) {
-            entry.modRevision = position(StorePosition::numberOf(entry.modRevision));
-            entry.lease = LeaseId(position(StorePosition::numberOf(entry.lease.value())));
+            entry.modRevision = position(StorePosition::revisionOf(entry.modRevision));
+            entry.lease = LeaseId(position(StorePosition::revisionOf(entry.lease.value())));
         }
     }
 
@@ -122,7 +122,7 @@
     bool hasLease(const LeaseId& lease) const
     {
         return !StorePosition::isBefore(lease.value(), era)
-            && content.leases.contains(StorePosition::numberOf(lease.value()));
+            && content.leases.contains(StorePosition::revisionOf(lease.value()));
     }
 
     Outcome<SwapResult> swap(const std::string& key, std::int64_t expected, std::string value, LeaseId lease)
--- a/Source/UnitTests/Gateway/OrderLeaseEraTests.cpp
+++ b/Source/UnitTests/Gateway/OrderLeaseEraTests.cpp
@@ -156,7 +156,7 @@
         co_await fixture.waitUntilHeld();
         cr_assert(fixture.lease.mayOrder());
         cr_assert_gt(fixture.lease.fencingToken(), token);
-        cr_assert_lt(StorePosition::numberOf(fixture.lease.fencingToken()), StorePosition::numberOf(token));
+        cr_assert_lt(StorePosition::revisionOf(fixture.lease.fencingToken()), StorePosition::revisionOf(token));
     });
 }
 
