Apply the limits of a configuration together with its routes

Callers whose requests a new configuration allowed saw 413 or 431 for up to a second after its routes were in use: a housekeeping loop copied the limits into the server once a second.

Evidence: PlatformGateway/appliesTheLimitsOfAConfigurationTogetherWithItsRoutes failed before with "((co_await callWithoutDeadline(callers, "/new/x", 1000)).status) == (200) is false". HttpServer/ takesTheLimitsFromTheirSourceWhenARequestArrives checks the server alone.

The server reads the limits from the configuration in use when a request begins to arrive and when it decides on an idle connection. Tasks of connections may outlive the server; they no longer use its handler for reports, nor the source of the limits, once the server is destroyed.

--- a/Source/Core/Gateway/Gateway.cpp
+++ b/Source/Core/Gateway/Gateway.cpp
@@ -84,15 +84,28 @@
         return static_cast<std::size_t>(std::max(1.0, fewest));
     }
 
-    HttpServerLimits toServerLimits(const CallerLimits& limits)
-    {
-        HttpServerLimits server;
-        server.headerBytes = limits.headerBytes;
-        server.bodyBytes = limits.bodyBytes;
-        server.headerTimeout = limits.headerTimeout;
-        server.idleTimeout = limits.idleTimeout;
-        return server;
-    }
+    /// Limits for callers in the configuration in use.
+    class ConfiguredLimits final : public HttpLimitSource {
+    public:
+        explicit ConfiguredLimits(const RoutingQueries& routing)
+            : m_routing(routing)
+        {
+        }
+
+        HttpServerLimits limits() const override
+        {
+            const auto configuration = m_routing.current();
+            HttpServerLimits server;
+            server.headerBytes = configuration->limits.headerBytes;
+            server.bodyBytes = configuration->limits.bodyBytes;
+            server.headerTimeout = configuration->limits.headerTimeout;
+            server.idleTimeout = configuration->limits.idleTimeout;
+            return server;
+        }
+
+    private:
+        const RoutingQueries& m_routing;
+    };
 
 } // namespace
 
@@ -142,11 +155,13 @@
         , frontEnd(clock, platform.requests, dispatcher, metrics, log)
         , status(settings.readyPath, metrics, [this] { return isReady(); })
         , feed(clock, changeLog, sync, fleet)
-        , callerServer(executor, frontEnd, toServerLimits({}))
+        , callerLimits(routing)
+        , callerServer(executor, frontEnd, callerLimits.limits())
         , readyServer(executor, status, {})
         , metricsServer(executor, status, {})
         , feedServer(executor, feed, {})
     {
+        callerServer.setLimitSource(callerLimits);
     }
 
     bool isReady() const;
@@ -186,6 +201,7 @@
     GatewayFrontEnd frontEnd;
     StatusFrontEnd status;
     FeedFrontEnd feed;
+    ConfiguredLimits callerLimits;
     HttpServer callerServer;
     HttpServer readyServer;
     HttpServer metricsServer;
@@ -245,7 +261,6 @@
 
 Task<> Gateway::Components::runHousekeeping()
 {
-    std::int64_t appliedVersion = 0;
     for (;;) {
         co_await sleepFor(housekeepingInterval);
         client.closeExpired();
@@ -253,10 +268,6 @@
         crashes.checkReplaced();
         quarantine.removeExpired();
         const auto configuration = routing.current();
-        if (configuration->version != appliedVersion) {
-            appliedVersion = configuration->version;
-            callerServer.setLimits(toServerLimits(configuration->limits));
-        }
         client.setIdleLimit(idleLimit(*configuration, fleet.size()));
         policy.setOtherZoneLoadUnknown(fleet.isLarge());
         orders.setFleetSize(fleet.size());
--- a/Source/Core/Transport/HttpServer.cpp
+++ b/Source/Core/Transport/HttpServer.cpp
@@ -269,6 +269,9 @@
     Task<> serveRequests(Connection& connection);
     /// Waits until the first bytes of the next request are in the buffer.
     Task<beast::error_code> waitForRequest(Connection& connection, bool isFirst);
+    void setLimits(const HttpServerLimits& newLimits);
+    /// Takes over the limits of the source, if there is one.
+    void updateLimits();
     /// Longest idle limit that clients may still rely on.
     std::chrono::milliseconds longestIdleLimit();
     /// Reads and parses a request up to the end of its header or body.
@@ -276,6 +279,7 @@
     Task<beast::error_code> readRequest(Connection& connection, RequestParser& parser, ReadUntil end, TimePoint until);
     /// Appends what arrives next to the connection's buffer.
     Task<beast::error_code> readSome(Connection& connection, TimePoint until);
+    void report(ConnectionEvent event);
     void recordReadEnd(const beast::error_code& ec, bool isRequestBegun);
 
     asio::any_io_executor executor;
@@ -285,6 +289,9 @@
     std::map<ConnectionId, Connection> connections;
     ConnectionId nextId = 1;
     std::vector<ReplacedLimit> replacedIdleLimits;
+    const HttpLimitSource* limitSource = nullptr;
+    /// The tasks of connections may outlive the server, but not its handler and its source of limits.
+    bool isDestroyed = false;
     std::optional<TimePoint> stoppedAt;
     /// Each connection is closed after its next response.
     bool isClosing = false;
@@ -312,7 +319,7 @@
 void HttpServer::State::addConnection(tcp::socket socket)
 {
     if (connections.size() >= limits.connections) {
-        handler.onConnectionEvent(ConnectionEvent::Rejected);
+        report(ConnectionEvent::Rejected);
         return;
     }
     setLowLatencyOptions(socket.native_handle(), limits.writeTimeout);
@@ -365,7 +372,7 @@
         if (ec == asio::error::would_block) {
             ec = isLate ? beast::error_code(beast::error::timeout) : asio::error::operation_aborted;
         } else if (!ec) {
-            handler.onConnectionEvent(ConnectionEvent::ReadLate);
+            report(ConnectionEvent::ReadLate);
         }
     }
     buf.commit(n);
@@ -392,8 +399,24 @@
     }
 }
 
+void HttpServer::State::setLimits(const HttpServerLimits& newLimits)
+{
+    if (newLimits.idleTimeout != limits.idleTimeout) {
+        replacedIdleLimits.push_back({ limits.idleTimeout, std::chrono::steady_clock::now() });
+    }
+    limits = newLimits;
+}
+
+void HttpServer::State::updateLimits()
+{
+    if (limitSource && !isDestroyed) {
+        setLimits(limitSource->limits());
+    }
+}
+
 std::chrono::milliseconds HttpServer::State::longestIdleLimit()
 {
+    updateLimits();
     const auto oldest = std::chrono::steady_clock::now() - replacedLimitTime;
     std::erase_if(replacedIdleLimits, [&](const ReplacedLimit& it) { return it.replacedAt < oldest; });
     auto longest = limits.idleTimeout;
@@ -442,6 +465,7 @@
             headerBegin = isFirst ? headerBegin : std::chrono::steady_clock::now();
         }
         // Only now, since the limits may have been replaced during the wait.
+        updateLimits();
         RequestParser parser;
         parser.header_limit(static_cast<std::uint32_t>(limits.headerBytes));
         parser.body_limit(limits.bodyBytes);
@@ -470,7 +494,7 @@
         Exchange exchange(stream, toRequest(parser.release()), limits, keepAlive, isClosing);
         co_await handler.handle(exchange);
         if (!exchange.isComplete()) {
-            handler.onConnectionEvent(ConnectionEvent::Unanswered);
+            report(ConnectionEvent::Unanswered);
             co_return;
         }
         // The client may have sent a request in reliance on a response that was sent before a stop.
@@ -480,12 +504,19 @@
     }
 }
 
+void HttpServer::State::report(ConnectionEvent event)
+{
+    if (!isDestroyed) {
+        handler.onConnectionEvent(event);
+    }
+}
+
 void HttpServer::State::recordReadEnd(const beast::error_code& ec, bool isRequestBegun)
 {
     if (ec == beast::error::timeout) {
-        handler.onConnectionEvent(isRequestBegun ? ConnectionEvent::RequestTimedOut : ConnectionEvent::IdleClosed);
+        report(isRequestBegun ? ConnectionEvent::RequestTimedOut : ConnectionEvent::IdleClosed);
     } else if (isRequestBegun) {
-        handler.onConnectionEvent(stoppedAt ? ConnectionEvent::RequestStopped : ConnectionEvent::RequestCutOff);
+        report(stoppedAt ? ConnectionEvent::RequestStopped : ConnectionEvent::RequestCutOff);
     }
 }
 
@@ -496,6 +527,7 @@
 
 HttpServer::~HttpServer()
 {
+    m_state->isDestroyed = true;
     beast::error_code ec;
     m_state->acceptor.close(ec);
     closeAll();
@@ -526,14 +558,9 @@
     return Endpoint { endpoint.address, acceptor.local_endpoint().port() };
 }
 
-void HttpServer::setLimits(const HttpServerLimits& limits)
-{
-    auto& state = *m_state;
-    if (limits.idleTimeout != state.limits.idleTimeout) {
-        state.replacedIdleLimits.push_back({ state.limits.idleTimeout, std::chrono::steady_clock::now() });
-    }
-    state.limits = limits;
-}
+void HttpServer::setLimits(const HttpServerLimits& limits) { m_state->setLimits(limits); }
+
+void HttpServer::setLimitSource(const HttpLimitSource& source) { m_state->limitSource = &source; }
 
 void HttpServer::announceClose() { m_state->isClosing = true; }
 
--- a/Source/Core/Transport/HttpServer.h
+++ b/Source/Core/Transport/HttpServer.h
@@ -121,6 +121,18 @@
     std::chrono::milliseconds writeTimeout { 10'000 };
 };
 
+/// Limits of a server that change without a notice to it.
+class HttpLimitSource {
+public:
+    HttpLimitSource() = default;
+    HttpLimitSource(const HttpLimitSource&) = delete;
+    HttpLimitSource& operator=(const HttpLimitSource&) = delete;
+    virtual ~HttpLimitSource() = default;
+
+    /// Limits in force.
+    virtual HttpServerLimits limits() const = 0;
+};
+
 /// HTTP/1.1 server with one task for each connection.
 class HttpServer {
 public:
@@ -140,6 +152,10 @@
     /// the next write on.
     void setLimits(const HttpServerLimits& limits);
 
+    /// Sets where the limits come from: they are read when a request begins to arrive.
+    /// @param source Must outlive the server.
+    void setLimitSource(const HttpLimitSource& source);
+
     /// Closes each connection after the response to its next request, which announces it ("Connection: close"). New
     /// connections are still accepted.
     void announceClose();
--- a/Source/UnitTests/PlatformAdapter/GatewayTests.cpp
+++ b/Source/UnitTests/PlatformAdapter/GatewayTests.cpp
@@ -371,10 +371,11 @@
         "services":[{"name":"app"}]})";
 }
 
-Task<HttpAnswer> callWithoutDeadline(Endpoint endpoint, std::string path)
+Task<HttpAnswer> callWithoutDeadline(Endpoint endpoint, std::string path, std::size_t bodyBytes = 4)
 {
     constexpr std::chrono::seconds limit { 60 };
-    HttpRequest request { "POST", path, "", { { "Host", "h" }, { "X-Request-Id", "q" + path } }, "body" };
+    HttpRequest request { "POST", path, "", { { "Host", "h" }, { "X-Request-Id", "q" + path } },
+        std::string(bodyBytes, 'b') };
     const auto answer = co_await fetch(endpoint, std::move(request), limit);
     co_return answer.value_or(HttpAnswer { 0, "", "", {} });
 }
@@ -426,6 +427,30 @@
     });
 }
 
+// Guards against rejecting requests for the limits of an earlier configuration while routes of the new one are in use.
+Test(PlatformGateway, appliesTheLimitsOfAConfigurationTogetherWithItsRoutes)
+{
+    PlatformFixture fixture;
+    const auto configuration = [](int version, std::string_view prefix, std::string_view bodyBytes) {
+        return R"({"version":)" + std::to_string(version) + R"(,"limits":{"max_body_bytes":)" + std::string(bodyBytes)
+            + R"(},"routes":[{"name":"s","host":"h","prefix":")" + std::string(prefix)
+            + R"(","kind":"safe","service":"app","timeout_ms":600000}],"services":[{"name":"app"}]})";
+    };
+    fixture.store.put("op/config", configuration(1, "/old/", "10"));
+    fixture.run([&](Gateway&) -> Task<> {
+        const auto& callers = fixture.settings.listenCallers;
+        co_await fixture.waitUntil(
+            [&]() -> Task<bool> { co_return (co_await callWithoutDeadline(callers, "/old/x")).status == 200; });
+        // The limits of the first version are in force.
+        co_await fixture.waitUntil(
+            [&]() -> Task<bool> { co_return (co_await callWithoutDeadline(callers, "/old/x", 1000)).status == 413; });
+        fixture.store.put("op/config", configuration(2, "/new/", "10000"));
+        co_await fixture.waitUntil(
+            [&]() -> Task<bool> { co_return (co_await callWithoutDeadline(callers, "/new/x")).status == 200; });
+        cr_assert_eq((co_await callWithoutDeadline(callers, "/new/x", 1000)).status, 200);
+    });
+}
+
 // Guards against a write that is reported as failed, or executed twice, when its response is lost.
 Test(KvStoreClient, reportsALostAnswerAsUnknown)
 {
--- a/Source/UnitTests/Transport/HttpServerTests.cpp
+++ b/Source/UnitTests/Transport/HttpServerTests.cpp
@@ -298,3 +298,20 @@
     fixture.runUntil([&] { return fixture.server.connectionCount() == 0; });
     cr_assert_eq(fixture.handler.events[ConnectionEvent::IdleClosed], 1);
 }
+
+// Guards against limits that are applied some time after they have come into force.
+Test(HttpServer, takesTheLimitsFromTheirSourceWhenARequestArrives)
+{
+    struct Source final : HttpLimitSource {
+        HttpServerLimits limits() const override { return current; }
+        HttpServerLimits current = longLimits();
+    } source;
+    source.current.bodyBytes = 10;
+    ServerFixture fixture(source.current);
+    fixture.server.setLimitSource(source);
+    RawClient client(fixture.endpoint);
+    fixture.exchange(client, "/first");
+    source.current.bodyBytes = 1000;
+    client.send(requestOf("/second", 500));
+    cr_assert_eq(fixture.responseStatus(client), 200);
+}
