Play restores of the store in the gateway soak

The fault store-restored takes the store away for 1.5 s and brings it back from a copy that is 2 to 20 s old, one time in three twice.

The fault is off by default: it has not been played beside all others, nor on the optimised build.

--- a/Source/UnitTests/PlatformSoak/GatewaySoak.cpp
+++ b/Source/UnitTests/PlatformSoak/GatewaySoak.cpp
@@ -32,6 +32,12 @@
     constexpr std::chrono::seconds startupTime { 3 };
     // Time from a runner's announcement to its end. It is longer than VMs may go on to send it requests.
     constexpr std::chrono::seconds shutdownTime { 4 };
+    // Time without the store, time until the operator writes again, and time by which the gateways serve.
+    constexpr std::chrono::milliseconds restoreOutage { 1500 };
+    constexpr std::chrono::milliseconds operatorDelay { 700 };
+    constexpr std::chrono::milliseconds restoredServiceTime { 2000 };
+    constexpr std::chrono::milliseconds minCopyAge { 2000 };
+    constexpr std::uint64_t copyAgeRange = 18000;
     constexpr std::chrono::milliseconds shortestRefusalTime { 200 };
     constexpr std::uint64_t refusalTimeRange = 7800;
     constexpr std::size_t maxExamples = 5;
@@ -167,6 +173,7 @@
     m_store.put("servers/" + runner.id(), runner.entry());
     // The entry of the previous incarnation expires only after three heartbeats.
     co_await sleepFor(entryTimeToLive);
+    m_endedRunners.push_back(before);
     m_store.erase("servers/" + before);
 }
 
@@ -195,7 +202,9 @@
     auto& runner = m_runners[draw % m_runners.size()];
     for (const auto& row : storeLinkRows) {
         if (row.fault == fault) {
-            co_return co_await applyLinkFault(m_storeLink, row.state, time);
+            co_await applyLinkFault(m_storeLink, row.state, time);
+            m_storeDisturbedAt = SteadyClock::now();
+            co_return;
         }
     }
     for (const auto& row : runnerLinkRows) {
@@ -218,6 +227,7 @@
         break;
     case GatewayFault::GatewayStopped:
         m_gateways[gateway].signal(SIGTERM);
+        m_stoppedAt[m_gateways[gateway].name()] = SteadyClock::now();
         break;
     case GatewayFault::GatewayPaused:
         co_await pauseGateway(gateway, time);
@@ -232,11 +242,13 @@
         m_store.forcedStatus = 503;
         co_await sleepFor(time);
         m_store.forcedStatus = 0;
+        m_storeDisturbedAt = SteadyClock::now();
         break;
     case GatewayFault::StoreSlow:
         m_store.delay = std::chrono::milliseconds(200);
         co_await sleepFor(time);
         m_store.delay = std::chrono::milliseconds(0);
+        m_storeDisturbedAt = SteadyClock::now();
         break;
     case GatewayFault::StoreLosesAnswer:
         m_store.dropsNextResponse = true;
@@ -247,6 +259,9 @@
     case GatewayFault::StoreEndsLeases:
         m_store.endLeases();
         break;
+    case GatewayFault::StoreRestored:
+        co_await restoreStore(draw);
+        break;
     case GatewayFault::RunnerReplaced:
         co_await replaceRunner(runner);
         break;
@@ -264,7 +279,8 @@
         break;
     }
     case GatewayFault::WeightsNamed:
-        m_store.put("op/version/m", Json { { "model", "m" }, { "version", ++m_weights } }.dump());
+        ++m_weights;
+        writeOperatorRecords();
         break;
     default:
         break;
@@ -290,7 +306,71 @@
     const Json configuration { { "version", m_configuration }, { "routes", routes },
         { "services", Json::array({ Json { { "name", "app" }, { "max_conns", 400 } } }) },
         { "tenants", Json::array({ organisation }) } };
-    m_store.put("op/config", configuration.dump());
+    m_configurationText = configuration.dump();
+    writeOperatorRecords();
+}
+
+void GatewaySoak::writeOperatorRecords()
+{
+    // A record is rewritten only when it has changed or is missing.
+    const auto write = [this](const std::string& key, const std::string& value) {
+        if (m_store.value(key) != value) {
+            m_store.put(key, value);
+        }
+    };
+    write("op/config", m_configurationText);
+    if (m_weights > 1) {
+        write("op/version/m", Json { { "model", "m" }, { "version", m_weights } }.dump());
+    }
+}
+
+Task<> GatewaySoak::restoreStore(std::uint64_t draw)
+{
+    if (std::exchange(m_isRestoring, true)) {
+        co_return;
+    }
+    m_store.copy();
+    const std::chrono::milliseconds copyAge = minCopyAge + std::chrono::milliseconds(draw / 7 % copyAgeRange);
+    co_await sleepFor(std::min<SteadyClock::duration>(copyAge, m_end - SteadyClock::now() - maxFaultDuration));
+    co_await restoreOnce();
+    if (draw % 3 == 0) {
+        co_await restoreOnce();
+    }
+    m_isRestoring = false;
+}
+
+Task<> GatewaySoak::restoreOnce()
+{
+    m_store.forcedStatus = 503;
+    co_await sleepFor(restoreOutage);
+    m_store.restore();
+    m_store.forcedStatus = 0;
+    const auto backAt = SteadyClock::now();
+    co_await sleepFor(operatorDelay);
+    writeOperatorRecords();
+    co_await sleepFor(restoredServiceTime - operatorDelay);
+    for (auto& gateway : m_gateways) {
+        const auto response = co_await fetch(gateway.ready(), { "GET", "/api/ready", "", {}, "" }, readyTimeout);
+        if (wasUndisturbed(gateway, backAt)) {
+            m_report.recordCheck(GatewayGuarantee::RestoresEndSoon, response && response->status == 200,
+                gateway.name() + " is not ready after a restore of the store");
+        }
+    }
+    co_await sleepFor(entryTimeToLive - restoredServiceTime);
+    for (const auto& runner : m_endedRunners) {
+        if (m_store.value("servers/" + runner)) {
+            m_store.erase("servers/" + runner);
+        }
+    }
+}
+
+bool GatewaySoak::wasUndisturbed(const GatewayProcess& gateway, SteadyClock::time_point since) const
+{
+    const auto from = since - restoreOutage - startupTime;
+    const auto stopped = m_stoppedAt.find(gateway.name());
+    const bool isStopping = stopped != m_stoppedAt.end() && stopped->second > gateway.lastDisturbedAt();
+    return !isStopping && gateway.lastDisturbedAt() < from && m_storeDisturbedAt < from
+        && m_storeLink.state() == LinkState::Healthy && m_store.forcedStatus == 0 && m_store.delay.count() == 0;
 }
 
 Task<> GatewaySoak::sendHeartbeats()
--- a/Source/UnitTests/PlatformSoak/GatewaySoak.h
+++ b/Source/UnitTests/PlatformSoak/GatewaySoak.h
@@ -26,7 +26,15 @@
     Task<> replaceRunner(SoakRunner& runner);
     Task<> playCrashingPart();
     Task<> pauseGateway(std::size_t index, std::chrono::milliseconds time);
+    /// Plays restores of the store from copies of different ages.
+    Task<> restoreStore(std::uint64_t draw);
+    /// Takes the store away, brings it back from its copy and checks that the gateways serve soon after that.
+    Task<> restoreOnce();
+    /// Whether a gateway has had no fault of its own or of its way to the store since shortly before a time.
+    bool wasUndisturbed(const GatewayProcess& gateway, std::chrono::steady_clock::time_point since) const;
     void writeConfiguration();
+    /// Writes what the operator has confirmed to the store.
+    void writeOperatorRecords();
     /// Writes the runners' entries to the store at their heartbeat interval.
     Task<> sendHeartbeats();
     /// Probes which versions of the configuration each process has in force.
@@ -46,6 +54,14 @@
     std::size_t m_activeTasks = 0;
     std::int64_t m_configuration = 0;
     std::int64_t m_weights = 1;
+    std::string m_configurationText;
+    bool m_isRestoring = false;
+    /// End of the last fault of the store or of its link, except restores.
+    std::chrono::steady_clock::time_point m_storeDisturbedAt;
+    /// Time of the last SIGTERM, by VM.
+    std::map<std::string, std::chrono::steady_clock::time_point> m_stoppedAt;
+    /// Runners whose entries have expired.
+    std::vector<std::string> m_endedRunners;
     std::chrono::steady_clock::time_point m_end;
     bool m_isOver = false;
 };
--- a/Source/UnitTests/PlatformSoak/GatewaySoakTypes.h
+++ b/Source/UnitTests/PlatformSoak/GatewaySoakTypes.h
@@ -30,6 +30,9 @@
     StoreForgetsHistory,
     /// The store revokes all leases.
     StoreEndsLeases,
+    /// The store comes back from an older copy, once or twice; the operator and the runners write again what is
+    /// missing.
+    StoreRestored,
     RunnerLinkDelayed,
     RunnerLinkReset,
     RunnerLinkSilent,
@@ -68,6 +71,7 @@
         EnumName { GatewayFault::StoreLosesAnswer, "store-loses-answer" },
         EnumName { GatewayFault::StoreForgetsHistory, "store-forgets-history" },
         EnumName { GatewayFault::StoreEndsLeases, "store-ends-leases" },
+        EnumName { GatewayFault::StoreRestored, "store-restored" },
         EnumName { GatewayFault::RunnerLinkDelayed, "runner-link-delayed" },
         EnumName { GatewayFault::RunnerLinkReset, "runner-link-reset" },
         EnumName { GatewayFault::RunnerLinkSilent, "runner-link-silent" },
@@ -102,6 +106,7 @@
     SoundRequestsAreServed,
     LeavingRunnersAreLeft,
     RefusalTimesAreKept,
+    RestoresEndSoon,
     Recovers,
 };
 
@@ -126,6 +131,8 @@
             "a VM sends nothing to a runner 2 s after the runner told it that it leaves" },
         EnumName {
             GatewayGuarantee::RefusalTimesAreKept, "a VM sends at most two requests in the time that a refusal names" },
+        EnumName { GatewayGuarantee::RestoresEndSoon,
+            "a VM without other faults serves 2 s after the store is back from an older copy" },
         EnumName {
             GatewayGuarantee::Recovers, "after the faults every VM serves and every runner has the new weights" },
     };
--- a/Source/UnitTests/PlatformSoak/Main.cpp
+++ b/Source/UnitTests/PlatformSoak/Main.cpp
@@ -13,12 +13,13 @@
 
 using namespace Pollenwind;
 
-/// All faults except those whose guarantees the gateway does not keep yet.
+/// All faults except those whose guarantees the gateway does not keep yet, or has not been shown to keep beside all
+/// others.
 std::vector<GatewayFault> defaultFaults()
 {
     std::vector<GatewayFault> faults;
     for (const auto& row : EnumTable<GatewayFault>::rows) {
-        if (row.value != GatewayFault::CrashingPart) {
+        if (row.value != GatewayFault::CrashingPart && row.value != GatewayFault::StoreRestored) {
             faults.push_back(row.value);
         }
     }
@@ -58,7 +59,8 @@
     TCLAP::ValueArg<unsigned> interval(
         "", "fault-ms", "Mean time between faults in milliseconds", false, 600, "N", line);
     TCLAP::ValueArg<std::string> faults("", "faults",
-        "Faults to inject, separated by commas; by default all except crashing-part", false, "", "NAMES", line);
+        "Faults to inject, separated by commas; by default all except crashing-part and store-restored", false, "",
+        "NAMES", line);
     line.parse(argc, argv);
     for (const auto* count : { &gateways, &runners, &callers, &interval, &duration }) {
         if (count->getValue() == 0 || (count != &interval && count->getValue() > 250 && count != &duration)) {
