--- a/Source/UnitTests/PlatformAdapter/OddEntryTests.cpp
+++ b/Source/UnitTests/PlatformAdapter/OddEntryTests.cpp
@@ -34,6 +34,16 @@
     return text.replace(text.find(mark), mark.size(), value);
 }
 
+/// Replaces each "@" of a text.
+std::string replaceMarks(const std::string& text, const std::string& value)
+{
+    std::string replaced;
+    for (const char c : text) {
+        c == '@' ? replaced.append(value) : replaced.append(1, c);
+    }
+    return replaced;
+}
+
 std::string nested(std::size_t levels, const std::string& open, const std::string& close)
 {
     std::string text;
@@ -138,12 +148,11 @@
         { "1e300", "-1e300", "1e18", "-1", "1.5", "99999999999999999999", "18446744073709551615", "\"7\"", "null" }) {
         const std::string value = number;
         const auto configuration = decode("op/config",
-            R"({"version":)" + value + R"(,"routes":[{"name":"r","prefix":"/","service":"a","timeout_ms":)" + value
-                + R"(,"goal_ms":)" + value + R"(,"priority":)" + value + R"(,"max_attempts":)" + value
-                + R"(}],"services":[{"name":"a","max_conns":)" + value + R"(,"engine":{"slots":)" + value
-                + R"(,"kv_capacity":)" + value + R"(}}],"tenants":[{"name":"t","priority":)" + value
-                + R"(}],"limits":{"max_header_bytes":)" + value + R"(,"max_body_bytes":)" + value
-                + R"(,"header_timeout_ms":)" + value + R"(,"idle_timeout_ms":)" + value + "}}");
+            replaceMarks(R"({"version":@,"routes":[{"name":"r","prefix":"/","service":"a","timeout_ms":@,"goal_ms":@,
+                "priority":@,"max_attempts":@}],"services":[{"name":"a","max_conns":@,"engine":{"slots":@,
+                "kv_capacity":@}}],"tenants":[{"name":"t","priority":@}],"limits":{"max_header_bytes":@,
+                "max_body_bytes":@,"header_timeout_ms":@,"idle_timeout_ms":@}})",
+                value));
         cr_assert(configuration.has_value(), "%s", number);
         const auto& routing = std::get<RoutingConfiguration>(*configuration);
         const auto& route = routing.routes.at(0);
@@ -192,10 +201,10 @@
 Test(PlatformSettings, rejectsPortsOutOfRange)
 {
     const auto parse = [](const std::string& ports, const std::string& bound) {
-        return parsePlatformSettings(R"({"node":"e","zone":"a","listen":{"front":"10.1.0.2:80","ready":"10.1.0.2:81"},
-            "provider":{"address":"10.1.0.3:80"},"port_range":)"
-            + ports + R"(,"bounds":{"grace_s":)" + bound + R"(,"quota_window_s":)" + bound + R"(,"retry_window_s":)"
-            + bound + R"(,"drain_ms":)" + bound + "}}");
+        const std::string text = R"({"node":"e","zone":"a","listen":{"front":"10.1.0.2:80","ready":"10.1.0.2:81"},
+            "provider":{"address":"10.1.0.3:80"},"bounds":{"grace_s":@,"quota_window_s":@,"retry_window_s":@,
+            "drain_ms":@},"port_range":)";
+        return parsePlatformSettings(replaceMarks(text, bound) + ports + "}");
     };
     cr_assert(parse("[7600,7609]", "6").has_value());
     for (const auto* ports : { "[0,9]", "[65535,65536]", "[70000,70009]", "[-1,5]", "[7600,7600]", "[7600,7599]",
--- a/Source/UnitTests/PlatformAdapter/OddResponseTests.cpp
+++ b/Source/UnitTests/PlatformAdapter/OddResponseTests.cpp
@@ -88,7 +88,9 @@
                  std::string(R"({"key":"z","value":7,"revision":-1,"lease":99999999999999999999})"),
                  nested(100'000, "[", "]"), R"({"key":"z","value":)" + nested(100'000, "{\"a\":", "}") + "}" }) {
             fixture.server.calls = 0;
-            fixture.server.body = R"({"items":[)" + odd + "," + good + "," + odd + R"(],"current_rev":9})";
+            fixture.server.body = R"({"items":[)";
+            fixture.server.body.append(odd).append(",").append(good).append(",").append(odd);
+            fixture.server.body.append(R"(],"current_rev":9})");
             const auto range = co_await fixture.store.readPrefix("");
             cr_assert(range && range->revision == 9, "%s", odd.substr(0, 60).c_str());
             cr_assert(std::ranges::any_of(range->entries,
@@ -144,7 +146,8 @@
     fixture.run([&]() -> Task<> {
         for (const auto& number : notRevisions) {
             fixture.server.calls = 0;
-            fixture.server.body = R"({"lease":)" + number + R"(,"ttl_ms":1000,"revision":)" + number + "}";
+            fixture.server.body = R"({"lease":)";
+            fixture.server.body.append(number).append(R"(,"ttl_ms":1000,"revision":)").append(number).append("}");
             cr_assert(!co_await fixture.store.grantLease(1s), "lease: %s", number.c_str());
             const auto swapped = co_await fixture.store.compareAndSwap("k", 0, "v", LeaseId());
             cr_assert(!swapped && swapped.error().runState == RunState::Unknown, "write: %s", number.c_str());
@@ -172,7 +175,9 @@
         for (const auto& number :
             { "-1", "1.5", "1e300", "99999999999999999999", "18446744073709551615", "\"x\"", "null", "[]", "true" }) {
             const std::string text = number;
-            cr_assert(!co_await read(R"({"busy":false,"seq":)" + text + "," + models + "}"), "seq: %s", number);
+            std::string odd = R"({"busy":false,"seq":)";
+            odd.append(text).append(",").append(models).append("}");
+            cr_assert(!co_await read(odd), "seq: %s", number);
             cr_assert(!co_await read(R"({"busy":false,"seq":1,"born":)" + text + "}"), "born: %s", number);
             cr_assert(!co_await read(R"({"busy":false,"seq":1,"models":[{"name":"m","version":)" + text + "}]}"),
                 "version: %s", number);
