Give no old verdict to a new order of the same target

A VM that starts in an era after the first took a record of an earlier era for that of the present order, if the target was the same. With a roll-out that was ordered a second time it set the old verdict on the new order and reported it to all VMs. A record now belongs to such an order only if it was ordered within the order's duration and the 10 s in which orders are written again. doesNotApplyAnOldVerdictToANewOrderOnAVmThatStarted fails without the check ('reports().at(0).order == at(2, 61) is false'). The records of the fixture get a real time of their order.

--- a/Source/Core/Gateway/RolloutTable.cpp
+++ b/Source/Core/Gateway/RolloutTable.cpp
@@ -201,11 +201,15 @@
     }
 }
 
-bool RolloutTable::belongs(const RolloutRecord& record, const Rollout& rollout)
+bool RolloutTable::belongs(const RolloutRecord& record, const Rollout& rollout) const
 {
-    return rollout.positions.contains(record.order)
-        || (rollout.mayBeOlder && record.target == rollout.order.target && record.order > 0
-            && StorePosition::eraOf(record.order) < StorePosition::eraOf(rollout.order.revision));
+    if (rollout.positions.contains(record.order)) {
+        return true;
+    }
+    // An order that began longer ago has ended, so the present one of the same target is a new order.
+    const bool isRecent = m_clock.wallNow() - record.orderedAt <= rollout.order.duration + rewriteTime;
+    return rollout.mayBeOlder && isRecent && record.target == rollout.order.target && record.order > 0
+        && StorePosition::eraOf(record.order) < StorePosition::eraOf(rollout.order.revision);
 }
 
 const RolloutTable::KnownRecord* RolloutTable::storedRecord(const ServiceId& service) const
--- a/Source/Core/Gateway/RolloutTable.h
+++ b/Source/Core/Gateway/RolloutTable.h
@@ -110,7 +110,7 @@
     void recordReplaced(const Rollout& rollout);
     static void addPosition(Rollout& rollout, std::int64_t position);
     /// Whether a record belongs to a roll-out.
-    static bool belongs(const RolloutRecord& record, const Rollout& rollout);
+    bool belongs(const RolloutRecord& record, const Rollout& rollout) const;
     /// Whether the store has lost the verdict of a roll-out.
     bool isVerdictLost(const Rollout& rollout) const;
     /// The record of a service if the store has it in the present era, or null.
--- a/Source/UnitTests/Gateway/RolloutEraTests.cpp
+++ b/Source/UnitTests/Gateway/RolloutEraTests.cpp
@@ -27,6 +27,8 @@
 RolloutRecord makeRecord(std::int64_t order, RolloutState state, const VersionId& version = target)
 {
     RolloutRecord record { service, order, version, state };
+    // Start of the clock.
+    record.orderedAt = ManualClock().wallNow();
     record.reason = MoveReason::Failures;
     record.evidence = "seen";
     return record;
@@ -236,6 +238,21 @@
     cr_assert_eq(started.table.reports().at(0).order, at(1, 50));
 }
 
+// Guards against the verdict of an earlier order of the same target, which a VM that started later gave to a new order
+// and reported to the others.
+Test(RolloutTableEra, doesNotApplyAnOldVerdictToANewOrderOnAVmThatStarted)
+{
+    RolloutEraFleet fleet;
+    auto& started = fleet.started;
+    fleet.clock.advance(60s);
+    started.table.adoptRecord(makeRecord(at(1, 50), RolloutState::RolledBack), at(2, 60));
+    started.table.endRead(at(2, 60));
+    started.table.adoptOrder(makeOrder(at(2, 61)), fleet.clock.now());
+    started.table.refresh(true, 2);
+    cr_assert_eq(started.table.reports().at(0).order, at(2, 61));
+    cr_assert_eq(started.table.reports().at(0).state, RolloutState::Running);
+}
+
 // Guards against a verdict beyond the time limit: a VM that receives the order when it is written again takes it for
 // young, and its report would make it younger for all. Nor may it use its part of the constant allowance again.
 Test(RolloutTableEra, doesNotMakeTheOrderYoungerOnAVmThatStarted)
