Refuse in a stop what comes late, not what has a long time limit

A stream that may be resumed was taken even late, and cut. Now requests are taken until the load balancer has left the VM; later ones only if they get a whole response at their time limit. A request whose objective lies beyond the end is refused at any time.

--- a/Source/Core/Gateway/Gateway.cpp
+++ b/Source/Core/Gateway/Gateway.cpp
@@ -296,12 +296,13 @@
     const auto limit = std::chrono::duration_cast<std::chrono::nanoseconds>(settings.shutdownTimeLimit * stopShare);
     const auto exitLimit
         = limit + std::chrono::duration_cast<std::chrono::nanoseconds>(settings.shutdownTimeLimit * lastAnswersShare);
-    frontEnd.beginShutdown(routing, startedAt + limit);
+    const auto lag = std::min<std::chrono::nanoseconds>(balancerLag, settings.shutdownTimeLimit / 2);
+    frontEnd.beginShutdown(routing, startedAt + lag, startedAt + limit);
     callerServer.announceClose();
     // Not awaited, since a slow store must not reduce the time for running requests.
     asio::co_spawn(executor, orders.release(), asio::detached);
     asio::co_spawn(executor, registration.release(), asio::detached);
-    while (clock.now() - startedAt < std::min<std::chrono::nanoseconds>(balancerLag, settings.shutdownTimeLimit / 2)) {
+    while (clock.now() - startedAt < lag) {
         co_await sleepFor(drainPollInterval);
     }
     callerServer.stopAccepting();
--- a/Source/Core/Gateway/GatewayFrontEnd.cpp
+++ b/Source/Core/Gateway/GatewayFrontEnd.cpp
@@ -173,9 +173,9 @@
     co_await exchange.answer(m_codec.encodeRefusal(result.error(), request->id));
 }
 
-void GatewayFrontEnd::beginShutdown(const RoutingQueries& routing, MonotonicTime endsAt)
+void GatewayFrontEnd::beginShutdown(const RoutingQueries& routing, MonotonicTime lateFrom, MonotonicTime endsAt)
 {
-    m_shutdown.emplace(Shutdown { routing, endsAt });
+    m_shutdown.emplace(Shutdown { routing, lateFrom, endsAt });
 }
 
 Outcome<void> GatewayFrontEnd::limitToShutdown(ForwardRequest& request, MonotonicTime now) const
@@ -188,12 +188,18 @@
         return {};
     }
     const auto* route = m_shutdown->routing.findRoute(request.host, request.message.path);
-    if (left.count() <= 0 || (route && !mayBeRepeated(*route))) {
+    // Most requests end long before their time limit, and until the load balancer has left this VM callers may not find
+    // another one. A late request must not be cut: only one that gets a whole response at its time limit is taken.
+    const bool isHopeless = left.count() <= 0 || (route && left < route->objective);
+    const bool isLate = now >= m_shutdown->lateFrom;
+    if (isHopeless || (isLate && route && route->kind != RequestKind::Safe)) {
         return std::unexpected(Error { ErrorCode::ShuttingDown,
             "the process ends in " + std::to_string(left.count()) + " ms, before the request must", RunState::NotRun,
             shutdownRetryAfter });
     }
-    request.timeout = left;
+    if (!route || mayBeRepeated(*route)) {
+        request.timeout = left;
+    }
     return {};
 }
 
--- a/Source/Core/Gateway/GatewayFrontEnd.h
+++ b/Source/Core/Gateway/GatewayFrontEnd.h
@@ -24,11 +24,12 @@
     HttpAnswer refusal(int status, std::string_view reason) const override;
     void onConnectionEvent(ConnectionEvent event) override;
 
-    /// Prepares for the end of the process: refuses further requests that may last longer and may not be repeated, so
-    /// that their callers turn to other VMs, and shortens the time of the other ones.
+    /// Prepares for the end of the process: requests that it would cut are refused, so that their callers turn to other
+    /// VMs, and the time of those that may be repeated is shortened.
     /// @param routing Must outlive this object.
+    /// @param lateFrom Time from which callers no longer have to come to this VM.
     /// @param endsAt Time at which stopRunning() will be called.
-    void beginShutdown(const RoutingQueries& routing, MonotonicTime endsAt);
+    void beginShutdown(const RoutingQueries& routing, MonotonicTime lateFrom, MonotonicTime endsAt);
 
     /// Ends the running requests. Those whose response has not begun get an error response.
     /// @return Their number.
@@ -43,11 +44,12 @@
     /// The end of the process as a limit for a request.
     struct Shutdown {
         const RoutingQueries& routing;
+        MonotonicTime lateFrom;
         MonotonicTime endsAt;
     };
 
-    /// Shortens the time of a request to the rest of the process's time.
-    /// @return A refusal if that may not be enough and the request may not be repeated.
+    /// Shortens the time of a request that may be repeated to the rest of the process's time.
+    /// @return A refusal if the process is about to end, or if the request comes late and could be cut.
     Outcome<void> limitToShutdown(ForwardRequest& request, MonotonicTime now) const;
     void recordEnd(const RequestId& request, const Outcome<void>& result, std::chrono::nanoseconds duration);
 
--- a/Source/UnitTests/PlatformAdapter/GatewayTests.cpp
+++ b/Source/UnitTests/PlatformAdapter/GatewayTests.cpp
@@ -245,8 +245,9 @@
 {
     return R"({"version":1,"routes":[
         {"name":"s","host":"h","prefix":"/safe/","kind":"safe","service":"app","timeout_ms":600000},
-        {"name":"u","host":"h","prefix":"/unsafe/","kind":"unsafe","service":"app","timeout_ms":600000}],
-        "services":[{"name":"app"}]})";
+        {"name":"u","host":"h","prefix":"/unsafe/","kind":"unsafe","service":"app","timeout_ms":600000},
+        {"name":"r","host":"h","prefix":"/stream/","kind":"streaming","service":"app","allow_resume":true,
+        "timeout_ms":600000}],"services":[{"name":"app"}]})";
 }
 
 Task<HttpAnswer> callWithoutDeadline(Endpoint endpoint, std::string path, std::size_t bodyBytes = 4)
@@ -260,24 +261,57 @@
 
 } // namespace
 
-// Guards against passing on a request during a planned stop that may outlast it and may not be repeated: at the end it
-// was cut without an answer.
-Test(PlatformGateway, refusesUnrepeatableRequestsThatMayOutlastItsStop)
+// Guards against passing on a late request during a planned stop that may outlast it and may not be repeated, or that
+// would end in the middle of its stream: at the end it was cut without an answer.
+Test(PlatformGateway, refusesLateRequestsThatMayOutlastItsStop)
 {
     PlatformFixture fixture;
     fixture.store.put("op/config", configurationWithLongTimeouts());
     fixture.settings.shutdownTimeLimit = 60s;
+    fixture.run([&](Gateway& gateway) -> Task<> {
+        const auto& callers = fixture.settings.listenCallers;
+        std::map<std::string, HttpConnection> connections;
+        for (const auto* path : { "/unsafe/x", "/stream/x", "/safe/x" }) {
+            auto& connection = connections.try_emplace(path, fixture.context.get_executor()).first->second;
+            cr_assert((co_await connection.connect(callers, callTimeout)).has_value());
+        }
+        gateway.requestShutdown();
+        // Callers may not find another VM yet.
+        cr_assert_eq((co_await callWithoutDeadline(callers, "/unsafe/y")).status, 200);
+        // The server accepts no further connections once the load balancer has left it.
+        co_await fixture.waitUntil([&]() -> Task<bool> {
+            HttpConnection late(fixture.context.get_executor());
+            co_return !(co_await late.connect(callers, callTimeout)).has_value();
+        });
+        for (auto& [path, connection] : connections) {
+            const auto head = co_await connection.send(
+                { "POST", path, "", { { "Host", "h" }, { "X-Request-Id", "late" + path } }, "body" }, callTimeout);
+            cr_assert_eq(head ? head->status : 0, path == "/safe/x" ? 200 : 503, "%s", path.c_str());
+            cr_assert_eq(head->status == 503, findHeader(head->headers, "Retry-After").has_value());
+        }
+        std::size_t passedOn = 0;
+        for (const auto* runner : { &fixture.first, &fixture.second }) {
+            for (const auto& request : runner->requests) {
+                ++passedOn;
+                // The runner must not work on a request after the stop that may be repeated elsewhere.
+                cr_assert(
+                    request.path != "/safe/x" || std::stoi(std::string(*request.header("X-Deadline-Ms"))) <= 60'000);
+            }
+        }
+        cr_assert_eq(passedOn, 2);
+    });
+}
+
+// Guards against passing on requests that cannot end before the process does.
+Test(PlatformGateway, refusesRequestsThatCannotEndBeforeItsStop)
+{
+    PlatformFixture fixture;
+    fixture.store.put("op/config", configurationWithLongTimeouts());
+    fixture.settings.shutdownTimeLimit = 800ms;
     fixture.run([&](Gateway& gateway) -> Task<> {
         gateway.requestShutdown();
-        const auto refused = co_await callWithoutDeadline(fixture.settings.listenCallers, "/unsafe/x");
-        cr_assert_eq(refused.status, 503);
-        cr_assert(findHeader(refused.headers, "Retry-After").has_value());
+        cr_assert_eq((co_await callWithoutDeadline(fixture.settings.listenCallers, "/safe/x")).status, 503);
         cr_assert(fixture.first.requests.empty() && fixture.second.requests.empty());
-        const auto answered = co_await callWithoutDeadline(fixture.settings.listenCallers, "/safe/x");
-        cr_assert_eq(answered.status, 200);
-        const auto& runner = fixture.first.requests.empty() ? fixture.second : fixture.first;
-        // The runner must not work on it after the stop.
-        cr_assert_leq(std::stoi(std::string(*runner.requests.front().header("X-Deadline-Ms"))), 60'000);
     });
 }
 
