--- a/review/stand-ins/Kit.cpp
+++ b/review/stand-ins/Kit.cpp
@@ -2,6 +2,8 @@
 
 #include "Common/Digest.h"
 
+#include <boost/asio/ip/tcp.hpp>
+
 #include <csignal>
 #include <cstdlib>
 #include <filesystem>
@@ -28,6 +30,9 @@
     // Time in which a runner takes new weights, and in which it runs a request, as on the sheets of the small sites.
     constexpr auto loadTime = 400ms;
     constexpr auto workTime = 20ms;
+    // Loopback networks that the project's own tests do not use.
+    constexpr unsigned firstNetwork = 224;
+    constexpr unsigned networks = 30;
     constexpr const char* program = "target/platform/pollenwind-gateway";
 
     HttpAnswer jsonAnswer(const Json& json, int status = 200)
@@ -391,12 +396,31 @@
 
 std::string Deployment::address(unsigned third, unsigned fourth) const
 {
-    return "127." + std::to_string(64 + m_net % 180) + "." + std::to_string(third + 20 * m_index) + "."
+    return "127." + std::to_string(firstNetwork + m_net % networks) + "." + std::to_string(third + 20 * m_index) + "."
         + std::to_string(fourth);
 }
 
+bool Deployment::isFree() const
+{
+    for (std::size_t i = 0; i < m_count; ++i) {
+        boost::system::error_code ec;
+        const auto host = asio::ip::make_address(address(10, static_cast<unsigned>(i + 1)), ec);
+        asio::ip::tcp::acceptor acceptor(m_executor);
+        acceptor.open(asio::ip::tcp::v4(), ec);
+        acceptor.set_option(asio::socket_base::reuse_address(true), ec);
+        acceptor.bind({ host, Machine::frontPort }, ec);
+        if (ec) {
+            return false;
+        }
+    }
+    return true;
+}
+
 Outcome<void> Deployment::listen()
 {
+    for (unsigned n = 0; n < networks && !isFree(); ++n) {
+        ++m_net;
+    }
     const auto bound = store.listen(address(1, 1));
     if (!bound) {
         return std::unexpected(bound.error());
--- a/review/stand-ins/Kit.h
+++ b/review/stand-ins/Kit.h
@@ -114,6 +114,8 @@
 /// One entry machine: a process of the gateway that the platform starts again when it has ended.
 class Machine {
 public:
+    static constexpr std::uint16_t frontPort = 8606;
+
     Machine(std::string name, std::string zone, std::string address, const Endpoint& store, const std::string& folder);
     ~Machine();
     Machine(const Machine&) = delete;
@@ -131,7 +133,7 @@
     unsigned ends() const { return m_ends; }
     /// How the process last ended.
     const std::string& lastEnd() const { return m_lastEnd; }
-    Endpoint front() const { return { m_address, 8606 }; }
+    Endpoint front() const { return { m_address, frontPort }; }
     Endpoint ready() const { return { m_address, 8605 }; }
 
 private:
@@ -168,6 +170,9 @@
     std::deque<Machine> machines;
 
 private:
+    /// Whether no process uses the machines' addresses.
+    bool isFree() const;
+
     asio::any_io_executor m_executor;
     std::size_t m_count;
     std::string m_folder;
