Review case 5: a machine that starts during a restore accepts a withdrawn key

A process that starts while the store comes back from a copy takes the copy's configuration for the newest and serves requests with a key that was withdrawn 7 s before, until the operator writes again 0.7 s later.

--- a/review/stand-ins/Kit.cpp
+++ b/review/stand-ins/Kit.cpp
@@ -85,17 +85,17 @@
 
 void Store::write(const std::string& key, std::optional<Item> item)
 {
-    ++m_revision;
+    ++m_content.revision;
     if (item) {
-        const auto known = m_items.find(key);
-        item->revision = m_revision;
-        item->created = known == m_items.end() ? m_revision : known->second.created;
-        m_items[key] = *item;
-    } else if (m_items.erase(key) == 0) {
-        --m_revision;
+        const auto known = m_content.items.find(key);
+        item->revision = m_content.revision;
+        item->created = known == m_content.items.end() ? m_content.revision : known->second.created;
+        m_content.items[key] = *item;
+    } else if (m_content.items.erase(key) == 0) {
+        --m_content.revision;
         return;
     }
-    m_changes.push_back({ key, item, m_revision });
+    m_content.changes.push_back({ key, item, m_content.revision });
 }
 
 void Store::put(const std::string& key, const std::string& value) { write(key, Item { value }); }
@@ -103,15 +103,23 @@
 
 std::optional<std::string> Store::value(const std::string& key) const
 {
-    const auto it = m_items.find(key);
-    return it == m_items.end() ? std::nullopt : std::optional(it->second.value);
+    const auto it = m_content.items.find(key);
+    return it == m_content.items.end() ? std::nullopt : std::optional(it->second.value);
+}
+
+void Store::copy() { m_copy = m_content; }
+
+void Store::restore()
+{
+    m_content = m_copy;
+    ++m_era;
 }
 
 void Store::endLease(std::int64_t lease)
 {
-    m_leases.erase(lease);
+    m_content.leases.erase(lease);
     std::vector<std::string> keys;
-    for (const auto& [key, item] : m_items) {
+    for (const auto& [key, item] : m_content.items) {
         if (item.lease == lease) {
             keys.push_back(key);
         }
@@ -125,7 +133,7 @@
 {
     const auto now = std::chrono::steady_clock::now();
     std::vector<std::int64_t> ended;
-    for (const auto& [id, lease] : m_leases) {
+    for (const auto& [id, lease] : m_content.leases) {
         if (now >= lease.until) {
             ended.push_back(id);
         }
@@ -147,7 +155,8 @@
     const auto prefix = decoded(request.parameter("prefix").value_or(""));
     auto items = Json::array();
     bool hasMore = false;
-    for (auto it = m_items.upper_bound(decoded(request.parameter("after").value_or(""))); it != m_items.end(); ++it) {
+    for (auto it = m_content.items.upper_bound(decoded(request.parameter("after").value_or("")));
+        it != m_content.items.end(); ++it) {
         if (it->first.starts_with(prefix)) {
             if (items.size() == pageSize) {
                 hasMore = true;
@@ -156,7 +165,7 @@
             items.push_back(toJson(it->first, it->second));
         }
     }
-    return jsonAnswer({ { "items", items }, { "more_pages", hasMore }, { "current_rev", m_revision } });
+    return jsonAnswer({ { "items", items }, { "more_pages", hasMore }, { "current_rev", m_content.revision } });
 }
 
 HttpAnswer Store::answerTransaction(const Json& body)
@@ -165,17 +174,18 @@
     bool holds = true;
     for (const auto& expected : body.at("expected_rev")) {
         const auto key = readString(expected, "key");
-        const auto it = m_items.find(key);
-        const auto revision = it == m_items.end() ? 0 : it->second.revision;
+        const auto it = m_content.items.find(key);
+        const auto revision = it == m_content.items.end() ? 0 : it->second.revision;
         holds = holds && revision == readNumber(expected, "revision");
-        found.push_back(it == m_items.end() ? Json { { "key", key }, { "revision", 0 } } : toJson(key, it->second));
+        found.push_back(
+            it == m_content.items.end() ? Json { { "key", key }, { "revision", 0 } } : toJson(key, it->second));
     }
     if (!holds) {
         return jsonAnswer({ { "items", found } }, 412);
     }
     for (const auto& it : body.at("writes")) {
         const auto lease = readNumber(it, "lease");
-        if (lease != 0 && !m_leases.contains(lease)) {
+        if (lease != 0 && !m_content.leases.contains(lease)) {
             return jsonAnswer(Json::object(), 404);
         }
     }
@@ -186,7 +196,7 @@
     for (const auto& key : body.at("deletes")) {
         erase(key.get<std::string>());
     }
-    return jsonAnswer({ { "revision", m_revision } });
+    return jsonAnswer({ { "revision", m_content.revision } });
 }
 
 Task<HttpAnswer> Store::answerWatch(const HttpRequest& request)
@@ -194,10 +204,18 @@
     const auto after = number(request, "after");
     const auto prefix = decoded(request.parameter("prefix").value_or(""));
     const auto end = std::chrono::steady_clock::now() + std::chrono::milliseconds(number(request, "wait_ms"));
+    const auto era = m_era;
     for (;;) {
+        if (m_isAway) {
+            co_return HttpAnswer { 503, "", "", {} };
+        }
+        // A revision that the store does not have.
+        if (after > m_content.revision || m_era != era) {
+            co_return jsonAnswer(Json::object(), 410);
+        }
         expireLeases();
         auto events = Json::array();
-        for (const auto& change : m_changes) {
+        for (const auto& change : m_content.changes) {
             if (change.revision > after && change.key.starts_with(prefix)) {
                 events.push_back(change.item
                         ? toJson(change.key, *change.item)
@@ -205,7 +223,7 @@
             }
         }
         if (!events.empty() || std::chrono::steady_clock::now() >= end) {
-            co_return jsonAnswer({ { "events", events }, { "current_rev", m_revision } });
+            co_return jsonAnswer({ { "events", events }, { "current_rev", m_content.revision } });
         }
         co_await sleepFor(watchPollInterval);
     }
@@ -238,7 +256,8 @@
         }
     }
     co_await sleepFor(answerTime);
-    const auto answer = co_await respond(request);
+    auto answer = m_isAway ? HttpAnswer { 503, "", "", {} } : co_await respond(request);
+    answer.headers.emplace_back("Store-Era", std::to_string(m_era));
     co_await exchange.answer(answer);
 }
 
@@ -255,11 +274,11 @@
         answer = answerTransaction(Json::parse(request.body));
     } else if (request.path == "/api/kv-lease") {
         const std::chrono::milliseconds timeToLive(readNumber(Json::parse(request.body), "ttl_ms"));
-        m_leases[++m_nextLease] = { timeToLive, std::chrono::steady_clock::now() + timeToLive };
-        answer = jsonAnswer({ { "lease", m_nextLease }, { "ttl_ms", timeToLive.count() } });
+        m_content.leases[++m_content.nextLease] = { timeToLive, std::chrono::steady_clock::now() + timeToLive };
+        answer = jsonAnswer({ { "lease", m_content.nextLease }, { "ttl_ms", timeToLive.count() } });
     } else if (request.path.starts_with(keep)) {
-        const auto lease = m_leases.find(std::stoll(request.path.substr(keep.size())));
-        if (lease != m_leases.end()) {
+        const auto lease = m_content.leases.find(std::stoll(request.path.substr(keep.size())));
+        if (lease != m_content.leases.end()) {
             lease->second.until = std::chrono::steady_clock::now() + lease->second.timeToLive;
             answer = jsonAnswer({ { "ttl_ms", lease->second.timeToLive.count() } });
         }
@@ -267,10 +286,10 @@
         endLease(std::stoll(request.path.substr(endOfLease.size())));
         answer = jsonAnswer(Json::object());
     } else if (request.path == "/api/kv-key") {
-        const auto it = m_items.find(decoded(request.parameter("key").value_or("")));
-        if (it != m_items.end()) {
+        const auto it = m_content.items.find(decoded(request.parameter("key").value_or("")));
+        if (it != m_content.items.end()) {
             auto json = toJson(it->first, it->second);
-            json["current_rev"] = m_revision;
+            json["current_rev"] = m_content.revision;
             answer = jsonAnswer(json);
         }
     }
@@ -581,6 +600,9 @@
 Task<> Runner::serve(HttpExchange& exchange)
 {
     const auto request = exchange.request();
+    if (onRequest) {
+        onRequest(request);
+    }
     co_await sleepFor(workTime);
     co_await exchange.answer({ 200, "text/plain", "answer of " + m_id, answerHeaders(request) });
 }
--- a/review/stand-ins/Kit.h
+++ b/review/stand-ins/Kit.h
@@ -68,7 +68,14 @@
     void put(const std::string& key, const std::string& value);
     void erase(const std::string& key);
     std::optional<std::string> value(const std::string& key) const;
-    std::int64_t revision() const { return m_revision; }
+    std::int64_t revision() const { return m_content.revision; }
+
+    /// Keeps a copy from which restore() brings the store back.
+    void copy();
+    /// Goes back to the copy, with the next era. What was written since is gone, leases too.
+    void restore();
+    /// While it is away, each call is answered with 503.
+    void setAway(bool isAway) { m_isAway = isAway; }
 
     /// Called for each conditional write, before it takes effect, with the key and the value.
     std::function<std::optional<LateWrite>(const std::string& key, const std::string& value)> onWrite;
@@ -92,6 +99,15 @@
         std::int64_t revision = 0;
     };
 
+    /// What a copy of the store holds.
+    struct Content {
+        std::int64_t revision = 10;
+        std::int64_t nextLease = 77'000;
+        std::map<std::string, Item> items;
+        std::map<std::int64_t, Lease> leases;
+        std::vector<Change> changes;
+    };
+
     Task<HttpAnswer> respond(const HttpRequest& request);
     HttpAnswer answerRange(const HttpRequest& request) const;
     HttpAnswer answerTransaction(const Json& body);
@@ -104,11 +120,10 @@
 
     asio::any_io_executor m_executor;
     HttpServer m_server;
-    std::int64_t m_revision = 10;
-    std::int64_t m_nextLease = 77'000;
-    std::map<std::string, Item> m_items;
-    std::map<std::int64_t, Lease> m_leases;
-    std::vector<Change> m_changes;
+    Content m_content;
+    Content m_copy;
+    std::int64_t m_era = 1;
+    bool m_isAway = false;
 };
 
 /// One entry machine: a process of the gateway that the platform starts again when it has ended.
@@ -213,6 +228,8 @@
 
     /// Called for each order after it was answered.
     std::function<void(const Order&)> onOrder;
+    /// Called for each request that the runner begins to run.
+    std::function<void(const HttpRequest&)> onRequest;
 
 protected:
     /// Runs and answers one request.
