Take memory for a body only when its bytes arrive

Callers lost their requests when any runner announced a body of 2^62 bytes or of 128 GB: the gateway's process ended with SIGABRT and all requests on it.

Cause: http::string_body reserves the announced length before the first byte arrives. The exception was thrown in the handler of a Beast operation, so no task received it and it left io_context::run().

Change: ReceivedBody ignores the announced length, in the client and in the server; HttpConnection parses in the task that reads. All responses of runners, the store and other VMs pass through these two classes.

--- a/Source/Core/Transport/HttpClient.cpp
+++ b/Source/Core/Transport/HttpClient.cpp
@@ -1,10 +1,12 @@
 #include "Transport/HttpClient.h"
 
+#include "Transport/ReceivedBody.h"
 #include "Transport/SocketOptions.h"
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/this_coro.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/read_size.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http.hpp>
 
@@ -25,6 +27,7 @@
     // Bytes that are received and not parsed yet. Larger than a header, and a bound for the line that begins a chunk,
     // which a peer in trouble may never end.
     constexpr std::size_t maxUnparsedBytes = 128UL * 1024;
+    constexpr std::size_t maxReadBytes = 64UL * 1024;
 
     // Informational responses before one response. A server in trouble may send them without end.
     constexpr unsigned maxInformational = 16;
@@ -60,9 +63,12 @@
     {
     }
 
+    /// Parses received bytes, after reading some if there are none or too few.
+    Task<beast::error_code> parseSome();
+
     beast::tcp_stream stream;
     beast::flat_buffer buf { maxUnparsedBytes };
-    std::optional<http::response_parser<http::string_body>> parser;
+    std::optional<http::response_parser<detail::ReceivedBody>> parser;
     std::string host;
     /// The response to a HEAD request has no body, whatever length it names.
     bool isHeadRequest = false;
@@ -71,6 +77,39 @@
     std::optional<std::chrono::milliseconds> idleTimeout;
 };
 
+// Parses in the calling task and not in the handler of a Beast operation: an exception that leaves a handler passes
+// through the io_context.
+Task<beast::error_code> HttpConnection::State::parseSome()
+{
+    for (;;) {
+        beast::error_code ec;
+        if (buf.size() > 0) {
+            buf.consume(parser->put(buf.data(), ec));
+            if (ec != http::error::need_more) {
+                co_return ec;
+            }
+        }
+        const auto space = beast::read_size(buf, maxReadBytes);
+        if (space == 0) {
+            co_return http::error::buffer_overflow;
+        }
+        std::size_t n = 0;
+        std::tie(ec, n) = co_await stream.async_read_some(buf.prepare(space), asTuple);
+        buf.commit(n);
+        if (ec == asio::error::eof) {
+            if (!parser->got_some()) {
+                co_return http::error::end_of_stream;
+            }
+            ec = {};
+            parser->put_eof(ec);
+            co_return ec;
+        }
+        if (ec) {
+            co_return ec;
+        }
+    }
+}
+
 HttpConnection::HttpConnection(asio::any_io_executor executor)
     : m_state(std::make_unique<State>(std::move(executor)))
 {
@@ -145,9 +184,10 @@
         state.parser->header_limit(maxAnswerHeaderBytes);
         state.parser->body_limit(std::numeric_limits<std::uint64_t>::max());
         state.parser->skip(state.isHeadRequest);
-        const auto [ec, n] = co_await http::async_read_header(state.stream, state.buf, *state.parser, asTuple);
-        if (ec) {
-            co_return std::unexpected(transportError("read response head", ec));
+        while (!state.parser->is_header_done()) {
+            if (const auto ec = co_await state.parseSome()) {
+                co_return std::unexpected(transportError("read response head", ec));
+            }
         }
         head.status = static_cast<int>(state.parser->get().result_int());
         if (!isInformational(head.status)) {
@@ -175,8 +215,7 @@
     auto& body = state.parser->get().body();
     state.stream.expires_after(timeout);
     while (body.empty() && !state.parser->is_done()) {
-        const auto [ec, n] = co_await http::async_read_some(state.stream, state.buf, *state.parser, asTuple);
-        if (ec) {
+        if (const auto ec = co_await state.parseSome()) {
             state.isBroken = true;
             co_return std::unexpected(transportError("read response", ec));
         }
--- a/Source/Core/Transport/HttpServer.cpp
+++ b/Source/Core/Transport/HttpServer.cpp
@@ -1,6 +1,7 @@
 #include "Transport/HttpServer.h"
 
 #include "Common/Sleep.h"
+#include "Transport/ReceivedBody.h"
 #include "Transport/SocketOptions.h"
 
 #include <boost/asio/co_spawn.hpp>
@@ -27,7 +28,7 @@
 namespace beast = boost::beast;
 namespace http = boost::beast::http;
 using tcp = asio::ip::tcp;
-using RequestParser = http::request_parser<http::string_body>;
+using RequestParser = http::request_parser<detail::ReceivedBody>;
 using TimePoint = std::chrono::steady_clock::time_point;
 
 namespace {
@@ -68,7 +69,7 @@
         bool m_isExpired = false;
     };
 
-    HttpRequest toRequest(http::request<http::string_body>&& message)
+    HttpRequest toRequest(http::request<detail::ReceivedBody>&& message)
     {
         HttpRequest request;
         request.method = message.method_string();
--- a/Source/UnitTests/PlatformAdapter/RunnerWireTests.cpp
+++ b/Source/UnitTests/PlatformAdapter/RunnerWireTests.cpp
@@ -508,3 +508,35 @@
         cr_assert_eq(*co_await connection.readAll(1s), "a");
     });
 }
+
+// Guards against an announced length that no memory holds: it ended the process with all of its requests. Only the
+// request itself may fail.
+Test(RunnerWire, endsOnlyTheRequestWhoseResponseHasAnImpossibleLength)
+{
+    const auto spoiled
+        = std::string(answerHead) + "Content-Length: 4611686018427387904\r\n\r\n" + std::string(400, 'x');
+    const auto spoiledStream
+        = std::string(eventHead) + "Content-Length: 4611686018427387904\r\n\r\nid: 1\ndata: a\n\nid: 2";
+    for (const auto& [path, bytes] : { std::pair("/unsafe/x", spoiled), std::pair("/stream/x", spoiledStream) }) {
+        WireFixture fixture;
+        fixture.runner.script = { { openStream("id: 1\ndata: a\n\n"), WireEnd::Keep, "0\r\n\r\n" },
+            { bytes, WireEnd::Close }, { answer("c") } };
+        fixture.run([&]() -> Task<> {
+            std::optional<CallerView> other;
+            asio::co_spawn(fixture.context, fixture.call("/stream/x", "q1"),
+                [&](const std::exception_ptr&, CallerView view) { other = std::move(view); });
+            while (fixture.runner.arrivals.empty()) {
+                co_await sleepFor(1ms);
+            }
+            const auto view = co_await fixture.call(path, "q2");
+            cr_assert(view.status == 502 || !view.isComplete, "%s: %s", path, view.bytes.c_str());
+            cr_assert(view.body.find("not-run") == std::string::npos, "%s", view.body.c_str());
+            while (!other) {
+                co_await sleepFor(1ms);
+            }
+            cr_assert(other->isComplete && other->status == 200, "%s: %s", path, other->bytes.c_str());
+            const auto next = co_await fixture.call("/unsafe/x", "q3");
+            cr_assert(next.isComplete && next.body == "c", "after %s: %s", path, next.bytes.c_str());
+        });
+    }
+}
--- /dev/null
+++ b/Source/UnitTests/Transport/HttpClientTests.cpp
@@ -0,0 +1,110 @@
+#include "Common/Sleep.h"
+#include "Transport/HttpClient.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/write.hpp>
+
+#include <criterion/criterion.h>
+
+#include <optional>
+#include <string>
+#include <vector>
+
+using namespace Pollenwind;
+using namespace std::chrono_literals;
+
+namespace {
+
+using tcp = asio::ip::tcp;
+
+constexpr std::chrono::seconds callTimeout { 10 };
+
+/// Server that responds to the first request of each connection with the same bytes and closes the connection.
+class RawServer {
+public:
+    RawServer(asio::io_context& context, std::string response)
+        : m_acceptor(context, { asio::ip::make_address("127.0.0.1"), 0 })
+        , m_response(std::move(response))
+    {
+        asio::co_spawn(context, serve(), asio::detached);
+    }
+
+    Endpoint endpoint() const { return { "127.0.0.1", m_acceptor.local_endpoint().port() }; }
+
+private:
+    Task<> serve()
+    {
+        for (;;) {
+            auto [ec, socket] = co_await m_acceptor.async_accept(asTuple);
+            if (ec) {
+                co_return;
+            }
+            std::string request;
+            co_await asio::async_read_until(socket, asio::dynamic_buffer(request), "\r\n\r\n", asTuple);
+            co_await asio::async_write(socket, asio::buffer(m_response), asTuple);
+        }
+    }
+
+    tcp::acceptor m_acceptor;
+    std::string m_response;
+};
+
+/// Result of a GET request to a server that sends the response and closes the connection.
+Outcome<HttpAnswer> fetchResponse(std::string response)
+{
+    asio::io_context context { 1 };
+    RawServer server(context, std::move(response));
+    std::optional<Outcome<HttpAnswer>> result;
+    asio::co_spawn(context, fetch(server.endpoint(), { "GET", "/", "", {}, "" }, callTimeout),
+        [&](const std::exception_ptr& error, Outcome<HttpAnswer> answer) {
+            cr_assert(!error, "an exception left the client");
+            result = std::move(answer);
+            context.stop();
+        });
+    context.run();
+    return std::move(*result);
+}
+
+} // namespace
+
+// Guards against reserving the length that a response announces: no memory holds it, and the failure ended the process.
+Test(HttpConnection, takesMemoryOnlyForBytesThatHaveArrived)
+{
+    const std::vector<std::string> lengths { "4611686018427387904", "9223372036854775000", "137438953472" };
+    for (const auto& length : lengths) {
+        const auto answer
+            = fetchResponse("HTTP/1.1 200 OK\r\nContent-Length: " + length + "\r\n\r\n" + std::string(400, 'x'));
+        cr_assert(!answer, "%s", length.c_str());
+        cr_assert(answer.error().code == ErrorCode::ConnectionLost && answer.error().runState == RunState::Unknown,
+            "%s: %s", length.c_str(), answer.error().message.c_str());
+    }
+}
+
+// Guards against a change in what counts as a complete response when its bytes are parsed.
+Test(HttpConnection, judgesAResponseByItsFraming)
+{
+    struct Case {
+        const char* response;
+        const char* body;
+    };
+    const std::vector<Case> complete {
+        { "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nabc", "abc" },
+        { "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n", "" },
+        { "HTTP/1.1 204 No Content\r\n\r\n", "" },
+        { "HTTP/1.1 200 OK\r\n\r\nto the end", "to the end" },
+        { "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n", "abcde" },
+        { "HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\na", "a" },
+    };
+    for (const auto& it : complete) {
+        const auto answer = fetchResponse(it.response);
+        cr_assert(answer && answer->body == it.body, "%s", it.response);
+    }
+    for (const auto* response : { "", "HTTP/1.1 200 OK\r\nContent-Le", "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nab",
+             "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n", "no response\r\n\r\n" }) {
+        cr_assert(!fetchResponse(response), "%s", response);
+    }
+}
