End only the connection of a task that throws

A TRACE request with a body got no response and its connection was never closed. Each exception in a task had such an effect, since co_spawn(..., detached) drops it, and one that left a handler ended the process without its cause in the log.

Change: one rule for all tasks of the product. spawnTask reports an exception (task-failed, task_faults_total), spawnService also starts the task again, runContext goes on after a handler that threw. The server answers a request whose handler failed and closes its connection. An attempt that throws ends as an Internal error, is not repeated and does not count against its runner. TRACE with a body is rejected with 400.

--- a/Source/Core/Dispatch/CompletionDispatcher.cpp
+++ b/Source/Core/Dispatch/CompletionDispatcher.cpp
@@ -2,11 +2,10 @@
 
 #include "Common/Invariant.h"
 #include "Common/Sleep.h"
+#include "Common/TaskFault.h"
 #include "Dispatch/Queries/CandidateRule.h"
 #include "Placement/PrefixChain.h"
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/steady_timer.hpp>
 
 #include <algorithm>
@@ -140,7 +139,7 @@
     }
     delivery.sink = &sink;
     delivery.keyDigest = request.caller.keyDigest;
-    asio::co_spawn(executor, watch(shared, request.id), asio::detached);
+    spawnTask(executor, TaskKind::UpstreamCall, watch(shared, request.id));
     const WatchGuard guard(delivery);
     const auto organisation = configuration->document.organisations.find(request.caller.organisation);
     const double weight = organisation == configuration->document.organisations.end() ? 1 : organisation->second.weight;
@@ -164,7 +163,8 @@
         co_return std::unexpected(delivery.finalError(delivery.stopReason.value_or(admitted.error())));
     }
     delivery.admittedAt = m_context.clock.now();
-    auto summary = co_await runAdmitted(request, sink, delivery);
+    // A place in the queue must be given back after an exception, too.
+    auto summary = co_await withoutExceptions(TaskKind::Attempt, runAdmitted(request, sink, delivery));
     m_context.admission.leave(request.service);
     co_return summary;
 }
--- a/Source/Core/Gateway/CrashDetector.cpp
+++ b/Source/Core/Gateway/CrashDetector.cpp
@@ -1,10 +1,8 @@
 #include "Gateway/CrashDetector.h"
 
+#include "Common/TaskFault.h"
 #include "Gateway/Queries/PrefixQueries.h"
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
-
 #include <algorithm>
 #include <utility>
 #include <vector>
@@ -47,7 +45,7 @@
         confirm(losses, process);
     } else if (losses.probedAt.count() == 0 || now - losses.probedAt >= minProbeInterval) {
         losses.probedAt = now;
-        asio::co_spawn(m_executor, probe(process, endpoint), asio::detached);
+        spawnTask(m_executor, TaskKind::UpstreamCall, probe(process, endpoint));
     }
 }
 
--- a/Source/Core/Gateway/ForwardDispatcher.cpp
+++ b/Source/Core/Gateway/ForwardDispatcher.cpp
@@ -1,6 +1,7 @@
 #include "Gateway/ForwardDispatcher.h"
 
 #include "Common/Invariant.h"
+#include "Common/TaskFault.h"
 #include "Gateway/EventSplitter.h"
 #include "Gateway/Queries/PrefixQueries.h"
 #include "Gateway/ReturnTime.h"
@@ -276,6 +277,11 @@
             error.runState = delivery.runState;
             co_return std::unexpected(std::move(error));
         }
+        if (result.error().code == ErrorCode::Internal) {
+            // Not repeated: a fault of this process would come again, and a part of a response may have been sent.
+            result.error().runState = delivery.runState;
+            co_return result;
+        }
         if (delivery.isDiverted) {
             m_context.metrics.count(Counter::RequestsDiverted);
             m_context.log.record(RequestEvent::Diverted, request.id,
@@ -411,21 +417,9 @@
     const bool mayReuse = route.kind != RequestKind::Unsafe;
     const auto exchange = m_context.client.open(choice.endpoint, request, terms, mayReuse);
     sink.onStop([&exchange] { exchange->cancel(); });
-    std::chrono::nanoseconds limit = terms.timeout;
-    const bool mayRunAgain = delivery.runs + 1 < route.maxAttempts;
-    if (route.kind == RequestKind::Safe && mayRunAgain) {
-        limit = std::min<std::chrono::nanoseconds>(limit, route.objective * safeAttemptTimeoutFactor);
-    } else if (route.kind == RequestKind::Streaming && route.isResumable && mayRunAgain) {
-        limit = std::min<std::chrono::nanoseconds>(limit, route.objective * firstEventTimeoutFactor);
-    }
-    const auto head = co_await send(*exchange, delivery, untilBeginLimit(limit, delivery));
-    Outcome<void> result;
-    if (!head) {
-        result = std::unexpected(head.error());
-    } else {
-        delivery.phase = AttemptPhase::HeadReceived;
-        recordAvailability(request, *head, delivery);
-        result = co_await relayAnswer(request, *exchange, *head, sink, delivery);
+    auto result = co_await withoutExceptions(TaskKind::Attempt, exchangeWith(*exchange, request, sink, delivery));
+    if (!result && result.error().code == ErrorCode::Internal && delivery.phase == AttemptPhase::NotSent) {
+        result.error().runState = RunState::NotRun;
     }
     const bool isLate
         = choice.beginBy && delivery.phase != AttemptPhase::Answering && m_context.clock.now() >= *choice.beginBy;
@@ -444,6 +438,26 @@
     co_return result;
 }
 
+Task<Outcome<void>> ForwardDispatcher::exchangeWith(
+    RunnerExchange& exchange, const ForwardRequest& request, ReplySink& sink, Delivery& delivery)
+{
+    const auto& route = *delivery.route;
+    std::chrono::nanoseconds limit = timeLeft(delivery);
+    const bool mayRunAgain = delivery.runs + 1 < route.maxAttempts;
+    if (route.kind == RequestKind::Safe && mayRunAgain) {
+        limit = std::min<std::chrono::nanoseconds>(limit, route.objective * safeAttemptTimeoutFactor);
+    } else if (route.kind == RequestKind::Streaming && route.isResumable && mayRunAgain) {
+        limit = std::min<std::chrono::nanoseconds>(limit, route.objective * firstEventTimeoutFactor);
+    }
+    const auto head = co_await send(exchange, delivery, untilBeginLimit(limit, delivery));
+    if (!head) {
+        co_return std::unexpected(head.error());
+    }
+    delivery.phase = AttemptPhase::HeadReceived;
+    recordAvailability(request, *head, delivery);
+    co_return co_await relayAnswer(request, exchange, *head, sink, delivery);
+}
+
 std::chrono::nanoseconds ForwardDispatcher::untilBeginLimit(
     std::chrono::nanoseconds limit, const Delivery& delivery) const
 {
@@ -658,6 +672,7 @@
             outcome = RunnerResult::Refused;
             break;
         case ErrorCode::Cancelled:
+        case ErrorCode::Internal:
             outcome = RunnerResult::Abandoned;
             break;
         default:
@@ -692,6 +707,7 @@
         case ErrorCode::ConnectFailed:
         case ErrorCode::Unavailable:
         case ErrorCode::Cancelled:
+        case ErrorCode::Internal:
             outcome = VersionResult::Inconclusive;
             break;
         default:
--- a/Source/Core/Gateway/ForwardDispatcher.h
+++ b/Source/Core/Gateway/ForwardDispatcher.h
@@ -86,6 +86,8 @@
     /// Sends the request to one runner and relays its response.
     Task<Outcome<void>> attempt(
         const ForwardRequest& request, const RunnerChoice& choice, ReplySink& sink, Delivery& delivery);
+    Task<Outcome<void>> exchangeWith(
+        RunnerExchange& exchange, const ForwardRequest& request, ReplySink& sink, Delivery& delivery);
     Task<Outcome<void>> relayAnswer(const ForwardRequest& request, RunnerExchange& exchange, const ReplyHead& head,
         ReplySink& sink, Delivery& delivery);
     Task<Outcome<void>> relayStream(const ForwardRequest& request, RunnerExchange& exchange, const ReplyHead& head,
--- a/Source/Core/Gateway/Gateway.cpp
+++ b/Source/Core/Gateway/Gateway.cpp
@@ -2,6 +2,7 @@
 
 #include "Common/Digest.h"
 #include "Common/Sleep.h"
+#include "Common/TaskFault.h"
 #include "Gateway/AffinityPolicy.h"
 #include "Gateway/CrashDetector.h"
 #include "Gateway/FeedFrontEnd.h"
@@ -22,9 +23,6 @@
 #include "Gateway/WeightsDriver.h"
 #include "Timeline/Timeline.h"
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
-
 #include <algorithm>
 
 namespace Pollenwind {
@@ -248,15 +246,16 @@
     components.weights.onLoadingChanged([&components] { components.reporter.sendSoon(); });
     components.quarantine.onNews([&components] { components.reporter.sendSoon(); });
     components.rolloutDriver.onWritten([&components] { components.reporter.sendSoon(); });
-    asio::co_spawn(components.executor, components.sync.run(), asio::detached);
-    asio::co_spawn(components.executor, components.quarantineRecords.run(), asio::detached);
-    asio::co_spawn(components.executor, components.registration.run(), asio::detached);
-    asio::co_spawn(components.executor, components.orders.run(), asio::detached);
-    asio::co_spawn(components.executor, components.weights.run(), asio::detached);
-    asio::co_spawn(components.executor, components.rolloutDriver.run(), asio::detached);
-    asio::co_spawn(components.executor, components.reporter.send(), asio::detached);
-    asio::co_spawn(components.executor, components.reporter.receive(), asio::detached);
-    asio::co_spawn(components.executor, components.runHousekeeping(), asio::detached);
+    spawnService(components.executor, TaskKind::StoreSync, [&components] { return components.sync.run(); });
+    spawnService(
+        components.executor, TaskKind::StoreRecord, [&components] { return components.quarantineRecords.run(); });
+    spawnService(components.executor, TaskKind::StoreRecord, [&components] { return components.registration.run(); });
+    spawnService(components.executor, TaskKind::Orders, [&components] { return components.orders.run(); });
+    spawnService(components.executor, TaskKind::Orders, [&components] { return components.weights.run(); });
+    spawnService(components.executor, TaskKind::Orders, [&components] { return components.rolloutDriver.run(); });
+    spawnService(components.executor, TaskKind::Reports, [&components] { return components.reporter.send(); });
+    spawnService(components.executor, TaskKind::Reports, [&components] { return components.reporter.receive(); });
+    spawnService(components.executor, TaskKind::Housekeeping, [&components] { return components.runHousekeeping(); });
     return {};
 }
 
@@ -286,7 +285,7 @@
     auto& components = *m_components;
     if (!std::exchange(components.isStopping, true)) {
         components.timeline.record(EventKind::ProcessStopping, {});
-        asio::co_spawn(components.executor, components.drain(), asio::detached);
+        spawnTask(components.executor, TaskKind::Shutdown, components.drain());
     }
 }
 
@@ -300,8 +299,8 @@
     frontEnd.beginShutdown(routing, startedAt + lag, startedAt + limit);
     callerServer.announceClose();
     // Not awaited, since a slow store must not reduce the time for running requests.
-    asio::co_spawn(executor, orders.release(), asio::detached);
-    asio::co_spawn(executor, registration.release(), asio::detached);
+    spawnTask(executor, TaskKind::Shutdown, orders.release());
+    spawnTask(executor, TaskKind::Shutdown, registration.release());
     while (clock.now() - startedAt < lag) {
         co_await sleepFor(drainPollInterval);
     }
--- a/Source/Core/Gateway/GatewayFrontEnd.cpp
+++ b/Source/Core/Gateway/GatewayFrontEnd.cpp
@@ -1,5 +1,7 @@
 #include "Gateway/GatewayFrontEnd.h"
 
+#include "Common/TaskFault.h"
+
 #include <boost/asio/steady_timer.hpp>
 
 namespace Pollenwind {
@@ -137,6 +139,12 @@
     return answer;
 }
 
+HttpAnswer GatewayFrontEnd::failure() const
+{
+    m_metrics.count(Counter::RequestsFailed);
+    return m_codec.encodeRefusal(Error { ErrorCode::Internal, "the request failed", RunState::Unknown }, {});
+}
+
 void GatewayFrontEnd::onConnectionEvent(ConnectionEvent event) { m_metrics.count(counterOf(event)); }
 
 Task<> GatewayFrontEnd::handle(HttpExchange& exchange)
@@ -156,7 +164,10 @@
     const auto timeout = m_dispatcher.timeoutOf(*request);
     sink.startTimer(timeout > 2 * timeoutMargin ? timeout - timeoutMargin : timeout);
     const auto running = m_running.emplace(m_nextId++, [&sink] { sink.stopForShutdown(); }).first;
-    auto result = co_await m_dispatcher.forward(*request, receivedAt, sink);
+    auto result
+        = co_await withoutExceptions(TaskKind::ServerConnection, m_dispatcher.forward(*request, receivedAt, sink));
+    // After an exception its handler may refer to what has gone.
+    sink.onStop({});
     m_running.erase(running);
     if (!result && sink.isStoppedForShutdown()) {
         result.error().code = ErrorCode::ShuttingDown;
--- a/Source/Core/Gateway/GatewayFrontEnd.h
+++ b/Source/Core/Gateway/GatewayFrontEnd.h
@@ -22,6 +22,7 @@
 
     Task<> handle(HttpExchange& exchange) override;
     HttpAnswer refusal(int status, std::string_view reason) const override;
+    HttpAnswer failure() const override;
     void onConnectionEvent(ConnectionEvent event) override;
 
     /// Prepares for the end of the process: requests that it would cut are refused, so that their callers turn to other
--- a/Source/Core/Gateway/WeightsDriver.cpp
+++ b/Source/Core/Gateway/WeightsDriver.cpp
@@ -1,9 +1,7 @@
 #include "Gateway/WeightsDriver.h"
 
 #include "Common/Sleep.h"
-
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
+#include "Common/TaskFault.h"
 
 #include <algorithm>
 #include <cmath>
@@ -89,7 +87,7 @@
                 break;
             }
             if (m_loading.insert(runnerHash(it.runner.id)).second) {
-                asio::co_spawn(m_executor, load(it), asio::detached);
+                spawnTask(m_executor, TaskKind::Orders, load(it));
             }
         }
         publishLoading();
@@ -105,6 +103,16 @@
 }
 
 Task<> WeightsDriver::load(PendingLoad pending)
+{
+    const auto hash = runnerHash(pending.runner.id);
+    if (!co_await withoutExceptions(TaskKind::Orders, tryLoad(pending))) {
+        m_failed.insert(hash);
+    }
+    m_loading.erase(hash);
+    publishLoading();
+}
+
+Task<> WeightsDriver::tryLoad(const PendingLoad& pending)
 {
     co_await drain(pending);
     const auto hash = runnerHash(pending.runner.id);
@@ -114,8 +122,6 @@
     } else {
         m_failed.insert(hash);
     }
-    m_loading.erase(hash);
-    publishLoading();
 }
 
 Task<> WeightsDriver::drain(const PendingLoad& pending)
--- a/Source/Core/Gateway/WeightsDriver.h
+++ b/Source/Core/Gateway/WeightsDriver.h
@@ -67,6 +67,8 @@
     /// @param runnerCount Set to the number of ready runners, counted once for each model that has a target.
     std::vector<PendingLoad> pendingLoads(std::size_t& runnerCount) const;
     Task<> load(PendingLoad pending);
+    /// Gives the order and waits until the runner has the weights. A failed order is kept in m_failed.
+    Task<> tryLoad(const PendingLoad& pending);
     /// Waits until the runner's requests have ended or the drain time has passed, and until the lease allows orders.
     Task<> drain(const PendingLoad& pending);
     /// @return True if the runner has accepted the order, may have accepted it, or needs none.
--- a/Source/Core/Http/CallerFrontEnd.cpp
+++ b/Source/Core/Http/CallerFrontEnd.cpp
@@ -149,6 +149,11 @@
     return answer;
 }
 
+HttpAnswer CallerFrontEnd::failure() const
+{
+    return CallerCodec::encodeError(Error { ErrorCode::Internal, "the request failed", RunState::Unknown });
+}
+
 Outcome<CallerIdentity> CallerFrontEnd::identify(const HttpRequest& request, RouteAccess access) const
 {
     const auto key = callerKey(request);
--- a/Source/Core/Http/CallerFrontEnd.h
+++ b/Source/Core/Http/CallerFrontEnd.h
@@ -31,6 +31,7 @@
 
     Task<> handle(HttpExchange& exchange) override;
     HttpAnswer refusal(int status, std::string_view reason) const override;
+    HttpAnswer failure() const override;
 
     /// @return Number of requests that are running now.
     std::size_t runningRequests() const { return m_running; }
--- a/Source/Core/Limits/FleetLimiter.cpp
+++ b/Source/Core/Limits/FleetLimiter.cpp
@@ -1,9 +1,7 @@
 #include "Limits/FleetLimiter.h"
 
 #include "Common/Sleep.h"
-
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
+#include "Common/TaskFault.h"
 
 namespace Pollenwind {
 
@@ -107,7 +105,7 @@
 void FleetLimiter::sendOrders(const OrganisationId& organisation)
 {
     for (auto& order : m_table.takeBorrowOrders(organisation)) {
-        asio::co_spawn(m_executor, borrow(std::move(order)), asio::detached);
+        spawnTask(m_executor, TaskKind::PeerCall, borrow(std::move(order)));
     }
     sendSettlements();
 }
--- a/Source/Core/Load/LoadRun.cpp
+++ b/Source/Core/Load/LoadRun.cpp
@@ -1,11 +1,9 @@
 #include "Load/LoadRun.h"
 
 #include "Common/Sleep.h"
+#include "Common/TaskFault.h"
 #include "Placement/PrefixChain.h"
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
-
 namespace Pollenwind {
 
 namespace {
@@ -53,7 +51,7 @@
     std::uint64_t number = 0;
     for (auto next = start; next < end; next += interval, ++number) {
         co_await sleepFor(next - SteadyClock::now());
-        asio::co_spawn(m_executor, send(number % m_targets.size(), number), asio::detached);
+        spawnTask(m_executor, TaskKind::Load, send(number % m_targets.size(), number));
     }
     while (m_running > 0) {
         co_await sleepFor(std::chrono::milliseconds(10));
--- a/Source/Core/Peer/PeerNetwork.cpp
+++ b/Source/Core/Peer/PeerNetwork.cpp
@@ -2,11 +2,10 @@
 
 #include "Common/Digest.h"
 #include "Common/Sleep.h"
+#include "Common/TaskFault.h"
 #include "Peer/PeerCodec.h"
 
-#include <boost/asio/co_spawn.hpp>
 #include <boost/asio/connect.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/ip/address.hpp>
 
 #include <algorithm>
@@ -68,7 +67,7 @@
         return fail(ErrorCode::Unavailable, "cannot listen on " + endpoint.toString() + ": " + ec.message());
     }
     m_self.peers = { endpoint.address, m_acceptor.local_endpoint().port() };
-    asio::co_spawn(m_executor, acceptLinks(), asio::detached);
+    spawnService(m_executor, TaskKind::Listener, [this] { return acceptLinks(); });
     return m_self.peers;
 }
 
@@ -92,7 +91,7 @@
             // For example, no file descriptors are left. The pause keeps the loop from spinning until some are free.
             co_await sleepFor(minBackoff);
         } else if (!ec && m_unauthenticated < maxUnauthenticated) {
-            asio::co_spawn(m_executor, serveAccepted(std::move(socket)), asio::detached);
+            spawnTask(m_executor, TaskKind::PeerLink, serveAccepted(std::move(socket)));
         }
     }
 }
@@ -136,7 +135,7 @@
 void PeerNetwork::startDialing(const Endpoint& target)
 {
     if (m_dialing.insert(target).second) {
-        asio::co_spawn(m_executor, maintainLink(target), asio::detached);
+        spawnService(m_executor, TaskKind::PeerLink, [this, target] { return maintainLink(target); });
     }
 }
 
@@ -189,13 +188,15 @@
 Task<bool> PeerNetwork::serve(LinkPointer link)
 {
     ++m_unauthenticated;
-    const auto authenticated = co_await link->authenticate();
+    const auto authenticated = co_await withoutExceptions(TaskKind::PeerLink, link->authenticate());
     --m_unauthenticated;
     if (!authenticated || !registerLink(link)) {
         link->close("refused");
         co_return false;
     }
-    co_await link->run();
+    if (const auto ended = co_await withoutExceptions(TaskKind::PeerLink, link->run()); !ended) {
+        link->close(ended.error().message);
+    }
     unregisterLink(link);
     co_return true;
 }
--- a/Source/Core/Router/CacheEventMonitor.cpp
+++ b/Source/Core/Router/CacheEventMonitor.cpp
@@ -2,9 +2,7 @@
 
 #include "Common/Digest.h"
 #include "Common/Sleep.h"
-
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
+#include "Common/TaskFault.h"
 
 namespace Pollenwind {
 
@@ -39,7 +37,7 @@
         }
         for (const auto& spec : service.upstreams) {
             if (m_followed.insert(spec.id).second) {
-                asio::co_spawn(m_executor, follow(spec.id), asio::detached);
+                spawnService(m_executor, TaskKind::UpstreamCall, [this, id = spec.id] { return follow(id); });
             }
         }
     }
--- a/Source/Core/Router/HealthMonitor.cpp
+++ b/Source/Core/Router/HealthMonitor.cpp
@@ -1,9 +1,7 @@
 #include "Router/HealthMonitor.h"
 
 #include "Common/Sleep.h"
-
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
+#include "Common/TaskFault.h"
 
 namespace Pollenwind {
 
@@ -21,7 +19,7 @@
 {
     for (const auto& status : m_queries.status()) {
         if (m_followed.insert(status.upstream).second) {
-            asio::co_spawn(m_executor, follow(status.upstream), asio::detached);
+            spawnService(m_executor, TaskKind::UpstreamCall, [this, id = status.upstream] { return follow(id); });
         }
     }
 }
--- a/Source/Core/Router/KeyPropagator.cpp
+++ b/Source/Core/Router/KeyPropagator.cpp
@@ -1,9 +1,7 @@
 #include "Router/KeyPropagator.h"
 
 #include "Common/Digest.h"
-
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
+#include "Common/TaskFault.h"
 
 #include <algorithm>
 
@@ -136,7 +134,7 @@
     m_peers.broadcast(notice, std::nullopt);
     for (const auto& it : m_context.members.members()) {
         if (isExpectedToRespond(it) && !m_links.isLinked(it.identity.vm)) {
-            asio::co_spawn(m_context.executor, sendOnDemand(it, notice), asio::detached);
+            spawnTask(m_context.executor, TaskKind::PeerCall, sendOnDemand(it, notice));
         }
     }
     if (!isComplete({})) {
--- a/Source/Core/Router/Router.cpp
+++ b/Source/Core/Router/Router.cpp
@@ -2,6 +2,7 @@
 
 #include "Common/Digest.h"
 #include "Common/Sleep.h"
+#include "Common/TaskFault.h"
 #include "Config/ConfigurationTable.h"
 #include "Dispatch/AdmissionQueue.h"
 #include "Dispatch/CompletionDispatcher.h"
@@ -29,14 +30,12 @@
 #include "Router/ShareManager.h"
 #include "Router/StoreSync.h"
 #include "Store/EtcdGatewayClient.h"
+#include "Timeline/Log.h"
 #include "Timeline/Timeline.h"
 #include "Upstream/HttpOrderClient.h"
 #include "Upstream/HttpUpstreamClient.h"
 #include "Upstream/UpstreamTable.h"
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
-
 namespace Pollenwind {
 
 namespace {
@@ -271,17 +270,17 @@
     parts.timeline.record(EventKind::ProcessStarted,
         { { "vm", parts.settings.vm.value() }, { "zone", parts.settings.zone.value() },
             { "callers", callers->toString() }, { "admin", admin->toString() }, { "peers", peers->toString() } });
-    asio::co_spawn(parts.executor, parts.fleetSync.maintainPeers(), asio::detached);
-    asio::co_spawn(parts.executor, parts.fleetSync.followList(), asio::detached);
-    asio::co_spawn(parts.executor, parts.repair.run(), asio::detached);
-    asio::co_spawn(parts.executor, parts.becomeReady(), asio::detached);
-    asio::co_spawn(parts.executor, parts.storeSync.followRecords(), asio::detached);
-    asio::co_spawn(parts.executor, parts.storeSync.probeRevision(), asio::detached);
-    asio::co_spawn(parts.executor, parts.followConfiguration(), asio::detached);
-    asio::co_spawn(parts.executor, parts.shareManager.run(), asio::detached);
-    asio::co_spawn(parts.executor, parts.limits.sweepAccounts(), asio::detached);
-    asio::co_spawn(parts.executor, parts.moveDriver.driveMoves(), asio::detached);
-    asio::co_spawn(parts.executor, parts.moveDriver.publishEvidence(), asio::detached);
+    spawnService(parts.executor, TaskKind::PeerLink, [&parts] { return parts.fleetSync.maintainPeers(); });
+    spawnService(parts.executor, TaskKind::StoreSync, [&parts] { return parts.fleetSync.followList(); });
+    spawnService(parts.executor, TaskKind::PeerCall, [&parts] { return parts.repair.run(); });
+    spawnService(parts.executor, TaskKind::Housekeeping, [&parts] { return parts.becomeReady(); });
+    spawnService(parts.executor, TaskKind::StoreSync, [&parts] { return parts.storeSync.followRecords(); });
+    spawnService(parts.executor, TaskKind::StoreSync, [&parts] { return parts.storeSync.probeRevision(); });
+    spawnService(parts.executor, TaskKind::StoreSync, [&parts] { return parts.followConfiguration(); });
+    spawnService(parts.executor, TaskKind::StoreRecord, [&parts] { return parts.shareManager.run(); });
+    spawnService(parts.executor, TaskKind::Housekeeping, [&parts] { return parts.limits.sweepAccounts(); });
+    spawnService(parts.executor, TaskKind::Orders, [&parts] { return parts.moveDriver.driveMoves(); });
+    spawnService(parts.executor, TaskKind::Reports, [&parts] { return parts.moveDriver.publishEvidence(); });
     return {};
 }
 
@@ -314,8 +313,8 @@
     ++shutdownRequests;
     if (shutdownRequests == 1) {
         timeline.record(EventKind::ProcessStopping, {});
-        asio::co_spawn(executor, fleetSync.leave(), asio::detached);
-        asio::co_spawn(executor, drain(), asio::detached);
+        spawnTask(executor, TaskKind::Shutdown, fleetSync.leave());
+        spawnTask(executor, TaskKind::Shutdown, drain());
     }
 }
 
@@ -339,6 +338,12 @@
     isStopped = true;
 }
 
+void Router::recordTaskFault(TaskKind task, std::string_view cause)
+{
+    m_parts->metrics.count(Counter::TaskFaults);
+    logStateChange("task-failed", { { "task", std::string(nameOf(task)) }, { "cause", std::string(cause) } });
+}
+
 void Router::requestShutdown() { m_parts->startShutdown(); }
 
 Task<std::size_t> Router::waitUntilStopped()
--- a/Source/Core/Router/Router.h
+++ b/Source/Core/Router/Router.h
@@ -2,12 +2,14 @@
 
 #include "Common/Error.h"
 #include "Common/Task.h"
+#include "Common/TaskFault.h"
 #include "Config/Settings.h"
 #include "Peer/LinkFaults.h"
 
 #include <cstddef>
 #include <functional>
 #include <memory>
+#include <string_view>
 
 namespace Pollenwind {
 
@@ -33,6 +35,9 @@
     /// @return Number of requests that were cut.
     Task<std::size_t> waitUntilStopped();
 
+    /// Counts and logs an exception that has left a task.
+    void recordTaskFault(TaskKind task, std::string_view cause);
+
 private:
     struct Parts;
     std::unique_ptr<Parts> m_parts;
--- a/Source/Core/Soak/SoakRun.cpp
+++ b/Source/Core/Soak/SoakRun.cpp
@@ -1,11 +1,9 @@
 #include "Soak/SoakRun.h"
 
 #include "Common/Sleep.h"
+#include "Common/TaskFault.h"
 #include "Transport/HttpClient.h"
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
-
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
@@ -50,9 +48,9 @@
     m_end = SteadyClock::now() + m_options.duration;
     for (std::uint32_t i = 0; i < m_options.clients; ++i) {
         m_clients.emplace_back(m_executor, m_options, m_keys, m_report, m_options.seed * 1000 + i);
-        asio::co_spawn(m_executor, runClient(m_clients.back()), asio::detached);
+        spawnTask(m_executor, TaskKind::Load, runClient(m_clients.back()));
     }
-    asio::co_spawn(m_executor, watchRevisions(), asio::detached);
+    spawnTask(m_executor, TaskKind::Load, watchRevisions());
     co_await injectRandomFaults();
     while (m_running > 0) {
         co_await sleepFor(std::chrono::milliseconds(20));
@@ -91,10 +89,10 @@
         ++m_report.faults[fault];
         const auto draw = random();
         if (fault == SoakFault::KeyWithdrawn) {
-            asio::co_spawn(m_executor, m_keys.rotate(draw % m_keys.keys().size()), asio::detached);
+            spawnTask(m_executor, TaskKind::Load, m_keys.rotate(draw % m_keys.keys().size()));
         } else {
             // Not awaited, so that faults overlap.
-            asio::co_spawn(m_executor, m_faults.inject(fault, draw), asio::detached);
+            spawnTask(m_executor, TaskKind::Load, m_faults.inject(fault, draw));
         }
     }
     co_await sleepFor(m_end - SteadyClock::now());
--- a/Source/Core/Transport/HttpClient.cpp
+++ b/Source/Core/Transport/HttpClient.cpp
@@ -139,6 +139,10 @@
 Task<Outcome<HttpHead>> HttpConnection::send(const HttpRequest& request, std::chrono::nanoseconds timeout)
 {
     auto& state = *m_state;
+    if (request.method == "TRACE" && !request.body.empty()) {
+        // The library would throw an exception.
+        co_return fail(ErrorCode::Malformed, "a TRACE request must not have a body");
+    }
     http::request<http::string_body> message;
     message.method_string(request.method);
     message.target(request.target());
--- a/Source/Core/Transport/HttpServer.cpp
+++ b/Source/Core/Transport/HttpServer.cpp
@@ -1,11 +1,10 @@
 #include "Transport/HttpServer.h"
 
 #include "Common/Sleep.h"
+#include "Common/TaskFault.h"
 #include "Transport/ReceivedBody.h"
 #include "Transport/SocketOptions.h"
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
@@ -130,14 +129,17 @@
             return ec ? std::string() : endpoint.address().to_string();
         }
 
+        bool isBegun() const { return m_isBegun; }
         bool isComplete() const { return m_isComplete; }
         bool keepAlive() const { return m_keepAlive && m_stream.socket().is_open(); }
+        void closeAfterAnswer() { m_keepAlive = false; }
 
         Task<Outcome<void>> answer(const HttpAnswer& answer) override
         {
             http::response<http::string_body> message;
             m_keepAlive = m_keepAlive && !m_isClosing;
             fillHead(message, answer, m_keepAlive);
+            m_isBegun = true;
             message.body() = answer.body;
             message.prepare_payload();
             m_stream.expires_after(m_limits.writeTimeout);
@@ -154,6 +156,7 @@
             http::response<http::empty_body> message;
             m_keepAlive = m_keepAlive && !m_isClosing;
             fillHead(message, head, m_keepAlive);
+            m_isBegun = true;
             message.chunked(true);
             http::response_serializer<http::empty_body> serializer(message);
             m_stream.expires_after(m_limits.writeTimeout);
@@ -222,6 +225,7 @@
         const HttpServerLimits& m_limits;
         bool m_keepAlive;
         const bool& m_isClosing;
+        bool m_isBegun = false;
         bool m_isComplete = false;
         /// The pending wait has only a weak pointer to it, so that it has no effect after the exchange has ended.
         std::shared_ptr<std::function<void()>> m_disconnectHandler;
@@ -254,6 +258,23 @@
         bool isIdle = false;
     };
 
+    /// Closes a connection at the end of its task.
+    class ConnectionCloser {
+    public:
+        ConnectionCloser(State& state, ConnectionId id)
+            : m_state(state)
+            , m_id(id)
+        {
+        }
+        ~ConnectionCloser() { m_state.closeConnection(m_id); }
+        ConnectionCloser(const ConnectionCloser&) = delete;
+        ConnectionCloser& operator=(const ConnectionCloser&) = delete;
+
+    private:
+        State& m_state;
+        ConnectionId m_id;
+    };
+
     struct ReplacedLimit {
         std::chrono::milliseconds limit;
         TimePoint replacedAt;
@@ -268,6 +289,12 @@
     void acceptQueued();
     static Task<> serve(std::shared_ptr<State> state, ConnectionId id);
     Task<> serveRequests(Connection& connection);
+    /// Lets the handler serve a request. A fault of the handler becomes a response if none has begun, and the end of
+    /// the connection.
+    Task<> handle(Exchange& exchange);
+    /// Rejects a request that the handler does not get.
+    Task<> reject(Connection& connection, int status, std::string_view reason);
+    void closeConnection(ConnectionId id);
     /// Waits until the first bytes of the next request are in the buffer.
     Task<beast::error_code> waitForRequest(Connection& connection, bool isFirst);
     void setLimits(const HttpServerLimits& newLimits);
@@ -329,7 +356,7 @@
     socket.non_blocking(true, ec);
     const auto id = nextId++;
     connections.try_emplace(id, std::move(socket));
-    asio::co_spawn(executor, serve(shared_from_this(), id), asio::detached);
+    spawnTask(executor, TaskKind::ServerConnection, serve(shared_from_this(), id));
 }
 
 void HttpServer::State::acceptQueued()
@@ -347,11 +374,35 @@
 
 Task<> HttpServer::State::serve(std::shared_ptr<State> state, ConnectionId id)
 {
-    const auto it = state->connections.find(id);
-    co_await state->serveRequests(it->second);
+    // Also when this coroutine is destroyed before its end.
+    const ConnectionCloser closer(*state, id);
+    co_await state->serveRequests(state->connections.at(id));
+}
+
+void HttpServer::State::closeConnection(ConnectionId id)
+{
+    const auto it = connections.find(id);
     beast::error_code ec;
     it->second.stream.socket().shutdown(tcp::socket::shutdown_both, ec);
-    state->connections.erase(it);
+    connections.erase(it);
+}
+
+Task<> HttpServer::State::handle(Exchange& exchange)
+{
+    const auto handled = co_await withoutExceptions(TaskKind::ServerConnection, handler.handle(exchange));
+    if (handled || isDestroyed) {
+        co_return;
+    }
+    exchange.closeAfterAnswer();
+    if (!exchange.isBegun()) {
+        co_await exchange.answer(handler.failure());
+    }
+}
+
+Task<> HttpServer::State::reject(Connection& connection, int status, std::string_view reason)
+{
+    Exchange exchange(connection.stream, {}, limits, false, isClosing);
+    co_await exchange.answer(handler.refusal(status, reason));
 }
 
 Task<beast::error_code> HttpServer::State::readSome(Connection& connection, TimePoint until)
@@ -478,22 +529,25 @@
                 connection, parser, ReadUntil::Body, std::chrono::steady_clock::now() + limits.bodyTimeout);
         }
         if (ec == http::error::body_limit || ec == http::error::header_limit) {
-            Exchange exchange(stream, {}, limits, false, isClosing);
-            co_await exchange.answer(handler.refusal(ec == http::error::body_limit ? 413 : 431, ec.message()));
+            co_await reject(connection, ec == http::error::body_limit ? 413 : 431, ec.message());
             co_return;
         }
         if (ec && ec.category() == make_error_code(http::error::bad_method).category()) {
-            Exchange exchange(stream, {}, limits, false, isClosing);
-            co_await exchange.answer(handler.refusal(400, ec.message()));
+            co_await reject(connection, 400, ec.message());
             co_return;
         }
         if (ec) {
             recordReadEnd(ec, parser.got_some() || buf.size() > 0);
             co_return;
         }
+        if (parser.get().method() == http::verb::trace && !parser.get().body().empty()) {
+            // Cannot be forwarded: clients must not send content in a TRACE request (RFC 9110, 9.3.8).
+            co_await reject(connection, 400, "a TRACE request must not have a body");
+            co_return;
+        }
         const bool keepAlive = parser.get().keep_alive();
         Exchange exchange(stream, toRequest(parser.release()), limits, keepAlive, isClosing);
-        co_await handler.handle(exchange);
+        co_await handle(exchange);
         if (!exchange.isComplete()) {
             report(ConnectionEvent::Unanswered);
             co_return;
@@ -555,7 +609,7 @@
     if (ec) {
         return fail(ErrorCode::Unavailable, "cannot listen on " + endpoint.toString() + ": " + ec.message());
     }
-    asio::co_spawn(m_state->executor, m_state->acceptLoop(), asio::detached);
+    spawnService(m_state->executor, TaskKind::Listener, [state = m_state] { return state->acceptLoop(); });
     return Endpoint { endpoint.address, acceptor.local_endpoint().port() };
 }
 
--- a/Source/Core/Transport/HttpServer.h
+++ b/Source/Core/Transport/HttpServer.h
@@ -95,10 +95,13 @@
     virtual Task<> handle(HttpExchange& exchange) = 0;
 
     /// Creates the response to a request that the server itself rejects (malformed, too large).
-    /// @param status 400, 413 or 431.
+    /// @param status 400, 413, 431, or 500 unless failure() is overridden.
     /// @param reason Text of the parser.
     virtual HttpAnswer refusal(int status, std::string_view reason) const = 0;
 
+    /// Creates the response to a request whose handling ended with an exception. It may have been executed.
+    virtual HttpAnswer failure() const { return refusal(500, "the request failed"); }
+
     /// Reports an event of a connection. A complete response and a close by the client between two requests are none.
     virtual void onConnectionEvent(ConnectionEvent) { }
 };
--- a/Source/Programs/Pollenwindd/Main.cpp
+++ b/Source/Programs/Pollenwindd/Main.cpp
@@ -1,15 +1,13 @@
 #include "Common/Sleep.h"
+#include "Common/TaskFault.h"
 #include "Config/Settings.h"
+#include "Programs/Support/ProgramMain.h"
 #include "Router/Router.h"
 #include "Timeline/Log.h"
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
 
-#include <tclap/CmdLine.h>
-
 #include <csignal>
 #include <cstdio>
 #include <fstream>
@@ -71,14 +69,16 @@
     configureLog(settings->logLevel);
     asio::io_context context(1);
     Router router(context.get_executor(), std::move(*settings));
+    setTaskFaultHandler([&router](TaskKind task, std::string_view cause) { router.recordTaskFault(task, cause); });
     const auto started = router.start();
     if (!started) {
         std::cerr << "pollenwindd: " << started.error().message << "\n";
         return exitFailed;
     }
-    asio::co_spawn(context, forwardSignals(router), asio::detached);
-    asio::co_spawn(context, runUntilStopped(router, context), asio::detached);
-    context.run();
+    spawnTask(context.get_executor(), TaskKind::Shutdown, forwardSignals(router));
+    spawnTask(context.get_executor(), TaskKind::Shutdown, runUntilStopped(router, context));
+    runContext(context);
+    setTaskFaultHandler({});
     return exitDone;
 }
 
@@ -86,7 +86,7 @@
 
 int main(int argc, char** argv)
 {
-    try {
+    return runProgram("pollenwindd", [argc, argv] {
         TCLAP::CmdLine line("Router for language-model traffic with long shared prompts.", ' ', "0.1.0");
         TCLAP::ValueArg<std::string> settings(
             "s", "settings", "Settings file of this router (JSON with comments)", true, "", "FILE", line);
@@ -98,10 +98,5 @@
             return loaded ? exitDone : loaded.error();
         }
         return run(settings.getValue());
-    } catch (const TCLAP::ArgException& ex) {
-        std::cerr << "pollenwindd: " << ex.error() << " " << ex.argId() << "\n";
-        return exitBadInput;
-    } catch (const TCLAP::ExitException& ex) {
-        return ex.getExitStatus();
-    }
+    });
 }
--- a/Source/UnitTests/Gateway/ForwardDispatcherTests.cpp
+++ b/Source/UnitTests/Gateway/ForwardDispatcherTests.cpp
@@ -356,3 +356,26 @@
     cr_assert(!result && result.error().runState == RunState::NotRun);
     cr_assert_eq(fixture.scripted.arrivals.size(), 1);
 }
+
+// Guards against an exception that leaves a request without an answer, counts it at its runner for ever or sends it a
+// second time.
+Test(ForwardDispatcher, answersARequestWhoseAttemptThrows)
+{
+    for (const bool isSent : { false, true }) {
+        GatewayFixture fixture;
+        const auto fail = [] { throw std::length_error("too long"); };
+        fixture.scripted.script
+            = { isSent ? ScriptedAttempt { .onArrival = fail } : ScriptedAttempt { .onConnect = fail } };
+        const auto result = fixture.forward(fixture.makeRequest("/safe/x"));
+        cr_assert(!result && result.error().code == ErrorCode::Internal);
+        cr_assert(result.error().runState == (isSent ? RunState::Unknown : RunState::NotRun));
+        cr_assert_eq(fixture.scripted.arrivals.size(), 1);
+        cr_assert_eq(fixture.scripted.cancelled, 1);
+        for (const auto* runner : { "r1", "r2", "r3" }) {
+            cr_assert_eq(fixture.runners.requestsAt(UpstreamId(runner)), 0);
+        }
+        // Its handler would refer to the exchange that has ended.
+        fixture.sink.stop(ErrorCode::Cancelled);
+        cr_assert_eq(fixture.scripted.cancelled, 1);
+    }
+}
--- a/Source/UnitTests/Transport/HttpClientTests.cpp
+++ b/Source/UnitTests/Transport/HttpClientTests.cpp
@@ -108,3 +108,20 @@
         cr_assert(!fetchResponse(response), "%s", response);
     }
 }
+
+// Guards against an exception of the library for a request that it cannot send.
+Test(HttpConnection, rejectsATraceRequestWithABody)
+{
+    asio::io_context context { 1 };
+    RawServer server(context, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+    std::optional<Outcome<HttpAnswer>> result;
+    asio::co_spawn(context, fetch(server.endpoint(), { "TRACE", "/", "", {}, "body" }, callTimeout),
+        [&](const std::exception_ptr& error, Outcome<HttpAnswer> answer) {
+            cr_assert(!error, "an exception left the client");
+            result = std::move(answer);
+            context.stop();
+        });
+    context.run();
+    cr_assert(!*result && result->error().code == ErrorCode::Malformed);
+    cr_assert(result->error().runState == RunState::NotRun);
+}
--- a/Source/UnitTests/Transport/HttpServerTests.cpp
+++ b/Source/UnitTests/Transport/HttpServerTests.cpp
@@ -315,3 +315,30 @@
     client.send(requestOf("/second", 500));
     cr_assert_eq(fixture.responseStatus(client), 200);
 }
+
+// Guards against an exception in the task of a connection that left its request without a response and its connection
+// open.
+Test(HttpServer, answersARequestWhoseHandlerFails)
+{
+    ServerFixture fixture(longLimits());
+    RawClient other(fixture.endpoint);
+    fixture.exchange(other, "/first");
+    RawClient client(fixture.endpoint);
+    fixture.handler.fails = true;
+    client.send(requestOf("/failing"));
+    cr_assert_eq(fixture.responseStatus(client), 500);
+    fixture.handler.fails = false;
+    fixture.runUntil([&] { return !client.receive(); });
+    fixture.exchange(other, "/second");
+    cr_assert_eq(fixture.server.connectionCount(), 1);
+}
+
+// Guards against a request that cannot be sent on: its exception left it without a response.
+Test(HttpServer, rejectsATraceRequestWithABody)
+{
+    ServerFixture fixture(longLimits());
+    RawClient client(fixture.endpoint);
+    client.send("TRACE /x HTTP/1.1\r\nHost: h\r\nContent-Length: 1\r\n\r\nb");
+    cr_assert_eq(fixture.responseStatus(client), 400);
+    cr_assert_eq(fixture.handler.requests, 0);
+}
--- a/Source/UnitTests/Transport/ServerFixture.h
+++ b/Source/UnitTests/Transport/ServerFixture.h
@@ -17,6 +17,7 @@
 #include <criterion/criterion.h>
 
 #include <map>
+#include <stdexcept>
 #include <string>
 #include <string_view>
 #include <thread>
@@ -86,6 +87,9 @@
     {
         const auto& request = exchange.request();
         ++requests;
+        if (fails) {
+            throw std::runtime_error("the handler fails");
+        }
         while (isHeld) {
             co_await sleepFor(std::chrono::milliseconds(1));
         }
@@ -96,6 +100,8 @@
 
     /// Delays the responses.
     bool isHeld = false;
+    /// Ends with an exception.
+    bool fails = false;
     unsigned requests = 0;
     std::map<ConnectionEvent, unsigned> events;
 };
