Derive the shared cache salt from the isolated organisations

Requests of one organisation used KV cache that another had made before a configuration isolated it: twelve uses by six requests, 3 s after the change was confirmed.

Cause: the salt of all organisations that are not isolated was the same in every configuration. It was also fixed at admission, so a request that waited or was repeated used the salt of an earlier configuration.

Change: the shared salt is a digest of the isolated organisations of the configuration in force, taken for each attempt and checked again when the connection is made. It needs no memory, so restarts and configurations that come back are right. An organisation that the configuration no longer has shares nothing. The literal salt in saltsTheCacheByWeightsAndIsolation follows the new format, which keeps ids apart from shared salts.

--- a/Source/Core/Gateway/ForwardAdmission.cpp
+++ b/Source/Core/Gateway/ForwardAdmission.cpp
@@ -84,8 +84,6 @@
             admitted.stores.push_back(*service.cacheStore);
         }
     }
-    const auto* organisation = admitted.organisation;
-    admitted.cacheSalt = organisation && organisation->isIsolated ? organisation->id.value() : std::string();
     return admitted;
 }
 
--- a/Source/Core/Gateway/ForwardAdmission.h
+++ b/Source/Core/Gateway/ForwardAdmission.h
@@ -22,8 +22,6 @@
     const RouteRule* route = nullptr;
     const OrganisationRule* organisation = nullptr;
     ServiceId service;
-    /// Separates the cache entries of isolated organisations.
-    std::string cacheSalt;
     std::vector<CacheStore> stores;
     /// Time from which the request may be sent.
     MonotonicTime sendAt { 0 };
--- a/Source/Core/Gateway/ForwardDispatcher.cpp
+++ b/Source/Core/Gateway/ForwardDispatcher.cpp
@@ -105,6 +105,8 @@
 
     /// Runner of the current attempt.
     RunnerChoice runner;
+    /// Salt of the current attempt's cache entries, without the weights.
+    std::string cacheSalt;
     /// Runners to which the request was sent.
     std::set<UpstreamId> tried;
     /// Attempts that a runner may have run.
@@ -166,9 +168,17 @@
     return {};
 }
 
-Outcome<RunnerChoice> ForwardDispatcher::chooseRunner(const ForwardRequest& request, const Delivery& delivery) const
+std::string ForwardDispatcher::currentCacheSalt(const Delivery& delivery) const
+{
+    return m_context.routing.cacheSaltFor(
+        delivery.organisation ? std::optional(delivery.organisation->id) : std::nullopt);
+}
+
+Outcome<RunnerChoice> ForwardDispatcher::chooseRunner(const ForwardRequest& request, Delivery& delivery) const
 {
     const auto candidates = candidatesFor(request, delivery);
+    // Of the present configuration, which may not be the one under which the request was admitted.
+    delivery.cacheSalt = currentCacheSalt(delivery);
     const auto& targets = m_context.runners.targetWeights();
     const auto it = targets.find(request.model);
     const auto choice = m_context.policy.choose(
@@ -399,6 +409,7 @@
             { "organisation", delivery.organisation ? delivery.organisation->id.value() : "" },
             { "configuration", std::to_string(delivery.configuration->version) },
             { "weights", std::to_string(choice.weights) }, { "software", choice.software.value() },
+            { "cache_salt", terms.cacheSalt },
             { "copied_from", choice.cacheSource ? choice.cacheSource->toString() : "" },
             { "computed_tokens", std::to_string(static_cast<long>(choice.computedTokens)) },
             { "parts", nameParts(request) }, { "left_ms", std::to_string(terms.timeout.count()) },
@@ -480,6 +491,10 @@
         delivery.isDiverted = true;
         co_return fail(ErrorCode::Unavailable, "the runner became unavailable before the request was sent");
     }
+    if (currentCacheSalt(delivery) != delivery.cacheSalt) {
+        delivery.isDiverted = true;
+        co_return fail(ErrorCode::Unavailable, "the cache salt changed before the request was sent");
+    }
     const auto left = end - m_context.clock.now();
     if (left.count() <= 0) {
         // Unavailable, since the runner has not received the request: it is no evidence on the runner or its version.
--- a/Source/Core/Gateway/ForwardDispatcher.h
+++ b/Source/Core/Gateway/ForwardDispatcher.h
@@ -82,7 +82,10 @@
     /// Runners that may take the next attempt. A request that cannot be taken back from a runner's queue gets none
     /// whose weights expire before it is likely to begin.
     std::vector<RunnerCandidate> candidatesFor(const ForwardRequest& request, const Delivery& delivery) const;
-    Outcome<RunnerChoice> chooseRunner(const ForwardRequest& request, const Delivery& delivery) const;
+    /// Salt of the request's cache entries under the configuration in force.
+    std::string currentCacheSalt(const Delivery& delivery) const;
+    /// Also sets the salt of the attempt.
+    Outcome<RunnerChoice> chooseRunner(const ForwardRequest& request, Delivery& delivery) const;
     /// Sends the request to one runner and relays its response.
     Task<Outcome<void>> attempt(
         const ForwardRequest& request, const RunnerChoice& choice, ReplySink& sink, Delivery& delivery);
--- a/Source/Core/Gateway/Queries/RoutingQueries.h
+++ b/Source/Core/Gateway/Queries/RoutingQueries.h
@@ -3,6 +3,8 @@
 #include "Gateway/RoutingTypes.h"
 
 #include <memory>
+#include <optional>
+#include <string>
 #include <string_view>
 
 namespace Pollenwind {
@@ -26,6 +28,12 @@
     /// Finds the organisation to which an API key belongs.
     /// @return The organisation, or nullptr for an unknown key.
     virtual const OrganisationRule* findOrganisation(const Digest& keyDigest) const = 0;
+
+    /// Salt of the cache entries that a request may use and make under the current configuration. It differs for
+    /// organisations that must not share entries.
+    /// @param organisation Organisation of the request, if it has one. One that the configuration does not have shares
+    ///     no entries.
+    virtual std::string cacheSaltFor(const std::optional<OrganisationId>& organisation) const = 0;
 };
 
 } // namespace Pollenwind
--- a/Source/Core/Gateway/RoutingTable.cpp
+++ b/Source/Core/Gateway/RoutingTable.cpp
@@ -1,5 +1,7 @@
 #include "Gateway/RoutingTable.h"
 
+#include "Gateway/CacheSalt.h"
+
 #include <algorithm>
 
 namespace Pollenwind {
@@ -23,8 +25,13 @@
     for (auto& [host, routes] : m_routesByHost) {
         std::ranges::sort(routes, [](const auto* a, const auto* b) { return a->prefix.size() > b->prefix.size(); });
     }
+    m_sharedCacheSalt = sharedCacheSalt(m_current->organisations);
+    m_sharingOrganisations.clear();
     m_organisationsByKey.clear();
     for (const auto& organisation : m_current->organisations) {
+        if (!organisation.isIsolated) {
+            m_sharingOrganisations.insert(organisation.id);
+        }
         for (const auto& digest : organisation.keyDigests) {
             m_organisationsByKey.emplace(digest, &organisation);
         }
@@ -52,4 +59,10 @@
     return it == m_organisationsByKey.end() ? nullptr : it->second;
 }
 
+std::string RoutingTable::cacheSaltFor(const std::optional<OrganisationId>& organisation) const
+{
+    const bool isSharing = !organisation || m_sharingOrganisations.contains(*organisation);
+    return isSharing ? m_sharedCacheSalt : isolatedCacheSalt(*organisation);
+}
+
 } // namespace Pollenwind
--- a/Source/UnitTests/Gateway/ForwardDispatcherTests.cpp
+++ b/Source/UnitTests/Gateway/ForwardDispatcherTests.cpp
@@ -309,7 +309,7 @@
     request.model = "model";
     cr_assert(fixture.forward(request).has_value());
     const auto& terms = fixture.scripted.arrivals.front().terms;
-    cr_assert_eq(terms.cacheSalt, "w1/org");
+    cr_assert_eq(terms.cacheSalt, "w1/isolated/org");
     cr_assert_eq(terms.expectedWeights, 1);
 }
 
