Wait for a silent runner that no other can replace

Callers lost streams that a sound runner would have gone on with: after 1.5 s without an event the attempt was ended to resume it elsewhere, and the stream was closed if no other runner could take it, the retry budget was used up, or its events had no ids. Late heads ended in 504 in the same way.

Cause: the dispatcher asked whether the request may be sent elsewhere only after it had given the attempt up, and a read that timed out closed the connection.

Change: a timed read leaves the connection open and goes on later, in the client as in the server. At the limit the dispatcher asks first, waits on if nothing can take over, and asks again every 250 ms up to the deadline.

--- a/Source/Core/Dispatch/RetryBudget.cpp
+++ b/Source/Core/Dispatch/RetryBudget.cpp
@@ -28,13 +28,14 @@
     bucket.level += m_options.retriesPerRequest;
 }
 
+bool RetryBudget::mayTake(const ServiceId& service) { return refill(service).level >= 1; }
+
 bool RetryBudget::tryTake(const ServiceId& service)
 {
-    auto& bucket = refill(service);
-    if (bucket.level < 1) {
+    if (!mayTake(service)) {
         return false;
     }
-    bucket.level -= 1;
+    m_buckets.at(service).level -= 1;
     return true;
 }
 
--- a/Source/Core/Dispatch/RetryBudget.h
+++ b/Source/Core/Dispatch/RetryBudget.h
@@ -31,6 +31,9 @@
     /// Records the first attempt of a request.
     void recordRequest(const ServiceId& service);
 
+    /// Tells whether tryTake() would succeed now.
+    bool mayTake(const ServiceId& service);
+
     /// Takes one retry from the budget.
     /// @return False if the budget is exhausted.
     bool tryTake(const ServiceId& service);
--- a/Source/Core/Gateway/Commands/RunnerClient.h
+++ b/Source/Core/Gateway/Commands/RunnerClient.h
@@ -28,7 +28,12 @@
     /// @return The head, or an error with RunState::Unknown.
     virtual Task<Outcome<ReplyHead>> begin(std::chrono::nanoseconds timeout) = 0;
 
-    /// Reads the next part of the body.
+    /// Goes on to read the head after begin() or this function has failed with DeadlineExceeded.
+    /// @param timeout Longest time until the head has arrived.
+    /// @return The head, or an error with RunState::Unknown.
+    virtual Task<Outcome<ReplyHead>> awaitHead(std::chrono::nanoseconds timeout) = 0;
+
+    /// Reads the next part of the body. May be called again after DeadlineExceeded.
     /// @return The bytes, or an empty string at the end of the body.
     virtual Task<Outcome<std::string>> readSome(std::chrono::nanoseconds timeout) = 0;
 
--- a/Source/Core/Gateway/ForwardDispatcher.cpp
+++ b/Source/Core/Gateway/ForwardDispatcher.cpp
@@ -27,6 +27,9 @@
     // after a pause of 2 s at the earliest.
     constexpr std::chrono::milliseconds eventPauseLimit { 1500 };
 
+    // Time after which it is checked again whether another runner may take over from a silent one.
+    constexpr std::chrono::milliseconds replacementCheckInterval { 250 };
+
     // Value of Retry-After. Callers follow it up to a third of their remaining time.
     constexpr std::chrono::milliseconds unavailableRetryAfter { 300 };
 
@@ -460,7 +463,7 @@
     } else if (route.kind == RequestKind::Streaming && route.isResumable && mayRunAgain) {
         limit = std::min<std::chrono::nanoseconds>(limit, route.objective * firstEventTimeoutFactor);
     }
-    const auto head = co_await send(exchange, delivery, untilBeginLimit(limit, delivery));
+    const auto head = co_await send(request, exchange, delivery, untilBeginLimit(limit, delivery));
     if (!head) {
         co_return std::unexpected(head.error());
     }
@@ -479,8 +482,29 @@
     return std::min<std::chrono::nanoseconds>(limit, *beginBy - m_context.clock.now());
 }
 
+bool ForwardDispatcher::mayReplaceRunner(const ForwardRequest& request, const Delivery& delivery) const
+{
+    const auto& route = *delivery.route;
+    const bool isRepeatable = retryKindOf(route) != RetryKind::NonIdempotentCall && !delivery.isTrial
+        && delivery.losses < maxLosses && !delivery.wasSuspected && (!delivery.isBegun || delivery.lastEventId);
+    if (!isRepeatable || delivery.runs + 1 >= route.maxAttempts || !m_context.retryBudget.mayTake(delivery.service)) {
+        return false;
+    }
+    return std::ranges::any_of(
+        candidatesFor(request, delivery), [&](const RunnerCandidate& it) { return !delivery.tried.contains(it.id); });
+}
+
+bool ForwardDispatcher::waitsOn(const ForwardRequest& request, const Error& error, const Delivery& delivery) const
+{
+    const auto now = m_context.clock.now();
+    const auto& beginBy = delivery.runner.beginBy;
+    const bool isTooLateToBegin = beginBy && delivery.phase != AttemptPhase::Answering && now >= *beginBy;
+    return error.code == ErrorCode::DeadlineExceeded && now < delivery.deadline && !isTooLateToBegin
+        && !mayReplaceRunner(request, delivery);
+}
+
 Task<Outcome<ReplyHead>> ForwardDispatcher::send(
-    RunnerExchange& exchange, Delivery& delivery, std::chrono::nanoseconds limit)
+    const ForwardRequest& request, RunnerExchange& exchange, Delivery& delivery, std::chrono::nanoseconds limit)
 {
     const auto end = m_context.clock.now() + limit;
     if (const auto connected = co_await exchange.connect(limit); !connected) {
@@ -501,7 +525,13 @@
         co_return fail(ErrorCode::Unavailable, "the time of the attempt passed before the request was sent");
     }
     delivery.phase = AttemptPhase::Sent;
-    co_return co_await exchange.begin(left);
+    auto head = co_await exchange.begin(left);
+    while (!head && waitsOn(request, head.error(), delivery)) {
+        const auto wait
+            = std::min<std::chrono::nanoseconds>(delivery.deadline - m_context.clock.now(), replacementCheckInterval);
+        head = co_await exchange.awaitHead(untilBeginLimit(wait, delivery));
+    }
+    co_return head;
 }
 
 void ForwardDispatcher::recordAvailability(const ForwardRequest& request, const ReplyHead& head, Delivery& delivery)
@@ -590,12 +620,16 @@
     // Only a resumed stream may repeat events. The events of a first attempt are forwarded with any ids.
     EventSplitter events(delivery.isBegun ? delivery.lastEventId : std::nullopt);
     const bool mayResume = delivery.route->isResumable && delivery.runs + 1 < delivery.route->maxAttempts;
-    auto lastEventAt = m_context.clock.now();
+    auto pauseEnd = m_context.clock.now() + eventPauseLimit;
     for (;;) {
         // Bytes of an incomplete event do not extend the pause, since the caller gets whole events.
-        const auto until = mayResume ? std::min(delivery.deadline, lastEventAt + eventPauseLimit) : delivery.deadline;
+        const auto until = mayResume ? std::min(delivery.deadline, pauseEnd) : delivery.deadline;
         const std::chrono::nanoseconds limit = until - m_context.clock.now();
         const auto part = co_await exchange.readSome(untilBeginLimit(limit, delivery));
+        if (!part && waitsOn(request, part.error(), delivery)) {
+            pauseEnd = m_context.clock.now() + replacementCheckInterval;
+            continue;
+        }
         if (!part) {
             co_return std::unexpected(part.error());
         }
@@ -607,7 +641,7 @@
         const auto complete = events.takeCompleteEvents();
         if (events.partialBytes() < unfinishedBytes) {
             // Also for events that a resumed runner repeats, which the caller does not get.
-            lastEventAt = m_context.clock.now();
+            pauseEnd = m_context.clock.now() + eventPauseLimit;
         }
         if (events.partialBytes() > maxEventBytes) {
             co_return fail(ErrorCode::ProtocolError, "the runner sent an event without an end", RunState::Unknown);
@@ -634,7 +668,7 @@
         }
         delivery.lastEventId = events.lastId();
         // A slow caller delays the next read. That is no pause of the runner.
-        lastEventAt = m_context.clock.now();
+        pauseEnd = m_context.clock.now() + eventPauseLimit;
     }
     if (events.hasPartialEvent() || !delivery.isBegun) {
         co_return fail(ErrorCode::ConnectionLost, "the stream ended within an event", RunState::Unknown);
--- a/Source/Core/Gateway/ForwardDispatcher.h
+++ b/Source/Core/Gateway/ForwardDispatcher.h
@@ -91,6 +91,10 @@
         const ForwardRequest& request, const RunnerChoice& choice, ReplySink& sink, Delivery& delivery);
     Task<Outcome<void>> exchangeWith(
         RunnerExchange& exchange, const ForwardRequest& request, ReplySink& sink, Delivery& delivery);
+    /// Whether another runner may take over the request if the current attempt is given up.
+    bool mayReplaceRunner(const ForwardRequest& request, const Delivery& delivery) const;
+    /// Whether an attempt goes on after a read that failed: its runner is silent, and no other may take over.
+    bool waitsOn(const ForwardRequest& request, const Error& error, const Delivery& delivery) const;
     Task<Outcome<void>> relayAnswer(const ForwardRequest& request, RunnerExchange& exchange, const ReplyHead& head,
         ReplySink& sink, Delivery& delivery);
     Task<Outcome<void>> relayStream(const ForwardRequest& request, RunnerExchange& exchange, const ReplyHead& head,
@@ -98,7 +102,8 @@
     /// The limit, or the time until the runner's old weights expire if that is shorter and there is no output yet.
     std::chrono::nanoseconds untilBeginLimit(std::chrono::nanoseconds limit, const Delivery& delivery) const;
     /// Connects to the runner of the attempt and sends the request, unless the runner has become unavailable meanwhile.
-    Task<Outcome<ReplyHead>> send(RunnerExchange& exchange, Delivery& delivery, std::chrono::nanoseconds limit);
+    Task<Outcome<ReplyHead>> send(
+        const ForwardRequest& request, RunnerExchange& exchange, Delivery& delivery, std::chrono::nanoseconds limit);
     /// Refuses a request because of a quarantined part, unless it is to test the part.
     std::optional<Error> checkQuarantine(Delivery& delivery);
     /// Reports a request that lost its runner before it had output.
--- a/Source/Core/Gateway/HttpRunnerClient.cpp
+++ b/Source/Core/Gateway/HttpRunnerClient.cpp
@@ -27,6 +27,7 @@
 
         Task<Outcome<void>> connect(std::chrono::nanoseconds timeout) override;
         Task<Outcome<ReplyHead>> begin(std::chrono::nanoseconds timeout) override;
+        Task<Outcome<ReplyHead>> awaitHead(std::chrono::nanoseconds timeout) override;
 
         Task<Outcome<std::string>> readSome(std::chrono::nanoseconds timeout) override
         {
@@ -42,6 +43,11 @@
         void finish() override { m_pool.release(m_endpoint, std::move(m_connection)); }
 
     private:
+        using TimePoint = std::chrono::steady_clock::time_point;
+
+        /// Skips responses to earlier requests until the head of the response to this one has arrived.
+        Task<Outcome<ReplyHead>> findOwnHead(Outcome<HttpHead> head, TimePoint until);
+
         ConnectionPool& m_pool;
         const ForwardCodec& m_codec;
         Endpoint m_endpoint;
@@ -51,6 +57,8 @@
         std::unique_ptr<HttpConnection> m_connection;
         std::chrono::nanoseconds m_connectTimeout;
         bool m_isCancelled = false;
+        /// Responses to earlier requests that were skipped.
+        unsigned m_strays = 0;
     };
 
     Task<Outcome<void>> HttpRunnerExchange::connect(std::chrono::nanoseconds timeout)
@@ -70,9 +78,19 @@
 
     Task<Outcome<ReplyHead>> HttpRunnerExchange::begin(std::chrono::nanoseconds timeout)
     {
-        const auto end = std::chrono::steady_clock::now() + timeout;
-        auto head = co_await m_connection->send(m_message, timeout);
-        for (unsigned strays = 0;; ++strays) {
+        const auto until = std::chrono::steady_clock::now() + timeout;
+        co_return co_await findOwnHead(co_await m_connection->send(m_message, timeout), until);
+    }
+
+    Task<Outcome<ReplyHead>> HttpRunnerExchange::awaitHead(std::chrono::nanoseconds timeout)
+    {
+        const auto until = std::chrono::steady_clock::now() + timeout;
+        co_return co_await findOwnHead(co_await m_connection->readHead(timeout), until);
+    }
+
+    Task<Outcome<ReplyHead>> HttpRunnerExchange::findOwnHead(Outcome<HttpHead> head, TimePoint until)
+    {
+        for (;; ++m_strays) {
             if (!head) {
                 co_return std::unexpected(head.error());
             }
@@ -88,13 +106,12 @@
                 co_return reply;
             }
             // A duplicate response to the previous request on this connection. The response to this one follows it.
-            const auto left = end - std::chrono::steady_clock::now();
-            const auto skipped = co_await m_connection->readAll(left);
-            if (!m_isPooled || strays == maxStrayAnswers || !skipped) {
+            const auto skipped = co_await m_connection->readAll(until - std::chrono::steady_clock::now());
+            if (!m_isPooled || m_strays == maxStrayAnswers || !skipped) {
                 co_return fail(
                     ErrorCode::Mismatch, "the runner sent the response to another request", RunState::Unknown);
             }
-            head = co_await m_connection->readHead(end - std::chrono::steady_clock::now());
+            head = co_await m_connection->readHead(until - std::chrono::steady_clock::now());
         }
     }
 
--- a/Source/Core/Transport/HttpClient.cpp
+++ b/Source/Core/Transport/HttpClient.cpp
@@ -2,6 +2,7 @@
 
 #include "Transport/ReceivedBody.h"
 #include "Transport/SocketOptions.h"
+#include "Transport/TimedRead.h"
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/this_coro.hpp>
@@ -64,7 +65,11 @@
     }
 
     /// Parses received bytes, after reading some if there are none or too few.
-    Task<beast::error_code> parseSome();
+    /// @param until Longest time to wait for bytes; beast::error::timeout after it. It may then be called again.
+    Task<beast::error_code> parseSome(std::chrono::steady_clock::time_point until);
+
+    /// Prepares the parser for the next response.
+    void beginResponse();
 
     beast::tcp_stream stream;
     beast::flat_buffer buf { maxUnparsedBytes };
@@ -72,6 +77,8 @@
     std::string host;
     /// The response to a HEAD request has no body, whatever length it names.
     bool isHeadRequest = false;
+    /// A part of a head may have been parsed.
+    bool isHeadPending = false;
     /// True while a response is outstanding or incomplete, and after an error.
     bool isBroken = false;
     std::optional<std::chrono::milliseconds> idleTimeout;
@@ -79,7 +86,7 @@
 
 // Parses in the calling task and not in the handler of a Beast operation: an exception that leaves a handler passes
 // through the io_context.
-Task<beast::error_code> HttpConnection::State::parseSome()
+Task<beast::error_code> HttpConnection::State::parseSome(std::chrono::steady_clock::time_point until)
 {
     for (;;) {
         beast::error_code ec;
@@ -88,28 +95,35 @@
             if (ec != http::error::need_more) {
                 co_return ec;
             }
+            ec = {};
         }
         const auto space = beast::read_size(buf, maxReadBytes);
         if (space == 0) {
             co_return http::error::buffer_overflow;
         }
-        std::size_t n = 0;
-        std::tie(ec, n) = co_await stream.async_read_some(buf.prepare(space), asTuple);
-        buf.commit(n);
-        if (ec == asio::error::eof) {
+        const auto read = co_await detail::readUntil(stream.socket(), buf.prepare(space), until);
+        buf.commit(read.bytes);
+        if (read.error == asio::error::eof) {
             if (!parser->got_some()) {
                 co_return http::error::end_of_stream;
             }
-            ec = {};
             parser->put_eof(ec);
             co_return ec;
         }
-        if (ec) {
-            co_return ec;
+        if (read.error) {
+            co_return read.error;
         }
     }
 }
 
+void HttpConnection::State::beginResponse()
+{
+    parser.emplace();
+    parser->header_limit(maxAnswerHeaderBytes);
+    parser->body_limit(std::numeric_limits<std::uint64_t>::max());
+    parser->skip(isHeadRequest);
+}
+
 HttpConnection::HttpConnection(asio::any_io_executor executor)
     : m_state(std::make_unique<State>(std::move(executor)))
 {
@@ -132,6 +146,8 @@
         co_return fail(ErrorCode::ConnectFailed, "connect to " + endpoint.toString() + ": " + ec.message());
     }
     setLowLatencyOptions(stream.socket().native_handle(), deadConnectionTimeout);
+    // Applies to operations without a handler; others never block.
+    stream.socket().non_blocking(true, ec);
     m_state->host = endpoint.toString();
     co_return Outcome<void> {};
 }
@@ -163,6 +179,7 @@
     const auto end = std::chrono::steady_clock::now() + timeout;
     const auto [ec, n] = co_await http::async_write(state.stream, message, asTuple);
     if (ec == beast::error::timeout) {
+        // The stream has closed the connection.
         co_return std::unexpected(transportError("send request", ec));
     }
     // A server may reject a long request before it has read all of it and then close the connection, so a response can
@@ -181,18 +198,18 @@
 {
     auto& state = *m_state;
     state.isBroken = true;
-    state.stream.expires_after(timeout);
+    const auto until = std::chrono::steady_clock::now() + timeout;
     HttpHead head;
     for (unsigned informational = 0;; ++informational) {
-        state.parser.emplace();
-        state.parser->header_limit(maxAnswerHeaderBytes);
-        state.parser->body_limit(std::numeric_limits<std::uint64_t>::max());
-        state.parser->skip(state.isHeadRequest);
+        if (!std::exchange(state.isHeadPending, true)) {
+            state.beginResponse();
+        }
         while (!state.parser->is_header_done()) {
-            if (const auto ec = co_await state.parseSome()) {
+            if (const auto ec = co_await state.parseSome(until)) {
                 co_return std::unexpected(transportError("read response head", ec));
             }
         }
+        state.isHeadPending = false;
         head.status = static_cast<int>(state.parser->get().result_int());
         if (!isInformational(head.status)) {
             break;
@@ -217,9 +234,9 @@
 {
     auto& state = *m_state;
     auto& body = state.parser->get().body();
-    state.stream.expires_after(timeout);
+    const auto until = std::chrono::steady_clock::now() + timeout;
     while (body.empty() && !state.parser->is_done()) {
-        if (const auto ec = co_await state.parseSome()) {
+        if (const auto ec = co_await state.parseSome(until)) {
             state.isBroken = true;
             co_return std::unexpected(transportError("read response", ec));
         }
--- a/Source/Core/Transport/HttpClient.h
+++ b/Source/Core/Transport/HttpClient.h
@@ -18,7 +18,8 @@
     HttpHeaders headers;
 };
 
-/// One HTTP/1.1 client connection. It carries one request at a time; after any error it must not be used again.
+/// One HTTP/1.1 client connection. It carries one request at a time; after any error, but for DeadlineExceeded while a
+/// response is read, it must not be used again.
 ///
 /// Errors: ConnectFailed means that no byte of a request was sent; ConnectionLost and DeadlineExceeded carry
 /// RunState::Unknown once a byte may have been sent.
@@ -40,12 +41,12 @@
     Task<Outcome<HttpHead>> send(const HttpRequest& request, std::chrono::nanoseconds timeout);
 
     /// Reads the head of another response on the connection, after a response that belonged to an earlier request was
-    /// read to its end.
+    /// read to its end, or goes on with a head that had not arrived in time.
     /// @param timeout Longest time until the head has arrived.
     Task<Outcome<HttpHead>> readHead(std::chrono::nanoseconds timeout);
 
-    /// Reads the next part of the body.
-    /// @param timeout Longest time until a byte arrives.
+    /// Reads the next part of the body. May be called again after DeadlineExceeded.
+    /// @param timeout Longest time until a byte of the body arrives.
     /// @return The bytes, or an empty string at the end of the body.
     Task<Outcome<std::string>> readSome(std::chrono::nanoseconds timeout);
 
--- a/Source/Core/Transport/HttpServer.cpp
+++ b/Source/Core/Transport/HttpServer.cpp
@@ -4,6 +4,7 @@
 #include "Common/TaskFault.h"
 #include "Transport/ReceivedBody.h"
 #include "Transport/SocketOptions.h"
+#include "Transport/TimedRead.h"
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -43,31 +44,6 @@
     // Smallest space for one read.
     constexpr std::size_t minReadBytes = 512;
 
-    /// Cancels the operations of a socket at a point in time. The socket stays open, so that bytes which arrived before
-    /// the process reacted to the limit can still be read.
-    class SocketTimer {
-    public:
-        SocketTimer(tcp::socket& socket, TimePoint until)
-            : m_timer(socket.get_executor(), until)
-        {
-            // The handler may run after the timer was destroyed; then the weak pointer has expired.
-            m_timer.async_wait([this, &socket, alive = std::weak_ptr<bool>(m_alive)](const beast::error_code& ec) {
-                if (!ec && alive.lock()) {
-                    m_isExpired = true;
-                    beast::error_code ignored;
-                    socket.cancel(ignored);
-                }
-            });
-        }
-
-        bool isExpired() const { return m_isExpired; }
-
-    private:
-        asio::steady_timer m_timer;
-        std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
-        bool m_isExpired = false;
-    };
-
     HttpRequest toRequest(http::request<detail::ReceivedBody>&& message)
     {
         HttpRequest request;
@@ -410,25 +386,12 @@
     auto& socket = connection.stream.socket();
     auto& buf = connection.buf;
     const auto space = buf.prepare(std::max(minReadBytes, buf.capacity() - buf.size()));
-    beast::error_code ec;
-    std::size_t n = 0;
-    bool isLate = false;
-    {
-        const SocketTimer timer(socket, until);
-        std::tie(ec, n) = co_await socket.async_read_some(space, asTuple);
-        isLate = timer.isExpired();
+    const auto read = co_await detail::readUntil(socket, space, until);
+    if (read.isLate) {
+        report(ConnectionEvent::ReadLate);
     }
-    if (ec == asio::error::operation_aborted && socket.is_open()) {
-        // The process may have been held up, so the bytes may have arrived long before the operation was cancelled.
-        n = socket.read_some(space, ec);
-        if (ec == asio::error::would_block) {
-            ec = isLate ? beast::error_code(beast::error::timeout) : asio::error::operation_aborted;
-        } else if (!ec) {
-            report(ConnectionEvent::ReadLate);
-        }
-    }
-    buf.commit(n);
-    co_return ec;
+    buf.commit(read.bytes);
+    co_return read.error;
 }
 
 Task<beast::error_code> HttpServer::State::readRequest(
--- a/Source/UnitTests/Gateway/ConfigurationChangeTests.cpp
+++ b/Source/UnitTests/Gateway/ConfigurationChangeTests.cpp
@@ -91,6 +91,10 @@
             head.status = 200;
             co_return head;
         }
+        Task<Outcome<ReplyHead>> awaitHead(std::chrono::nanoseconds) override
+        {
+            co_return fail(ErrorCode::ConnectionLost, "the head has arrived", RunState::Unknown);
+        }
         Task<Outcome<std::string>> readSome(std::chrono::nanoseconds) override
         {
             if (m_owner.holdsAt == WaitKind::Body) {
--- a/Source/UnitTests/Gateway/ForwardDispatcherTests.cpp
+++ b/Source/UnitTests/Gateway/ForwardDispatcherTests.cpp
@@ -379,3 +379,85 @@
         cr_assert_eq(fixture.scripted.cancelled, 1);
     }
 }
+
+// Guards against ending an answer because its runner is silent, while no other runner can take over: a sound runner may
+// fall silent for a second or two and go on.
+Test(ForwardDispatcher, waitsForASilentRunnerThatNoOtherCanReplace)
+{
+    struct Case {
+        const char* name;
+        const char* path;
+        ScriptedAttempt attempt;
+        bool hasOthers;
+        bool hasBudget;
+    };
+    auto slowStream = stream({ "id: 1\ndata: a\n\n", "id: 2\ndata: b\n\n" });
+    slowStream.partInterval = 1700ms;
+    // Bytes of an incomplete event are no progress.
+    auto unnumbered = stream({ "data: a\n\n", "data: b", "\n\n" });
+    unnumbered.partInterval = 1s;
+    auto slowBegin = stream({ "id: 1\ndata: a\n\n" });
+    slowBegin.headSilence = 3500ms;
+    auto slowAnswer = ok("body");
+    slowAnswer.headSilence = 3500ms;
+    const std::array cases {
+        Case { "a stream at the only runner", "/resumable/x", slowStream, false, true },
+        Case { "a stream without a budget to resume", "/resumable/x", slowStream, true, false },
+        Case { "a stream without ids", "/resumable/x", unnumbered, true, true },
+        Case { "a late begin at the only runner", "/resumable/x", slowBegin, false, true },
+        Case { "a late begin without a budget", "/resumable/x", slowBegin, true, false },
+        Case { "a late answer at the only runner", "/safe/x", slowAnswer, false, true },
+        Case { "a late answer without a budget", "/safe/x", slowAnswer, true, false },
+    };
+    for (const auto& it : cases) {
+        GatewayFixture fixture;
+        if (!it.hasOthers) {
+            fixture.runners.replaceEntries({ makeRunner("r1") });
+        }
+        if (!it.hasBudget) {
+            fixture.retryBudget.setOptions({ 0, 0, 1 });
+        }
+        fixture.scripted.script = { it.attempt };
+        auto request = fixture.makeRequest(it.path);
+        request.timeout = 10s;
+        const auto result = fixture.forward(request);
+        cr_assert(result.has_value(), "%s: %s", it.name, result ? "" : result.error().message.c_str());
+        cr_assert(fixture.sink.isComplete, "%s", it.name);
+        cr_assert_eq(fixture.scripted.arrivals.size(), 1, "%s", it.name);
+    }
+}
+
+// A stalled runner that no other can replace must not hold the request longer than its deadline.
+Test(ForwardDispatcher, endsARequestAtItsDeadlineIfNoOtherRunnerCanTakeOver)
+{
+    for (const bool isBegun : { false, true }) {
+        GatewayFixture fixture;
+        fixture.runners.replaceEntries({ makeRunner("r1") });
+        auto stalled = stream({ "id: 1\ndata: a\n\n", "id: 2\ndata: b\n\n" });
+        (isBegun ? stalled.partInterval : stalled.headSilence) = 4s;
+        fixture.scripted.script = { stalled };
+        const auto begin = fixture.clock.now();
+        auto request = fixture.makeRequest("/resumable/x");
+        request.timeout = isBegun ? 6s : 3s;
+        const auto result = fixture.forward(request);
+        cr_assert(!result && result.error().runState == RunState::Unknown);
+        cr_assert(fixture.clock.now() - begin == *request.timeout);
+        cr_assert_eq(fixture.scripted.cancelled, 1);
+    }
+}
+
+// When a runner becomes available that can take over, the wait for the silent one ends.
+Test(ForwardDispatcher, resumesAtARunnerThatComesWhileTheFirstIsSilent)
+{
+    GatewayFixture fixture;
+    fixture.runners.replaceEntries({ makeRunner("r1") });
+    auto stalled = stream({ "id: 1\ndata: a\n\n", "id: 2\ndata: b\n\n" });
+    stalled.partInterval = 4s;
+    fixture.scripted.script = { stalled, stream({ "id: 2\ndata: b\n\n" }) };
+    fixture.sink.onWrite = [&] { fixture.runners.updateEntry(makeRunner("r2")); };
+    auto request = fixture.makeRequest("/resumable/x");
+    request.timeout = 10s;
+    cr_assert(fixture.forward(request).has_value());
+    cr_assert_eq(fixture.scripted.arrivals.size(), 2);
+    cr_assert_eq(fixture.sink.body, "id: 1\ndata: a\n\nid: 2\ndata: b\n\n");
+}
--- a/Source/UnitTests/Gateway/GatewayFixture.h
+++ b/Source/UnitTests/Gateway/GatewayFixture.h
@@ -51,6 +51,8 @@
     std::vector<std::string> parts = {};
     /// Time from one part to the next.
     std::chrono::milliseconds partInterval { 0 };
+    /// Time without a byte before the head.
+    std::chrono::milliseconds headSilence { 0 };
     /// Error after the parts instead of the end of the body.
     std::optional<Error> endError = std::nullopt;
     /// Called when the request arrives, e.g. to disconnect the caller.
@@ -129,6 +131,18 @@
             if (m_attempt.beginError) {
                 co_return std::unexpected(*m_attempt.beginError);
             }
+            m_silence = m_attempt.headSilence;
+            co_return co_await awaitHead(timeout);
+        }
+        Task<Outcome<ReplyHead>> awaitHead(std::chrono::nanoseconds timeout) override
+        {
+            if (m_attempt.beginError) {
+                m_owner.m_clock.advance(std::max(timeout, std::chrono::nanoseconds(0)));
+                co_return std::unexpected(*m_attempt.beginError);
+            }
+            if (!waitOut(timeout)) {
+                co_return fail(ErrorCode::DeadlineExceeded, "no head in time", RunState::Unknown);
+            }
             ReplyHead head;
             head.kind = m_attempt.kind;
             head.status = m_attempt.status;
@@ -136,15 +150,15 @@
             head.isLeaving = m_attempt.isLeaving;
             head.origin = m_attempt.origin;
             head.unwantedFor = m_attempt.unwantedFor;
+            m_silence = m_attempt.partInterval;
             co_return head;
         }
         Task<Outcome<std::string>> readSome(std::chrono::nanoseconds timeout) override
         {
-            if (timeout < m_attempt.partInterval) {
-                m_owner.m_clock.advance(std::max(timeout, std::chrono::nanoseconds(0)));
+            if (!waitOut(timeout)) {
                 co_return std::unexpected(Error { ErrorCode::DeadlineExceeded, "no byte in time", RunState::Unknown });
             }
-            m_owner.m_clock.advance(m_attempt.partInterval);
+            m_silence = m_attempt.partInterval;
             if (m_next < m_attempt.parts.size()) {
                 co_return m_attempt.parts[m_next++];
             }
@@ -157,9 +171,21 @@
         void finish() override { ++m_owner.finished; }
 
     private:
+        /// Lets time pass.
+        /// @return False if the timeout is shorter than what is left of the silence.
+        bool waitOut(std::chrono::nanoseconds timeout)
+        {
+            const auto passed = std::min(m_silence, std::max(timeout, std::chrono::nanoseconds(0)));
+            m_owner.m_clock.advance(passed);
+            m_silence -= passed;
+            return m_silence.count() == 0;
+        }
+
         ScriptedRunners& m_owner;
         Endpoint m_endpoint;
         ScriptedAttempt m_attempt;
+        /// What is left of the time without a byte.
+        std::chrono::nanoseconds m_silence { 0 };
         std::size_t m_next = 0;
     };
 
--- a/Source/UnitTests/Gateway/RefusalFleet.cpp
+++ b/Source/UnitTests/Gateway/RefusalFleet.cpp
@@ -90,6 +90,10 @@
         co_return head;
     }
 
+    Task<Outcome<ReplyHead>> awaitHead(std::chrono::nanoseconds) override
+    {
+        co_return fail(ErrorCode::ConnectionLost, "the head has arrived", RunState::Unknown);
+    }
     Task<Outcome<std::string>> readSome(std::chrono::nanoseconds) override { co_return std::exchange(m_body, {}); }
     void cancel() override { }
     void finish() override { }
--- a/Source/UnitTests/Transport/HttpClientTests.cpp
+++ b/Source/UnitTests/Transport/HttpClientTests.cpp
@@ -23,12 +23,22 @@
 
 constexpr std::chrono::seconds callTimeout { 10 };
 
+// Long enough for two reads with a time limit to end in each pause.
+constexpr std::chrono::milliseconds partPause { 300 };
+constexpr std::chrono::milliseconds readLimit { 50 };
+
 /// Server that responds to the first request of each connection with the same bytes and closes the connection.
 class RawServer {
 public:
     RawServer(asio::io_context& context, std::string response)
+        : RawServer(context, std::vector { std::move(response) })
+    {
+    }
+
+    /// @param parts Bytes that are sent with pauses between them.
+    RawServer(asio::io_context& context, std::vector<std::string> parts)
         : m_acceptor(context, { asio::ip::make_address("127.0.0.1"), 0 })
-        , m_response(std::move(response))
+        , m_parts(std::move(parts))
     {
         asio::co_spawn(context, serve(), asio::detached);
     }
@@ -45,12 +55,17 @@
             }
             std::string request;
             co_await asio::async_read_until(socket, asio::dynamic_buffer(request), "\r\n\r\n", asTuple);
-            co_await asio::async_write(socket, asio::buffer(m_response), asTuple);
+            for (std::size_t n = 0; n < m_parts.size(); ++n) {
+                if (n > 0) {
+                    co_await sleepFor(partPause);
+                }
+                co_await asio::async_write(socket, asio::buffer(m_parts[n]), asTuple);
+            }
         }
     }
 
     tcp::acceptor m_acceptor;
-    std::string m_response;
+    std::vector<std::string> m_parts;
 };
 
 /// Result of a GET request to a server that sends the response and closes the connection.
@@ -125,3 +140,43 @@
     cr_assert(!*result && result->error().code == ErrorCode::Malformed);
     cr_assert(result->error().runState == RunState::NotRun);
 }
+
+// Guards against losing a response, or a part of it, when a read is tried again after its time limit.
+Test(HttpConnection, readsOnAfterATimeLimit)
+{
+    asio::io_context context { 1 };
+    RawServer server(context,
+        std::vector<std::string> { "HTTP/1.1 200 OK\r\nX-Na", "me: value\r\nTransfer-Encoding: chunked\r\n\r\n",
+            "6\r\nabc", "def\r\n0\r\n\r\n" });
+    const auto read = [&]() -> Task<> {
+        HttpConnection connection(context.get_executor());
+        cr_assert((co_await connection.connect(server.endpoint(), callTimeout)).has_value());
+        unsigned timeouts = 0;
+        auto head = co_await connection.send({ "GET", "/", "", {}, "" }, readLimit);
+        for (; !head; ++timeouts) {
+            cr_assert(head.error().code == ErrorCode::DeadlineExceeded, "%s", head.error().message.c_str());
+            head = co_await connection.readHead(readLimit);
+        }
+        cr_assert(findHeader(head->headers, "X-Name") == "value");
+        std::string body;
+        for (;;) {
+            const auto part = co_await connection.readSome(readLimit);
+            if (!part) {
+                cr_assert(part.error().code == ErrorCode::DeadlineExceeded, "%s", part.error().message.c_str());
+                ++timeouts;
+                continue;
+            }
+            if (part->empty()) {
+                break;
+            }
+            body += *part;
+        }
+        cr_assert_eq(body, "abcdef");
+        cr_assert_geq(timeouts, 3);
+    };
+    asio::co_spawn(context, read(), [&](const std::exception_ptr& error) {
+        cr_assert(!error);
+        context.stop();
+    });
+    context.run();
+}
