Record orders again after a write without an answer

Cause: the holder's record that its orders were completed got no answer; its next orders began without a write, so the condition of the late write still held when it was executed.

Change: after an unanswered write of the state, orders begin only after an answered one.

--- a/Source/Core/Gateway/OrderLease.cpp
+++ b/Source/Core/Gateway/OrderLease.cpp
@@ -206,6 +206,9 @@
     // The copy from which the store was restored may not have the record.
     const auto expected = isStateStored() ? m_stateRevision : 0;
     const auto swapped = co_await m_store.compareAndSwap(std::string(orderStateKey), expected, record.dump());
+    // An answered write, or the record that another one found, shows that the condition of earlier writes has become
+    // false.
+    m_isStateWriteUnanswered = !swapped;
     if (swapped && swapped->isSwapped) {
         m_stateRevision = swapped->revision;
         m_stateVm = m_vm.value();
@@ -222,7 +225,8 @@
 
 Task<bool> OrderLease::beginOrders()
 {
-    if (m_isStateActive && m_stateVm == m_vm.value() && isStateStored()) {
+    const bool isRecorded = m_isStateActive && m_stateVm == m_vm.value() && isStateStored();
+    if (isRecorded && !m_isStateWriteUnanswered) {
         co_return true;
     }
     co_return co_await writeState(true);
--- a/Source/Core/Gateway/OrderLease.h
+++ b/Source/Core/Gateway/OrderLease.h
@@ -103,6 +103,8 @@
     std::string m_stateVm;
     bool m_isStateActive = false;
     std::int64_t m_stateRevision = 0;
+    /// A write of the state got no answer. It may be executed later, as long as its condition holds.
+    bool m_isStateWriteUnanswered = false;
 
     bool m_isHeld = false;
     bool m_isReleased = false;
--- a/Source/UnitTests/Gateway/OrderLeaseTests.cpp
+++ b/Source/UnitTests/Gateway/OrderLeaseTests.cpp
@@ -17,12 +17,27 @@
         if (isDown) {
             co_return fail(ErrorCode::StoreUnavailable, "down");
         }
+        if (std::exchange(delaysNextWrite, false)) {
+            lateWrites.push_back({ key, value, expected, {} });
+            co_return fail(ErrorCode::StoreUnavailable, "no answer", RunState::Unknown);
+        }
+        co_return swap(key, expected, std::move(value));
+    }
+    SwapResult swap(const std::string& key, std::int64_t expected, std::string value)
+    {
         auto& entry = entries[key];
         if (entry.modRevision != expected) {
-            co_return SwapResult { false, 0, entry };
+            return { false, 0, entry };
         }
         entry = { key, std::move(value), ++revision, {} };
-        co_return SwapResult { true, revision, std::nullopt };
+        return { true, revision, std::nullopt };
+    }
+    /// Executes the writes that got no answer.
+    void executeLateWrites()
+    {
+        for (auto& it : std::exchange(lateWrites, {})) {
+            swap(it.key, it.modRevision, std::move(it.value));
+        }
     }
     Task<Outcome<SwapResult>> compareAndErase(std::string, std::int64_t) override { co_return SwapResult(); }
     Task<Outcome<LeaseId>> grantLease(std::chrono::seconds) override
@@ -34,12 +49,21 @@
         ++renewals;
         co_return isDown ? Outcome<std::chrono::seconds>(fail(ErrorCode::StoreUnavailable, "down")) : 2s;
     }
-    Task<Outcome<void>> revoke(LeaseId) override { co_return Outcome<void> {}; }
+    Task<Outcome<void>> revoke(LeaseId) override
+    {
+        ++revocations;
+        co_return Outcome<void> {};
+    }
 
     std::map<std::string, StoreEntry> entries;
     std::int64_t revision = 100;
     unsigned renewals = 0;
+    unsigned revocations = 0;
     bool isDown = false;
+    /// Executes the next write only in executeLateWrites(), and does not answer it.
+    bool delaysNextWrite = false;
+    /// Entries with the revision that each write expects.
+    std::vector<StoreEntry> lateWrites;
 };
 
 struct LeaseFixture {
@@ -140,6 +164,36 @@
     });
 }
 
+// Guards against a late write that hides the orders of this VM: its record that they are completed gets no answer, new
+// orders begin, and then the write is executed (review case 3).
+Test(OrderLease, recordsItsOrdersAgainAfterAWriteWithoutAnAnswer)
+{
+    for (const bool isExecutedFirst : { false, true }) {
+        LeaseFixture fixture;
+        fixture.run([&]() -> Task<> {
+            auto& lease = fixture.lease;
+            lease.clearHolder();
+            co_await fixture.waitUntilHeld();
+            cr_assert(co_await lease.beginOrders());
+            lease.recordOrder();
+            for (unsigned n = 0; n < 4; ++n) {
+                co_await fixture.advance(1s);
+            }
+            fixture.store.delaysNextWrite = true;
+            co_await lease.endOrders();
+            cr_assert_eq(fixture.store.lateWrites.size(), 1);
+            if (isExecutedFirst) {
+                fixture.store.executeLateWrites();
+                cr_assert(!co_await lease.beginOrders(), "orders began although the record says that there are none");
+            }
+            cr_assert(co_await lease.beginOrders());
+            fixture.store.executeLateWrites();
+            const auto& state = fixture.store.entries.at(std::string(orderStateKey)).value;
+            cr_assert(state.find("true") != std::string::npos, "%s", state.c_str());
+        });
+    }
+}
+
 // A holder that cannot renew its lease must stop giving orders before the lease can expire.
 Test(OrderLease, stopsBeforeTheLeaseCanExpire)
 {
