End a released order lease some time after the last order

Cause: the pause of a new holder counts on the 0.4 s between the last order and the end of a lease; release() ended the lease at once.

Change: release() gives no more orders and ends the lease 0.4 s after the last one was sent or answered.

--- a/Source/Core/Gateway/OrderLease.cpp
+++ b/Source/Core/Gateway/OrderLease.cpp
@@ -13,6 +13,7 @@
 namespace {
 
     constexpr std::chrono::milliseconds checkInterval { 300 };
+    constexpr std::chrono::milliseconds releaseCheckInterval { 20 };
 
     // Spreads the attempts of the VMs after a lease expired, so that most VMs see the new holder before they try. In a
     // large fleet a VM receives the new holder up to 1.6 s later.
@@ -247,6 +248,9 @@
     m_isReleased = true;
     if (m_isHeld) {
         m_isHeld = false;
+        while (m_lastOrderAt.count() > 0 && m_clock.now() - m_lastOrderAt < m_options.safetyMargin) {
+            co_await sleepFor(releaseCheckInterval);
+        }
         co_await m_store.revoke(m_lease);
     }
 }
--- a/Source/Core/Gateway/OrderLease.h
+++ b/Source/Core/Gateway/OrderLease.h
@@ -72,7 +72,8 @@
     /// not wait.
     Task<> endOrders();
 
-    /// Releases the lease and stops run().
+    /// Releases the lease and stops run(). No order may be given from now on. The lease ends only a safety margin after
+    /// the last order, as it does when it expires, since the pause of the next holder begins with it.
     Task<> release();
 
 private:
--- a/Source/UnitTests/Gateway/OrderLeaseTests.cpp
+++ b/Source/UnitTests/Gateway/OrderLeaseTests.cpp
@@ -194,6 +194,30 @@
     }
 }
 
+// Guards against a successor whose pause begins too soon: a stopped holder released its lease right after an order, and
+// the next order to the same runner came 2.87 s later (review case 2).
+Test(OrderLease, releasesItsLeaseSomeTimeAfterItsLastOrder)
+{
+    LeaseFixture fixture;
+    fixture.run([&]() -> Task<> {
+        fixture.lease.clearHolder();
+        co_await fixture.waitUntilHeld();
+        cr_assert(co_await fixture.lease.beginOrders());
+        fixture.lease.recordOrder();
+        asio::co_spawn(fixture.context, fixture.lease.release(), asio::detached);
+        for (const auto step : { 0ms, 200ms, 199ms }) {
+            fixture.clock.advance(step);
+            co_await sleepFor(100ms);
+            cr_assert_eq(fixture.store.revocations, 0);
+            cr_assert(!fixture.lease.mayOrder());
+        }
+        fixture.clock.advance(1ms);
+        while (fixture.store.revocations == 0) {
+            co_await sleepFor(5ms);
+        }
+    });
+}
+
 // A holder that cannot renew its lease must stop giving orders before the lease can expire.
 Test(OrderLease, stopsBeforeTheLeaseCanExpire)
 {
