Drop the body of a response to another request as it is read

Cause: a late copy of a response on a kept connection was collected up to 16 MB for each request, outside of the budget for responses (found by reading in the review).

Change: HttpConnection::skipBody reads within the same limit and keeps nothing.

Evidence: HttpConnection::skipsABodyAndReadsTheNextResponse; RunnerWire::endsBytesWithoutEndOnAKeptConnection, which bounds the bytes, passes unchanged. The memory itself was not measured.

--- a/Source/Core/Gateway/HttpRunnerClient.cpp
+++ b/Source/Core/Gateway/HttpRunnerClient.cpp
@@ -106,7 +106,7 @@
                 co_return reply;
             }
             // A duplicate response to the previous request on this connection. The response to this one follows it.
-            const auto skipped = co_await m_connection->readAll(until - std::chrono::steady_clock::now());
+            const auto skipped = co_await m_connection->skipBody(until - std::chrono::steady_clock::now());
             if (!m_isPooled || m_strays == maxStrayAnswers || !skipped) {
                 co_return fail(
                     ErrorCode::Mismatch, "the runner sent the response to another request", RunState::Unknown);
--- a/Source/Core/Transport/HttpClient.cpp
+++ b/Source/Core/Transport/HttpClient.cpp
@@ -269,6 +269,25 @@
     }
 }
 
+Task<Outcome<void>> HttpConnection::skipBody(std::chrono::nanoseconds timeout)
+{
+    const auto end = std::chrono::steady_clock::now() + timeout;
+    for (std::size_t bytes = 0;;) {
+        const auto part = co_await readSome(end - std::chrono::steady_clock::now());
+        if (!part) {
+            co_return std::unexpected(part.error());
+        }
+        if (part->empty()) {
+            co_return Outcome<void> {};
+        }
+        bytes += part->size();
+        if (bytes > maxCollectedBytes) {
+            close();
+            co_return fail(ErrorCode::ProtocolError, "skip response: the body is too large", RunState::Unknown);
+        }
+    }
+}
+
 bool HttpConnection::isReusable() const
 {
     return !m_state->isBroken && m_state->buf.size() == 0 && m_state->stream.socket().is_open()
--- a/Source/Core/Transport/HttpClient.h
+++ b/Source/Core/Transport/HttpClient.h
@@ -50,7 +50,7 @@
     /// @return The bytes, or an empty string at the end of the body.
     Task<Outcome<std::string>> readSome(std::chrono::nanoseconds timeout);
 
-    /// Largest body that readAll() collects.
+    /// Largest body that readAll() collects and skipBody() reads.
     static constexpr std::size_t maxCollectedBytes = 16UL * 1024 * 1024;
 
     /// Reads the rest of the body.
@@ -58,6 +58,11 @@
     /// @return The bytes, or ProtocolError for a body of more than maxCollectedBytes.
     Task<Outcome<std::string>> readAll(std::chrono::nanoseconds timeout);
 
+    /// Reads the rest of the body and drops it.
+    /// @param timeout Longest time for the whole body.
+    /// @return ProtocolError for a body of more than maxCollectedBytes.
+    Task<Outcome<void>> skipBody(std::chrono::nanoseconds timeout);
+
     /// Tells whether the connection may carry another request: the last response was read to its end, nothing followed
     /// it, and the server keeps the connection open. Bytes after a response belong to no request.
     bool isReusable() const;
--- a/Source/UnitTests/Transport/HttpClientTests.cpp
+++ b/Source/UnitTests/Transport/HttpClientTests.cpp
@@ -180,3 +180,29 @@
     });
     context.run();
 }
+
+// Guards against keeping the body of a response that is not wanted: a runner could make the process collect 16 MB for
+// each request, outside of the budget for responses.
+Test(HttpConnection, skipsABodyAndReadsTheNextResponse)
+{
+    asio::io_context context { 1 };
+    RawServer server(context,
+        "HTTP/1.1 200 OK\r\nContent-Length: 70000\r\n\r\n" + std::string(70'000, 'x') + "HTTP/1.1 201 Created\r\n\r\n"
+            + std::string(HttpConnection::maxCollectedBytes + 1, 'y'));
+    const auto read = [&]() -> Task<> {
+        HttpConnection connection(context.get_executor());
+        cr_assert((co_await connection.connect(server.endpoint(), callTimeout)).has_value());
+        cr_assert((co_await connection.send({ "GET", "/", "", {}, "" }, callTimeout)).has_value());
+        cr_assert((co_await connection.skipBody(callTimeout)).has_value());
+        const auto next = co_await connection.readHead(callTimeout);
+        cr_assert(next && next->status == 201);
+        const auto skipped = co_await connection.skipBody(callTimeout);
+        cr_assert(!skipped && skipped.error().code == ErrorCode::ProtocolError);
+        cr_assert(!connection.isReusable());
+    };
+    asio::co_spawn(context, read(), [&](const std::exception_ptr& error) {
+        cr_assert(!error);
+        context.stop();
+    });
+    context.run();
+}
