--- a/Source/Core/Transport/ReceivedBody.h
+++ b/Source/Core/Transport/ReceivedBody.h
@@ -15,10 +15,10 @@
 struct ReceivedBody {
     using value_type = std::string;
 
-    class reader {
+    class Reader {
     public:
         template <bool isRequest, typename Fields>
-        reader(boost::beast::http::header<isRequest, Fields>&, value_type& body)
+        Reader(boost::beast::http::header<isRequest, Fields>&, value_type& body)
             : m_body(body)
         {
         }
@@ -42,6 +42,9 @@
     private:
         value_type& m_body;
     };
+
+    /// Name that the library looks for.
+    using reader = Reader;
 };
 
 } // namespace Pollenwind::detail
--- a/Source/Programs/PollenwindLoad/Main.cpp
+++ b/Source/Programs/PollenwindLoad/Main.cpp
@@ -1,8 +1,7 @@
+#include "Common/TaskFault.h"
 #include "Load/LoadRun.h"
 #include "Load/Queries/LoadReport.h"
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
 
 #include "Support/ProgramMain.h"
@@ -70,9 +69,9 @@
 
     asio::io_context context(1);
     LoadRun load(context.get_executor(), options, targets);
-    asio::co_spawn(context, load.run(), asio::detached);
+    spawnTask(context.get_executor(), TaskKind::Load, load.run());
     const double before = processorSeconds(pid.getValue());
-    context.run();
+    runContext(context);
     const double used = processorSeconds(pid.getValue()) - before;
     std::size_t completed = 0;
     for (std::size_t i = 0; i < targets.size(); ++i) {
--- a/Source/Programs/PollenwindSoak/Main.cpp
+++ b/Source/Programs/PollenwindSoak/Main.cpp
@@ -1,7 +1,6 @@
+#include "Common/TaskFault.h"
 #include "Soak/SoakRun.h"
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
 
 #include "Support/ProgramMain.h"
@@ -89,8 +88,8 @@
     asio::io_context context(1);
     ProcessFaultInjector faults(options);
     SoakRun soak(context.get_executor(), options, faults);
-    asio::co_spawn(context, runAndStop(soak, context), asio::detached);
-    context.run();
+    spawnTask(context.get_executor(), TaskKind::Load, runAndStop(soak, context));
+    runContext(context);
     std::cout << formatReport(soak.report());
     return soak.report().hasPassed() ? 0 : 1;
 }
