Start the gateways of the soak without its connections

Cause, in the soak: GatewayProcess::start() let each gateway inherit the descriptors of the soak. A connection that a gateway held too was neither reset nor ended when a stand-in closed it, so a crashed runner looked silent, and requests waited for their deadline instead of being evidence of a crash. It takes a gateway that starts during the run.

Fix: a started gateway keeps its standard streams only.

--- a/Source/UnitTests/PlatformSoak/GatewayProcess.cpp
+++ b/Source/UnitTests/PlatformSoak/GatewayProcess.cpp
@@ -50,6 +50,8 @@
     posix_spawn_file_actions_init(&actions);
     posix_spawn_file_actions_addopen(&actions, STDOUT_FILENO, m_logFile.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
     posix_spawn_file_actions_adddup2(&actions, STDOUT_FILENO, STDERR_FILENO);
+    // A connection of a stand-in that the gateway inherited would stay open after the stand-in has closed it.
+    posix_spawn_file_actions_addclosefrom_np(&actions, STDERR_FILENO + 1);
     std::string program = m_program;
     std::string option = "--settings";
     std::string file = m_settingsFile;
