Count the sums of a zone by the terms of its relay

Cause: sums of a zone were the totals of one VM's process under an id of that VM. The first totals of an id count as recent use if its process started with the receiver's, which holds for all VMs of a deployment. So the first sums of a relay's successor counted all that its zone had taken since the start.

Change: ZoneRelay. A relay serves a term; its sums begin at zero with what its predecessor had not sent; receivers count a new term like a new process, and the age of the term tells whether it is recent. A relay remains while it reports, a later term ends an earlier one, and a successor begins after 1 s, before other zones reduce their share of the rates. FleetView::isRelay is replaced; the assertions of its test are in ZoneRelay::choosesTheSmallestId.

Tests: ZoneRelay::*, ZoneRelayFleet::* (RelayFleet, a fleet in virtual time with suspended, slow and restarted VMs).

--- a/Source/Core/Gateway/FleetMessages_generated.h
+++ b/Source/Core/Gateway/FleetMessages_generated.h
@@ -623,7 +623,8 @@
     VT_CRASH_EVIDENCE = 36,
     VT_PART_ANSWERS = 38,
     VT_QUARANTINED = 40,
-    VT_ROLLOUTS = 42
+    VT_ROLLOUTS = 42,
+    VT_TERM = 44
   };
   const flatbuffers::String *vm() const {
     return GetPointer<const flatbuffers::String *>(VT_VM);
@@ -685,6 +686,9 @@
   const flatbuffers::Vector<flatbuffers::Offset<Pollenwind::wire::Rollout>> *rollouts() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<Pollenwind::wire::Rollout>> *>(VT_ROLLOUTS);
   }
+  uint64_t term() const {
+    return GetField<uint64_t>(VT_TERM, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_VM) &&
@@ -723,6 +727,7 @@
            VerifyOffset(verifier, VT_ROLLOUTS) &&
            verifier.VerifyVector(rollouts()) &&
            verifier.VerifyVectorOfTables(rollouts()) &&
+           VerifyField<uint64_t>(verifier, VT_TERM, 8) &&
            verifier.EndTable();
   }
 };
@@ -791,6 +796,9 @@
   void add_rollouts(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<Pollenwind::wire::Rollout>>> rollouts) {
     fbb_.AddOffset(FleetReport::VT_ROLLOUTS, rollouts);
   }
+  void add_term(uint64_t term) {
+    fbb_.AddElement<uint64_t>(FleetReport::VT_TERM, term, 0);
+  }
   explicit FleetReportBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -823,8 +831,10 @@
     flatbuffers::Offset<flatbuffers::Vector<const Pollenwind::wire::CrashEvidence *>> crash_evidence = 0,
     flatbuffers::Offset<flatbuffers::Vector<const Pollenwind::wire::PartAnswer *>> part_answers = 0,
     flatbuffers::Offset<flatbuffers::Vector<const Pollenwind::wire::QuarantinedPart *>> quarantined = 0,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<Pollenwind::wire::Rollout>>> rollouts = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<Pollenwind::wire::Rollout>>> rollouts = 0,
+    uint64_t term = 0) {
   FleetReportBuilder builder_(_fbb);
+  builder_.add_term(term);
   builder_.add_uptime_ms(uptime_ms);
   builder_.add_sequence(sequence);
   builder_.add_boot(boot);
@@ -869,7 +879,8 @@
     const std::vector<Pollenwind::wire::CrashEvidence> *crash_evidence = nullptr,
     const std::vector<Pollenwind::wire::PartAnswer> *part_answers = nullptr,
     const std::vector<Pollenwind::wire::QuarantinedPart> *quarantined = nullptr,
-    const std::vector<flatbuffers::Offset<Pollenwind::wire::Rollout>> *rollouts = nullptr) {
+    const std::vector<flatbuffers::Offset<Pollenwind::wire::Rollout>> *rollouts = nullptr,
+    uint64_t term = 0) {
   auto vm__ = vm ? _fbb.CreateString(vm) : 0;
   auto usage__ = usage ? _fbb.CreateVectorOfStructs<Pollenwind::wire::OrganisationUsage>(*usage) : 0;
   auto work__ = work ? _fbb.CreateVectorOfStructs<Pollenwind::wire::RunnerWork>(*work) : 0;
@@ -906,7 +917,8 @@
       crash_evidence__,
       part_answers__,
       quarantined__,
-      rollouts__);
+      rollouts__,
+      term);
 }
 
 inline const Pollenwind::wire::FleetReport *GetFleetReport(const void *buf) {
--- a/Source/Core/Gateway/FleetReportCodec.cpp
+++ b/Source/Core/Gateway/FleetReportCodec.cpp
@@ -130,7 +130,7 @@
     builder.Finish(wire::CreateFleetReport(builder, vm, report.incarnation.value(), report.sequence, usageOffset,
         workOffset, loadingOffset, cachedOffset, targetAgesOffset, report.members, loadedOffset, unreachableOffset,
         replacedOffset, lowLevelsOffset, report.isForZone, static_cast<std::uint64_t>(report.uptime.count()),
-        leavingOffset, evidence, answers, parts, rolloutsOffset));
+        leavingOffset, evidence, answers, parts, rolloutsOffset, report.term));
     return { reinterpret_cast<const char*>(builder.GetBufferPointer()), builder.GetSize() };
 }
 
@@ -152,6 +152,7 @@
     report.members = message->members();
     report.isForZone = message->pass_on();
     report.uptime = std::chrono::milliseconds(message->uptime_ms());
+    report.term = message->term();
     if (message->usage()) {
         for (const auto* it : *message->usage()) {
             report.usage[it->organisation()] = it->tokens();
--- a/Source/Core/Gateway/FleetReportCodec.h
+++ b/Source/Core/Gateway/FleetReportCodec.h
@@ -42,12 +42,15 @@
     UsageTotals lowLevels;
     /// Whether the receiver passes the report on to the other VMs of its zone.
     bool isForZone = false;
-    /// Time since the process started; 0 if the sender does not tell it.
+    /// Time since the process started, in a relay's sums the time for which they count; 0 if the sender does not tell
+    /// it.
     std::chrono::milliseconds uptime { 0 };
     /// Parts of prompts that crash runners.
     QuarantineReport quarantine;
     /// Counts and evidence of the VM's roll-outs.
     std::vector<RolloutReport> rollouts;
+    /// Term that the sender serves as the relay of its zone; 0 if it is not the relay.
+    std::uint64_t term = 0;
 };
 
 namespace FleetReportCodec {
--- a/Source/Core/Gateway/FleetReporter.cpp
+++ b/Source/Core/Gateway/FleetReporter.cpp
@@ -18,9 +18,6 @@
     // Number of intervals between reports while nothing changes. They only show that the VM is in contact.
     constexpr unsigned keepAliveTicks = 3;
 
-    // Reports between the last one of a relay that stopped and the first one of its successor.
-    constexpr std::size_t takeoverTicks = FleetView::silenceLimit / reportInterval + 1;
-
     constexpr std::size_t maxReportBytes = 16UL * 1024;
 
 } // namespace
@@ -31,6 +28,7 @@
     , m_vm(std::move(vm))
     , m_zone(std::move(zone))
     , m_incarnation(incarnation)
+    , m_relay(m_vm)
     , m_socket(executor)
     , m_timer(executor)
 {
@@ -64,14 +62,16 @@
         recordSilentVms();
         m_context.quota.setLargeFleet(m_context.fleet.isLarge());
         m_context.quota.setReachableShare(m_context.fleet.reachableShare());
+        updateRelay();
         FleetReport report { m_vm, m_incarnation, 0, m_context.quota.ownTotals(), m_context.runners.ownLoads(),
             m_context.weights.loading(), m_context.directory.takeUpdates(), m_context.runners.targetWeightsAges(), 0,
             m_context.weights.loaded(), m_context.runners.recentFailures(), m_context.quota.lowLevels() };
         report.quarantine = m_context.quarantine.takeReport();
         report.rollouts = m_context.rollouts.reports();
+        report.term = m_relay.term();
         const bool isChanged = report.usage != last.usage || report.loading != last.loading || report.work != last.work
             || !report.cachedPrefixes.empty() || !report.loaded.empty() || !report.failures.isEmpty()
-            || !report.quarantine.isEmpty() || !report.rollouts.empty();
+            || !report.quarantine.isEmpty() || !report.rollouts.empty() || report.term != last.term;
         unchanged = isChanged ? 0 : unchanged + 1;
         if (!isChanged && unchanged % keepAliveTicks != 0) {
             continue;
@@ -116,26 +116,35 @@
     }
 }
 
+void FleetReporter::updateRelay()
+{
+    const auto& zoneTotals = m_context.quota.zoneTotals();
+    if (!m_context.fleet.isLarge()) {
+        m_relay.recordDirectReports(zoneTotals, uptime());
+        return;
+    }
+    const auto termBefore = m_relay.term();
+    m_relay.update(zoneTotals, uptime());
+    if (m_relay.term() != termBefore) {
+        logStateChange("zone-relay", { { "term", std::to_string(m_relay.term()) } });
+    }
+}
+
 Task<> FleetReporter::relayZone(
     std::vector<CachedPrefix> zoneUpdates, std::vector<TargetWeightsAge> targetAges, RunnerFailures failures)
 {
     auto answers = m_context.quarantine.takeZoneAnswers();
-    m_zoneHistory.push_back(m_context.quota.zoneTotals());
-    if (m_zoneHistory.size() > takeoverTicks) {
-        m_zoneHistory.pop_front();
-    }
-    const bool isNewRelay = !std::exchange(m_wasRelay, m_context.fleet.isRelay());
-    if (!m_wasRelay) {
+    if (m_relay.term() == 0) {
         co_return;
     }
-    // Receivers take the first sums of a relay as the starting point, so a new relay starts with those of the time when
-    // the previous one stopped.
-    const auto& usage = isNewRelay ? m_zoneHistory.front() : m_zoneHistory.back();
+    auto termSums = m_relay.sums(m_context.quota.zoneTotals(), uptime());
     const auto zone = m_context.fleet.reachableOfOwnZone();
-    FleetReport sums { FleetView::relayId(m_zone, m_vm), m_incarnation, 0, usage, {}, {}, std::move(zoneUpdates),
-        std::move(targetAges), static_cast<unsigned>(zone.size()), {}, std::move(failures) };
+    FleetReport sums { FleetView::relayId(m_zone, m_vm), m_incarnation, 0, std::move(termSums.usage), {}, {},
+        std::move(zoneUpdates), std::move(targetAges), static_cast<unsigned>(zone.size()), {}, std::move(failures) };
     sums.quarantine.answers = std::move(answers);
     sums.rollouts = m_context.rollouts.reportsOfZone(zone);
+    sums.term = termSums.term;
+    sums.uptime = std::chrono::ceil<std::chrono::milliseconds>(termSums.age);
     co_await sendToOtherZones(std::move(sums));
 }
 
@@ -148,7 +157,9 @@
 Task<> FleetReporter::sendTo(std::vector<Endpoint> endpoints, FleetReport report)
 {
     report.sequence = ++m_sequence;
-    report.uptime = std::chrono::ceil<std::chrono::milliseconds>(std::chrono::steady_clock::now() - m_startedAt);
+    if (report.members == 0) {
+        report.uptime = std::chrono::ceil<std::chrono::milliseconds>(uptime());
+    }
     co_await sendBytes(std::move(endpoints), FleetReportCodec::encode(report));
 }
 
@@ -199,7 +210,12 @@
         co_await sendBytes(m_context.fleet.othersOfOwnZone(), FleetReportCodec::encode(*report));
     }
     const bool isOfOwnZone = m_context.fleet.isOfOwnZone(report->vm);
-    m_context.quota.recordRemoteUsage(report->vm, report->incarnation, report->usage, isOfOwnZone, report->uptime);
+    const auto source
+        = report->members > 0 ? ZoneRelay::incarnationOfTerm(report->incarnation, report->term) : report->incarnation;
+    m_context.quota.recordRemoteUsage(report->vm, source, report->usage, isOfOwnZone, report->uptime);
+    if (isOfOwnZone) {
+        m_relay.recordReport(report->vm, report->term, report->uptime, m_context.quota.zoneTotals(), uptime());
+    }
     m_context.quota.recordRemoteLevels(report->lowLevels);
     m_context.runnerCommands.setRemoteLoad(report->vm, std::move(report->work));
     m_context.directory.recordRemoteRead(report->cachedPrefixes, isOfOwnZone);
--- a/Source/Core/Gateway/FleetReporter.h
+++ b/Source/Core/Gateway/FleetReporter.h
@@ -10,12 +10,12 @@
 #include "Gateway/Queries/RolloutQueries.h"
 #include "Gateway/Queries/RunnerQueries.h"
 #include "Gateway/WeightsDriver.h"
+#include "Gateway/ZoneRelay.h"
 #include "Metrics/Commands/MetricCommands.h"
 
 #include <boost/asio/ip/udp.hpp>
 #include <boost/asio/steady_timer.hpp>
 
-#include <deque>
 #include <string>
 
 namespace Pollenwind {
@@ -67,21 +67,21 @@
     Task<> relayZone(
         std::vector<CachedPrefix> zoneUpdates, std::vector<TargetWeightsAge> targetAges, RunnerFailures failures);
     void recordSilentVms();
+    void updateRelay();
+    std::chrono::nanoseconds uptime() const { return std::chrono::steady_clock::now() - m_startedAt; }
     Task<> handleReport(std::string_view bytes);
 
     FleetReporterContext m_context;
     VmId m_vm;
     ZoneId m_zone;
     Incarnation m_incarnation;
+    ZoneRelay m_relay;
     std::chrono::steady_clock::time_point m_startedAt = std::chrono::steady_clock::now();
     boost::asio::ip::udp::socket m_socket;
     boost::asio::steady_timer m_timer;
     std::uint64_t m_sequence = 0;
     /// Number of reports sent to other zones.
     std::uint64_t m_round = 0;
-    /// Sums of the zone at the last reports, the oldest first.
-    std::deque<UsageTotals> m_zoneHistory;
-    bool m_wasRelay = false;
 };
 
 } // namespace Pollenwind
--- a/Source/Core/Gateway/FleetView.cpp
+++ b/Source/Core/Gateway/FleetView.cpp
@@ -172,12 +172,6 @@
     return vms;
 }
 
-bool FleetView::isRelay() const
-{
-    const auto vms = reachableOfOwnZone();
-    return std::ranges::min(vms) == m_ownVm;
-}
-
 std::size_t FleetView::size() const
 {
     std::size_t count = 1;
--- a/Source/Core/Gateway/FleetView.h
+++ b/Source/Core/Gateway/FleetView.h
@@ -65,9 +65,6 @@
     bool isMemberAddress(std::string_view address) const;
     /// VMs of this zone that are in contact with this one, including itself.
     std::vector<VmId> reachableOfOwnZone() const;
-    /// Whether this VM is the relay that sends the sums of its zone to the other zones: the one with the smallest id
-    /// among the VMs of the zone that are in contact. This needs no messages.
-    bool isRelay() const;
     /// Share of the fleet that is in contact with this VM, including itself, from 0 to 1.
     double reachableShare() const;
     /// Share of the fleet that a VM's reports represent, from 0 to 1: its own or, for a relay, its zone's.
--- a/Source/UnitTests/Gateway/FleetTests.cpp
+++ b/Source/UnitTests/Gateway/FleetTests.cpp
@@ -23,6 +23,7 @@
     report.lowLevels = { { 21, -22.5 } };
     report.isForZone = true;
     report.uptime = 23ms;
+    report.term = 26;
     const auto bytes = FleetReportCodec::encode(report);
     const auto decoded = FleetReportCodec::decode(bytes);
     cr_assert(
@@ -34,6 +35,7 @@
     cr_assert_eq(decoded->members, 14);
     cr_assert(decoded->loaded == report.loaded && decoded->failures == report.failures);
     cr_assert(decoded->lowLevels == report.lowLevels && decoded->isForZone && decoded->uptime == 23ms);
+    cr_assert_eq(decoded->term, 26U);
     for (std::size_t n = 0; n < bytes.size(); ++n) {
         FleetReportCodec::decode(std::string_view(bytes).substr(0, n));
     }
@@ -76,8 +78,8 @@
     cr_assert(fleet.others().empty());
 }
 
-// A zone must have exactly one relay, and the reachable share must include the VMs that a relay represents.
-Test(FleetView, choosesOneRelayAndCountsTheVmsItRepresents)
+// The reachable share must include the VMs that a relay represents.
+Test(FleetView, countsTheVmsThatARelayRepresents)
 {
     ManualClock clock;
     Timeline timeline(clock, "test");
@@ -88,9 +90,7 @@
     for (const auto* vm : { "d", "e", "f" }) {
         fleet.updateRecord(VmId(vm), FleetView::encodeRecord({ "127.0.0.1", 7600 }, ZoneId("y")));
     }
-    cr_assert(fleet.isRelay(), "a has not reported yet");
     cr_assert(fleet.recordReport(VmId("a"), Incarnation(1), 1));
-    cr_assert(!fleet.isRelay());
     cr_assert_eq(fleet.othersOfOwnZone().size(), 2);
     cr_assert_eq(fleet.entryPointsOfOtherZones(0).size(), 1, "no relay of y is known");
     cr_assert(fleet.recordReport(VmId("zone/y/d"), Incarnation(1), 1, 3));
