Log each connection that ends without a complete response

The server now reports such an end with the request, the bytes read, the time since the first one, whether it was stopping and which end closed. A request that arrives when the server has closed its idle connection is read for 100 ms more and reported as well (crossed-close); before, only the kernel saw it. The log line is connection-closed or connection-left, the counter caller_requests_crossed_total is new.

--- a/Source/Core/Gateway/GatewayFrontEnd.cpp
+++ b/Source/Core/Gateway/GatewayFrontEnd.cpp
@@ -111,6 +111,8 @@
             return Counter::CallerRequestsStopped;
         case ConnectionEvent::Rejected:
             return Counter::CallerConnectionsRejected;
+        case ConnectionEvent::CrossedClose:
+            return Counter::CallerRequestsCrossed;
         case ConnectionEvent::Unanswered:
             break;
         }
@@ -147,6 +149,20 @@
 
 void GatewayFrontEnd::onConnectionEvent(ConnectionEvent event) { m_metrics.count(counterOf(event)); }
 
+void GatewayFrontEnd::onConnectionEnd(const ConnectionEnd& end)
+{
+    RequestId id(end.requestId);
+    if (end.request) {
+        if (const auto request = m_codec.decodeRequest(*end.request)) {
+            id = request->id;
+        }
+    }
+    m_log.record(end.isClosedByClient ? RequestEvent::ConnectionLeft : RequestEvent::ConnectionClosed, id,
+        { { "end", std::string(nameOf(end.event)) }, { "bytes", std::to_string(end.trace.bytes()) },
+            { "since_first_byte_ms", std::to_string(end.trace.sinceFirstByte().count()) },
+            { "stopping", end.isStopping ? "true" : "false" }, { "cause", end.cause } });
+}
+
 Task<> GatewayFrontEnd::handle(HttpExchange& exchange)
 {
     const auto receivedAt = m_clock.now();
@@ -160,6 +176,7 @@
         co_await exchange.answer(m_codec.encodeRefusal(accepted.error(), id));
         co_return;
     }
+    exchange.setRequestId(request->id.value());
     ExchangeSink sink(exchange, co_await asio::this_coro::executor);
     const auto timeout = m_dispatcher.timeoutOf(*request);
     sink.startTimer(timeout > 2 * timeoutMargin ? timeout - timeoutMargin : timeout);
--- a/Source/Core/Gateway/GatewayFrontEnd.h
+++ b/Source/Core/Gateway/GatewayFrontEnd.h
@@ -24,6 +24,7 @@
     HttpAnswer refusal(int status, std::string_view reason) const override;
     HttpAnswer failure() const override;
     void onConnectionEvent(ConnectionEvent event) override;
+    void onConnectionEnd(const ConnectionEnd& end) override;
 
     /// Prepares for the end of the process: requests that it would cut are refused, so that their callers turn to other
     /// VMs, and the time of those that may be repeated is shortened.
--- a/Source/Core/Gateway/RequestLog.h
+++ b/Source/Core/Gateway/RequestLog.h
@@ -28,6 +28,10 @@
     Failed,
     /// The caller disconnected.
     Stopped,
+    /// This VM closed a connection without a complete response.
+    ConnectionClosed,
+    /// The caller closed a connection before a complete response.
+    ConnectionLeft,
 };
 
 template <> struct EnumTable<RequestEvent> {
@@ -41,6 +45,8 @@
         EnumName { RequestEvent::Refused, "refused" },
         EnumName { RequestEvent::Failed, "failed" },
         EnumName { RequestEvent::Stopped, "stopped" },
+        EnumName { RequestEvent::ConnectionClosed, "connection-closed" },
+        EnumName { RequestEvent::ConnectionLeft, "connection-left" },
     };
 };
 
--- a/Source/Core/Metrics/Counter.h
+++ b/Source/Core/Metrics/Counter.h
@@ -54,6 +54,8 @@
     CallerConnectionsRejected,
     /// Requests of callers that were handled without a complete response.
     CallerRequestsUnanswered,
+    /// Requests that arrived when their idle connection had been closed.
+    CallerRequestsCrossed,
     /// Exceptions that left a task or a handler.
     TaskFaults,
     /// Requests that were still running when the shutdown limit ended.
@@ -126,6 +128,7 @@
         EnumName { Counter::CallerRequestsStopped, "caller_requests_stopped_total" },
         EnumName { Counter::CallerConnectionsRejected, "caller_connections_rejected_total" },
         EnumName { Counter::CallerRequestsUnanswered, "caller_requests_unanswered_total" },
+        EnumName { Counter::CallerRequestsCrossed, "caller_requests_crossed_total" },
         EnumName { Counter::TaskFaults, "task_faults_total" },
         EnumName { Counter::ShutdownCuts, "shutdown_cuts_total" },
         EnumName { Counter::ClaimsCreated, "claims_created_total" },
--- a/Source/Core/Transport/HttpServer.cpp
+++ b/Source/Core/Transport/HttpServer.cpp
@@ -2,7 +2,11 @@
 
 #include "Common/Sleep.h"
 #include "Common/TaskFault.h"
+#include "Transport/IdleLimits.h"
+#include "Transport/Listener.h"
 #include "Transport/ReceivedBody.h"
+#include "Transport/RequestMessage.h"
+#include "Transport/ResponseHead.h"
 #include "Transport/SocketOptions.h"
 #include "Transport/TimedRead.h"
 
@@ -19,7 +23,6 @@
 #include <map>
 #include <optional>
 #include <utility>
-#include <vector>
 
 namespace Pollenwind {
 
@@ -37,52 +40,12 @@
     // second for a new connection.
     constexpr std::chrono::milliseconds firstRequestWait { 1000 };
 
-    // Time for which a longer idle limit applies after it was replaced. Clients reuse connections up to the limit that
-    // they know, and a configuration is in force everywhere within this time.
-    constexpr std::chrono::seconds replacedLimitTime { 10 };
+    // Time to look for a request that crosses the close of an idle connection. It covers a round trip to the client.
+    constexpr std::chrono::milliseconds crossingReadTime { 100 };
 
     // Smallest space for one read.
     constexpr std::size_t minReadBytes = 512;
 
-    HttpRequest toRequest(http::request<detail::ReceivedBody>&& message)
-    {
-        HttpRequest request;
-        request.method = message.method_string();
-        const std::string_view target = message.target();
-        const auto mark = target.find('?');
-        request.path = target.substr(0, mark);
-        if (mark != std::string_view::npos) {
-            request.query = target.substr(mark + 1);
-            if (request.query.empty()) {
-                // Keeps a '?' with an empty query in the path, so that a forwarded request has the same target.
-                request.path += '?';
-            }
-        }
-        for (const auto& field : message) {
-            request.headers.emplace_back(field.name_string(), field.value());
-        }
-        request.body = std::move(message.body());
-        return request;
-    }
-
-    Error connectionError(std::string_view what, const beast::error_code& ec)
-    {
-        return Error { ErrorCode::ConnectionLost, std::string(what) + ": " + ec.message(), RunState::Unknown };
-    }
-
-    template <typename Message> void fillHead(Message& message, const HttpAnswer& answer, bool keepAlive)
-    {
-        message.result(static_cast<unsigned>(answer.status));
-        message.version(11);
-        if (!answer.contentType.empty()) {
-            message.set(http::field::content_type, answer.contentType);
-        }
-        for (const auto& [name, value] : answer.headers) {
-            message.insert(name, value);
-        }
-        message.keep_alive(keepAlive);
-    }
-
     class Exchange final : public HttpExchange {
     public:
         /// @param isClosing Whether the server closes connections after their next response; may change until then.
@@ -98,6 +61,8 @@
 
         const HttpRequest& request() const override { return m_request; }
 
+        void setRequestId(std::string id) override { m_requestId = std::move(id); }
+
         std::string remoteAddress() const override
         {
             beast::error_code ec;
@@ -109,19 +74,23 @@
         bool isComplete() const { return m_isComplete; }
         bool keepAlive() const { return m_keepAlive && m_stream.socket().is_open(); }
         void closeAfterAnswer() { m_keepAlive = false; }
+        ConnectionEnd end() const
+        {
+            return { .requestId = m_requestId, .isClosedByClient = m_isClosedByClient, .cause = m_fault };
+        }
 
         Task<Outcome<void>> answer(const HttpAnswer& answer) override
         {
             http::response<http::string_body> message;
             m_keepAlive = m_keepAlive && !m_isClosing;
-            fillHead(message, answer, m_keepAlive);
+            detail::fillHead(message, answer, m_keepAlive);
             m_isBegun = true;
             message.body() = answer.body;
             message.prepare_payload();
             m_stream.expires_after(m_limits.writeTimeout);
             const auto [ec, n] = co_await http::async_write(m_stream, message, asTuple);
             if (ec) {
-                co_return std::unexpected(connectionError("write response", ec));
+                co_return std::unexpected(writeError("write response", ec));
             }
             m_isComplete = true;
             co_return Outcome<void> {};
@@ -131,14 +100,14 @@
         {
             http::response<http::empty_body> message;
             m_keepAlive = m_keepAlive && !m_isClosing;
-            fillHead(message, head, m_keepAlive);
+            detail::fillHead(message, head, m_keepAlive);
             m_isBegun = true;
             message.chunked(true);
             http::response_serializer<http::empty_body> serializer(message);
             m_stream.expires_after(m_limits.writeTimeout);
             const auto [ec, n] = co_await http::async_write_header(m_stream, serializer, asTuple);
             if (ec) {
-                co_return std::unexpected(connectionError("write response head", ec));
+                co_return std::unexpected(writeError("write response head", ec));
             }
             co_return Outcome<void> {};
         }
@@ -152,7 +121,7 @@
             const auto [ec, n] = co_await asio::async_write(
                 m_stream, http::make_chunk(asio::buffer(chunk.data(), chunk.size())), asTuple);
             if (ec) {
-                co_return std::unexpected(connectionError("write chunk", ec));
+                co_return std::unexpected(writeError("write chunk", ec));
             }
             co_return Outcome<void> {};
         }
@@ -162,7 +131,7 @@
             m_stream.expires_after(m_limits.writeTimeout);
             const auto [ec, n] = co_await asio::async_write(m_stream, http::make_chunk_last(), asTuple);
             if (ec) {
-                co_return std::unexpected(connectionError("write last chunk", ec));
+                co_return std::unexpected(writeError("write last chunk", ec));
             }
             m_isComplete = true;
             co_return Outcome<void> {};
@@ -172,7 +141,10 @@
 
         void onDisconnect(std::function<void()> handler) override
         {
-            m_disconnectHandler = std::make_shared<std::function<void()>>(std::move(handler));
+            m_disconnectHandler = std::make_shared<std::function<void()>>([this, handler = std::move(handler)] {
+                m_isClosedByClient = true;
+                handler();
+            });
             waitForDisconnect(m_stream, m_disconnectHandler);
         }
 
@@ -183,6 +155,13 @@
         }
 
     private:
+        Error writeError(std::string_view what, const beast::error_code& ec)
+        {
+            m_isClosedByClient = m_isClosedByClient || isCloseByClient(ec);
+            m_fault = std::string(what) + ": " + ec.message();
+            return Error { ErrorCode::ConnectionLost, m_fault, RunState::Unknown };
+        }
+
         /// Waits until the socket is readable. Received bytes are a pipelined request of a client that is still
         /// connected.
         static void waitForDisconnect(beast::tcp_stream& stream, std::weak_ptr<std::function<void()>> handler)
@@ -203,6 +182,10 @@
         const bool& m_isClosing;
         bool m_isBegun = false;
         bool m_isComplete = false;
+        bool m_isClosedByClient = false;
+        std::string m_requestId;
+        /// Text of the last error of a write.
+        std::string m_fault;
         /// The pending wait has only a weak pointer to it, so that it has no effect after the exchange has ended.
         std::shared_ptr<std::function<void()>> m_disconnectHandler;
     };
@@ -232,6 +215,7 @@
         beast::flat_buffer buf;
         /// Waits for a request of which nothing has arrived.
         bool isIdle = false;
+        RequestTrace trace;
     };
 
     /// Closes a connection at the end of its task.
@@ -251,11 +235,6 @@
         ConnectionId m_id;
     };
 
-    struct ReplacedLimit {
-        std::chrono::milliseconds limit;
-        TimePoint replacedAt;
-    };
-
     /// How much of a request to read.
     enum class ReadUntil { Header, Body };
 
@@ -284,7 +263,13 @@
     /// Appends what arrives next to the connection's buffer.
     Task<beast::error_code> readSome(Connection& connection, TimePoint until);
     void report(ConnectionEvent event);
-    void recordReadEnd(const beast::error_code& ec, bool isRequestBegun);
+    void reportEnd(ConnectionEnd end, const RequestTrace& trace = {});
+    void recordReadEnd(const Connection& connection, const beast::error_code& ec, RequestParser& parser);
+    /// Reports the end of a connection whose request was not read to its end.
+    void reportRead(
+        ConnectionEvent event, const Connection& connection, const beast::error_code& ec, RequestParser& parser);
+    /// Closes a connection that waits for its next request, and reports a request that crosses the close.
+    Task<> closeIdle(Connection& connection, RequestParser& parser);
 
     asio::any_io_executor executor;
     HttpHandler& handler;
@@ -292,7 +277,7 @@
     tcp::acceptor acceptor;
     std::map<ConnectionId, Connection> connections;
     ConnectionId nextId = 1;
-    std::vector<ReplacedLimit> replacedIdleLimits;
+    detail::IdleLimits replacedIdleLimits;
     const HttpLimitSource* limitSource = nullptr;
     /// The tasks of connections may outlive the server, but not its handler and its source of limits.
     bool isDestroyed = false;
@@ -323,7 +308,7 @@
 void HttpServer::State::addConnection(tcp::socket socket)
 {
     if (connections.size() >= limits.connections) {
-        report(ConnectionEvent::Rejected);
+        reportEnd({ .event = ConnectionEvent::Rejected, .cause = "too many connections" });
         return;
     }
     setLowLatencyOptions(socket.native_handle(), limits.writeTimeout);
@@ -391,6 +376,7 @@
         report(ConnectionEvent::ReadLate);
     }
     buf.commit(read.bytes);
+    connection.trace.add(read.bytes);
     co_return read.error;
 }
 
@@ -417,7 +403,7 @@
 void HttpServer::State::setLimits(const HttpServerLimits& newLimits)
 {
     if (newLimits.idleTimeout != limits.idleTimeout) {
-        replacedIdleLimits.push_back({ limits.idleTimeout, std::chrono::steady_clock::now() });
+        replacedIdleLimits.replace(limits.idleTimeout);
     }
     limits = newLimits;
 }
@@ -432,13 +418,7 @@
 std::chrono::milliseconds HttpServer::State::longestIdleLimit()
 {
     updateLimits();
-    const auto oldest = std::chrono::steady_clock::now() - replacedLimitTime;
-    std::erase_if(replacedIdleLimits, [&](const ReplacedLimit& it) { return it.replacedAt < oldest; });
-    auto longest = limits.idleTimeout;
-    for (const auto& it : replacedIdleLimits) {
-        longest = std::max(longest, it.limit);
-    }
-    return longest;
+    return replacedIdleLimits.longest(limits.idleTimeout);
 }
 
 Task<beast::error_code> HttpServer::State::waitForRequest(Connection& connection, bool isFirst)
@@ -475,6 +455,7 @@
     for (bool isFirst = true;; isFirst = false) {
         beast::error_code ec;
         auto headerBegin = std::chrono::steady_clock::now();
+        connection.trace.begin(buf.size());
         if (buf.size() == 0) {
             ec = co_await waitForRequest(connection, isFirst);
             headerBegin = isFirst ? headerBegin : std::chrono::steady_clock::now();
@@ -500,7 +481,10 @@
             co_return;
         }
         if (ec) {
-            recordReadEnd(ec, parser.got_some() || buf.size() > 0);
+            recordReadEnd(connection, ec, parser);
+            if (connection.trace.bytes() == 0 && !isCloseByClient(ec)) {
+                co_await closeIdle(connection, parser);
+            }
             co_return;
         }
         if (parser.get().method() == http::verb::trace && !parser.get().body().empty()) {
@@ -509,10 +493,10 @@
             co_return;
         }
         const bool keepAlive = parser.get().keep_alive();
-        Exchange exchange(stream, toRequest(parser.release()), limits, keepAlive, isClosing);
+        Exchange exchange(stream, detail::toRequest(parser.release()), limits, keepAlive, isClosing);
         co_await handle(exchange);
         if (!exchange.isComplete()) {
-            report(ConnectionEvent::Unanswered);
+            reportEnd(exchange.end(), connection.trace);
             co_return;
         }
         // The client may have sent a request in reliance on a response that was sent before a stop.
@@ -529,12 +513,50 @@
     }
 }
 
-void HttpServer::State::recordReadEnd(const beast::error_code& ec, bool isRequestBegun)
+void HttpServer::State::reportEnd(ConnectionEnd end, const RequestTrace& trace)
 {
+    end.trace = trace;
+    end.isStopping = isClosing;
+    report(end.event);
+    if (!isDestroyed) {
+        handler.onConnectionEnd(end);
+    }
+}
+
+void HttpServer::State::recordReadEnd(const Connection& connection, const beast::error_code& ec, RequestParser& parser)
+{
+    auto event = stoppedAt ? ConnectionEvent::RequestStopped : ConnectionEvent::RequestCutOff;
     if (ec == beast::error::timeout) {
-        report(isRequestBegun ? ConnectionEvent::RequestTimedOut : ConnectionEvent::IdleClosed);
-    } else if (isRequestBegun) {
-        report(stoppedAt ? ConnectionEvent::RequestStopped : ConnectionEvent::RequestCutOff);
+        event = ConnectionEvent::RequestTimedOut;
+    }
+    if (connection.trace.bytes() > 0) {
+        reportRead(event, connection, ec, parser);
+    } else if (ec == beast::error::timeout) {
+        report(ConnectionEvent::IdleClosed);
+    }
+}
+
+void HttpServer::State::reportRead(
+    ConnectionEvent event, const Connection& connection, const beast::error_code& ec, RequestParser& parser)
+{
+    const auto request = parser.is_header_done() ? detail::toRequest(parser.release()) : HttpRequest();
+    reportEnd({ .event = event,
+                  .request = request.headers.empty() ? nullptr : &request,
+                  .isClosedByClient = isCloseByClient(ec),
+                  .cause = ec ? ec.message() : "" },
+        connection.trace);
+}
+
+Task<> HttpServer::State::closeIdle(Connection& connection, RequestParser& parser)
+{
+    beast::error_code ec;
+    connection.stream.socket().shutdown(tcp::socket::shutdown_send, ec);
+    if (!ec) {
+        ec = co_await readRequest(
+            connection, parser, ReadUntil::Header, std::chrono::steady_clock::now() + crossingReadTime);
+    }
+    if (connection.trace.bytes() > 0) {
+        reportRead(ConnectionEvent::CrossedClose, connection, {}, parser);
     }
 }
 
@@ -553,22 +575,8 @@
 
 Outcome<Endpoint> HttpServer::listen(const Endpoint& endpoint)
 {
-    beast::error_code ec;
-    const auto address = asio::ip::make_address(endpoint.address, ec);
     auto& acceptor = m_state->acceptor;
-    const tcp::endpoint local(address, endpoint.port);
-    if (!ec) {
-        acceptor.open(local.protocol(), ec);
-    }
-    if (!ec) {
-        acceptor.set_option(tcp::acceptor::reuse_address(true), ec);
-    }
-    if (!ec) {
-        acceptor.bind(local, ec);
-    }
-    if (!ec) {
-        acceptor.listen(asio::socket_base::max_listen_connections, ec);
-    }
+    const auto ec = detail::openListener(acceptor, endpoint);
     if (ec) {
         return fail(ErrorCode::Unavailable, "cannot listen on " + endpoint.toString() + ": " + ec.message());
     }
--- a/Source/Core/Transport/HttpServer.h
+++ b/Source/Core/Transport/HttpServer.h
@@ -1,12 +1,11 @@
 #pragma once
 
-#include "Common/EnumTable.h"
 #include "Common/Error.h"
 #include "Common/Task.h"
+#include "Transport/ConnectionEnd.h"
 #include "Transport/Endpoint.h"
 #include "Transport/HttpTypes.h"
 
-#include <array>
 #include <chrono>
 #include <cstddef>
 #include <functional>
@@ -26,6 +25,9 @@
 
     virtual const HttpRequest& request() const = 0;
 
+    /// Names the request in a report of its connection's end.
+    virtual void setRequestId(std::string) { }
+
     /// Address of the client, or an empty string if the connection is closed.
     virtual std::string remoteAddress() const = 0;
 
@@ -53,36 +55,6 @@
     virtual void abort() = 0;
 };
 
-/// What happened to a connection, where it matters for the question whether a request got a response.
-enum class ConnectionEvent {
-    /// Bytes were read that had arrived before the server reacted to the end of a time limit or to a stop.
-    ReadLate,
-    /// Closed after the time limit for the next request, of which nothing had arrived.
-    IdleClosed,
-    /// A time limit passed in the middle of a request.
-    RequestTimedOut,
-    /// The connection failed or the client closed it in the middle of a request.
-    RequestCutOff,
-    /// A stop of the server ended the connection in the middle of a request.
-    RequestStopped,
-    /// There were too many connections.
-    Rejected,
-    /// A request was handled without a complete response.
-    Unanswered,
-};
-
-template <> struct EnumTable<ConnectionEvent> {
-    static constexpr std::array rows {
-        EnumName { ConnectionEvent::ReadLate, "read-late" },
-        EnumName { ConnectionEvent::IdleClosed, "idle-closed" },
-        EnumName { ConnectionEvent::RequestTimedOut, "request-timed-out" },
-        EnumName { ConnectionEvent::RequestCutOff, "request-cut-off" },
-        EnumName { ConnectionEvent::RequestStopped, "request-stopped" },
-        EnumName { ConnectionEvent::Rejected, "rejected" },
-        EnumName { ConnectionEvent::Unanswered, "unanswered" },
-    };
-};
-
 /// Handles the requests of a server.
 class HttpHandler {
 public:
@@ -104,6 +76,9 @@
 
     /// Reports an event of a connection. A complete response and a close by the client between two requests are none.
     virtual void onConnectionEvent(ConnectionEvent) { }
+
+    /// Reports a connection that ended without a complete response, after its event.
+    virtual void onConnectionEnd(const ConnectionEnd&) { }
 };
 
 /// Limits of a server.
--- a/Source/UnitTests/Transport/ServerFixture.h
+++ b/Source/UnitTests/Transport/ServerFixture.h
@@ -22,6 +22,7 @@
 #include <string_view>
 #include <thread>
 #include <utility>
+#include <vector>
 
 namespace Pollenwind {
 
@@ -86,7 +87,11 @@
     Task<> handle(HttpExchange& exchange) override
     {
         const auto& request = exchange.request();
+        exchange.setRequestId(request.path);
         ++requests;
+        if (leavesUnanswered) {
+            co_return;
+        }
         if (fails) {
             throw std::runtime_error("the handler fails");
         }
@@ -97,13 +102,25 @@
     }
     HttpAnswer refusal(int status, std::string_view) const override { return { status, "", "", {} }; }
     void onConnectionEvent(ConnectionEvent event) override { ++events[event]; }
+    void onConnectionEnd(const ConnectionEnd& end) override
+    {
+        ends.push_back(end);
+        endPaths.push_back(end.request ? end.request->path : end.requestId);
+        ends.back().request = nullptr;
+    }
 
     /// Delays the responses.
     bool isHeld = false;
     /// Ends with an exception.
     bool fails = false;
+    /// Ends without a response.
+    bool leavesUnanswered = false;
     unsigned requests = 0;
     std::map<ConnectionEvent, unsigned> events;
+    /// Reported ends, without their requests.
+    std::vector<ConnectionEnd> ends;
+    /// Path of each end's request; empty if its header was not read.
+    std::vector<std::string> endPaths;
 };
 
 inline std::string requestOf(std::string_view path, std::size_t bodyBytes = 0)
