Wait for the request that follows a stream from before a stop

Callers whose stream began before a stop and ended after the VM had closed its idle connections sent their next request at once, on a connection that the head of the stream had promised to keep, and got no answer: the server closed it in the same turn as the end of the stream. The request crossed the close, or lay in the socket.

Cause: after stopAccepting the wait for the next request had no time at all, whatever the last response had announced.

The wait is now 200 ms from the end of the last response, so that such a request is served with Connection: close. Idle connections from before that are closed at once as before.

HttpServer::servesARequestThatFollowsAStreamFromBeforeAStop failed before (no 200 for the second request).

--- a/Source/Core/Transport/HttpServer.cpp
+++ b/Source/Core/Transport/HttpServer.cpp
@@ -40,6 +40,10 @@
     // second for a new connection.
     constexpr std::chrono::milliseconds firstRequestWait { 1000 };
 
+    // Longest wait after a stop for the request that follows a response which had not announced the close. Clients that
+    // were waiting for a stream send it at once.
+    constexpr std::chrono::milliseconds nextRequestWait { 200 };
+
     // Time to look for a request that crosses the close of an idle connection. It covers a round trip to the client.
     constexpr std::chrono::milliseconds crossingReadTime { 100 };
 
@@ -426,7 +430,10 @@
     const auto since = std::chrono::steady_clock::now();
     auto limit = isFirst ? limits.headerTimeout : longestIdleLimit();
     const auto until = [&] {
-        return stoppedAt ? std::min(since + limit, *stoppedAt + (isFirst ? firstRequestWait : 0ms)) : since + limit;
+        if (!stoppedAt) {
+            return since + limit;
+        }
+        return std::min(since + limit, isFirst ? *stoppedAt + firstRequestWait : since + nextRequestWait);
     };
     beast::error_code ec;
     connection.isIdle = true;
