Leave a request unread that crosses the close of its connection

Seen when reading: closeIdle read the request to name it in the log. A request that was read and gets no answer may not be sent again by its caller; one that lies unread in a closed socket may.

The bytes are now looked at without taking them, so that the close resets the connection as before.

--- a/Source/Core/Transport/HttpServer.cpp
+++ b/Source/Core/Transport/HttpServer.cpp
@@ -45,7 +45,10 @@
     constexpr std::chrono::milliseconds nextRequestWait { 200 };
 
     // Time to look for a request that crosses the close of an idle connection. It covers a round trip to the client.
-    constexpr std::chrono::milliseconds crossingReadTime { 100 };
+    constexpr std::chrono::milliseconds crossingWait { 100 };
+
+    // Bytes of such a request that are looked at to name it.
+    constexpr std::size_t maxPeekedBytes = 4096;
 
     // Smallest space for one read.
     constexpr std::size_t minReadBytes = 512;
@@ -556,13 +559,20 @@
 
 Task<> HttpServer::State::closeIdle(Connection& connection, RequestParser& parser)
 {
+    auto& socket = connection.stream.socket();
     beast::error_code ec;
-    connection.stream.socket().shutdown(tcp::socket::shutdown_send, ec);
-    if (!ec) {
-        ec = co_await readRequest(
-            connection, parser, ReadUntil::Header, std::chrono::steady_clock::now() + crossingReadTime);
+    socket.shutdown(tcp::socket::shutdown_send, ec);
+    if (ec) {
+        co_return;
     }
-    if (connection.trace.bytes() > 0) {
+    co_await detail::waitUntilReadable(socket, std::chrono::steady_clock::now() + crossingWait);
+    // The request stays unread, so that its client gets a reset and may send it again.
+    auto& buf = connection.buf;
+    const auto n = socket.receive(buf.prepare(maxPeekedBytes), tcp::socket::message_peek, ec);
+    if (!ec && n > 0) {
+        buf.commit(n);
+        connection.trace.add(n);
+        parser.put(buf.data(), ec);
         reportRead(ConnectionEvent::CrossedClose, connection, {}, parser);
     }
 }
--- a/Source/Core/Transport/TimedRead.cpp
+++ b/Source/Core/Transport/TimedRead.cpp
@@ -61,4 +61,10 @@
     co_return read;
 }
 
+Task<> waitUntilReadable(tcp::socket& socket, TimePoint until)
+{
+    const SocketTimer timer(socket, until);
+    co_await socket.async_wait(tcp::socket::wait_read, asTuple);
+}
+
 } // namespace Pollenwind::detail
--- a/Source/Core/Transport/TimedRead.h
+++ b/Source/Core/Transport/TimedRead.h
@@ -24,4 +24,8 @@
 Task<TimedRead> readUntil(
     asio::ip::tcp::socket& socket, asio::mutable_buffer space, std::chrono::steady_clock::time_point until);
 
+/// Waits until a read of the socket would not block, without reading.
+/// @param until End of the wait. The socket stays open.
+Task<> waitUntilReadable(boost::asio::ip::tcp::socket& socket, std::chrono::steady_clock::time_point until);
+
 } // namespace Pollenwind::detail
--- a/Source/UnitTests/Transport/ServerFixture.h
+++ b/Source/UnitTests/Transport/ServerFixture.h
@@ -72,6 +72,15 @@
         }
     }
 
+    /// Whether the server reset the connection, as a close with unread bytes does.
+    bool isReset() const
+    {
+        int error = 0;
+        socklen_t size = sizeof error;
+        cr_assert_eq(getsockopt(m_handle, SOL_SOCKET, SO_ERROR, &error, &size), 0);
+        return error != 0;
+    }
+
     /// Everything that was received.
     const std::string& received() const { return m_received; }
     void clear() { m_received.clear(); }
