Keep a silent runner until the one that takes over has accepted

Callers of streams that may be resumed, and of safe routes, lost an answer that was under way: their runner fell silent for longer than the limit (1.5 s between events, three objectives before the first), was cancelled so that another could take over, and the other one refused or could not be reached. A stream that had begun was cut, others got an error, although the first runner would have gone on.

Cause: the attempt was given up before it was known whether another runner accepts the request.

The request is now sent to the other runner while the silent one is kept. The silent one is cancelled when the other sends the head of a good response, or 250 ms after the request was sent to it, in which time a runner refuses (two may not work on a request for more than 400 ms). If the other fails before that, the wait for the silent one goes on, and another replacement is tried after 250 ms within the limits of refusals, attempts and the retry budget.

SilentRunner::keepsAnAnswerWhoseNextRunnerRefuses failed before ("a stream: no runner can take the request now").

--- a/Source/Core/Gateway/ForwardDispatcher.cpp
+++ b/Source/Core/Gateway/ForwardDispatcher.cpp
@@ -30,6 +30,10 @@
     // Time after which it is checked again whether another runner may take over from a silent one.
     constexpr std::chrono::milliseconds replacementCheckInterval { 250 };
 
+    // Time in which a runner refuses a request. After it, the runner before is cancelled: two runners may not work on a
+    // request for more than 400 ms.
+    constexpr std::chrono::milliseconds refusalTime { 250 };
+
     // Value of Retry-After. Callers follow it up to a third of their remaining time.
     constexpr std::chrono::milliseconds unavailableRetryAfter { 300 };
 
@@ -86,10 +90,39 @@
         return names;
     }
 
+    Error silenceError() { return { ErrorCode::DeadlineExceeded, "the runner is silent", RunState::Unknown }; }
+
+    /// State of one attempt of a request.
+    struct AttemptState {
+        RunnerChoice runner;
+        /// Salt of the attempt's cache entries, without the weights.
+        std::string cacheSalt;
+        /// How far the attempt got.
+        AttemptPhase phase = AttemptPhase::NotSent;
+        /// The attempt was ended because it would have begun on old weights too late.
+        bool isTakenBack = false;
+        /// The attempt is a trial after a back-off of its runner, whose result is not known yet.
+        bool isRunnerTrial = false;
+        /// The attempt was not sent because its runner became unavailable.
+        bool isDiverted = false;
+        /// Version of the software of the runner.
+        std::optional<VersionId> lastVersion;
+        /// The attempt as evidence on that version.
+        RolloutAttemptId rolloutAttempt;
+        /// Status of the attempt's response; 0 before its head.
+        int status = 0;
+    };
+
+    /// An attempt at a silent runner, which goes on until another runner has accepted the request.
+    struct SilentAttempt {
+        RunnerExchange& exchange;
+        AttemptState state;
+    };
+
 } // namespace
 
-/// State of one request over all its attempts.
-struct ForwardDispatcher::Delivery : AdmittedRequest {
+/// State of one request over all its attempts, and of the current or last one.
+struct ForwardDispatcher::Delivery : AdmittedRequest, AttemptState {
     explicit Delivery(AdmittedRequest admitted)
         : AdmittedRequest(std::move(admitted))
     {
@@ -106,10 +139,6 @@
     /// The request tests a quarantined part, so it is sent once.
     bool isTrial = false;
 
-    /// Runner of the current attempt.
-    RunnerChoice runner;
-    /// Salt of the current attempt's cache entries, without the weights.
-    std::string cacheSalt;
     /// Runners to which the request was sent.
     std::set<UpstreamId> tried;
     /// Attempts that a runner may have run.
@@ -119,26 +148,15 @@
     unsigned sends = 0;
     /// The head of a streamed response was sent to the caller.
     bool isBegun = false;
-    /// How far the current attempt got.
-    AttemptPhase phase = AttemptPhase::NotSent;
-    /// The current attempt was ended because it would have begun on old weights too late.
-    bool isTakenBack = false;
-    /// The current attempt is a trial after a back-off of its runner, whose result is not known yet.
-    bool isRunnerTrial = false;
-    /// The current attempt was not sent because its runner became unavailable.
-    bool isDiverted = false;
+    /// Attempt that the current one is to replace.
+    SilentAttempt* silent = nullptr;
+    /// The result of the last attempt is that of the one which replaced it, and has been recorded.
+    bool isReplaced = false;
     RunState runState = RunState::NotRun;
     /// Id of the last event that was sent to the caller.
     std::optional<std::uint64_t> lastEventId;
     /// A runner's error response, which the caller gets if no other attempt succeeds or begins a stream.
     std::optional<std::pair<ReplyHead, std::string>> failure;
-
-    /// Version of the software of the last attempt's runner.
-    std::optional<VersionId> lastVersion;
-    /// The current attempt as evidence on that version.
-    RolloutAttemptId rolloutAttempt;
-    /// Status of the current attempt's response; 0 before its head.
-    int status = 0;
 };
 
 std::vector<RunnerCandidate> ForwardDispatcher::candidatesFor(
@@ -274,8 +292,10 @@
             delivery.isTrial = m_context.quarantineCommands.startTrial(delivery.parts);
         }
         auto result = co_await attempt(request, *choice, sink, delivery);
-        recordAttemptEnd(*choice, result, delivery);
-        recordVersionResult(result, sink.stopReason(), delivery);
+        if (!std::exchange(delivery.isReplaced, false)) {
+            recordAttemptEnd(*choice, result, delivery);
+            recordVersionResult(result, sink.stopReason(), delivery);
+        }
         if (result) {
             co_return result;
         }
@@ -301,10 +321,7 @@
                 { { "runner", choice->id.value() }, { "cause", result.error().message } });
             continue;
         }
-        m_context.log.record(RequestEvent::Repeated, request.id,
-            { { "runner", choice->id.value() }, { "cause", result.error().message },
-                { "run", std::string(nameOf(delivery.runState)) }, { "sends", std::to_string(delivery.sends) },
-                { "phase", std::string(nameOf(delivery.phase)) }, { "parts", nameParts(request) } });
+        recordRepeat(request, delivery.runner, result.error(), delivery);
         recordLoss(result.error(), delivery);
         if (!mayRepeat(request, result.error(), delivery)) {
             if (delivery.failure) {
@@ -337,6 +354,15 @@
         delivery.runState };
 }
 
+void ForwardDispatcher::recordRepeat(
+    const ForwardRequest& request, const RunnerChoice& runner, const Error& error, const Delivery& delivery)
+{
+    m_context.log.record(RequestEvent::Repeated, request.id,
+        { { "runner", runner.id.value() }, { "cause", error.message },
+            { "run", std::string(nameOf(delivery.runState)) }, { "sends", std::to_string(delivery.sends) },
+            { "phase", std::string(nameOf(delivery.phase)) }, { "parts", nameParts(request) } });
+}
+
 void ForwardDispatcher::recordLoss(const Error& error, Delivery& delivery)
 {
     const bool hadNoOutput = delivery.phase == AttemptPhase::Sent || delivery.phase == AttemptPhase::HeadReceived;
@@ -435,8 +461,8 @@
     if (!result && result.error().code == ErrorCode::Internal && delivery.phase == AttemptPhase::NotSent) {
         result.error().runState = RunState::NotRun;
     }
-    const bool isLate
-        = choice.beginBy && delivery.phase != AttemptPhase::Answering && m_context.clock.now() >= *choice.beginBy;
+    const bool isLate = !delivery.isReplaced && choice.beginBy && delivery.phase != AttemptPhase::Answering
+        && m_context.clock.now() >= *choice.beginBy;
     if (isLate && !result && result.error().code == ErrorCode::DeadlineExceeded) {
         result.error().message = "the request had not begun when the limit of the runner's old weights passed";
         delivery.isTakenBack = true;
@@ -444,9 +470,9 @@
     }
     endTrial(delivery, false);
     sink.onStop({});
-    if (result) {
+    if (result && !delivery.isReplaced) {
         exchange->finish();
-    } else {
+    } else if (!delivery.isReplaced) {
         exchange->cancel();
     }
     co_return result;
@@ -463,7 +489,15 @@
     } else if (route.kind == RequestKind::Streaming && route.isResumable && mayRunAgain) {
         limit = std::min<std::chrono::nanoseconds>(limit, route.objective * firstEventTimeoutFactor);
     }
-    const auto head = co_await send(request, exchange, delivery, untilBeginLimit(limit, delivery));
+    auto head = co_await send(request, exchange, delivery, untilBeginLimit(limit, delivery));
+    while (!head && isSilence(head.error(), delivery) && !sink.stopReason()) {
+        if (auto result = co_await replaceRunner(request, exchange, sink, delivery)) {
+            co_return std::move(*result);
+        }
+        const auto wait
+            = std::min<std::chrono::nanoseconds>(delivery.deadline - m_context.clock.now(), replacementCheckInterval);
+        head = co_await exchange.awaitHead(untilBeginLimit(wait, delivery));
+    }
     if (!head) {
         co_return std::unexpected(head.error());
     }
@@ -487,20 +521,76 @@
     const auto& route = *delivery.route;
     const bool isRepeatable = retryKindOf(route) != RetryKind::NonIdempotentCall && !delivery.isTrial
         && delivery.losses < maxLosses && !delivery.wasSuspected && (!delivery.isBegun || delivery.lastEventId);
-    if (!isRepeatable || delivery.runs + 1 >= route.maxAttempts || !m_context.retryBudget.mayTake(delivery.service)) {
+    if (!isRepeatable || delivery.silent || delivery.refusals > maxRefusals || delivery.runs + 1 >= route.maxAttempts
+        || !m_context.retryBudget.mayTake(delivery.service)) {
         return false;
     }
     return std::ranges::any_of(
         candidatesFor(request, delivery), [&](const RunnerCandidate& it) { return !delivery.tried.contains(it.id); });
 }
 
-bool ForwardDispatcher::waitsOn(const ForwardRequest& request, const Error& error, const Delivery& delivery) const
+bool ForwardDispatcher::isSilence(const Error& error, const Delivery& delivery) const
 {
     const auto now = m_context.clock.now();
     const auto& beginBy = delivery.runner.beginBy;
     const bool isTooLateToBegin = beginBy && delivery.phase != AttemptPhase::Answering && now >= *beginBy;
-    return error.code == ErrorCode::DeadlineExceeded && now < delivery.deadline && !isTooLateToBegin
-        && !mayReplaceRunner(request, delivery);
+    return error.code == ErrorCode::DeadlineExceeded && now < delivery.deadline && !isTooLateToBegin;
+}
+
+Task<std::optional<Outcome<void>>> ForwardDispatcher::replaceRunner(
+    const ForwardRequest& request, RunnerExchange& silent, ReplySink& sink, Delivery& delivery)
+{
+    if (!mayReplaceRunner(request, delivery)) {
+        co_return std::nullopt;
+    }
+    SilentAttempt replaced { silent, delivery };
+    ++delivery.runs;
+    const auto choice = chooseRunner(request, delivery);
+    if (!choice || !mayRepeat(request, silenceError(), delivery)) {
+        --delivery.runs;
+        static_cast<AttemptState&>(delivery) = replaced.state;
+        co_return std::nullopt;
+    }
+    recordRepeat(request, replaced.state.runner, silenceError(), delivery);
+    delivery.silent = &replaced;
+    auto result = co_await attempt(request, *choice, sink, delivery);
+    if (result) {
+        cancelReplaced(delivery);
+    }
+    if (!std::exchange(delivery.isReplaced, false)) {
+        recordAttemptEnd(*choice, result, delivery);
+        recordVersionResult(result, sink.stopReason(), delivery);
+    }
+    if (!delivery.silent) {
+        delivery.isReplaced = true;
+        co_return result;
+    }
+    recordRepeat(request, *choice, result.error(), delivery);
+    recordLoss(result.error(), delivery);
+    if (result.error().runState == RunState::NotRun) {
+        --delivery.runs;
+        delivery.refusals += result.error().code != ErrorCode::ConnectFailed ? 1 : 0;
+    }
+    static_cast<AttemptState&>(delivery) = replaced.state;
+    delivery.silent = nullptr;
+    sink.onStop([&silent] { silent.cancel(); });
+    co_return std::nullopt;
+}
+
+void ForwardDispatcher::cancelReplaced(Delivery& delivery)
+{
+    auto* replaced = std::exchange(delivery.silent, nullptr);
+    if (!replaced) {
+        return;
+    }
+    replaced->exchange.cancel();
+    auto& state = static_cast<AttemptState&>(delivery);
+    std::swap(state, replaced->state);
+    const Outcome<void> result = std::unexpected(silenceError());
+    recordAttemptEnd(delivery.runner, result, delivery);
+    recordVersionResult(result, std::nullopt, delivery);
+    std::swap(state, replaced->state);
+    delivery.runState = RunState::Unknown;
 }
 
 Task<Outcome<ReplyHead>> ForwardDispatcher::send(
@@ -525,11 +615,13 @@
         co_return fail(ErrorCode::Unavailable, "the time of the attempt passed before the request was sent");
     }
     delivery.phase = AttemptPhase::Sent;
-    auto head = co_await exchange.begin(left);
-    while (!head && waitsOn(request, head.error(), delivery)) {
-        const auto wait
-            = std::min<std::chrono::nanoseconds>(delivery.deadline - m_context.clock.now(), replacementCheckInterval);
-        head = co_await exchange.awaitHead(untilBeginLimit(wait, delivery));
+    if (!delivery.silent) {
+        co_return co_await exchange.begin(left);
+    }
+    auto head = co_await exchange.begin(std::min<std::chrono::nanoseconds>(left, refusalTime));
+    if (!head && head.error().code == ErrorCode::DeadlineExceeded) {
+        cancelReplaced(delivery);
+        head = co_await exchange.awaitHead(end - m_context.clock.now());
     }
     co_return head;
 }
@@ -579,6 +671,9 @@
     case ReplyKind::Answer:
         break;
     }
+    if (head.isSuccess()) {
+        cancelReplaced(delivery);
+    }
     if (head.isEventStream && head.isSuccess()) {
         co_return co_await relayStream(request, exchange, head, sink, delivery);
     }
@@ -626,7 +721,10 @@
         const auto until = mayResume ? std::min(delivery.deadline, pauseEnd) : delivery.deadline;
         const std::chrono::nanoseconds limit = until - m_context.clock.now();
         const auto part = co_await exchange.readSome(untilBeginLimit(limit, delivery));
-        if (!part && waitsOn(request, part.error(), delivery)) {
+        if (!part && isSilence(part.error(), delivery) && !sink.stopReason()) {
+            if (auto result = co_await replaceRunner(request, exchange, sink, delivery)) {
+                co_return std::move(*result);
+            }
             pauseEnd = m_context.clock.now() + replacementCheckInterval;
             continue;
         }
--- a/Source/Core/Gateway/ForwardDispatcher.h
+++ b/Source/Core/Gateway/ForwardDispatcher.h
@@ -93,8 +93,15 @@
         RunnerExchange& exchange, const ForwardRequest& request, ReplySink& sink, Delivery& delivery);
     /// Whether another runner may take over the request if the current attempt is given up.
     bool mayReplaceRunner(const ForwardRequest& request, const Delivery& delivery) const;
-    /// Whether an attempt goes on after a read that failed: its runner is silent, and no other may take over.
-    bool waitsOn(const ForwardRequest& request, const Error& error, const Delivery& delivery) const;
+    /// Whether an attempt goes on after a read that failed: its runner is only silent, and the request may still end.
+    bool isSilence(const Error& error, const Delivery& delivery) const;
+    /// Sends a request whose runner is silent to another runner, if one may take over. The silent one goes on until the
+    /// other has accepted the request, since a refusal must not end an answer.
+    /// @return Result of the other attempt if it took over.
+    Task<std::optional<Outcome<void>>> replaceRunner(
+        const ForwardRequest& request, RunnerExchange& silent, ReplySink& sink, Delivery& delivery);
+    /// Cancels the silent runner of a request that another one has accepted.
+    void cancelReplaced(Delivery& delivery);
     Task<Outcome<void>> relayAnswer(const ForwardRequest& request, RunnerExchange& exchange, const ReplyHead& head,
         ReplySink& sink, Delivery& delivery);
     Task<Outcome<void>> relayStream(const ForwardRequest& request, RunnerExchange& exchange, const ReplyHead& head,
@@ -106,6 +113,10 @@
         const ForwardRequest& request, RunnerExchange& exchange, Delivery& delivery, std::chrono::nanoseconds limit);
     /// Refuses a request because of a quarantined part, unless it is to test the part.
     std::optional<Error> checkQuarantine(Delivery& delivery);
+    /// Logs an attempt after which the request is sent elsewhere or ends.
+    /// @param runner Runner of the attempt.
+    void recordRepeat(
+        const ForwardRequest& request, const RunnerChoice& runner, const Error& error, const Delivery& delivery);
     /// Reports a request that lost its runner before it had output.
     void recordLoss(const Error& error, Delivery& delivery);
     /// Whether the request may be sent again after an attempt failed. Counts the refusal or the retry.
