Do not read a request that crosses the close of its connection

A request that arrives after the close of an idle connection was read for the report of the end. A caller whose request was not read may send it again, which does not hold for one that was read and gets no answer. The bytes are now counted in the socket and left there; the line in the log names no request, only their number.

ConnectionEnd::tellsThatARequestCrossedTheClose (renamed; it had asked for the path of the request) checks the number of bytes.

--- a/Source/Core/Transport/HttpServer.cpp
+++ b/Source/Core/Transport/HttpServer.cpp
@@ -45,7 +45,7 @@
     constexpr std::chrono::milliseconds nextRequestWait { 200 };
 
     // Time to look for a request that crosses the close of an idle connection. It covers a round trip to the client.
-    constexpr std::chrono::milliseconds crossingReadTime { 100 };
+    constexpr std::chrono::milliseconds crossingWait { 100 };
 
     // Smallest space for one read.
     constexpr std::size_t minReadBytes = 512;
@@ -273,7 +273,7 @@
     void reportRead(
         ConnectionEvent event, const Connection& connection, const beast::error_code& ec, RequestParser& parser);
     /// Closes a connection that waits for its next request, and reports a request that crosses the close.
-    Task<> closeIdle(Connection& connection, RequestParser& parser);
+    Task<> closeIdle(Connection& connection);
 
     asio::any_io_executor executor;
     HttpHandler& handler;
@@ -490,7 +490,7 @@
         if (ec) {
             recordReadEnd(connection, ec, parser);
             if (connection.trace.bytes() == 0 && !isCloseByClient(ec)) {
-                co_await closeIdle(connection, parser);
+                co_await closeIdle(connection);
             }
             co_return;
         }
@@ -554,16 +554,19 @@
         connection.trace);
 }
 
-Task<> HttpServer::State::closeIdle(Connection& connection, RequestParser& parser)
+Task<> HttpServer::State::closeIdle(Connection& connection)
 {
+    auto& socket = connection.stream.socket();
     beast::error_code ec;
-    connection.stream.socket().shutdown(tcp::socket::shutdown_send, ec);
-    if (!ec) {
-        ec = co_await readRequest(
-            connection, parser, ReadUntil::Header, std::chrono::steady_clock::now() + crossingReadTime);
+    socket.shutdown(tcp::socket::shutdown_send, ec);
+    if (ec) {
+        co_return;
     }
-    if (connection.trace.bytes() > 0) {
-        reportRead(ConnectionEvent::CrossedClose, connection, {}, parser);
+    // The bytes stay in the socket: a request that was not read may be sent again.
+    const auto unread = co_await detail::awaitUnread(socket, std::chrono::steady_clock::now() + crossingWait);
+    if (unread > 0) {
+        connection.trace.add(unread);
+        reportEnd({ .event = ConnectionEvent::CrossedClose }, connection.trace);
     }
 }
 
--- a/Source/Core/Transport/TimedRead.cpp
+++ b/Source/Core/Transport/TimedRead.cpp
@@ -61,4 +61,15 @@
     co_return read;
 }
 
+Task<std::size_t> awaitUnread(tcp::socket& socket, TimePoint until)
+{
+    {
+        const SocketTimer timer(socket, until);
+        co_await socket.async_wait(tcp::socket::wait_read, asTuple);
+    }
+    beast::error_code ec;
+    const auto unread = socket.available(ec);
+    co_return ec ? 0 : unread;
+}
+
 } // namespace Pollenwind::detail
--- a/Source/Core/Transport/TimedRead.h
+++ b/Source/Core/Transport/TimedRead.h
@@ -24,4 +24,9 @@
 Task<TimedRead> readUntil(
     asio::ip::tcp::socket& socket, asio::mutable_buffer space, std::chrono::steady_clock::time_point until);
 
+/// Waits until bytes arrive or the other end closes, and reads nothing. Other pending operations of the socket are
+/// cancelled at the time limit, too.
+/// @return Number of bytes that can be read.
+Task<std::size_t> awaitUnread(asio::ip::tcp::socket& socket, std::chrono::steady_clock::time_point until);
+
 } // namespace Pollenwind::detail
--- a/Source/UnitTests/Transport/ConnectionEndTests.cpp
+++ b/Source/UnitTests/Transport/ConnectionEndTests.cpp
@@ -61,8 +61,8 @@
 }
 
 // Guards against a caller that sees its request cut without an answer while no record tells that it crossed the close
-// of an idle connection, at a stop or at the idle limit.
-Test(ConnectionEnd, tellsWhichRequestCrossedTheClose)
+// of an idle connection, at a stop or at the idle limit, and against reading such a request, which is not served.
+Test(ConnectionEnd, tellsThatARequestCrossedTheClose)
 {
     for (const bool isStop : { true, false }) {
         HttpServerLimits limits;
@@ -79,6 +79,7 @@
         cr_assert_eq(fixture.handler.requests, 1);
         cr_assert_eq(fixture.handler.ends.size(), 1);
         cr_assert(fixture.handler.ends.front().event == ConnectionEvent::CrossedClose);
-        cr_assert_eq(fixture.handler.endPaths.front(), "/crossing");
+        cr_assert_eq(fixture.handler.ends.front().trace.bytes(), requestOf("/crossing").size());
+        cr_assert_eq(fixture.handler.endPaths.front(), "");
     }
 }
