Read waiting reports before VMs are taken for silent

Cause: after a pause the timer of the report loop was served before the reports that waited in the socket. The VM took all others for silent, divided its levels and rates by the size of the fleet until its next look, and counted none of what the others took meanwhile within their shares.

Change: FleetView::mustReceiveFirst. A VM whose looks for silent VMs are more than 0.47 s apart reads for 60 ms before the next one. In contact with no one it finds that out 60 ms later than before.

--- a/Source/Core/Gateway/FleetReporter.cpp
+++ b/Source/Core/Gateway/FleetReporter.cpp
@@ -18,6 +18,9 @@
     // Number of intervals between reports while nothing changes. They only show that the VM is in contact.
     constexpr unsigned keepAliveTicks = 3;
 
+    // Time to handle the reports that waited while this VM was suspended or slow.
+    constexpr std::chrono::milliseconds receiveTime { 60 };
+
     constexpr std::size_t maxReportBytes = 16UL * 1024;
 
 } // namespace
@@ -56,9 +59,14 @@
     FleetReport last;
     unsigned unchanged = 0;
     bool isLoading = false;
+    auto lookedAt = uptime();
     for (;;) {
         m_timer.expires_after(reportInterval);
         co_await m_timer.async_wait(asTuple);
+        if (FleetView::mustReceiveFirst(uptime() - lookedAt)) {
+            co_await sleepFor(receiveTime);
+        }
+        lookedAt = uptime();
         recordSilentVms();
         m_context.quota.setLargeFleet(m_context.fleet.isLarge());
         m_context.quota.setReachableShare(m_context.fleet.reachableShare());
--- a/Source/Core/Gateway/FleetView.h
+++ b/Source/Core/Gateway/FleetView.h
@@ -24,6 +24,14 @@
     /// changes, otherwise every 750 ms.
     static constexpr std::chrono::milliseconds silenceLimit { 1400 };
 
+    /// Whether a VM has paused for so long that it must handle the reports that wait in its socket before it takes
+    /// other VMs for silent.
+    /// @param sinceLastReport Time since this VM last sent a report or looked for silent VMs.
+    static constexpr bool mustReceiveFirst(std::chrono::nanoseconds sinceLastReport)
+    {
+        return sinceLastReport > silenceLimit / 3;
+    }
+
     FleetView(const Clock& clock, TimelineCommands& timeline, VmId ownVm, ZoneId ownZone)
         : m_clock(clock)
         , m_timeline(timeline)
--- a/Source/UnitTests/Gateway/RelayFleet.cpp
+++ b/Source/UnitTests/Gateway/RelayFleet.cpp
@@ -47,6 +47,7 @@
     vm.sequence = 0;
     vm.startedAt = m_clock.now();
     vm.nextReportAt = vm.startedAt + reportInterval;
+    vm.reportedAt = vm.startedAt;
     vm.isDown = false;
     vm.inbox.clear();
     vm.quota = std::make_unique<FleetQuota>(m_clock, m_tolerance);
@@ -99,7 +100,8 @@
     for (const auto& silent : vm.view->takeSilent()) {
         vm.quota->markSilent(silent, vm.view->shareOf(silent));
     }
-    vm.quota->setReachableShare(vm.view->reachableShare());
+    vm.share = vm.view->reachableShare();
+    vm.quota->setReachableShare(vm.share);
     vm.relay->update(vm.quota->zoneTotals(), uptime);
     FleetReport report { vm.id, vm.incarnation, ++vm.sequence, vm.quota->ownTotals() };
     report.lowLevels = vm.quota->lowLevels();
@@ -173,7 +175,11 @@
             const bool isDue = vm.nextReportAt <= m_clock.now();
             if (isDue) {
                 // After a pause the timer is served before the reports that have arrived meanwhile.
+                if (FleetView::mustReceiveFirst(m_clock.now() - vm.reportedAt)) {
+                    handleReports(vm);
+                }
                 report(vm);
+                vm.reportedAt = m_clock.now();
                 vm.nextReportAt = m_clock.now() + vm.interval;
             }
             if (isDue || vm.interval == reportInterval) {
--- a/Source/UnitTests/Gateway/RelayFleet.h
+++ b/Source/UnitTests/Gateway/RelayFleet.h
@@ -37,6 +37,8 @@
     void restart(std::size_t vm, std::chrono::milliseconds after);
     QuotaOutcome outcome() const { return m_outcome; }
     double allowedInWindow() const;
+    /// Share of the rates that a VM used since its last report, from 0 to 1.
+    double shareUsedBy(std::size_t vm) const { return m_vms[vm].share; }
     /// Number of relays at present.
     std::size_t relays() const;
 
@@ -58,6 +60,8 @@
         MonotonicTime suspendedUntil { 0 };
         /// Whether a new process starts at that time.
         bool isDown = false;
+        MonotonicTime reportedAt { 0 };
+        double share = 1;
         MonotonicTime nextReportAt { 0 };
         std::chrono::milliseconds interval { 250 };
         std::deque<Delivery> inbox;
--- a/Source/UnitTests/Gateway/ZoneRelayTests.cpp
+++ b/Source/UnitTests/Gateway/ZoneRelayTests.cpp
@@ -51,6 +51,58 @@
     }
 }
 
+// A VM that becomes the relay again must not count what its successor had reported in between.
+Test(ZoneRelayFleet, leavesNoDebtWhenARelayReturnsAgainAndAgain)
+{
+    for (const double rate : siteRates) {
+        RelayFleet fleet(zones, vmsPerZone, siteTolerance, loadOf(rate, usualShare), 2);
+        fleet.run(10s);
+        for (int n = 0; n < 3; ++n) {
+            for (const std::size_t place : { 0, 1 }) {
+                fleet.suspend(fleet.vmAt(0, place), 1800ms);
+                fleet.run(1800ms + settledAfter);
+                expectNoWrongRefusals(fleet, 4s, rate);
+            }
+        }
+    }
+}
+
+// VMs that handle reports late must not make their zone change its relay without end.
+Test(ZoneRelayFleet, leavesNoDebtAfterVmsWereSlow)
+{
+    for (const double rate : siteRates) {
+        RelayFleet fleet(zones, vmsPerZone, siteTolerance, loadOf(rate, usualShare), 3);
+        fleet.run(3s);
+        for (std::size_t vm = 0; vm < fleet.size(); vm += 3) {
+            fleet.slowDown(vm, 1550ms);
+        }
+        fleet.run(12s);
+        for (std::size_t vm = 0; vm < fleet.size(); vm += 3) {
+            fleet.slowDown(vm, 250ms);
+        }
+        fleet.run(1550ms + settledAfter);
+        expectNoWrongRefusals(fleet, 6s, rate);
+    }
+}
+
+// A VM that was suspended or is slow must not take the others for silent while their reports wait in its socket: it
+// used only its own share of the rates, 1 / 82 on the grown site, and refused nearly all requests.
+Test(ZoneRelayFleet, usesTheRatesAfterAPauseOfItsOwn)
+{
+    RelayFleet fleet(zones, vmsPerZone, siteTolerance, loadOf(290'000, usualShare), 5);
+    fleet.run(4s);
+    const auto suspended = fleet.vmAt(0, 5);
+    const auto slow = fleet.vmAt(1, 5);
+    fleet.slowDown(slow, 1550ms);
+    for (int n = 0; n < 3; ++n) {
+        fleet.suspend(suspended, 2500ms);
+        fleet.run(2600ms);
+        cr_expect_gt(fleet.shareUsedBy(suspended), 0.9, "suspended: %f", fleet.shareUsedBy(suspended));
+        cr_expect_gt(fleet.shareUsedBy(slow), 0.9, "slow: %f", fleet.shareUsedBy(slow));
+        fleet.run(1500ms);
+    }
+}
+
 // Whatever happens to relays, an organisation over its rate must not take more than rate x window + burst and the
 // tolerance: no change of relays may lose what a zone took.
 Test(ZoneRelayFleet, boundsAnOrganisationOverItsRateWhileRelaysChange)
