Ask other VMs for a newer configuration before serving from a restored store

Cause: a process that starts has nothing to compare the copy with. RoutingTable::adopt() took its version for the newest and the first read counted as proof of freshness. The other VMs knew better, but served the copy's records in their feed, and nothing asked them.

A first read that shows a later era than the first one is now used only after other VMs have been asked for their configuration in force, which each VM keeps apart from the store's records. Versions decide, so what the operator writes later still replaces it. VMs that did not answer are asked again each second.

Calls of a VM to others for the configuration come from the address of its record, since the receiver recognises it by that.

--- a/Source/Core/Gateway/ChangeLog.h
+++ b/Source/Core/Gateway/ChangeLog.h
@@ -10,6 +10,12 @@
 
 namespace Pollenwind {
 
+/// Record of the configuration in force. After a restore of the store it may be newer than the store's.
+struct ConfigurationRecord {
+    std::int64_t version = 0;
+    StoreEntry entry;
+};
+
 /// The store's records as this VM knows them and their last changes, from which other VMs of the zone follow the store.
 class ChangeLog {
 public:
@@ -23,6 +29,10 @@
     void replace(const StoreRange& range);
     void append(const StoreEvents& changes);
 
+    void setConfiguration(ConfigurationRecord configuration) { m_configuration = std::move(configuration); }
+    /// Record of the configuration in force; version 0 before the first one.
+    const ConfigurationRecord& configuration() const { return m_configuration; }
+
     /// Sets a handler that is called after each change.
     void onChanged(std::function<void()> handler) { m_onChanged = std::move(handler); }
 
@@ -36,6 +46,7 @@
 private:
     std::size_t m_maxChanges;
     std::map<std::string, StoreEntry> m_entries;
+    ConfigurationRecord m_configuration;
     std::deque<StoreEvent> m_changes;
     /// Revision after which all changes are known.
     std::int64_t m_oldestRevision = 0;
--- a/Source/Core/Gateway/FeedFrontEnd.cpp
+++ b/Source/Core/Gateway/FeedFrontEnd.cpp
@@ -52,6 +52,10 @@
 Task<> FeedFrontEnd::handle(HttpExchange& exchange)
 {
     const auto& request = exchange.request();
+    if (request.path == configurationPath) {
+        co_await exchange.answer(answerConfiguration(request, exchange.remoteAddress()));
+        co_return;
+    }
     // The records contain API keys, so only VMs of the fleet may read them.
     if (!m_fleet.isMemberAddress(exchange.remoteAddress())) {
         co_await exchange.answer(refusal(statusForbidden, "not a VM of this zone"));
@@ -67,6 +71,27 @@
     }
 }
 
+HttpAnswer FeedFrontEnd::answerConfiguration(const HttpRequest& request, std::string_view address) const
+{
+    const auto after = numberParameter(request, "after");
+    if (!after) {
+        return refusal(statusBadRequest, "\"after\" must be a whole number");
+    }
+    if (m_log.revision() == 0) {
+        return refusal(statusUnavailable, "no records have been read yet");
+    }
+    FeedRecords records { { {}, m_log.revision() }, m_freshness.age() };
+    const auto& configuration = m_log.configuration();
+    if (configuration.version > *after) {
+        if (!m_fleet.isFleetAddress(address)) {
+            return refusal(statusForbidden, "not a VM of the fleet");
+        }
+        records.range.entries.push_back(configuration.entry);
+    }
+    // That there is nothing newer is told to each address: the record of a VM that has just started is not known yet.
+    return { statusOk, "application/octet-stream", FeedCodec::encode(records), {} };
+}
+
 Task<> FeedFrontEnd::sendRecords(HttpExchange& exchange)
 {
     if (m_recordReaders >= maxRecordReaders) {
--- a/Source/Core/Gateway/FeedFrontEnd.h
+++ b/Source/Core/Gateway/FeedFrontEnd.h
@@ -11,11 +11,13 @@
 
 namespace Pollenwind {
 
-/// Passes the store's records on to the other VMs of the zone, which wait for changes with long polls.
+/// Passes the store's records on to the other VMs of the zone, which wait for changes with long polls, and the
+/// configuration in force to VMs of all zones.
 class FeedFrontEnd final : public HttpHandler {
 public:
     static constexpr std::string_view recordsPath = "/feed/records";
     static constexpr std::string_view changesPath = "/feed/changes";
+    static constexpr std::string_view configurationPath = "/feed/configuration";
     static constexpr int statusOk = 200;
     static constexpr int statusForbidden = 403;
     /// The changes after the given revision are no longer known.
@@ -29,6 +31,8 @@
 
 private:
     Task<> sendRecords(HttpExchange& exchange);
+    /// Returns the configuration in force if it is newer than the version that the request names.
+    HttpAnswer answerConfiguration(const HttpRequest& request, std::string_view address) const;
     Task<HttpAnswer> answerChanges(const HttpRequest& request);
 
     const Clock& m_clock;
--- a/Source/Core/Gateway/FleetView.cpp
+++ b/Source/Core/Gateway/FleetView.cpp
@@ -161,6 +161,12 @@
     });
 }
 
+bool FleetView::isFleetAddress(std::string_view address) const
+{
+    return std::ranges::any_of(
+        m_vms, [&](const auto& it) { return isCounted(it.second) && it.second.reports.address == address; });
+}
+
 std::vector<VmId> FleetView::reachableOfOwnZone() const
 {
     std::vector<VmId> vms { m_ownVm };
--- a/Source/Core/Gateway/FleetView.h
+++ b/Source/Core/Gateway/FleetView.h
@@ -63,6 +63,8 @@
     std::optional<Endpoint> endpointOf(const VmId& vm) const;
     /// Whether a VM of this zone has the address.
     bool isMemberAddress(std::string_view address) const;
+    /// Whether a VM of any zone has the address.
+    bool isFleetAddress(std::string_view address) const;
     /// VMs of this zone that are in contact with this one, including itself.
     std::vector<VmId> reachableOfOwnZone() const;
     /// Whether this VM is the relay that sends the sums of its zone to the other zones: the one with the smallest id
--- a/Source/Core/Gateway/Gateway.cpp
+++ b/Source/Core/Gateway/Gateway.cpp
@@ -4,6 +4,7 @@
 #include "Common/Sleep.h"
 #include "Common/TaskFault.h"
 #include "Gateway/AffinityPolicy.h"
+#include "Gateway/ConfigurationInquiry.h"
 #include "Gateway/CrashDetector.h"
 #include "Gateway/FeedFrontEnd.h"
 #include "Gateway/FleetReporter.h"
@@ -130,8 +131,9 @@
         , feedPolicy(clock, fleet, settings.vm, settings.maxChangeDelay)
         , feeds(executor, platform.storeQueries, feedPolicy, timeline)
         , rollouts(clock, timeline, metrics, { settings.exposure })
+        , fleetConfigurations(clock, fleet, settings.listenReports.address)
         , sync({ clock, feeds, changeLog, platform.records, routing, runners, quota, fleet, orders, timeline, metrics,
-                   quarantineRecords, rollouts },
+                   quarantineRecords, rollouts, fleetConfigurations },
               { .freshnessGoal = settings.maxKeyWithdrawalDelay * 3 / 5,
                   .keyLimit = subtractMargin(settings.maxKeyWithdrawalDelay, keyMargin),
                   .largeFleetRetryPause = settings.maxChangeDelay * retryPausePercent / 100 })
@@ -186,6 +188,7 @@
     ChangeFeeds feeds;
     ChangeLog changeLog;
     RolloutTable rollouts;
+    ConfigurationInquiry fleetConfigurations;
     GatewaySync sync;
     VmRegistration registration;
     WeightsDriver weights;
@@ -247,6 +250,7 @@
     components.quarantine.onNews([&components] { components.reporter.sendSoon(); });
     components.rolloutDriver.onWritten([&components] { components.reporter.sendSoon(); });
     spawnService(components.executor, TaskKind::StoreSync, [&components] { return components.sync.run(); });
+    spawnService(components.executor, TaskKind::StoreSync, [&components] { return components.sync.followOtherVms(); });
     spawnService(
         components.executor, TaskKind::StoreRecord, [&components] { return components.quarantineRecords.run(); });
     spawnService(components.executor, TaskKind::StoreRecord, [&components] { return components.registration.run(); });
--- a/Source/Core/Gateway/GatewaySync.cpp
+++ b/Source/Core/Gateway/GatewaySync.cpp
@@ -103,6 +103,9 @@
         co_return fail(ErrorCode::StoreUnavailable, "the records are older than the local ones");
     }
     const bool isRestored = StorePosition::isBefore(m_revision, StorePosition::eraOf(records->range.revision));
+    if (m_revision == 0 && StorePosition::isOfRestoredStore(records->range.revision)) {
+        applyLostConfigurations(co_await readLostConfigurations(records->range));
+    }
     m_context.orders.updateStorePosition(records->range.revision);
     applyAll(records->range, isRestored);
     m_context.quarantine.endRead(records->range.revision);
@@ -124,6 +127,53 @@
     co_return Outcome<void> {};
 }
 
+Task<std::vector<StoreEntry>> GatewaySync::readLostConfigurations(const StoreRange& range)
+{
+    // The other VMs are known by their records only.
+    for (const auto& entry : range.entries) {
+        if (entry.key.starts_with(vmRecordPrefix)) {
+            m_context.fleet.updateRecord(VmId(entry.key.substr(vmRecordPrefix.size())), entry.value);
+        }
+    }
+    co_return co_await m_context.fleetConfigurations.readNewer(
+        std::max(m_configuration, configurationVersionOf(range)));
+}
+
+Task<> GatewaySync::followOtherVms()
+{
+    for (;;) {
+        co_await sleepFor(m_options.inquiryInterval);
+        if (StorePosition::isOfRestoredStore(m_revision)) {
+            applyLostConfigurations(co_await m_context.fleetConfigurations.readNewerFromOthers(m_configuration));
+        }
+    }
+}
+
+void GatewaySync::applyLostConfigurations(const std::vector<StoreEntry>& entries)
+{
+    for (const auto& entry : entries) {
+        auto record = m_context.codec.decode(entry);
+        if (auto* configuration = record ? std::get_if<RoutingConfiguration>(&*record) : nullptr) {
+            applyConfiguration(std::move(*configuration), entry);
+        }
+    }
+}
+
+std::int64_t GatewaySync::configurationVersionOf(const StoreRange& range) const
+{
+    std::int64_t version = 0;
+    for (const auto& entry : range.entries) {
+        if (m_context.codec.runnerOf(entry.key)) {
+            continue;
+        }
+        const auto record = m_context.codec.decode(entry);
+        if (const auto* configuration = record ? std::get_if<RoutingConfiguration>(&*record) : nullptr) {
+            version = std::max(version, configuration->version);
+        }
+    }
+    return version;
+}
+
 void GatewaySync::applyAll(const StoreRange& range, bool isRestored)
 {
     StoreCrossing crossing { .from = m_revision, .to = range.revision, .knownConfiguration = m_configuration };
@@ -265,7 +315,7 @@
     }
     m_unreadableKeys.erase(entry.key);
     if (auto* configuration = std::get_if<RoutingConfiguration>(&*record)) {
-        applyConfiguration(std::move(*configuration));
+        applyConfiguration(std::move(*configuration), entry);
     } else if (auto* runner = std::get_if<RunnerEntry>(&*record)) {
         runner->revision = entry.modRevision;
         m_context.runners.updateEntry(std::move(*runner));
@@ -283,13 +333,14 @@
     }
 }
 
-void GatewaySync::applyConfiguration(RoutingConfiguration configuration)
+void GatewaySync::applyConfiguration(RoutingConfiguration configuration, const StoreEntry& entry)
 {
     m_receivedConfiguration = configuration.version;
     const auto organisations = configuration.organisations;
     if (m_context.routing.adopt(std::move(configuration))) {
         m_configuration = m_receivedConfiguration;
         m_context.quota.setOrganisations(organisations);
+        m_context.log.setConfiguration({ m_configuration, entry });
     } else {
         m_context.metrics.count(Counter::StaleConfigurations);
     }
--- a/Source/Core/Gateway/GatewaySync.h
+++ b/Source/Core/Gateway/GatewaySync.h
@@ -9,6 +9,7 @@
 #include "Gateway/Commands/RunnerCommands.h"
 #include "Gateway/FleetView.h"
 #include "Gateway/OrderLease.h"
+#include "Gateway/Queries/FleetConfigurationQueries.h"
 #include "Gateway/Queries/FreshnessQueries.h"
 #include "Gateway/Queries/RecordCodec.h"
 #include "Metrics/Commands/MetricCommands.h"
@@ -35,6 +36,7 @@
     MetricCommands& metrics;
     QuarantineRecordCommands& quarantine;
     RolloutCommands& rollouts;
+    FleetConfigurationQueries& fleetConfigurations;
 };
 
 /// Timeouts of the synchronisation.
@@ -61,6 +63,8 @@
     std::chrono::milliseconds retryPause { 250 };
     /// Longest delay in a large fleet, where each VM may have to turn to the store; else it is the batch delay.
     std::chrono::milliseconds largeFleetRetryPause { 1000 };
+    /// Interval at which VMs that have not answered are asked for a newer configuration than a restored store has.
+    std::chrono::milliseconds inquiryInterval { 1000 };
 };
 
 /// Keeps the local tables in sync with the store: reads all records once, then follows the changes, from the store or
@@ -77,6 +81,9 @@
     /// Follows the store indefinitely.
     Task<> run();
 
+    /// Takes over configurations from VMs that could not be asked when a restored store was read, indefinitely.
+    Task<> followOtherVms();
+
     /// Sets a handler that is called after all records have been read.
     void onRead(std::function<void()> handler) { m_onRead = std::move(handler); }
     /// Sets a handler that is called after the records of a restored store have been read.
@@ -94,6 +101,12 @@
     };
 
     Task<Outcome<void>> readAll(ChangeFeed& feed);
+    /// Reads configurations that other VMs know and a restored store has lost.
+    Task<std::vector<StoreEntry>> readLostConfigurations(const StoreRange& range);
+    /// Takes over configurations of other VMs that are newer than the one in force.
+    void applyLostConfigurations(const std::vector<StoreEntry>& entries);
+    /// Version of the configuration among the records; 0 if there is none.
+    std::int64_t configurationVersionOf(const StoreRange& range) const;
     /// Takes over all records.
     /// @param isRestored Whether they come from a later era of the store than the local ones.
     void applyAll(const StoreRange& range, bool isRestored);
@@ -111,7 +124,7 @@
         const FeedChanges& reply, MonotonicTime requestedAt, std::chrono::nanoseconds delay, bool isTimely);
     /// @param writtenAfter Earliest time at which the entry may have been written; 0 when that is not known.
     void apply(const StoreEntry& entry, MonotonicTime writtenAfter, ChangeSource source);
-    void applyConfiguration(RoutingConfiguration configuration);
+    void applyConfiguration(RoutingConfiguration configuration, const StoreEntry& entry);
     /// Adds a record to a listing, or applies it if it is of another kind.
     void list(const StoreEntry& entry, Listing& listing);
     void applyErased(const std::string& key);
--- a/Source/Core/Gateway/PeerFeed.cpp
+++ b/Source/Core/Gateway/PeerFeed.cpp
@@ -13,9 +13,10 @@
 
 } // namespace
 
-PeerFeed::PeerFeed(asio::any_io_executor executor, Endpoint endpoint)
+PeerFeed::PeerFeed(asio::any_io_executor executor, Endpoint endpoint, std::string localAddress)
     : m_executor(std::move(executor))
     , m_endpoint(std::move(endpoint))
+    , m_localAddress(std::move(localAddress))
 {
 }
 
@@ -34,12 +35,23 @@
     co_return co_await call({ "GET", std::string(FeedFrontEnd::changesPath), query, {}, "" }, wait + responseTimeout);
 }
 
+Task<Outcome<FeedRecords>> PeerFeed::readConfiguration(std::int64_t afterVersion)
+{
+    const auto query = "after=" + std::to_string(afterVersion);
+    auto reply = co_await call({ "GET", std::string(FeedFrontEnd::configurationPath), query, {}, "" }, responseTimeout);
+    if (!reply) {
+        co_return std::unexpected(reply.error());
+    }
+    co_return FeedCodec::toRecords(std::move(*reply));
+}
+
 Task<Outcome<FeedChanges>> PeerFeed::call(HttpRequest request, std::chrono::nanoseconds timeout)
 {
     // Owned by this call until it has succeeded, so that a connection with a failed call is never used again.
     auto connection = std::move(m_connection);
     if (!connection || !connection->isReusable()) {
         connection = std::make_unique<HttpConnection>(m_executor);
+        connection->setLocalAddress(m_localAddress);
         if (const auto connected = co_await connection->connect(m_endpoint, responseTimeout); !connected) {
             co_return fail(ErrorCode::StoreUnavailable, "watcher: " + connected.error().message);
         }
@@ -54,6 +66,9 @@
         m_connection = std::move(connection);
         co_return fail(ErrorCode::Conflict, "the watcher no longer has the changes after this revision");
     }
+    if (head->status == FeedFrontEnd::statusForbidden && request.path == FeedFrontEnd::configurationPath) {
+        co_return fail(ErrorCode::Forbidden, "watcher: this VM is not known");
+    }
     auto changes = head->status == FeedFrontEnd::statusOk ? FeedCodec::decode(*body) : std::nullopt;
     if (!changes) {
         co_return fail(ErrorCode::StoreUnavailable, "watcher: status " + std::to_string(head->status));
--- a/Source/Core/Store/StorePosition.h
+++ b/Source/Core/Store/StorePosition.h
@@ -37,6 +37,13 @@
 
     constexpr StoreEra eraOf(std::int64_t position) { return StoreEra(position >> revisionBits); }
 
+    /// Whether a position shows that the store has come back from an older copy at some time.
+    constexpr bool isOfRestoredStore(std::int64_t position)
+    {
+        constexpr std::int64_t firstEra = 1;
+        return (position >> revisionBits) > firstEra;
+    }
+
     /// Whether a position belongs to an era that ended before another one began. 0 belongs to each era.
     constexpr bool isBefore(std::int64_t position, const StoreEra& era)
     {
--- a/Source/Core/Transport/HttpClient.cpp
+++ b/Source/Core/Transport/HttpClient.cpp
@@ -68,6 +68,9 @@
     /// @param until Longest time to wait for bytes; beast::error::timeout after it. It may then be called again.
     Task<beast::error_code> parseSome(std::chrono::steady_clock::time_point until);
 
+    /// Opens the socket at the local address. If that fails, the system chooses one.
+    void bindLocalAddress();
+
     /// Prepares the parser for the next response.
     void beginResponse();
 
@@ -75,6 +78,7 @@
     beast::flat_buffer buf { maxUnparsedBytes };
     std::optional<http::response_parser<detail::ReceivedBody>> parser;
     std::string host;
+    std::string localAddress;
     /// The response to a HEAD request has no body, whatever length it names.
     bool isHeadRequest = false;
     /// A part of a head may have been parsed.
@@ -116,6 +120,22 @@
     }
 }
 
+void HttpConnection::State::bindLocalAddress()
+{
+    beast::error_code ec;
+    const tcp::endpoint local(asio::ip::make_address(localAddress, ec), 0);
+    auto& socket = stream.socket();
+    if (!ec) {
+        socket.open(local.protocol(), ec);
+    }
+    if (!ec) {
+        socket.bind(local, ec);
+    }
+    if (ec) {
+        socket.close(ec);
+    }
+}
+
 void HttpConnection::State::beginResponse()
 {
     parser.emplace();
@@ -131,6 +151,8 @@
 
 HttpConnection::~HttpConnection() = default;
 
+void HttpConnection::setLocalAddress(std::string address) { m_state->localAddress = std::move(address); }
+
 Task<Outcome<void>> HttpConnection::connect(const Endpoint& endpoint, std::chrono::nanoseconds timeout)
 {
     beast::error_code ec;
@@ -139,6 +161,9 @@
         co_return fail(ErrorCode::ConnectFailed, "bad address " + endpoint.address);
     }
     auto& stream = m_state->stream;
+    if (!m_state->localAddress.empty()) {
+        m_state->bindLocalAddress();
+    }
     stream.expires_after(timeout);
     std::tie(ec) = co_await stream.async_connect(tcp::endpoint(address, endpoint.port), asTuple);
     if (ec) {
--- a/Source/Core/Transport/HttpClient.h
+++ b/Source/Core/Transport/HttpClient.h
@@ -30,6 +30,10 @@
     HttpConnection(const HttpConnection&) = delete;
     HttpConnection& operator=(const HttpConnection&) = delete;
 
+    /// Selects the address from which connect() connects. Without it, or if it is not an address of this machine, the
+    /// system chooses one.
+    void setLocalAddress(std::string address);
+
     /// Connects.
     /// @param endpoint The server.
     /// @param timeout Longest time to wait.
--- a/Source/UnitTests/Gateway/FeedTests.cpp
+++ b/Source/UnitTests/Gateway/FeedTests.cpp
@@ -5,6 +5,7 @@
 #include "Gateway/GatewaySync.h"
 #include "Gateway/PartQuarantine.h"
 #include "Gateway/QuarantineRecords.h"
+#include "Gateway/RestoringStore.h"
 #include "Gateway/RolloutTable.h"
 #include "Store/StorePosition.h"
 
@@ -153,8 +154,9 @@
     ChangeLog log;
     PartQuarantine quarantine { clock, timeline, metrics, fleet };
     QuarantineRecords quarantineRecords { clock, commands, quarantine, quarantine, fleet };
+    ScriptedFleetConfigurations fleetConfigurations;
     GatewaySync sync { { clock, feeds, log, records, routing, runners, quota, fleet, orders, timeline, metrics,
-                           quarantineRecords, rollouts },
+                           quarantineRecords, rollouts, fleetConfigurations },
         {} };
 };
 
--- a/Source/UnitTests/Gateway/GatewaySyncTests.cpp
+++ b/Source/UnitTests/Gateway/GatewaySyncTests.cpp
@@ -2,6 +2,7 @@
 #include "Gateway/GatewayFixture.h"
 #include "Gateway/GatewaySync.h"
 #include "Gateway/QuarantineRecords.h"
+#include "Gateway/RestoringStore.h"
 
 using namespace Pollenwind;
 using namespace std::chrono_literals;
@@ -112,8 +113,9 @@
     RolloutTable rollouts { clock, timeline, metrics, { { 0.1, 50 } } };
     PartQuarantine quarantine { clock, timeline, metrics, fleet };
     QuarantineRecords quarantineRecords { clock, commands, quarantine, quarantine, fleet };
+    ScriptedFleetConfigurations fleetConfigurations;
     GatewaySync sync { { clock, feeds, log, codec, routing, runners, quota, fleet, orders, timeline, metrics,
-                           quarantineRecords, rollouts },
+                           quarantineRecords, rollouts, fleetConfigurations },
         {} };
 };
 
--- a/Source/UnitTests/Gateway/RestoringStore.h
+++ b/Source/UnitTests/Gateway/RestoringStore.h
@@ -2,6 +2,7 @@
 
 #include "Common/Sleep.h"
 #include "Gateway/GatewayKeys.h"
+#include "Gateway/Queries/FleetConfigurationQueries.h"
 #include "Gateway/Queries/RecordCodec.h"
 #include "Store/Commands/StoreCommands.h"
 #include "Store/Queries/StoreQueries.h"
@@ -129,6 +130,27 @@
     Task<Outcome<void>> revoke(LeaseId) override { co_return Outcome<void> {}; }
 };
 
+/// Other VMs that know no newer configuration, unless a test sets one.
+class ScriptedFleetConfigurations final : public FleetConfigurationQueries {
+public:
+    Task<std::vector<StoreEntry>> readNewer(std::int64_t version) override
+    {
+        asked.push_back(version);
+        while (isHeld) {
+            co_await sleepFor(std::chrono::milliseconds(1));
+        }
+        co_return newer;
+    }
+    Task<std::vector<StoreEntry>> readNewerFromOthers(std::int64_t) override { co_return newerLater; }
+
+    /// Versions that the VMs were asked for.
+    std::vector<std::int64_t> asked;
+    std::vector<StoreEntry> newer;
+    /// Whether the VMs do not answer yet.
+    bool isHeld = false;
+    std::vector<StoreEntry> newerLater;
+};
+
 /// Records as short texts: "config" is a version and its keys, "target" a version of weights, "runner/ID" an
 /// incarnation and "ready" or "draining".
 class TextCodec final : public RecordCodec {
--- a/Source/UnitTests/Gateway/StoreCrossingTests.cpp
+++ b/Source/UnitTests/Gateway/StoreCrossingTests.cpp
@@ -13,13 +13,32 @@
 
 /// A VM that follows a store with one configuration and two runners. The time of its tables passes only by hand.
 struct CrossingFixture {
-    CrossingFixture()
+    explicit CrossingFixture(bool isStarted = true)
     {
         store.put("config", "1 k1 k2");
         store.put("runner/r1", "1 ready");
         store.put("runner/r2", "1 ready");
+        if (isStarted) {
+            start();
+            runUntil([this] { return candidates() == 2; });
+        }
+    }
+
+    /// Starts the process of the VM.
+    void start()
+    {
         asio::co_spawn(context, sync.run(), asio::detached);
-        runUntil([this] { return candidates() == 2; });
+        asio::co_spawn(context, sync.followOtherVms(), asio::detached);
+    }
+
+    /// Withdraws k2 in version 2 and restores the store from a copy with version 1.
+    /// @return The lost record.
+    StoreEntry loseWithdrawal()
+    {
+        store.copy();
+        store.put("config", "2 k1");
+        store.restore();
+        return { "config", "2 k1", 13, LeaseId() };
     }
 
     /// Runs the synchronisation until a condition holds; fails the test when it does not within the timeout.
@@ -67,9 +86,10 @@
     RolloutTable rollouts { clock, timeline, metrics, { { 0.1, 50 } } };
     PartQuarantine quarantine { clock, timeline, metrics, fleet };
     QuarantineRecords quarantineRecords { clock, commands, quarantine, quarantine, fleet };
+    ScriptedFleetConfigurations fleetConfigurations;
     GatewaySync sync { { clock, feeds, log, codec, routing, runners, quota, fleet, orders, timeline, metrics,
-                           quarantineRecords, rollouts },
-        { .watchWait = 200ms, .batchDelay = 1ms, .retryPause = 1ms } };
+                           quarantineRecords, rollouts, fleetConfigurations },
+        { .watchWait = 200ms, .batchDelay = 1ms, .retryPause = 1ms, .inquiryInterval = 1ms } };
     std::int64_t target = 1;
 };
 
@@ -252,3 +272,66 @@
     cr_assert(fixture.sync.mayAcceptKeys());
     cr_assert_eq(fixture.sync.age().count(), 0);
 }
+
+// Guards against a VM that starts after a restore and takes the configuration of the copy for the newest: it accepted
+// withdrawn keys until the operator wrote the configuration again.
+Test(StoreCrossing, startsWithTheNewestConfigurationOfTheFleet)
+{
+    CrossingFixture fixture(false);
+    fixture.fleetConfigurations.newer = { fixture.loseWithdrawal() };
+    fixture.start();
+    fixture.runUntil([&] { return fixture.candidates() == 2; });
+    cr_assert(fixture.hasKey("k1") && !fixture.hasKey("k2"));
+    cr_assert(fixture.fleetConfigurations.asked == std::vector<std::int64_t> { 1 });
+    cr_assert(fixture.sync.mayAcceptKeys());
+    // Other VMs that start get it from this one.
+    cr_assert(fixture.log.configuration().version == 2 && fixture.log.configuration().entry.value == "2 k1");
+    // The operator's records follow, with lower revisions than those that were lost.
+    fixture.store.put("config", "2 k1");
+    fixture.runUntilFollowed();
+    cr_assert(fixture.hasKey("k1") && !fixture.hasKey("k2"));
+    fixture.store.put("config", "3 k1 k3");
+    fixture.runUntil([&] { return fixture.hasKey("k3"); });
+}
+
+// The VM must not accept a key, nor serve a route, between the read of the restored store and the answers.
+Test(StoreCrossing, servesNothingBeforeTheOtherVmsHaveAnswered)
+{
+    CrossingFixture fixture(false);
+    fixture.fleetConfigurations.newer = { fixture.loseWithdrawal() };
+    fixture.fleetConfigurations.isHeld = true;
+    fixture.start();
+    fixture.runUntil([&] { return !fixture.fleetConfigurations.asked.empty(); });
+    fixture.context.run_for(20ms);
+    cr_assert(fixture.routing.current()->version == 0 && !fixture.sync.mayAcceptKeys());
+    cr_assert_eq(fixture.log.revision(), 0, "other VMs read nothing from it either");
+    fixture.fleetConfigurations.isHeld = false;
+    fixture.runUntil([&] { return fixture.sync.mayAcceptKeys(); });
+    cr_assert(!fixture.hasKey("k2"));
+}
+
+// A VM that was cut off while this one started must be heard when it is back.
+Test(StoreCrossing, takesOverAConfigurationFromAVmThatAnswersLater)
+{
+    CrossingFixture fixture(false);
+    const auto lost = fixture.loseWithdrawal();
+    fixture.start();
+    fixture.runUntil([&] { return fixture.candidates() == 2; });
+    cr_assert(fixture.hasKey("k2"));
+    fixture.fleetConfigurations.newerLater = { lost };
+    fixture.runUntil([&] { return !fixture.hasKey("k2"); });
+}
+
+// When all VMs start at the same time, no one knows more than the store, which must be enough. A store that was never
+// restored knows everything, so that no VM has to be asked.
+Test(StoreCrossing, startsFromTheStoreWhenNoVmKnowsMore)
+{
+    CrossingFixture fixture(false);
+    fixture.loseWithdrawal();
+    fixture.start();
+    fixture.runUntil([&] { return fixture.sync.mayAcceptKeys(); });
+    cr_assert(fixture.hasKey("k2") && fixture.candidates() == 2);
+    cr_assert_eq(fixture.store.reads, 1);
+    const CrossingFixture other;
+    cr_assert(other.fleetConfigurations.asked.empty());
+}
--- a/Source/UnitTests/PlatformAdapter/StoreRestoreTests.cpp
+++ b/Source/UnitTests/PlatformAdapter/StoreRestoreTests.cpp
@@ -59,6 +59,84 @@
 
 namespace {
 
+/// A second VM of the fleet, in another zone.
+struct OtherVm {
+    explicit OtherVm(PlatformFixture& other)
+        : settings(other.settings)
+        , client(other.context.get_executor(), other.storeEndpoint, KvStoreTimeouts { .watchWait = 200ms }, metrics)
+        , gateway(
+              other.context.get_executor(), otherSettings(), { client, client, records, requests, control }, metrics)
+    {
+    }
+
+    Task<int> statusOf(std::string key)
+    {
+        HttpRequest request { "POST", "/safe/x", "",
+            { { "Host", "h" }, { "X-Request-Id", "other" + std::to_string(++calls) },
+                { "Authorization", "Token " + key }, { "X-Deadline-Ms", "3000" } },
+            "body" };
+        const auto answer = co_await fetch(settings.listenCallers, std::move(request), callTimeout);
+        co_return answer ? answer->status : 0;
+    }
+
+    GatewaySettings settings;
+    MetricTable metrics;
+    KvStoreClient client;
+    PlatformRecords records;
+    PlatformRequests requests;
+    RunnerControl control;
+    Gateway gateway;
+    unsigned calls = 0;
+
+private:
+    GatewaySettings otherSettings()
+    {
+        settings.vm = VmId("vm-2");
+        settings.zone = ZoneId("b");
+        std::uint16_t port = firstGatewayPort + 10;
+        for (auto* endpoint :
+            { &settings.listenCallers, &settings.listenReady, &settings.listenMetrics, &settings.listenReports }) {
+            *endpoint = { "127.63" + endpoint->address.substr(endpoint->address.find('.', 4)), port++ };
+        }
+        return settings;
+    }
+};
+
+constexpr int statusUnavailable = 503;
+
+} // namespace
+
+// Guards against a VM that starts while the store is away and takes the configuration of its copy for the newest: it
+// served requests with a key that had been withdrawn, until the operator wrote the configuration again.
+Test(StoreRestore, doesNotAcceptAWithdrawnKeyAtAVmThatStartsBesideARestore)
+{
+    PlatformFixture fixture;
+    OtherVm other(fixture);
+    fixture.run([&](Gateway&) -> Task<> {
+        co_await fixture.waitUntil(
+            [&]() -> Task<bool> { co_return fixture.store.value("pollenwind/vms/vm").has_value(); });
+        fixture.store.copy();
+        co_await configure(fixture, 2, "k2");
+        fixture.store.forcedStatus = statusUnavailable;
+        cr_assert(other.gateway.start().has_value());
+        cr_assert_eq(co_await other.statusOf("k1"), statusUnavailable);
+        fixture.store.restore();
+        fixture.store.forcedStatus = 0;
+        co_await fixture.waitUntil([&]() -> Task<bool> {
+            const auto status = co_await other.statusOf("k1");
+            cr_assert_neq(status, 200, "a withdrawn key is accepted");
+            co_return status != statusUnavailable;
+        });
+        cr_assert_eq(co_await other.statusOf("k2"), 200);
+        // What the operator writes then goes before what another VM knew, although it has a lower revision.
+        fixture.store.put("op/config", PlatformFixture::configuration(3, "\"k3\""));
+        co_await fixture.waitUntil([&]() -> Task<bool> { co_return co_await other.statusOf("k3") == 200; });
+        cr_assert_eq(co_await other.statusOf("k2"), 401);
+    });
+}
+
+namespace {
+
 /// Runs a scenario with a store client and no gateway.
 template <typename Scenario> void runWithClient(PlatformFixture& fixture, Scenario scenario)
 {
