Ask a runner that sends no report again only after a pause

While new weights were brought to the runners, one that sent bytes without end instead of its report was asked for it in each round of the driver, and occupied one of the loads that run at the same time; the sound runners did not get the weights.

Cause: a failed report only changed the order of the loads.

A report that is none, or that found no memory, now makes the driver leave the runner alone for 0.5 s, then for twice the time, up to 8 s, until a sound report comes. A connection that fails or times out is asked again as before.

--- a/Source/Core/Gateway/WeightsDriver.cpp
+++ b/Source/Core/Gateway/WeightsDriver.cpp
@@ -72,6 +72,7 @@
         const auto pending = pendingLoads(runnerCount);
         if (pending.empty()) {
             m_failed.clear();
+            m_badReports.clear();
             if (m_loading.empty()) {
                 co_await m_lease.endOrders();
             }
@@ -86,7 +87,8 @@
             if (m_loading.size() >= limit) {
                 break;
             }
-            if (m_loading.insert(runnerHash(it.runner.id)).second) {
+            const auto hash = runnerHash(it.runner.id);
+            if (!isAvoided(hash) && m_loading.insert(hash).second) {
                 spawnTask(m_executor, TaskKind::Orders, load(it));
             }
         }
@@ -146,9 +148,30 @@
     return true;
 }
 
+bool WeightsDriver::isAvoided(std::uint64_t runner) const
+{
+    const auto it = m_badReports.find(runner);
+    return it != m_badReports.end() && m_clock.now() < it->second.until;
+}
+
+Task<Outcome<RunnerReport>> WeightsDriver::askReport(const UpstreamId& runner, const Endpoint& endpoint)
+{
+    auto report = co_await m_client.report(endpoint, m_options.callTimeout);
+    const auto hash = runnerHash(runner);
+    if (report) {
+        m_badReports.erase(hash);
+    } else if (report.error().code == ErrorCode::ProtocolError || report.error().code == ErrorCode::Overloaded) {
+        // Reading such a report takes memory and time, and the next one is likely to be the same.
+        auto& bad = m_badReports[hash];
+        bad.pause = std::clamp(2 * bad.pause, m_options.badReportPause, m_options.maxBadReportPause);
+        bad.until = m_clock.now() + bad.pause;
+    }
+    co_return report;
+}
+
 Task<bool> WeightsDriver::order(const PendingLoad& pending)
 {
-    const auto report = co_await m_client.report(pending.runner.endpoint, m_options.callTimeout);
+    const auto report = co_await askReport(pending.runner.id, pending.runner.endpoint);
     if (!report) {
         m_timeline.record(
             EventKind::MoveStep, { { "runner", pending.runner.id.value() }, { "cause", report.error().message } });
@@ -209,7 +232,10 @@
             || weightsOf(*entry, pending.model) >= pending.version) {
             co_return;
         }
-        const auto report = co_await m_client.report(pending.runner.endpoint, m_options.callTimeout);
+        if (isAvoided(runnerHash(pending.runner.id))) {
+            continue;
+        }
+        const auto report = co_await askReport(pending.runner.id, pending.runner.endpoint);
         if (!report) {
             continue;
         }
--- a/Source/Core/Gateway/WeightsDriver.h
+++ b/Source/Core/Gateway/WeightsDriver.h
@@ -7,6 +7,7 @@
 #include "Timeline/Commands/TimelineCommands.h"
 
 #include <functional>
+#include <map>
 #include <set>
 
 namespace Pollenwind {
@@ -26,6 +27,9 @@
     std::chrono::milliseconds pollInterval { 250 };
     /// Time after which an order that was accepted but not completed is sent again.
     std::chrono::milliseconds loadTimeout { 7000 };
+    /// Time for which a runner is not asked again after a report that is none. It doubles with each further one.
+    std::chrono::milliseconds badReportPause { 500 };
+    std::chrono::milliseconds maxBadReportPause { 8000 };
 };
 
 /// Orders runners to load the target weights while this VM holds the order lease.
@@ -58,6 +62,13 @@
         WeightsVersion version = 0;
     };
 
+    /// A runner that sent bytes which are no report.
+    struct BadReports {
+        /// Time from which it may be asked again.
+        MonotonicTime until { 0 };
+        std::chrono::milliseconds pause { 0 };
+    };
+
     struct Loaded {
         LoadedWeights weights;
         MonotonicTime at { 0 };
@@ -76,6 +87,10 @@
     /// @return Whether the runner shuts down.
     bool recordLeaving(const PendingLoad& pending, const RunnerReport& report);
     Task<bool> order(const PendingLoad& pending);
+    /// Asks a runner for its report, and notes whether it is one.
+    Task<Outcome<RunnerReport>> askReport(const UpstreamId& runner, const Endpoint& endpoint);
+    /// Whether the runner is not to be asked yet, since its last report was none.
+    bool isAvoided(std::uint64_t runner) const;
     void publishLoading();
     /// Returns also without a result when the load takes too long, the lease is lost or the runner restarts.
     Task<> waitUntilLoaded(const PendingLoad& pending);
@@ -93,6 +108,8 @@
     std::set<std::uint64_t> m_loading;
     /// Runners whose last order failed, by hash of id.
     std::set<std::uint64_t> m_failed;
+    /// By hash of the runner's id.
+    std::map<std::uint64_t, BadReports> m_badReports;
     std::vector<Loaded> m_loaded;
     std::function<void()> m_onLoadingChanged;
 };
--- a/Source/UnitTests/Gateway/WeightsDriverTests.cpp
+++ b/Source/UnitTests/Gateway/WeightsDriverTests.cpp
@@ -21,9 +21,13 @@
 
     Task<Outcome<RunnerReport>> report(Endpoint, std::chrono::nanoseconds) override
     {
+        ++reports;
         if (auto handler = std::exchange(onReport, nullptr)) {
             co_await handler();
         }
+        if (reportError) {
+            co_return std::unexpected(*reportError);
+        }
         RunnerReport report;
         report.weights["model"] = orders.empty() ? 1 : 2;
         report.incarnation = Incarnation(1);
@@ -39,6 +43,9 @@
 
     /// Called at the next request for a report.
     std::function<Task<>()> onReport;
+    /// Result of requests for a report.
+    std::optional<Error> reportError;
+    unsigned reports = 0;
     std::vector<WeightsOrder> orders;
     /// State record of the orders when each order arrived.
     std::vector<std::string> statesAtOrder;
@@ -123,3 +130,27 @@
         cr_assert_eq(StorePosition::eraOf(fixture.weights.orders[0].fencingToken).value(), 2);
     });
 }
+
+// Guards against a runner that sends bytes without end instead of a report and is asked for it again at once: reading
+// them took the processor and the memory of the VM for as long as the runner had old weights.
+Test(WeightsDriver, asksARunnerWithoutAReportAgainOnlyAfterAPause)
+{
+    WeightsFixture fixture;
+    fixture.run([&]() -> Task<> {
+        fixture.weights.reportError = Error { ErrorCode::ProtocolError, "the body is too large", RunState::Unknown };
+        fixture.readAll();
+        for (unsigned asked = 1; asked <= 3; ++asked) {
+            co_await fixture.waitFor([&] { return fixture.weights.reports >= asked; });
+            // Several rounds of the driver. The clock stands still.
+            co_await sleepFor(1200ms);
+            cr_assert_eq(fixture.weights.reports, asked);
+            // Longer than the last pause, twice the one before.
+            fixture.clock.advance(600ms * (1 << (asked - 1)));
+            fixture.readAll();
+        }
+        fixture.weights.reportError.reset();
+        fixture.clock.advance(10s);
+        fixture.readAll();
+        co_await fixture.waitFor([&] { return !fixture.weights.orders.empty(); });
+    });
+}
