Tell a VM that starts which parts are quarantined

A VM that starts reads the quarantined parts from the store.

Cause: the list of quarantined parts went out every 5 s only. VMs that start together send it at the same moments.

Fix: a report from a process that was not in contact before puts the list into the next report. In a large fleet only the VMs of the zone do so, since VMs of other zones seldom report themselves. It costs at most 32 entries of 40 bytes in one report for each process that comes into contact.

--- a/Source/Core/Gateway/Commands/QuarantineCommands.h
+++ b/Source/Core/Gateway/Commands/QuarantineCommands.h
@@ -28,6 +28,8 @@
     /// @return Whether the request may be sent once.
     virtual bool startTrial(std::span<const PartId> parts) = 0;
 
+    /// Puts the list of quarantined parts into the next report, for a VM that has just come into contact.
+    virtual void repeatParts() = 0;
     /// Returns what the other VMs should know, and counts it as sent once more.
     virtual QuarantineReport takeReport() = 0;
     /// Returns the answers that VMs of this zone reported since the last call, to be forwarded to the other zones.
--- a/Source/Core/Gateway/FleetReporter.cpp
+++ b/Source/Core/Gateway/FleetReporter.cpp
@@ -191,6 +191,7 @@
         m_context.metrics.count(Counter::PeerBadFrames);
         co_return;
     }
+    const bool wasInContact = m_context.fleet.isInContact(report->vm, report->incarnation);
     if (report->vm == m_vm
         || !m_context.fleet.recordReport(report->vm, report->incarnation, report->sequence, report->members)) {
         co_return;
@@ -209,6 +210,10 @@
     m_context.runnerCommands.recordLoadedWeights(report->loaded);
     m_context.runnerCommands.recordRemoteFailures(report->vm, report->failures);
     m_context.quarantine.mergeReport(report->quarantine, isOfOwnZone);
+    // VMs of other zones of a large fleet seldom report themselves, and get the list in their own zone.
+    if (!wasInContact && (isOfOwnZone || !m_context.fleet.isLarge())) {
+        m_context.quarantine.repeatParts();
+    }
     m_context.runnerCommands.setLoadingRunners(report->vm, std::move(report->loading));
     m_context.rolloutCommands.recordRemote(report->vm, std::move(report->rollouts));
 }
--- a/Source/Core/Gateway/FleetView.cpp
+++ b/Source/Core/Gateway/FleetView.cpp
@@ -86,6 +86,12 @@
     return vm.lastReportAt.count() > 0 && m_clock.now() - vm.lastReportAt < silenceLimit;
 }
 
+bool FleetView::isInContact(const VmId& vm, Incarnation incarnation) const
+{
+    const auto it = m_vms.find(vm);
+    return it != m_vms.end() && it->second.incarnation == incarnation && isInContact(it->second);
+}
+
 bool FleetView::isCounted(const Vm& vm) const
 {
     const auto now = m_clock.now();
--- a/Source/Core/Gateway/FleetView.h
+++ b/Source/Core/Gateway/FleetView.h
@@ -50,6 +50,8 @@
     /// Where the other VMs of the fleet receive reports.
     std::vector<Endpoint> others() const;
     std::vector<Endpoint> othersOfOwnZone() const;
+    /// Whether a process of a VM has reported within silenceLimit.
+    bool isInContact(const VmId& vm, Incarnation incarnation) const;
     /// Where reports for the other zones are sent; the receivers pass them on in their zones. For each zone these are
     /// its relay and another VM, which differs from round to round, so that a relay that has just stopped does not hide
     /// the reports from its zone.
--- a/Source/Core/Gateway/PartQuarantine.cpp
+++ b/Source/Core/Gateway/PartQuarantine.cpp
@@ -11,7 +11,7 @@
     // Two or three reports contain each piece of news, so that it gets through when a datagram is lost.
     constexpr unsigned newsSends = 3;
 
-    // Interval of the list of quarantined parts, which VMs that start or were cut off need.
+    // Interval of the list of quarantined parts, for VMs that lost the reports with the news.
     constexpr std::chrono::seconds listInterval { 5 };
 
     // Another VM gets the turn for a due trial after this time, since requests with the part may not reach the first.
--- a/Source/Core/Gateway/PartQuarantine.h
+++ b/Source/Core/Gateway/PartQuarantine.h
@@ -57,6 +57,7 @@
     void recordAnswer(std::span<const PartId> parts) override;
     void recordRefusal(PartId part) override;
     bool startTrial(std::span<const PartId> parts) override;
+    void repeatParts() override { m_nextListAt = MonotonicTime(0); }
     QuarantineReport takeReport() override;
     std::vector<PartAnswer> takeZoneAnswers() override;
     void mergeReport(const QuarantineReport& report, bool isOfOwnZone) override;
