Answer evidence on a quarantined part with the list of parts

A VM that started after the first crashes of a part and saw the last one itself did not learn that the part is quarantined until its record in the store or the next regular list came, up to 5 s later; 3 s are allowed (BUDGET).

Cause: only a VM that names a part from its own crash sends the verdict. Here the others name it from the evidence of the started VM, which has too little itself.

Fix: new evidence of another VM on a part that is quarantined puts the list into the next report. Evidence that is sent again brings no further list.

--- a/Source/Core/Gateway/PartQuarantine.cpp
+++ b/Source/Core/Gateway/PartQuarantine.cpp
@@ -424,8 +424,11 @@
 void PartQuarantine::mergeReport(const QuarantineReport& report, bool isOfOwnZone)
 {
     const auto now = m_clock.now();
+    std::vector<PartId> newEvidence;
     for (const auto& it : report.evidence) {
-        addEvidence(it.part, it.crash, now - it.age);
+        if (addEvidence(it.part, it.crash, now - it.age)) {
+            newEvidence.push_back(it.part);
+        }
     }
     for (const auto& it : report.answers) {
         std::erase_if(m_answerNews, [&it](const auto& own) { return own.item.part == it.part; });
@@ -436,6 +439,10 @@
     }
     eraseOldest(m_zoneAnswers, maxReported);
     evaluate(false);
+    if (findQuarantined(newEvidence)) {
+        // The sender may not have the earlier evidence, if it started after the first crashes.
+        repeatParts();
+    }
     for (const auto& it : report.parts) {
         const auto firstCrashAt = now - it.evidenceAge;
         const auto answered = answeredAt(it.part);
--- /dev/null
+++ b/Source/UnitTests/Gateway/QuarantineNewsTests.cpp
@@ -0,0 +1,61 @@
+#include "Gateway/GatewayFixture.h"
+
+using namespace Pollenwind;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr PartId deadly = 3;
+
+struct NoTurns final : TurnQueries {
+    bool isOwnTurn(std::uint64_t) const override { return false; }
+};
+
+struct TestVm {
+    explicit TestVm(const Clock& clock)
+        : timeline(clock, "test")
+        , quarantine(clock, timeline, metrics, turns)
+    {
+    }
+
+    bool isQuarantined(PartId part) const { return quarantine.findQuarantined(std::array { part }).has_value(); }
+
+    MetricTable metrics;
+    Timeline timeline;
+    NoTurns turns;
+    PartQuarantine quarantine;
+};
+
+void report(TestVm& sender, TestVm& receiver) { receiver.quarantine.mergeReport(sender.quarantine.takeReport(), true); }
+
+} // namespace
+
+// Guards against a VM that started after the first crashes and saw the last one itself: the others name the part from
+// its evidence, and it must not wait for their regular list to learn that.
+Test(PartQuarantine, isKnownToAVmWhoseEvidenceNamesThePart)
+{
+    ManualClock clock;
+    TestVm known(clock);
+    for (std::uint64_t crash = 1; crash <= 2; ++crash) {
+        known.quarantine.recordCrash("runner", crash, std::array { deadly });
+    }
+    TestVm started(clock);
+    for (unsigned n = 0; n < 4; ++n) {
+        clock.advance(250ms);
+        // Not received, as before the start.
+        known.quarantine.takeReport();
+    }
+    started.quarantine.recordCrash("runner", 3, std::array { deadly });
+    report(started, known);
+    cr_assert(known.isQuarantined(deadly));
+    cr_assert(!started.isQuarantined(deadly));
+    clock.advance(250ms);
+    report(known, started);
+    cr_assert(started.isQuarantined(deadly));
+    for (unsigned n = 0; n < 4; ++n) {
+        clock.advance(250ms);
+        report(started, known);
+        const auto report = known.quarantine.takeReport();
+        cr_assert(report.parts.empty(), "evidence that is sent again brings no further list");
+    }
+}
