Keep a part of the memory budget for the store and the other VMs

A quarter of the budget is now for store responses, feeds and unparsed bytes of responses only. MemoryBudget::keepsRoomForTheStoreBesideRequestsAndResponses failed before (page.resize(pageBytes) is false). dividesItselfAmongHoldersWithoutEnd checks the same arithmetic with a use that may take the whole total. A request whose connection ends is reported without its body, which the report copied uncounted.

--- a/Source/Core/Common/MemoryBudget.cpp
+++ b/Source/Core/Common/MemoryBudget.cpp
@@ -5,6 +5,32 @@
 
 namespace Pollenwind {
 
+namespace {
+
+    // Part of the total that is kept for the store and the other VMs.
+    constexpr std::size_t reserveDivisor = 4;
+
+    /// Whether a use may take up the part that is kept for the store and the other VMs.
+    bool mayUseReserve(MemoryUse use)
+    {
+        switch (use) {
+        case MemoryUse::StoreResponse:
+        case MemoryUse::PeerFeed:
+        // The bytes of their responses that are not parsed yet are among them. A connection holds few.
+        case MemoryUse::UnparsedResponse:
+            return true;
+        case MemoryUse::Request:
+        case MemoryUse::RunnerResponse:
+        case MemoryUse::RunnerStream:
+        case MemoryUse::RunnerReport:
+        case MemoryUse::OperatorResponse:
+            break;
+        }
+        return false;
+    }
+
+} // namespace
+
 MemoryBudget::Share::Share(Share&& other) noexcept
     : m_budget(other.m_budget)
     , m_use(other.m_use)
@@ -29,7 +55,8 @@
 {
     auto& budget = *m_budget;
     const auto others = budget.m_held - m_bytes;
-    const auto available = budget.m_total - std::min(budget.m_total, others);
+    const auto limit = mayUseReserve(m_use) ? budget.m_total : budget.m_total - budget.m_total / reserveDivisor;
+    const auto available = limit - std::min(limit, others);
     // At least as much stays free.
     if (bytes > m_bytes && bytes > available / 2) {
         ++budget.m_refusals[static_cast<std::size_t>(m_use)];
--- a/Source/Core/Common/MemoryBudget.h
+++ b/Source/Core/Common/MemoryBudget.h
@@ -45,8 +45,9 @@
 /// Bytes of other processes that this process may hold together. Each holder has a share.
 ///
 /// A share may grow only while it stays at most as large as the rest that is still free. So the largest holders are
-/// refused first, however many there are, and small ones get in beside them. The sum never exceeds the total. Not
-/// thread-safe: a process has one thread.
+/// refused first, however many there are, and small ones get in beside them. The sum never exceeds the total. A quarter
+/// is kept for what the store and the other VMs send, without which this VM could not go on serving: their responses
+/// are large and would be refused first. Not thread-safe: a process has one thread.
 class MemoryBudget {
 public:
     /// Total of a process whose settings name no memory limit.
--- a/Source/Core/Transport/ConnectionEnd.h
+++ b/Source/Core/Transport/ConnectionEnd.h
@@ -67,7 +67,7 @@
     ConnectionEvent event = ConnectionEvent::Unanswered;
     /// Id of the request as its handler set it; empty when it was not handled.
     std::string requestId;
-    /// Request that was not handled and whose body is incomplete; null when its header was not read.
+    /// Request that was not handled, without its body; null when its header was not read.
     const HttpRequest* request = nullptr;
     RequestTrace trace;
     /// The server had begun to stop.
--- a/Source/Core/Transport/HttpServer.cpp
+++ b/Source/Core/Transport/HttpServer.cpp
@@ -615,6 +615,8 @@
 void HttpServer::State::reportRead(
     ConnectionEvent event, const Connection& connection, const beast::error_code& ec, RequestParser& parser)
 {
+    // The handler takes a copy of the request, whose body no budget would count.
+    parser.get().body() = {};
     const auto request = parser.is_header_done() ? detail::toRequest(parser.release()) : HttpRequest();
     reportEnd({ .event = event,
                   .request = request.headers.empty() ? nullptr : &request,
--- a/Source/UnitTests/Common/MemoryBudgetTests.cpp
+++ b/Source/UnitTests/Common/MemoryBudgetTests.cpp
@@ -62,7 +62,7 @@
         MemoryBudget budget(total);
         std::vector<MemoryBudget::Share> shares;
         for (std::size_t n = 0; n < count; ++n) {
-            shares.emplace_back(budget, MemoryUse::RunnerReport);
+            shares.emplace_back(budget, MemoryUse::StoreResponse);
         }
         for (bool isGrowing = true; isGrowing;) {
             isGrowing = false;
@@ -70,11 +70,11 @@
                 isGrowing = it.resize(it.bytes() + step) || isGrowing;
             }
         }
-        cr_assert_geq(budget.refusals(MemoryUse::RunnerReport), count);
+        cr_assert_geq(budget.refusals(MemoryUse::StoreResponse), count);
         const auto part = total / (count + 1);
         cr_assert_geq(total - budget.heldBytes(), part - step, "%zu holders", count);
         cr_assert_leq(total - budget.heldBytes(), part + count * step, "%zu holders", count);
-        MemoryBudget::Share small(budget, MemoryUse::Request);
+        MemoryBudget::Share small(budget, MemoryUse::PeerFeed);
         cr_assert(small.resize((part - step) / 2), "%zu holders", count);
     }
 }
@@ -94,3 +94,23 @@
     MemoryBudget::Share moved(std::move(share));
     cr_assert_eq(budget.heldBytes(), text.capacity());
 }
+
+// Guards against callers and runners that keep this VM from the store: a list of records is larger than most requests
+// and would be refused first, so that the configuration and the keys get out of date.
+Test(MemoryBudget, keepsRoomForTheStoreBesideRequestsAndResponses)
+{
+    // A page of the store's list, as a string that doubles, on a VM with 88 MB.
+    constexpr std::size_t pageBytes = 2UL * 1024 * 1024;
+    constexpr std::size_t holders = 400;
+    MemoryBudget budget(22UL * 1024 * 1024);
+    std::vector<MemoryBudget::Share> shares;
+    for (const auto use : { MemoryUse::Request, MemoryUse::RunnerResponse, MemoryUse::RunnerStream,
+             MemoryUse::RunnerReport, MemoryUse::OperatorResponse }) {
+        for (std::size_t n = 0; n < holders; ++n) {
+            shares.emplace_back(budget, use);
+            while (shares.back().resize(shares.back().bytes() + 1024)) { }
+        }
+    }
+    MemoryBudget::Share page(budget, MemoryUse::StoreResponse);
+    cr_assert(page.resize(pageBytes));
+}
