Count the first totals of a term after a silence in full

The share now counts only for the time of the process or term. FleetQuota::countsTheFirstTotalsOfATermAfterALongSilence failed before (0 of 2,500 tokens counted) and passes.

--- a/Source/Core/Gateway/FleetQuota.cpp
+++ b/Source/Core/Gateway/FleetQuota.cpp
@@ -181,7 +181,12 @@
         remote.totals.clear();
         remote.incarnation = incarnation;
     }
-    const double ownShareSeconds = remote.silentShare * std::chrono::duration<double>(now - remote.reportedAt).count();
+    // A process or a term of a relay that began meanwhile has used its share since then only.
+    auto ownShareTime = now - remote.reportedAt;
+    if (uptime.count() > 0) {
+        ownShareTime = std::min<std::chrono::nanoseconds>(ownShareTime, uptime);
+    }
+    const double ownShareSeconds = remote.silentShare * std::chrono::duration<double>(ownShareTime).count();
     for (const auto& [hash, total] : totals) {
         auto& known = remote.totals[hash];
         double taken = total - known;
--- a/Source/UnitTests/Gateway/FleetQuotaTests.cpp
+++ b/Source/UnitTests/Gateway/FleetQuotaTests.cpp
@@ -326,3 +326,20 @@
     relay.markSilent(other, 0.5);
     cr_assert_float_eq(relay.zoneTotals().at(7), 150, 1e-6);
 }
+
+// Guards against tokens that are not counted: the share of a VM that was silent must be taken from what it used in its
+// silence, not from the first totals of a process or a relay's term that began much later.
+Test(FleetQuota, countsTheFirstTotalsOfATermAfterALongSilence)
+{
+    ManualClock clock;
+    FleetQuota quota(clock);
+    cr_assert(quota.take(makeOrganisation("org", 1000), { 1 }).has_value());
+    const auto hash = quota.ownTotals().begin()->first;
+    const VmId relay("zone/b/1");
+    quota.recordRemoteUsage(relay, Incarnation(1), { { hash, 100 } }, true, 1s);
+    quota.markSilent(relay, 0.5);
+    clock.advance(60s);
+    const auto before = quota.zoneTotals().at(hash);
+    quota.recordRemoteUsage(relay, Incarnation(2), { { hash, 3000 } }, true, 1s);
+    cr_assert_float_eq(quota.zoneTotals().at(hash) - before, 2500, 1e-6);
+}
