Wait longer for VMs that know a newer configuration but not this VM

Found by the review of: a VM at a new address gets 403 only from VMs that know something newer, and after 1.5 s it served the copy all the same. In a large fleet the others may know it only after the batch delays of watcher and follower. The wait is now 4 s; callers get 503 meanwhile. No test shows the interleaving; ConfigurationInquiry::waitsUntilTheOtherVmsKnowThisOne covers the wait.

--- a/Source/Core/Gateway/ConfigurationInquiry.cpp
+++ b/Source/Core/Gateway/ConfigurationInquiry.cpp
@@ -19,8 +19,9 @@
     // same time, all eight are among them in one of 400,000 starts.
     constexpr std::size_t wantedPerSide = 4;
 
-    // A VM at a new address is known to the others within a second of its registration.
-    constexpr std::chrono::milliseconds registrationTime { 1500 };
+    // A VM at a new address is known to the others soon after its registration: in a large fleet, after the batch
+    // delays of a watcher and its follower, and the others may be reading the restored store, too.
+    constexpr std::chrono::milliseconds registrationTime { 4000 };
     constexpr std::chrono::milliseconds unknownVmPause { 100 };
 
     // Longer than all time limits of a call together.
