End both attempts of a replaced silent runner in order

ForwardDispatcher::endsTheTrialOfASilentRunnerThatIsReplaced failed before (candidates: 2 of 3). - When the other runner sent an error, its body was awaited while the silent runner went on unread. The silent one is now kept, the error dropped. SilentRunner::keepsAnAnswerWhoseNextRunnerFails failed before (no answer). - A write that took longer than 250 ms closed the connection and was taken for an accepted request without output; the silent runner was cancelled, too. A write timeout is now a lost connection. - The limit of the other runner's old weights cancelled the silent runner, too. - The run state after a failed replacement stayed not-run. GatewayTests, TransportTests: the tests above and all of SilentRunner and Transport pass with sanitizers; the last three points have no test of their own.

--- a/Source/Core/Gateway/ForwardDispatcher.cpp
+++ b/Source/Core/Gateway/ForwardDispatcher.cpp
@@ -577,6 +577,8 @@
     if (result.error().runState == RunState::NotRun) {
         --delivery.runs;
         delivery.refusals += result.error().code != ErrorCode::ConnectFailed ? 1 : 0;
+    } else {
+        delivery.runState = RunState::Unknown;
     }
     static_cast<AttemptState&>(delivery) = replaced.state;
     delivery.silent = nullptr;
@@ -594,6 +596,7 @@
     auto& state = static_cast<AttemptState&>(delivery);
     std::swap(state, replaced->state);
     const Outcome<void> result = std::unexpected(silenceError());
+    endTrial(delivery, false);
     recordAttemptEnd(delivery.runner, result, delivery);
     recordVersionResult(result, std::nullopt, delivery);
     std::swap(state, replaced->state);
@@ -626,7 +629,8 @@
         co_return co_await exchange.begin(left);
     }
     auto head = co_await exchange.begin(std::min<std::chrono::nanoseconds>(left, refusalTime));
-    if (!head && head.error().code == ErrorCode::DeadlineExceeded) {
+    // A shorter limit is that of the other runner's old weights, after which the silent one is still wanted.
+    if (!head && head.error().code == ErrorCode::DeadlineExceeded && left > refusalTime) {
         cancelReplaced(delivery);
         head = co_await exchange.awaitHead(end - m_context.clock.now());
     }
@@ -678,9 +682,11 @@
     case ReplyKind::Answer:
         break;
     }
-    if (head.isSuccess()) {
-        cancelReplaced(delivery);
+    if (delivery.silent && !head.isSuccess()) {
+        co_return fail(ErrorCode::ProtocolError,
+            "the runner that was to take over answered with status " + std::to_string(head.status), RunState::Ran);
     }
+    cancelReplaced(delivery);
     if (head.isEventStream && head.isSuccess()) {
         co_return co_await relayStream(request, exchange, head, sink, delivery);
     }
--- a/Source/Core/Transport/HttpClient.cpp
+++ b/Source/Core/Transport/HttpClient.cpp
@@ -233,8 +233,8 @@
     const auto end = std::chrono::steady_clock::now() + timeout;
     const auto [ec, n] = co_await http::async_write(state.stream, message, asTuple);
     if (ec == beast::error::timeout) {
-        // The stream has closed the connection.
-        co_return std::unexpected(transportError("send request", ec));
+        // The stream has closed the connection, so no response can follow.
+        co_return fail(ErrorCode::ConnectionLost, "send request: the time limit passed", RunState::Unknown);
     }
     // A server may reject a long request before it has read all of it and then close the connection, so a response can
     // follow a failed write.
--- a/Source/UnitTests/Gateway/RunnerAvailabilityTests.cpp
+++ b/Source/UnitTests/Gateway/RunnerAvailabilityTests.cpp
@@ -314,6 +314,25 @@
     cr_assert_eq(fixture.metrics.total(Counter::BackOffTrials), 1);
 }
 
+// Guards against a runner that gets no further request because the trial after its back-off never ended: it was silent,
+// and another runner took over.
+Test(ForwardDispatcher, endsTheTrialOfASilentRunnerThatIsReplaced)
+{
+    AvailabilityFixture fixture;
+    for (const auto& it : { r1, r2, r3 }) {
+        fixture.runners.recordBackOff(it, Incarnation(1), 1s, RequestId("q"));
+    }
+    fixture.clock.advance(1200ms);
+    ScriptedAttempt silent { .parts = { "body" } };
+    silent.headSilence = 5s;
+    fixture.scripted.script = { silent, { .parts = { "body" } } };
+    auto request = fixture.makeRequest("/safe/x");
+    request.timeout = 10s;
+    cr_assert(fixture.forward(request).has_value());
+    cr_assert_eq(fixture.metrics.total(Counter::BackOffTrials), 2);
+    cr_assert_eq(fixture.candidates().size(), 3);
+}
+
 // A refusal without a usable time must not take a runner out of use for long.
 Test(ForwardDispatcher, avoidsRunnersBrieflyAfterRefusalsWithoutATime)
 {
--- a/Source/UnitTests/Gateway/SilentRunnerTests.cpp
+++ b/Source/UnitTests/Gateway/SilentRunnerTests.cpp
@@ -68,6 +68,25 @@
     }
 }
 
+// Guards against the end of both runners' answers when the one that is to take over sends an error, whose body may be
+// late, while the silent one goes on.
+Test(SilentRunner, keepsAnAnswerWhoseNextRunnerFails)
+{
+    GatewayFixture fixture;
+    auto silent = streamOf({ firstEvent, secondEvent });
+    silent.partInterval = 1700ms;
+    ScriptedAttempt error;
+    error.status = 500;
+    error.parts = { "error" };
+    error.partInterval = 20s;
+    fixture.scripted.script = { silent, error, error, error };
+    auto request = fixture.makeRequest("/resumable/x");
+    request.timeout = 10s;
+    cr_assert(fixture.forward(request).has_value());
+    cr_assert_eq(fixture.sink.body, firstEvent + secondEvent);
+    cr_assert_eq(fixture.scripted.finished, 1);
+}
+
 // A runner that accepts the request without an output takes over before both work on it for long (TWICE: 400 ms).
 Test(SilentRunner, cancelsASilentRunnerSoonAfterAnotherWasAsked)
 {
