--- a/Source/Core/Transport/HttpClient.cpp
+++ b/Source/Core/Transport/HttpClient.cpp
@@ -333,6 +333,11 @@
     }
 }
 
+Task<Outcome<std::string>> HttpConnection::readAll(std::chrono::nanoseconds timeout)
+{
+    return readAll(operatorBodyLimit, timeout);
+}
+
 Task<Outcome<void>> HttpConnection::skipBody(std::chrono::nanoseconds timeout)
 {
     const auto end = std::chrono::steady_clock::now() + timeout;
--- a/Source/Core/Transport/HttpClient.h
+++ b/Source/Core/Transport/HttpClient.h
@@ -77,6 +77,9 @@
     /// of the process has no room for it. After these errors the connection is closed.
     Task<Outcome<std::string>> readAll(BodyLimit limit, std::chrono::nanoseconds timeout);
 
+    /// The same for a program that runs for an operator, with operatorBodyLimit.
+    Task<Outcome<std::string>> readAll(std::chrono::nanoseconds timeout);
+
     /// Reads the rest of the body and drops it.
     /// @param timeout Longest time for the whole body.
     /// @return ProtocolError for a body of more than maxSkippedBytes.
