--- a/Source/Core/Transport/HttpServer.cpp
+++ b/Source/Core/Transport/HttpServer.cpp
@@ -8,7 +8,8 @@
 #include "Transport/Listener.h"
 #include "Transport/ReceivedBody.h"
 #include "Transport/RequestMessage.h"
-#include "Transport/ResponseHead.h"
+#include "Transport/ServerConnection.h"
+#include "Transport/ServerExchange.h"
 #include "Transport/SocketOptions.h"
 #include "Transport/TimedRead.h"
 
@@ -63,155 +64,12 @@
 
     beast::error_code noMemory() { return make_error_code(boost::system::errc::not_enough_memory); }
 
-    class Exchange final : public HttpExchange {
-    public:
-        /// @param isClosing Whether the server closes connections after their next response; may change until then.
-        Exchange(beast::tcp_stream& stream, HttpRequest request, const HttpServerLimits& limits, bool keepAlive,
-            const bool& isClosing)
-            : m_stream(stream)
-            , m_request(std::move(request))
-            , m_limits(limits)
-            , m_keepAlive(keepAlive)
-            , m_isClosing(isClosing)
-        {
-        }
-
-        const HttpRequest& request() const override { return m_request; }
-        HttpRequest takeRequest() override { return std::move(m_request); }
-
-        void setRequestId(std::string id) override { m_requestId = std::move(id); }
-
-        std::string remoteAddress() const override
-        {
-            beast::error_code ec;
-            const auto endpoint = m_stream.socket().remote_endpoint(ec);
-            return ec ? std::string() : endpoint.address().to_string();
-        }
-
-        bool isBegun() const { return m_isBegun; }
-        bool isComplete() const { return m_isComplete; }
-        bool keepAlive() const { return m_keepAlive && m_stream.socket().is_open(); }
-        void closeAfterAnswer() { m_keepAlive = false; }
-        ConnectionEnd end() const
-        {
-            return { .requestId = m_requestId, .isClosedByClient = m_isClosedByClient, .cause = m_fault };
-        }
-
-        Task<Outcome<void>> answer(const HttpAnswer& answer) override
-        {
-            http::response<http::span_body<const char>> message;
-            m_keepAlive = m_keepAlive && !m_isClosing;
-            detail::fillHead(message, answer, m_keepAlive);
-            m_isBegun = true;
-            message.body() = { answer.body.data(), answer.body.size() };
-            message.prepare_payload();
-            m_stream.expires_after(m_limits.writeTimeout);
-            const auto [ec, n] = co_await http::async_write(m_stream, message, asTuple);
-            if (ec) {
-                co_return std::unexpected(writeError("write response", ec));
-            }
-            m_isComplete = true;
-            co_return Outcome<void> {};
-        }
-
-        Task<Outcome<void>> beginStream(const HttpAnswer& head) override
-        {
-            http::response<http::empty_body> message;
-            m_keepAlive = m_keepAlive && !m_isClosing;
-            detail::fillHead(message, head, m_keepAlive);
-            m_isBegun = true;
-            message.chunked(true);
-            http::response_serializer<http::empty_body> serializer(message);
-            m_stream.expires_after(m_limits.writeTimeout);
-            const auto [ec, n] = co_await http::async_write_header(m_stream, serializer, asTuple);
-            if (ec) {
-                co_return std::unexpected(writeError("write response head", ec));
-            }
-            co_return Outcome<void> {};
-        }
-
-        Task<Outcome<void>> writeChunk(std::string_view chunk) override
-        {
-            if (chunk.empty()) {
-                co_return Outcome<void> {};
-            }
-            m_stream.expires_after(m_limits.writeTimeout);
-            const auto [ec, n] = co_await asio::async_write(
-                m_stream, http::make_chunk(asio::buffer(chunk.data(), chunk.size())), asTuple);
-            if (ec) {
-                co_return std::unexpected(writeError("write chunk", ec));
-            }
-            co_return Outcome<void> {};
-        }
-
-        Task<Outcome<void>> endStream() override
-        {
-            m_stream.expires_after(m_limits.writeTimeout);
-            const auto [ec, n] = co_await asio::async_write(m_stream, http::make_chunk_last(), asTuple);
-            if (ec) {
-                co_return std::unexpected(writeError("write last chunk", ec));
-            }
-            m_isComplete = true;
-            co_return Outcome<void> {};
-        }
-
-        bool isDisconnected() override { return isClosedByPeer(m_stream.socket().native_handle()); }
-
-        void onDisconnect(std::function<void()> handler) override
-        {
-            m_disconnectHandler = std::make_shared<std::function<void()>>([this, handler = std::move(handler)] {
-                m_isClosedByClient = true;
-                handler();
-            });
-            waitForDisconnect(m_stream, m_disconnectHandler);
-        }
-
-        void abort() override
-        {
-            m_keepAlive = false;
-            m_stream.close();
-        }
-
-    private:
-        Error writeError(std::string_view what, const beast::error_code& ec)
-        {
-            m_isClosedByClient = m_isClosedByClient || isCloseByClient(ec);
-            m_fault = std::string(what) + ": " + ec.message();
-            return Error { ErrorCode::ConnectionLost, m_fault, RunState::Unknown };
-        }
-
-        /// Waits until the socket is readable. Received bytes are a pipelined request of a client that is still
-        /// connected.
-        static void waitForDisconnect(beast::tcp_stream& stream, std::weak_ptr<std::function<void()>> handler)
-        {
-            auto& socket = stream.socket();
-            socket.async_wait(tcp::socket::wait_read, [&socket, handler](const beast::error_code& ec) {
-                const auto alive = handler.lock();
-                if (alive && (ec || isClosedByPeer(socket.native_handle()))) {
-                    (*alive)();
-                }
-            });
-        }
-
-        beast::tcp_stream& m_stream;
-        HttpRequest m_request;
-        const HttpServerLimits& m_limits;
-        bool m_keepAlive;
-        const bool& m_isClosing;
-        bool m_isBegun = false;
-        bool m_isComplete = false;
-        bool m_isClosedByClient = false;
-        std::string m_requestId;
-        /// Text of the last error of a write.
-        std::string m_fault;
-        /// The pending wait has only a weak pointer to it, so that it has no effect after the exchange has ended.
-        std::shared_ptr<std::function<void()>> m_disconnectHandler;
-    };
-
 } // namespace
 
 struct HttpServer::State : std::enable_shared_from_this<HttpServer::State> {
     using ConnectionId = std::uint64_t;
+    using Connection = detail::ServerConnection;
+    using Exchange = detail::ServerExchange;
 
     State(asio::any_io_executor ex, HttpHandler& h, HttpServerLimits l)
         : executor(std::move(ex))
@@ -221,26 +79,6 @@
     {
     }
 
-    /// One client.
-    struct Connection {
-        explicit Connection(tcp::socket socket)
-            : stream(std::move(socket))
-        {
-        }
-
-        beast::tcp_stream stream;
-        /// Bytes that were received and not parsed.
-        beast::flat_buffer buf;
-        /// Memory of the buffer and of the request.
-        MemoryBudget::Share held { processMemory(), MemoryUse::Request };
-        /// Parsed bytes of the present request that are held, and the part of them that its head takes.
-        std::size_t requestBytes = 0;
-        std::size_t headBytes = 0;
-        /// Waits for a request of which nothing has arrived.
-        bool isIdle = false;
-        RequestTrace trace;
-    };
-
     /// Closes a connection at the end of its task.
     class ConnectionCloser {
     public:
--- /dev/null
+++ b/Source/Core/Transport/ServerConnection.h
@@ -0,0 +1,35 @@
+#pragma once
+
+#include "Common/MemoryBudget.h"
+#include "Transport/ConnectionEnd.h"
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+
+#include <cstddef>
+#include <utility>
+
+namespace Pollenwind::detail {
+
+/// One client of HttpServer.
+struct ServerConnection {
+    explicit ServerConnection(boost::asio::ip::tcp::socket socket)
+        : stream(std::move(socket))
+    {
+    }
+
+    boost::beast::tcp_stream stream;
+    /// Bytes that were received and not parsed.
+    boost::beast::flat_buffer buf;
+    /// Memory of the buffer and of the request.
+    MemoryBudget::Share held { processMemory(), MemoryUse::Request };
+    /// Parsed bytes of the present request that are held, and the part of them that its head takes.
+    std::size_t requestBytes = 0;
+    std::size_t headBytes = 0;
+    /// Waits for a request of which nothing has arrived.
+    bool isIdle = false;
+    RequestTrace trace;
+};
+
+} // namespace Pollenwind::detail
