Free the memory of a refused request with its share of the budget

Cause: a request without memory was cleared by assigning an empty string, which keeps its capacity, while its share of the budget was returned; the connection then dropped bytes for up to 2 s.

Change: a request is read in a task of its own, so that the parser with all of its memory is gone before the share is returned and the client is refused.

--- a/Source/Core/Transport/HttpServer.cpp
+++ b/Source/Core/Transport/HttpServer.cpp
@@ -25,7 +25,9 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <string>
 #include <utility>
+#include <variant>
 
 namespace Pollenwind {
 
@@ -99,12 +101,30 @@
     /// How much of a request to read.
     enum class ReadUntil { Header, Body };
 
+    /// Response to a request that the handler does not get.
+    struct Rejection {
+        int status;
+        std::string reason;
+    };
+
+    struct CompleteRequest {
+        HttpRequest message;
+        bool keepAlive;
+    };
+
+    /// The connection ends without a response.
+    struct NothingReceived { };
+
+    using Received = std::variant<CompleteRequest, Rejection, NothingReceived>;
+
     Task<> acceptLoop();
     void addConnection(tcp::socket socket);
     /// Takes over the connections that the kernel has accepted for this server.
     void acceptQueued();
     static Task<> serve(std::shared_ptr<State> state, ConnectionId id);
     Task<> serveRequests(Connection& connection);
+    /// Reads the next request of a connection.
+    Task<Received> receive(Connection& connection, bool isFirst);
     /// Lets the handler serve a request. A fault of the handler becomes a response if none has begun, and the end of
     /// the connection.
     Task<> handle(Exchange& exchange);
@@ -115,6 +135,12 @@
     {
         return connection.held.resize(bufferBytes + connection.requestBytes);
     }
+    /// Returns the memory of the present request to the budget.
+    static void releaseRequest(Connection& connection)
+    {
+        connection.requestBytes = connection.headBytes = 0;
+        hold(connection, connection.buf.capacity());
+    }
     /// Reads and drops what a client goes on to send after a refusal. Closing a connection with unread bytes resets it,
     /// and the client could lose the response.
     Task<> dropRest(Connection& connection);
@@ -352,63 +378,69 @@
     co_return ec;
 }
 
+Task<HttpServer::State::Received> HttpServer::State::receive(Connection& connection, bool isFirst)
+{
+    beast::error_code ec;
+    auto headerBegin = std::chrono::steady_clock::now();
+    connection.trace.begin(connection.buf.size());
+    if (connection.buf.size() == 0) {
+        ec = co_await waitForRequest(connection, isFirst);
+        headerBegin = isFirst ? headerBegin : std::chrono::steady_clock::now();
+    }
+    // Only now, since the limits may have been replaced during the wait.
+    updateLimits();
+    connection.requestBytes = connection.headBytes = 0;
+    RequestParser parser;
+    parser.header_limit(static_cast<std::uint32_t>(limits.headerBytes));
+    parser.body_limit(limits.bodyBytes);
+    if (!ec) {
+        ec = co_await readRequest(connection, parser, ReadUntil::Header, headerBegin + limits.headerTimeout);
+    }
+    if (!ec) {
+        ec = co_await readRequest(
+            connection, parser, ReadUntil::Body, std::chrono::steady_clock::now() + limits.bodyTimeout);
+    }
+    if (ec == http::error::body_limit || ec == http::error::header_limit) {
+        co_return Rejection { ec == http::error::body_limit ? 413 : 431, ec.message() };
+    }
+    if (ec == noMemory()) {
+        co_return Rejection { 503, "there is no memory for the request" };
+    }
+    if (ec && ec.category() == make_error_code(http::error::bad_method).category()) {
+        co_return Rejection { 400, ec.message() };
+    }
+    if (ec) {
+        recordReadEnd(connection, ec, parser);
+        if (connection.trace.bytes() == 0 && !isCloseByClient(ec)) {
+            co_await closeIdle(connection, parser);
+        }
+        co_return NothingReceived {};
+    }
+    if (parser.get().method() == http::verb::trace && !parser.get().body().empty()) {
+        // Cannot be forwarded: clients must not send content in a TRACE request (RFC 9110, 9.3.8).
+        co_return Rejection { 400, "a TRACE request must not have a body" };
+    }
+    const bool keepAlive = parser.get().keep_alive();
+    co_return CompleteRequest { detail::toRequest(parser.release()), keepAlive };
+}
+
 Task<> HttpServer::State::serveRequests(Connection& connection)
 {
-    auto& stream = connection.stream;
-    auto& buf = connection.buf;
     for (bool isFirst = true;; isFirst = false) {
-        beast::error_code ec;
-        auto headerBegin = std::chrono::steady_clock::now();
-        connection.trace.begin(buf.size());
-        if (buf.size() == 0) {
-            ec = co_await waitForRequest(connection, isFirst);
-            headerBegin = isFirst ? headerBegin : std::chrono::steady_clock::now();
-        }
-        // Only now, since the limits may have been replaced during the wait.
-        updateLimits();
-        connection.requestBytes = connection.headBytes = 0;
-        RequestParser parser;
-        parser.header_limit(static_cast<std::uint32_t>(limits.headerBytes));
-        parser.body_limit(limits.bodyBytes);
-        if (!ec) {
-            ec = co_await readRequest(connection, parser, ReadUntil::Header, headerBegin + limits.headerTimeout);
-        }
-        if (!ec) {
-            ec = co_await readRequest(
-                connection, parser, ReadUntil::Body, std::chrono::steady_clock::now() + limits.bodyTimeout);
-        }
-        if (ec == http::error::body_limit || ec == http::error::header_limit) {
-            co_await reject(connection, ec == http::error::body_limit ? 413 : 431, ec.message());
-            co_return;
-        }
-        if (ec == noMemory()) {
-            parser.get().body() = {};
-            connection.requestBytes = 0;
-            hold(connection, buf.capacity());
-            co_await reject(connection, 503, "there is no memory for the request");
-            co_return;
-        }
-        if (ec && ec.category() == make_error_code(http::error::bad_method).category()) {
-            co_await reject(connection, 400, ec.message());
+        // The memory of a request that is not returned has been freed, so its share of the budget can be returned too.
+        auto received = co_await receive(connection, isFirst);
+        if (const auto* rejection = std::get_if<Rejection>(&received)) {
+            releaseRequest(connection);
+            co_await reject(connection, rejection->status, rejection->reason);
             co_return;
         }
-        if (ec) {
-            recordReadEnd(connection, ec, parser);
-            if (connection.trace.bytes() == 0 && !isCloseByClient(ec)) {
-                co_await closeIdle(connection, parser);
-            }
+        auto* request = std::get_if<CompleteRequest>(&received);
+        if (!request) {
             co_return;
         }
-        if (parser.get().method() == http::verb::trace && !parser.get().body().empty()) {
-            // Cannot be forwarded: clients must not send content in a TRACE request (RFC 9110, 9.3.8).
-            co_await reject(connection, 400, "a TRACE request must not have a body");
-            co_return;
-        }
-        const bool keepAlive = parser.get().keep_alive();
-        Exchange exchange(stream, detail::toRequest(parser.release()), limits, keepAlive, isClosing);
+        Exchange exchange(connection.stream, std::move(request->message), limits, request->keepAlive, isClosing);
         co_await handle(exchange);
-        connection.requestBytes = connection.headBytes = 0;
-        hold(connection, buf.capacity());
+        releaseRequest(connection);
         if (!exchange.isComplete()) {
             reportEnd(exchange.end(), connection.trace);
             co_return;
@@ -454,7 +486,7 @@
     ConnectionEvent event, const Connection& connection, const beast::error_code& ec, RequestParser& parser)
 {
     // The handler takes a copy of the request, whose body no budget would count.
-    parser.get().body() = {};
+    std::string().swap(parser.get().body());
     const auto request = parser.is_header_done() ? detail::toRequest(parser.release()) : HttpRequest();
     reportEnd({ .event = event,
                   .request = request.headers.empty() ? nullptr : &request,
