Encode an attempt without a copy of its body

Cause: encodeAttempt copied the body, and HttpRunnerClient cleared the copy by assigning an empty string, which keeps its capacity. Each running attempt held the body of its request a second time, and no budget counted it.

PlatformRequests::forwardsOnlyEndToEndHeaders now wants the message without the body and the request with it; that runners get the body unchanged is checked over sockets by the tests of the gateway.

--- a/Source/Core/Gateway/HttpRunnerClient.cpp
+++ b/Source/Core/Gateway/HttpRunnerClient.cpp
@@ -134,7 +134,6 @@
     auto pooled = mayReuse ? m_pool.take(endpoint) : nullptr;
     auto fresh = pooled ? nullptr : std::make_unique<HttpConnection>(m_executor);
     auto message = m_codec.encodeAttempt(request, terms);
-    message.body = {};
     return std::make_unique<HttpRunnerExchange>(m_pool, m_codec, endpoint, std::move(message), request.message.body,
         request.id, std::move(pooled), std::move(fresh), m_connectTimeout);
 }
--- a/Source/Core/Gateway/Queries/ForwardCodec.h
+++ b/Source/Core/Gateway/Queries/ForwardCodec.h
@@ -17,7 +17,7 @@
     /// @return The request, or Malformed.
     virtual Outcome<ForwardRequest> decodeRequest(HttpRequest message) const = 0;
 
-    /// Encodes the message for one attempt at a runner.
+    /// Encodes the message for one attempt at a runner, without its body, which stays in the request.
     virtual HttpRequest encodeAttempt(const ForwardRequest& request, const AttemptTerms& terms) const = 0;
 
     /// Reads the head of a runner's response.
--- a/Source/UnitTests/PlatformAdapter/CodecTests.cpp
+++ b/Source/UnitTests/PlatformAdapter/CodecTests.cpp
@@ -54,7 +54,8 @@
     terms.timeout = 5900ms;
     const auto message = codec.encodeAttempt(*request, terms);
     cr_assert_eq(message.target(), "/lepu270/2f?a=1");
-    cr_assert_eq(message.body, "body");
+    cr_assert(message.body.empty(), "a copy that no budget counts");
+    cr_assert_eq(request->message.body, "body");
     for (const auto* name : { "Authorization", "Kv-From", "X-Hold", "Connection", "X-Hop", "X-Cache-Salt" }) {
         cr_assert(!hasHeader(message.headers, name), "%s", name);
     }
