Let a stream that has begun last until its deadline

Beside a SIGTERM or a SIGHUP such an end is a lost request; a configuration that shortens a route's timeout puts it beside the change.

Cause: the timer of a request fires 15 ms before its deadline, so that an error response reaches the caller in time. A response that has begun cannot be replaced by an error response, but was closed all the same.

Change: the margin applies only while an error response can still be sent. As runners now reach the deadline themselves, a connection that one closes in the last 15 ms counts as the end of the time, not as a failure of the runner or its version, and is not resumed.

Deadline::doesNotEndABegunStreamBeforeItsDeadline failed before (closed after 685 of 700 ms), and ForwardDispatcher::doesNotResumeAStreamThatItsRunnerEndsAtTheDeadline too.

--- a/Source/Core/Gateway/ForwardDispatcher.cpp
+++ b/Source/Core/Gateway/ForwardDispatcher.cpp
@@ -34,6 +34,10 @@
     // request for more than 400 ms.
     constexpr std::chrono::milliseconds refusalTime { 250 };
 
+    // A runner stops at the deadline that it was given, and its clock began a little earlier or later. A connection
+    // that it closes within this time of the deadline is no failure of its own.
+    constexpr std::chrono::milliseconds deadlineTolerance { 15 };
+
     // Value of Retry-After. Callers follow it up to a third of their remaining time.
     constexpr std::chrono::milliseconds unavailableRetryAfter { 300 };
 
@@ -390,7 +394,7 @@
         ++delivery.refusals;
     }
     const bool isWithinLimits = delivery.runs < std::max(1U, delivery.route->maxAttempts)
-        && delivery.refusals <= maxRefusals && m_context.clock.now() < delivery.deadline;
+        && delivery.refusals <= maxRefusals && timeLeft(delivery) > deadlineTolerance;
     if (!isWithinLimits) {
         return false;
     }
@@ -475,6 +479,9 @@
         delivery.isTakenBack = true;
         m_context.metrics.count(Counter::OldWeightsRecalls);
     }
+    if (!result && result.error().code == ErrorCode::ConnectionLost && timeLeft(delivery) <= deadlineTolerance) {
+        result.error().code = ErrorCode::DeadlineExceeded;
+    }
     endTrial(delivery, false);
     sink.onStop({});
     if (result && !delivery.isReplaced) {
--- a/Source/Core/Gateway/GatewayFrontEnd.cpp
+++ b/Source/Core/Gateway/GatewayFrontEnd.cpp
@@ -8,7 +8,8 @@
 
 namespace {
 
-    // The response at the deadline is sent this much earlier, so that it reaches the caller in time.
+    // An error response for the deadline is sent this much earlier, so that it reaches the caller in time. A response
+    // that has begun has until the deadline.
     constexpr std::chrono::milliseconds timeoutMargin { 15 };
 
     // Value of Retry-After of a process that ends. Callers may turn to other VMs at once.
@@ -27,15 +28,12 @@
             m_exchange.onDisconnect([this] { stop({ ErrorCode::Cancelled, "the caller closed the connection" }); });
         }
 
+        /// @param timeout Time until the deadline.
         void startTimer(std::chrono::nanoseconds timeout)
         {
-            m_timer.expires_after(std::chrono::duration_cast<asio::steady_timer::duration>(timeout));
-            // The handler may run after the sink was destroyed; then the weak pointer has expired.
-            m_timer.async_wait([this, alive = std::weak_ptr<bool>(m_alive)](const boost::system::error_code& ec) {
-                if (!ec && alive.lock()) {
-                    stop({ ErrorCode::DeadlineExceeded, "the deadline passed" });
-                }
-            });
+            const auto margin = timeout > 2 * timeoutMargin ? timeoutMargin : std::chrono::milliseconds(0);
+            m_deadline = asio::steady_timer::clock_type::now() + timeout;
+            expireAt(m_deadline - margin);
         }
 
         Task<Outcome<void>> answer(const ReplyHead& head, std::string body) override
@@ -85,8 +83,27 @@
         bool isStoppedForShutdown() const { return m_isStoppedForShutdown; }
 
     private:
+        using TimePoint = asio::steady_timer::time_point;
+
+        void expireAt(TimePoint time)
+        {
+            m_timer.expires_at(time);
+            // The handler may run after the sink was destroyed; then the weak pointer has expired.
+            m_timer.async_wait([this, time, alive = std::weak_ptr<bool>(m_alive)](const boost::system::error_code& ec) {
+                if (ec || !alive.lock()) {
+                    return;
+                }
+                if (m_isBegun && time < m_deadline) {
+                    expireAt(m_deadline);
+                } else {
+                    stop({ ErrorCode::DeadlineExceeded, "the deadline passed" });
+                }
+            });
+        }
+
         HttpExchange& m_exchange;
         asio::steady_timer m_timer;
+        TimePoint m_deadline;
         std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
         std::function<void()> m_handler;
         std::optional<Error> m_reason;
@@ -189,7 +206,7 @@
     exchange.setRequestId(request->id.value());
     ExchangeSink sink(exchange, co_await asio::this_coro::executor);
     const auto timeout = m_dispatcher.timeoutOf(*request);
-    sink.startTimer(timeout > 2 * timeoutMargin ? timeout - timeoutMargin : timeout);
+    sink.startTimer(timeout);
     const auto running = m_running.emplace(m_nextId++, [&sink] { sink.stopForShutdown(); }).first;
     auto result
         = co_await withoutExceptions(TaskKind::ServerConnection, m_dispatcher.forward(*request, receivedAt, sink));
