Do not look at a request that crosses the close of an idle connection

Cause: closeIdle looked at up to 4,096 bytes of the crossing request (MSG_PEEK) to name it in the log. The protocol lets a caller repeat a request that may run once only if it was not read, and a look takes the bytes out of the kernel for whoever judges by the system calls of the process. A name is not worth a booking that is not sent again.

Change: only the number of waiting bytes is asked for. ConnectionEnd::tellsWhichRequestCrossedTheClose wanted the request's path; it now wants that there is none, and the exact number of bytes instead.

--- a/Source/Core/Transport/HttpServer.cpp
+++ b/Source/Core/Transport/HttpServer.cpp
@@ -52,9 +52,6 @@
     // Time to look for a request that crosses the close of an idle connection. It covers a round trip to the client.
     constexpr std::chrono::milliseconds crossingWait { 100 };
 
-    // Bytes of such a request that are looked at to name it.
-    constexpr std::size_t maxPeekedBytes = 4096;
-
     // Smallest space for one read.
     constexpr std::size_t minReadBytes = 512;
 
@@ -166,7 +163,7 @@
     void reportRead(
         ConnectionEvent event, const Connection& connection, const beast::error_code& ec, RequestParser& parser);
     /// Closes a connection that waits for its next request, and reports a request that crosses the close.
-    Task<> closeIdle(Connection& connection, RequestParser& parser);
+    Task<> closeIdle(Connection& connection);
 
     asio::any_io_executor executor;
     HttpHandler& handler;
@@ -412,7 +409,7 @@
     if (ec) {
         recordReadEnd(connection, ec, parser);
         if (connection.trace.bytes() == 0 && !isCloseByClient(ec)) {
-            co_await closeIdle(connection, parser);
+            co_await closeIdle(connection);
         }
         co_return NothingReceived {};
     }
@@ -495,7 +492,7 @@
         connection.trace);
 }
 
-Task<> HttpServer::State::closeIdle(Connection& connection, RequestParser& parser)
+Task<> HttpServer::State::closeIdle(Connection& connection)
 {
     auto& socket = connection.stream.socket();
     beast::error_code ec;
@@ -504,14 +501,11 @@
         co_return;
     }
     co_await detail::waitUntilReadable(socket, std::chrono::steady_clock::now() + crossingWait);
-    // The request stays unread, so that its client gets a reset and may send it again.
-    auto& buf = connection.buf;
-    const auto n = socket.receive(buf.prepare(maxPeekedBytes), tcp::socket::message_peek, ec);
+    // The request is not looked at: its client gets a reset and may send it again, whatever it asks for.
+    const auto n = socket.available(ec);
     if (!ec && n > 0) {
-        buf.commit(n);
         connection.trace.add(n);
-        parser.put(buf.data(), ec);
-        reportRead(ConnectionEvent::CrossedClose, connection, {}, parser);
+        reportEnd({ .event = ConnectionEvent::CrossedClose }, connection.trace);
     }
 }
 
--- a/Source/UnitTests/Transport/ConnectionEndTests.cpp
+++ b/Source/UnitTests/Transport/ConnectionEndTests.cpp
@@ -61,7 +61,8 @@
 }
 
 // Guards against a caller that sees its request cut without an answer while no record tells that it crossed the close
-// of an idle connection, at a stop or at the idle limit. The request stays unread: its caller may send it again.
+// of an idle connection, at a stop or at the idle limit. The request is not even looked at, so its caller may send it
+// again.
 Test(ConnectionEnd, tellsWhichRequestCrossedTheClose)
 {
     for (const bool isStop : { true, false }) {
@@ -79,7 +80,8 @@
         cr_assert_eq(fixture.handler.requests, 1);
         cr_assert_eq(fixture.handler.ends.size(), 1);
         cr_assert(fixture.handler.ends.front().event == ConnectionEvent::CrossedClose);
-        cr_assert_eq(fixture.handler.endPaths.front(), "/crossing");
+        cr_assert_eq(fixture.handler.endPaths.front(), "");
+        cr_assert_eq(fixture.handler.ends.front().trace.bytes(), requestOf("/crossing").size());
         cr_assert(client.isReset());
     }
 }
