Promise callers how long an idle connection is kept, and keep the promise

Cause: callers respect the time given in Keep-Alive, and the gateway never gave one, so they went by an idle limit of some version of the configuration.

The connection is kept for the promised time and the margin after its last response, also when the limit became shorter meanwhile and at a stop. The log line of a crossing tells the idle time, the limit and the promise.

The log line of a request's end names its time, for the share of it that was used.

--- a/Source/Core/Gateway/Gateway.cpp
+++ b/Source/Core/Gateway/Gateway.cpp
@@ -75,6 +75,12 @@
         return std::max(limit - margin, limit / 2);
     }
 
+    /// Time from the begin of a stop until the VM accepts no more connections and closes idle ones.
+    std::chrono::milliseconds stopNotice(std::chrono::milliseconds shutdownTimeLimit)
+    {
+        return std::min(balancerLag, shutdownTimeLimit / 2);
+    }
+
     /// Idle connections that one VM keeps to a runner: its share of half of the connections that the runner accepts.
     /// Above its limit, a runner resets connections together with the requests on them.
     std::size_t idleLimit(const RoutingConfiguration& configuration, std::size_t fleetSize)
@@ -92,8 +98,10 @@
     /// Limits for callers in the configuration in use.
     class ConfiguredLimits final : public HttpLimitSource {
     public:
-        explicit ConfiguredLimits(const RoutingQueries& routing)
+        /// @param stopNotice Time from the begin of a stop until idle connections are closed.
+        ConfiguredLimits(const RoutingQueries& routing, std::chrono::milliseconds stopNotice)
             : m_routing(routing)
+            , m_stopNotice(stopNotice)
         {
         }
 
@@ -105,11 +113,13 @@
             server.bodyBytes = configuration->limits.bodyBytes;
             server.headerTimeout = configuration->limits.headerTimeout;
             server.idleTimeout = configuration->limits.idleTimeout;
+            server.maxPromisedIdleTime = m_stopNotice;
             return server;
         }
 
     private:
         const RoutingQueries& m_routing;
+        std::chrono::milliseconds m_stopNotice;
     };
 
 } // namespace
@@ -162,7 +172,7 @@
         , status(settings.readyPath, metrics, [this] { return isReady(); })
         , feed(clock, changeLog, sync, fleet)
         , memory(processMemory(), metrics)
-        , callerLimits(routing)
+        , callerLimits(routing, stopNotice(settings.shutdownTimeLimit))
         , callerServer(executor, frontEnd, callerLimits.limits())
         , readyServer(executor, status, {})
         , metricsServer(executor, status, {})
@@ -309,7 +319,7 @@
     const auto limit = std::chrono::duration_cast<std::chrono::nanoseconds>(settings.shutdownTimeLimit * stopShare);
     const auto exitLimit
         = limit + std::chrono::duration_cast<std::chrono::nanoseconds>(settings.shutdownTimeLimit * lastAnswersShare);
-    const auto lag = std::min<std::chrono::nanoseconds>(balancerLag, settings.shutdownTimeLimit / 2);
+    const std::chrono::nanoseconds lag = stopNotice(settings.shutdownTimeLimit);
     frontEnd.beginShutdown(routing, startedAt + lag, startedAt + limit);
     callerServer.announceClose();
     // Not awaited, since a slow store must not reduce the time for running requests.
--- a/Source/Core/Gateway/GatewayFrontEnd.cpp
+++ b/Source/Core/Gateway/GatewayFrontEnd.cpp
@@ -184,10 +184,16 @@
             id = request->id;
         }
     }
-    m_log.record(end.isClosedByClient ? RequestEvent::ConnectionLeft : RequestEvent::ConnectionClosed, id,
-        { { "end", std::string(nameOf(end.event)) }, { "bytes", std::to_string(end.trace.bytes()) },
-            { "since_first_byte_ms", std::to_string(end.trace.sinceFirstByte().count()) },
-            { "stopping", end.isStopping ? "true" : "false" }, { "cause", end.cause } });
+    EventFields fields { { "end", std::string(nameOf(end.event)) }, { "bytes", std::to_string(end.trace.bytes()) },
+        { "since_first_byte_ms", std::to_string(end.trace.sinceFirstByte().count()) },
+        { "stopping", end.isStopping ? "true" : "false" }, { "cause", end.cause } };
+    if (end.event == ConnectionEvent::CrossedClose) {
+        fields.emplace_back("idle_ms", std::to_string(end.wait.time.count()));
+        fields.emplace_back("idle_limit_ms", std::to_string(end.wait.limit.count()));
+        fields.emplace_back("promised_ms", std::to_string(end.wait.promised.count()));
+    }
+    m_log.record(
+        end.isClosedByClient ? RequestEvent::ConnectionLeft : RequestEvent::ConnectionClosed, id, std::move(fields));
 }
 
 Task<> GatewayFrontEnd::handle(HttpExchange& exchange)
@@ -216,7 +222,7 @@
     if (!result && sink.isStoppedForShutdown()) {
         result.error().code = ErrorCode::ShuttingDown;
     }
-    recordEnd(request->id, result, m_clock.now() - receivedAt);
+    recordEnd(request->id, result, m_clock.now() - receivedAt, timeout);
     if (result) {
         co_return;
     }
@@ -267,11 +273,11 @@
     return count;
 }
 
-void GatewayFrontEnd::recordEnd(
-    const RequestId& request, const Outcome<void>& result, std::chrono::nanoseconds duration)
+void GatewayFrontEnd::recordEnd(const RequestId& request, const Outcome<void>& result,
+    std::chrono::nanoseconds duration, std::chrono::milliseconds timeout)
 {
     const auto milliseconds = std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
-    EventFields fields { { "ms", std::to_string(milliseconds) } };
+    EventFields fields { { "ms", std::to_string(milliseconds) }, { "timeout_ms", std::to_string(timeout.count()) } };
     m_metrics.observe(Distribution::RequestDuration, duration);
     if (result) {
         m_metrics.count(Counter::RequestsCompleted);
--- a/Source/Core/Gateway/GatewayFrontEnd.h
+++ b/Source/Core/Gateway/GatewayFrontEnd.h
@@ -53,7 +53,9 @@
     /// Shortens the time of a request that may be repeated to the rest of the process's time.
     /// @return A refusal if the process is about to end, or if the request comes late and could be cut.
     Outcome<void> limitToShutdown(ForwardRequest& request, MonotonicTime now) const;
-    void recordEnd(const RequestId& request, const Outcome<void>& result, std::chrono::nanoseconds duration);
+    /// @param timeout Time that the request had.
+    void recordEnd(const RequestId& request, const Outcome<void>& result, std::chrono::nanoseconds duration,
+        std::chrono::milliseconds timeout);
 
     const Clock& m_clock;
     const ForwardCodec& m_codec;
--- a/Source/Core/Transport/ConnectionEnd.h
+++ b/Source/Core/Transport/ConnectionEnd.h
@@ -61,6 +61,14 @@
     std::chrono::steady_clock::time_point m_firstByteAt;
 };
 
+/// How long a connection waited for its next request.
+struct IdleWait {
+    std::chrono::milliseconds time { 0 };
+    std::chrono::milliseconds limit { 0 };
+    /// What its last response promised to the client.
+    std::chrono::milliseconds promised { 0 };
+};
+
 /// End of a connection without a complete response to a request that was at least partly read, or whose connection was
 /// rejected.
 struct ConnectionEnd {
@@ -70,6 +78,8 @@
     /// Request that was not handled, without its body; null when its header was not read.
     const HttpRequest* request = nullptr;
     RequestTrace trace;
+    /// The wait that ended with the close which the request crossed.
+    IdleWait wait;
     /// The server had begun to stop.
     bool isStopping = false;
     /// The client closed or reset the connection before the server did.
--- a/Source/Core/Transport/HttpServer.cpp
+++ b/Source/Core/Transport/HttpServer.cpp
@@ -348,12 +348,15 @@
 Task<beast::error_code> HttpServer::State::waitForRequest(Connection& connection, bool isFirst)
 {
     const auto since = std::chrono::steady_clock::now();
-    auto limit = isFirst ? limits.headerTimeout : longestIdleLimit();
+    const std::chrono::milliseconds promised = connection.promisedIdleTime;
+    const auto promiseEnd = promised.count() > 0 ? promised + detail::promisedIdleMargin : promised;
+    auto limit = isFirst ? limits.headerTimeout : std::max(longestIdleLimit(), promiseEnd);
     const auto until = [&] {
         if (!stoppedAt) {
             return since + limit;
         }
-        return std::min(since + limit, isFirst ? *stoppedAt + firstRequestWait : since + nextRequestWait);
+        return std::min(
+            since + limit, isFirst ? *stoppedAt + firstRequestWait : since + std::max(nextRequestWait, promiseEnd));
     };
     beast::error_code ec;
     connection.isIdle = true;
@@ -372,6 +375,9 @@
         }
     }
     connection.isIdle = false;
+    const auto end = std::chrono::steady_clock::now();
+    connection.wait = { std::chrono::duration_cast<std::chrono::milliseconds>(end - since),
+        std::chrono::duration_cast<std::chrono::milliseconds>(until() - since), promised };
     co_return ec;
 }
 
@@ -438,6 +444,7 @@
         Exchange exchange(connection.stream, std::move(request->message), limits, request->keepAlive, isClosing);
         co_await handle(exchange);
         releaseRequest(connection);
+        connection.promisedIdleTime = exchange.promisedIdleTime();
         if (!exchange.isComplete()) {
             reportEnd(exchange.end(), connection.trace);
             co_return;
@@ -505,7 +512,7 @@
     const auto n = socket.available(ec);
     if (!ec && n > 0) {
         connection.trace.add(n);
-        reportEnd({ .event = ConnectionEvent::CrossedClose }, connection.trace);
+        reportEnd({ .event = ConnectionEvent::CrossedClose, .wait = connection.wait }, connection.trace);
     }
 }
 
--- a/Source/Core/Transport/HttpServer.h
+++ b/Source/Core/Transport/HttpServer.h
@@ -100,6 +100,10 @@
     std::chrono::milliseconds idleTimeout { 60'000 };
     /// Longest time for one write; the connection fails after it.
     std::chrono::milliseconds writeTimeout { 10'000 };
+    /// Longest time for which a response may promise to keep its connection open while it is idle (Keep-Alive). The
+    /// promise is kept at a stop too, so it should be at most the time between announceClose() and stopAccepting().
+    /// 0 promises nothing.
+    std::chrono::milliseconds maxPromisedIdleTime { 0 };
 };
 
 /// Limits of a server that change without a notice to it.
@@ -141,9 +145,9 @@
     /// connections are still accepted.
     void announceClose();
 
-    /// Stops accepting and closes idle connections. Requests that have begun to arrive, those on connections that the
-    /// kernel has accepted included, are served; then their connections are closed. New connections get some time to
-    /// send their first request.
+    /// Stops accepting and closes idle connections, those whose last response promised to keep them open when that time
+    /// has passed. Requests that have begun to arrive, those on connections that the kernel has accepted included, are
+    /// served; then their connections are closed. New connections get some time to send their first request.
     void stopAccepting();
 
     /// Closes idle and busy connections at once.
--- a/Source/Core/Transport/IdleLimits.cpp
+++ b/Source/Core/Transport/IdleLimits.cpp
@@ -12,6 +12,12 @@
 
 } // namespace
 
+std::chrono::seconds promisedIdleTime(const HttpServerLimits& limits)
+{
+    const auto longest = std::min(limits.idleTimeout, limits.maxPromisedIdleTime) - promisedIdleMargin;
+    return std::max(std::chrono::seconds(0), std::chrono::floor<std::chrono::seconds>(longest));
+}
+
 void IdleLimits::replace(std::chrono::milliseconds limit)
 {
     m_replaced.push_back({ limit, std::chrono::steady_clock::now() });
--- a/Source/Core/Transport/ServerConnection.h
+++ b/Source/Core/Transport/ServerConnection.h
@@ -7,6 +7,7 @@
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 
+#include <chrono>
 #include <cstddef>
 #include <utility>
 
@@ -29,6 +30,10 @@
     std::size_t headBytes = 0;
     /// Waits for a request of which nothing has arrived.
     bool isIdle = false;
+    /// Idle time that the last response promised.
+    std::chrono::seconds promisedIdleTime { 0 };
+    /// The last wait for a request.
+    IdleWait wait;
     RequestTrace trace;
 };
 
--- a/Source/Core/Transport/ServerExchange.cpp
+++ b/Source/Core/Transport/ServerExchange.cpp
@@ -1,5 +1,6 @@
 #include "Transport/ServerExchange.h"
 
+#include "Transport/IdleLimits.h"
 #include "Transport/ResponseHead.h"
 #include "Transport/SocketOptions.h"
 
@@ -40,6 +41,16 @@
 {
 }
 
+template <typename Message> void ServerExchange::fillHead(Message& message, const HttpAnswer& answer)
+{
+    m_keepAlive = m_keepAlive && !m_isClosing;
+    detail::fillHead(message, answer, m_keepAlive);
+    m_promisedIdleTime = m_keepAlive ? detail::promisedIdleTime(m_limits) : std::chrono::seconds(0);
+    if (m_promisedIdleTime.count() > 0) {
+        message.set(http::field::keep_alive, "timeout=" + std::to_string(m_promisedIdleTime.count()));
+    }
+}
+
 std::string ServerExchange::remoteAddress() const
 {
     beast::error_code ec;
@@ -50,8 +61,7 @@
 Task<Outcome<void>> ServerExchange::answer(const HttpAnswer& answer)
 {
     http::response<http::span_body<const char>> message;
-    m_keepAlive = m_keepAlive && !m_isClosing;
-    fillHead(message, answer, m_keepAlive);
+    fillHead(message, answer);
     m_isBegun = true;
     message.body() = { answer.body.data(), answer.body.size() };
     message.prepare_payload();
@@ -67,8 +77,7 @@
 Task<Outcome<void>> ServerExchange::beginStream(const HttpAnswer& head)
 {
     http::response<http::empty_body> message;
-    m_keepAlive = m_keepAlive && !m_isClosing;
-    fillHead(message, head, m_keepAlive);
+    fillHead(message, head);
     m_isBegun = true;
     message.chunked(true);
     http::response_serializer<http::empty_body> serializer(message);
--- a/Source/Core/Transport/ServerExchange.h
+++ b/Source/Core/Transport/ServerExchange.h
@@ -4,6 +4,7 @@
 
 #include <boost/beast/core/tcp_stream.hpp>
 
+#include <chrono>
 #include <functional>
 #include <memory>
 #include <string>
@@ -36,10 +37,14 @@
     /// Whether the connection may carry another request after this one.
     bool keepAlive() const { return m_keepAlive && m_stream.socket().is_open(); }
     void closeAfterAnswer() { m_keepAlive = false; }
+    /// Idle time that the response promised.
+    std::chrono::seconds promisedIdleTime() const { return m_promisedIdleTime; }
     /// The end of the connection, if the exchange ends without a complete response.
     ConnectionEnd end() const;
 
 private:
+    /// Decides whether the connection is kept, and tells the client for how long.
+    template <typename Message> void fillHead(Message& message, const HttpAnswer& answer);
     Error writeError(std::string_view what, const boost::beast::error_code& ec);
 
     boost::beast::tcp_stream& m_stream;
@@ -47,6 +52,7 @@
     const HttpServerLimits& m_limits;
     bool m_keepAlive;
     const bool& m_isClosing;
+    std::chrono::seconds m_promisedIdleTime { 0 };
     bool m_isBegun = false;
     bool m_isComplete = false;
     bool m_isClosedByClient = false;
--- a/Source/UnitTests/Transport/ConnectionEndTests.cpp
+++ b/Source/UnitTests/Transport/ConnectionEndTests.cpp
@@ -81,7 +81,9 @@
         cr_assert_eq(fixture.handler.ends.size(), 1);
         cr_assert(fixture.handler.ends.front().event == ConnectionEvent::CrossedClose);
         cr_assert_eq(fixture.handler.endPaths.front(), "");
-        cr_assert_eq(fixture.handler.ends.front().trace.bytes(), requestOf("/crossing").size());
+        const auto& end = fixture.handler.ends.front();
+        cr_assert_eq(end.trace.bytes(), requestOf("/crossing").size());
+        cr_assert(isStop || (end.wait.limit == limits.idleTimeout && end.wait.time >= limits.idleTimeout));
         cr_assert(client.isReset());
     }
 }
