Go on with a request that a server does not read for a while

Cause: HttpConnection::send closed the connection when the limit of an attempt passed while it wrote, and reported a lost connection. A server that does not read blocks its writer, so a runner that is silent for a second ended an attempt that could go on; the loss counted as a crash of the runner (two of them quarantine a part of a prompt) and used up a retry.

Change: a write ends at its limit with DeadlineExceeded, the connection stays open, and readHead() goes on with the request, as it does with the response. The dispatcher then treats it as any silent runner. HttpConnection::writesOnAfterATimeLimit failed before (ConnectionLost at the first limit).

Looked at on the callers' side: a write to a caller has 10 s, which is not shortened by a silence.

--- a/Source/Core/Transport/HttpClient.cpp
+++ b/Source/Core/Transport/HttpClient.cpp
@@ -72,6 +72,14 @@
 } // namespace
 
 struct HttpConnection::State {
+    /// A request and how far it was written.
+    struct OutgoingRequest {
+        using Message = http::request<http::span_body<const char>>;
+
+        Message message;
+        http::serializer<true, Message::body_type> serializer { message };
+    };
+
     explicit State(asio::any_io_executor executor)
         : stream(std::move(executor))
     {
@@ -87,10 +95,16 @@
     /// Prepares the parser for the next response.
     void beginResponse();
 
+    /// Writes what is left of the request.
+    /// @param until Longest time to wait; beast::error::timeout after it. It may then be called again.
+    Task<beast::error_code> writeRequest(std::chrono::steady_clock::time_point until);
+
     beast::tcp_stream stream;
     beast::flat_buffer buf { maxUnparsedBytes };
     /// Memory of the buffer.
     MemoryBudget::Share held { processMemory(), MemoryUse::UnparsedResponse };
+    /// Request that the server has not taken completely, else null.
+    std::unique_ptr<OutgoingRequest> outgoing;
     std::optional<http::response_parser<detail::ReceivedBody>> parser;
     std::string host;
     std::string localAddress;
@@ -143,6 +157,25 @@
     }
 }
 
+Task<beast::error_code> HttpConnection::State::writeRequest(std::chrono::steady_clock::time_point until)
+{
+    auto& socket = stream.socket();
+    beast::error_code ec;
+    while (!ec && !outgoing->serializer.is_done()) {
+        if (std::chrono::steady_clock::now() >= until) {
+            co_return beast::error::timeout;
+        }
+        // A timer for each operation: a cancellation between two of them has no effect.
+        const detail::SocketTimer timer(socket, until);
+        std::tie(ec, std::ignore) = co_await http::async_write_some(socket, outgoing->serializer, asTuple);
+        if (ec == asio::error::operation_aborted && timer.isExpired() && socket.is_open()) {
+            co_return beast::error::timeout;
+        }
+    }
+    outgoing.reset();
+    co_return ec;
+}
+
 void HttpConnection::State::bindLocalAddress()
 {
     beast::error_code ec;
@@ -213,7 +246,8 @@
         // The library would throw an exception.
         co_return fail(ErrorCode::Malformed, "a TRACE request must not have a body");
     }
-    http::request<http::span_body<const char>> message;
+    state.outgoing = std::make_unique<State::OutgoingRequest>();
+    auto& message = state.outgoing->message;
     message.method_string(request.method);
     message.target(request.target());
     message.version(11);
@@ -227,32 +261,37 @@
     message.prepare_payload();
 
     state.isHeadRequest = message.method() == http::verb::head;
-    // Set until the response has been read to its end.
+    co_return co_await readHead(timeout);
+}
+
+Task<Outcome<HttpHead>> HttpConnection::readHead(std::chrono::nanoseconds timeout)
+{
+    auto& state = *m_state;
+    // Until the response has been read to its end.
     state.isBroken = true;
-    state.stream.expires_after(timeout);
-    const auto end = std::chrono::steady_clock::now() + timeout;
-    const auto [ec, n] = co_await http::async_write(state.stream, message, asTuple);
-    if (ec == beast::error::timeout) {
-        // The stream has closed the connection, so no response can follow.
-        co_return fail(ErrorCode::ConnectionLost, "send request: the time limit passed", RunState::Unknown);
+    const auto until = std::chrono::steady_clock::now() + timeout;
+    beast::error_code writeError;
+    if (state.outgoing) {
+        writeError = co_await state.writeRequest(until);
+    }
+    if (writeError == beast::error::timeout) {
+        co_return std::unexpected(transportError("send request", writeError));
     }
     // A server may reject a long request before it has read all of it and then close the connection, so a response can
     // follow a failed write.
-    auto head = co_await readHead(end - std::chrono::steady_clock::now());
-    if (ec) {
+    auto head = co_await readResponseHead(until);
+    if (writeError) {
         state.isBroken = true;
         if (!head) {
-            co_return std::unexpected(transportError("send request", ec));
+            co_return std::unexpected(transportError("send request", writeError));
         }
     }
     co_return head;
 }
 
-Task<Outcome<HttpHead>> HttpConnection::readHead(std::chrono::nanoseconds timeout)
+Task<Outcome<HttpHead>> HttpConnection::readResponseHead(std::chrono::steady_clock::time_point until)
 {
     auto& state = *m_state;
-    state.isBroken = true;
-    const auto until = std::chrono::steady_clock::now() + timeout;
     HttpHead head;
     for (unsigned informational = 0;; ++informational) {
         if (!std::exchange(state.isHeadPending, true)) {
--- a/Source/Core/Transport/HttpClient.h
+++ b/Source/Core/Transport/HttpClient.h
@@ -26,8 +26,8 @@
     HttpHeaders headers;
 };
 
-/// One HTTP/1.1 client connection. It carries one request at a time; after any error, but for DeadlineExceeded while a
-/// response is read, it must not be used again.
+/// One HTTP/1.1 client connection. It carries one request at a time; after any error but DeadlineExceeded it must not
+/// be used again.
 ///
 /// Errors: ConnectFailed means that no byte of a request was sent; ConnectionLost and DeadlineExceeded carry
 /// RunState::Unknown once a byte may have been sent.
@@ -48,17 +48,19 @@
     Task<Outcome<void>> connect(const Endpoint& endpoint, std::chrono::nanoseconds timeout);
 
     /// Sends a request and reads the head of its response. Informational responses (1xx) before it are skipped.
-    /// @param request The request; Content-Length is added, and Host where it is missing.
-    /// @param timeout Longest time until the head has arrived.
+    /// @param request The request; Content-Length is added, and Host where it is missing. It must stay valid as long as
+    /// readHead() is called for its response.
+    /// @param timeout Longest time until the head has arrived. After it, readHead() goes on, also with the request if
+    /// the server has not taken all of it.
     Task<Outcome<HttpHead>> send(const HttpRequest& request, std::chrono::nanoseconds timeout);
 
     /// The same with a body that is held elsewhere.
     /// @param request The request; its body is ignored.
-    /// @param body Must stay valid until the end of this operation.
+    /// @param body Must stay valid as long as readHead() is called for the response.
     Task<Outcome<HttpHead>> send(const HttpRequest& request, std::string_view body, std::chrono::nanoseconds timeout);
 
     /// Reads the head of another response on the connection, after a response that belonged to an earlier request was
-    /// read to its end, or goes on with a head that had not arrived in time.
+    /// read to its end, or goes on with a request or a head that was not complete in time.
     /// @param timeout Longest time until the head has arrived.
     Task<Outcome<HttpHead>> readHead(std::chrono::nanoseconds timeout);
 
@@ -97,6 +99,9 @@
     void close();
 
 private:
+    /// Reads the head of a response whose request was written.
+    Task<Outcome<HttpHead>> readResponseHead(std::chrono::steady_clock::time_point until);
+
     struct State;
     std::unique_ptr<State> m_state;
 };
--- a/Source/Core/Transport/TimedRead.cpp
+++ b/Source/Core/Transport/TimedRead.cpp
@@ -1,44 +1,25 @@
 #include "Transport/TimedRead.h"
 
-#include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core/error.hpp>
 
-#include <memory>
-
 namespace Pollenwind::detail {
 
 namespace beast = boost::beast;
 using tcp = asio::ip::tcp;
 using TimePoint = std::chrono::steady_clock::time_point;
 
-namespace {
-
-    /// Cancels the operations of a socket at a point in time. The socket stays open, so that bytes which arrived before
-    /// the process reacted to the limit can still be read.
-    class SocketTimer {
-    public:
-        SocketTimer(tcp::socket& socket, TimePoint until)
-            : m_timer(socket.get_executor(), until)
-        {
-            // The handler may run after the timer was destroyed; then the weak pointer has expired.
-            m_timer.async_wait([this, &socket, alive = std::weak_ptr<bool>(m_alive)](const beast::error_code& ec) {
-                if (!ec && alive.lock()) {
-                    m_isExpired = true;
-                    beast::error_code ignored;
-                    socket.cancel(ignored);
-                }
-            });
+SocketTimer::SocketTimer(tcp::socket& socket, TimePoint until)
+    : m_timer(socket.get_executor(), until)
+{
+    // The handler may run after the timer was destroyed; then the weak pointer has expired.
+    m_timer.async_wait([this, &socket, alive = std::weak_ptr<bool>(m_alive)](const beast::error_code& ec) {
+        if (!ec && alive.lock()) {
+            m_isExpired = true;
+            beast::error_code ignored;
+            socket.cancel(ignored);
         }
-
-        bool isExpired() const { return m_isExpired; }
-
-    private:
-        asio::steady_timer m_timer;
-        std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
-        bool m_isExpired = false;
-    };
-
-} // namespace
+    });
+}
 
 Task<TimedRead> readUntil(tcp::socket& socket, asio::mutable_buffer space, TimePoint until)
 {
--- a/Source/Core/Transport/TimedRead.h
+++ b/Source/Core/Transport/TimedRead.h
@@ -3,13 +3,30 @@
 #include "Common/Task.h"
 
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core/error.hpp>
 
 #include <chrono>
 #include <cstddef>
+#include <memory>
 
 namespace Pollenwind::detail {
 
+/// Cancels the operations of a socket at a point in time. The socket stays open, so that bytes which arrived before the
+/// process reacted to the limit can still be read, and a write can go on.
+class SocketTimer {
+public:
+    /// @param socket Must outlive the timer.
+    SocketTimer(asio::ip::tcp::socket& socket, std::chrono::steady_clock::time_point until);
+
+    bool isExpired() const { return m_isExpired; }
+
+private:
+    asio::steady_timer m_timer;
+    std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
+    bool m_isExpired = false;
+};
+
 /// Bytes that were read, and why the read ended.
 struct TimedRead {
     std::size_t bytes = 0;
--- a/Source/UnitTests/Transport/HttpClientTests.cpp
+++ b/Source/UnitTests/Transport/HttpClientTests.cpp
@@ -5,7 +5,9 @@
 #include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read.hpp>
 #include <boost/asio/read_until.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
 
 #include <criterion/criterion.h>
@@ -235,3 +237,61 @@
     });
     context.run();
 }
+
+// Guards against taking a server that does not read for a while for one that closed the connection: the write that it
+// blocked was given up with the connection, although the server went on and would have responded.
+Test(HttpConnection, writesOnAfterATimeLimit)
+{
+    // More than the kernel takes for a server that does not read.
+    const std::string body(16UL * 1024 * 1024, 'b');
+    constexpr int receiveBytes = 16 * 1024;
+    asio::io_context context;
+    tcp::acceptor acceptor(context, tcp::v4());
+    acceptor.set_option(asio::socket_base::receive_buffer_size(receiveBytes));
+    acceptor.bind({ asio::ip::make_address("127.0.0.1"), 0 });
+    acceptor.listen();
+    asio::steady_timer silence(context, std::chrono::steady_clock::time_point::max());
+    std::size_t received = 0;
+    asio::co_spawn(
+        context,
+        [&]() -> Task<> {
+            auto [ec, socket] = co_await acceptor.async_accept(asTuple);
+            co_await silence.async_wait(asTuple);
+            std::string head;
+            received
+                = co_await asio::async_read_until(socket, asio::dynamic_buffer(head), "\r\n\r\n", asio::use_awaitable);
+            received = head.size() - received;
+            std::vector<char> buf(body.size() - received);
+            received += co_await asio::async_read(socket, asio::buffer(buf), asio::use_awaitable);
+            co_await asio::async_write(
+                socket, asio::buffer(std::string("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")), asio::use_awaitable);
+            // Keeps the connection open.
+            silence.expires_at(std::chrono::steady_clock::time_point::max());
+            co_await silence.async_wait(asTuple);
+        },
+        asio::detached);
+    bool isDone = false;
+    asio::co_spawn(
+        context,
+        [&]() -> Task<> {
+            HttpConnection connection(context.get_executor());
+            const Endpoint server { "127.0.0.1", acceptor.local_endpoint().port() };
+            cr_assert((co_await connection.connect(server, callTimeout)).has_value());
+            const HttpRequest request { "POST", "/x", "", {}, body };
+            auto head = co_await connection.send(request, readLimit);
+            for (unsigned n = 0; n < 3; ++n) {
+                cr_assert(!head && head.error().code == ErrorCode::DeadlineExceeded, "attempt %u", n);
+                head = co_await connection.readHead(readLimit);
+            }
+            silence.cancel();
+            head = co_await connection.readHead(callTimeout);
+            cr_assert(head && head->status == 200, "%s", head ? "" : head.error().message.c_str());
+            cr_assert_eq(received, body.size());
+            cr_assert(connection.isReusable());
+            silence.cancel();
+            isDone = true;
+        },
+        [](const std::exception_ptr& error) { cr_assert(!error); });
+    context.run();
+    cr_assert(isDone);
+}
