Blame no runner for a stream that lasts until its deadline

Found by the review of: nine streams whose runner sends events and closes at 4,990 of 5,000 ms opened the breakers of all three runners, since an attempt that ends with its time counted as a failure of the runner, as it did before. A shorter timeout of a route could exclude sound runners beside its change.

Change: an attempt whose events were arriving and that ends with its time or its caller is no evidence on its runner; one that was silent still is. ForwardDispatcher::blamesNoRunnerForAStreamThatLastsUntilTheDeadline (before: doesNotResumeAStreamThatItsRunnerEndsAtTheDeadline, whose checks it has) failed before. That callers who leave count no more against their runner is by reading.

--- a/Source/Core/Gateway/ForwardDispatcher.cpp
+++ b/Source/Core/Gateway/ForwardDispatcher.cpp
@@ -115,6 +115,8 @@
         RolloutAttemptId rolloutAttempt;
         /// Status of the attempt's response; 0 before its head.
         int status = 0;
+        /// When the attempt's last events were sent to the caller.
+        MonotonicTime lastOutputAt { 0 };
     };
 
     /// An attempt at a silent runner, which goes on until another runner has accepted the request.
@@ -304,7 +306,7 @@
         }
         auto result = co_await attempt(request, *choice, sink, delivery);
         if (!std::exchange(delivery.isReplaced, false)) {
-            recordAttemptEnd(*choice, result, delivery);
+            recordAttemptEnd(*choice, result, sink.stopReason(), delivery);
             recordVersionResult(result, sink.stopReason(), delivery);
         }
         if (result) {
@@ -572,7 +574,7 @@
         cancelReplaced(delivery);
     }
     if (!std::exchange(delivery.isReplaced, false)) {
-        recordAttemptEnd(*choice, result, delivery);
+        recordAttemptEnd(*choice, result, sink.stopReason(), delivery);
         recordVersionResult(result, sink.stopReason(), delivery);
     }
     if (!delivery.silent) {
@@ -604,7 +606,7 @@
     std::swap(state, replaced->state);
     const Outcome<void> result = std::unexpected(silenceError());
     endTrial(delivery, false);
-    recordAttemptEnd(delivery.runner, result, delivery);
+    recordAttemptEnd(delivery.runner, result, std::nullopt, delivery);
     recordVersionResult(result, std::nullopt, delivery);
     std::swap(state, replaced->state);
     delivery.runState = RunState::Unknown;
@@ -788,6 +790,7 @@
             co_return written;
         }
         delivery.lastEventId = events.lastId();
+        delivery.lastOutputAt = m_context.clock.now();
         // A slow caller delays the next read. That is no pause of the runner.
         pauseEnd = m_context.clock.now() + eventPauseLimit;
     }
@@ -828,9 +831,13 @@
     m_context.prefixes.recordRead(cachedPrefixes);
 }
 
-void ForwardDispatcher::recordAttemptEnd(
-    const RunnerChoice& choice, const Outcome<void>& result, const Delivery& delivery)
+void ForwardDispatcher::recordAttemptEnd(const RunnerChoice& choice, const Outcome<void>& result,
+    const std::optional<Error>& stopReason, const Delivery& delivery)
 {
+    // A stream whose events were arriving and that ends with its time or its caller shows no fault of its runner.
+    const bool isStopped = stopReason || (!result && result.error().code == ErrorCode::DeadlineExceeded);
+    const bool isSoundStream = isStopped && delivery.phase == AttemptPhase::Answering
+        && m_context.clock.now() - delivery.lastOutputAt < eventPauseLimit;
     auto outcome = RunnerResult::Succeeded;
     if (!result) {
         switch (result.error().code) {
@@ -847,8 +854,9 @@
             break;
         default:
             // An error response is more often caused by the request than by the runner.
-            outcome = result.error().runState == RunState::Ran || delivery.isTakenBack ? RunnerResult::Abandoned
-                                                                                       : RunnerResult::Failed;
+            outcome = result.error().runState == RunState::Ran || delivery.isTakenBack || isSoundStream
+                ? RunnerResult::Abandoned
+                : RunnerResult::Failed;
         }
         m_context.metrics.count(Counter::UpstreamFailures);
     }
--- a/Source/Core/Gateway/ForwardDispatcher.h
+++ b/Source/Core/Gateway/ForwardDispatcher.h
@@ -128,7 +128,10 @@
     void endTrial(Delivery& delivery, bool isAccepted);
     void recordRefusal(const ForwardRequest& request, const ReplyHead& head, Delivery& delivery);
     void recordFirstOutput(const ForwardRequest& request, Delivery& delivery);
-    void recordAttemptEnd(const RunnerChoice& choice, const Outcome<void>& result, const Delivery& delivery);
+    /// Records the end of an attempt as evidence on its runner.
+    /// @param stopReason Why the request was stopped during the attempt, if it was.
+    void recordAttemptEnd(const RunnerChoice& choice, const Outcome<void>& result,
+        const std::optional<Error>& stopReason, const Delivery& delivery);
     /// Records the end of an attempt as evidence on the version of its runner.
     /// @param stopReason Why the request was stopped during the attempt, if it was.
     void recordVersionResult(
--- a/Source/UnitTests/Gateway/SilentRunnerTests.cpp
+++ b/Source/UnitTests/Gateway/SilentRunnerTests.cpp
@@ -125,20 +125,23 @@
 }
 
 // Guards against taking a stream that its runner ends at the deadline for one that the runner broke off: it was resumed
-// for its last milliseconds, and counted against the runner's version.
-Test(ForwardDispatcher, doesNotResumeAStreamThatItsRunnerEndsAtTheDeadline)
+// for its last milliseconds, and a few of them excluded the runner.
+Test(ForwardDispatcher, blamesNoRunnerForAStreamThatLastsUntilTheDeadline)
 {
     for (const auto* path : { "/stream/x", "/resumable/x" }) {
         GatewayFixture fixture;
-        auto stream
-            = streamOf({ "id: 1\ndata: a\n\n", "id: 2\ndata: b\n\n", "id: 3\ndata: c\n\n", "id: 4\ndata: d\n\n" });
-        stream.partInterval = 998ms;
-        stream.endError = Error { ErrorCode::ConnectionLost, "closed", RunState::Unknown };
-        fixture.scripted.script = { stream };
-        auto request = fixture.makeRequest(path);
-        request.timeout = 5000ms;
-        const auto result = fixture.forward(request);
-        cr_assert(!result && result.error().code == ErrorCode::DeadlineExceeded, "%s", path);
-        cr_assert_eq(fixture.scripted.arrivals.size(), 1);
+        for (unsigned n = 0; n < 9; ++n) {
+            auto stream
+                = streamOf({ "id: 1\ndata: a\n\n", "id: 2\ndata: b\n\n", "id: 3\ndata: c\n\n", "id: 4\ndata: d\n\n" });
+            stream.partInterval = 998ms;
+            stream.endError = Error { ErrorCode::ConnectionLost, "closed", RunState::Unknown };
+            fixture.scripted.script = { stream };
+            auto request = fixture.makeRequest(path);
+            request.timeout = 5000ms;
+            const auto result = fixture.forward(request);
+            cr_assert(!result && result.error().code == ErrorCode::DeadlineExceeded, "%s", path);
+            cr_assert_eq(fixture.scripted.arrivals.size(), n + 1);
+        }
+        cr_assert_eq(fixture.runners.candidates(ServiceId("app"), "").size(), 3);
     }
 }
