Keep a silent runner whose replacement does not read the request

Change: RunnerExchange tells whether the request was written completely; otherwise the replacement has failed, without evidence of a crash. SilentRunner::keepsAnAnswerWhoseNextRunnerDoesNotRead failed before (no head in time).

--- a/Source/Core/Gateway/Commands/RunnerClient.h
+++ b/Source/Core/Gateway/Commands/RunnerClient.h
@@ -33,6 +33,9 @@
     /// @return The head, or an error with RunState::Unknown.
     virtual Task<Outcome<ReplyHead>> awaitHead(std::chrono::nanoseconds timeout) = 0;
 
+    /// Whether the runner's side has taken the whole request.
+    virtual bool isRequestSent() const = 0;
+
     /// Reads the next part of the body. May be called again after DeadlineExceeded.
     /// @return The bytes, or an empty string at the end of the body.
     virtual Task<Outcome<std::string>> readSome(std::chrono::nanoseconds timeout) = 0;
--- a/Source/Core/Gateway/ForwardDispatcher.cpp
+++ b/Source/Core/Gateway/ForwardDispatcher.cpp
@@ -639,6 +639,10 @@
     }
     auto head = co_await exchange.begin(std::min<std::chrono::nanoseconds>(left, refusalTime));
     // A shorter limit is that of the other runner's old weights, after which the silent one is still wanted.
+    if (!head && head.error().code == ErrorCode::DeadlineExceeded && !exchange.isRequestSent()) {
+        // It is silent itself, and the one before may still go on. Unavailable, since that is no crash.
+        co_return fail(ErrorCode::Unavailable, "the runner that was to take over does not read", RunState::Unknown);
+    }
     if (!head && head.error().code == ErrorCode::DeadlineExceeded && left > refusalTime) {
         cancelReplaced(delivery);
         head = co_await exchange.awaitHead(end - m_context.clock.now());
--- a/Source/Core/Gateway/HttpRunnerClient.cpp
+++ b/Source/Core/Gateway/HttpRunnerClient.cpp
@@ -31,6 +31,8 @@
         Task<Outcome<ReplyHead>> begin(std::chrono::nanoseconds timeout) override;
         Task<Outcome<ReplyHead>> awaitHead(std::chrono::nanoseconds timeout) override;
 
+        bool isRequestSent() const override { return m_connection->isRequestSent(); }
+
         Task<Outcome<std::string>> readSome(std::chrono::nanoseconds timeout) override
         {
             co_return co_await m_connection->readSome(timeout);
--- a/Source/Core/Transport/HttpClient.cpp
+++ b/Source/Core/Transport/HttpClient.cpp
@@ -323,6 +323,8 @@
     co_return head;
 }
 
+bool HttpConnection::isRequestSent() const { return !m_state->outgoing; }
+
 Task<Outcome<std::string>> HttpConnection::readSome(std::chrono::nanoseconds timeout)
 {
     auto& state = *m_state;
--- a/Source/Core/Transport/HttpClient.h
+++ b/Source/Core/Transport/HttpClient.h
@@ -64,6 +64,9 @@
     /// @param timeout Longest time until the head has arrived.
     Task<Outcome<HttpHead>> readHead(std::chrono::nanoseconds timeout);
 
+    /// Whether the last request was written completely.
+    bool isRequestSent() const;
+
     /// Reads the next part of the body. May be called again after DeadlineExceeded.
     /// @param timeout Longest time until a byte of the body arrives.
     /// @return The bytes, or an empty string at the end of the body.
--- a/Source/UnitTests/Gateway/ConfigurationChangeTests.cpp
+++ b/Source/UnitTests/Gateway/ConfigurationChangeTests.cpp
@@ -95,6 +95,7 @@
         {
             co_return fail(ErrorCode::ConnectionLost, "the head has arrived", RunState::Unknown);
         }
+        bool isRequestSent() const override { return true; }
         Task<Outcome<std::string>> readSome(std::chrono::nanoseconds) override
         {
             if (m_owner.holdsAt == WaitKind::Body) {
--- a/Source/UnitTests/Gateway/GatewayFixture.h
+++ b/Source/UnitTests/Gateway/GatewayFixture.h
@@ -43,6 +43,8 @@
 
 /// Behaviour of a scripted runner for one request.
 struct ScriptedAttempt {
+    /// The runner does not read the request while it is silent.
+    bool isUnread = false;
     /// Error instead of the head of a response.
     std::optional<Error> beginError = std::nullopt;
     ReplyKind kind = ReplyKind::Answer;
@@ -153,6 +155,7 @@
             m_silence = m_attempt.partInterval;
             co_return head;
         }
+        bool isRequestSent() const override { return !m_attempt.isUnread; }
         Task<Outcome<std::string>> readSome(std::chrono::nanoseconds timeout) override
         {
             if (!waitOut(timeout)) {
--- a/Source/UnitTests/Gateway/RefusalFleet.cpp
+++ b/Source/UnitTests/Gateway/RefusalFleet.cpp
@@ -94,6 +94,7 @@
     {
         co_return fail(ErrorCode::ConnectionLost, "the head has arrived", RunState::Unknown);
     }
+    bool isRequestSent() const override { return true; }
     Task<Outcome<std::string>> readSome(std::chrono::nanoseconds) override { co_return std::exchange(m_body, {}); }
     void cancel() override { }
     void finish() override { }
--- a/Source/UnitTests/Gateway/SilentRunnerTests.cpp
+++ b/Source/UnitTests/Gateway/SilentRunnerTests.cpp
@@ -145,3 +145,21 @@
         cr_assert_eq(fixture.runners.candidates(ServiceId("app"), "").size(), 3);
     }
 }
+
+// Guards against cancelling a silent runner for another one that has not even read the request: both pause together,
+// and the first one would have gone on.
+Test(SilentRunner, keepsAnAnswerWhoseNextRunnerDoesNotRead)
+{
+    GatewayFixture fixture;
+    auto silent = streamOf({ firstEvent, secondEvent });
+    silent.partInterval = 1900ms;
+    auto unread = streamOf({ secondEvent });
+    unread.isUnread = true;
+    unread.headSilence = 60s;
+    fixture.scripted.script = { silent, unread, unread };
+    auto request = fixture.makeRequest("/resumable/x");
+    request.timeout = 10s;
+    const auto result = fixture.forward(request);
+    cr_assert(result.has_value(), "%s", result ? "" : result.error().message.c_str());
+    cr_assert_eq(fixture.sink.body, firstEvent + secondEvent);
+}
