--- a/Source/UnitTests/Dispatch/RetryTests.cpp
+++ b/Source/UnitTests/Dispatch/RetryTests.cpp
@@ -55,14 +55,16 @@
     ManualClock clock;
     RetryBudget budget(clock);
     const ServiceId service("fitter");
+    // Later than the first window, in which half of the three a second counts as taken.
+    clock.advance(std::chrono::seconds(20));
     int granted = 0;
     for (int n = 0; n < 10'000; ++n) {
         clock.advance(std::chrono::milliseconds(1));
         budget.recordRequest(service);
         granted += budget.tryTake(service) ? 1 : 0;
     }
-    // 10 s: 1000 for the requests, 30 for the time, 30 at the start.
-    cr_assert(granted >= 1050 && granted <= 1062, "%d", granted);
+    // 10 s: 1000 for the requests, 30 for the time; one percent may be lost to rounding.
+    cr_assert(granted >= 1019 && granted <= 1030, "%d", granted);
 }
 
 // Guards against a budget that accumulates without bound while a service is idle, and against one service that uses
