Promise pollenwindd's callers how long an idle connection is kept

The promise is at most shutdown.listen_ms less 600 ms, and the close is announced when the stop begins.

--- a/Source/Core/Router/Router.cpp
+++ b/Source/Core/Router/Router.cpp
@@ -81,6 +81,14 @@
         return { settings.rateWaitLimit, settings.firstTokenTimeout, settings.tokenGapTimeout };
     }
 
+    HttpServerLimits toCallerLimits(const Settings& settings)
+    {
+        auto limits = settings.httpLimits;
+        // A stop closes idle connections after this time, so callers are promised no more.
+        limits.maxPromisedIdleTime = settings.shutdownListenTime;
+        return limits;
+    }
+
 } // namespace
 
 struct Router::Parts {
@@ -129,7 +137,7 @@
         , plain(dispatch, upstreamClient, claims)
         , callerFrontEnd({ clock, configuration, keys, completions, plain, metrics, settings.requestDeadline })
         , adminFrontEnd(settings.adminToken)
-        , callerServer(executor, callerFrontEnd, settings.httpLimits)
+        , callerServer(executor, callerFrontEnd, toCallerLimits(settings))
         , adminServer(executor, adminFrontEnd, settings.httpLimits)
         , statusQuery(identity, configuration, keys, storeSync, metrics)
         , servicesQuery(configuration, upstreams)
@@ -313,6 +321,7 @@
     ++shutdownRequests;
     if (shutdownRequests == 1) {
         timeline.record(EventKind::ProcessStopping, {});
+        callerServer.announceClose();
         spawnTask(executor, TaskKind::Shutdown, fleetSync.leave());
         spawnTask(executor, TaskKind::Shutdown, drain());
     }
--- a/Source/UnitTests/Router/FleetHarness.cpp
+++ b/Source/UnitTests/Router/FleetHarness.cpp
@@ -92,6 +92,11 @@
 
 void Fleet::setPaused(std::size_t router, bool isPaused) { m_nodes[router].isPaused = isPaused; }
 
+void Fleet::setShutdownListenTime(std::size_t router, std::chrono::milliseconds time)
+{
+    m_nodes[router].settings.shutdownListenTime = time;
+}
+
 void Fleet::step()
 {
     auto handled = m_clientContext.poll() + m_storeContext->poll();
--- a/Source/UnitTests/Router/FleetHarness.h
+++ b/Source/UnitTests/Router/FleetHarness.h
@@ -41,6 +41,9 @@
     /// Ends a router without a shutdown, as a crash does.
     void kill(std::size_t router);
     void setPaused(std::size_t router, bool isPaused);
+    /// Sets for how long a router goes on to accept at a stop, from its next start on.
+    void setShutdownListenTime(std::size_t router, std::chrono::milliseconds time);
+    const Endpoint& callersEndpoint(std::size_t router) const { return m_nodes[router].settings.listenCallers; }
 
     std::size_t size() const { return m_nodes.size(); }
     nlohmann::json query(std::size_t router, const std::string& name);
--- a/Source/UnitTests/Router/FleetTests.cpp
+++ b/Source/UnitTests/Router/FleetTests.cpp
@@ -1,5 +1,6 @@
 #include "Router/FleetHarness.h"
 #include "Router/StoreKeys.h"
+#include "Transport/ServerFixture.h"
 
 #include <criterion/criterion.h>
 
@@ -306,3 +307,32 @@
 
 // As above, with the number of links of a complete deployment.
 Test(Fleet, steadyStateOf9RoutersStaysInBudget) { checkSteadyState(12, 9); }
+
+// Guards against a request that crosses the close of an idle connection at a stop and gets no answer: callers did not
+// know for how long a connection is kept, and responses did not announce that the router stops.
+Test(Fleet, promisesAnIdleTimeAndAnnouncesTheCloseAtAStop)
+{
+    // Enough for a promise of one second.
+    constexpr std::chrono::milliseconds listenTime { 1700 };
+    Fleet fleet(13, 1);
+    fleet.kill(0);
+    fleet.setShutdownListenTime(0, listenTime);
+    fleet.start(0);
+    RawClient client(fleet.callersEndpoint(0));
+    const auto exchange = [&] {
+        client.clear();
+        client.send(requestOf("/"));
+        return fleet.runUntil([&] {
+            client.receive();
+            return client.received().contains("\r\n\r\n");
+        });
+    };
+    cr_assert(exchange());
+    cr_assert(client.received().contains("Keep-Alive: timeout=1\r\n"), "%s", client.received().c_str());
+    cr_assert_eq(fleet.command(0, "drain", nlohmann::json::object()).first, 200);
+    cr_assert(client.receive(), "the router closed the connection before the time that it had promised");
+    cr_assert(exchange());
+    cr_assert(client.received().contains("Connection: close\r\n"), "%s", client.received().c_str());
+    cr_assert(!client.received().contains("Keep-Alive"), "%s", client.received().c_str());
+    cr_assert(fleet.runUntil([&] { return !client.receive(); }));
+}
