Check in the gateway soak that idle connections are kept as announced

Two more callers for each gateway pause for up to the announced time less 500 ms. A VM that was not killed or paused must have kept the connection by then, and must answer the request.

--- a/Source/UnitTests/PlatformSoak/GatewayProcess.cpp
+++ b/Source/UnitTests/PlatformSoak/GatewayProcess.cpp
@@ -83,7 +83,10 @@
 {
     if (m_pid != 0) {
         kill(m_pid, number);
-        m_lastDisturbedAt = number == SIGTERM ? m_lastDisturbedAt : std::chrono::steady_clock::now();
+        if (number != SIGTERM) {
+            m_lastSignalledAt = std::chrono::steady_clock::now();
+            m_lastDisturbedAt = m_lastSignalledAt;
+        }
     }
 }
 
--- a/Source/UnitTests/PlatformSoak/GatewayProcess.h
+++ b/Source/UnitTests/PlatformSoak/GatewayProcess.h
@@ -40,6 +40,8 @@
     /// Time of the last exit of the process, or of the last signal other than SIGTERM. Requests in progress at that
     /// time may be lost.
     std::chrono::steady_clock::time_point lastDisturbedAt() const { return m_lastDisturbedAt; }
+    /// Time of the last signal other than SIGTERM.
+    std::chrono::steady_clock::time_point lastSignalledAt() const { return m_lastSignalledAt; }
 
 private:
     static constexpr std::uint16_t callersPort = 8606;
@@ -57,6 +59,7 @@
     unsigned m_starts = 0;
     bool m_isStopped = false;
     std::chrono::steady_clock::time_point m_lastDisturbedAt;
+    std::chrono::steady_clock::time_point m_lastSignalledAt;
 };
 
 } // namespace Pollenwind
--- a/Source/UnitTests/PlatformSoak/GatewaySoak.cpp
+++ b/Source/UnitTests/PlatformSoak/GatewaySoak.cpp
@@ -111,9 +111,14 @@
     asio::co_spawn(m_executor, sendHeartbeats(), asio::detached);
     co_await sleepFor(startupTime);
     m_end = SteadyClock::now() + m_options.duration;
-    for (std::size_t i = 0; i < m_options.callers; ++i) {
+    // The callers after the others, two for each gateway, keep idle connections.
+    const auto callers = m_options.callers + 2 * m_options.gateways;
+    for (std::size_t i = 0; i < callers; ++i) {
         auto& caller = m_callers.emplace_back(m_executor, "caller-" + std::to_string(i), m_options.seed * 1000 + i,
             m_gateways, m_ledger, m_crashingPart, m_report);
+        if (i >= m_options.callers) {
+            caller.pauseBetweenRequests(i % m_options.gateways);
+        }
         ++m_activeTasks;
         asio::co_spawn(
             m_executor, caller.run(m_end + recoveryTime), [this](const std::exception_ptr&) { --m_activeTasks; });
--- a/Source/UnitTests/PlatformSoak/SoakCaller.cpp
+++ b/Source/UnitTests/PlatformSoak/SoakCaller.cpp
@@ -11,6 +11,9 @@
 
     constexpr std::chrono::milliseconds requestTimeout { 4000 };
     constexpr std::chrono::milliseconds requestInterval { 20 };
+    // An idle connection is used until this long before the end of the time in Keep-Alive, as the gateway's client
+    // does.
+    constexpr std::chrono::milliseconds idleMargin { 500 };
     // While a part crashes runners, one streamed request in this many has it.
     constexpr std::uint64_t requestsPerCrashingOne = 8;
 
@@ -41,11 +44,13 @@
 {
 }
 
+void SoakCaller::pauseBetweenRequests(std::size_t gateway) { m_pausingAt = gateway; }
+
 Task<> SoakCaller::run(std::chrono::steady_clock::time_point end)
 {
     while (std::chrono::steady_clock::now() < end) {
         const auto& row = kinds[m_random() % kinds.size()];
-        const auto gateway = static_cast<std::size_t>(m_random() % m_gateways.size());
+        const auto gateway = m_pausingAt.value_or(static_cast<std::size_t>(m_random() % m_gateways.size()));
         const auto id = m_name + "-" + std::to_string(++m_sent);
         // One request in four uses the previous key, which may have been withdrawn.
         const auto key = m_random() % 4 == 0 ? m_ledger.previousKeyNumber() : m_ledger.keyNumber();
@@ -75,15 +80,28 @@
             m_crashingPart.recordSound(m_ledger.sentAt(id), gateway, response.status == 200);
         }
         co_await sleepFor(response.isComplete && response.status == 200 ? requestInterval : response.retryAfter);
+        if (m_pausingAt) {
+            const auto& idle = m_connections[gateway];
+            co_await sleepFor(idle.promised * static_cast<int>(m_random() % 100) / 100);
+        }
     }
 }
 
 Task<SoakCaller::Response> SoakCaller::send(std::size_t gateway, HttpRequest request)
 {
     const auto end = std::chrono::steady_clock::now() + requestTimeout;
-    auto& connection = m_connections[gateway];
+    auto& [connection, idleSince, promised] = m_connections[gateway];
     Response response;
-    if (!connection || !connection->isReusable()) {
+    const auto idleTime = std::chrono::steady_clock::now() - idleSince;
+    const bool isPromised = promised.count() > 0;
+    if (connection && isPromised && idleTime < promised && m_gateways[gateway].lastSignalledAt() < idleSince) {
+        // A request would cross the close. On loopback it is seen before, so the close itself is checked too.
+        m_report.recordCheck(GatewayGuarantee::IdlePromisesAreKept, connection->isReusable(),
+            m_gateways[gateway].name() + " closed an idle connection before the time that it had announced");
+    }
+    if (connection && connection->isReusable() && (!isPromised || idleTime < promised)) {
+        response.idleSince = isPromised ? std::optional(idleSince) : std::nullopt;
+    } else {
         connection = std::make_unique<HttpConnection>(m_executor);
         if (!co_await connection->connect(m_gateways[gateway].callers(), requestTimeout)) {
             connection.reset();
@@ -111,6 +129,9 @@
         }
         if (part->empty()) {
             response.isComplete = true;
+            idleSince = std::chrono::steady_clock::now();
+            const auto announced = connection->announcedIdleTimeout();
+            promised = announced ? *announced - idleMargin : std::chrono::milliseconds(0);
             co_return response;
         }
         response.body += *part;
@@ -140,6 +161,11 @@
         m_report.recordCheck(GatewayGuarantee::ResponsesMatchRequests,
             response.isStamped && response.body == SoakRunner::responseText(id), id + ": " + response.body);
     }
+    // A stop or an end of its own does not excuse a VM.
+    if (response.idleSince && m_gateways[gateway].lastSignalledAt() < *response.idleSince) {
+        m_report.recordCheck(GatewayGuarantee::IdlePromisesAreKept, response.status != 0 || response.hasTimedOut,
+            id + " got no answer on an idle connection to " + m_gateways[gateway].name());
+    }
     if (response.isComplete || !response.isSent) {
         return;
     }
--- a/Source/UnitTests/PlatformSoak/SoakCaller.h
+++ b/Source/UnitTests/PlatformSoak/SoakCaller.h
@@ -17,6 +17,10 @@
         std::deque<GatewayProcess>& gateways, RequestLedger& ledger, CrashingPart& crashingPart,
         GatewaySoakReport& report);
 
+    /// Makes the caller use one gateway and keep its connection idle between requests, for up to the time that the
+    /// gateway announced.
+    void pauseBetweenRequests(std::size_t gateway);
+
     Task<> run(std::chrono::steady_clock::time_point end);
 
 private:
@@ -30,6 +34,15 @@
         std::optional<std::string> requestId;
         bool isStamped = false;
         std::chrono::milliseconds retryAfter { 100 };
+        /// When the connection became idle, if it was kept within the time that the gateway had announced.
+        std::optional<std::chrono::steady_clock::time_point> idleSince;
+    };
+
+    struct KeptConnection {
+        std::unique_ptr<HttpConnection> connection;
+        std::chrono::steady_clock::time_point idleSince;
+        /// Announced idle time less a margin; 0 if none was announced.
+        std::chrono::milliseconds promised { 0 };
     };
 
     Task<Response> send(std::size_t gateway, HttpRequest request);
@@ -42,7 +55,8 @@
     RequestLedger& m_ledger;
     CrashingPart& m_crashingPart;
     GatewaySoakReport& m_report;
-    std::map<std::size_t, std::unique_ptr<HttpConnection>> m_connections;
+    std::map<std::size_t, KeptConnection> m_connections;
+    std::optional<std::size_t> m_pausingAt;
     unsigned m_sent = 0;
 };
 
