Take a connect without a descriptor for no failure of the runner

A connect that fails for lack of a descriptor, memory or a local port of this process was reported as ConnectFailed. It counted as a failure of the runner, opened its breaker and told other VMs that it cannot be reached.

HttpConnection::connect returns Overloaded (not run) for it. The dispatcher takes that as no evidence on the runner, its version or a quarantined part, charges no retry to the budget, tries up to three more times (a kept connection to another runner may serve the request) and then refuses with a retry time. TcpRunnerProbe compares with connection_refused only, so it took no shortage for a crash.

--- a/Source/Core/Gateway/ForwardDispatcher.cpp
+++ b/Source/Core/Gateway/ForwardDispatcher.cpp
@@ -96,6 +96,19 @@
 
     Error silenceError() { return { ErrorCode::DeadlineExceeded, "the runner is silent", RunState::Unknown }; }
 
+    /// Whether an attempt failed for lack of a resource of this process, such as a descriptor, before a runner received
+    /// anything. That is no evidence on the runner or its version.
+    bool isLocalShortage(const Error& error)
+    {
+        return error.code == ErrorCode::Overloaded && error.runState == RunState::NotRun;
+    }
+
+    /// Whether an attempt failed before a runner received anything.
+    bool reachedNoRunner(const Error& error)
+    {
+        return error.code == ErrorCode::ConnectFailed || isLocalShortage(error);
+    }
+
     /// State of one attempt of a request.
     struct AttemptState {
         RunnerChoice runner;
@@ -390,6 +403,7 @@
 {
     const auto kind = retryKindOf(*delivery.route);
     const bool isNotRun = error.runState == RunState::NotRun;
+    // A shortage of this process counts as a refusal, since repeats at other runners may fail for it in turn.
     if (isNotRun && error.code != ErrorCode::ConnectFailed) {
         ++delivery.refusals;
     }
@@ -398,7 +412,7 @@
     if (!isWithinLimits) {
         return false;
     }
-    if (delivery.isTrial && error.code != ErrorCode::ConnectFailed) {
+    if (delivery.isTrial && !reachedNoRunner(error)) {
         return false;
     }
     // A request that crashes its runners must not be sent to one after the other.
@@ -415,7 +429,7 @@
         return false;
     }
     // An attempt that did not reach a runner is not charged to the retry budget.
-    if (error.code != ErrorCode::ConnectFailed && !m_context.retryBudget.tryTake(delivery.service)) {
+    if (!reachedNoRunner(error) && !m_context.retryBudget.tryTake(delivery.service)) {
         m_context.metrics.count(Counter::RetryBudgetExhausted);
         return false;
     }
@@ -845,10 +859,12 @@
         case ErrorCode::Internal:
             outcome = RunnerResult::Abandoned;
             break;
-        default:
+        default: {
             // An error response is more often caused by the request than by the runner.
-            outcome = result.error().runState == RunState::Ran || delivery.isTakenBack ? RunnerResult::Abandoned
-                                                                                       : RunnerResult::Failed;
+            const bool isNoEvidence
+                = result.error().runState == RunState::Ran || delivery.isTakenBack || isLocalShortage(result.error());
+            outcome = isNoEvidence ? RunnerResult::Abandoned : RunnerResult::Failed;
+        }
         }
         m_context.metrics.count(Counter::UpstreamFailures);
     }
@@ -862,7 +878,7 @@
     constexpr int firstErrorStatus = 500;
     constexpr int timeoutStatus = 504;
     auto outcome = VersionResult::Succeeded;
-    if (delivery.isTakenBack) {
+    if (delivery.isTakenBack || (!result && isLocalShortage(result.error()))) {
         outcome = VersionResult::Inconclusive;
     } else if (delivery.status == timeoutStatus) {
         outcome = VersionResult::TimedOut;
--- a/Source/Core/Transport/HttpClient.cpp
+++ b/Source/Core/Transport/HttpClient.cpp
@@ -13,6 +13,7 @@
 #include <boost/beast/http.hpp>
 
 #include <algorithm>
+#include <array>
 #include <charconv>
 #include <cstddef>
 #include <limits>
@@ -69,6 +70,17 @@
         return Error { code, std::string(what) + ": " + ec.message(), RunState::Unknown };
     }
 
+    /// Whether a connect failed for lack of a resource of this process or this VM, which tells nothing about the
+    /// server.
+    bool isLocalShortage(const beast::error_code& ec)
+    {
+        using namespace boost::system::errc;
+        // Without a free local port, connecting fails with address_not_available.
+        constexpr std::array shortages { too_many_files_open, too_many_files_open_in_system, no_buffer_space,
+            not_enough_memory, address_not_available };
+        return std::ranges::any_of(shortages, [&](errc_t it) { return ec == it; });
+    }
+
 } // namespace
 
 struct HttpConnection::State {
@@ -224,7 +236,8 @@
     std::tie(ec) = co_await stream.async_connect(tcp::endpoint(address, endpoint.port), asTuple);
     if (ec) {
         m_state->isBroken = true;
-        co_return fail(ErrorCode::ConnectFailed, "connect to " + endpoint.toString() + ": " + ec.message());
+        const auto code = isLocalShortage(ec) ? ErrorCode::Overloaded : ErrorCode::ConnectFailed;
+        co_return fail(code, "connect to " + endpoint.toString() + ": " + ec.message());
     }
     setLowLatencyOptions(stream.socket().native_handle(), deadConnectionTimeout);
     // Applies to operations without a handler; others never block.
--- a/Source/Core/Transport/HttpClient.h
+++ b/Source/Core/Transport/HttpClient.h
@@ -29,7 +29,8 @@
 /// One HTTP/1.1 client connection. It carries one request at a time; after any error but DeadlineExceeded it must not
 /// be used again.
 ///
-/// Errors: ConnectFailed means that no byte of a request was sent; ConnectionLost and DeadlineExceeded carry
+/// Errors: ConnectFailed means that no byte of a request was sent, and Overloaded with RunState::NotRun that connecting
+/// failed for lack of a resource of this process, such as a descriptor; ConnectionLost and DeadlineExceeded carry
 /// RunState::Unknown once a byte may have been sent.
 class HttpConnection {
 public:
