Do not avoid a runner whose report had no descriptor

The new test fails before the change (no second report within the fixture's limit) and passes after it, with the two other tests of WeightsDriver.

--- a/Source/Core/Gateway/WeightsDriver.cpp
+++ b/Source/Core/Gateway/WeightsDriver.cpp
@@ -160,7 +160,8 @@
     const auto hash = runnerHash(runner);
     if (report) {
         m_badReports.erase(hash);
-    } else if (report.error().code == ErrorCode::ProtocolError || report.error().code == ErrorCode::Overloaded) {
+    } else if (report.error().code == ErrorCode::ProtocolError
+        || (report.error().code == ErrorCode::Overloaded && report.error().runState != RunState::NotRun)) {
         // Reading such a report takes memory and time, and the next one is likely to be the same.
         auto& bad = m_badReports[hash];
         bad.pause = std::clamp(2 * bad.pause, m_options.badReportPause, m_options.maxBadReportPause);
--- a/Source/UnitTests/Gateway/WeightsDriverTests.cpp
+++ b/Source/UnitTests/Gateway/WeightsDriverTests.cpp
@@ -154,3 +154,17 @@
         co_await fixture.waitFor([&] { return !fixture.weights.orders.empty(); });
     });
 }
+
+// Guards against avoiding a sound runner's reports because this process had no descriptor to ask for one.
+Test(WeightsDriver, asksAgainAtOnceAfterAShortageOfThisProcess)
+{
+    WeightsFixture fixture;
+    fixture.run([&]() -> Task<> {
+        fixture.weights.reportError = Error { ErrorCode::Overloaded, "Too many open files", RunState::NotRun };
+        fixture.readAll();
+        // The clock stands still, so a pause would not end.
+        co_await fixture.waitFor([&] { return fixture.weights.reports >= 2; });
+        fixture.weights.reportError.reset();
+        co_await fixture.waitFor([&] { return !fixture.weights.orders.empty(); });
+    });
+}
