Refuse requests beyond the limit of connections with a response

At its limit the server closed each further connection without a word, whatever request it carried. A further connection now takes the place of the longest idle one whose promise and margin have ended, else its request is refused with 503 (and Retry-After by the gateway's handler). At most 32 such connections are open beyond the limit; others wait in the listen queue.

--- a/Source/Core/Transport/HttpServer.cpp
+++ b/Source/Core/Transport/HttpServer.cpp
@@ -61,6 +61,16 @@
     // Longest time for a client to take a response that was sent before the end of its request.
     constexpr std::chrono::milliseconds refusalReadTime { 2000 };
 
+    // Connections beyond the limit that are being refused or closed. Further ones wait in the listen queue, since each
+    // takes a descriptor.
+    constexpr std::size_t maxEndingConnections = 32;
+
+    // Longest wait for the request of a connection that is refused. An unsolicited response may confuse its client.
+    constexpr std::chrono::milliseconds refusedRequestWait { 1000 };
+
+    // Time after which it is checked again whether a connection has ended.
+    constexpr std::chrono::milliseconds acceptPause { 50 };
+
     beast::error_code noMemory() { return make_error_code(boost::system::errc::not_enough_memory); }
 
 } // namespace
@@ -116,9 +126,16 @@
 
     Task<> acceptLoop();
     void addConnection(tcp::socket socket);
+    /// Whether no connection may be accepted, not even to refuse it.
+    bool isAtBound() const { return connections.size() >= limits.connections + maxEndingConnections; }
+    /// Closes the connection that is idle for the longest time among those whose promise has ended.
+    /// @return False if there is none.
+    bool closeLongestIdle();
     /// Takes over the connections that the kernel has accepted for this server.
     void acceptQueued();
     static Task<> serve(std::shared_ptr<State> state, ConnectionId id);
+    /// Refuses the first request of a connection.
+    static Task<> refuse(std::shared_ptr<State> state, ConnectionId id);
     Task<> serveRequests(Connection& connection);
     /// Reads the next request of a connection.
     Task<Received> receive(Connection& connection, bool isFirst);
@@ -185,6 +202,10 @@
     // Keeps the state alive while the acceptor is open.
     const auto self = shared_from_this();
     while (acceptor.is_open()) {
+        if (isAtBound()) {
+            co_await sleepFor(acceptPause);
+            continue;
+        }
         auto [ec, socket] = co_await acceptor.async_accept(asTuple);
         if (!ec) {
             // Also when the server has stopped meanwhile, since its client may have sent a request.
@@ -195,23 +216,43 @@
             co_return;
         }
         // For example, no file descriptors are left. The pause lets some connections end.
-        co_await sleepFor(std::chrono::milliseconds(50));
+        co_await sleepFor(acceptPause);
     }
 }
 
 void HttpServer::State::addConnection(tcp::socket socket)
 {
-    if (connections.size() >= limits.connections) {
-        reportEnd({ .event = ConnectionEvent::Rejected, .cause = "too many connections" });
-        return;
-    }
     setLowLatencyOptions(socket.native_handle(), limits.writeTimeout);
     // Applies to operations without a handler; others never block.
     beast::error_code ec;
     socket.non_blocking(true, ec);
+    const auto ending = std::ranges::count_if(connections, [](const auto& it) { return it.second.isEnding; });
+    const bool isFull = connections.size() - static_cast<std::size_t>(ending) >= limits.connections;
+    const bool isRefused = isFull && !closeLongestIdle();
     const auto id = nextId++;
-    connections.try_emplace(id, std::move(socket));
-    spawnTask(executor, TaskKind::ServerConnection, serve(shared_from_this(), id));
+    connections.try_emplace(id, std::move(socket)).first->second.isEnding = isRefused;
+    spawnTask(executor, TaskKind::ServerConnection,
+        isRefused ? refuse(shared_from_this(), id) : serve(shared_from_this(), id));
+}
+
+bool HttpServer::State::closeLongestIdle()
+{
+    const auto now = std::chrono::steady_clock::now();
+    Connection* longest = nullptr;
+    for (auto& [id, connection] : connections) {
+        const bool mayClose = !connection.isEnding && connection.promiseEnd && *connection.promiseEnd <= now;
+        if (mayClose && (!longest || connection.idleSince < longest->idleSince)) {
+            longest = &connection;
+        }
+    }
+    if (!longest) {
+        return false;
+    }
+    longest->isEnding = true;
+    // Its wait goes on with a limit that has passed.
+    beast::error_code ec;
+    longest->stream.socket().cancel(ec);
+    return true;
 }
 
 void HttpServer::State::acceptQueued()
@@ -234,6 +275,17 @@
     co_await state->serveRequests(state->connections.at(id));
 }
 
+Task<> HttpServer::State::refuse(std::shared_ptr<State> state, ConnectionId id)
+{
+    const ConnectionCloser closer(*state, id);
+    auto& connection = state->connections.at(id);
+    state->report(ConnectionEvent::Rejected);
+    const auto ec = co_await state->readSome(connection, std::chrono::steady_clock::now() + refusedRequestWait);
+    if (!ec && !state->isDestroyed) {
+        co_await state->reject(connection, 503, "too many connections");
+    }
+}
+
 void HttpServer::State::closeConnection(ConnectionId id)
 {
     const auto it = connections.find(id);
@@ -352,6 +404,9 @@
     const auto promiseEnd = promised.count() > 0 ? promised + detail::promisedIdleMargin : promised;
     auto limit = isFirst ? limits.headerTimeout : std::max(longestIdleLimit(), promiseEnd);
     const auto until = [&] {
+        if (connection.isEnding) {
+            return since;
+        }
         if (!stoppedAt) {
             return since + limit;
         }
@@ -360,9 +415,13 @@
     };
     beast::error_code ec;
     connection.isIdle = true;
+    connection.idleSince = since;
+    if (!isFirst && promised.count() > 0) {
+        connection.promiseEnd = since + promiseEnd;
+    }
     for (;;) {
         ec = co_await readSome(connection, until());
-        if (ec == beast::error::timeout && !isFirst && !stoppedAt) {
+        if (ec == beast::error::timeout && !isFirst && !stoppedAt && !connection.isEnding) {
             // A limit that has become longer applies at once.
             const auto longest = std::max(limit, longestIdleLimit());
             if (std::exchange(limit, longest) < longest) {
@@ -375,6 +434,7 @@
         }
     }
     connection.isIdle = false;
+    connection.promiseEnd.reset();
     const auto end = std::chrono::steady_clock::now();
     connection.wait = { std::chrono::duration_cast<std::chrono::milliseconds>(end - since),
         std::chrono::duration_cast<std::chrono::milliseconds>(until() - since), promised };
@@ -441,7 +501,8 @@
         if (!request) {
             co_return;
         }
-        Exchange exchange(connection.stream, std::move(request->message), limits, request->keepAlive, isClosing);
+        Exchange exchange(connection.stream, std::move(request->message), limits,
+            request->keepAlive && !connection.isEnding, isClosing);
         co_await handle(exchange);
         releaseRequest(connection);
         connection.promisedIdleTime = exchange.promisedIdleTime();
--- a/Source/Core/Transport/HttpServer.h
+++ b/Source/Core/Transport/HttpServer.h
@@ -88,7 +88,8 @@
 struct HttpServerLimits {
     std::size_t headerBytes = 16UL * 1024;
     std::size_t bodyBytes = 8UL * 1024 * 1024;
-    /// Open connections; further ones are closed when they are accepted.
+    /// Open connections. A further one takes the place of the longest idle connection whose promise has ended, else its
+    /// request is refused with 503. Beyond a small number of refused ones, connections wait in the listen queue.
     std::size_t connections = 10'000;
     /// Longest time until the header of a request is complete, from the begin of the connection for its first request,
     /// else from the first byte.
--- a/Source/Core/Transport/ServerConnection.h
+++ b/Source/Core/Transport/ServerConnection.h
@@ -9,6 +9,7 @@
 
 #include <chrono>
 #include <cstddef>
+#include <optional>
 #include <utility>
 
 namespace Pollenwind::detail {
@@ -30,6 +31,13 @@
     std::size_t headBytes = 0;
     /// Waits for a request of which nothing has arrived.
     bool isIdle = false;
+    /// Begin of the last wait for a request.
+    std::chrono::steady_clock::time_point idleSince;
+    /// While it is idle, the time at which the promise of its last response ends; nothing without a promise, since its
+    /// client then goes by an idle limit that it knows.
+    std::optional<std::chrono::steady_clock::time_point> promiseEnd;
+    /// It is closed or refused to make space, and does not count against the limit of connections any more.
+    bool isEnding = false;
     /// Idle time that the last response promised.
     std::chrono::seconds promisedIdleTime { 0 };
     /// The last wait for a request.
