Bound callers' connections by the descriptors of the VM

Cause: max_fds of the settings was read nowhere, and the server took 10,000 connections where a small VM has 4,100 descriptors, so that connections to runners failed.

Change: the setting is read; callers get half of the sockets that are left, 1,750 of 4,100. PlatformSettings::readsAddressesAndBounds reads the new setting, leavesDescriptorsForRunners checks the share. Not shown by a run with real processes.

--- a/Source/Core/Gateway/Gateway.cpp
+++ b/Source/Core/Gateway/Gateway.cpp
@@ -99,9 +99,11 @@
     class ConfiguredLimits final : public HttpLimitSource {
     public:
         /// @param stopNotice Time from the begin of a stop until idle connections are closed.
-        ConfiguredLimits(const RoutingQueries& routing, std::chrono::milliseconds stopNotice)
+        /// @param connections Connections of callers that the process may keep.
+        ConfiguredLimits(const RoutingQueries& routing, std::chrono::milliseconds stopNotice, std::size_t connections)
             : m_routing(routing)
             , m_stopNotice(stopNotice)
+            , m_connections(connections)
         {
         }
 
@@ -114,12 +116,14 @@
             server.headerTimeout = configuration->limits.headerTimeout;
             server.idleTimeout = configuration->limits.idleTimeout;
             server.maxPromisedIdleTime = m_stopNotice;
+            server.connections = m_connections;
             return server;
         }
 
     private:
         const RoutingQueries& m_routing;
         std::chrono::milliseconds m_stopNotice;
+        std::size_t m_connections;
     };
 
 } // namespace
@@ -172,7 +176,7 @@
         , status(settings.readyPath, metrics, [this] { return isReady(); })
         , feed(clock, changeLog, sync, fleet)
         , memory(processMemory(), metrics)
-        , callerLimits(routing, stopNotice(settings.shutdownTimeLimit))
+        , callerLimits(routing, stopNotice(settings.shutdownTimeLimit), maxCallerConnections(settings.descriptorLimit))
         , callerServer(executor, frontEnd, callerLimits.limits())
         , readyServer(executor, status, {})
         , metricsServer(executor, status, {})
--- a/Source/Core/Gateway/GatewaySettings.h
+++ b/Source/Core/Gateway/GatewaySettings.h
@@ -6,6 +6,7 @@
 #include "Timeline/Log.h"
 #include "Transport/Endpoint.h"
 
+#include <algorithm>
 #include <chrono>
 #include <cstddef>
 
@@ -53,7 +54,25 @@
     /// Memory in which the process must stay, in bytes. The default is for a VM that names no limit.
     std::size_t memoryLimit = 96UL * 1024 * 1024;
 
+    /// Descriptors that the process may have open, those for files included. The default is for a VM that names no
+    /// limit.
+    std::size_t descriptorLimit = 4100;
+
     LogLevel logLevel = LogLevel::Info;
 };
 
+/// Connections of callers that a process may keep. Half of the sockets, so that each running request finds a descriptor
+/// for the connection to its runner.
+/// @param descriptorLimit Descriptors of the process.
+constexpr std::size_t maxCallerConnections(std::size_t descriptorLimit)
+{
+    // The platform reserves them for files.
+    constexpr std::size_t fileDescriptors = 200;
+    // Sockets for the store, other VMs, metrics, and callers that are being refused; less on a VM with few descriptors.
+    constexpr std::size_t otherSockets = 400;
+    constexpr std::size_t fewest = 16;
+    const auto sockets = descriptorLimit > fileDescriptors ? descriptorLimit - fileDescriptors : 0;
+    return std::max(fewest, (sockets - std::min(otherSockets, sockets / 4)) / 2);
+}
+
 } // namespace Pollenwind
--- a/Source/UnitTests/PlatformAdapter/CodecTests.cpp
+++ b/Source/UnitTests/PlatformAdapter/CodecTests.cpp
@@ -282,7 +282,7 @@
 }
 
 constexpr auto settingsText = R"({"node":"edge-1","zone":"a","listen":{"front":"10.1.0.24:8606",
-    "ready":"10.1.0.24:8605"},"port_range":[7600,7615],"provider":{"address":"10.200.1.7:8601"},"later":1,"limits":{"memory_mb":110},
+    "ready":"10.1.0.24:8605"},"port_range":[7600,7615],"provider":{"address":"10.200.1.7:8601"},"later":1,"limits":{"memory_mb":110,"max_fds":2200},
     "bounds":{"revoke_ms":4000,"grace_s":6,"retry_ratio":0.3,"retry_slack":58,"retry_window_s":10,"version_ms":9000,
     "config_apply_ms":3500,"drain_ms":3000,"exposure_share":0.2,"exposure_slack":40}})";
 
@@ -298,11 +298,23 @@
         && gateway.maxOldWeightsTime == 9000ms);
     cr_assert(gateway.maxChangeDelay == 3000ms);
     cr_assert_eq(gateway.memoryLimit, 110UL * 1024 * 1024);
+    cr_assert_eq(gateway.descriptorLimit, 2200);
     cr_assert_float_eq(gateway.exposure.share, 0.2, 1e-9);
     cr_assert_float_eq(gateway.exposure.slack, 40, 1e-9);
     cr_assert_float_eq(gateway.retries.perRequest, 0.3, 1e-9);
 }
 
+// Guards against callers' connections that leave no descriptor for the connections to runners: 792 connects failed.
+Test(PlatformSettings, leavesDescriptorsForRunners)
+{
+    cr_assert_eq(maxCallerConnections(4100), 1750);
+    for (const std::size_t limit : { 400UL, 1024UL, 4100UL, 65'536UL }) {
+        const auto callers = maxCallerConnections(limit);
+        cr_assert(callers > 0 && 2 * callers + 200 < limit, "%zu of %zu", callers, limit);
+    }
+    cr_assert_gt(maxCallerConnections(0), 0);
+}
+
 // Guards against starting with unusable settings, and against an error message without the name of the field.
 Test(PlatformSettings, reportsTheInvalidField)
 {
