--- a/Source/Core/Gateway/ForwardDispatcher.cpp
+++ b/Source/Core/Gateway/ForwardDispatcher.cpp
@@ -96,6 +96,19 @@
 
     Error silenceError() { return { ErrorCode::DeadlineExceeded, "the runner is silent", RunState::Unknown }; }
 
+    /// Whether an attempt failed for lack of a resource of this process, such as a descriptor, before a runner received
+    /// anything. That is no evidence on the runner or its version.
+    bool isLocalShortage(const Error& error)
+    {
+        return error.code == ErrorCode::Overloaded && error.runState == RunState::NotRun;
+    }
+
+    /// Whether an attempt failed before a runner received anything.
+    bool reachedNoRunner(const Error& error)
+    {
+        return error.code == ErrorCode::ConnectFailed || isLocalShortage(error);
+    }
+
     /// State of one attempt of a request.
     struct AttemptState {
         RunnerChoice runner;
@@ -115,6 +128,8 @@
         RolloutAttemptId rolloutAttempt;
         /// Status of the attempt's response; 0 before its head.
         int status = 0;
+        /// When the attempt's last events were sent to the caller.
+        MonotonicTime lastOutputAt { 0 };
     };
 
     /// An attempt at a silent runner, which goes on until another runner has accepted the request.
@@ -304,7 +319,7 @@
         }
         auto result = co_await attempt(request, *choice, sink, delivery);
         if (!std::exchange(delivery.isReplaced, false)) {
-            recordAttemptEnd(*choice, result, delivery);
+            recordAttemptEnd(*choice, result, sink.stopReason(), delivery);
             recordVersionResult(result, sink.stopReason(), delivery);
         }
         if (result) {
@@ -390,6 +405,7 @@
 {
     const auto kind = retryKindOf(*delivery.route);
     const bool isNotRun = error.runState == RunState::NotRun;
+    // A shortage of this process counts as a refusal, since repeats at other runners may fail for it in turn.
     if (isNotRun && error.code != ErrorCode::ConnectFailed) {
         ++delivery.refusals;
     }
@@ -398,7 +414,7 @@
     if (!isWithinLimits) {
         return false;
     }
-    if (delivery.isTrial && error.code != ErrorCode::ConnectFailed) {
+    if (delivery.isTrial && !reachedNoRunner(error)) {
         return false;
     }
     // A request that crashes its runners must not be sent to one after the other.
@@ -415,7 +431,7 @@
         return false;
     }
     // An attempt that did not reach a runner is not charged to the retry budget.
-    if (error.code != ErrorCode::ConnectFailed && !m_context.retryBudget.tryTake(delivery.service)) {
+    if (!reachedNoRunner(error) && !m_context.retryBudget.tryTake(delivery.service)) {
         m_context.metrics.count(Counter::RetryBudgetExhausted);
         return false;
     }
@@ -572,7 +588,7 @@
         cancelReplaced(delivery);
     }
     if (!std::exchange(delivery.isReplaced, false)) {
-        recordAttemptEnd(*choice, result, delivery);
+        recordAttemptEnd(*choice, result, sink.stopReason(), delivery);
         recordVersionResult(result, sink.stopReason(), delivery);
     }
     if (!delivery.silent) {
@@ -604,7 +620,7 @@
     std::swap(state, replaced->state);
     const Outcome<void> result = std::unexpected(silenceError());
     endTrial(delivery, false);
-    recordAttemptEnd(delivery.runner, result, delivery);
+    recordAttemptEnd(delivery.runner, result, std::nullopt, delivery);
     recordVersionResult(result, std::nullopt, delivery);
     std::swap(state, replaced->state);
     delivery.runState = RunState::Unknown;
@@ -637,6 +653,10 @@
     }
     auto head = co_await exchange.begin(std::min<std::chrono::nanoseconds>(left, refusalTime));
     // A shorter limit is that of the other runner's old weights, after which the silent one is still wanted.
+    if (!head && head.error().code == ErrorCode::DeadlineExceeded && !exchange.isRequestSent()) {
+        // It is silent itself, and the one before may still go on. Unavailable, since that is no crash.
+        co_return fail(ErrorCode::Unavailable, "the runner that was to take over does not read", RunState::Unknown);
+    }
     if (!head && head.error().code == ErrorCode::DeadlineExceeded && left > refusalTime) {
         cancelReplaced(delivery);
         head = co_await exchange.awaitHead(end - m_context.clock.now());
@@ -788,6 +808,7 @@
             co_return written;
         }
         delivery.lastEventId = events.lastId();
+        delivery.lastOutputAt = m_context.clock.now();
         // A slow caller delays the next read. That is no pause of the runner.
         pauseEnd = m_context.clock.now() + eventPauseLimit;
     }
@@ -828,9 +849,13 @@
     m_context.prefixes.recordRead(cachedPrefixes);
 }
 
-void ForwardDispatcher::recordAttemptEnd(
-    const RunnerChoice& choice, const Outcome<void>& result, const Delivery& delivery)
+void ForwardDispatcher::recordAttemptEnd(const RunnerChoice& choice, const Outcome<void>& result,
+    const std::optional<Error>& stopReason, const Delivery& delivery)
 {
+    // A stream whose events were arriving and that ends with its time or its caller shows no fault of its runner.
+    const bool isStopped = stopReason || (!result && result.error().code == ErrorCode::DeadlineExceeded);
+    const bool isSoundStream = isStopped && delivery.phase == AttemptPhase::Answering
+        && m_context.clock.now() - delivery.lastOutputAt < eventPauseLimit;
     auto outcome = RunnerResult::Succeeded;
     if (!result) {
         switch (result.error().code) {
@@ -845,10 +870,12 @@
         case ErrorCode::Internal:
             outcome = RunnerResult::Abandoned;
             break;
-        default:
+        default: {
             // An error response is more often caused by the request than by the runner.
-            outcome = result.error().runState == RunState::Ran || delivery.isTakenBack ? RunnerResult::Abandoned
-                                                                                       : RunnerResult::Failed;
+            const bool isNoEvidence = result.error().runState == RunState::Ran || delivery.isTakenBack || isSoundStream
+                || isLocalShortage(result.error());
+            outcome = isNoEvidence ? RunnerResult::Abandoned : RunnerResult::Failed;
+        }
         }
         m_context.metrics.count(Counter::UpstreamFailures);
     }
@@ -862,7 +889,7 @@
     constexpr int firstErrorStatus = 500;
     constexpr int timeoutStatus = 504;
     auto outcome = VersionResult::Succeeded;
-    if (delivery.isTakenBack) {
+    if (delivery.isTakenBack || (!result && isLocalShortage(result.error()))) {
         outcome = VersionResult::Inconclusive;
     } else if (delivery.status == timeoutStatus) {
         outcome = VersionResult::TimedOut;
