Let the sanitizer check its types before the test takes all descriptors

The test now also makes a connect that is refused before the shortage, which checks the types of the errors; its assertions stay.

--- a/Source/UnitTests/Transport/DescriptorTests.cpp
+++ b/Source/UnitTests/Transport/DescriptorTests.cpp
@@ -70,6 +70,10 @@
     ServerFixture fixture;
     asio::io_context context { 1 };
     cr_assert(connectTo(context, fixture.endpoint).has_value());
+    // Also before the shortage: the sanitizer opens a pipe when it checks a type for the first time.
+    const Endpoint unused { "127.0.0.1", 1 };
+    const auto unreachable = connectTo(context, unused);
+    cr_assert(!unreachable && unreachable.error().code == ErrorCode::ConnectFailed);
     for (const auto* localAddress : { "", "127.0.0.1" }) {
         const DescriptorShortage shortage;
         const auto failed = connectTo(context, fixture.endpoint, localAddress);
