--- a/tools/request-ends.sh
+++ b/tools/request-ends.sh
@@ -121,7 +121,7 @@
     if (closer[r] == "connection-left" || (ending[r] == "stopped" && closer[r] == "")) return "caller left"
     if (closer[r] == "") return "answered with an error"
     if (connectionEnd[r] == "request-timed-out" || connectionEnd[r] == "request-cut-off") return "request not whole"
-    if (limit > 0 && usedMs[r] >= limit - (isExact ? 0 : 2)) return "time limit"
+    if (limit > 0 && usedMs[r] >= limit - (isExact ? 0 : 2)) return "deadline"
     if (connectionCause[r] == "" && code[r] ~ /^(connection-lost|connect-failed|protocol-error|mismatch)$/ \
         && cause[r] !~ /no memory/) return "runner broke off"
     # The rules allow it for requests that were sent up to 3 s after the signal.
