Count ending connections only at the limit, and move a comment to its line

From reading the whole change again. addConnection counted the connections that end on each accept; it needs the number only when the limit is reached. Merging had put a check between a comment and the line that it explains.

--- a/Source/Core/Gateway/ForwardDispatcher.cpp
+++ b/Source/Core/Gateway/ForwardDispatcher.cpp
@@ -35,7 +35,7 @@
     constexpr std::chrono::milliseconds refusalTime { 250 };
 
     // A runner stops at the deadline that it was given, and its clock began a little earlier or later. A connection
-    // that it closes within this time of the deadline is no failure of its own.
+    // that it closes within this time of the deadline is no failure of the runner.
     constexpr std::chrono::milliseconds deadlineTolerance { 15 };
 
     // Value of Retry-After. Callers follow it up to a third of their remaining time.
@@ -652,11 +652,11 @@
         co_return co_await exchange.begin(left);
     }
     auto head = co_await exchange.begin(std::min<std::chrono::nanoseconds>(left, refusalTime));
-    // A shorter limit is that of the other runner's old weights, after which the silent one is still wanted.
     if (!head && head.error().code == ErrorCode::DeadlineExceeded && !exchange.isRequestSent()) {
         // It is silent itself, and the one before may still go on. Unavailable, since that is no crash.
         co_return fail(ErrorCode::Unavailable, "the runner that was to take over does not read", RunState::Unknown);
     }
+    // A shorter limit is that of the other runner's old weights, after which the silent one is still wanted.
     if (!head && head.error().code == ErrorCode::DeadlineExceeded && left > refusalTime) {
         cancelReplaced(delivery);
         head = co_await exchange.awaitHead(end - m_context.clock.now());
--- a/Source/Core/Transport/HttpServer.cpp
+++ b/Source/Core/Transport/HttpServer.cpp
@@ -128,6 +128,8 @@
     void addConnection(tcp::socket socket);
     /// Whether no connection may be accepted, not even to refuse it.
     bool isAtBound() const { return connections.size() >= limits.connections + maxEndingConnections; }
+    /// Whether the connections that do not end reach the limit.
+    bool isFull() const;
     /// Closes the connection that is idle for the longest time among those whose promise has ended.
     /// @return False if there is none.
     bool closeLongestIdle();
@@ -226,15 +228,22 @@
     // Applies to operations without a handler; others never block.
     beast::error_code ec;
     socket.non_blocking(true, ec);
-    const auto ending = std::ranges::count_if(connections, [](const auto& it) { return it.second.isEnding; });
-    const bool isFull = connections.size() - static_cast<std::size_t>(ending) >= limits.connections;
-    const bool isRefused = isFull && !closeLongestIdle();
+    const bool isRefused = isFull() && !closeLongestIdle();
     const auto id = nextId++;
     connections.try_emplace(id, std::move(socket)).first->second.isEnding = isRefused;
     spawnTask(executor, TaskKind::ServerConnection,
         isRefused ? refuse(shared_from_this(), id) : serve(shared_from_this(), id));
 }
 
+bool HttpServer::State::isFull() const
+{
+    if (connections.size() < limits.connections) {
+        return false;
+    }
+    const auto ending = std::ranges::count_if(connections, [](const auto& it) { return it.second.isEnding; });
+    return connections.size() - static_cast<std::size_t>(ending) >= limits.connections;
+}
+
 bool HttpServer::State::closeLongestIdle()
 {
     const auto now = std::chrono::steady_clock::now();
