Add review case 7: a withdrawn key after a restore of the store

A key is withdrawn while the store turns one of three machines away. The store comes back from a copy that has the key and serves that machine again, which takes its first read for fresh: requests with the key run 6.5 to 7.0 s after the confirmation (5 s are allowed), until the operator has written again. The other machines refuse them.

--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -7,3 +7,4 @@
     clang++-19 -std=c++20 -O1 -g -Wall -Wextra -pthread "review/stand-ins-2/$1" -o "target/review-2/$2"
 }
 build HandoverCase.cpp handover
+build RestoredKeyCase.cpp restored-key
