--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -7,4 +7,5 @@
     clang++-19 -std=c++20 -O1 -g -Wall -Wextra -pthread "review/stand-ins-2/$1" -o "target/review-2/$2"
 }
 build HandoverCase.cpp handover
+build CrashingPartCase.cpp crashing-part
 build RestoredKeyCase.cpp restored-key
