Decide on the pause between holders by the state under the present lease

Cause: the lease task may acquire the lease before the watch has delivered the successor's state record. The pause was decided once, by the VM's own record of before, beginOrders() wrote nothing since that record already named the VM, and a newer record that arrived under the lease changed nothing.

Change: the state is written under each lease before the first order, on the condition of the known revision. If another VM has written since, the write returns its record, and the pause counts from the acquisition, also if the watch delivers the record. lease-taken names the revision by which the pause was decided, and lease-delayed tells of a later one.

The same shortcut left the condition of another VM's late write true, which could hide the orders of this one; the write under each lease ends it.

Tests of OrderLease, which failed before and pass now: waitsAfterASuccessorWhoseOrdersItHasNotReceived ("an order without the pause, before the state was received"), ordersWithoutAPauseAfterASuccessorThatWasIdle and recordsItsOrdersAgainUnderEachLease ("a late write of another VM hides the orders of this one").

--- a/Source/Core/Gateway/OrderLease.cpp
+++ b/Source/Core/Gateway/OrderLease.cpp
@@ -79,6 +79,22 @@
     m_stateVm = record.is_object() ? JsonFields::readString(record, "vm") : std::string();
     // An unreadable record may belong to a VM whose orders are in progress.
     m_isStateActive = !record.is_object() || JsonFields::readBoolean(record, "active", true);
+    if (m_isHeld) {
+        delayOrders();
+    }
+}
+
+void OrderLease::delayOrders()
+{
+    const auto from = firstOrderTime();
+    if (from <= m_orderFrom) {
+        return;
+    }
+    m_orderFrom = from;
+    const auto pause = std::chrono::duration_cast<std::chrono::milliseconds>(m_orderFrom - m_clock.now());
+    m_timeline.record(EventKind::LeaseDelayed,
+        { { "lease", "orders" }, { "token", std::to_string(m_fencingToken) }, { "active_holder", m_stateVm },
+            { "pause_ms", std::to_string(pause.count()) } });
 }
 
 bool OrderLease::mayOrderWithin(std::chrono::nanoseconds time) const
@@ -144,12 +160,11 @@
 
 MonotonicTime OrderLease::firstOrderTime() const
 {
-    const auto now = m_clock.now();
     const bool mayFollowOther = m_isStateActive && m_stateVm != m_vm.value();
     const bool mayFollowEarlierEra = m_earlierLeasesEnd.count() > 0 && !m_wasHolder;
     // The pause of an earlier lease of this VM may not have passed.
-    return std::max({ now, m_orderFrom, mayFollowOther ? now + m_options.handoverPause : now,
-        mayFollowEarlierEra ? m_earlierLeasesEnd + m_options.handoverPause : now });
+    return std::max({ m_acquiredAt, m_orderFrom, mayFollowOther ? m_acquiredAt + m_options.handoverPause : m_acquiredAt,
+        mayFollowEarlierEra ? m_earlierLeasesEnd + m_options.handoverPause : m_acquiredAt });
 }
 
 Task<> OrderLease::acquire()
@@ -178,12 +193,13 @@
     m_isHolderKnown = true;
     m_holder = m_holderValue;
     m_holderRevision = swapped->revision;
+    m_acquiredAt = m_clock.now();
     m_orderFrom = firstOrderTime();
     const auto pause = std::chrono::duration_cast<std::chrono::milliseconds>(m_orderFrom - m_clock.now());
     m_timeline.record(EventKind::LeaseTaken,
         { { "lease", "orders" }, { "token", std::to_string(m_fencingToken) },
             { "follows_active_holder", pause.count() > 0 ? "true" : "false" },
-            { "pause_ms", std::to_string(pause.count()) } });
+            { "pause_ms", std::to_string(pause.count()) }, { "state_revision", std::to_string(m_stateRevision) } });
 }
 
 Task<> OrderLease::renew()
@@ -227,10 +243,17 @@
 Task<bool> OrderLease::beginOrders()
 {
     const bool isRecorded = m_isStateActive && m_stateVm == m_vm.value() && isStateStored();
-    if (isRecorded && !m_isStateWriteUnanswered) {
+    if (isRecorded && !m_isStateWriteUnanswered && m_stateWrittenUnder == m_fencingToken) {
         co_return true;
     }
-    co_return co_await writeState(true);
+    // The known record may be older than the lease: another VM may have held the lease and written its own, which has
+    // not been received yet. Only a conditional write under this lease tells.
+    const auto token = m_fencingToken;
+    if (!co_await writeState(true)) {
+        co_return false;
+    }
+    m_stateWrittenUnder = token;
+    co_return true;
 }
 
 Task<> OrderLease::endOrders()
--- a/Source/Core/Gateway/OrderLease.h
+++ b/Source/Core/Gateway/OrderLease.h
@@ -50,7 +50,8 @@
     void updateHolder(const std::string& holder, std::int64_t revision);
     /// Records that the lease has no holder.
     void clearHolder();
-    /// Updates the state from the record of the last VM that gave orders, unless a newer one is known.
+    /// Updates the state from the record of the last VM that gave orders, unless a newer one is known. A record of
+    /// another VM that arrives after this one has acquired the lease delays the first order.
     void updateState(const std::string& value, std::int64_t revision);
 
     /// Whether an order may be given now.
@@ -63,7 +64,9 @@
     /// with each order.
     std::int64_t fencingToken() const { return m_fencingToken; }
 
-    /// Records in the store that orders begin, so that the next holder waits before it gives its own.
+    /// Records in the store that orders begin, so that the next holder waits before it gives its own. The record is
+    /// written once under each lease, which shows whether another VM has given orders since. mayOrder() has to be
+    /// asked again after it.
     /// @return False if the record could not be written; no order may be given then.
     Task<bool> beginOrders();
     /// Records that an order is sent or may have just arrived.
@@ -82,8 +85,10 @@
     /// Erases a holder record that names this VM although it does not hold the lease, e.g. one that came back with a
     /// copy of the store, or one whose write got no answer.
     Task<> eraseOwnRecord();
-    /// Time of the first order under a lease that has just been acquired.
+    /// Time of the first order under the present lease, as far as the known state tells.
     MonotonicTime firstOrderTime() const;
+    /// Delays the first order under the present lease if the known state requires it.
+    void delayOrders();
     /// Whether the known state belongs to the present era of the store.
     bool isStateStored() const;
     Task<bool> writeState(bool isActive);
@@ -106,12 +111,15 @@
     std::int64_t m_stateRevision = 0;
     /// A write of the state got no answer. It may be executed later, as long as its condition holds.
     bool m_isStateWriteUnanswered = false;
+    /// Fencing token of the last lease under which the state was written or confirmed.
+    std::int64_t m_stateWrittenUnder = 0;
 
     bool m_isHeld = false;
     bool m_isReleased = false;
     LeaseId m_lease;
     std::int64_t m_fencingToken = 0;
     MonotonicTime m_validUntil { 0 };
+    MonotonicTime m_acquiredAt { 0 };
     MonotonicTime m_orderFrom { 0 };
     /// 0 if this VM has given no order.
     MonotonicTime m_lastOrderAt { 0 };
--- a/Source/Core/Timeline/TimelineEvent.h
+++ b/Source/Core/Timeline/TimelineEvent.h
@@ -49,6 +49,8 @@
     MoveDone,
     MoveRolledBack,
     LeaseTaken,
+    /// The holder of a lease has learned of orders of another VM that are newer than the state it knew.
+    LeaseDelayed,
     LeaseLost,
     /// A part of a prompt was lost in a crash of a runner.
     PartSuspected,
@@ -94,6 +96,7 @@
         EnumName { EventKind::MoveDone, "move-done" },
         EnumName { EventKind::MoveRolledBack, "move-taken-back" },
         EnumName { EventKind::LeaseTaken, "lease-taken" },
+        EnumName { EventKind::LeaseDelayed, "lease-delayed" },
         EnumName { EventKind::LeaseLost, "lease-lost" },
         EnumName { EventKind::PartSuspected, "part-suspected" },
         EnumName { EventKind::PartQuarantined, "part-quarantined" },
--- a/Source/UnitTests/Gateway/OrderLeaseTests.cpp
+++ b/Source/UnitTests/Gateway/OrderLeaseTests.cpp
@@ -87,6 +87,24 @@
         }
     }
 
+    /// Checks and records an order as the driver does before it sends one.
+    /// @return Whether the order may be sent.
+    Task<bool> mayGiveOrder() { co_return lease.mayOrder() && co_await lease.beginOrders() && lease.mayOrder(); }
+
+    /// Lets another VM hold the lease while the store turns this one away, and ends that VM's lease.
+    /// @param state Record of the other VM's orders.
+    Task<> letAnotherVmGiveOrders(const std::string& state)
+    {
+        store.isDown = true;
+        co_await advance(2100ms);
+        cr_assert(!lease.isHeld());
+        store.entries.erase(std::string(orderHolderKey));
+        const auto& known = store.entries.at(std::string(orderStateKey));
+        cr_assert(store.swap(std::string(orderStateKey), known.modRevision, state).isSwapped);
+        store.isDown = false;
+        co_await waitUntilHeld();
+    }
+
     /// Advances the clock and waits until the lease was renewed, or failed to be, at the new time.
     Task<> advance(std::chrono::nanoseconds step)
     {
@@ -218,6 +236,71 @@
     });
 }
 
+// Guards against orders of two VMs in turns: a VM that the store had turned away acquired the lease again before it
+// knew of its successor's orders, and ordered the same runners 1.8 s after them (review case 6).
+Test(OrderLease, waitsAfterASuccessorWhoseOrdersItHasNotReceived)
+{
+    const std::string activeOther = R"({"vm":"other","active":true})";
+    for (const bool isReceivedFirst : { false, true }) {
+        LeaseFixture fixture;
+        fixture.run([&]() -> Task<> {
+            fixture.lease.clearHolder();
+            co_await fixture.waitUntilHeld();
+            cr_assert(co_await fixture.mayGiveOrder());
+            co_await fixture.letAnotherVmGiveOrders(activeOther);
+            if (isReceivedFirst) {
+                const auto& state = fixture.store.entries.at(std::string(orderStateKey));
+                fixture.lease.updateState(state.value, state.modRevision);
+            }
+            cr_assert(!co_await fixture.mayGiveOrder(), "an order without the pause, %s the state was received",
+                isReceivedFirst ? "after" : "before");
+            co_await fixture.advance(1500ms);
+            cr_assert(!co_await fixture.mayGiveOrder());
+            co_await fixture.advance(1299ms);
+            cr_assert(!co_await fixture.mayGiveOrder());
+            co_await fixture.advance(1ms);
+            cr_assert(co_await fixture.mayGiveOrder());
+        });
+    }
+}
+
+// Guards against a needless pause: a successor that completed its orders long before is no reason to wait.
+Test(OrderLease, ordersWithoutAPauseAfterASuccessorThatWasIdle)
+{
+    LeaseFixture fixture;
+    fixture.run([&]() -> Task<> {
+        fixture.lease.clearHolder();
+        co_await fixture.waitUntilHeld();
+        cr_assert(co_await fixture.mayGiveOrder());
+        co_await fixture.letAnotherVmGiveOrders(R"({"vm":"other","active":false})");
+        // The first write only finds the newer record.
+        cr_assert(!co_await fixture.mayGiveOrder());
+        cr_assert(co_await fixture.mayGiveOrder());
+    });
+}
+
+// Guards against a late write that hides the orders of this VM: another VM held the lease in between, and its record
+// got no answer. The record must be written again under the new lease, so that the late write finds it changed.
+Test(OrderLease, recordsItsOrdersAgainUnderEachLease)
+{
+    LeaseFixture fixture;
+    fixture.run([&]() -> Task<> {
+        const std::string stateKey(orderStateKey);
+        fixture.lease.clearHolder();
+        co_await fixture.waitUntilHeld();
+        cr_assert(co_await fixture.mayGiveOrder());
+        const auto known = fixture.store.entries.at(stateKey).modRevision;
+        fixture.store.isDown = true;
+        co_await fixture.advance(2100ms);
+        fixture.store.entries.erase(std::string(orderHolderKey));
+        fixture.store.isDown = false;
+        co_await fixture.waitUntilHeld();
+        cr_assert(co_await fixture.mayGiveOrder());
+        const auto late = fixture.store.swap(stateKey, known, R"({"vm":"other","active":true})");
+        cr_assert(!late.isSwapped, "a late write of another VM hides the orders of this one");
+    });
+}
+
 // A holder that cannot renew its lease must stop giving orders before the lease can expire.
 Test(OrderLease, stopsBeforeTheLeaseCanExpire)
 {
