Clear the parts of a prompt by a proven answer, not by its first event

Cause: a complete first event counted as an answer. It erased the evidence against all parts of its request over the whole fleet, and the loss of the connection after it was not reported as a possible crash.

Change: an answer clears the parts of its request when it is whole, or when its runner has gone on for 0.5 s after the first event, without the time in which the caller reads. Until then a lost connection counts against the parts if the runner has crashed, also in the trial of a quarantined part, and as one of the two losses after which a request is not sent again.

Tests of ForwardDispatcher, which failed before and pass now: stopsSendingRequestsWithAPartThatCrashesRunnersAfterTheFirstEvent, doesNotResumeAStreamWithASuspectedPart, keepsAPartQuarantinedWhoseTrialCrashesItsRunner and doesNotTakeASlowCallerForAStreamThatWentOn. doesNotSuspectThePartsOfAStreamThatWentOn passes in both. Two tests of PartQuarantine have new names, since an answer need not only be begun.

--- a/Source/Core/Gateway/Commands/CrashCommands.h
+++ b/Source/Core/Gateway/Commands/CrashCommands.h
@@ -16,7 +16,7 @@
     CrashCommands& operator=(const CrashCommands&) = delete;
     virtual ~CrashCommands() = default;
 
-    /// Records that a request lost its connection to a runner after it was sent and before it had output.
+    /// Records that a request lost its connection to a runner after it was sent and before its answer was proven.
     /// @param parts Parts of the request's prompt that other requests may share.
     virtual void recordLoss(
         const UpstreamId& runner, Incarnation incarnation, const Endpoint& endpoint, std::span<const PartId> parts)
--- a/Source/Core/Gateway/Commands/QuarantineCommands.h
+++ b/Source/Core/Gateway/Commands/QuarantineCommands.h
@@ -15,12 +15,12 @@
     QuarantineCommands& operator=(const QuarantineCommands&) = delete;
     virtual ~QuarantineCommands() = default;
 
-    /// Records that a runner crashed while requests of this VM had no output there.
+    /// Records that a runner crashed while requests of this VM had no proven answer there.
     /// @param runner Name of the runner for the log.
     /// @param crash The runner's process; see holderHash().
     /// @param parts Parts of the prompts of these requests.
     virtual void recordCrash(const std::string& runner, std::uint64_t crash, std::span<const PartId> parts) = 0;
-    /// Records that a runner began an answer to a request with these parts.
+    /// Records an answer to a request with these parts that is whole or has gone on for some time.
     virtual void recordAnswer(std::span<const PartId> parts) = 0;
     /// Records that a request was refused because of a quarantined part.
     virtual void recordRefusal(PartId part) = 0;
--- a/Source/Core/Gateway/CrashDetector.h
+++ b/Source/Core/Gateway/CrashDetector.h
@@ -14,8 +14,9 @@
 namespace Pollenwind {
 
 /// Tells crashes of runners from cut links, lost answers, reset connections and runners in trouble: after a request
-/// has lost its connection before it had output, a connection to the runner is refused, or another process has the
-/// runner's id. Only then do the parts of the request count as evidence. A runner that was draining has not crashed.
+/// has lost its connection before its answer was proven, a connection to the runner is refused, or another process has
+/// the runner's id. Only then do the parts of the request count as evidence. A runner that was draining has not
+/// crashed.
 class CrashDetector final : public CrashCommands {
 public:
     /// Runner processes whose losses are kept, the newest.
--- a/Source/Core/Gateway/ForwardDispatcher.cpp
+++ b/Source/Core/Gateway/ForwardDispatcher.cpp
@@ -57,9 +57,13 @@
     // Parts of one prompt that are checked for crashes, the last ones, which are the least common.
     constexpr std::size_t maxCheckedParts = 16;
 
-    // Runners that a request may lose before it has output. Two crashes by one request are enough evidence.
+    // Runners that a request may lose before its answer is proven. Two crashes by one request are enough evidence.
     constexpr unsigned maxLosses = 2;
 
+    // Time for which a runner goes on with its answer after the first event until the answer counts as proven. A
+    // runner that a prompt crashes may have written some events before it ends.
+    constexpr std::chrono::milliseconds answerProofTime { 500 };
+
     RetryKind retryKindOf(const RouteRule& route)
     {
         switch (route.kind) {
@@ -130,6 +134,10 @@
         int status = 0;
         /// When the attempt's last events were sent to the caller.
         MonotonicTime lastOutputAt { 0 };
+        /// Time spent waiting for the runner after its first event, without the time in which the caller reads.
+        std::chrono::nanoseconds answeringTime { 0 };
+        /// The answer shows that the prompt does not crash the runner.
+        bool isAnswerProven = false;
     };
 
     /// An attempt at a silent runner, which goes on until another runner has accepted the request.
@@ -158,7 +166,7 @@
     MonotonicTime deadline { 0 };
     /// Parts of the prompt that other requests may share.
     std::vector<PartId> parts;
-    /// Runners that the request lost before it had output.
+    /// Runners that the request lost before its answer was proven.
     unsigned losses = 0;
     /// A part had been lost in an earlier crash when the request lost a runner.
     bool wasSuspected = false;
@@ -391,8 +399,8 @@
 
 void ForwardDispatcher::recordLoss(const Error& error, Delivery& delivery)
 {
-    const bool hadNoOutput = delivery.phase == AttemptPhase::Sent || delivery.phase == AttemptPhase::HeadReceived;
-    if (!hadNoOutput || error.code != ErrorCode::ConnectionLost || delivery.parts.empty()) {
+    if (delivery.phase == AttemptPhase::NotSent || delivery.isAnswerProven || error.code != ErrorCode::ConnectionLost
+        || delivery.parts.empty()) {
         return;
     }
     ++delivery.losses;
@@ -454,6 +462,8 @@
     delivery.isDiverted = false;
     delivery.rolloutAttempt = {};
     delivery.status = 0;
+    delivery.answeringTime = {};
+    delivery.isAnswerProven = false;
     delivery.lastVersion = choice.software;
     ++delivery.sends;
     const auto& route = *delivery.route;
@@ -743,7 +753,7 @@
             ErrorCode::ProtocolError, "the runner answered with status " + std::to_string(head.status), RunState::Ran);
     }
     if (head.isSuccess()) {
-        m_context.quarantineCommands.recordAnswer(delivery.parts);
+        recordProvenAnswer(delivery);
     }
     co_return co_await sink.answer(head, std::move(body));
 }
@@ -759,8 +769,11 @@
     for (;;) {
         // Bytes of an incomplete event do not extend the pause, since the caller gets whole events.
         const auto until = mayResume ? std::min(delivery.deadline, pauseEnd) : delivery.deadline;
-        const std::chrono::nanoseconds limit = until - m_context.clock.now();
-        const auto part = co_await exchange.readSome(untilBeginLimit(limit, delivery));
+        const auto readAt = m_context.clock.now();
+        const auto part = co_await exchange.readSome(untilBeginLimit(until - readAt, delivery));
+        if (delivery.phase == AttemptPhase::Answering) {
+            delivery.answeringTime += m_context.clock.now() - readAt;
+        }
         if (!part && isSilence(part.error(), delivery) && !sink.stopReason()) {
             if (auto result = co_await replaceRunner(request, exchange, sink, delivery)) {
                 co_return std::move(*result);
@@ -802,7 +815,8 @@
         }
         if (std::exchange(delivery.phase, AttemptPhase::Answering) != AttemptPhase::Answering) {
             recordFirstOutput(request, delivery);
-            m_context.quarantineCommands.recordAnswer(delivery.parts);
+        } else if (delivery.answeringTime >= answerProofTime) {
+            recordProvenAnswer(delivery);
         }
         if (auto written = co_await sink.write(complete); !written) {
             co_return written;
@@ -815,9 +829,17 @@
     if (events.hasPartialEvent() || !delivery.isBegun) {
         co_return fail(ErrorCode::ConnectionLost, "the stream ended within an event", RunState::Unknown);
     }
+    recordProvenAnswer(delivery);
     co_return co_await sink.end();
 }
 
+void ForwardDispatcher::recordProvenAnswer(Delivery& delivery)
+{
+    if (!std::exchange(delivery.isAnswerProven, true)) {
+        m_context.quarantineCommands.recordAnswer(delivery.parts);
+    }
+}
+
 void ForwardDispatcher::recordRefusal(const ForwardRequest& request, const ReplyHead& head, Delivery& delivery)
 {
     const auto& runner = delivery.runner;
--- a/Source/Core/Gateway/ForwardDispatcher.h
+++ b/Source/Core/Gateway/ForwardDispatcher.h
@@ -114,7 +114,7 @@
     /// @param runner Runner of the attempt.
     void recordRepeat(
         const ForwardRequest& request, const RunnerChoice& runner, const Error& error, const Delivery& delivery);
-    /// Reports a request that lost its runner before it had output.
+    /// Reports a request that lost its runner before its answer was proven.
     void recordLoss(const Error& error, Delivery& delivery);
     /// Whether the request may be sent again after an attempt failed. Counts the refusal or the retry.
     bool mayRepeat(const ForwardRequest& request, const Error& error, Delivery& delivery);
@@ -128,6 +128,9 @@
     void endTrial(Delivery& delivery, bool isAccepted);
     void recordRefusal(const ForwardRequest& request, const ReplyHead& head, Delivery& delivery);
     void recordFirstOutput(const ForwardRequest& request, Delivery& delivery);
+    /// Records, once for each attempt, that the request's answer is whole or goes on long enough to show that its
+    /// prompt does not crash the runner.
+    void recordProvenAnswer(Delivery& delivery);
     /// Records the end of an attempt as evidence on its runner.
     /// @param stopReason Why the request was stopped during the attempt, if it was.
     void recordAttemptEnd(const RunnerChoice& choice, const Outcome<void>& result,
--- a/Source/Core/Gateway/PartQuarantine.cpp
+++ b/Source/Core/Gateway/PartQuarantine.cpp
@@ -103,7 +103,7 @@
     if (it == m_quarantined.end() || at < it->second.firstCrashAt) {
         return false;
     }
-    lift(part, "an answer was begun");
+    lift(part, "it was answered");
     return true;
 }
 
--- a/Source/Core/Gateway/PartQuarantine.h
+++ b/Source/Core/Gateway/PartQuarantine.h
@@ -14,14 +14,16 @@
 
 namespace Pollenwind {
 
-/// Names the parts of prompts that crash runners, from the requests that lost a crashed runner before they had output.
+/// Names the parts of prompts that crash runners, from the requests that lost a crashed runner before their answer was
+/// proven.
 ///
-/// A runner never begins an answer on such a part, so each begun answer clears the parts of its request. A part is
-/// quarantined after crashes of several runners since its last answer. Of the parts that these crashes have in common,
-/// those on which no answer is known are preferred; the crashes then no longer count against the other parts.
+/// A runner may write the first events of an answer on such a part before it ends. Only a proven answer, one that is
+/// whole or has gone on for some time, clears the parts of its request. A part is quarantined after crashes of several
+/// runners since its last answer. Of the parts that these crashes have in common, those on which no answer is known are
+/// preferred; the crashes then no longer count against the other parts.
 ///
 /// The crashes are counted over the fleet: the VMs exchange evidence, answers and quarantined parts in their reports.
-/// A quarantine ends when an answer is begun on the part, which trials at growing intervals allow, or when no request
+/// A quarantine ends when an answer on the part is proven, which trials at growing intervals allow, or when no request
 /// with the part has come for a long time.
 class PartQuarantine final : public QuarantineCommands, public QuarantineQueries {
 public:
@@ -127,7 +129,7 @@
     MonotonicTime answeredAt(PartId part) const;
     void setAnswered(PartId part, MonotonicTime at);
     void announceAnswer(PartId part, MonotonicTime at, bool isUrgent);
-    /// Drops the evidence up to a time at which an answer was begun, and lifts the quarantine that rests on it.
+    /// Drops the evidence up to a time at which an answer was proven, and lifts the quarantine that rests on it.
     /// @return Whether a quarantine was lifted.
     bool clear(PartId part, MonotonicTime at);
     void removeOldestSuspect();
--- a/Source/Core/Gateway/QuarantineTypes.h
+++ b/Source/Core/Gateway/QuarantineTypes.h
@@ -11,7 +11,7 @@
 /// Id of a part of a prompt, as callers write it; see PromptPart.
 using PartId = std::uint64_t;
 
-/// A request with the part lost its runner, which crashed, before it had any output.
+/// A request with the part lost its runner, which crashed, before the answer was proven.
 struct CrashEvidence {
     PartId part = 0;
     /// The runner's process; see holderHash().
@@ -21,7 +21,7 @@
     bool operator==(const CrashEvidence&) const = default;
 };
 
-/// A runner began an answer to a request with the part, which therefore does not crash runners.
+/// A runner's answer to a request with the part was whole or went on for some time, so the part does not crash runners.
 struct PartAnswer {
     PartId part = 0;
     std::chrono::milliseconds age { 0 };
--- a/Source/Core/Gateway/Queries/QuarantineQueries.h
+++ b/Source/Core/Gateway/Queries/QuarantineQueries.h
@@ -22,7 +22,7 @@
     /// Whether a request with the parts may test a quarantined one now; see QuarantineCommands::startTrial().
     virtual bool isTrialDue(std::span<const PartId> parts) const = 0;
 
-    /// Whether one of the parts was lost in a crash and no runner is known to have ever begun an answer on it.
+    /// Whether one of the parts was lost in a crash and no answer on it is known.
     virtual bool isSuspected(std::span<const PartId> parts) const = 0;
 
     /// All quarantined parts.
--- a/Source/UnitTests/Gateway/QuarantineTests.cpp
+++ b/Source/UnitTests/Gateway/QuarantineTests.cpp
@@ -169,6 +169,21 @@
 /// The head of a stream, and the connection lost before the first event.
 ScriptedAttempt crashedStream() { return { .isEventStream = true, .endError = lost }; }
 
+/// Events of a stream, and then the connection lost.
+ScriptedAttempt streamCrashedAfter(unsigned events, std::chrono::milliseconds interval)
+{
+    ScriptedAttempt attempt { .isEventStream = true, .partInterval = interval, .endError = lost };
+    for (unsigned n = 1; n <= events; ++n) {
+        attempt.parts.push_back("id: " + std::to_string(n) + "\ndata: a\n\n");
+    }
+    return attempt;
+}
+
+bool isQuarantined(const GatewayFixture& fixture, PartId part)
+{
+    return fixture.quarantine.findQuarantined(std::array { part }).has_value();
+}
+
 } // namespace
 
 // Each VM sees only a few of the crashes. The part must be named from those of the whole fleet, and the parts that
@@ -191,9 +206,9 @@
     }
 }
 
-// A crash hits sound requests too. Their parts must not be named when answers are begun on them in between, although
+// A crash hits sound requests too. Their parts must not be named when they are answered in between, although
 // they were lost in as many crashes.
-Test(PartQuarantine, clearsAPartOnWhichAnAnswerWasBegun)
+Test(PartQuarantine, clearsAPartThatWasAnswered)
 {
     QuarantineFleet fleet(3);
     fleet.crash(0, { common });
@@ -292,7 +307,7 @@
 
 // A part that was named by mistake, or whose fault is gone, must be served again by all VMs once a trial has begun an
 // answer.
-Test(PartQuarantine, endsEverywhereWhenATrialBeginsAnAnswer)
+Test(PartQuarantine, endsEverywhereWhenATrialIsAnswered)
 {
     QuarantineFleet fleet(3);
     fleet.answer(2, { common });
@@ -434,6 +449,94 @@
     cr_assert(fixture.forward(makePrompt(fixture, "/stream/x", { common, rare })).has_value());
 }
 
+// Guards against a part that crashes runners after they have written the first event of their answer: it was cleared by
+// that event and never quarantined (review case 8).
+Test(ForwardDispatcher, stopsSendingRequestsWithAPartThatCrashesRunnersAfterTheFirstEvent)
+{
+    GatewayFixture fixture;
+    fixture.probe.refuses = true;
+    for (unsigned n = 0; n < 3; ++n) {
+        fixture.scripted.script = { begunStream() };
+        cr_assert(fixture.forward(makePrompt(fixture, "/stream/x", { common, rare })).has_value());
+        fixture.scripted.script = { streamCrashedAfter(1, 0ms) };
+        const auto result = fixture.forward(makePrompt(fixture, "/stream/x", { common, rare, deadly }));
+        cr_assert(!result && result.error().runState == RunState::Unknown);
+        restartRunners(fixture);
+    }
+    fixture.scripted.arrivals.clear();
+    const auto refused = fixture.forward(makePrompt(fixture, "/stream/x", { common, rare, deadly }));
+    cr_assert(!refused && refused.error().runState == RunState::NotRun);
+    cr_assert_eq(fixture.scripted.arrivals.size(), 0);
+    fixture.scripted.script = { begunStream() };
+    cr_assert(fixture.forward(makePrompt(fixture, "/stream/x", { common, rare })).has_value());
+}
+
+// A stream that may be resumed must not carry such a part from runner to runner, and a later one is not resumed at all.
+Test(ForwardDispatcher, doesNotResumeAStreamWithASuspectedPart)
+{
+    GatewayFixture fixture;
+    fixture.probe.refuses = true;
+    fixture.scripted.script = { streamCrashedAfter(1, 0ms), streamCrashedAfter(2, 0ms) };
+    cr_assert(!fixture.forward(makePrompt(fixture, "/resumable/x", { common, deadly })));
+    cr_assert_eq(fixture.scripted.arrivals.size(), 2, "the first crash may have hit a sound request");
+    restartRunners(fixture);
+    fixture.scripted.script = { streamCrashedAfter(1, 0ms) };
+    cr_assert(!fixture.forward(makePrompt(fixture, "/resumable/x", { common, deadly })));
+    cr_assert_eq(fixture.scripted.arrivals.size(), 3);
+}
+
+// The trial of a quarantined part must not end its quarantine by a first event.
+Test(ForwardDispatcher, keepsAPartQuarantinedWhoseTrialCrashesItsRunner)
+{
+    GatewayFixture fixture;
+    fixture.probe.refuses = true;
+    for (unsigned n = 0; n < 3; ++n) {
+        fixture.scripted.script = { crashedStream() };
+        cr_assert(!fixture.forward(makePrompt(fixture, "/stream/x", { deadly })));
+        restartRunners(fixture);
+    }
+    fixture.clock.advance(PartQuarantine::firstTrialInterval);
+    fixture.scripted.arrivals.clear();
+    fixture.scripted.script = { streamCrashedAfter(1, 0ms) };
+    cr_assert(!fixture.forward(makePrompt(fixture, "/stream/x", { deadly })));
+    cr_assert_eq(fixture.scripted.arrivals.size(), 1);
+    cr_assert(isQuarantined(fixture, deadly));
+}
+
+// Long streams are lost in crashes that they do not cause. One that has gone on for some time must neither count
+// against its parts nor lose its right to be resumed.
+Test(ForwardDispatcher, doesNotSuspectThePartsOfAStreamThatWentOn)
+{
+    GatewayFixture fixture;
+    fixture.probe.refuses = true;
+    for (unsigned n = 0; n < 6; ++n) {
+        fixture.scripted.script = { streamCrashedAfter(4, 250ms), begunStream() };
+        fixture.scripted.script.back().parts = { "id: 5\ndata: a\n\n" };
+        cr_assert(fixture.forward(makePrompt(fixture, "/resumable/x", { rare })).has_value());
+        cr_assert(fixture.scripted.script.empty(), "the stream was not resumed");
+        restartRunners(fixture);
+        fixture.scripted.script = { streamCrashedAfter(4, 250ms) };
+        cr_assert(!fixture.forward(makePrompt(fixture, "/stream/x", { rare, PartId(50) })));
+        restartRunners(fixture);
+    }
+    cr_assert(!isQuarantined(fixture, rare));
+    cr_assert(!isQuarantined(fixture, PartId(50)));
+}
+
+// Events that wait while the caller reads slowly do not show that the runner went on.
+Test(ForwardDispatcher, doesNotTakeASlowCallerForAStreamThatWentOn)
+{
+    GatewayFixture fixture;
+    fixture.probe.refuses = true;
+    fixture.sink.onWrite = [&fixture] { fixture.clock.advance(1s); };
+    for (unsigned n = 0; n < 3; ++n) {
+        fixture.scripted.script = { streamCrashedAfter(3, 0ms) };
+        cr_assert(!fixture.forward(makePrompt(fixture, "/stream/x", { common, deadly })));
+        restartRunners(fixture);
+    }
+    cr_assert(isQuarantined(fixture, deadly));
+}
+
 // A request that cannot be sent must not use up the trial of a quarantined part: a sound part that was named by mistake
 // stayed refused for another minute.
 Test(ForwardDispatcher, keepsTheTrialOfAPartForARequestThatIsSent)
