Reserve the loopback network of a soak run

Cause: the network was chosen by the seed modulo 150, and the gateways of both runs listened on the same addresses and ports, which they may share.

Change: a run reserves its network by a port that is bound without address reuse, and takes the next free one.

--- a/Source/UnitTests/PlatformSoak/GatewaySoak.cpp
+++ b/Source/UnitTests/PlatformSoak/GatewaySoak.cpp
@@ -5,6 +5,7 @@
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <boost/asio/ip/tcp.hpp>
 
 #include <algorithm>
 #include <csignal>
@@ -17,6 +18,11 @@
     using JsonFields::Json;
     using SteadyClock = std::chrono::steady_clock;
 
+    constexpr std::uint64_t networkCount = 150;
+    constexpr std::uint64_t firstNetwork = 70;
+    // Not in the range of ports that the gateways use.
+    constexpr std::uint16_t networkGuardPort = 7499;
+
     constexpr std::chrono::milliseconds heartbeatInterval { 1200 };
     constexpr std::chrono::milliseconds entryTimeToLive { 3600 };
     constexpr std::chrono::milliseconds probeInterval { 300 };
@@ -71,6 +77,25 @@
         RunnerRow { GatewayFault::RunnerBreaksStreams, RunnerFault::BreaksStreams },
         RunnerRow { GatewayFault::RunnerSlow, RunnerFault::Slow } };
 
+    /// Listens without address reuse, so that no other process can have the port.
+    /// @return False if the port is in use.
+    bool bindExclusively(asio::ip::tcp::acceptor& acceptor, const asio::ip::tcp::endpoint& address)
+    {
+        boost::system::error_code ec;
+        acceptor.open(address.protocol(), ec);
+        if (!ec) {
+            acceptor.bind(address, ec);
+        }
+        if (!ec) {
+            acceptor.listen(1, ec);
+        }
+        if (ec) {
+            boost::system::error_code ignored;
+            acceptor.close(ignored);
+        }
+        return !ec;
+    }
+
     std::string versionPrefix(std::int64_t version) { return "/version-" + std::to_string(version) + "/"; }
 
 } // namespace
@@ -82,13 +107,28 @@
     , m_crashingPart(m_gateways, m_report)
     , m_store(m_executor)
     , m_storeLink(m_executor)
+    , m_networkGuard(m_executor)
 {
 }
 
+Outcome<std::string> GatewaySoak::reserveNetwork()
+{
+    for (std::uint64_t n = 0; n < networkCount; ++n) {
+        const auto net = "127." + std::to_string(firstNetwork + (m_options.seed + n) % networkCount) + ".";
+        if (bindExclusively(m_networkGuard, { asio::ip::make_address_v4(net + "0.1"), networkGuardPort })) {
+            return net;
+        }
+    }
+    return fail(ErrorCode::Unavailable, "all loopback networks are in use by other runs");
+}
+
 Task<Outcome<void>> GatewaySoak::run()
 {
-    // Each seed uses its own loopback network, so that concurrent runs do not interfere.
-    const auto net = "127." + std::to_string(70 + m_options.seed % 150) + ".";
+    const auto reserved = reserveNetwork();
+    if (!reserved) {
+        co_return std::unexpected(reserved.error());
+    }
+    const auto& net = *reserved;
     const auto store = m_store.listen();
     const auto storeLink = store ? m_storeLink.listen(net + "1.1", *store) : store;
     if (!storeLink) {
--- a/Source/UnitTests/PlatformSoak/GatewaySoak.h
+++ b/Source/UnitTests/PlatformSoak/GatewaySoak.h
@@ -19,6 +19,10 @@
     const GatewaySoakReport& report() const { return m_report; }
 
 private:
+    /// Reserves a loopback network until this run ends. Gateways of two runs may share a port and would then receive
+    /// requests of both.
+    /// @return The first octets of its addresses; an error if other runs use all networks.
+    Outcome<std::string> reserveNetwork();
     Task<> injectRandomFaults();
     Task<> inject(GatewayFault fault, std::uint64_t draw);
     Task<> applyLinkFault(FaultProxy& link, LinkState state, std::chrono::milliseconds time);
@@ -48,6 +52,8 @@
     CrashingPart m_crashingPart;
     KvStoreStandIn m_store;
     FaultProxy m_storeLink;
+    /// Has the port that marks the network of this run as in use.
+    asio::ip::tcp::acceptor m_networkGuard;
     std::deque<SoakRunner> m_runners;
     std::deque<GatewayProcess> m_gateways;
     std::deque<SoakCaller> m_callers;
