--- a/Source/UnitTests/PlatformSoak/GatewaySoak.cpp
+++ b/Source/UnitTests/PlatformSoak/GatewaySoak.cpp
@@ -114,7 +114,7 @@
 Outcome<std::string> GatewaySoak::reserveNetwork()
 {
     for (std::uint64_t n = 0; n < networkCount; ++n) {
-        const auto net = "127." + std::to_string(firstNetwork + (m_options.seed + n) % networkCount) + ".";
+        auto net = "127." + std::to_string(firstNetwork + (m_options.seed + n) % networkCount) + ".";
         if (bindExclusively(m_networkGuard, { asio::ip::make_address_v4(net + "0.1"), networkGuardPort })) {
             return net;
         }
