Expect no idle promise of a process killed after its response was sent

Cause: the check compared the time at which the caller had read the response with the time of the last signal. A response that is read just after its process was killed then counts as a promise of a process that is gone.

Change: a promise counts only if its process was not killed after the request was sent. A connection of a killed process is dead in any case, so no promise of a living one is left out.

--- a/Source/UnitTests/PlatformSoak/GatewayProcess.cpp
+++ b/Source/UnitTests/PlatformSoak/GatewayProcess.cpp
@@ -87,6 +87,9 @@
             m_lastSignalledAt = std::chrono::steady_clock::now();
             m_lastDisturbedAt = m_lastSignalledAt;
         }
+        if (number == SIGKILL) {
+            m_lastKilledAt = m_lastSignalledAt;
+        }
     }
 }
 
--- a/Source/UnitTests/PlatformSoak/GatewayProcess.h
+++ b/Source/UnitTests/PlatformSoak/GatewayProcess.h
@@ -42,6 +42,8 @@
     std::chrono::steady_clock::time_point lastDisturbedAt() const { return m_lastDisturbedAt; }
     /// Time of the last signal other than SIGTERM.
     std::chrono::steady_clock::time_point lastSignalledAt() const { return m_lastSignalledAt; }
+    /// Time of the last SIGKILL.
+    std::chrono::steady_clock::time_point lastKilledAt() const { return m_lastKilledAt; }
 
 private:
     static constexpr std::uint16_t callersPort = 8606;
@@ -60,6 +62,7 @@
     bool m_isStopped = false;
     std::chrono::steady_clock::time_point m_lastDisturbedAt;
     std::chrono::steady_clock::time_point m_lastSignalledAt;
+    std::chrono::steady_clock::time_point m_lastKilledAt;
 };
 
 } // namespace Pollenwind
--- a/Source/UnitTests/PlatformSoak/SoakCaller.cpp
+++ b/Source/UnitTests/PlatformSoak/SoakCaller.cpp
@@ -109,6 +109,7 @@
         }
     }
     response.isSent = true;
+    const auto sentAt = std::chrono::steady_clock::now();
     const auto head = co_await connection->send(request, end - std::chrono::steady_clock::now());
     if (!head) {
         response.hasTimedOut = head.error().code == ErrorCode::DeadlineExceeded;
@@ -131,7 +132,9 @@
             response.isComplete = true;
             idleSince = std::chrono::steady_clock::now();
             const auto announced = connection->announcedIdleTimeout();
-            promised = announced ? *announced - idleMargin : std::chrono::milliseconds(0);
+            // A response may be read just after its process was killed, and that process keeps no promise.
+            const bool wasKilled = m_gateways[gateway].lastKilledAt() >= sentAt;
+            promised = announced && !wasKilled ? *announced - idleMargin : std::chrono::milliseconds(0);
             co_return response;
         }
         response.body += *part;
