--- a/Source/Core/Gateway/GatewaySettings.h
+++ b/Source/Core/Gateway/GatewaySettings.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "Common/EnumTable.h"
 #include "Common/Ids.h"
 #include "Gateway/FleetQuota.h"
 #include "Moves/ExposureRamp.h"
@@ -21,6 +22,38 @@
     std::chrono::seconds window { 10 };
 };
 
+/// Which cache store keeps the shared parts of a prompt.
+enum class CacheStorePlacement {
+    /// The store in the zone of the runner.
+    Zone,
+    /// One store for each prefix, by hash.
+    Prefix,
+    /// By prefix while the prefixes in use exceed the capacity of one store, otherwise by zone.
+    Auto,
+};
+
+template <> struct EnumTable<CacheStorePlacement> {
+    static constexpr std::array rows {
+        EnumName { CacheStorePlacement::Zone, "zone" },
+        EnumName { CacheStorePlacement::Prefix, "prefix" },
+        EnumName { CacheStorePlacement::Auto, "auto" },
+    };
+};
+
+/// How requests are placed and admitted when the load exceeds the capacity. See docs/load-control.md.
+struct LoadSettings {
+    /// A route yields to more urgent ones of its service if its priority is at least this many ranks below theirs; 0 if
+    /// no route does.
+    unsigned yieldRanks = 2;
+    /// Share of the repeatable requests that may be copied to a second runner, from 0 to 0.2; 0 for none.
+    double hedgeShare = 0;
+    /// Whether the placement uses the measured relative speed of runners.
+    bool usesRunnerPace = true;
+    CacheStorePlacement storePlacement = CacheStorePlacement::Auto;
+    /// Whether the fleet records which quotas are in heavy use, for a restart of all VMs.
+    bool recordsQuota = true;
+};
+
 /// Local settings of one gateway process. Settings that all VMs share are in the store.
 struct GatewaySettings {
     VmId vm;
@@ -51,6 +84,8 @@
     /// Longest time after a version has shown that it is bad in which it may still get requests.
     std::chrono::milliseconds maxRollbackDelay { 5000 };
 
+    LoadSettings load;
+
     /// Memory in which the process must stay, in bytes. The default is for a VM that names no limit.
     std::size_t memoryLimit = 96UL * 1024 * 1024;
 
