Reject responses whose status is outside 100 to 599

Cause: the HTTP parser accepts any three digits as a status, and each reader took an unknown one for some response. A runner's status 000 was passed on to the caller; the etcd client took a status below 500 for a call that did not run.

Change: HttpConnection fails with ProtocolError and RunState::Unknown, so a marker of a refusal in such a head is not believed either. All readers of a status get it from there.

--- a/Source/Core/Transport/HttpClient.cpp
+++ b/Source/Core/Transport/HttpClient.cpp
@@ -39,6 +39,10 @@
     constexpr unsigned maxInformational = 16;
     constexpr int switchingProtocols = 101;
 
+    // Other numbers name no class of responses. The library accepts any three digits.
+    constexpr int lowestStatus = 100;
+    constexpr int highestStatus = 599;
+
     // Lines that wait for the end of a trailer. Sound responses have no trailer; a server in trouble may send fields
     // without end, and slowly.
     constexpr std::ptrdiff_t maxTrailerLines = 16;
@@ -318,6 +322,10 @@
         }
         state.isHeadPending = false;
         head.status = static_cast<int>(state.parser->get().result_int());
+        if (head.status < lowestStatus || head.status > highestStatus) {
+            co_return fail(ErrorCode::ProtocolError, "read response head: status " + std::to_string(head.status),
+                RunState::Unknown);
+        }
         if (!isInformational(head.status)) {
             break;
         }
--- a/Source/UnitTests/PlatformAdapter/RunnerWireTests.cpp
+++ b/Source/UnitTests/PlatformAdapter/RunnerWireTests.cpp
@@ -591,3 +591,32 @@
         });
     }
 }
+
+// Guards against passing on a response whose status is none, such as 000: the caller cannot tell what it means. The
+// request may have run, so it is reported neither as refused nor repeated unless its route allows that.
+Test(RunnerWire, passesOnNoResponseWithAnInvalidStatus)
+{
+    for (const auto* status : { "000", "001", "099", "600", "999" }) {
+        const auto bytes = withLength(
+            "HTTP/1.1 " + std::string(status) + " Odd\r\nX-Request-Id: {id}\r\nX-Server-Stamp: s\r\n", "odd");
+        const auto refused
+            = withLength("HTTP/1.1 " + std::string(status) + " Odd\r\nX-Request-Id: {id}\r\nX-Not-Run: 1\r\n", "odd");
+        for (const auto& odd : { bytes, refused }) {
+            for (const bool usesKept : { false, true }) {
+                WireFixture fixture;
+                fixture.client.setIdleLimit(usesKept ? 1 : 0);
+                fixture.runner.script = { { answer("a") }, { odd }, { odd }, { answer("b") } };
+                fixture.run([&]() -> Task<> {
+                    cr_assert((co_await fixture.call("/safe/x", "q1")).isComplete);
+                    const auto view = co_await fixture.call("/stream/x", "q2");
+                    cr_assert(view.isComplete && view.status == 502, "%s: %s", status, view.bytes.c_str());
+                    cr_assert(view.body.find("not-run") == std::string::npos, "%s: %s", status, view.bytes.c_str());
+                    cr_assert_eq(fixture.runner.arrivals.size(), 2, "%s", status);
+                    const auto repeated = co_await fixture.call("/safe/x", "q3");
+                    cr_assert(repeated.isComplete && repeated.body == "b", "%s: %s", status, repeated.bytes.c_str());
+                    cr_assert(fixture.runner.arrivals[1].connection != fixture.runner.arrivals[2].connection);
+                });
+            }
+        }
+    }
+}
--- a/Source/UnitTests/Transport/HttpClientTests.cpp
+++ b/Source/UnitTests/Transport/HttpClientTests.cpp
@@ -357,3 +357,19 @@
         cr_assert(isDone);
     }
 }
+
+// Guards against a status that is none, in any call of the process: a call to the store with such a response would be
+// taken for one that changed nothing.
+Test(HttpConnection, rejectsAResponseWithAnInvalidStatus)
+{
+    for (const auto* status : { "000", "001", "099", "600", "700", "999" }) {
+        const auto answer = fetchResponse("HTTP/1.1 " + std::string(status) + " Odd\r\nContent-Length: 3\r\n\r\nodd");
+        cr_assert(!answer, "%s", status);
+        cr_assert(answer.error().code == ErrorCode::ProtocolError, "%s: %s", status, answer.error().message.c_str());
+        cr_assert(answer.error().runState == RunState::Unknown, "%s", status);
+    }
+    for (const auto* status : { "200", "299", "404", "500", "599" }) {
+        cr_assert(
+            fetchResponse("HTTP/1.1 " + std::string(status) + " Known\r\nContent-Length: 3\r\n\r\nyes"), "%s", status);
+    }
+}
