Start quotas without a debt after a restart of all VMs

Cause: a process of a large fleet starts each quota with a debt of 0.6 s of its rate, since it does not know the use before. After a restart of all VMs, organisations far below their rates were refused for seconds.

Change: one VM of a large fleet at a time records the organisations in heavy use in the store (pollenwind/quota, at most one write a second). Processes that start with a fresh record give the others 0.7 s of their rates, on probation for 8 s: once such a bucket is empty, this amount and the debt are subtracted after all. A record by which a fleet has started is replaced by a spent one; a second restart within 8 s starts with a debt of 2 s. LoadSettings::recordsQuota turns it off; small fleets are served as before.

QuotaRecord::keepsTheBound*: the bound of the quota holds for a surge of 4.2 times the rate with a store that is down, slow or restored, cut zones, paused VMs, clocks that jump and two restarts in a row.

--- a/Source/Core/Gateway/FleetQuota.cpp
+++ b/Source/Core/Gateway/FleetQuota.cpp
@@ -3,6 +3,8 @@
 #include <xxhash.h>
 
 #include <algorithm>
+#include <array>
+#include <bit>
 #include <cmath>
 #include <set>
 
@@ -20,9 +22,24 @@
     // reports, in seconds of its rate. Reports between zones take up to a second.
     constexpr double unreportedSeconds = 1.9;
 
-    // Debt of a new process of a large fleet, in seconds of the rate: when all VMs restart, what they took just before
-    // is not known to any of them, and callers whose requests were cut off come back at once.
-    constexpr double startDebtSeconds = 0.6;
+    // Debt after a second restart of all VMs in a few seconds: also what an organisation at 4.2 times its rate has
+    // taken from a start without a debt, together with its callers who came back.
+    constexpr double repeatedDebtSeconds = 2.0;
+
+    // Start level and capacity of a bucket on probation, in seconds of the rate. Callers whose requests were cut off
+    // come back with about half a second of usual use, more than the burst that a large fleet may use of a high rate.
+    // With the whole burst of a low rate, an organisation that the record misses could exceed its tolerance before the
+    // reports show it.
+    constexpr double probationSeconds = 0.7;
+
+    // Share of the rate from which the use in a second is heavy.
+    constexpr double heavyShare = 0.8;
+    // Share of the usable burst by which the use in one second may be higher, since requests are few and large and
+    // reports arrive in lumps, and below which a level is low.
+    constexpr double heavyBurstShare = 0.5;
+    // Tokens of this time may be missing in a sound bucket because a relay's report has just arrived, in seconds of the
+    // rate.
+    constexpr double reportLumpSeconds = 0.15;
 
     // Part of the burst that the buckets of a large fleet hold in any case.
     constexpr double minBurstShare = 0.2;
@@ -48,21 +65,39 @@
         return XXH3_64bits(organisation.value().data(), organisation.value().size());
     }
 
+    double fullBurst(const OrganisationRule& organisation)
+    {
+        return std::max(organisation.burst, organisation.rate / 4);
+    }
+
+    /// Digest of an organisation's keys, rate and burst. The order of the keys has no effect.
+    std::uint64_t rulesOf(const OrganisationRule& organisation, std::uint64_t hash)
+    {
+        std::uint64_t keys = 0;
+        for (const auto& digest : organisation.keyDigests) {
+            keys += XXH3_64bits(digest.data(), digest.size());
+        }
+        const std::array<std::uint64_t, 4> fields { hash, keys, std::bit_cast<std::uint64_t>(organisation.rate),
+            std::bit_cast<std::uint64_t>(organisation.burst) };
+        return XXH3_64bits(fields.data(), sizeof fields);
+    }
+
 } // namespace
 
+double FleetQuota::Bucket::capacity() const { return isOnProbation ? probationBurst() : burst; }
+
+double FleetQuota::Bucket::probationBurst() const { return probationSeconds * rate; }
+
 void FleetQuota::Bucket::refill(MonotonicTime now, double share)
 {
     const double elapsed = std::chrono::duration<double>(now - refilledAt).count();
-    level = std::min(burst * share, level + elapsed * rate * share);
+    level = std::min(capacity() * share, level + elapsed * rate * share);
     refilledAt = now;
 }
 
-double FleetQuota::usableBurst(const OrganisationRule& organisation) const
+double FleetQuota::largeBurst(const OrganisationRule& organisation) const
 {
-    const double full = std::max(organisation.burst, organisation.rate / 4);
-    if (!m_isLargeFleet) {
-        return full;
-    }
+    const double full = fullBurst(organisation);
     const double window = std::chrono::duration<double>(m_tolerance.window).count();
     const double tolerated
         = m_tolerance.overage * (organisation.rate * window + organisation.burst) + m_tolerance.slack;
@@ -74,30 +109,121 @@
 {
     const auto [it, isNew] = m_buckets.try_emplace(hash);
     auto& bucket = it->second;
-    const double burst = usableBurst(organisation);
+    bucket.largeBurst = largeBurst(organisation);
+    const double burst = m_isLargeFleet ? bucket.largeBurst : fullBurst(organisation);
     if (isNew) {
-        bucket = { burst * m_share * initialLevelShare, organisation.rate, burst, m_startedAt };
+        bucket.level = burst * m_share * initialLevelShare;
+        bucket.rate = organisation.rate;
+        bucket.burst = burst;
+        bucket.refilledAt = m_startedAt;
     }
     bucket.refill(m_clock.now(), m_share);
     bucket.rate = organisation.rate;
     bucket.burst = burst;
-    bucket.level = std::min(bucket.level, burst * m_share);
+    bucket.level = std::min(bucket.level, bucket.capacity() * m_share);
     return bucket;
 }
 
+void FleetQuota::startInLargeFleet(std::uint64_t hash, Bucket& bucket) const
+{
+    bucket.refill(m_clock.now(), m_share);
+    const bool isHeavy = !m_heavyBefore || m_heavyBefore->contains(hash);
+    if (!isHeavy) {
+        // Counts what was taken since the start.
+        bucket.level += (bucket.probationBurst() - bucket.burst * initialLevelShare) * m_share;
+        bucket.isOnProbation = true;
+        return;
+    }
+    const double uptime = std::chrono::duration<double>(m_clock.now() - m_startedAt).count();
+    bucket.level = std::min(bucket.level, bucket.rate * m_share * (uptime - m_startDebt));
+}
+
 void FleetQuota::setLargeFleet(bool isLargeFleet)
 {
-    const auto uptime = m_clock.now() - m_startedAt;
-    if (isLargeFleet && !m_isLargeFleet && uptime < learningTime) {
-        const double seconds = std::chrono::duration<double>(uptime).count() - startDebtSeconds;
+    if (isLargeFleet && !m_isLargeFleet && m_clock.now() - m_startedAt < learningTime) {
         for (auto& [hash, bucket] : m_buckets) {
-            bucket.refill(m_clock.now(), m_share);
-            bucket.level = std::min(bucket.level, bucket.rate * m_share * seconds);
+            startInLargeFleet(hash, bucket);
         }
     }
     m_isLargeFleet = isLargeFleet;
 }
 
+void FleetQuota::startAfterRepeatedRestart()
+{
+    m_startDebt = repeatedDebtSeconds;
+    for (auto& [hash, bucket] : m_buckets) {
+        if (m_isLargeFleet) {
+            startInLargeFleet(hash, bucket);
+        }
+    }
+}
+
+std::size_t FleetQuota::startWithRecentUse(std::set<std::uint64_t> heavy)
+{
+    m_heavyBefore = std::move(heavy);
+    m_probationFrom = m_clock.now();
+    std::size_t count = 0;
+    for (auto& [hash, bucket] : m_buckets) {
+        if (m_heavyBefore->contains(hash)) {
+            continue;
+        }
+        ++count;
+        if (m_isLargeFleet) {
+            bucket.level = bucket.probationBurst() * m_share;
+            bucket.refilledAt = m_clock.now();
+            bucket.isOnProbation = true;
+        }
+    }
+    return count;
+}
+
+bool FleetQuota::isBacklogged(const Bucket& bucket) const
+{
+    return bucket.level < -maxBacklogSeconds * bucket.rate * m_share;
+}
+
+void FleetQuota::updateProbation(Bucket& bucket)
+{
+    if (!bucket.isOnProbation) {
+        return;
+    }
+    if (isBacklogged(bucket)) {
+        bucket.level -= (startDebtSeconds * bucket.rate + bucket.probationBurst()) * m_share;
+        bucket.isOnProbation = false;
+        ++m_failedProbations;
+    } else if (m_clock.now() - m_probationFrom > m_tolerance.window) {
+        bucket.isOnProbation = false;
+    }
+}
+
+std::size_t FleetQuota::probationCount() const
+{
+    return static_cast<std::size_t>(
+        std::ranges::count_if(m_buckets, [](const auto& it) { return it.second.isOnProbation; }));
+}
+
+std::vector<std::uint64_t> FleetQuota::heavyUsers(double knownShare) const
+{
+    const auto now = m_clock.now();
+    std::vector<std::uint64_t> heavy;
+    for (const auto& [hash, bucket] : m_buckets) {
+        auto current = bucket;
+        current.refill(now, m_share);
+        const double reserve = heavyBurstShare * bucket.largeBurst;
+        const bool isLow = current.level < (reserve - reportLumpSeconds * bucket.rate) * m_share;
+        const double limit = heavyShare * bucket.rate + reserve;
+        if (isLow || bucket.use.mostInOneSecond(now) > limit * knownShare) {
+            heavy.push_back(hash);
+        }
+    }
+    return heavy;
+}
+
+bool FleetQuota::isInUse() const
+{
+    return std::ranges::any_of(m_buckets, [this](const auto& it) { return it.second.use.isInUse(m_clock.now()); });
+}
+
 void FleetQuota::setReachableShare(double share)
 {
     if (share == m_share) {
@@ -117,13 +243,19 @@
 void FleetQuota::setOrganisations(std::span<const OrganisationRule> organisations)
 {
     std::set<std::uint64_t> known;
+    std::map<std::uint64_t, std::uint64_t> rules;
     for (const auto& organisation : organisations) {
         if (organisation.rate > 0) {
             const auto hash = hashOf(organisation.id);
             known.insert(hash);
             bucketOf(organisation, hash);
+            rules.emplace(hash, rulesOf(organisation, hash));
         }
     }
+    m_rulesDigest = 0;
+    for (const auto& [hash, digest] : rules) {
+        m_rulesDigest = XXH3_64bits_withSeed(&digest, sizeof digest, m_rulesDigest);
+    }
     std::erase_if(m_buckets, [&known](const auto& it) { return !known.contains(it.first); });
 }
 
@@ -138,8 +270,7 @@
     const double needed = std::min(demand.tokens, bucket.burst * m_share * maxNeededShare);
     const std::chrono::duration<double> wait(
         std::max(0.0, needed - bucket.level) / std::max(1.0, bucket.rate * m_share));
-    const bool isBacklogged = bucket.level < -maxBacklogSeconds * bucket.rate * m_share;
-    if (wait > demand.maxWait || isBacklogged) {
+    if (wait > demand.maxWait || isBacklogged(bucket)) {
         Error error { ErrorCode::RateExceeded,
             "the token rate of " + organisation.id.value() + " is exceeded: level "
                 + std::to_string(std::lround(bucket.level)) + ", needed " + std::to_string(std::lround(needed))
@@ -150,6 +281,8 @@
         return std::unexpected(std::move(error));
     }
     bucket.level -= demand.tokens;
+    bucket.use.add(now, demand.tokens);
+    updateProbation(bucket);
     m_ownTotals[hash] += demand.tokens;
     m_zoneTotals[hash] += demand.tokens;
     return now + std::chrono::duration_cast<std::chrono::nanoseconds>(wait);
@@ -162,6 +295,8 @@
         // already full by now.
         bucket->second.refill(m_clock.now(), m_share);
         bucket->second.level -= tokens;
+        bucket->second.use.add(m_clock.now(), tokens);
+        updateProbation(bucket->second);
     }
 }
 
@@ -230,8 +365,11 @@
     }
     for (const auto& [hash, level] : levels) {
         if (const auto it = m_buckets.find(hash); it != m_buckets.end()) {
-            it->second.refill(now, m_share);
-            it->second.level = std::min(it->second.level, level);
+            auto& bucket = it->second;
+            bucket.refill(now, m_share);
+            bucket.level = std::min(bucket.level, level);
+            // The other VM has subtracted the debt already.
+            bucket.isOnProbation = bucket.isOnProbation && !isBacklogged(bucket);
         }
     }
 }
--- a/Source/Core/Gateway/FleetQuota.h
+++ b/Source/Core/Gateway/FleetQuota.h
@@ -2,8 +2,12 @@
 
 #include "Common/Clock.h"
 #include "Gateway/Commands/QuotaCommands.h"
+#include "Gateway/RecentUse.h"
 
 #include <map>
+#include <optional>
+#include <set>
+#include <vector>
 
 namespace Pollenwind {
 
@@ -22,7 +26,7 @@
 /// Load patterns that it answers: short peaks of an organisation within its rate wait for their tokens; an organisation
 /// that requests several times its rate on all VMs at once is refused although reports lag, because buckets of a large
 /// fleet hold back what all VMs may take before they receive each other's reports; a herd of restarted VMs starts with
-/// partly filled buckets.
+/// a debt, except for organisations that are known to have used little just before.
 ///
 /// In a network partition, the VMs in contact with each other use only their share of the rate, so that all parts
 /// together stay within it. Since reports lag, the level may fall below zero. The debt delays later requests, which
@@ -33,6 +37,7 @@
         : m_clock(clock)
         , m_tolerance(tolerance)
         , m_startedAt(clock.now())
+        , m_startDebt(startDebtSeconds)
     {
     }
 
@@ -45,6 +50,33 @@
     void setLargeFleet(bool isLargeFleet) override;
     void setReachableShare(double share) override;
 
+    /// Starts the organisations without heavy use before the start of this process with a full bucket instead of a
+    /// debt. Each is on probation for the window of the tolerance: once its bucket is empty, what it started with and
+    /// the debt are subtracted after all, so that the use in a window stays what it is without a record. The last use
+    /// may have been higher than a record tells.
+    ///
+    /// Must follow the first configuration and precede the first request.
+    /// @param heavy Organisations in heavy use, by hash.
+    /// @return Number of organisations that start without debt, or will do when the fleet is found to be large.
+    std::size_t startWithRecentUse(std::set<std::uint64_t> heavy);
+
+    /// Starts all organisations with a larger debt, because the processes of a short time ago had started without one
+    /// and what was taken from them is not known.
+    void startAfterRepeatedRestart();
+
+    /// Organisations, by hash, whose next use might exceed the tolerance if a restarted fleet gave them a full burst:
+    /// those that used nearly their rate, or more, in one of the last seconds, and those whose buckets are low.
+    /// @param knownShare Share of the fleet, above 0, whose use is known here.
+    std::vector<std::uint64_t> heavyUsers(double knownShare) const;
+    /// Whether an organisation with a rate has taken tokens from any VM in the last seconds.
+    bool isInUse() const;
+    /// Digest of the ids, keys, rates and bursts of the organisations that have a rate.
+    std::uint64_t rulesDigest() const { return m_rulesDigest; }
+    /// Number of organisations that are on probation, see startWithRecentUse().
+    std::size_t probationCount() const;
+    /// Number of debts that were subtracted in a probation.
+    std::size_t failedProbations() const { return m_failedProbations; }
+
     /// Levels of the buckets that are below the level of a new one.
     UsageTotals lowLevels() const;
     /// Tokens taken by this VM since the process started.
@@ -54,6 +86,10 @@
     const UsageTotals& zoneTotals() const { return m_zoneTotals; }
 
 private:
+    // Debt of a new process of a large fleet, in seconds of the rate: when all VMs restart, what they took just before
+    // is not known to any of them, and callers whose requests were cut off come back at once.
+    static constexpr double startDebtSeconds = 0.6;
+
     struct Bucket {
         /// Available tokens; negative for a debt.
         double level = 0;
@@ -62,7 +98,15 @@
         /// Capacity of the whole fleet.
         double burst = 0;
         MonotonicTime refilledAt { 0 };
+        /// Part of the burst that a large fleet may use.
+        double largeBurst = 0;
+        RecentUse use {};
+        /// Whether the bucket started without a debt and may still get it.
+        bool isOnProbation = false;
 
+        double capacity() const;
+        /// Start level and capacity on probation.
+        double probationBurst() const;
         /// Adds the tokens since the last refill for a share of the fleet.
         void refill(MonotonicTime now, double share);
     };
@@ -76,9 +120,15 @@
     };
 
     Bucket& bucketOf(const OrganisationRule& organisation, std::uint64_t hash);
-    /// Part of an organisation's burst that the buckets hold.
-    double usableBurst(const OrganisationRule& organisation) const;
+    /// Part of an organisation's burst that the buckets of a large fleet hold.
+    double largeBurst(const OrganisationRule& organisation) const;
     void takeRemote(std::uint64_t hash, double tokens);
+    /// Applies the start level of a large fleet to a bucket.
+    void startInLargeFleet(std::uint64_t hash, Bucket& bucket) const;
+    /// Whether requests would wait for too long, or a bucket on probation gets its debt.
+    bool isBacklogged(const Bucket& bucket) const;
+    /// Ends a bucket's probation if it was passed or failed.
+    void updateProbation(Bucket& bucket);
 
     const Clock& m_clock;
     QuotaTolerance m_tolerance;
@@ -87,6 +137,14 @@
     bool m_isLargeFleet = false;
     std::map<std::uint64_t, Bucket> m_buckets;
     std::map<VmId, RemoteUsage> m_remotes;
+    /// Organisations in heavy use before the start; nothing if that is not known.
+    std::optional<std::set<std::uint64_t>> m_heavyBefore;
+    /// Debt of the start in a large fleet, in seconds of the rate.
+    double m_startDebt;
+    /// Start of the probations.
+    MonotonicTime m_probationFrom { 0 };
+    std::uint64_t m_rulesDigest = 0;
+    std::size_t m_failedProbations = 0;
     UsageTotals m_ownTotals;
     UsageTotals m_zoneTotals;
 };
--- a/Source/Core/Gateway/Gateway.cpp
+++ b/Source/Core/Gateway/Gateway.cpp
@@ -16,6 +16,7 @@
 #include "Gateway/OrderLease.h"
 #include "Gateway/PartQuarantine.h"
 #include "Gateway/QuarantineRecords.h"
+#include "Gateway/QuotaRecords.h"
 #include "Gateway/RolloutDriver.h"
 #include "Gateway/RolloutTable.h"
 #include "Gateway/RoutingTable.h"
@@ -144,6 +145,7 @@
         , directory(clock)
         , quarantine(clock, timeline, metrics, fleet)
         , quarantineRecords(clock, platform.storeCommands, quarantine, quarantine, fleet)
+        , quotaRecords(clock, platform.storeCommands, quota, fleet, metrics)
         , runnerProbe(connectTimeout)
         , crashes(executor, clock, runners, runnerProbe, quarantine)
         , orders(clock, platform.storeCommands, timeline, settings.vm, incarnation,
@@ -153,7 +155,8 @@
         , rollouts(clock, timeline, metrics, { settings.exposure })
         , fleetConfigurations(clock, fleet, settings.listenReports.address)
         , sync({ clock, feeds, changeLog, platform.records, routing, runners, quota, fleet, orders, timeline, metrics,
-                   quarantineRecords, rollouts, fleetConfigurations },
+                   quarantineRecords, rollouts, fleetConfigurations,
+                   settings.load.recordsQuota ? &quotaRecords : nullptr },
               { .freshnessGoal = settings.maxKeyWithdrawalDelay * 3 / 5,
                   .keyLimit = subtractMargin(settings.maxKeyWithdrawalDelay, keyMargin),
                   .largeFleetRetryPause = settings.maxChangeDelay * retryPausePercent / 100 })
@@ -202,6 +205,7 @@
     CacheDirectory directory;
     PartQuarantine quarantine;
     QuarantineRecords quarantineRecords;
+    QuotaRecords quotaRecords;
     TcpRunnerProbe runnerProbe;
     CrashDetector crashes;
     OrderLease orders;
@@ -276,6 +280,10 @@
     spawnService(components.executor, TaskKind::StoreSync, [&components] { return components.sync.followOtherVms(); });
     spawnService(
         components.executor, TaskKind::StoreRecord, [&components] { return components.quarantineRecords.run(); });
+    if (settings.load.recordsQuota) {
+        spawnService(
+            components.executor, TaskKind::StoreRecord, [&components] { return components.quotaRecords.run(); });
+    }
     spawnService(components.executor, TaskKind::StoreRecord, [&components] { return components.registration.run(); });
     spawnService(components.executor, TaskKind::Orders, [&components] { return components.orders.run(); });
     spawnService(components.executor, TaskKind::Orders, [&components] { return components.weights.run(); });
--- a/Source/Core/Gateway/GatewayKeys.h
+++ b/Source/Core/Gateway/GatewayKeys.h
@@ -16,5 +16,7 @@
 inline constexpr std::string_view quarantineRecordPrefix = "pollenwind/quarantine/";
 /// Prefix of the store keys of roll-outs, by service.
 inline constexpr std::string_view rolloutRecordPrefix = "pollenwind/rollouts/";
+/// Record of the organisations in heavy use, for a restart of all VMs.
+inline constexpr std::string_view quotaRecordKey = "pollenwind/quota";
 
 } // namespace Pollenwind
--- a/Source/Core/Gateway/GatewaySync.cpp
+++ b/Source/Core/Gateway/GatewaySync.cpp
@@ -110,6 +110,9 @@
     applyAll(records->range, isRestored);
     m_context.quarantine.endRead(records->range.revision);
     m_context.rollouts.endRead(records->range.revision);
+    if (m_context.quotaRecords) {
+        m_context.quotaRecords->endRead(records->range.revision);
+    }
     m_revision = records->range.revision;
     // What an earlier era answered proves nothing about the present one.
     const auto readAt = requestedAt - records->age;
@@ -290,6 +293,12 @@
         m_context.quarantine.updateRecord(entry.key, entry.value, entry.modRevision);
         return;
     }
+    if (entry.key == quotaRecordKey) {
+        if (m_context.quotaRecords) {
+            m_context.quotaRecords->updateRecord(entry.value, entry.modRevision);
+        }
+        return;
+    }
     if (entry.key == orderHolderKey) {
         m_context.orders.updateHolder(entry.value, entry.modRevision);
         return;
@@ -355,6 +364,10 @@
         m_context.orders.clearHolder();
     } else if (key.starts_with(quarantineRecordPrefix)) {
         m_context.quarantine.markRecordErased(key);
+    } else if (key == quotaRecordKey) {
+        if (m_context.quotaRecords) {
+            m_context.quotaRecords->markRecordErased();
+        }
     } else if (const auto runner = m_context.codec.runnerOf(key)) {
         m_context.runners.markEntryEnded(*runner);
     } else if (const auto service = m_context.codec.rolloutOrderOf(key)) {
--- a/Source/Core/Gateway/GatewaySync.h
+++ b/Source/Core/Gateway/GatewaySync.h
@@ -4,6 +4,7 @@
 #include "Gateway/ChangeLog.h"
 #include "Gateway/Commands/QuarantineRecordCommands.h"
 #include "Gateway/Commands/QuotaCommands.h"
+#include "Gateway/Commands/QuotaRecordCommands.h"
 #include "Gateway/Commands/RolloutCommands.h"
 #include "Gateway/Commands/RoutingCommands.h"
 #include "Gateway/Commands/RunnerCommands.h"
@@ -37,6 +38,8 @@
     QuarantineRecordCommands& quarantine;
     RolloutCommands& rollouts;
     FleetConfigurationQueries& fleetConfigurations;
+    /// Null if the organisations in heavy use are not recorded.
+    QuotaRecordCommands* quotaRecords = nullptr;
 };
 
 /// Timeouts of the synchronisation.
--- a/Source/Core/Metrics/Counter.h
+++ b/Source/Core/Metrics/Counter.h
@@ -87,6 +87,12 @@
     QuarantineRefusals,
     /// Requests that were let through to test a quarantined part.
     QuarantineTrials,
+    /// Records of the organisations in heavy use that this VM wrote.
+    QuotaRecordsWritten,
+    /// Writes of that record without an effect, or without an answer.
+    QuotaRecordWritesFailed,
+    /// Organisations that started without a debt and then took more than their rate allows.
+    QuotaProbationsFailed,
     /// Requests to services with a roll-out that went to runners of the version in use before.
     RolloutCurrentRequests,
     RolloutCurrentFailures,
@@ -160,6 +166,9 @@
         EnumName { Counter::PartsLifted, "parts_lifted_total" },
         EnumName { Counter::QuarantineRefusals, "quarantine_refusals_total" },
         EnumName { Counter::QuarantineTrials, "quarantine_trials_total" },
+        EnumName { Counter::QuotaRecordsWritten, "quota_records_written_total" },
+        EnumName { Counter::QuotaRecordWritesFailed, "quota_record_writes_failed_total" },
+        EnumName { Counter::QuotaProbationsFailed, "quota_probations_failed_total" },
         EnumName { Counter::RolloutCurrentRequests, "rollout_current_requests_total" },
         EnumName { Counter::RolloutCurrentFailures, "rollout_current_failures_total" },
         EnumName { Counter::RolloutTargetRequests, "rollout_target_requests_total" },
@@ -183,6 +192,8 @@
     RunnersInBackOff,
     /// Era of the platform's store; 0 if it does not tell its era.
     StoreEra,
+    /// Organisations that this process started without a debt, as they had used little before.
+    QuotasStartedWithoutDebt,
     /// Bytes of other processes that are held, and the most that may be.
     MemoryHeld,
     MemoryBudget,
@@ -193,6 +204,7 @@
         EnumName { Gauge::RunnersLeaving, "runners_leaving" },
         EnumName { Gauge::RunnersInBackOff, "runners_in_back_off" },
         EnumName { Gauge::StoreEra, "store_era" },
+        EnumName { Gauge::QuotasStartedWithoutDebt, "quotas_started_without_debt" },
         EnumName { Gauge::MemoryHeld, "memory_held_bytes" },
         EnumName { Gauge::MemoryBudget, "memory_budget_bytes" },
     };
--- a/Source/UnitTests/Gateway/QuotaFleet.cpp
+++ b/Source/UnitTests/Gateway/QuotaFleet.cpp
@@ -34,8 +34,11 @@
     , m_vms(zones * vmsPerZone)
     , m_reference(m_clock)
 {
-    for (auto& vm : m_vms) {
-        addProcess(vm);
+    for (std::size_t n = 0; n < m_vms.size(); ++n) {
+        m_vms[n].clock = std::make_unique<VmClock>(m_clock);
+        m_vms[n].turns.vm = n;
+        m_vms[n].turns.vms = m_vms.size();
+        addProcess(m_vms[n]);
     }
     m_reference.setOrganisations({ &m_organisation, 1 });
 }
@@ -46,6 +49,98 @@
     vm.startedAt = m_clock.now();
     vm.quota->setOrganisations({ &m_organisation, 1 });
     vm.quota->setLargeFleet(true);
+    vm.policy = std::make_unique<QuotaRecordPolicy>(*vm.clock);
+    if (m_isRecording) {
+        readRecord(vm);
+    }
+}
+
+void QuotaFleet::readRecord(Vm& vm)
+{
+    auto record = QuotaRecordCodec::decode(m_store.value);
+    const auto known = record ? std::optional(*std::move(record)) : std::nullopt;
+    vm.knownRevision = m_store.revision;
+    vm.policy->setKnown(known);
+    const auto use = vm.policy->useOf(known, m_store.era, vm.quota->rulesDigest());
+    if (use == QuotaRecordUse::Used) {
+        ++m_recordsUsed;
+        vm.policy->setStartedWithKnown();
+        vm.quota->startWithRecentUse({ known->heavy.begin(), known->heavy.end() });
+    } else if (use == QuotaRecordUse::Spent) {
+        vm.quota->startAfterRepeatedRestart();
+    }
+}
+
+std::optional<std::size_t> QuotaFleet::recordedHeavy() const
+{
+    const auto record = QuotaRecordCodec::decode(m_store.value);
+    return record ? std::optional(record->heavy.size()) : std::nullopt;
+}
+
+void QuotaFleet::setPaused(std::size_t zone, std::size_t vms, bool isPaused)
+{
+    for (std::size_t n = 0; n < vms; ++n) {
+        m_vms[zone * m_vmsPerZone + n].isPaused = isPaused;
+    }
+}
+
+void QuotaFleet::shiftWallClock(std::chrono::milliseconds shift, bool isOnlyFirst)
+{
+    for (auto& vm : m_vms) {
+        vm.clock->shift += shift;
+        if (isOnlyFirst) {
+            return;
+        }
+    }
+}
+
+void QuotaFleet::restoreStore(const QuotaRecordStore& copy)
+{
+    m_store.value = copy.value;
+    m_store.pending.clear();
+    m_store.era = StoreEra(m_store.era.value() + 1);
+    // Revisions of a later era are greater.
+    m_store.revision += 1'000'000;
+}
+
+void QuotaFleet::executeWrites()
+{
+    while (!m_store.pending.empty() && m_store.pending.front().executeAt <= m_clock.now()) {
+        const auto write = std::move(m_store.pending.front());
+        m_store.pending.pop_front();
+        if (m_store.isDown || write.expectedRevision != m_store.revision) {
+            m_store.conflicts += m_store.isDown ? 0 : 1;
+            continue;
+        }
+        m_store.value = write.value;
+        ++m_store.revision;
+        ++m_store.writes;
+    }
+}
+
+void QuotaFleet::exchangeRecords()
+{
+    for (std::size_t n = 0; n < m_vms.size(); ++n) {
+        auto& vm = m_vms[n];
+        if (vm.isPaused) {
+            continue;
+        }
+        if (const auto record = vm.policy->due(*vm.quota, vm.turns, m_store.era, reachableShare(zoneOf(n)))) {
+            m_store.pending.push_back(
+                { m_clock.now() + m_store.delay, vm.knownRevision, QuotaRecordCodec::encode(*record) });
+        }
+    }
+    executeWrites();
+    if (m_store.isDown) {
+        return;
+    }
+    const auto record = QuotaRecordCodec::decode(m_store.value);
+    for (auto& vm : m_vms) {
+        if (!vm.isPaused && vm.knownRevision != m_store.revision) {
+            vm.knownRevision = m_store.revision;
+            vm.policy->setKnown(record ? std::optional(*record) : std::nullopt);
+        }
+    }
 }
 
 double QuotaFleet::allowedInWindow() const
@@ -82,7 +177,7 @@
     for (std::size_t from = 0; from < m_vms.size(); ++from) {
         const auto zone = zoneOf(from);
         for (std::size_t to = zone * m_vmsPerZone; to < (zone + 1) * m_vmsPerZone; ++to) {
-            if (to != from) {
+            if (to != from && !m_vms[to].isPaused && !m_vms[from].isPaused) {
                 m_vms[to].quota->recordRemoteUsage(VmId(std::to_string(from)), m_vms[from].incarnation,
                     m_vms[from].quota->ownTotals(), true, m_clock.now() - m_vms[from].startedAt);
                 m_vms[to].quota->recordRemoteLevels(m_vms[from].quota->lowLevels());
@@ -99,7 +194,7 @@
     }
     for (const auto& report : m_relayReports.front()) {
         for (std::size_t to = 0; to < m_vms.size(); ++to) {
-            if (zoneOf(to) != report.zone && isConnected(zoneOf(to), report.zone)) {
+            if (zoneOf(to) != report.zone && !m_vms[to].isPaused && isConnected(zoneOf(to), report.zone)) {
                 m_vms[to].quota->recordRemoteUsage(VmId("zone" + std::to_string(report.zone)), report.incarnation,
                     report.totals, false, report.uptime);
             }
@@ -122,8 +217,10 @@
 void QuotaFleet::restartAll()
 {
     m_relayReports.clear();
-    for (auto& vm : m_vms) {
+    for (std::size_t n = 0; n < m_vms.size(); ++n) {
+        auto& vm = m_vms[n];
         addProcess(vm);
+        vm.quota->setReachableShare(reachableShare(zoneOf(n)));
         vm.incarnation = Incarnation(vm.incarnation.value() + 1);
     }
 }
@@ -135,7 +232,11 @@
     std::uniform_int_distribution<std::size_t> place(0, m_vms.size() - 1);
     const QuotaDemand demand { size(m_random), m_load.maxWait };
     ++m_outcome.requests;
-    const auto sendAt = m_vms[place(m_random)].quota->take(m_organisation, demand);
+    auto vm = place(m_random);
+    while (m_vms[vm].isPaused) {
+        vm = place(m_random);
+    }
+    const auto sendAt = m_vms[vm].quota->take(m_organisation, demand);
     const bool isOwed = m_reference.take(m_organisation, { demand.tokens }).has_value();
     if (sendAt) {
         m_sent[*sendAt] += demand.tokens;
@@ -156,6 +257,9 @@
         }
         if (n % ticksPerReport == ticksPerReport - 1) {
             exchangeReports();
+            if (m_isRecording) {
+                exchangeRecords();
+            }
             if (m_isRolling) {
                 restartNext();
             }
