Send nothing to the runners of zones that the operator evacuates

The operator had no way to take a zone out of service: the gateways ignored op/evacuate/ZONE.

RunnerTable leaves the runners of such a zone out, also if there are no others, and diverts requests that wait for their connection. Weights are still loaded there. Start, completion at this VM and end are logged, with two gauges.

The test of the codec was not run yet.

--- a/Source/Core/Common/Ids.h
+++ b/Source/Core/Common/Ids.h
@@ -33,6 +33,8 @@
 using UpstreamId = Id<struct UpstreamTag, std::string>;
 /// Availability zone.
 using ZoneId = Id<struct ZoneTag, std::string>;
+/// Region, which consists of availability zones.
+using RegionId = Id<struct RegionTag, std::string>;
 /// Entry VM, which runs one router. Name from the settings; a restart keeps the name and changes the incarnation.
 using VmId = Id<struct VmTag, std::string>;
 /// Version of a model's weights, of a plain service, or of a runner's software.
--- a/Source/Core/Gateway/Gateway.cpp
+++ b/Source/Core/Gateway/Gateway.cpp
@@ -24,6 +24,7 @@
 #include "Gateway/TcpRunnerProbe.h"
 #include "Gateway/VmRegistration.h"
 #include "Gateway/WeightsDriver.h"
+#include "Gateway/ZoneEvacuations.h"
 #include "Timeline/Timeline.h"
 
 #include <algorithm>
@@ -136,9 +137,11 @@
         , metrics(m)
         , timeline(clock, settings.vm.value() + "/" + std::to_string(incarnation.value()))
         , routing(timeline)
+        , evacuations(clock, timeline)
         , runners(clock, timeline,
               { .maxOldWeightsTime = subtractMargin(settings.maxOldWeightsTime, weightsMargin),
-                  .spreadSeed = std::hash<VmId> {}(settings.vm) })
+                  .spreadSeed = std::hash<VmId> {}(settings.vm) },
+              { .evacuations = &evacuations })
         , fleet(clock, timeline, settings.vm, settings.zone)
         , quota(clock, settings.quotaTolerance)
         , directory(clock)
@@ -153,7 +156,7 @@
         , rollouts(clock, timeline, metrics, { settings.exposure })
         , fleetConfigurations(clock, fleet, settings.listenReports.address)
         , sync({ clock, feeds, changeLog, platform.records, routing, runners, quota, fleet, orders, timeline, metrics,
-                   quarantineRecords, rollouts, fleetConfigurations },
+                   quarantineRecords, rollouts, fleetConfigurations, &evacuations },
               { .freshnessGoal = settings.maxKeyWithdrawalDelay * 3 / 5,
                   .keyLimit = subtractMargin(settings.maxKeyWithdrawalDelay, keyMargin),
                   .largeFleetRetryPause = settings.maxChangeDelay * retryPausePercent / 100 })
@@ -196,6 +199,7 @@
     MetricTable& metrics;
     Timeline timeline;
     RoutingTable routing;
+    ZoneEvacuations evacuations;
     RunnerTable runners;
     FleetView fleet;
     FleetQuota quota;
@@ -302,6 +306,9 @@
         const auto unwilling = runners.unwillingRunners();
         metrics.set(Gauge::RunnersLeaving, unwilling.leaving);
         metrics.set(Gauge::RunnersInBackOff, unwilling.inBackOff);
+        const auto progress = evacuations.update(runners.ownRequestsByZone());
+        metrics.set(Gauge::ZonesEvacuated, progress.zones);
+        metrics.set(Gauge::EvacuatedZoneRequests, progress.requests);
         const double seconds = std::chrono::duration<double>(settings.retries.window).count();
         const double perVm = settings.retries.perWindow * retryShare / static_cast<double>(fleet.size());
         retryBudget.setOptions({ settings.retries.perRequest * retryShare, perVm / seconds, seconds });
--- a/Source/Core/Gateway/GatewaySync.cpp
+++ b/Source/Core/Gateway/GatewaySync.cpp
@@ -191,6 +191,9 @@
     } else {
         m_context.runners.replaceEntries(std::move(listing.runners));
     }
+    if (m_context.evacuations) {
+        m_context.evacuations->replaceAll(listing.evacuatedZones, isRestored);
+    }
     crossing.missingVms = m_context.fleet.markOtherRecordsEnded(listing.vms);
     // Known before the first requests are admitted.
     m_context.quota.setLargeFleet(m_context.fleet.isLarge());
@@ -217,6 +220,10 @@
         }
         return;
     }
+    if (const auto zone = m_context.codec.evacuationOf(entry.key)) {
+        listing.evacuatedZones.insert(*zone);
+        return;
+    }
     listing.hasHolder = listing.hasHolder || entry.key == orderHolderKey;
     if (entry.key.starts_with(vmRecordPrefix)) {
         listing.vms.insert(VmId(entry.key.substr(vmRecordPrefix.size())));
@@ -323,6 +330,8 @@
         m_context.runners.setTargetWeights(weights->model, weights->version, writtenAfter, source);
     } else if (const auto* rollout = std::get_if<RolloutOrder>(&*record)) {
         m_context.rollouts.adoptOrder(*rollout, writtenAfter);
+    } else if (const auto* evacuation = std::get_if<ZoneEvacuation>(&*record); evacuation && m_context.evacuations) {
+        m_context.evacuations->begin(evacuation->zone);
     }
 }
 
@@ -359,6 +368,8 @@
         m_context.runners.markEntryEnded(*runner);
     } else if (const auto service = m_context.codec.rolloutOrderOf(key)) {
         m_context.rollouts.withdrawOrder(*service);
+    } else if (const auto zone = m_context.codec.evacuationOf(key); zone && m_context.evacuations) {
+        m_context.evacuations->end(*zone);
     }
 }
 
--- a/Source/Core/Gateway/GatewaySync.h
+++ b/Source/Core/Gateway/GatewaySync.h
@@ -2,6 +2,7 @@
 
 #include "Gateway/ChangeFeeds.h"
 #include "Gateway/ChangeLog.h"
+#include "Gateway/Commands/EvacuationCommands.h"
 #include "Gateway/Commands/QuarantineRecordCommands.h"
 #include "Gateway/Commands/QuotaCommands.h"
 #include "Gateway/Commands/RolloutCommands.h"
@@ -37,6 +38,8 @@
     QuarantineRecordCommands& quarantine;
     RolloutCommands& rollouts;
     FleetConfigurationQueries& fleetConfigurations;
+    /// nullptr if zones are never taken out of service.
+    EvacuationCommands* evacuations = nullptr;
 };
 
 /// Timeouts of the synchronisation.
@@ -97,6 +100,7 @@
     struct Listing {
         std::vector<RunnerEntry> runners;
         std::set<VmId> vms;
+        std::set<ZoneId> evacuatedZones;
         bool hasHolder = false;
     };
 
--- a/Source/Core/Gateway/Queries/RunnerQueries.h
+++ b/Source/Core/Gateway/Queries/RunnerQueries.h
@@ -16,7 +16,8 @@
     RunnerQueries& operator=(const RunnerQueries&) = delete;
     virtual ~RunnerQueries() = default;
 
-    /// Runners of a service that may take a request now, without those that want none by their own words. Runners that
+    /// Runners of a service that may take a request now, without those that want none by their own words and those of
+    /// evacuated zones. Runners that
     /// are suspect, loading weights, reported as leaving by another VM or whose entry has just ended are returned only
     /// if there are no others.
     /// @param model Model that the request asks for, or empty. Runners whose weights are too old are excluded.
@@ -40,7 +41,7 @@
     virtual UnwillingRunners unwillingRunners() const = 0;
 
     /// Whether a request that was placed at a runner process may still be sent: false if the process has announced its
-    /// shutdown, asked for a back-off or been replaced since.
+    /// shutdown, asked for a back-off or been replaced since, or if its zone is out of service.
     virtual bool mayStillSend(const UpstreamId& runner, Incarnation incarnation) const = 0;
 
     /// @return A runner's entry, also for some time after it ended, or nothing for an unknown runner.
@@ -52,6 +53,9 @@
     /// This VM's own work, by hash of the runner's id.
     virtual std::map<std::uint64_t, RunnerLoad> ownLoads() const = 0;
 
+    /// Running requests of this VM by the zone of their runner.
+    virtual std::map<ZoneId, unsigned> ownRequestsByZone() const = 0;
+
     /// Recent failures and announced shutdowns of runners to report to the other VMs.
     virtual RunnerFailures recentFailures() const = 0;
 
--- a/Source/Core/Gateway/RunnerTable.cpp
+++ b/Source/Core/Gateway/RunnerTable.cpp
@@ -41,10 +41,12 @@
 
 std::uint64_t modelHash(const std::string& model) { return XXH3_64bits(model.data(), model.size()); }
 
-RunnerTable::RunnerTable(const Clock& clock, TimelineCommands& timeline, RunnerTableOptions options)
+RunnerTable::RunnerTable(
+    const Clock& clock, TimelineCommands& timeline, RunnerTableOptions options, RunnerRestrictions restrictions)
     : m_clock(clock)
     , m_timeline(timeline)
     , m_options(options)
+    , m_restrictions(restrictions)
     , m_leaving(clock)
 {
 }
@@ -468,7 +470,7 @@
         const bool isExpired = state == RunnerState::Gone && now - endedAt < expiredEntryGrace;
         if (runner.entry.service != service || !versions.permits(runner.entry.software)
             || runner.failureState.isReplaced() || !runner.failureState.backOff().admits(now)
-            || (state != RunnerState::Ready && !isExpired)) {
+            || (state != RunnerState::Ready && !isExpired) || isEvacuated(runner)) {
             continue;
         }
         auto candidate = toCandidate(runner, model);
--- a/Source/Core/Gateway/RunnerTable.h
+++ b/Source/Core/Gateway/RunnerTable.h
@@ -2,6 +2,7 @@
 
 #include "Gateway/Commands/RunnerCommands.h"
 #include "Gateway/LeavingRunners.h"
+#include "Gateway/Queries/EvacuationQueries.h"
 #include "Gateway/Queries/RunnerQueries.h"
 #include "Gateway/RunnerFailureState.h"
 #include "Gateway/SoftwareVersions.h"
@@ -25,10 +26,16 @@
     std::uint64_t spreadSeed = 0;
 };
 
+/// What else decides which runners may be used. Each is nullptr if it does not apply.
+struct RunnerRestrictions {
+    const EvacuationQueries* evacuations = nullptr;
+};
+
 /// The runners with an entry in the store, their failure state and the work in progress at each.
 class RunnerTable final : public RunnerCommands, public RunnerQueries {
 public:
-    RunnerTable(const Clock& clock, TimelineCommands& timeline, RunnerTableOptions options);
+    RunnerTable(const Clock& clock, TimelineCommands& timeline, RunnerTableOptions options,
+        RunnerRestrictions restrictions = {});
 
     void updateEntry(RunnerEntry entry) override;
     void markEntryEnded(const UpstreamId& runner) override;
@@ -69,6 +76,7 @@
     std::map<std::uint64_t, RunnerLoad> ownLoads() const override;
     std::vector<TargetWeightsAge> targetWeightsAges() const override;
     RunnerFailures recentFailures() const override;
+    std::map<ZoneId, unsigned> ownRequestsByZone() const override;
     unsigned requestsAt(const UpstreamId& runner) const override;
     const std::map<std::string, WeightsVersion>& targetWeights() const override { return m_targetWeights; }
 
@@ -121,12 +129,15 @@
     void recordReportedLeaving(const VmId& vm, std::span<const LeavingRunner> leaving);
     /// Applies what is known of a runner's process to an entry that was read.
     void applyAnnouncement(RunnerEntry& entry) const;
+    /// Whether the runner is in a zone that is out of service.
+    bool isEvacuated(const Runner& runner) const;
     /// Whether any VM ordered the runner to load weights or is about to.
     bool isLoading(std::uint64_t hash) const;
 
     const Clock& m_clock;
     TimelineCommands& m_timeline;
     RunnerTableOptions m_options;
+    RunnerRestrictions m_restrictions;
     std::map<UpstreamId, Runner> m_runners;
     MonotonicTime m_nextCleanupAt { 0 };
     LeavingRunners m_leaving;
--- a/Source/Core/Gateway/RunnerTableAvailability.cpp
+++ b/Source/Core/Gateway/RunnerTableAvailability.cpp
@@ -5,7 +5,8 @@
 
 #include <algorithm>
 
-// What runners say themselves about the requests that they want: announced shutdowns and back-offs.
+// What runners say themselves about the requests that they want: announced shutdowns and back-offs, and what the
+// operator says about their zones.
 
 namespace Pollenwind {
 
@@ -87,7 +88,7 @@
     for (const auto& [id, runner] : m_runners) {
         const auto& backOff = runner.failureState.backOff();
         const bool isUsed = runner.entry.service == service && runner.entry.state == RunnerState::Ready
-            && !runner.failureState.isReplaced();
+            && !runner.failureState.isReplaced() && !isEvacuated(runner);
         if (isUsed && !backOff.admits(now)) {
             const auto time = std::max(std::chrono::nanoseconds(0), backOff.until() - now);
             earliest = std::min(earliest.value_or(time), time);
@@ -108,6 +109,20 @@
     return counts;
 }
 
+bool RunnerTable::isEvacuated(const Runner& runner) const
+{
+    return m_restrictions.evacuations && m_restrictions.evacuations->isEvacuated(runner.entry.zone);
+}
+
+std::map<ZoneId, unsigned> RunnerTable::ownRequestsByZone() const
+{
+    std::map<ZoneId, unsigned> requests;
+    for (const auto& [id, runner] : m_runners) {
+        requests[runner.entry.zone] += runner.own.requests;
+    }
+    return requests;
+}
+
 void RunnerTable::recordReportedLeaving(const VmId& vm, std::span<const LeavingRunner> leaving)
 {
     for (const auto& it : leaving) {
@@ -126,6 +141,9 @@
 bool RunnerTable::mayStillSend(const UpstreamId& runner, Incarnation incarnation) const
 {
     const auto it = m_runners.find(runner);
+    if (it != m_runners.end() && isEvacuated(it->second)) {
+        return false;
+    }
     if (it == m_runners.end() || it->second.entry.incarnation != incarnation) {
         return !m_leaving.isLeaving(holderHash(runner, incarnation));
     }
--- a/Source/Core/Metrics/Counter.h
+++ b/Source/Core/Metrics/Counter.h
@@ -181,6 +181,10 @@
     RunnersLeaving,
     /// Runners that want no requests for a time that they named.
     RunnersInBackOff,
+    /// Zones that the operator has taken out of service.
+    ZonesEvacuated,
+    /// Requests of this VM that still run at runners of such zones.
+    EvacuatedZoneRequests,
     /// Era of the platform's store; 0 if it does not tell its era.
     StoreEra,
     /// Bytes of other processes that are held, and the most that may be.
@@ -192,6 +196,8 @@
     static constexpr std::array rows {
         EnumName { Gauge::RunnersLeaving, "runners_leaving" },
         EnumName { Gauge::RunnersInBackOff, "runners_in_back_off" },
+        EnumName { Gauge::ZonesEvacuated, "zones_evacuated" },
+        EnumName { Gauge::EvacuatedZoneRequests, "evacuated_zone_requests" },
         EnumName { Gauge::StoreEra, "store_era" },
         EnumName { Gauge::MemoryHeld, "memory_held_bytes" },
         EnumName { Gauge::MemoryBudget, "memory_budget_bytes" },
--- a/Source/Core/Timeline/TimelineEvent.h
+++ b/Source/Core/Timeline/TimelineEvent.h
@@ -58,6 +58,11 @@
     /// A request with a quarantined part is let through.
     PartTried,
     PartLifted,
+    /// The operator has taken a zone out of service.
+    EvacuationStarted,
+    /// No request of this VM runs at the runners of an evacuated zone any more.
+    EvacuationCompleted,
+    EvacuationEnded,
 };
 
 template <> struct EnumTable<EventKind> {
@@ -102,6 +107,9 @@
         EnumName { EventKind::PartQuarantined, "part-quarantined" },
         EnumName { EventKind::PartTried, "part-tried" },
         EnumName { EventKind::PartLifted, "part-lifted" },
+        EnumName { EventKind::EvacuationStarted, "evacuation-started" },
+        EnumName { EventKind::EvacuationCompleted, "evacuation-completed" },
+        EnumName { EventKind::EvacuationEnded, "evacuation-ended" },
     };
 };
 
--- a/Source/UnitTests/Gateway/RestoringStore.h
+++ b/Source/UnitTests/Gateway/RestoringStore.h
@@ -152,7 +152,7 @@
 };
 
 /// Records as short texts: "config" is a version and its keys, "target" a version of weights, "runner/ID" an
-/// incarnation and "ready" or "draining".
+/// incarnation and "ready" or "draining", "evacuate/ZONE" anything.
 class TextCodec final : public RecordCodec {
 public:
     static constexpr std::string_view runnerPrefix = "runner/";
@@ -174,6 +174,9 @@
         if (entry.key == "target") {
             return TargetWeights { "model", number };
         }
+        if (auto zone = evacuationOf(entry.key)) {
+            return ZoneEvacuation { std::move(*zone) };
+        }
         const auto id = runnerOf(entry.key);
         if (!id) {
             return DecodedRecord {};
@@ -190,6 +193,11 @@
                                              : std::nullopt;
     }
     std::optional<ServiceId> rolloutOrderOf(std::string_view) const override { return std::nullopt; }
+    std::optional<ZoneId> evacuationOf(std::string_view key) const override
+    {
+        constexpr std::string_view prefix = "evacuate/";
+        return key.starts_with(prefix) ? std::optional(ZoneId(std::string(key.substr(prefix.size())))) : std::nullopt;
+    }
     StoreWrite encodeStatus(const RolloutStatus&) const override { return {}; }
 };
 
--- a/Source/UnitTests/PlatformAdapter/CodecTests.cpp
+++ b/Source/UnitTests/PlatformAdapter/CodecTests.cpp
@@ -261,6 +261,17 @@
     cr_assert(!PlatformRecords().decode(entry("op/version/m", R"({"model":"m"})")));
 }
 
+// Guards against an evacuation that the operator has written and that is passed over because of its value, which means
+// nothing.
+Test(PlatformRecords, readsAnEvacuationWithAnyValue)
+{
+    for (const auto* value : { "{}", "", "{", "[1]", "\xff" }) {
+        cr_assert(decode<ZoneEvacuation>("op/evacuate/kef-a", value).zone == ZoneId("kef-a"), "%s", value);
+    }
+    cr_assert(PlatformRecords().evacuationOf("op/evacuate/kef-b") == ZoneId("kef-b"));
+    cr_assert(!PlatformRecords().evacuationOf("op/config"));
+}
+
 // Guards against a roll-out that is not started because its order cannot be read, or whose state the operator cannot
 // read.
 Test(PlatformRecords, readsOrdersOfRolloutsAndWritesTheirState)
