--- a/Source/Core/Gateway/GatewaySync.h
+++ b/Source/Core/Gateway/GatewaySync.h
@@ -2,6 +2,7 @@
 
 #include "Gateway/ChangeFeeds.h"
 #include "Gateway/ChangeLog.h"
+#include "Gateway/Commands/EvacuationCommands.h"
 #include "Gateway/Commands/QuarantineRecordCommands.h"
 #include "Gateway/Commands/QuotaCommands.h"
 #include "Gateway/Commands/QuotaRecordCommands.h"
@@ -38,7 +39,9 @@
     QuarantineRecordCommands& quarantine;
     RolloutCommands& rollouts;
     FleetConfigurationQueries& fleetConfigurations;
-    /// Null if the organisations in heavy use are not recorded.
+    /// nullptr if zones are never taken out of service.
+    EvacuationCommands* evacuations = nullptr;
+    /// nullptr if the organisations in heavy use are not recorded.
     QuotaRecordCommands* quotaRecords = nullptr;
 };
 
@@ -100,6 +103,7 @@
     struct Listing {
         std::vector<RunnerEntry> runners;
         std::set<VmId> vms;
+        std::set<ZoneId> evacuatedZones;
         bool hasHolder = false;
     };
 
