Let the soak evacuate zones

The soak did not play op/evacuate/ZONE. It now evacuates one of its two zones after the other by a random sequence of its own, so that the faults of kept seeds stay the same, and checks that an undisturbed VM sends nothing to the zone 5 s after the confirmation.

--- a/Source/UnitTests/PlatformSoak/GatewayProcess.cpp
+++ b/Source/UnitTests/PlatformSoak/GatewayProcess.cpp
@@ -40,7 +40,7 @@
         { "bounds",
             { { "revoke_ms", 5000 }, { "version_ms", 8000 }, { "lease_ms", 3000 }, { "grace_s", 8 },
                 { "retry_ratio", 0.2 }, { "retry_slack", 58 }, { "retry_window_s", 10 }, { "config_apply_ms", 2000 },
-                { "drain_ms", 2000 } } } };
+                { "drain_ms", 2000 }, { "evacuate_ms", 5000 } } } };
     std::ofstream(m_settingsFile) << settings.dump();
 }
 
--- a/Source/UnitTests/PlatformSoak/GatewaySoak.cpp
+++ b/Source/UnitTests/PlatformSoak/GatewaySoak.cpp
@@ -47,6 +47,12 @@
     constexpr std::chrono::milliseconds shortestRefusalTime { 200 };
     constexpr std::uint64_t refusalTimeRange = 7800;
     constexpr std::size_t maxExamples = 5;
+    // The gateways are in the first zone.
+    constexpr std::array<std::string_view, 2> zones { "a", "b" };
+    // Longer than the time in which an evacuation must take effect.
+    constexpr std::chrono::milliseconds minEvacuationTime { 6000 };
+    constexpr std::uint64_t evacuationTimeRange = 4000;
+    constexpr std::uint64_t evacuationPauseRange = 4000;
 
     struct LinkRow {
         GatewayFault fault;
@@ -105,6 +111,7 @@
     , m_options(std::move(options))
     , m_ledger(m_report)
     , m_crashingPart(m_gateways, m_report)
+    , m_evacuatedZone(m_gateways, m_report)
     , m_store(m_executor)
     , m_storeLink(m_executor)
     , m_networkGuard(m_executor)
@@ -135,8 +142,8 @@
         co_return std::unexpected(storeLink.error());
     }
     for (std::size_t i = 0; i < m_options.runners; ++i) {
-        auto& runner
-            = m_runners.emplace_back(m_executor, "runner-" + std::to_string(i), m_ledger, m_crashingPart, m_report);
+        auto& runner = m_runners.emplace_back(m_executor, "runner-" + std::to_string(i),
+            std::string(zones[i % zones.size()]), m_ledger, m_crashingPart, m_evacuatedZone, m_report);
         if (const auto bound = runner.listen(net + "2." + std::to_string(i + 1)); !bound) {
             co_return bound;
         }
@@ -164,6 +171,7 @@
             m_executor, caller.run(m_end + recoveryTime), [this](const std::exception_ptr&) { --m_activeTasks; });
     }
     asio::co_spawn(m_executor, watchConfiguration(), asio::detached);
+    asio::co_spawn(m_executor, evacuateZones(), asio::detached);
     co_await injectRandomFaults();
     co_await sleepFor(m_end + recoveryTime - SteadyClock::now());
     co_await checkRecovery();
@@ -232,6 +240,30 @@
     m_crashingPart.end();
 }
 
+Task<> GatewaySoak::evacuateZones()
+{
+    std::mt19937_64 random(m_options.seed * 7919);
+    for (;;) {
+        co_await sleepFor(std::chrono::milliseconds(random() % evacuationPauseRange));
+        const auto time = minEvacuationTime + std::chrono::milliseconds(random() % evacuationTimeRange);
+        // The load of the recovery time needs all runners.
+        if (SteadyClock::now() + time > m_end) {
+            co_return;
+        }
+        m_evacuatedZone.begin(std::string(zones[random() % zones.size()]));
+        writeOperatorRecords();
+        co_await sleepFor(time);
+        m_evacuatedZone.end();
+        writeOperatorRecords();
+    }
+}
+
+void GatewaySoak::recordStoreDisturbed()
+{
+    m_storeDisturbedAt = SteadyClock::now();
+    m_evacuatedZone.recordStoreDisturbed();
+}
+
 Task<> GatewaySoak::pauseGateway(std::size_t index, std::chrono::milliseconds time)
 {
     m_gateways[index].signal(SIGSTOP);
@@ -247,8 +279,9 @@
     auto& runner = m_runners[draw % m_runners.size()];
     for (const auto& row : storeLinkRows) {
         if (row.fault == fault) {
+            recordStoreDisturbed();
             co_await applyLinkFault(m_storeLink, row.state, time);
-            m_storeDisturbedAt = SteadyClock::now();
+            recordStoreDisturbed();
             co_return;
         }
     }
@@ -284,19 +317,22 @@
         m_crashingPart.recordAllKilled();
         break;
     case GatewayFault::StoreRefuses:
+        recordStoreDisturbed();
         m_store.forcedStatus = 503;
         co_await sleepFor(time);
         m_store.forcedStatus = 0;
-        m_storeDisturbedAt = SteadyClock::now();
+        recordStoreDisturbed();
         break;
     case GatewayFault::StoreSlow:
+        recordStoreDisturbed();
         m_store.delay = std::chrono::milliseconds(200);
         co_await sleepFor(time);
         m_store.delay = std::chrono::milliseconds(0);
-        m_storeDisturbedAt = SteadyClock::now();
+        recordStoreDisturbed();
         break;
     case GatewayFault::StoreLosesAnswer:
         m_store.dropsNextResponse = true;
+        m_evacuatedZone.recordStoreDisturbed();
         break;
     case GatewayFault::StoreForgetsHistory:
         m_store.compact();
@@ -367,6 +403,14 @@
     if (m_weights > 1) {
         write("op/version/m", Json { { "model", "m" }, { "version", m_weights } }.dump());
     }
+    for (const auto zone : zones) {
+        const auto key = "op/evacuate/" + std::string(zone);
+        if (zone == m_evacuatedZone.zone()) {
+            write(key, "{}");
+        } else if (m_store.value(key)) {
+            m_store.erase(key);
+        }
+    }
 }
 
 Task<> GatewaySoak::restoreStore(std::uint64_t draw)
@@ -386,6 +430,7 @@
 
 Task<> GatewaySoak::restoreOnce()
 {
+    m_evacuatedZone.recordStoreDisturbed();
     m_store.forcedStatus = 503;
     co_await sleepFor(restoreOutage);
     m_store.restore();
--- a/Source/UnitTests/PlatformSoak/GatewaySoak.h
+++ b/Source/UnitTests/PlatformSoak/GatewaySoak.h
@@ -30,6 +30,10 @@
     Task<> replaceRunner(SoakRunner& runner);
     Task<> playCrashingPart();
     Task<> pauseGateway(std::size_t index, std::chrono::milliseconds time);
+    /// Evacuates one zone after the other, by a random sequence of its own, so that the faults of a seed stay the same.
+    Task<> evacuateZones();
+    /// Records a disturbance of the store or of its link that has just ended or begins.
+    void recordStoreDisturbed();
     /// Plays restores of the store from copies of different ages.
     Task<> restoreStore(std::uint64_t draw);
     /// Takes the store away, brings it back from its copy and checks that the gateways serve soon after that.
@@ -50,6 +54,7 @@
     GatewaySoakReport m_report;
     RequestLedger m_ledger;
     CrashingPart m_crashingPart;
+    EvacuatedZone m_evacuatedZone;
     KvStoreStandIn m_store;
     FaultProxy m_storeLink;
     /// Has the port that marks the network of this run as in use.
--- a/Source/UnitTests/PlatformSoak/GatewaySoakTypes.h
+++ b/Source/UnitTests/PlatformSoak/GatewaySoakTypes.h
@@ -108,6 +108,7 @@
     LeavingRunnersAreLeft,
     RefusalTimesAreKept,
     RestoresEndSoon,
+    EvacuationsAreKept,
     Recovers,
 };
 
@@ -136,6 +137,8 @@
             GatewayGuarantee::RefusalTimesAreKept, "a VM sends at most two requests in the time that a refusal names" },
         EnumName { GatewayGuarantee::RestoresEndSoon,
             "a VM without other faults serves 2 s after the store is back from an older copy" },
+        EnumName { GatewayGuarantee::EvacuationsAreKept,
+            "an undisturbed VM sends nothing to an evacuated zone 5 s after the evacuation" },
         EnumName {
             GatewayGuarantee::Recovers, "after the faults every VM serves and every runner has the new weights" },
     };
--- a/Source/UnitTests/PlatformSoak/SoakRunner.cpp
+++ b/Source/UnitTests/PlatformSoak/SoakRunner.cpp
@@ -34,13 +34,15 @@
 
 } // namespace
 
-SoakRunner::SoakRunner(asio::any_io_executor executor, std::string id, RequestLedger& ledger,
-    CrashingPart& crashingPart, GatewaySoakReport& report)
+SoakRunner::SoakRunner(asio::any_io_executor executor, std::string id, std::string zone, RequestLedger& ledger,
+    CrashingPart& crashingPart, EvacuatedZone& evacuatedZone, GatewaySoakReport& report)
     : m_executor(executor)
     , m_name(std::move(id))
     , m_id(m_name + "-1")
+    , m_zone(std::move(zone))
     , m_ledger(ledger)
     , m_crashingPart(crashingPart)
+    , m_evacuatedZone(evacuatedZone)
     , m_report(report)
     , m_server(executor, *this, {})
     , m_link(std::move(executor))
@@ -78,7 +80,7 @@
 std::string SoakRunner::entry() const
 {
     return Json {
-        { "service", "app" }, { "address", m_endpoint.toString() }, { "zone", "a" }, { "version", "v1" },
+        { "service", "app" }, { "address", m_endpoint.toString() }, { "zone", m_zone }, { "version", "v1" },
         { "slots", 16 }, { "state", "ready" }, { "seq", 1 }, { "born", m_starts },
         { "models", Json::array({ { { "name", "m" }, { "version", m_weights } } }) }
     }.dump();
@@ -221,6 +223,7 @@
     }
     ++m_requests;
     checkSender(requestId);
+    m_evacuatedZone.recordArrival(m_zone, requestId, m_ledger.processOf(requestId));
     const bool isRefused = m_fault == RunnerFault::RepeatsRefusals && m_requests % requestsPerRefusal == 0;
     if (m_fault == RunnerFault::Refuses || m_isLoading || isRefused) {
         m_refused = requestId;
--- a/Source/UnitTests/PlatformSoak/SoakRunner.h
+++ b/Source/UnitTests/PlatformSoak/SoakRunner.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "PlatformSoak/CrashingPart.h"
+#include "PlatformSoak/EvacuatedZone.h"
 #include "PlatformSoak/FaultProxy.h"
 #include "PlatformSoak/RequestLedger.h"
 #include "Transport/HttpServer.h"
@@ -26,8 +27,8 @@
 /// Simulated runner behind a fault proxy. Checks the requests and orders that it receives.
 class SoakRunner final : public HttpHandler {
 public:
-    SoakRunner(asio::any_io_executor executor, std::string id, RequestLedger& ledger, CrashingPart& crashingPart,
-        GatewaySoakReport& report);
+    SoakRunner(asio::any_io_executor executor, std::string id, std::string zone, RequestLedger& ledger,
+        CrashingPart& crashingPart, EvacuatedZone& evacuatedZone, GatewaySoakReport& report);
 
     Task<> handle(HttpExchange& exchange) override;
     HttpAnswer refusal(int status, std::string_view) const override { return { status, "", "", {} }; }
@@ -93,8 +94,10 @@
     asio::any_io_executor m_executor;
     std::string m_name;
     std::string m_id;
+    std::string m_zone;
     RequestLedger& m_ledger;
     CrashingPart& m_crashingPart;
+    EvacuatedZone& m_evacuatedZone;
     GatewaySoakReport& m_report;
     HttpServer m_server;
     FaultProxy m_link;
