Limit the requests at cold runners, and keep requests in their home regions

A cold runner that became the only one of its service got the load of all VMs: 18 requests in one second, where it can handle 7.7. Home regions of routes and organisations were ignored.

ColdRunnerLimit gives each VM a place in a period of fleet / cold_per_s, so that the sum over all VMs needs no messages; a place that is not used lapses. RunnerColdState tells from entries, starts and failed connections whether a process is cold. RunnerTable returns cold runners only if no warm one is there and diverts requests that were placed before a runner turned cold. The VMs return to warm runners and to zones one after the other. HomeRegions applies the restrictions of route and organisation, at admission and in force, when a runner is chosen and before sending. cold_per_s, cold_s, cold_left_ms, allowed_regions, zones, region and the bounds are read in platform/. Without them nothing changes.

Both rules filter the same list of candidates, so they land together.

Not run yet: the tests of the codecs and the rest of GatewayTests.

--- a/Source/Core/Gateway/FleetView.cpp
+++ b/Source/Core/Gateway/FleetView.cpp
@@ -193,6 +193,15 @@
     return count;
 }
 
+std::size_t FleetView::ownRank() const
+{
+    std::size_t rank = 0;
+    for (const auto& [id, vm] : m_vms) {
+        rank += id < m_ownVm && isCounted(vm) ? 1 : 0;
+    }
+    return rank;
+}
+
 bool FleetView::isOwnTurn(std::uint64_t subject) const
 {
     // Rendezvous hashing: the VM with the highest hash. VMs of other zones do not report in a large fleet.
--- a/Source/Core/Gateway/FleetView.h
+++ b/Source/Core/Gateway/FleetView.h
@@ -86,6 +86,8 @@
     std::vector<VmId> takeSilent();
     /// Number of VMs in the fleet: those with a record, with a recent report or whose record ended recently.
     std::size_t size() const;
+    /// Number of VMs of the fleet whose ids are less than this one's.
+    std::size_t ownRank() const;
     /// Whether the fleet is too large for every VM to report to every other.
     bool isLarge() const { return size() > maxFullMeshSize; }
 
--- a/Source/Core/Gateway/ForwardDispatcher.cpp
+++ b/Source/Core/Gateway/ForwardDispatcher.cpp
@@ -202,19 +202,28 @@
     }
     const bool isRepeatable = retryKindOf(*delivery.route) != RetryKind::NonIdempotentCall;
     const auto latest = m_context.clock.now() + delivery.route->objective * unrepeatableWaitFactor;
+    const auto home = homeRegionsOf(request, delivery);
     const auto candidatesOf = [&](const VersionRule& rule) {
-        auto candidates = m_context.runners.candidates(delivery.service, request.model, rule);
+        auto candidates = m_context.runners.candidates(delivery.service, request.model, rule, home);
         std::erase_if(
             candidates, [&](const RunnerCandidate& it) { return !isRepeatable && it.beginBy && *it.beginBy < latest; });
         return candidates;
     };
     const auto versions = m_context.rollouts.versionsFor(delivery.service, request.id, previous);
+    // Cold runners of one version are used only if no version has a warm one.
+    std::vector<RunnerCandidate> cold;
     for (const auto& rule : versions) {
         auto candidates = candidatesOf(rule);
         std::erase_if(candidates, [&](const RunnerCandidate& it) { return delivery.tried.contains(it.id); });
-        if (!candidates.empty()) {
+        if (!candidates.empty() && !candidates.front().isCold) {
             return candidates;
         }
+        if (cold.empty()) {
+            cold = std::move(candidates);
+        }
+    }
+    if (!cold.empty()) {
+        return cold;
     }
     // A runner that refused may accept the request now. One that may have run it is not tried again.
     if (delivery.runs == 0 && !delivery.tried.empty()) {
@@ -223,6 +232,26 @@
     return {};
 }
 
+HomeRegions ForwardDispatcher::homeRegionsOf(const ForwardRequest& request, const Delivery& delivery) const
+{
+    HomeRegions home(m_context.regions);
+    home.restrictTo(delivery.route->homeRegions);
+    if (delivery.organisation) {
+        home.restrictTo(delivery.organisation->homeRegions);
+    }
+    // A request may be repeated long after a change of the configuration.
+    if (delivery.configuration != m_context.routing.current()) {
+        if (const auto* route = m_context.routing.findRoute(request.host, request.message.path)) {
+            home.restrictTo(route->homeRegions);
+        }
+        const auto* organisation = request.keyDigest ? m_context.routing.findOrganisation(*request.keyDigest) : nullptr;
+        if (organisation) {
+            home.restrictTo(organisation->homeRegions);
+        }
+    }
+    return home;
+}
+
 std::string ForwardDispatcher::currentCacheSalt(const Delivery& delivery) const
 {
     return m_context.routing.cacheSaltFor(
@@ -236,9 +265,15 @@
     delivery.cacheSalt = currentCacheSalt(delivery);
     const auto& targets = m_context.runners.targetWeights();
     const auto it = targets.find(request.model);
+    auto stores = delivery.stores;
+    const auto home = homeRegionsOf(request, delivery);
+    std::erase_if(stores, [&home](const CacheStore& store) { return !home.permits(store.zone); });
     const auto choice = m_context.policy.choose(
-        request, delivery.cacheSalt, it == targets.end() ? 0 : it->second, delivery.stores, candidates);
+        request, delivery.cacheSalt, it == targets.end() ? 0 : it->second, stores, candidates);
     if (!choice) {
+        if (m_context.runners.hasOnlyColdRunners(delivery.service)) {
+            m_context.metrics.count(Counter::ColdRunnerRefusals);
+        }
         return std::unexpected(Error { ErrorCode::Unavailable, "no runner can take the request now", RunState::NotRun,
             returnTime(m_context.runners.timeUntilReturn(delivery.service), request.id) });
     }
@@ -648,6 +683,13 @@
         delivery.isDiverted = true;
         co_return fail(ErrorCode::Unavailable, "the runner became unavailable before the request was sent");
     }
+    if (const auto home = homeRegionsOf(request, delivery); home.isRestricted()) {
+        const auto entry = m_context.runners.find(delivery.runner.id);
+        if (!entry || !home.permits(entry->zone)) {
+            delivery.isDiverted = true;
+            co_return fail(ErrorCode::Unavailable, "the home regions changed before the request was sent");
+        }
+    }
     if (currentCacheSalt(delivery) != delivery.cacheSalt) {
         delivery.isDiverted = true;
         co_return fail(ErrorCode::Unavailable, "the cache salt changed before the request was sent");
--- a/Source/Core/Gateway/ForwardDispatcher.h
+++ b/Source/Core/Gateway/ForwardDispatcher.h
@@ -43,6 +43,7 @@
     CrashCommands& crashes;
     const RolloutQueries& rollouts;
     RolloutCommands& rolloutCommands;
+    RegionMap regions = {};
 };
 
 /// Forwards requests to runners and their responses to the callers: lets them be admitted, chooses a runner, and
@@ -79,6 +80,8 @@
     /// Runners that may take the next attempt. A request that cannot be taken back from a runner's queue gets none
     /// whose weights expire before it is likely to begin.
     std::vector<RunnerCandidate> candidatesFor(const ForwardRequest& request, const Delivery& delivery) const;
+    /// Home regions of the request under the configuration of its admission and the one in force.
+    HomeRegions homeRegionsOf(const ForwardRequest& request, const Delivery& delivery) const;
     /// Salt of the request's cache entries under the configuration in force.
     std::string currentCacheSalt(const Delivery& delivery) const;
     /// Also sets the salt of the attempt.
--- a/Source/Core/Gateway/Gateway.cpp
+++ b/Source/Core/Gateway/Gateway.cpp
@@ -138,10 +138,11 @@
         , timeline(clock, settings.vm.value() + "/" + std::to_string(incarnation.value()))
         , routing(timeline)
         , evacuations(clock, timeline)
+        , coldLimit(clock, settings.coldTolerance, std::hash<VmId> {}(settings.vm))
         , runners(clock, timeline,
               { .maxOldWeightsTime = subtractMargin(settings.maxOldWeightsTime, weightsMargin),
                   .spreadSeed = std::hash<VmId> {}(settings.vm) },
-              { .evacuations = &evacuations })
+              { .evacuations = &evacuations, .routing = &routing, .coldLimit = &coldLimit })
         , fleet(clock, timeline, settings.vm, settings.zone)
         , quota(clock, settings.quotaTolerance)
         , directory(clock)
@@ -174,7 +175,7 @@
         , client(executor, platform.requests, connectTimeout)
         , log(clock)
         , dispatcher({ clock, routing, sync, runners, runners, policy, directory, quota, retryBudget, client, metrics,
-              log, quarantine, quarantine, crashes, rollouts, rollouts })
+              log, quarantine, quarantine, crashes, rollouts, rollouts, settings.regions })
         , frontEnd(clock, platform.requests, dispatcher, metrics, log)
         , status(settings.readyPath, metrics, [this] { return isReady(); })
         , feed(clock, changeLog, sync, fleet)
@@ -200,6 +201,7 @@
     Timeline timeline;
     RoutingTable routing;
     ZoneEvacuations evacuations;
+    ColdRunnerLimit coldLimit;
     RunnerTable runners;
     FleetView fleet;
     FleetQuota quota;
@@ -271,7 +273,10 @@
     components.timeline.record(EventKind::ProcessStarted,
         { { "vm", settings.vm.value() }, { "zone", settings.zone.value() },
             { "callers", settings.listenCallers.toString() } });
-    components.sync.onRead([&components] { components.dispatcher.onConfigurationRead(); });
+    components.sync.onRead([&components] {
+        components.coldLimit.setFleet(components.fleet.size(), components.fleet.ownRank());
+        components.dispatcher.onConfigurationRead();
+    });
     components.sync.onRestored([&components] { components.registration.onStoreRestored(components.fleet.size()); });
     components.weights.onLoadingChanged([&components] { components.reporter.sendSoon(); });
     components.quarantine.onNews([&components] { components.reporter.sendSoon(); });
@@ -306,6 +311,8 @@
         const auto unwilling = runners.unwillingRunners();
         metrics.set(Gauge::RunnersLeaving, unwilling.leaving);
         metrics.set(Gauge::RunnersInBackOff, unwilling.inBackOff);
+        metrics.set(Gauge::RunnersCold, unwilling.cold);
+        coldLimit.setFleet(fleet.size(), fleet.ownRank());
         const auto progress = evacuations.update(runners.ownRequestsByZone());
         metrics.set(Gauge::ZonesEvacuated, progress.zones);
         metrics.set(Gauge::EvacuatedZoneRequests, progress.requests);
--- a/Source/Core/Gateway/GatewaySettings.h
+++ b/Source/Core/Gateway/GatewaySettings.h
@@ -2,7 +2,9 @@
 
 #include "Common/EnumTable.h"
 #include "Common/Ids.h"
+#include "Gateway/ColdRunnerLimit.h"
 #include "Gateway/FleetQuota.h"
+#include "Gateway/HomeRegions.h"
 #include "Moves/ExposureRamp.h"
 #include "Timeline/Log.h"
 #include "Transport/Endpoint.h"
@@ -58,6 +60,8 @@
 struct GatewaySettings {
     VmId vm;
     ZoneId zone;
+    /// Region of each zone, for routes and organisations with home regions.
+    RegionMap regions;
 
     Endpoint listenCallers;
     /// Where the load balancer checks whether this VM accepts callers.
@@ -69,7 +73,8 @@
 
     /// Longest time after the withdrawal of an API key in which it may still be accepted.
     std::chrono::milliseconds maxKeyWithdrawalDelay { 5000 };
-    /// Longest time until a change of the configuration or the shutdown of a runner takes effect.
+    /// Longest time until a change of the configuration, the shutdown of a runner or the evacuation of a zone takes
+    /// effect.
     std::chrono::milliseconds maxChangeDelay { 2000 };
     /// Longest time after new target weights are set in which requests may still begin on older ones.
     std::chrono::milliseconds maxOldWeightsTime { 8000 };
@@ -79,6 +84,7 @@
     std::chrono::milliseconds shutdownTimeLimit { 8000 };
     FleetRetryLimits retries;
     QuotaTolerance quotaTolerance;
+    ColdTolerance coldTolerance;
     /// Requests that a version without a verdict may get during its roll-out.
     ExposureAllowance exposure;
     /// Longest time after a version has shown that it is bad in which it may still get requests.
--- a/Source/Core/Gateway/Queries/RunnerQueries.h
+++ b/Source/Core/Gateway/Queries/RunnerQueries.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "Gateway/HomeRegions.h"
 #include "Gateway/RolloutTypes.h"
 #include "Gateway/RunnerTypes.h"
 
@@ -22,26 +23,37 @@
     /// if there are no others.
     /// @param model Model that the request asks for, or empty. Runners whose weights are too old are excluded.
     /// @param versions Versions of the software that may be used.
+    /// @param home Regions whose runners may be used. Cold runners are returned only if there is no warm one, and only
+    ///     those that this VM may send a request to now.
     virtual std::vector<RunnerCandidate> candidates(
-        const ServiceId& service, const std::string& model, const VersionRule& versions) const
+        const ServiceId& service, const std::string& model, const VersionRule& versions, const HomeRegions& home) const
         = 0;
+    /// Runners of all regions.
+    std::vector<RunnerCandidate> candidates(
+        const ServiceId& service, const std::string& model, const VersionRule& versions) const
+    {
+        return candidates(service, model, versions, {});
+    }
     /// Runners with any version of the software.
     std::vector<RunnerCandidate> candidates(const ServiceId& service, const std::string& model) const
     {
-        return candidates(service, model, {});
+        return candidates(service, model, VersionRule {}, HomeRegions {});
     }
 
     /// Whether the next request to a runner is a trial after a back-off.
     virtual bool needsTrial(const UpstreamId& runner) const = 0;
 
-    /// Time until the first of the service's runners in back-off accepts requests again; nothing if none is in
-    /// back-off.
+    /// Time until the first of the service's runners in back-off accepts requests again or, if all others are cold,
+    /// this VM may send a request to one; nothing if there is no such runner.
     virtual std::optional<std::chrono::nanoseconds> timeUntilReturn(const ServiceId& service) const = 0;
 
+    /// Whether all runners of a service that are in use are cold.
+    virtual bool hasOnlyColdRunners(const ServiceId& service) const = 0;
+
     virtual UnwillingRunners unwillingRunners() const = 0;
 
     /// Whether a request that was placed at a runner process may still be sent: false if the process has announced its
-    /// shutdown, asked for a back-off or been replaced since, or if its zone is out of service.
+    /// shutdown, asked for a back-off or been replaced since, if its zone is out of service, or if it has turned cold.
     virtual bool mayStillSend(const UpstreamId& runner, Incarnation incarnation) const = 0;
 
     /// @return A runner's entry, also for some time after it ended, or nothing for an unknown runner.
--- a/Source/Core/Gateway/RoutingTypes.h
+++ b/Source/Core/Gateway/RoutingTypes.h
@@ -58,6 +58,8 @@
     bool isPublic = false;
     /// Whether a stream that broke off is resumed at another runner after the last event that the caller received.
     bool isResumable = false;
+    /// Regions whose runners may get the requests; empty if all may.
+    std::vector<RegionId> homeRegions;
 };
 
 /// Properties of the runners of an engine service, one that generates text with a model.
@@ -83,6 +85,10 @@
     unsigned maxConnections = 0;
     std::optional<EngineProfile> engine;
     std::optional<CacheStore> cacheStore;
+    /// Requests a second that a cold runner can handle, over all VMs; 0 if there is no limit.
+    double coldRequestsPerSecond = 0;
+    /// Time after its start for which a runner is cold.
+    std::chrono::milliseconds coldTime { 0 };
 };
 
 /// One organisation with its API keys and its token rate.
@@ -99,6 +105,8 @@
     double uncountedTokens = 1;
     /// Whether the organisation shares no cache entries with others.
     bool isIsolated = false;
+    /// Regions whose runners may get the requests; empty if all may.
+    std::vector<RegionId> homeRegions;
 };
 
 /// Limits on the size of requests and on the time that callers may take to send them.
--- a/Source/Core/Gateway/RunnerTable.cpp
+++ b/Source/Core/Gateway/RunnerTable.cpp
@@ -65,12 +65,16 @@
         const auto hash = runnerHash(id);
         m_runners.emplace(
             id, Runner { std::move(entry), hash, process, {}, {}, CircuitBreaker(m_clock, breakerOptions) });
+        auto& added = m_runners.at(id);
+        added.coldState.recordEntry(added.entry, m_clock.now(), m_clock.wallNow(), true, false);
         if (m_clock.now() >= m_nextCleanupAt) {
             removeGoneRunners();
         }
         return;
     }
     auto& runner = it->second;
+    const bool isReplacement = runner.entry.incarnation != entry.incarnation;
+    runner.coldState.recordEntry(entry, m_clock.now(), m_clock.wallNow(), isReplacement, isReplacement);
     if (runner.entry.incarnation != entry.incarnation || runner.entry.endpoint != entry.endpoint) {
         runner.breaker.recordRestart();
         runner.own = {};
@@ -306,6 +310,11 @@
         ++it->second.own.requests;
         it->second.own.waitingTokens += tokens;
         it->second.breaker.recordStarted();
+        const auto restriction = restrictionOf(it->second, coldRule(it->second.entry.service));
+        if (restriction && restriction->rate > 0) {
+            m_restrictions.coldLimit->take(
+                it->second.process, restriction->rate, restriction->since + connectAllowance);
+        }
     }
 }
 
@@ -321,6 +330,7 @@
 {
     if (const auto it = m_runners.find(runner); it != m_runners.end()) {
         it->second.failureState.recordConnectFailure(m_clock.now());
+        it->second.coldState.recordDoubt(m_clock.now());
     }
 }
 
@@ -341,6 +351,9 @@
     for (auto& [id, runner] : m_runners) {
         if (std::ranges::find(failures.unreachable, runner.hash) != failures.unreachable.end()) {
             runner.failureState.recordRemoteConnectFailure(vm, m_clock.now());
+            if (runner.failureState.isSuspect(m_clock.now())) {
+                runner.coldState.recordDoubt(m_clock.now());
+            }
         }
         if (std::ranges::find(failures.replaced, runner.process) != failures.replaced.end()) {
             markReplaced(id);
@@ -457,12 +470,15 @@
 }
 
 std::vector<RunnerCandidate> RunnerTable::candidates(
-    const ServiceId& service, const std::string& model, const VersionRule& versions) const
+    const ServiceId& service, const std::string& model, const VersionRule& versions, const HomeRegions& home) const
 {
     const auto oldest = oldestAllowedWeights(model);
     const auto now = m_clock.now();
     std::vector<RunnerCandidate> preferred;
     std::vector<RunnerCandidate> fallback;
+    std::vector<RunnerCandidate> restricted;
+    bool hasRestricted = false;
+    const auto rule = coldRule(service);
     for (const auto& [id, runner] : m_runners) {
         const auto state = runner.isOverdue(now) && runner.entry.state == RunnerState::Ready ? RunnerState::Gone
                                                                                              : runner.entry.state;
@@ -470,19 +486,33 @@
         const bool isExpired = state == RunnerState::Gone && now - endedAt < expiredEntryGrace;
         if (runner.entry.service != service || !versions.permits(runner.entry.software)
             || runner.failureState.isReplaced() || !runner.failureState.backOff().admits(now)
-            || (state != RunnerState::Ready && !isExpired) || isEvacuated(runner)) {
+            || (state != RunnerState::Ready && !isExpired) || isEvacuated(runner) || !home.permits(runner.entry.zone)) {
             continue;
         }
         auto candidate = toCandidate(runner, model);
         if (!model.empty() && candidate.weights < oldest) {
             continue;
         }
+        if (const auto restriction = restrictionOf(runner, rule)) {
+            hasRestricted = true;
+            candidate.isCold = restriction->rate > 0;
+            if (timeUntilAllowed(runner, *restriction).count() == 0) {
+                restricted.push_back(std::move(candidate));
+            }
+            continue;
+        }
         const bool isPreferred = !isExpired && candidate.admission > 0 && !runner.failureState.isSuspect(now)
             && !isLoading(runner.hash) && !m_leaving.isReported(runner.process)
             && !m_versions.isNew(service, runner.entry.software, now);
         (isPreferred ? preferred : fallback).push_back(std::move(candidate));
     }
-    return preferred.empty() ? fallback : preferred;
+    if (!preferred.empty() || !hasRestricted) {
+        return preferred.empty() ? fallback : preferred;
+    }
+    // A warm runner that is only avoided comes before a cold one. One that no request gets through to does not.
+    auto usable = fallback;
+    std::erase_if(usable, [](const RunnerCandidate& it) { return it.admission <= 0; });
+    return !usable.empty() ? usable : !restricted.empty() ? restricted : fallback;
 }
 
 std::optional<RunnerEntry> RunnerTable::find(const UpstreamId& runner) const
--- a/Source/Core/Gateway/RunnerTable.h
+++ b/Source/Core/Gateway/RunnerTable.h
@@ -1,9 +1,12 @@
 #pragma once
 
+#include "Gateway/ColdRunnerLimit.h"
 #include "Gateway/Commands/RunnerCommands.h"
 #include "Gateway/LeavingRunners.h"
 #include "Gateway/Queries/EvacuationQueries.h"
+#include "Gateway/Queries/RoutingQueries.h"
 #include "Gateway/Queries/RunnerQueries.h"
+#include "Gateway/RunnerColdState.h"
 #include "Gateway/RunnerFailureState.h"
 #include "Gateway/SoftwareVersions.h"
 #include "Timeline/Commands/TimelineCommands.h"
@@ -29,6 +32,9 @@
 /// What else decides which runners may be used. Each is nullptr if it does not apply.
 struct RunnerRestrictions {
     const EvacuationQueries* evacuations = nullptr;
+    /// Names the services whose cold runners are limited.
+    const RoutingQueries* routing = nullptr;
+    ColdRunnerLimit* coldLimit = nullptr;
 };
 
 /// The runners with an entry in the store, their failure state and the work in progress at each.
@@ -65,8 +71,9 @@
     void setLoadingRunners(const VmId& vm, std::set<std::uint64_t> runners) override;
 
     using RunnerQueries::candidates;
-    std::vector<RunnerCandidate> candidates(
-        const ServiceId& service, const std::string& model, const VersionRule& versions) const override;
+    std::vector<RunnerCandidate> candidates(const ServiceId& service, const std::string& model,
+        const VersionRule& versions, const HomeRegions& home) const override;
+    bool hasOnlyColdRunners(const ServiceId& service) const override;
     bool needsTrial(const UpstreamId& runner) const override;
     std::optional<std::chrono::nanoseconds> timeUntilReturn(const ServiceId& service) const override;
     UnwillingRunners unwillingRunners() const override;
@@ -94,6 +101,7 @@
         /// Mutable because reading refreshes it: its state changes with time.
         mutable CircuitBreaker breaker;
         RunnerFailureState failureState = {};
+        RunnerColdState coldState = {};
         /// Time at which an entry that a restored store lacks ends unless it is written again; 0 if there is no such
         /// limit.
         MonotonicTime endsAt { 0 };
@@ -129,8 +137,29 @@
     void recordReportedLeaving(const VmId& vm, std::span<const LeavingRunner> leaving);
     /// Applies what is known of a runner's process to an entry that was read.
     void applyAnnouncement(RunnerEntry& entry) const;
+    /// Longest time for which a request waits for its connection. Requests that were placed at a runner before it was
+    /// found cold are diverted in it, and its first requests as a cold runner are placed after it.
+    static constexpr std::chrono::milliseconds connectAllowance { 250 };
+
     /// Whether the runner is in a zone that is out of service.
     bool isEvacuated(const Runner& runner) const;
+    /// Why and since when a runner gets requests only if there is no other.
+    struct Restriction {
+        MonotonicTime since { 0 };
+        /// Requests a second of all VMs; 0 if they are not limited.
+        double rate = 0;
+    };
+
+    /// How a service treats its cold runners; without a limit if the service is unknown.
+    ColdRule coldRule(const ServiceId& service) const;
+    /// @return Nothing for a runner that is warm and has been in service for some time.
+    std::optional<Restriction> restrictionOf(const Runner& runner, const ColdRule& rule) const;
+    /// Time until this VM may send a request to a restricted runner; 0 if it may now.
+    std::chrono::nanoseconds timeUntilAllowed(const Runner& runner, const Restriction& restriction) const;
+    /// Whether the entry is of a runner in use, in a zone in service.
+    bool isInUse(const Runner& runner, const ServiceId& service) const;
+    /// From 0 to 1, different for each VM.
+    double spreadOf(const Runner& runner) const;
     /// Whether any VM ordered the runner to load weights or is about to.
     bool isLoading(std::uint64_t hash) const;
 
--- a/Source/Core/Gateway/RunnerTableAvailability.cpp
+++ b/Source/Core/Gateway/RunnerTableAvailability.cpp
@@ -12,6 +12,10 @@
 
 namespace {
 
+    // A runner whose zone was out of service may have turned cold since its last entry was read: a heartbeat of 1.2 s
+    // and the longest delays of the store's changes.
+    constexpr std::chrono::milliseconds zoneReturnTime { 3000 };
+
     std::string toMilliseconds(std::chrono::nanoseconds time)
     {
         return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(time).count());
@@ -87,13 +91,22 @@
     std::optional<std::chrono::nanoseconds> earliest;
     for (const auto& [id, runner] : m_runners) {
         const auto& backOff = runner.failureState.backOff();
-        const bool isUsed = runner.entry.service == service && runner.entry.state == RunnerState::Ready
-            && !runner.failureState.isReplaced() && !isEvacuated(runner);
-        if (isUsed && !backOff.admits(now)) {
+        if (isInUse(runner, service) && !backOff.admits(now)) {
             const auto time = std::max(std::chrono::nanoseconds(0), backOff.until() - now);
             earliest = std::min(earliest.value_or(time), time);
         }
     }
+    if (!hasOnlyColdRunners(service)) {
+        return earliest;
+    }
+    const auto rule = coldRule(service);
+    for (const auto& [id, runner] : m_runners) {
+        const auto restriction = restrictionOf(runner, rule);
+        if (restriction && isInUse(runner, service) && runner.failureState.backOff().admits(now)) {
+            const auto time = timeUntilAllowed(runner, *restriction);
+            earliest = std::min(earliest.value_or(time), time);
+        }
+    }
     return earliest;
 }
 
@@ -104,6 +117,8 @@
     for (const auto& [id, runner] : m_runners) {
         const bool isListed = runner.entry.state != RunnerState::Gone;
         counts.leaving += isListed && m_leaving.isLeaving(runner.process) ? 1 : 0;
+        const auto restriction = restrictionOf(runner, coldRule(runner.entry.service));
+        counts.cold += isListed && restriction && restriction->rate > 0 ? 1 : 0;
         counts.inBackOff += isListed && runner.failureState.backOff().isActive(now) ? 1 : 0;
     }
     return counts;
@@ -114,6 +129,70 @@
     return m_restrictions.evacuations && m_restrictions.evacuations->isEvacuated(runner.entry.zone);
 }
 
+bool RunnerTable::isInUse(const Runner& runner, const ServiceId& service) const
+{
+    return runner.entry.service == service && runner.entry.state == RunnerState::Ready
+        && !runner.failureState.isReplaced() && !isEvacuated(runner);
+}
+
+double RunnerTable::spreadOf(const Runner& runner) const
+{
+    const auto hash = XXH3_64bits_withSeed(&runner.process, sizeof runner.process, m_options.spreadSeed);
+    return static_cast<double>(hash >> 11) / 9007199254740992.0;
+}
+
+ColdRule RunnerTable::coldRule(const ServiceId& service) const
+{
+    if (!m_restrictions.routing || !m_restrictions.coldLimit) {
+        return {};
+    }
+    const auto configuration = m_restrictions.routing->current();
+    const auto it = configuration->services.find(service);
+    return it == configuration->services.end() ? ColdRule {}
+                                               : ColdRule { it->second.coldRequestsPerSecond, it->second.coldTime };
+}
+
+std::optional<RunnerTable::Restriction> RunnerTable::restrictionOf(const Runner& runner, const ColdRule& rule) const
+{
+    const auto now = m_clock.now();
+    const double rate = std::max(0.0, rule.requestsPerSecond);
+    const auto returned
+        = m_restrictions.evacuations ? m_restrictions.evacuations->timeSinceEnd(runner.entry.zone) : std::nullopt;
+    if (rate <= 0 && !returned) {
+        return std::nullopt;
+    }
+    const double spread = spreadOf(runner);
+    if (const auto since = runner.coldState.coldSince(rule, now, spread)) {
+        return Restriction { *since, rate };
+    }
+    const auto returnTime
+        = zoneReturnTime + std::chrono::duration_cast<std::chrono::nanoseconds>(returnSpreadTime * spread);
+    return returned && *returned < returnTime ? std::optional(Restriction { now - *returned, rate }) : std::nullopt;
+}
+
+std::chrono::nanoseconds RunnerTable::timeUntilAllowed(const Runner& runner, const Restriction& restriction) const
+{
+    return restriction.rate <= 0 ? std::chrono::nanoseconds(0)
+                                 : m_restrictions.coldLimit->timeUntilToken(
+                                       runner.process, restriction.rate, restriction.since + connectAllowance);
+}
+
+bool RunnerTable::hasOnlyColdRunners(const ServiceId& service) const
+{
+    const auto rule = coldRule(service);
+    bool hasCold = false;
+    for (const auto& [id, runner] : m_runners) {
+        if (isInUse(runner, service)) {
+            const auto restriction = restrictionOf(runner, rule);
+            if (!restriction || restriction->rate <= 0) {
+                return false;
+            }
+            hasCold = true;
+        }
+    }
+    return hasCold;
+}
+
 std::map<ZoneId, unsigned> RunnerTable::ownRequestsByZone() const
 {
     std::map<ZoneId, unsigned> requests;
@@ -141,8 +220,15 @@
 bool RunnerTable::mayStillSend(const UpstreamId& runner, Incarnation incarnation) const
 {
     const auto it = m_runners.find(runner);
-    if (it != m_runners.end() && isEvacuated(it->second)) {
-        return false;
+    if (it != m_runners.end()) {
+        const auto restriction = restrictionOf(it->second, coldRule(it->second.entry.service));
+        const bool isLimited = restriction && restriction->rate > 0;
+        // A request that was placed at a warm runner has no share of a cold one's rate.
+        const bool hasTurnedCold = isLimited
+            && (it->second.entry.incarnation != incarnation || m_clock.now() < restriction->since + connectAllowance);
+        if (isEvacuated(it->second) || hasTurnedCold) {
+            return false;
+        }
     }
     if (it == m_runners.end() || it->second.entry.incarnation != incarnation) {
         return !m_leaving.isLeaving(holderHash(runner, incarnation));
--- a/Source/Core/Gateway/RunnerTypes.h
+++ b/Source/Core/Gateway/RunnerTypes.h
@@ -49,6 +49,10 @@
     RunnerState state = RunnerState::Ready;
     /// Loaded weights by model.
     std::map<std::string, WeightsVersion> weights;
+    /// Time for which the runner is still cold, if the entry tells it.
+    std::optional<std::chrono::milliseconds> coldTime;
+    /// When the process started, if the entry tells it.
+    std::optional<WallTime> startedAt;
     /// Position of the entry in the store; 0 if it is not known.
     std::int64_t revision = 0;
 };
@@ -158,10 +162,12 @@
     bool operator==(const RunnerFailures&) const = default;
 };
 
-/// Number of runners that want no requests at present, by their own words.
+/// Number of runners that want no requests, or few, at present by their own words.
 struct UnwillingRunners {
     unsigned leaving = 0;
     unsigned inBackOff = 0;
+    /// Runners that have just started or say that they are cold.
+    unsigned cold = 0;
 };
 
 /// A runner that may take a request now.
@@ -180,6 +186,8 @@
     RunnerLoad load;
     /// Share of its full load that the circuit breaker admits, from 0 to 1. Below 1 after failures.
     double admission = 1;
+    /// The runner can handle few requests. It is a candidate only if there is no warm one.
+    bool isCold = false;
 };
 
 } // namespace Pollenwind
--- a/Source/Core/Metrics/Counter.h
+++ b/Source/Core/Metrics/Counter.h
@@ -32,6 +32,8 @@
     BackOffTrials,
     /// Refusals of runners with a time that cannot be read.
     InvalidBackOffs,
+    /// Requests that were refused because all runners are cold and this VM had used its share of their rate.
+    ColdRunnerRefusals,
     /// Further attempts that continue a stream after its upstream failed.
     Resumes,
     /// Attempts that were ended since they would have begun on old weights too late.
@@ -125,6 +127,7 @@
         EnumName { Counter::BackOffs, "back_offs_total" },
         EnumName { Counter::BackOffTrials, "back_off_trials_total" },
         EnumName { Counter::InvalidBackOffs, "invalid_back_offs_total" },
+        EnumName { Counter::ColdRunnerRefusals, "cold_runner_refusals_total" },
         EnumName { Counter::Resumes, "resumes_total" },
         EnumName { Counter::OldWeightsRecalls, "old_weights_recalls_total" },
         EnumName { Counter::AnswerMismatches, "answer_mismatches_total" },
@@ -185,6 +188,8 @@
     ZonesEvacuated,
     /// Requests of this VM that still run at runners of such zones.
     EvacuatedZoneRequests,
+    /// Runners that this VM takes for cold.
+    RunnersCold,
     /// Era of the platform's store; 0 if it does not tell its era.
     StoreEra,
     /// Bytes of other processes that are held, and the most that may be.
@@ -198,6 +203,7 @@
         EnumName { Gauge::RunnersInBackOff, "runners_in_back_off" },
         EnumName { Gauge::ZonesEvacuated, "zones_evacuated" },
         EnumName { Gauge::EvacuatedZoneRequests, "evacuated_zone_requests" },
+        EnumName { Gauge::RunnersCold, "runners_cold" },
         EnumName { Gauge::StoreEra, "store_era" },
         EnumName { Gauge::MemoryHeld, "memory_held_bytes" },
         EnumName { Gauge::MemoryBudget, "memory_budget_bytes" },
--- a/Source/UnitTests/PlatformAdapter/CodecTests.cpp
+++ b/Source/UnitTests/PlatformAdapter/CodecTests.cpp
@@ -272,6 +272,50 @@
     cr_assert(!PlatformRecords().evacuationOf("op/config"));
 }
 
+// Guards against a cold time that is lost, and against numbers that no runner can mean: they must neither overflow nor
+// take the runner out of use.
+Test(PlatformRecords, readsColdTimes)
+{
+    const auto read = [](const std::string& fields) {
+        return decode<RunnerEntry>("servers/i-1",
+            R"({"service":"s","address":"10.128.0.9:80","zone":"a","state":"ready","slots":4)" + fields + "}");
+    };
+    cr_assert(read(R"(,"cold_left_ms":2500.5)").coldTime == 2501ms);
+    cr_assert(!read("").coldTime && !read("").startedAt);
+    cr_assert(read(R"(,"cold_left_ms":1e300)").coldTime > 24h);
+    cr_assert(read(R"(,"born":1796380000123)").startedAt == 1796380000123ms);
+    cr_assert(!read(R"(,"born":9223372036854775807)").startedAt);
+    const auto configuration = decode<RoutingConfiguration>("op/config",
+        R"({"version":1,"services":[{"name":"s","cold_s":8,"cold_per_s":7.7},{"name":"t","cold_s":-1,"cold_per_s":-2},
+            {"name":"u","cold_s":1e300}]})");
+    const auto& services = configuration.services;
+    cr_assert(services.at(ServiceId("s")).coldTime == 8s);
+    cr_assert_eq(services.at(ServiceId("s")).coldRequestsPerSecond, 7.7);
+    cr_assert(services.at(ServiceId("t")).coldTime == 0s);
+    cr_assert_eq(services.at(ServiceId("t")).coldRequestsPerSecond, 0);
+    cr_assert(services.at(ServiceId("u")).coldTime > 24h);
+}
+
+// Guards against home regions that are not applied since a mistake in the list is passed over: data would leave its
+// region.
+Test(PlatformRecords, readsHomeRegions)
+{
+    const auto read = [](const std::string& list) {
+        return decode<RoutingConfiguration>("op/config",
+            R"({"version":1,"routes":[{"name":"r","allowed_regions":)" + list
+                + R"(}],"tenants":[{"name":"o","allowed_regions":)" + list + "}]}");
+    };
+    const std::vector<std::pair<std::string, std::vector<RegionId>>> lists { { "[]", {} }, { "null", {} },
+        { R"(["is-south","is-north"])", { RegionId("is-south"), RegionId("is-north") } },
+        { R"("is-south")", { RegionId("is-south") } }, { "[7]", { RegionId() } }, { "{}", { RegionId() } },
+        { "true", { RegionId() } } };
+    for (const auto& [list, regions] : lists) {
+        const auto configuration = read(list);
+        cr_assert(configuration.routes.front().homeRegions == regions, "%s", list.c_str());
+        cr_assert(configuration.organisations.front().homeRegions == regions, "%s", list.c_str());
+    }
+}
+
 // Guards against a roll-out that is not started because its order cannot be read, or whose state the operator cannot
 // read.
 Test(PlatformRecords, readsOrdersOfRolloutsAndWritesTheirState)
@@ -315,6 +359,25 @@
     cr_assert_float_eq(gateway.retries.perRequest, 0.3, 1e-9);
 }
 
+// Guards against bounds and regions of the platform that are not applied, and against a change where there are none.
+Test(PlatformSettings, readsRegionsAndColdBounds)
+{
+    const std::string start
+        = R"({"node":"n","zone":"a","port_range":[1000,1009],"listen":{"front":"127.0.0.1:80","ready":"127.0.0.1:81"},
+            "provider":{"address":"127.0.0.1:82"})";
+    const auto plain = parsePlatformSettings(start + "}");
+    cr_assert(plain.has_value() && plain->gateway.regions.empty());
+    cr_assert(plain->gateway.coldTolerance.overage == 1.5 && plain->gateway.coldTolerance.slack == 5);
+    cr_assert(plain->gateway.maxChangeDelay == 2000ms);
+    const auto full = parsePlatformSettings(start
+        + R"(,"region":"south","zones":{"b":"north","c":7},"bounds":{"evacuate_ms":1500,"cold_overage":2,"cold_slack":3}})");
+    cr_assert(full.has_value());
+    const RegionMap regions { { ZoneId("a"), RegionId("south") }, { ZoneId("b"), RegionId("north") } };
+    cr_assert(full->gateway.regions == regions);
+    cr_assert(full->gateway.coldTolerance.overage == 2 && full->gateway.coldTolerance.slack == 3);
+    cr_assert(full->gateway.maxChangeDelay == 1500ms);
+}
+
 // Guards against callers' connections that leave no descriptor for the connections to runners: 792 connects failed.
 Test(PlatformSettings, leavesDescriptorsForRunners)
 {
