Choose the cache store by prefix when one store is too small

Cause: a prefix is saved to the store in the zone of the runner that computes it, so each store would need all prefixes in use. A store with room for half of them evicts prefixes that come again.

Parts that only another store is known to have are copied from that one. The estimate is made in the housekeeping task from the cache directory. Setting: LoadSettings::storePlacement; without a capacity of each store the placement stays by zone.

Not part of it: a configured store that does not answer is not noticed.

--- a/Source/Core/Gateway/AffinityPolicy.cpp
+++ b/Source/Core/Gateway/AffinityPolicy.cpp
@@ -178,21 +178,29 @@
     if (best->source && best->copiedTokens > best->cachedTokens) {
         choice.cacheSource = best->source->endpoint;
     }
-    chooseStore(cacheStates.at(choice.weights).prefixes, targetWeights, stores, *best, choice);
+    chooseStore(cacheStates.at(choice.weights).prefixes, prompt, targetWeights, stores, *best, choice);
     return choice;
 }
 
-void AffinityPolicy::chooseStore(const std::vector<SharedPrefix>& prefixes, WeightsVersion targetWeights,
-    std::span<const CacheStore> stores, const Option& option, RunnerChoice& choice) const
+void AffinityPolicy::chooseStore(const std::vector<SharedPrefix>& prefixes, std::uint64_t lastPart,
+    WeightsVersion targetWeights, std::span<const CacheStore> stores, const Option& option, RunnerChoice& choice) const
 {
     if (prefixes.empty() || stores.empty() || option.sharedTokens < minStoredTokens) {
         return;
     }
-    const auto nearest
-        = std::ranges::find(stores, option.candidate->zone, [](const CacheStore& store) { return store.zone; });
-    const auto& store = nearest == stores.end() ? stores.front() : *nearest;
-    const bool isStored = m_prefixes.isCached(prefixes.back().hash, storeHash(store.endpoint));
-    if (!choice.cacheSource) {
+    const auto& store = m_storeChoice.choose(stores, option.candidate->zone, lastPart);
+    const auto holders = m_prefixes.holdersOf(prefixes.back().hash);
+    const auto isIn = [&holders](const CacheStore& it) {
+        return std::ranges::find(holders, storeHash(it.endpoint)) != holders.end();
+    };
+    const bool isStored = isIn(store);
+    // Saved before the placement changed, or by a VM that still places by zone.
+    const auto other = isStored || !m_storeChoice.isByPrefix() ? stores.end() : std::ranges::find_if(stores, isIn);
+    if (!choice.cacheSource && other != stores.end()) {
+        choice.cacheSource = other->endpoint;
+        choice.computedTokens = option.ownTokens;
+        choice.uncachedTokens = option.ownTokens;
+    } else if (!choice.cacheSource) {
         // The runner copies only what it does not have, and a request to a store without the parts costs a millisecond.
         // VMs of another zone may have saved parts that were not reported here.
         choice.cacheSource = store.endpoint;
--- a/Source/Core/Gateway/AffinityPolicy.h
+++ b/Source/Core/Gateway/AffinityPolicy.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "Gateway/CacheStoreChoice.h"
 #include "Gateway/Queries/PrefixQueries.h"
 #include "Gateway/Queries/RunnerPolicy.h"
 
@@ -50,6 +51,10 @@
     /// Sets whether the work at the runners of other zones is not reported to this VM.
     void setOtherZoneLoadUnknown(bool isOtherZoneLoadUnknown) { m_isOtherZoneLoadUnknown = isOtherZoneLoadUnknown; }
 
+    /// Decides which store keeps the shared parts of a prompt; by default that of the runner's zone.
+    CacheStoreChoice& storeChoice() { return m_storeChoice; }
+    void setStorePlacement(CacheStorePlacement placement) { m_storeChoice = CacheStoreChoice(placement); }
+
 private:
     struct Option;
     struct PromptCacheState;
@@ -59,9 +64,10 @@
         std::span<const RunnerCandidate> candidates) const;
     /// Sets the cached tokens of an option and the runner from which it can copy more, preferably in its own zone.
     static void findSource(const PromptCacheState& cacheState, Option& option);
-    /// Adds the store of the runner's zone, or else the first one, to a choice: as the source if there is none yet, and
-    /// as the destination of shared parts that it does not have.
-    void chooseStore(const std::vector<SharedPrefix>& prefixes, WeightsVersion targetWeights,
+    /// Adds the store of the prompt to a choice: as the source if there is none yet, and as the destination of shared
+    /// parts that it does not have. Parts that only another store is known to have are copied from that one.
+    /// @param lastPart Id of the last shared part.
+    void chooseStore(const std::vector<SharedPrefix>& prefixes, std::uint64_t lastPart, WeightsVersion targetWeights,
         std::span<const CacheStore> stores, const Option& option, RunnerChoice& choice) const;
     /// Sets the cache probabilities of the options with the highest rendezvous scores.
     static void assignProbabilities(std::vector<Option>& options);
@@ -71,6 +77,7 @@
     ZoneId m_ownZone;
     const PrefixQueries& m_prefixes;
     AffinityCosts m_costs;
+    CacheStoreChoice m_storeChoice;
     bool m_isOtherZoneLoadUnknown = false;
 };
 
--- a/Source/Core/Gateway/CacheDirectory.cpp
+++ b/Source/Core/Gateway/CacheDirectory.cpp
@@ -62,7 +62,9 @@
 bool CacheDirectory::record(const CachedPrefix& prefix)
 {
     const auto now = m_clock.now();
-    auto& holders = m_holders[prefix.prefix];
+    auto& entry = m_entries[prefix.prefix];
+    entry.ownTokens = std::max(entry.ownTokens, prefix.ownTokens);
+    auto& holders = entry.holders;
     auto it = std::ranges::find(holders, prefix.holder, &Holder::hash);
     if (it == holders.end()) {
         it = holders.insert(holders.end(), Holder { prefix.holder });
@@ -108,8 +110,8 @@
 std::vector<std::uint64_t> CacheDirectory::holdersOf(std::uint64_t prefix) const
 {
     std::vector<std::uint64_t> hashes;
-    if (const auto it = m_holders.find(prefix); it != m_holders.end()) {
-        for (const auto& holder : it->second) {
+    if (const auto it = m_entries.find(prefix); it != m_entries.end()) {
+        for (const auto& holder : it->second.holders) {
             if (holder.readAt > m_clock.now() - retentionOf(holder.hash)) {
                 hashes.push_back(holder.hash);
             }
@@ -125,10 +127,18 @@
 void CacheDirectory::removeExpired()
 {
     const auto now = m_clock.now();
-    for (auto& [prefix, holders] : m_holders) {
-        std::erase_if(holders, [now](const Holder& it) { return it.readAt <= now - retentionOf(it.hash); });
+    double knownTokens = 0;
+    double known = 0;
+    for (auto& [prefix, entry] : m_entries) {
+        std::erase_if(entry.holders, [now](const Holder& it) { return it.readAt <= now - retentionOf(it.hash); });
+        if (!entry.holders.empty() && entry.ownTokens > 0) {
+            knownTokens += entry.ownTokens;
+            known += 1;
+        }
     }
-    std::erase_if(m_holders, [](const auto& it) { return it.second.empty(); });
+    std::erase_if(m_entries, [](const auto& it) { return it.second.holders.empty(); });
+    const double unknown = static_cast<double>(m_entries.size()) - known;
+    m_tokensInUse = known > 0 ? knownTokens * (1 + unknown / known) : 0;
 }
 
 } // namespace Pollenwind
--- a/Source/Core/Gateway/CacheDirectory.h
+++ b/Source/Core/Gateway/CacheDirectory.h
@@ -27,8 +27,11 @@
     /// Returns the prefixes that VMs of this zone, including this one, recorded since the last call, to be forwarded to
     /// the other zones.
     std::vector<CachedPrefix> takeZoneUpdates();
-    /// Removes expired entries.
+    /// Removes expired entries and estimates the tokens in use again.
     void removeExpired();
+    /// Tokens of the distinct prefixes in use, without those that a prefix shares with a shorter one. Prefixes that
+    /// only other VMs reported count as long as those of this VM on average. As of the last removeExpired().
+    double tokensInUse() const { return m_tokensInUse; }
 
 private:
     /// A runner process or a store that has a prefix cached.
@@ -39,13 +42,21 @@
         MonotonicTime reportedAt { 0 };
     };
 
+    /// A prefix with its holders.
+    struct Entry {
+        std::vector<Holder> holders;
+        /// See CachedPrefix.
+        double ownTokens = 0;
+    };
+
     /// @return True if the entry is new or half of its retention has passed since the last report, so that the other
     /// VMs get it again before it expires there.
     bool record(const CachedPrefix& prefix);
     static void addUpdate(std::vector<CachedPrefix>& updates, const CachedPrefix& prefix);
 
     const Clock& m_clock;
-    std::unordered_map<std::uint64_t, std::vector<Holder>> m_holders;
+    std::unordered_map<std::uint64_t, Entry> m_entries;
+    double m_tokensInUse = 0;
     std::vector<CachedPrefix> m_updates;
     std::vector<CachedPrefix> m_zoneUpdates;
 };
--- a/Source/Core/Gateway/Commands/PrefixCommands.h
+++ b/Source/Core/Gateway/Commands/PrefixCommands.h
@@ -12,6 +12,9 @@
     std::uint64_t prefix = 0;
     /// Hash of a runner's process or of a store; see holderHash() and storeHash().
     std::uint64_t holder = 0;
+    /// Tokens by which the prefix is longer than the one that it extends; 0 if that is not known, as in the reports of
+    /// other VMs.
+    double ownTokens = 0;
 
     bool operator==(const CachedPrefix&) const = default;
 };
--- a/Source/Core/Gateway/ForwardDispatcher.cpp
+++ b/Source/Core/Gateway/ForwardDispatcher.cpp
@@ -862,8 +862,10 @@
     m_context.runnerCommands.recordFirstOutput(runner.id, runner.computedTokens);
     std::vector<CachedPrefix> cachedPrefixes;
     const auto holder = holderHash(runner.id, runner.incarnation);
+    double tokensBefore = 0;
     for (const auto& prefix : sharedPrefixes(request, delivery.cacheSalt, runner.weights)) {
-        cachedPrefixes.push_back({ prefix.hash, holder });
+        const double ownTokens = prefix.tokens - std::exchange(tokensBefore, prefix.tokens);
+        cachedPrefixes.push_back({ prefix.hash, holder, ownTokens });
         if (runner.cacheStore) {
             cachedPrefixes.push_back({ prefix.hash, storeHash(*runner.cacheStore) });
         }
--- a/Source/Core/Gateway/Gateway.cpp
+++ b/Source/Core/Gateway/Gateway.cpp
@@ -25,9 +25,11 @@
 #include "Gateway/TcpRunnerProbe.h"
 #include "Gateway/VmRegistration.h"
 #include "Gateway/WeightsDriver.h"
+#include "Timeline/Log.h"
 #include "Timeline/Timeline.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace Pollenwind {
 
@@ -186,9 +188,12 @@
         , feedServer(executor, feed, {})
     {
         callerServer.setLimitSource(callerLimits);
+        policy.setStorePlacement(settings.load.storePlacement);
     }
 
     bool isReady() const;
+    /// Decides again where shared parts of prompts are stored.
+    void updateStoreChoice(const RoutingConfiguration& configuration);
     Task<> runHousekeeping();
     Task<> drain();
 
@@ -294,6 +299,25 @@
     return {};
 }
 
+void Gateway::Components::updateStoreChoice(const RoutingConfiguration& configuration)
+{
+    std::vector<CacheStore> stores;
+    for (const auto& [id, service] : configuration.services) {
+        if (service.cacheStore) {
+            stores.push_back(*service.cacheStore);
+        }
+    }
+    const auto tokens = directory.tokensInUse();
+    auto& choice = policy.storeChoice();
+    if (choice.update(tokens, stores)) {
+        logStateChange("cache-stores",
+            { { "placement", choice.isByPrefix() ? "prefix" : "zone" },
+                { "tokens_in_use", std::to_string(std::llround(tokens)) } });
+    }
+    metrics.set(Gauge::SharedTokensInUse, static_cast<std::uint64_t>(tokens));
+    metrics.set(Gauge::CacheStoresByPrefix, choice.isByPrefix() ? 1 : 0);
+}
+
 Task<> Gateway::Components::runHousekeeping()
 {
     for (;;) {
@@ -306,6 +330,7 @@
         const auto configuration = routing.current();
         client.setIdleLimit(idleLimit(*configuration, fleet.size()));
         policy.setOtherZoneLoadUnknown(fleet.isLarge());
+        updateStoreChoice(*configuration);
         orders.setFleetSize(fleet.size());
         const auto unwilling = runners.unwillingRunners();
         metrics.set(Gauge::RunnersLeaving, unwilling.leaving);
--- a/Source/Core/Gateway/RoutingTypes.h
+++ b/Source/Core/Gateway/RoutingTypes.h
@@ -73,6 +73,8 @@
 struct CacheStore {
     Endpoint endpoint;
     ZoneId zone;
+    /// Tokens that fit into it; 0 if that is not configured.
+    std::uint64_t capacityTokens = 0;
 };
 
 /// One service to which routes forward requests.
--- a/Source/Core/Metrics/Counter.h
+++ b/Source/Core/Metrics/Counter.h
@@ -194,6 +194,10 @@
     StoreEra,
     /// Organisations that this process started without a debt, as they had used little before.
     QuotasStartedWithoutDebt,
+    /// Estimate of the distinct shared tokens of prompts in use.
+    SharedTokensInUse,
+    /// 1 while the cache store of shared parts is chosen by prefix, 0 while it is chosen by zone.
+    CacheStoresByPrefix,
     /// Bytes of other processes that are held, and the most that may be.
     MemoryHeld,
     MemoryBudget,
@@ -205,6 +209,8 @@
         EnumName { Gauge::RunnersInBackOff, "runners_in_back_off" },
         EnumName { Gauge::StoreEra, "store_era" },
         EnumName { Gauge::QuotasStartedWithoutDebt, "quotas_started_without_debt" },
+        EnumName { Gauge::SharedTokensInUse, "shared_tokens_in_use" },
+        EnumName { Gauge::CacheStoresByPrefix, "cache_stores_by_prefix" },
         EnumName { Gauge::MemoryHeld, "memory_held_bytes" },
         EnumName { Gauge::MemoryBudget, "memory_budget_bytes" },
     };
