Test the capacity of a cache store, and pass lint in the quota record

The codec's new test shows that kv_capacity of a store is read, and that a missing, negative or absurd one counts as unknown. The codec of the quota record gives from_chars the end of its text in a form that lint accepts; no change of behaviour.

--- a/Source/Core/Gateway/QuotaRecord.cpp
+++ b/Source/Core/Gateway/QuotaRecord.cpp
@@ -14,9 +14,8 @@
     std::optional<std::uint64_t> toHash(std::string_view text)
     {
         std::uint64_t hash = 0;
-        const auto* end = text.data() + text.size();
-        const auto result = std::from_chars(text.data(), end, hash);
-        return result.ec == std::errc() && result.ptr == end ? std::optional(hash) : std::nullopt;
+        const auto result = std::from_chars(text.data(), text.data() + text.size(), hash);
+        return result.ec == std::errc() && result.ptr == text.data() + text.size() ? std::optional(hash) : std::nullopt;
     }
 
 } // namespace
--- a/Source/UnitTests/PlatformAdapter/CodecTests.cpp
+++ b/Source/UnitTests/PlatformAdapter/CodecTests.cpp
@@ -251,6 +251,21 @@
     cr_assert(configuration.limits.idleTimeout == 15s && configuration.limits.bodyBytes == 4194304);
 }
 
+// The placement over cache stores needs their capacity, and must know when it is missing or absurd.
+Test(PlatformRecords, readsTheCapacityOfACacheStore)
+{
+    const auto capacityOf = [](const std::string& field) {
+        const auto configuration = decode<RoutingConfiguration>("op/config",
+            R"({"version":1,"services":[{"name":"k","kv_store_addr":"172.20.0.2:8604","zone":"z")" + field + "}]}");
+        return configuration.services.at(ServiceId("k")).cacheStore->capacityTokens;
+    };
+    cr_assert_eq(capacityOf(R"(,"kv_capacity":3067866,"link_mbps":120000)"), 3'067'866);
+    for (const auto* field :
+        { "", R"(,"kv_capacity":0)", R"(,"kv_capacity":-1)", R"(,"kv_capacity":"1")", R"(,"kv_capacity":1e300)" }) {
+        cr_assert_eq(capacityOf(field), 0, "%s", field);
+    }
+}
+
 // Guards against decoding keys of other writers, such as the routers themselves, as the operator's records.
 Test(PlatformRecords, ignoresOtherKeys)
 {
