Keep the sum of the reported work for each runner

candidates() looked up the work of each VM for each runner: 4,320 look-ups with 60 runners and 72 VMs, and more for each VM that joins.

RunnerTable adds and subtracts reports as they arrive, in integers, so that nothing drifts. Absurd values are bounded before they enter a sum, since one value that is not a number would stay in it. candidates() reserves its list, does not copy it at the end, looks up the software's version once, and does not run the state machine of closed breakers. sumOfLoads() adds up the work of a zone for its relay.

--- a/Source/Core/Gateway/RunnerTable.cpp
+++ b/Source/Core/Gateway/RunnerTable.cpp
@@ -6,6 +6,7 @@
 #include <xxhash.h>
 
 #include <algorithm>
+#include <cmath>
 
 namespace Pollenwind {
 
@@ -35,6 +36,24 @@
         .longestOpenTime = std::chrono::seconds(4),
         .slowStartTime = std::chrono::milliseconds(500) };
 
+    // Parts of a token in which reported work is added up.
+    constexpr double tokenParts = 256;
+
+    // Far above what a runner can have. A faulty report must not hide the work of others for longer than it counts.
+    constexpr unsigned maxReportedRequests = 100'000;
+    constexpr double maxReportedTokens = 1e9;
+
+    /// A VM's reported work within the bounds of what it can be.
+    RunnerLoad plausible(RunnerLoad load)
+    {
+        const auto bounded = [](double tokens) { return tokens > 0 ? std::min(tokens, maxReportedTokens) : 0.0; };
+        load.requests = std::min(load.requests, maxReportedRequests);
+        load.urgentRequests = std::min(load.urgentRequests, load.requests);
+        load.waitingTokens = bounded(load.waitingTokens);
+        load.yieldingTokens = std::min(bounded(load.yieldingTokens), load.waitingTokens);
+        return load;
+    }
+
     void removeWaiting(RunnerLoad& load, double tokens, RouteUrgency urgency)
     {
         load.waitingTokens = std::max(0.0, load.waitingTokens - tokens);
@@ -69,8 +88,17 @@
             { { "runner", id.value() }, { "service", entry.service.value() }, { "endpoint", entry.endpoint.toString() },
                 { "software", entry.software.value() }, { "state", std::string(nameOf(entry.state)) } });
         const auto hash = runnerHash(id);
-        m_runners.emplace(
-            id, Runner { std::move(entry), hash, process, {}, {}, CircuitBreaker(m_clock, breakerOptions) });
+        auto& added
+            = m_runners
+                  .emplace(id,
+                      Runner { std::move(entry), hash, process, {}, {}, {}, CircuitBreaker(m_clock, breakerOptions) })
+                  .first->second;
+        m_runnersByHash[hash] = &added;
+        for (const auto& [vm, loads] : m_remoteLoads) {
+            if (const auto load = loads.find(hash); load != loads.end()) {
+                added.reported.add(load->second, 1);
+            }
+        }
         if (m_clock.now() >= m_nextCleanupAt) {
             removeGoneRunners();
         }
@@ -185,9 +213,13 @@
 {
     const auto now = m_clock.now();
     m_nextCleanupAt = now + cleanupInterval;
-    std::erase_if(m_runners, [now](const auto& it) {
-        return it.second.entry.state == RunnerState::Gone && it.second.own.requests == 0
+    std::erase_if(m_runners, [this, now](const auto& it) {
+        const bool isRemoved = it.second.entry.state == RunnerState::Gone && it.second.own.requests == 0
             && now - it.second.endedAt > goneRunnerRetention;
+        if (isRemoved) {
+            m_runnersByHash.erase(it.second.hash);
+        }
+        return isRemoved;
     });
     std::set<std::pair<ServiceId, VersionId>> versions;
     for (const auto& [id, runner] : m_runners) {
@@ -407,17 +439,63 @@
     }
 }
 
+void RunnerTable::ReportedWork::add(const RunnerLoad& load, int sign)
+{
+    const auto parts = [](double tokens) { return std::llround(tokens * tokenParts); };
+    requests += sign * static_cast<std::int64_t>(load.requests);
+    urgentRequests += sign * static_cast<std::int64_t>(load.urgentRequests);
+    waitingTokens += sign * parts(load.waitingTokens);
+    yieldingTokens += sign * parts(load.yieldingTokens);
+}
+
+void RunnerTable::addReported(const std::map<std::uint64_t, RunnerLoad>& loads, int sign)
+{
+    for (const auto& [hash, load] : loads) {
+        if (const auto it = m_runnersByHash.find(hash); it != m_runnersByHash.end()) {
+            it->second->reported.add(load, sign);
+        }
+    }
+}
+
 void RunnerTable::setRemoteLoad(const VmId& vm, std::map<std::uint64_t, RunnerLoad> loads)
 {
-    m_remoteLoads[vm] = std::move(loads);
+    for (auto& [hash, load] : loads) {
+        load = plausible(load);
+    }
+    auto& known = m_remoteLoads[vm];
+    addReported(known, -1);
+    known = std::move(loads);
+    addReported(known, 1);
 }
 
 void RunnerTable::clearRemoteLoad(const VmId& vm)
 {
-    m_remoteLoads.erase(vm);
+    if (const auto it = m_remoteLoads.find(vm); it != m_remoteLoads.end()) {
+        addReported(it->second, -1);
+        m_remoteLoads.erase(it);
+    }
     m_loading.erase(vm);
 }
 
+std::map<std::uint64_t, RunnerLoad> RunnerTable::sumOfLoads(std::span<const VmId> vms) const
+{
+    auto sums = ownLoads();
+    for (const auto& vm : vms) {
+        const auto loads = m_remoteLoads.find(vm);
+        if (loads == m_remoteLoads.end()) {
+            continue;
+        }
+        for (const auto& [hash, load] : loads->second) {
+            auto& sum = sums[hash];
+            sum.requests += load.requests;
+            sum.waitingTokens += load.waitingTokens;
+            sum.urgentRequests += load.urgentRequests;
+            sum.yieldingTokens += load.yieldingTokens;
+        }
+    }
+    return sums;
+}
+
 void RunnerTable::setLoadingRunners(const VmId& vm, std::set<std::uint64_t> runners)
 {
     if (runners.empty()) {
@@ -432,17 +510,13 @@
     return std::ranges::any_of(m_loading, [hash](const auto& it) { return it.second.contains(hash); });
 }
 
-RunnerLoad RunnerTable::loadOf(const Runner& runner) const
+RunnerLoad RunnerTable::loadOf(const Runner& runner)
 {
     auto load = runner.own;
-    for (const auto& [vm, loads] : m_remoteLoads) {
-        if (const auto it = loads.find(runner.hash); it != loads.end()) {
-            load.requests += it->second.requests;
-            load.waitingTokens += it->second.waitingTokens;
-            load.urgentRequests += it->second.urgentRequests;
-            load.yieldingTokens += it->second.yieldingTokens;
-        }
-    }
+    load.requests += static_cast<unsigned>(runner.reported.requests);
+    load.urgentRequests += static_cast<unsigned>(runner.reported.urgentRequests);
+    load.waitingTokens += static_cast<double>(runner.reported.waitingTokens) / tokenParts;
+    load.yieldingTokens += static_cast<double>(runner.reported.yieldingTokens) / tokenParts;
     return load;
 }
 
@@ -452,7 +526,7 @@
     return it == m_runners.end() ? 0 : loadOf(it->second).requests;
 }
 
-RunnerCandidate RunnerTable::toCandidate(const Runner& runner, const std::string& model) const
+RunnerCandidate RunnerTable::toCandidate(const Runner& runner, const std::string& model, MonotonicTime now) const
 {
     RunnerCandidate candidate;
     candidate.id = runner.entry.id;
@@ -465,7 +539,7 @@
     if (const auto it = runner.entry.weights.find(model); it != runner.entry.weights.end()) {
         candidate.weights = it->second;
     }
-    candidate.weights = runner.failureState.inferredWeights(model, candidate.weights, m_clock.now());
+    candidate.weights = runner.failureState.inferredWeights(model, candidate.weights, now);
     candidate.beginBy = beginLimit(model, candidate.weights);
     runner.breaker.refresh();
     candidate.admission = runner.breaker.admission();
@@ -479,6 +553,10 @@
     const auto now = m_clock.now();
     std::vector<RunnerCandidate> preferred;
     std::vector<RunnerCandidate> fallback;
+    // The runners of a service seldom have more than one version of the software.
+    const VersionId* checkedSoftware = nullptr;
+    bool isNewSoftware = false;
+    preferred.reserve(m_runners.size());
     for (const auto& [id, runner] : m_runners) {
         const auto state = runner.isOverdue(now) && runner.entry.state == RunnerState::Ready ? RunnerState::Gone
                                                                                              : runner.entry.state;
@@ -489,16 +567,27 @@
             || (state != RunnerState::Ready && !isExpired)) {
             continue;
         }
-        auto candidate = toCandidate(runner, model);
+        // Built where most belong, so that few are moved.
+        auto& candidate = preferred.emplace_back(toCandidate(runner, model, now));
         if (!model.empty() && candidate.weights < oldest) {
+            preferred.pop_back();
             continue;
         }
+        if (!checkedSoftware || *checkedSoftware != runner.entry.software) {
+            checkedSoftware = &runner.entry.software;
+            isNewSoftware = m_versions.isNew(service, runner.entry.software, now);
+        }
         const bool isPreferred = !isExpired && candidate.admission > 0 && !runner.failureState.isSuspect(now)
-            && !isLoading(runner.hash) && !m_leaving.isReported(runner.process)
-            && !m_versions.isNew(service, runner.entry.software, now);
-        (isPreferred ? preferred : fallback).push_back(std::move(candidate));
+            && !isLoading(runner.hash) && !m_leaving.isReported(runner.process) && !isNewSoftware;
+        if (!isPreferred) {
+            fallback.push_back(std::move(candidate));
+            preferred.pop_back();
+        }
+    }
+    if (preferred.empty()) {
+        return fallback;
     }
-    return preferred.empty() ? fallback : preferred;
+    return preferred;
 }
 
 std::optional<RunnerEntry> RunnerTable::find(const UpstreamId& runner) const
--- a/Source/Core/Gateway/RunnerTable.h
+++ b/Source/Core/Gateway/RunnerTable.h
@@ -3,6 +3,7 @@
 #include "Gateway/Commands/RunnerCommands.h"
 #include "Gateway/LeavingRunners.h"
 #include "Gateway/Queries/RunnerQueries.h"
+#include "Gateway/Queries/ZoneWorkQueries.h"
 #include "Gateway/RunnerFailureState.h"
 #include "Gateway/SoftwareVersions.h"
 #include "Timeline/Commands/TimelineCommands.h"
@@ -11,6 +12,7 @@
 #include <chrono>
 #include <map>
 #include <optional>
+#include <unordered_map>
 #include <vector>
 
 namespace Pollenwind {
@@ -26,7 +28,7 @@
 };
 
 /// The runners with an entry in the store, their failure state and the work in progress at each.
-class RunnerTable final : public RunnerCommands, public RunnerQueries {
+class RunnerTable final : public RunnerCommands, public RunnerQueries, public ZoneWorkQueries {
 public:
     RunnerTable(const Clock& clock, TimelineCommands& timeline, RunnerTableOptions options);
 
@@ -71,12 +73,24 @@
     std::optional<RunnerEntry> find(const UpstreamId& runner) const override;
     std::vector<RunnerEntry> entries() const override;
     std::map<std::uint64_t, RunnerLoad> ownLoads() const override;
+    std::map<std::uint64_t, RunnerLoad> sumOfLoads(std::span<const VmId> vms) const override;
     std::vector<TargetWeightsAge> targetWeightsAges() const override;
     RunnerFailures recentFailures() const override;
     unsigned requestsAt(const UpstreamId& runner) const override;
     const std::map<std::string, WeightsVersion>& targetWeights() const override { return m_targetWeights; }
 
 private:
+    /// Sum of the work that other VMs reported. Integers, so that adding and subtracting leaves no rest.
+    struct ReportedWork {
+        std::int64_t requests = 0;
+        std::int64_t urgentRequests = 0;
+        /// In parts of a token.
+        std::int64_t waitingTokens = 0;
+        std::int64_t yieldingTokens = 0;
+
+        /// Adds the work of one VM, or subtracts it if `sign` is -1.
+        void add(const RunnerLoad& load, int sign);
+    };
     struct Runner {
         RunnerEntry entry;
         /// See runnerHash().
@@ -85,6 +99,8 @@
         std::uint64_t process = 0;
         /// Work from this VM.
         RunnerLoad own;
+        /// Work from the other VMs.
+        ReportedWork reported = {};
         /// Time at which the entry ended; 0 if the runner was draining before, so that it is not used any more.
         MonotonicTime endedAt { 0 };
         /// Mutable because reading refreshes it: its state changes with time.
@@ -112,8 +128,10 @@
     /// Time by which a request must begin on weights of a model; nothing if there is no newer target.
     std::optional<MonotonicTime> beginLimit(const std::string& model, WeightsVersion weights) const;
     /// Work from all VMs.
-    RunnerLoad loadOf(const Runner& runner) const;
-    RunnerCandidate toCandidate(const Runner& runner, const std::string& model) const;
+    static RunnerLoad loadOf(const Runner& runner);
+    /// Adds a VM's report to the sums of the runners, or subtracts it if `sign` is -1.
+    void addReported(const std::map<std::uint64_t, RunnerLoad>& loads, int sign);
+    RunnerCandidate toCandidate(const Runner& runner, const std::string& model, MonotonicTime now) const;
     void removeGoneRunners();
     /// Marks an entry as ended at a time.
     void endEntry(Runner& runner, MonotonicTime at);
@@ -132,6 +150,8 @@
     TimelineCommands& m_timeline;
     RunnerTableOptions m_options;
     std::map<UpstreamId, Runner> m_runners;
+    /// The runners by hash of id.
+    std::unordered_map<std::uint64_t, Runner*> m_runnersByHash;
     MonotonicTime m_nextCleanupAt { 0 };
     LeavingRunners m_leaving;
     SoftwareVersions m_versions;
--- a/Source/Core/Upstream/CircuitBreaker.cpp
+++ b/Source/Core/Upstream/CircuitBreaker.cpp
@@ -158,7 +158,13 @@
     return std::clamp(1 - remaining, minAdmission, 1.0);
 }
 
-void CircuitBreaker::refresh() { m_breakerStateMachine->process_event(TimePassed {}); }
+void CircuitBreaker::refresh()
+{
+    // A closed breaker does not change with time. Each placement refreshes the breakers of all runners.
+    if (m_breakerStateMachine->current != BreakerState::Closed) {
+        m_breakerStateMachine->process_event(TimePassed {});
+    }
+}
 
 void CircuitBreaker::recordStarted()
 {
--- a/Source/UnitTests/Gateway/RunnerTableTests.cpp
+++ b/Source/UnitTests/Gateway/RunnerTableTests.cpp
@@ -1,5 +1,8 @@
 #include "Gateway/GatewayFixture.h"
 
+#include <limits>
+#include <random>
+
 using namespace Pollenwind;
 using namespace std::chrono_literals;
 
@@ -281,3 +284,69 @@
     cr_assert_eq(load.requests, 0);
     cr_assert_float_eq(load.waitingTokens, 0, 1e-6);
 }
+
+// The sums are kept from report to report. They must not drift, whatever the order of reports, silences and entries.
+Test(RunnerTable, keepsTheSumsOfReportedWork)
+{
+    ManualClock clock;
+    Timeline timeline(clock, "test");
+    RunnerTable runners(clock, timeline, {});
+    std::mt19937 random(1);
+    std::map<VmId, std::map<std::uint64_t, RunnerLoad>> reports;
+    const auto id = [](unsigned n) { return UpstreamId("r" + std::to_string(n)); };
+    for (unsigned step = 0; step < 3000; ++step) {
+        const VmId vm("vm" + std::to_string(random() % 7));
+        if (random() % 5 == 0) {
+            runners.clearRemoteLoad(vm);
+            reports.erase(vm);
+        } else {
+            auto& loads = reports[vm];
+            loads.clear();
+            for (unsigned n = random() % 6; n > 0; --n) {
+                const auto requests = static_cast<unsigned>(random() % 40);
+                loads[runnerHash(id(random() % 8))]
+                    = { requests, static_cast<float>(random() % 1'000'000) / 7, requests / 2, 0 };
+            }
+            runners.setRemoteLoad(vm, loads);
+        }
+        if (step % 300 == 0) {
+            runners.updateEntry(makeRunner(id(step / 300).value()));
+        }
+    }
+    for (const auto& candidate : runners.candidates(ServiceId("app"), "")) {
+        RunnerLoad expected;
+        for (const auto& [vm, loads] : reports) {
+            if (const auto it = loads.find(runnerHash(candidate.id)); it != loads.end()) {
+                expected.requests += it->second.requests;
+                expected.urgentRequests += it->second.urgentRequests;
+                expected.waitingTokens += it->second.waitingTokens;
+            }
+        }
+        cr_assert_eq(candidate.load.requests, expected.requests);
+        cr_assert_eq(candidate.load.urgentRequests, expected.urgentRequests);
+        cr_assert_float_eq(candidate.load.waitingTokens, expected.waitingTokens, 0.05);
+    }
+    for (unsigned n = 0; n < 7; ++n) {
+        runners.clearRemoteLoad(VmId("vm" + std::to_string(n)));
+    }
+    for (const auto& candidate : runners.candidates(ServiceId("app"), "")) {
+        cr_assert(candidate.load == RunnerLoad {});
+    }
+}
+
+// A report with absurd values must not make a runner unusable for longer than the report counts.
+Test(RunnerTable, boundsAbsurdReports)
+{
+    RunnerFixture fixture;
+    const auto load = [&] { return fixture.runners.candidates(ServiceId("app"), "").front().load; };
+    const double nan = std::numeric_limits<double>::quiet_NaN();
+    const double infinity = std::numeric_limits<double>::infinity();
+    for (const double tokens : { nan, infinity, -infinity, -5.0, 1e300 }) {
+        fixture.runners.setRemoteLoad(
+            VmId("vm"), { { runnerHash(UpstreamId("r1")), { 0xffffffff, tokens, 0xffffffff, tokens } } });
+        cr_assert(load().waitingTokens >= 0 && load().waitingTokens <= 1e9);
+        cr_assert(load().requests <= 100'000);
+    }
+    fixture.runners.clearRemoteLoad(VmId("vm"));
+    cr_assert(load() == RunnerLoad {});
+}
