Measure the relative speed of runners by the pauses of their streams

Runners of one customer differ in speed by a factor of 0.7 to 1.7, and some are 2.5 times slower for 0.6 s. Nothing in the gateway notices either.

Reports have the ratios since the last one (FleetReport::paces, at the end of the table).

--- a/Source/Core/Gateway/FleetMessages_generated.h
+++ b/Source/Core/Gateway/FleetMessages_generated.h
@@ -22,6 +22,8 @@
 
 struct YieldingWork;
 
+struct RunnerPace;
+
 struct HeldPrefix;
 
 struct NamedAge;
@@ -128,6 +130,35 @@
 };
 FLATBUFFERS_STRUCT_END(YieldingWork, 16);
 
+FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(8) RunnerPace FLATBUFFERS_FINAL_CLASS {
+ private:
+  uint64_t runner_;
+  float ratios_;
+  uint32_t count_;
+
+ public:
+  RunnerPace()
+      : runner_(0),
+        ratios_(0),
+        count_(0) {
+  }
+  RunnerPace(uint64_t _runner, float _ratios, uint32_t _count)
+      : runner_(flatbuffers::EndianScalar(_runner)),
+        ratios_(flatbuffers::EndianScalar(_ratios)),
+        count_(flatbuffers::EndianScalar(_count)) {
+  }
+  uint64_t runner() const {
+    return flatbuffers::EndianScalar(runner_);
+  }
+  float ratios() const {
+    return flatbuffers::EndianScalar(ratios_);
+  }
+  uint32_t count() const {
+    return flatbuffers::EndianScalar(count_);
+  }
+};
+FLATBUFFERS_STRUCT_END(RunnerPace, 16);
+
 FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(8) HeldPrefix FLATBUFFERS_FINAL_CLASS {
  private:
   uint64_t prefix_;
@@ -656,7 +687,8 @@
     VT_QUARANTINED = 40,
     VT_ROLLOUTS = 42,
     VT_TERM = 44,
-    VT_YIELDING_WORK = 46
+    VT_YIELDING_WORK = 46,
+    VT_PACES = 48
   };
   const flatbuffers::String *vm() const {
     return GetPointer<const flatbuffers::String *>(VT_VM);
@@ -724,6 +756,9 @@
   const flatbuffers::Vector<const Pollenwind::wire::YieldingWork *> *yielding_work() const {
     return GetPointer<const flatbuffers::Vector<const Pollenwind::wire::YieldingWork *> *>(VT_YIELDING_WORK);
   }
+  const flatbuffers::Vector<const Pollenwind::wire::RunnerPace *> *paces() const {
+    return GetPointer<const flatbuffers::Vector<const Pollenwind::wire::RunnerPace *> *>(VT_PACES);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_VM) &&
@@ -765,6 +800,8 @@
            VerifyField<uint64_t>(verifier, VT_TERM, 8) &&
            VerifyOffset(verifier, VT_YIELDING_WORK) &&
            verifier.VerifyVector(yielding_work()) &&
+           VerifyOffset(verifier, VT_PACES) &&
+           verifier.VerifyVector(paces()) &&
            verifier.EndTable();
   }
 };
@@ -839,6 +876,9 @@
   void add_yielding_work(flatbuffers::Offset<flatbuffers::Vector<const Pollenwind::wire::YieldingWork *>> yielding_work) {
     fbb_.AddOffset(FleetReport::VT_YIELDING_WORK, yielding_work);
   }
+  void add_paces(flatbuffers::Offset<flatbuffers::Vector<const Pollenwind::wire::RunnerPace *>> paces) {
+    fbb_.AddOffset(FleetReport::VT_PACES, paces);
+  }
   explicit FleetReportBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -873,12 +913,14 @@
     flatbuffers::Offset<flatbuffers::Vector<const Pollenwind::wire::QuarantinedPart *>> quarantined = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<Pollenwind::wire::Rollout>>> rollouts = 0,
     uint64_t term = 0,
-    flatbuffers::Offset<flatbuffers::Vector<const Pollenwind::wire::YieldingWork *>> yielding_work = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<const Pollenwind::wire::YieldingWork *>> yielding_work = 0,
+    flatbuffers::Offset<flatbuffers::Vector<const Pollenwind::wire::RunnerPace *>> paces = 0) {
   FleetReportBuilder builder_(_fbb);
   builder_.add_term(term);
   builder_.add_uptime_ms(uptime_ms);
   builder_.add_sequence(sequence);
   builder_.add_boot(boot);
+  builder_.add_paces(paces);
   builder_.add_yielding_work(yielding_work);
   builder_.add_rollouts(rollouts);
   builder_.add_quarantined(quarantined);
@@ -923,7 +965,8 @@
     const std::vector<Pollenwind::wire::QuarantinedPart> *quarantined = nullptr,
     const std::vector<flatbuffers::Offset<Pollenwind::wire::Rollout>> *rollouts = nullptr,
     uint64_t term = 0,
-    const std::vector<Pollenwind::wire::YieldingWork> *yielding_work = nullptr) {
+    const std::vector<Pollenwind::wire::YieldingWork> *yielding_work = nullptr,
+    const std::vector<Pollenwind::wire::RunnerPace> *paces = nullptr) {
   auto vm__ = vm ? _fbb.CreateString(vm) : 0;
   auto usage__ = usage ? _fbb.CreateVectorOfStructs<Pollenwind::wire::OrganisationUsage>(*usage) : 0;
   auto work__ = work ? _fbb.CreateVectorOfStructs<Pollenwind::wire::RunnerWork>(*work) : 0;
@@ -940,6 +983,7 @@
   auto quarantined__ = quarantined ? _fbb.CreateVectorOfStructs<Pollenwind::wire::QuarantinedPart>(*quarantined) : 0;
   auto rollouts__ = rollouts ? _fbb.CreateVector<flatbuffers::Offset<Pollenwind::wire::Rollout>>(*rollouts) : 0;
   auto yielding_work__ = yielding_work ? _fbb.CreateVectorOfStructs<Pollenwind::wire::YieldingWork>(*yielding_work) : 0;
+  auto paces__ = paces ? _fbb.CreateVectorOfStructs<Pollenwind::wire::RunnerPace>(*paces) : 0;
   return Pollenwind::wire::CreateFleetReport(
       _fbb,
       vm__,
@@ -963,7 +1007,8 @@
       quarantined__,
       rollouts__,
       term,
-      yielding_work__);
+      yielding_work__,
+      paces__);
 }
 
 inline const Pollenwind::wire::FleetReport *GetFleetReport(const void *buf) {
--- a/Source/Core/Gateway/FleetReportCodec.cpp
+++ b/Source/Core/Gateway/FleetReportCodec.cpp
@@ -153,12 +153,17 @@
     const auto lowLevelsOffset = builder.CreateVectorOfStructs(lowLevels);
     const auto [evidence, answers, parts] = encodeQuarantine(builder, report.quarantine);
     const auto leavingOffset = builder.CreateVectorOfStructs(toWire(report.failures.leaving));
+    std::vector<wire::RunnerPace> paces;
+    for (const auto& it : report.paces) {
+        paces.emplace_back(it.runner, static_cast<float>(it.ratios), it.count);
+    }
+    const auto pacesOffset = builder.CreateVectorOfStructs(paces);
     const auto yieldingOffset = builder.CreateVectorOfStructs(yieldingWork);
     const auto rolloutsOffset = RolloutReportCodec::create(builder, report.rollouts);
     builder.Finish(wire::CreateFleetReport(builder, vm, report.incarnation.value(), report.sequence, usageOffset,
         workOffset, loadingOffset, cachedOffset, targetAgesOffset, report.members, loadedOffset, unreachableOffset,
         replacedOffset, lowLevelsOffset, report.isForZone, static_cast<std::uint64_t>(report.uptime.count()),
-        leavingOffset, evidence, answers, parts, rolloutsOffset, report.term, yieldingOffset));
+        leavingOffset, evidence, answers, parts, rolloutsOffset, report.term, yieldingOffset, pacesOffset));
     return { reinterpret_cast<const char*>(builder.GetBufferPointer()), builder.GetSize() };
 }
 
@@ -192,6 +197,11 @@
         }
     }
     readYieldingWork(*message, report.work);
+    if (message->paces()) {
+        for (const auto* it : *message->paces()) {
+            report.paces.push_back({ it->runner(), it->ratios(), it->count() });
+        }
+    }
     if (message->loading()) {
         report.loading.insert(message->loading()->begin(), message->loading()->end());
     }
--- a/Source/Core/Gateway/FleetReportCodec.h
+++ b/Source/Core/Gateway/FleetReportCodec.h
@@ -3,6 +3,7 @@
 #include "Common/Ids.h"
 #include "Gateway/Commands/PrefixCommands.h"
 #include "Gateway/Commands/QuotaCommands.h"
+#include "Gateway/PaceTypes.h"
 #include "Gateway/QuarantineTypes.h"
 #include "Gateway/RolloutTypes.h"
 #include "Gateway/RunnerTypes.h"
@@ -51,6 +52,8 @@
     std::vector<RolloutReport> rollouts;
     /// Term that the sender serves as the relay of its zone; 0 if it is not the relay.
     std::uint64_t term = 0;
+    /// Pauses between stream events since the last report.
+    std::vector<PaceSample> paces;
 };
 
 namespace FleetReportCodec {
--- a/Source/Core/Gateway/ForwardDispatcher.cpp
+++ b/Source/Core/Gateway/ForwardDispatcher.cpp
@@ -52,6 +52,9 @@
 
     constexpr unsigned lowestPriority = 9;
 
+    // Longest time to write events to the caller after which the pause until the next event is the runner's.
+    constexpr std::chrono::milliseconds longestWriteTime { 2 };
+
     // Parts of a prompt in one log line.
     constexpr std::size_t maxNamedParts = 8;
 
@@ -770,6 +773,7 @@
     MemoryBudget::Share held(processMemory(), MemoryUse::RunnerStream);
     const bool mayResume = delivery.route->isResumable && delivery.runs + 1 < delivery.route->maxAttempts;
     auto pauseEnd = m_context.clock.now() + eventPauseLimit;
+    std::optional<MonotonicTime> eventAt;
     for (;;) {
         // Bytes of an incomplete event do not extend the pause, since the caller gets whole events.
         const auto until = mayResume ? std::min(delivery.deadline, pauseEnd) : delivery.deadline;
@@ -822,6 +826,12 @@
         } else if (delivery.answeringTime >= answerProofTime) {
             recordProvenAnswer(delivery);
         }
+        const auto receivedAt = m_context.clock.now();
+        // Not after a slow caller, for whom events waited that the runner had sent before.
+        if (m_context.pace && eventAt && delivery.lastOutputAt - *eventAt < longestWriteTime) {
+            m_context.pace->recordPause(delivery.route->name, runnerHash(delivery.runner.id), receivedAt - *eventAt);
+        }
+        eventAt = receivedAt;
         if (auto written = co_await sink.write(complete); !written) {
             co_return written;
         }
--- a/Source/Core/Gateway/ForwardDispatcher.h
+++ b/Source/Core/Gateway/ForwardDispatcher.h
@@ -4,6 +4,7 @@
 #include "Dispatch/Queries/RetryRule.h"
 #include "Dispatch/RetryBudget.h"
 #include "Gateway/Commands/CrashCommands.h"
+#include "Gateway/Commands/PaceCommands.h"
 #include "Gateway/Commands/PrefixCommands.h"
 #include "Gateway/Commands/QuarantineCommands.h"
 #include "Gateway/Commands/ReplySink.h"
@@ -46,6 +47,8 @@
     RolloutCommands& rolloutCommands;
     /// See LoadSettings.
     unsigned yieldRanks = LoadSettings {}.yieldRanks;
+    /// Null if the speed of runners is not measured.
+    PaceCommands* pace = nullptr;
 };
 
 /// Forwards requests to runners and their responses to the callers: lets them be admitted, chooses a runner, and
--- /dev/null
+++ b/Source/Core/Gateway/Queries/PaceQueries.h
@@ -0,0 +1,21 @@
+#pragma once
+
+#include <cstdint>
+
+namespace Pollenwind {
+
+/// Reads the relative speed of runners.
+class PaceQueries {
+public:
+    PaceQueries() = default;
+    PaceQueries(const PaceQueries&) = delete;
+    PaceQueries& operator=(const PaceQueries&) = delete;
+    virtual ~PaceQueries() = default;
+
+    /// Speed of a runner relative to the median of its service: above 1 for a fast one; 1 if it is not known or close
+    /// to the median.
+    /// @param runner Hash of the runner's id.
+    virtual double speedOf(std::uint64_t runner) const = 0;
+};
+
+} // namespace Pollenwind
--- a/Source/UnitTests/Gateway/FleetTests.cpp
+++ b/Source/UnitTests/Gateway/FleetTests.cpp
@@ -24,6 +24,7 @@
     report.isForZone = true;
     report.uptime = 23ms;
     report.term = 26;
+    report.paces = { { 27, 28.5, 29 } };
     const auto bytes = FleetReportCodec::encode(report);
     const auto decoded = FleetReportCodec::decode(bytes);
     cr_assert(
@@ -36,6 +37,7 @@
     cr_assert(decoded->loaded == report.loaded && decoded->failures == report.failures);
     cr_assert(decoded->lowLevels == report.lowLevels && decoded->isForZone && decoded->uptime == 23ms);
     cr_assert_eq(decoded->term, 26U);
+    cr_assert(decoded->paces == report.paces);
     for (std::size_t n = 0; n < bytes.size(); ++n) {
         FleetReportCodec::decode(std::string_view(bytes).substr(0, n));
     }
