Place requests by the work of all zones and the speed of runners

VMs of a large fleet did not know the work that VMs of other zones have at a runner, and a fast runner got as many requests as a slow one.

The work counts under one id for each zone and the latest term (ZoneWorkSources), so that nothing counts twice when relays change, and is dropped when the relay falls silent. AffinityPolicy weights work, slots and the rendezvous order by speed.

Log lines: zone-work-sharing, zone-work-known, zone-work-unknown and runner-pace. Gauges: runners_slow, runners_fast, zones_reporting_work. The buffer for reports has 48 KB, since the sums over 240 runners can exceed 16.

--- a/Source/Core/Gateway/AffinityPolicy.cpp
+++ b/Source/Core/Gateway/AffinityPolicy.cpp
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <array>
+#include <cmath>
 #include <functional>
 #include <map>
 
@@ -25,10 +26,14 @@
     constexpr double minStoredTokens = 1000;
 
     /// Rendezvous hash of a prompt and a runner, from 0 to 1. The runner with the highest score is preferred.
-    double rendezvousScoreOf(std::uint64_t prompt, const UpstreamId& runner)
+    /// @param runner Hash of the runner's id.
+    /// @param speed Relative speed of the runner, its weight: a runner of twice the speed is first for twice as many
+    /// prompts.
+    double rendezvousScoreOf(std::uint64_t prompt, std::uint64_t runner, double speed)
     {
-        const auto hash = runnerHash(runner);
-        return static_cast<double>(XXH3_64bits_withSeed(&hash, sizeof hash, prompt) >> 11) / 9007199254740992.0;
+        const double score
+            = static_cast<double>(XXH3_64bits_withSeed(&runner, sizeof runner, prompt) >> 11) / 9007199254740992.0;
+        return speed == 1 ? score : std::pow(score, 1 / speed);
     }
 
 } // namespace
@@ -47,6 +52,8 @@
     /// Runner with a longer cached prefix than this one, if any.
     const RunnerCandidate* source = nullptr;
     double rendezvousScore = 0;
+    /// Speed of the runner relative to the median of its service.
+    double speed = 1;
 
     /// Probability that the runner has the shared parts cached although this was not reported.
     double cachedProbability = 0;
@@ -78,14 +85,23 @@
 {
     PromptCacheState cacheState;
     cacheState.prefixes = sharedPrefixes(request, cacheSalt, weights);
+    // The hashes of the candidates are the same for all prefixes of the prompt.
+    std::vector<std::uint64_t> processes;
     for (const auto& prefix : cacheState.prefixes) {
         auto& holders = cacheState.holders.emplace_back();
         const auto hashes = m_prefixes.holdersOf(prefix.hash);
-        for (const auto& candidate : candidates) {
-            const bool isHolder = !hashes.empty() && candidate.weights == weights
-                && std::ranges::find(hashes, holderHash(candidate.id, candidate.incarnation)) != hashes.end();
-            if (isHolder) {
-                holders.push_back(&candidate);
+        if (hashes.empty()) {
+            continue;
+        }
+        if (processes.empty()) {
+            processes.reserve(candidates.size());
+            for (const auto& candidate : candidates) {
+                processes.push_back(holderHash(candidate.id, candidate.incarnation));
+            }
+        }
+        for (std::size_t n = 0; n < candidates.size(); ++n) {
+            if (candidates[n].weights == weights && std::ranges::find(hashes, processes[n]) != hashes.end()) {
+                holders.push_back(&candidates[n]);
             }
         }
     }
@@ -112,11 +128,14 @@
 void AffinityPolicy::assignProbabilities(std::vector<Option>& options)
 {
     std::vector<Option*> order;
+    order.reserve(options.size());
     for (auto& option : options) {
         order.push_back(&option);
     }
-    std::ranges::sort(order, std::greater(), &Option::rendezvousScore);
-    for (std::size_t rank = 0; rank < std::min(order.size(), cachedProbabilityByRank.size()); ++rank) {
+    const auto ranks = std::min(order.size(), cachedProbabilityByRank.size());
+    std::ranges::partial_sort(
+        order, order.begin() + static_cast<std::ptrdiff_t>(ranks), std::greater(), &Option::rendezvousScore);
+    for (std::size_t rank = 0; rank < ranks; ++rank) {
         order[rank]->cachedProbability = cachedProbabilityByRank[rank];
     }
 }
@@ -126,12 +145,15 @@
     const auto& candidate = *option.candidate;
     const double copied = std::max(0.0, option.copiedTokens - option.cachedTokens);
     const double zoneFactor = option.source && option.source->zone != candidate.zone ? 2 : 1;
-    double cost = candidate.load.waitingTokens * m_costs.secondsPerToken
+    // A fast runner ends its work sooner but has no more slots than its entry says.
+    const double usableSlots = candidate.slots * std::min(1.0, option.speed);
+    double cost = candidate.load.waitingTokens * m_costs.secondsPerToken / option.speed
         + option.missedTokens() * m_costs.secondsPerToken * m_costs.recomputeWeight
         + copied * (m_costs.secondsPerCopiedToken * zoneFactor + m_costs.secondsPerToken * m_costs.evictionWeight)
-        + candidate.load.requests * m_costs.secondsPerRequest + (1 - option.rendezvousScore) * rendezvousSeconds;
-    if (candidate.load.requests >= m_costs.queueingShare * candidate.slots) {
-        cost += m_costs.queueingSeconds * candidate.load.requests / std::max(1U, candidate.slots);
+        + candidate.load.requests * m_costs.secondsPerRequest / option.speed
+        + (1 - option.rendezvousScore) * rendezvousSeconds;
+    if (candidate.load.requests >= m_costs.queueingShare * usableSlots) {
+        cost += m_costs.queueingSeconds * candidate.load.requests / std::max(1U, candidate.slots) / option.speed;
     }
     if (candidate.zone != m_ownZone) {
         cost += m_isOtherZoneLoadUnknown ? m_costs.unknownZoneSeconds : m_costs.otherZoneSeconds;
@@ -145,10 +167,14 @@
     WeightsVersion targetWeights, std::span<const CacheStore> stores, std::span<const RunnerCandidate> candidates) const
 {
     std::vector<Option> options;
+    options.reserve(candidates.size());
     std::map<WeightsVersion, PromptCacheState> cacheStates;
     const std::uint64_t prompt = request.parts.size() > 1 ? request.parts[request.parts.size() - 2].id : 0;
+    auto it = cacheStates.end();
     for (const auto& candidate : candidates) {
-        auto it = cacheStates.find(candidate.weights);
+        if (it == cacheStates.end() || it->first != candidate.weights) {
+            it = cacheStates.find(candidate.weights);
+        }
         if (it == cacheStates.end()) {
             auto found = findHolders(request, cacheSalt, candidate.weights, candidates);
             it = cacheStates.emplace(candidate.weights, std::move(found)).first;
@@ -158,13 +184,22 @@
         option.sharedTokens = it->second.prefixes.empty() ? 0 : it->second.prefixes.back().tokens;
         const double promptTokens = request.tokens ? request.tokens->prompt : option.sharedTokens;
         option.ownTokens = std::max(0.0, promptTokens - option.sharedTokens);
-        option.rendezvousScore = rendezvousScoreOf(prompt, candidate.id);
+        const auto hash = runnerHash(candidate.id);
+        option.speed = m_pace ? m_pace->speedOf(hash) : 1;
+        option.rendezvousScore = rendezvousScoreOf(prompt, hash, option.speed);
         findSource(it->second, option);
     }
     assignProbabilities(options);
-    const auto costs = [&](const Option& option) { return costOf(option, targetWeights); };
-    const auto best = std::ranges::min_element(options, {}, costs);
-    if (best == options.end()) {
+    const Option* best = nullptr;
+    double lowestCost = 0;
+    for (const auto& option : options) {
+        const double cost = costOf(option, targetWeights);
+        if (!best || cost < lowestCost) {
+            best = &option;
+            lowestCost = cost;
+        }
+    }
+    if (!best) {
         return std::nullopt;
     }
     RunnerChoice choice { best->candidate->id, best->candidate->endpoint };
--- a/Source/Core/Gateway/AffinityPolicy.h
+++ b/Source/Core/Gateway/AffinityPolicy.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "Gateway/Queries/PaceQueries.h"
 #include "Gateway/Queries/PrefixQueries.h"
 #include "Gateway/Queries/RunnerPolicy.h"
 
@@ -50,6 +51,10 @@
     /// Sets whether the work at the runners of other zones is not reported to this VM.
     void setOtherZoneLoadUnknown(bool isOtherZoneLoadUnknown) { m_isOtherZoneLoadUnknown = isOtherZoneLoadUnknown; }
 
+    /// Sets whether work and the rendezvous order are weighted by the relative speed of the runners.
+    /// @param pace The speeds; null for none.
+    void setPace(const PaceQueries* pace) { m_pace = pace; }
+
 private:
     struct Option;
     struct PromptCacheState;
@@ -71,6 +76,7 @@
     ZoneId m_ownZone;
     const PrefixQueries& m_prefixes;
     AffinityCosts m_costs;
+    const PaceQueries* m_pace = nullptr;
     bool m_isOtherZoneLoadUnknown = false;
 };
 
--- a/Source/Core/Gateway/FleetReporter.cpp
+++ b/Source/Core/Gateway/FleetReporter.cpp
@@ -21,7 +21,8 @@
     // Time to handle the reports that waited while this VM was suspended or slow.
     constexpr std::chrono::milliseconds receiveTime { 60 };
 
-    constexpr std::size_t maxReportBytes = 16UL * 1024;
+    // A relay's sums over 240 runners with their work, their pace and 256 prefixes take about 16 KB.
+    constexpr std::size_t maxReportBytes = 48UL * 1024;
 
 } // namespace
 
@@ -32,6 +33,7 @@
     , m_zone(std::move(zone))
     , m_incarnation(incarnation)
     , m_relay(m_vm)
+    , m_zoneWork(m_zone)
     , m_socket(executor)
     , m_timer(executor)
 {
@@ -79,14 +81,23 @@
         report.term = m_relay.term();
         const bool isChanged = report.usage != last.usage || report.loading != last.loading || report.work != last.work
             || !report.cachedPrefixes.empty() || !report.loaded.empty() || !report.failures.isEmpty()
-            || !report.quarantine.isEmpty() || !report.rollouts.empty() || report.term != last.term;
+            || !report.quarantine.isEmpty() || !report.rollouts.empty() || report.term != last.term
+            || (m_sharesZoneWork && report.term > 0);
         unchanged = isChanged ? 0 : unchanged + 1;
         if (!isChanged && unchanged % keepAliveTicks != 0) {
             continue;
         }
         last = report;
+        auto paces = m_context.pace.takeReport();
+        if (m_sharesZoneWork || m_context.fleet.isLarge()) {
+            report.paces = std::move(paces);
+        }
         auto zoneUpdates = m_context.directory.takeZoneUpdates();
         if (!m_context.fleet.isLarge()) {
+            m_context.pace.takeZoneReport();
+            for (const auto& workId : m_zoneWork.clear()) {
+                dropZoneWork(workId);
+            }
             co_await sendTo(m_context.fleet.others(), std::move(report));
             continue;
         }
@@ -115,6 +126,9 @@
 {
     for (const auto& vm : m_context.fleet.takeSilent()) {
         m_context.runnerCommands.clearRemoteLoad(vm);
+        if (const auto workId = m_zoneWork.markSilent(vm)) {
+            dropZoneWork(*workId);
+        }
         m_context.quota.markSilent(vm, m_context.fleet.shareOf(vm));
         // The totals of a VM that has stopped remain, those of a relay are in its successor's.
         if (FleetView::isRelayId(vm)) {
@@ -142,6 +156,7 @@
     std::vector<CachedPrefix> zoneUpdates, std::vector<TargetWeightsAge> targetAges, RunnerFailures failures)
 {
     auto answers = m_context.quarantine.takeZoneAnswers();
+    auto paces = m_context.pace.takeZoneReport();
     if (m_relay.term() == 0) {
         co_return;
     }
@@ -150,6 +165,10 @@
     FleetReport sums { FleetView::relayId(m_zone, m_vm), m_incarnation, 0, std::move(termSums.usage), {}, {},
         std::move(zoneUpdates), std::move(targetAges), static_cast<unsigned>(zone.size()), {}, std::move(failures) };
     sums.quarantine.answers = std::move(answers);
+    if (m_sharesZoneWork) {
+        sums.work = m_context.zoneWork.sumOfLoads(zone);
+        sums.paces = std::move(paces);
+    }
     sums.rollouts = m_context.rollouts.reportsOfZone(zone);
     sums.term = termSums.term;
     sums.uptime = std::chrono::ceil<std::chrono::milliseconds>(termSums.age);
@@ -226,7 +245,8 @@
         m_relay.recordReport(report->vm, report->term, report->uptime, m_context.quota.zoneTotals(), uptime());
     }
     m_context.quota.recordRemoteLevels(report->lowLevels);
-    m_context.runnerCommands.setRemoteLoad(report->vm, std::move(report->work));
+    recordWork(*report);
+    m_context.pace.recordRemote(report->paces, isOfOwnZone);
     m_context.directory.recordRemoteRead(report->cachedPrefixes, isOfOwnZone);
     for (const auto& it : report->targetAges) {
         m_context.runnerCommands.setTargetWeightsAge(it.model, it.version, it.age);
@@ -242,4 +262,33 @@
     m_context.rolloutCommands.recordRemote(report->vm, std::move(report->rollouts));
 }
 
+void FleetReporter::recordWork(const FleetReport& report)
+{
+    if (report.members == 0) {
+        m_context.runnerCommands.setRemoteLoad(report.vm, report.work);
+        return;
+    }
+    // A relay of an earlier version, or of a zone that does not share its work.
+    if (report.work.empty() || !m_context.fleet.isLarge()) {
+        return;
+    }
+    const auto zonesBefore = m_zoneWork.zones();
+    if (const auto workId = m_zoneWork.accept(report.vm, report.term)) {
+        if (m_zoneWork.zones() != zonesBefore) {
+            logStateChange("zone-work-known", { { "work", workId->value() }, { "relay", report.vm.value() } });
+        }
+        // VMs that take the fleet for a small one report their work to all zones. It is in the sum.
+        for (const auto& vm : m_context.fleet.vmsOf(*FleetView::zoneOfRelay(report.vm))) {
+            m_context.runnerCommands.setRemoteLoad(vm, {});
+        }
+        m_context.runnerCommands.setRemoteLoad(*workId, report.work);
+    }
+}
+
+void FleetReporter::dropZoneWork(const VmId& workId)
+{
+    m_context.runnerCommands.clearRemoteLoad(workId);
+    logStateChange("zone-work-unknown", { { "work", workId.value() } });
+}
+
 } // namespace Pollenwind
--- a/Source/Core/Gateway/FleetReporter.h
+++ b/Source/Core/Gateway/FleetReporter.h
@@ -9,8 +9,11 @@
 #include "Gateway/FleetView.h"
 #include "Gateway/Queries/RolloutQueries.h"
 #include "Gateway/Queries/RunnerQueries.h"
+#include "Gateway/Queries/ZoneWorkQueries.h"
+#include "Gateway/RunnerPace.h"
 #include "Gateway/WeightsDriver.h"
 #include "Gateway/ZoneRelay.h"
+#include "Gateway/ZoneWorkSources.h"
 #include "Metrics/Commands/MetricCommands.h"
 
 #include <boost/asio/ip/udp.hpp>
@@ -32,6 +35,8 @@
     QuarantineCommands& quarantine;
     const RolloutQueries& rollouts;
     RolloutCommands& rolloutCommands;
+    const ZoneWorkQueries& zoneWork;
+    RunnerPace& pace;
 };
 
 /// Exchanges reports with the other VMs over UDP: tokens taken, work at the runners, cached prefixes, loads of weights
@@ -51,6 +56,11 @@
     /// Binds the UDP port.
     Outcome<void> listen(const Endpoint& endpoint);
 
+    /// Sets whether the relay's sums include the work of its zone and the pauses of its streams.
+    void setSharesZoneWork(bool sharesZoneWork) { m_sharesZoneWork = sharesZoneWork; }
+    /// Number of other zones whose work at the runners is known.
+    std::size_t zonesWithKnownWork() const { return m_zoneWork.zones(); }
+
     /// Sends reports indefinitely.
     Task<> send();
     /// Sends the next report without waiting for the interval.
@@ -70,12 +80,16 @@
     void updateRelay();
     std::chrono::nanoseconds uptime() const { return std::chrono::steady_clock::now() - m_startedAt; }
     Task<> handleReport(std::string_view bytes);
+    void recordWork(const FleetReport& report);
+    void dropZoneWork(const VmId& workId);
 
     FleetReporterContext m_context;
     VmId m_vm;
     ZoneId m_zone;
     Incarnation m_incarnation;
     ZoneRelay m_relay;
+    ZoneWorkSources m_zoneWork;
+    bool m_sharesZoneWork = false;
     std::chrono::steady_clock::time_point m_startedAt = std::chrono::steady_clock::now();
     boost::asio::ip::udp::socket m_socket;
     boost::asio::steady_timer m_timer;
--- a/Source/Core/Gateway/FleetView.cpp
+++ b/Source/Core/Gateway/FleetView.cpp
@@ -130,6 +130,27 @@
 
 bool FleetView::isRelayId(const VmId& vm) { return vm.value().starts_with(relayIdPrefix); }
 
+std::optional<ZoneId> FleetView::zoneOfRelay(const VmId& relay)
+{
+    const auto& text = relay.value();
+    const auto end = text.find('/', relayIdPrefix.size());
+    if (!isRelayId(relay) || end == std::string::npos) {
+        return std::nullopt;
+    }
+    return ZoneId(text.substr(relayIdPrefix.size(), end - relayIdPrefix.size()));
+}
+
+std::vector<VmId> FleetView::vmsOf(const ZoneId& zone) const
+{
+    std::vector<VmId> vms;
+    for (const auto& [id, vm] : m_vms) {
+        if (id != m_ownVm && vm.members == 0 && vm.zone == zone) {
+            vms.push_back(id);
+        }
+    }
+    return vms;
+}
+
 std::vector<Endpoint> FleetView::entryPointsOfOtherZones(std::uint64_t round) const
 {
     std::vector<Endpoint> endpoints;
--- a/Source/Core/Gateway/FleetView.h
+++ b/Source/Core/Gateway/FleetView.h
@@ -68,6 +68,8 @@
     /// Id under which a VM sends the sums of its zone.
     static VmId relayId(const ZoneId& zone, const VmId& vm);
     static bool isRelayId(const VmId& vm);
+    /// Zone of a relay; nothing for the id of a VM.
+    static std::optional<ZoneId> zoneOfRelay(const VmId& relay);
     bool isOfOwnZone(const VmId& vm) const;
     /// Where a VM receives reports and passes on the store's records; nothing while its record is not known.
     std::optional<Endpoint> endpointOf(const VmId& vm) const;
@@ -75,6 +77,8 @@
     bool isMemberAddress(std::string_view address) const;
     /// Whether a VM of any zone has the address.
     bool isFleetAddress(std::string_view address) const;
+    /// VMs of a zone that are known, in contact or not, without this one.
+    std::vector<VmId> vmsOf(const ZoneId& zone) const;
     /// VMs of this zone that are in contact with this one, including itself.
     std::vector<VmId> reachableOfOwnZone() const;
     /// Share of the fleet that is in contact with this VM, including itself, from 0 to 1.
--- a/Source/Core/Gateway/Gateway.cpp
+++ b/Source/Core/Gateway/Gateway.cpp
@@ -19,14 +19,19 @@
 #include "Gateway/RolloutDriver.h"
 #include "Gateway/RolloutTable.h"
 #include "Gateway/RoutingTable.h"
+#include "Gateway/RunnerPace.h"
 #include "Gateway/RunnerTable.h"
 #include "Gateway/StatusFrontEnd.h"
 #include "Gateway/TcpRunnerProbe.h"
 #include "Gateway/VmRegistration.h"
 #include "Gateway/WeightsDriver.h"
+#include "Gateway/YieldingRoutes.h"
+#include "Timeline/Log.h"
 #include "Timeline/Timeline.h"
 
 #include <algorithm>
+#include <map>
+#include <set>
 
 namespace Pollenwind {
 
@@ -142,6 +147,7 @@
         , fleet(clock, timeline, settings.vm, settings.zone)
         , quota(clock, settings.quotaTolerance)
         , directory(clock)
+        , pace(clock)
         , quarantine(clock, timeline, metrics, fleet)
         , quarantineRecords(clock, platform.storeCommands, quarantine, quarantine, fleet)
         , runnerProbe(connectTimeout)
@@ -164,14 +170,16 @@
               { clock, rollouts, rollouts, sync, fleet, orders, platform.storeCommands, platform.records, timeline },
               settings.vm)
         , reporter(executor,
-              { fleet, quota, runners, runners, weights, directory, metrics, quarantine, rollouts, rollouts },
+              { fleet, quota, runners, runners, weights, directory, metrics, quarantine, rollouts, rollouts, runners,
+                  pace },
               settings.vm, settings.zone, incarnation)
         , policy(settings.zone, directory)
         , retryBudget(clock)
         , client(executor, platform.requests, connectTimeout)
         , log(clock)
         , dispatcher({ clock, routing, sync, runners, runners, policy, directory, quota, retryBudget, client, metrics,
-              log, quarantine, quarantine, crashes, rollouts, rollouts, settings.load.yieldRanks })
+              log, quarantine, quarantine, crashes, rollouts, rollouts, settings.load.yieldRanks,
+              settings.load.usesRunnerPace ? &pace : nullptr })
         , frontEnd(clock, platform.requests, dispatcher, metrics, log)
         , status(settings.readyPath, metrics, [this] { return isReady(); })
         , feed(clock, changeLog, sync, fleet)
@@ -187,6 +195,11 @@
 
     bool isReady() const;
     Task<> runHousekeeping();
+    /// Updates the relative speeds of the runners, and whether they and the work of all zones are used.
+    Task<> runPace();
+    void updateSharing(bool isUneven);
+    /// @param names Ids of the engines by hash.
+    void logPace(const std::map<std::uint64_t, UpstreamId>& names);
     Task<> drain();
 
     asio::any_io_executor executor;
@@ -200,6 +213,7 @@
     FleetView fleet;
     FleetQuota quota;
     CacheDirectory directory;
+    RunnerPace pace;
     PartQuarantine quarantine;
     QuarantineRecords quarantineRecords;
     TcpRunnerProbe runnerProbe;
@@ -230,6 +244,9 @@
     HttpServer metricsServer;
     HttpServer feedServer;
 
+    bool sharesZoneWork = false;
+    /// Runners that are logged as slower or faster than the median, by hash.
+    std::set<std::uint64_t> loggedSpeeds;
     bool isStopping = false;
     bool isStopped = false;
     std::size_t cutRequests = 0;
@@ -283,6 +300,7 @@
     spawnService(components.executor, TaskKind::Reports, [&components] { return components.reporter.send(); });
     spawnService(components.executor, TaskKind::Reports, [&components] { return components.reporter.receive(); });
     spawnService(components.executor, TaskKind::Housekeeping, [&components] { return components.runHousekeeping(); });
+    spawnService(components.executor, TaskKind::Housekeeping, [&components] { return components.runPace(); });
     return {};
 }
 
@@ -297,7 +315,6 @@
         quarantine.removeExpired();
         const auto configuration = routing.current();
         client.setIdleLimit(idleLimit(*configuration, fleet.size()));
-        policy.setOtherZoneLoadUnknown(fleet.isLarge());
         orders.setFleetSize(fleet.size());
         const auto unwilling = runners.unwillingRunners();
         metrics.set(Gauge::RunnersLeaving, unwilling.leaving);
@@ -308,6 +325,78 @@
     }
 }
 
+Task<> Gateway::Components::runPace()
+{
+    for (;;) {
+        co_await sleepFor(RunnerPace::updateInterval);
+        const auto configuration = routing.current();
+        std::map<ServiceId, std::vector<std::uint64_t>> engines;
+        std::map<std::uint64_t, UpstreamId> names;
+        for (const auto& entry : runners.entries()) {
+            const auto service = configuration->services.find(entry.service);
+            if (service != configuration->services.end() && service->second.engine) {
+                const auto hash = runnerHash(entry.id);
+                engines[entry.service].push_back(hash);
+                names.emplace(hash, entry.id);
+            }
+        }
+        std::vector<std::vector<std::uint64_t>> services;
+        for (auto& [id, hashes] : engines) {
+            services.push_back(std::move(hashes));
+        }
+        pace.update(services);
+        updateSharing(settings.load.usesRunnerPace && pace.isUneven());
+        logPace(names);
+    }
+}
+
+void Gateway::Components::updateSharing(bool isUneven)
+{
+    const bool hasYielding = hasYieldingRoute(*routing.current(), settings.load.yieldRanks);
+    const bool shares = hasYielding || isUneven;
+    if (shares != std::exchange(sharesZoneWork, shares)) {
+        logStateChange("zone-work-sharing",
+            { { "shared", shares ? "yes" : "no" }, { "yielding_routes", hasYielding ? "yes" : "no" },
+                { "uneven_runners", isUneven ? "yes" : "no" } });
+    }
+    reporter.setSharesZoneWork(shares);
+    policy.setPace(shares && settings.load.usesRunnerPace ? &pace : nullptr);
+    policy.setOtherZoneLoadUnknown(fleet.isLarge() && !(shares && reporter.zonesWithKnownWork() > 0));
+}
+
+void Gateway::Components::logPace(const std::map<std::uint64_t, UpstreamId>& names)
+{
+    const auto log = [&names](std::uint64_t runner, double speed, std::chrono::nanoseconds age) {
+        const auto name = names.find(runner);
+        const auto ageMs = std::chrono::duration_cast<std::chrono::milliseconds>(age).count();
+        logStateChange("runner-pace",
+            { { "runner", name == names.end() ? "" : name->second.value() }, { "speed", std::to_string(speed) },
+                { "age_ms", std::to_string(ageMs) } });
+    };
+    std::set<std::uint64_t> present;
+    std::size_t slow = 0;
+    std::size_t fast = 0;
+    for (const auto& it : pace.speeds()) {
+        ++(it.speed < 1 ? slow : fast);
+        // Runners that are slow for a moment would fill the log; the gauges show them.
+        if (it.duration >= RunnerPace::unevenDelay) {
+            present.insert(it.runner);
+            if (!loggedSpeeds.contains(it.runner)) {
+                log(it.runner, it.speed, it.age);
+            }
+        }
+    }
+    for (const auto runner : loggedSpeeds) {
+        if (!present.contains(runner)) {
+            log(runner, pace.speedOf(runner), {});
+        }
+    }
+    metrics.set(Gauge::RunnersSlow, slow);
+    metrics.set(Gauge::RunnersFast, fast);
+    metrics.set(Gauge::ZonesReportingWork, reporter.zonesWithKnownWork());
+    loggedSpeeds = std::move(present);
+}
+
 void Gateway::requestShutdown()
 {
     auto& components = *m_components;
--- a/Source/Core/Metrics/Counter.h
+++ b/Source/Core/Metrics/Counter.h
@@ -181,6 +181,11 @@
     RunnersLeaving,
     /// Runners that want no requests for a time that they named.
     RunnersInBackOff,
+    /// Runners that are clearly slower or faster than the median of their service.
+    RunnersSlow,
+    RunnersFast,
+    /// Other zones whose relays report the work of their VMs.
+    ZonesReportingWork,
     /// Era of the platform's store; 0 if it does not tell its era.
     StoreEra,
     /// Bytes of other processes that are held, and the most that may be.
@@ -192,6 +197,9 @@
     static constexpr std::array rows {
         EnumName { Gauge::RunnersLeaving, "runners_leaving" },
         EnumName { Gauge::RunnersInBackOff, "runners_in_back_off" },
+        EnumName { Gauge::RunnersSlow, "runners_slow" },
+        EnumName { Gauge::RunnersFast, "runners_fast" },
+        EnumName { Gauge::ZonesReportingWork, "zones_reporting_work" },
         EnumName { Gauge::StoreEra, "store_era" },
         EnumName { Gauge::MemoryHeld, "memory_held_bytes" },
         EnumName { Gauge::MemoryBudget, "memory_budget_bytes" },
