Build candidates at once and skip prefixes that no runner holds

The decision took 24 us of processor time at 60 and 95 us at 240 runners. Candidates were created empty and their strings assigned, and each runner was compared with prefixes that no one holds.

GatewayTests: 265 passed.

--- a/Source/Core/Gateway/AffinityPolicy.cpp
+++ b/Source/Core/Gateway/AffinityPolicy.cpp
@@ -112,11 +112,14 @@
 {
     for (std::size_t i = cacheState.prefixes.size(); i-- > 0;) {
         const auto& holders = cacheState.holders[i];
+        if (holders.empty()) {
+            continue;
+        }
         if (std::ranges::find(holders, option.candidate) != holders.end()) {
             option.cachedTokens = cacheState.prefixes[i].tokens;
             return;
         }
-        if (!option.source && !holders.empty()) {
+        if (!option.source) {
             const auto nearest = std::ranges::find(
                 holders, option.candidate->zone, [](const RunnerCandidate* it) { return it->zone; });
             option.source = nearest == holders.end() ? holders.front() : *nearest;
--- a/Source/Core/Gateway/RunnerTable.cpp
+++ b/Source/Core/Gateway/RunnerTable.cpp
@@ -528,22 +528,22 @@
 
 RunnerCandidate RunnerTable::toCandidate(const Runner& runner, const std::string& model, MonotonicTime now) const
 {
-    RunnerCandidate candidate;
-    candidate.id = runner.entry.id;
-    candidate.endpoint = runner.entry.endpoint;
-    candidate.zone = runner.entry.zone;
-    candidate.incarnation = runner.entry.incarnation;
-    candidate.slots = runner.entry.slots;
-    candidate.software = runner.entry.software;
-    candidate.load = loadOf(runner);
-    if (const auto it = runner.entry.weights.find(model); it != runner.entry.weights.end()) {
-        candidate.weights = it->second;
-    }
-    candidate.weights = runner.failureState.inferredWeights(model, candidate.weights, now);
-    candidate.beginBy = beginLimit(model, candidate.weights);
+    const auto& entry = runner.entry;
+    const auto reported = entry.weights.find(model);
+    const auto weights = runner.failureState.inferredWeights(
+        model, reported == entry.weights.end() ? WeightsVersion(0) : reported->second, now);
     runner.breaker.refresh();
-    candidate.admission = runner.breaker.admission();
-    return candidate;
+    // Initialised at once, since assigning strings to an empty candidate takes longer.
+    return { .id = entry.id,
+        .endpoint = entry.endpoint,
+        .zone = entry.zone,
+        .incarnation = entry.incarnation,
+        .slots = entry.slots,
+        .software = entry.software,
+        .weights = weights,
+        .beginBy = beginLimit(model, weights),
+        .load = loadOf(runner),
+        .admission = runner.breaker.admission() };
 }
 
 std::vector<RunnerCandidate> RunnerTable::candidates(
