Drop the work of a zone that has become idle

A relay's report without work was taken for one of a zone that does not share its work, so the last work of a zone that became idle stayed at the runners until its relay fell silent.

ZoneWorkSources accepts an empty report of a zone whose work is known. ZoneWork/endsWithAnEmptyReport guards against it.

--- a/Source/Core/Gateway/FleetReporter.cpp
+++ b/Source/Core/Gateway/FleetReporter.cpp
@@ -268,12 +268,11 @@
         m_context.runnerCommands.setRemoteLoad(report.vm, report.work);
         return;
     }
-    // A relay of an earlier version, or of a zone that does not share its work.
-    if (report.work.empty() || !m_context.fleet.isLarge()) {
+    if (!m_context.fleet.isLarge()) {
         return;
     }
     const auto zonesBefore = m_zoneWork.zones();
-    if (const auto workId = m_zoneWork.accept(report.vm, report.term)) {
+    if (const auto workId = m_zoneWork.accept(report.vm, report.term, !report.work.empty())) {
         if (m_zoneWork.zones() != zonesBefore) {
             logStateChange("zone-work-known", { { "work", workId->value() }, { "relay", report.vm.value() } });
         }
--- a/Source/Core/Gateway/ZoneWorkSources.cpp
+++ b/Source/Core/Gateway/ZoneWorkSources.cpp
@@ -11,10 +11,10 @@
 
 } // namespace
 
-std::optional<VmId> ZoneWorkSources::accept(const VmId& relay, std::uint64_t term)
+std::optional<VmId> ZoneWorkSources::accept(const VmId& relay, std::uint64_t term, bool hasWork)
 {
     const auto zone = FleetView::zoneOfRelay(relay);
-    if (!zone || *zone == m_ownZone) {
+    if (!zone || *zone == m_ownZone || (!hasWork && !m_sources.contains(*zone))) {
         return std::nullopt;
     }
     auto& source = m_sources[*zone];
--- a/Source/Core/Gateway/ZoneWorkSources.h
+++ b/Source/Core/Gateway/ZoneWorkSources.h
@@ -21,8 +21,10 @@
 
     /// Records a relay's report.
     /// @param relay Id of the relay; see FleetView::relayId().
+    /// @param hasWork Whether the report has any work. One without is of an idle zone if the zone's work is known, else
+    /// of a zone that does not share it.
     /// @return Id under which the zone's work counts; nothing if the report does not count.
-    std::optional<VmId> accept(const VmId& relay, std::uint64_t term);
+    std::optional<VmId> accept(const VmId& relay, std::uint64_t term, bool hasWork);
     /// Records that a relay has become silent.
     /// @return Id of the work to drop; nothing if another relay reports the zone's work.
     std::optional<VmId> markSilent(const VmId& relay);
--- a/Source/Programs/PollenwindBench/RunnerChoiceBench.cpp
+++ b/Source/Programs/PollenwindBench/RunnerChoiceBench.cpp
@@ -13,7 +13,8 @@
 using namespace Pollenwind;
 
 /// A VM's tables for one service: work reported by other VMs at each runner, the prefixes of a long prompt cached at
-/// three runners, every third runner of uneven speed. Ids have the length of the platform's.
+/// three runners, every third runner of uneven speed. Ids are too long for the
+/// buffer within a string.
 struct ChoiceFixture {
     ChoiceFixture(std::size_t runnerCount, std::size_t vms)
         : runners(clock, timeline, {})
--- a/Source/UnitTests/Gateway/ZoneWorkTests.cpp
+++ b/Source/UnitTests/Gateway/ZoneWorkTests.cpp
@@ -18,8 +18,12 @@
 
     void receive(const std::string& zone, const std::string& vm, std::uint64_t term, unsigned requests)
     {
-        if (const auto id = sources.accept(FleetView::relayId(ZoneId(zone), VmId(vm)), term)) {
-            runners.setRemoteLoad(*id, { { runnerHash(UpstreamId("r1")), { requests, 0, requests, 0 } } });
+        if (const auto id = sources.accept(FleetView::relayId(ZoneId(zone), VmId(vm)), term, requests > 0)) {
+            std::map<std::uint64_t, RunnerLoad> loads;
+            if (requests > 0) {
+                loads[runnerHash(UpstreamId("r1"))] = { requests, 0, requests, 0 };
+            }
+            runners.setRemoteLoad(*id, std::move(loads));
         }
     }
     void markSilent(const std::string& zone, const std::string& vm)
@@ -218,14 +222,26 @@
     cr_assert_eq(fixture.requests(), 2);
 }
 
+// The work of a zone that has become idle must not remain. A relay that has never reported work does not share it.
+Test(ZoneWork, endsWithAnEmptyReport)
+{
+    ZoneWorkFixture fixture;
+    fixture.receive("c", "c1", 1, 0);
+    cr_assert_eq(fixture.sources.zones(), 0);
+    fixture.receive("b", "b1", 1, 5);
+    fixture.receive("b", "b1", 1, 0);
+    cr_assert_eq(fixture.requests(), 0);
+    cr_assert_eq(fixture.sources.zones(), 1);
+}
+
 // The VMs of the own zone report directly, and ids that are not those of relays have no zone. Neither must count as the
 // work of a zone.
 Test(ZoneWork, ignoresTheOwnZoneAndInvalidIds)
 {
     ZoneWorkFixture fixture;
     fixture.receive("a", "a2", 9, 5);
-    cr_assert(!fixture.sources.accept(VmId("b1"), 1));
-    cr_assert(!fixture.sources.accept(VmId("zone/b"), 1));
+    cr_assert(!fixture.sources.accept(VmId("b1"), 1, true));
+    cr_assert(!fixture.sources.accept(VmId("zone/b"), 1, true));
     cr_assert_eq(fixture.requests(), 0);
     fixture.receive("b", "b1", 1, 5);
     for (const auto& id : fixture.sources.clear()) {
