--- a/Source/Core/Gateway/AffinityPolicy.h
+++ b/Source/Core/Gateway/AffinityPolicy.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Gateway/CacheStoreChoice.h"
+#include "Gateway/Queries/PaceQueries.h"
 #include "Gateway/Queries/PrefixQueries.h"
 #include "Gateway/Queries/RunnerPolicy.h"
 
@@ -54,6 +55,9 @@
     /// Decides which store keeps the shared parts of a prompt; by default that of the runner's zone.
     CacheStoreChoice& storeChoice() { return m_storeChoice; }
     void setStorePlacement(CacheStorePlacement placement) { m_storeChoice = CacheStoreChoice(placement); }
+    /// Sets whether work and the rendezvous order are weighted by the relative speed of the runners.
+    /// @param pace The speeds; null for none.
+    void setPace(const PaceQueries* pace) { m_pace = pace; }
 
 private:
     struct Option;
@@ -78,6 +82,7 @@
     const PrefixQueries& m_prefixes;
     AffinityCosts m_costs;
     CacheStoreChoice m_storeChoice;
+    const PaceQueries* m_pace = nullptr;
     bool m_isOtherZoneLoadUnknown = false;
 };
 
--- a/Source/Core/Gateway/ForwardDispatcher.cpp
+++ b/Source/Core/Gateway/ForwardDispatcher.cpp
@@ -5,6 +5,7 @@
 #include "Gateway/EventSplitter.h"
 #include "Gateway/Queries/PrefixQueries.h"
 #include "Gateway/ReturnTime.h"
+#include "Gateway/YieldingRoutes.h"
 
 #include <algorithm>
 #include <utility>
@@ -51,6 +52,9 @@
 
     constexpr unsigned lowestPriority = 9;
 
+    // Longest time to write events to the caller after which the pause until the next event is the runner's.
+    constexpr std::chrono::milliseconds longestWriteTime { 2 };
+
     // Parts of a prompt in one log line.
     constexpr std::size_t maxNamedParts = 8;
 
@@ -164,6 +168,8 @@
 
     MonotonicTime receivedAt { 0 };
     MonotonicTime deadline { 0 };
+    /// Urgency under which the request's work is counted.
+    RouteUrgency urgency = RouteUrgency::Urgent;
     /// Parts of the prompt that other requests may share.
     std::vector<PartId> parts;
     /// Runners that the request lost before its answer was proven.
@@ -322,6 +328,7 @@
     delivery.receivedAt = receivedAt;
     delivery.deadline = receivedAt + timeoutOf(request);
     delivery.parts = sharedParts(request);
+    delivery.urgency = urgencyOf(*delivery.configuration, *delivery.route, delivery.service, m_context.yieldRanks);
     // Before the tokens are taken, so that these requests use up nothing of their caller's quota.
     if (const auto refused = checkQuarantine(delivery)) {
         co_return std::unexpected(*refused);
@@ -518,7 +525,7 @@
                 std::to_string(
                     std::chrono::duration_cast<std::chrono::milliseconds>(m_context.freshness.age()).count()) } });
     m_context.metrics.count(Counter::UpstreamAttempts);
-    m_context.runnerCommands.recordSent(choice.id, choice.computedTokens);
+    m_context.runnerCommands.recordSent(choice.id, choice.computedTokens, delivery.urgency);
     delivery.isRunnerTrial = m_context.runners.needsTrial(choice.id);
     if (delivery.isRunnerTrial) {
         m_context.metrics.count(Counter::BackOffTrials);
@@ -808,6 +815,7 @@
     MemoryBudget::Share held(processMemory(), MemoryUse::RunnerStream);
     const bool mayResume = delivery.route->isResumable && delivery.runs + 1 < delivery.route->maxAttempts;
     auto pauseEnd = m_context.clock.now() + eventPauseLimit;
+    std::optional<MonotonicTime> eventAt;
     for (;;) {
         // Bytes of an incomplete event do not extend the pause, since the caller gets whole events.
         const auto until = mayResume ? std::min(delivery.deadline, pauseEnd) : delivery.deadline;
@@ -860,6 +868,12 @@
         } else if (delivery.answeringTime >= answerProofTime) {
             recordProvenAnswer(delivery);
         }
+        const auto receivedAt = m_context.clock.now();
+        // Not after a slow caller, for whom events waited that the runner had sent before.
+        if (m_context.pace && eventAt && delivery.lastOutputAt - *eventAt < longestWriteTime) {
+            m_context.pace->recordPause(delivery.route->name, runnerHash(delivery.runner.id), receivedAt - *eventAt);
+        }
+        eventAt = receivedAt;
         if (auto written = co_await sink.write(complete); !written) {
             co_return written;
         }
@@ -901,7 +915,7 @@
 void ForwardDispatcher::recordFirstOutput(const ForwardRequest& request, Delivery& delivery)
 {
     const auto& runner = delivery.runner;
-    m_context.runnerCommands.recordFirstOutput(runner.id, runner.computedTokens);
+    m_context.runnerCommands.recordFirstOutput(runner.id, runner.computedTokens, delivery.urgency);
     std::vector<CachedPrefix> cachedPrefixes;
     const auto holder = holderHash(runner.id, runner.incarnation);
     double tokensBefore = 0;
@@ -946,7 +960,7 @@
         m_context.metrics.count(Counter::UpstreamFailures);
     }
     m_context.runnerCommands.recordEnded(
-        choice.id, delivery.phase == AttemptPhase::Answering ? 0 : choice.computedTokens, outcome);
+        choice.id, delivery.phase == AttemptPhase::Answering ? 0 : choice.computedTokens, outcome, delivery.urgency);
 }
 
 void ForwardDispatcher::recordVersionResult(
--- a/Source/Core/Gateway/ForwardDispatcher.h
+++ b/Source/Core/Gateway/ForwardDispatcher.h
@@ -4,6 +4,7 @@
 #include "Dispatch/Queries/RetryRule.h"
 #include "Dispatch/RetryBudget.h"
 #include "Gateway/Commands/CrashCommands.h"
+#include "Gateway/Commands/PaceCommands.h"
 #include "Gateway/Commands/PrefixCommands.h"
 #include "Gateway/Commands/QuarantineCommands.h"
 #include "Gateway/Commands/ReplySink.h"
@@ -11,6 +12,7 @@
 #include "Gateway/Commands/RunnerClient.h"
 #include "Gateway/Commands/RunnerCommands.h"
 #include "Gateway/ForwardAdmission.h"
+#include "Gateway/GatewaySettings.h"
 #include "Gateway/Queries/FreshnessQueries.h"
 #include "Gateway/Queries/QuarantineQueries.h"
 #include "Gateway/Queries/RolloutQueries.h"
@@ -43,6 +45,10 @@
     CrashCommands& crashes;
     const RolloutQueries& rollouts;
     RolloutCommands& rolloutCommands;
+    /// See LoadSettings.
+    unsigned yieldRanks = LoadSettings {}.yieldRanks;
+    /// Null if the speed of runners is not measured.
+    PaceCommands* pace = nullptr;
     RegionMap regions = {};
 };
 
--- a/Source/Core/Gateway/RunnerTable.h
+++ b/Source/Core/Gateway/RunnerTable.h
@@ -6,6 +6,7 @@
 #include "Gateway/Queries/EvacuationQueries.h"
 #include "Gateway/Queries/RoutingQueries.h"
 #include "Gateway/Queries/RunnerQueries.h"
+#include "Gateway/Queries/ZoneWorkQueries.h"
 #include "Gateway/RunnerColdState.h"
 #include "Gateway/RunnerFailureState.h"
 #include "Gateway/SoftwareVersions.h"
@@ -15,6 +16,7 @@
 #include <chrono>
 #include <map>
 #include <optional>
+#include <unordered_map>
 #include <vector>
 
 namespace Pollenwind {
@@ -38,7 +40,7 @@
 };
 
 /// The runners with an entry in the store, their failure state and the work in progress at each.
-class RunnerTable final : public RunnerCommands, public RunnerQueries {
+class RunnerTable final : public RunnerCommands, public RunnerQueries, public ZoneWorkQueries {
 public:
     RunnerTable(const Clock& clock, TimelineCommands& timeline, RunnerTableOptions options,
         RunnerRestrictions restrictions = {});
@@ -54,8 +56,11 @@
     void recordRefusal(const UpstreamId& runner, std::chrono::nanoseconds avoidTime) override;
     void recordLoadedWeights(std::span<const LoadedWeights> loaded) override;
     void onWeightsMismatch(const UpstreamId& runner, const std::string& model, WeightsVersion expected) override;
-    void recordSent(const UpstreamId& runner, double tokens) override;
-    void recordFirstOutput(const UpstreamId& runner, double tokens) override;
+    using RunnerCommands::recordEnded;
+    using RunnerCommands::recordFirstOutput;
+    using RunnerCommands::recordSent;
+    void recordSent(const UpstreamId& runner, double tokens, RouteUrgency urgency) override;
+    void recordFirstOutput(const UpstreamId& runner, double tokens, RouteUrgency urgency) override;
     void recordConnectFailure(const UpstreamId& runner) override;
     void markReplaced(const UpstreamId& runner) override;
     void recordLeaving(
@@ -65,7 +70,8 @@
     void beginTrial(const UpstreamId& runner) override;
     void endTrial(const UpstreamId& runner, bool isAccepted) override;
     void recordRemoteFailures(const VmId& vm, const RunnerFailures& failures) override;
-    void recordEnded(const UpstreamId& runner, double waitingTokens, RunnerResult result) override;
+    void recordEnded(
+        const UpstreamId& runner, double waitingTokens, RunnerResult result, RouteUrgency urgency) override;
     void setRemoteLoad(const VmId& vm, std::map<std::uint64_t, RunnerLoad> loads) override;
     void clearRemoteLoad(const VmId& vm) override;
     void setLoadingRunners(const VmId& vm, std::set<std::uint64_t> runners) override;
@@ -81,6 +87,7 @@
     std::optional<RunnerEntry> find(const UpstreamId& runner) const override;
     std::vector<RunnerEntry> entries() const override;
     std::map<std::uint64_t, RunnerLoad> ownLoads() const override;
+    std::map<std::uint64_t, RunnerLoad> sumOfLoads(std::span<const VmId> vms) const override;
     std::vector<TargetWeightsAge> targetWeightsAges() const override;
     RunnerFailures recentFailures() const override;
     std::map<ZoneId, unsigned> ownRequestsByZone() const override;
@@ -88,6 +95,17 @@
     const std::map<std::string, WeightsVersion>& targetWeights() const override { return m_targetWeights; }
 
 private:
+    /// Sum of the work that other VMs reported. Integers, so that adding and subtracting leaves no rest.
+    struct ReportedWork {
+        std::int64_t requests = 0;
+        std::int64_t urgentRequests = 0;
+        /// In parts of a token.
+        std::int64_t waitingTokens = 0;
+        std::int64_t yieldingTokens = 0;
+
+        /// Adds the work of one VM, or subtracts it if `sign` is -1.
+        void add(const RunnerLoad& load, int sign);
+    };
     struct Runner {
         RunnerEntry entry;
         /// See runnerHash().
@@ -96,6 +114,8 @@
         std::uint64_t process = 0;
         /// Work from this VM.
         RunnerLoad own;
+        /// Work from the other VMs.
+        ReportedWork reported = {};
         /// Time at which the entry ended; 0 if the runner was draining before, so that it is not used any more.
         MonotonicTime endedAt { 0 };
         /// Mutable because reading refreshes it: its state changes with time.
@@ -124,8 +144,10 @@
     /// Time by which a request must begin on weights of a model; nothing if there is no newer target.
     std::optional<MonotonicTime> beginLimit(const std::string& model, WeightsVersion weights) const;
     /// Work from all VMs.
-    RunnerLoad loadOf(const Runner& runner) const;
-    RunnerCandidate toCandidate(const Runner& runner, const std::string& model) const;
+    static RunnerLoad loadOf(const Runner& runner);
+    /// Adds a VM's report to the sums of the runners, or subtracts it if `sign` is -1.
+    void addReported(const std::map<std::uint64_t, RunnerLoad>& loads, int sign);
+    RunnerCandidate toCandidate(const Runner& runner, const std::string& model, MonotonicTime now) const;
     void removeGoneRunners();
     /// Marks an entry as ended at a time.
     void endEntry(Runner& runner, MonotonicTime at);
@@ -168,6 +190,8 @@
     RunnerTableOptions m_options;
     RunnerRestrictions m_restrictions;
     std::map<UpstreamId, Runner> m_runners;
+    /// The runners by hash of id.
+    std::unordered_map<std::uint64_t, Runner*> m_runnersByHash;
     MonotonicTime m_nextCleanupAt { 0 };
     LeavingRunners m_leaving;
     SoftwareVersions m_versions;
--- a/Source/Core/Metrics/Counter.h
+++ b/Source/Core/Metrics/Counter.h
@@ -199,6 +199,11 @@
     EvacuatedZoneRequests,
     /// Runners that this VM takes for cold.
     RunnersCold,
+    /// Runners that are clearly slower or faster than the median of their service.
+    RunnersSlow,
+    RunnersFast,
+    /// Other zones whose relays report the work of their VMs.
+    ZonesReportingWork,
     /// Era of the platform's store; 0 if it does not tell its era.
     StoreEra,
     /// Organisations that this process started without a debt, as they had used little before.
@@ -219,6 +224,9 @@
         EnumName { Gauge::ZonesEvacuated, "zones_evacuated" },
         EnumName { Gauge::EvacuatedZoneRequests, "evacuated_zone_requests" },
         EnumName { Gauge::RunnersCold, "runners_cold" },
+        EnumName { Gauge::RunnersSlow, "runners_slow" },
+        EnumName { Gauge::RunnersFast, "runners_fast" },
+        EnumName { Gauge::ZonesReportingWork, "zones_reporting_work" },
         EnumName { Gauge::StoreEra, "store_era" },
         EnumName { Gauge::QuotasStartedWithoutDebt, "quotas_started_without_debt" },
         EnumName { Gauge::SharedTokensInUse, "shared_tokens_in_use" },
--- a/Source/UnitTests/Gateway/HomeRegionTests.cpp
+++ b/Source/UnitTests/Gateway/HomeRegionTests.cpp
@@ -47,7 +47,8 @@
     }
 
     ForwardDispatcher homeDispatcher { { clock, routing, freshness, runners, runners, policy, directory, quota,
-        retryBudget, scripted, metrics, log, quarantine, quarantine, crashes, rollouts, rollouts, regions } };
+        retryBudget, scripted, metrics, log, quarantine, quarantine, crashes, rollouts, rollouts,
+        LoadSettings {}.yieldRanks, nullptr, regions } };
 };
 
 } // namespace
