Count the work of urgent and of yielding routes at each runner

The admission under overload has to know how much of a runner's work is of routes that yield, over all VMs. RunnerLoad holds only the sums.

RunnerLoad has the requests of routes that do not yield and the waiting tokens of those that do. recordSent, recordFirstOutput and recordEnded take the urgency, which ForwardDispatcher derives from the configuration of the request (YieldingRoutes.h). A report lists yielding work only for runners that have any, so fleets without yielding routes send the same reports.

--- a/Source/Core/Gateway/Commands/RunnerCommands.h
+++ b/Source/Core/Gateway/Commands/RunnerCommands.h
@@ -49,10 +49,16 @@
 
     /// Records that a request was sent.
     /// @param tokens Prompt tokens that the runner is expected to compute.
-    virtual void recordSent(const UpstreamId& runner, double tokens) = 0;
+    virtual void recordSent(const UpstreamId& runner, double tokens, RouteUrgency urgency) = 0;
+    void recordSent(const UpstreamId& runner, double tokens) { recordSent(runner, tokens, RouteUrgency::Urgent); }
     /// Records that a request produced its first output, so that its prompt tokens no longer wait.
     /// @param tokens Prompt tokens given to recordSent().
-    virtual void recordFirstOutput(const UpstreamId& runner, double tokens) = 0;
+    /// @param urgency Urgency given to recordSent().
+    virtual void recordFirstOutput(const UpstreamId& runner, double tokens, RouteUrgency urgency) = 0;
+    void recordFirstOutput(const UpstreamId& runner, double tokens)
+    {
+        recordFirstOutput(runner, tokens, RouteUrgency::Urgent);
+    }
     /// Records that a runner refused a request.
     /// @param avoidTime Time in which it is expected to refuse others.
     virtual void recordRefusal(const UpstreamId& runner, std::chrono::nanoseconds avoidTime) = 0;
@@ -82,7 +88,13 @@
     virtual void recordRemoteFailures(const VmId& vm, const RunnerFailures& failures) = 0;
     /// Records the end of a request.
     /// @param waitingTokens Prompt tokens given to recordSent() if there was no output, otherwise 0.
-    virtual void recordEnded(const UpstreamId& runner, double waitingTokens, RunnerResult result) = 0;
+    /// @param urgency Urgency given to recordSent().
+    virtual void recordEnded(const UpstreamId& runner, double waitingTokens, RunnerResult result, RouteUrgency urgency)
+        = 0;
+    void recordEnded(const UpstreamId& runner, double waitingTokens, RunnerResult result)
+    {
+        recordEnded(runner, waitingTokens, result, RouteUrgency::Urgent);
+    }
 
     /// Sets another VM's work at the runners, by hash of the runner's id. It replaces what that VM reported before.
     virtual void setRemoteLoad(const VmId& vm, std::map<std::uint64_t, RunnerLoad> loads) = 0;
--- a/Source/Core/Gateway/FleetMessages_generated.h
+++ b/Source/Core/Gateway/FleetMessages_generated.h
@@ -20,6 +20,8 @@
 
 struct RunnerWork;
 
+struct YieldingWork;
+
 struct HeldPrefix;
 
 struct NamedAge;
@@ -97,6 +99,35 @@
 };
 FLATBUFFERS_STRUCT_END(RunnerWork, 16);
 
+FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(8) YieldingWork FLATBUFFERS_FINAL_CLASS {
+ private:
+  uint64_t runner_;
+  float waiting_tokens_;
+  uint32_t requests_;
+
+ public:
+  YieldingWork()
+      : runner_(0),
+        waiting_tokens_(0),
+        requests_(0) {
+  }
+  YieldingWork(uint64_t _runner, float _waiting_tokens, uint32_t _requests)
+      : runner_(flatbuffers::EndianScalar(_runner)),
+        waiting_tokens_(flatbuffers::EndianScalar(_waiting_tokens)),
+        requests_(flatbuffers::EndianScalar(_requests)) {
+  }
+  uint64_t runner() const {
+    return flatbuffers::EndianScalar(runner_);
+  }
+  float waiting_tokens() const {
+    return flatbuffers::EndianScalar(waiting_tokens_);
+  }
+  uint32_t requests() const {
+    return flatbuffers::EndianScalar(requests_);
+  }
+};
+FLATBUFFERS_STRUCT_END(YieldingWork, 16);
+
 FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(8) HeldPrefix FLATBUFFERS_FINAL_CLASS {
  private:
   uint64_t prefix_;
@@ -624,7 +655,8 @@
     VT_PART_ANSWERS = 38,
     VT_QUARANTINED = 40,
     VT_ROLLOUTS = 42,
-    VT_TERM = 44
+    VT_TERM = 44,
+    VT_YIELDING_WORK = 46
   };
   const flatbuffers::String *vm() const {
     return GetPointer<const flatbuffers::String *>(VT_VM);
@@ -689,6 +721,9 @@
   uint64_t term() const {
     return GetField<uint64_t>(VT_TERM, 0);
   }
+  const flatbuffers::Vector<const Pollenwind::wire::YieldingWork *> *yielding_work() const {
+    return GetPointer<const flatbuffers::Vector<const Pollenwind::wire::YieldingWork *> *>(VT_YIELDING_WORK);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_VM) &&
@@ -728,6 +763,8 @@
            verifier.VerifyVector(rollouts()) &&
            verifier.VerifyVectorOfTables(rollouts()) &&
            VerifyField<uint64_t>(verifier, VT_TERM, 8) &&
+           VerifyOffset(verifier, VT_YIELDING_WORK) &&
+           verifier.VerifyVector(yielding_work()) &&
            verifier.EndTable();
   }
 };
@@ -799,6 +836,9 @@
   void add_term(uint64_t term) {
     fbb_.AddElement<uint64_t>(FleetReport::VT_TERM, term, 0);
   }
+  void add_yielding_work(flatbuffers::Offset<flatbuffers::Vector<const Pollenwind::wire::YieldingWork *>> yielding_work) {
+    fbb_.AddOffset(FleetReport::VT_YIELDING_WORK, yielding_work);
+  }
   explicit FleetReportBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -832,12 +872,14 @@
     flatbuffers::Offset<flatbuffers::Vector<const Pollenwind::wire::PartAnswer *>> part_answers = 0,
     flatbuffers::Offset<flatbuffers::Vector<const Pollenwind::wire::QuarantinedPart *>> quarantined = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<Pollenwind::wire::Rollout>>> rollouts = 0,
-    uint64_t term = 0) {
+    uint64_t term = 0,
+    flatbuffers::Offset<flatbuffers::Vector<const Pollenwind::wire::YieldingWork *>> yielding_work = 0) {
   FleetReportBuilder builder_(_fbb);
   builder_.add_term(term);
   builder_.add_uptime_ms(uptime_ms);
   builder_.add_sequence(sequence);
   builder_.add_boot(boot);
+  builder_.add_yielding_work(yielding_work);
   builder_.add_rollouts(rollouts);
   builder_.add_quarantined(quarantined);
   builder_.add_part_answers(part_answers);
@@ -880,7 +922,8 @@
     const std::vector<Pollenwind::wire::PartAnswer> *part_answers = nullptr,
     const std::vector<Pollenwind::wire::QuarantinedPart> *quarantined = nullptr,
     const std::vector<flatbuffers::Offset<Pollenwind::wire::Rollout>> *rollouts = nullptr,
-    uint64_t term = 0) {
+    uint64_t term = 0,
+    const std::vector<Pollenwind::wire::YieldingWork> *yielding_work = nullptr) {
   auto vm__ = vm ? _fbb.CreateString(vm) : 0;
   auto usage__ = usage ? _fbb.CreateVectorOfStructs<Pollenwind::wire::OrganisationUsage>(*usage) : 0;
   auto work__ = work ? _fbb.CreateVectorOfStructs<Pollenwind::wire::RunnerWork>(*work) : 0;
@@ -896,6 +939,7 @@
   auto part_answers__ = part_answers ? _fbb.CreateVectorOfStructs<Pollenwind::wire::PartAnswer>(*part_answers) : 0;
   auto quarantined__ = quarantined ? _fbb.CreateVectorOfStructs<Pollenwind::wire::QuarantinedPart>(*quarantined) : 0;
   auto rollouts__ = rollouts ? _fbb.CreateVector<flatbuffers::Offset<Pollenwind::wire::Rollout>>(*rollouts) : 0;
+  auto yielding_work__ = yielding_work ? _fbb.CreateVectorOfStructs<Pollenwind::wire::YieldingWork>(*yielding_work) : 0;
   return Pollenwind::wire::CreateFleetReport(
       _fbb,
       vm__,
@@ -918,7 +962,8 @@
       part_answers__,
       quarantined__,
       rollouts__,
-      term);
+      term,
+      yielding_work__);
 }
 
 inline const Pollenwind::wire::FleetReport *GetFleetReport(const void *buf) {
--- a/Source/Core/Gateway/FleetReportCodec.cpp
+++ b/Source/Core/Gateway/FleetReportCodec.cpp
@@ -31,6 +31,32 @@
         return list;
     }
 
+    /// Work of yielding routes, for the runners that have any.
+    std::vector<wire::YieldingWork> yieldingWorkOf(const std::map<std::uint64_t, RunnerLoad>& work)
+    {
+        std::vector<wire::YieldingWork> list;
+        for (const auto& [runner, load] : work) {
+            const auto requests = load.requests - std::min(load.requests, load.urgentRequests);
+            if (requests > 0 || load.yieldingTokens > 0) {
+                list.emplace_back(runner, static_cast<float>(load.yieldingTokens), requests);
+            }
+        }
+        return list;
+    }
+
+    void readYieldingWork(const wire::FleetReport& message, std::map<std::uint64_t, RunnerLoad>& work)
+    {
+        if (!message.yielding_work()) {
+            return;
+        }
+        for (const auto* it : *message.yielding_work()) {
+            if (const auto load = work.find(it->runner()); load != work.end()) {
+                load->second.urgentRequests -= std::min(load->second.urgentRequests, it->requests());
+                load->second.yieldingTokens = it->waiting_tokens();
+            }
+        }
+    }
+
     using Offsets = std::tuple<flatbuffers::Offset<flatbuffers::Vector<const wire::CrashEvidence*>>,
         flatbuffers::Offset<flatbuffers::Vector<const wire::PartAnswer*>>,
         flatbuffers::Offset<flatbuffers::Vector<const wire::QuarantinedPart*>>>;
@@ -101,6 +127,7 @@
     for (const auto& [runner, load] : report.work) {
         work.emplace_back(runner, static_cast<float>(load.waitingTokens), load.requests);
     }
+    const auto yieldingWork = yieldingWorkOf(report.work);
     const std::vector<std::uint64_t> loading(report.loading.begin(), report.loading.end());
     std::vector<wire::HeldPrefix> cachedPrefixes;
     for (const auto& prefix : report.cachedPrefixes) {
@@ -126,11 +153,12 @@
     const auto lowLevelsOffset = builder.CreateVectorOfStructs(lowLevels);
     const auto [evidence, answers, parts] = encodeQuarantine(builder, report.quarantine);
     const auto leavingOffset = builder.CreateVectorOfStructs(toWire(report.failures.leaving));
+    const auto yieldingOffset = builder.CreateVectorOfStructs(yieldingWork);
     const auto rolloutsOffset = RolloutReportCodec::create(builder, report.rollouts);
     builder.Finish(wire::CreateFleetReport(builder, vm, report.incarnation.value(), report.sequence, usageOffset,
         workOffset, loadingOffset, cachedOffset, targetAgesOffset, report.members, loadedOffset, unreachableOffset,
         replacedOffset, lowLevelsOffset, report.isForZone, static_cast<std::uint64_t>(report.uptime.count()),
-        leavingOffset, evidence, answers, parts, rolloutsOffset, report.term));
+        leavingOffset, evidence, answers, parts, rolloutsOffset, report.term, yieldingOffset));
     return { reinterpret_cast<const char*>(builder.GetBufferPointer()), builder.GetSize() };
 }
 
@@ -160,9 +188,10 @@
     }
     if (message->work()) {
         for (const auto* it : *message->work()) {
-            report.work[it->runner()] = { it->requests(), it->waiting_tokens() };
+            report.work[it->runner()] = { it->requests(), it->waiting_tokens(), it->requests(), 0 };
         }
     }
+    readYieldingWork(*message, report.work);
     if (message->loading()) {
         report.loading.insert(message->loading()->begin(), message->loading()->end());
     }
--- a/Source/Core/Gateway/ForwardDispatcher.cpp
+++ b/Source/Core/Gateway/ForwardDispatcher.cpp
@@ -5,6 +5,7 @@
 #include "Gateway/EventSplitter.h"
 #include "Gateway/Queries/PrefixQueries.h"
 #include "Gateway/ReturnTime.h"
+#include "Gateway/YieldingRoutes.h"
 
 #include <algorithm>
 #include <utility>
@@ -164,6 +165,8 @@
 
     MonotonicTime receivedAt { 0 };
     MonotonicTime deadline { 0 };
+    /// Urgency under which the request's work is counted.
+    RouteUrgency urgency = RouteUrgency::Urgent;
     /// Parts of the prompt that other requests may share.
     std::vector<PartId> parts;
     /// Runners that the request lost before its answer was proven.
@@ -287,6 +290,7 @@
     delivery.receivedAt = receivedAt;
     delivery.deadline = receivedAt + timeoutOf(request);
     delivery.parts = sharedParts(request);
+    delivery.urgency = urgencyOf(*delivery.configuration, *delivery.route, delivery.service, m_context.yieldRanks);
     // Before the tokens are taken, so that these requests use up nothing of their caller's quota.
     if (const auto refused = checkQuarantine(delivery)) {
         co_return std::unexpected(*refused);
@@ -483,7 +487,7 @@
                 std::to_string(
                     std::chrono::duration_cast<std::chrono::milliseconds>(m_context.freshness.age()).count()) } });
     m_context.metrics.count(Counter::UpstreamAttempts);
-    m_context.runnerCommands.recordSent(choice.id, choice.computedTokens);
+    m_context.runnerCommands.recordSent(choice.id, choice.computedTokens, delivery.urgency);
     delivery.isRunnerTrial = m_context.runners.needsTrial(choice.id);
     if (delivery.isRunnerTrial) {
         m_context.metrics.count(Counter::BackOffTrials);
@@ -859,7 +863,7 @@
 void ForwardDispatcher::recordFirstOutput(const ForwardRequest& request, Delivery& delivery)
 {
     const auto& runner = delivery.runner;
-    m_context.runnerCommands.recordFirstOutput(runner.id, runner.computedTokens);
+    m_context.runnerCommands.recordFirstOutput(runner.id, runner.computedTokens, delivery.urgency);
     std::vector<CachedPrefix> cachedPrefixes;
     const auto holder = holderHash(runner.id, runner.incarnation);
     for (const auto& prefix : sharedPrefixes(request, delivery.cacheSalt, runner.weights)) {
@@ -902,7 +906,7 @@
         m_context.metrics.count(Counter::UpstreamFailures);
     }
     m_context.runnerCommands.recordEnded(
-        choice.id, delivery.phase == AttemptPhase::Answering ? 0 : choice.computedTokens, outcome);
+        choice.id, delivery.phase == AttemptPhase::Answering ? 0 : choice.computedTokens, outcome, delivery.urgency);
 }
 
 void ForwardDispatcher::recordVersionResult(
--- a/Source/Core/Gateway/ForwardDispatcher.h
+++ b/Source/Core/Gateway/ForwardDispatcher.h
@@ -11,6 +11,7 @@
 #include "Gateway/Commands/RunnerClient.h"
 #include "Gateway/Commands/RunnerCommands.h"
 #include "Gateway/ForwardAdmission.h"
+#include "Gateway/GatewaySettings.h"
 #include "Gateway/Queries/FreshnessQueries.h"
 #include "Gateway/Queries/QuarantineQueries.h"
 #include "Gateway/Queries/RolloutQueries.h"
@@ -43,6 +44,8 @@
     CrashCommands& crashes;
     const RolloutQueries& rollouts;
     RolloutCommands& rolloutCommands;
+    /// See LoadSettings.
+    unsigned yieldRanks = LoadSettings {}.yieldRanks;
 };
 
 /// Forwards requests to runners and their responses to the callers: lets them be admitted, chooses a runner, and
--- a/Source/Core/Gateway/RunnerTable.cpp
+++ b/Source/Core/Gateway/RunnerTable.cpp
@@ -35,6 +35,14 @@
         .longestOpenTime = std::chrono::seconds(4),
         .slowStartTime = std::chrono::milliseconds(500) };
 
+    void removeWaiting(RunnerLoad& load, double tokens, RouteUrgency urgency)
+    {
+        load.waitingTokens = std::max(0.0, load.waitingTokens - tokens);
+        if (urgency == RouteUrgency::Yielding) {
+            load.yieldingTokens = std::max(0.0, load.yieldingTokens - tokens);
+        }
+    }
+
 } // namespace
 
 std::uint64_t runnerHash(const UpstreamId& runner) { return XXH3_64bits(runner.value().data(), runner.value().size()); }
@@ -298,20 +306,25 @@
     return limit;
 }
 
-void RunnerTable::recordSent(const UpstreamId& runner, double tokens)
+void RunnerTable::recordSent(const UpstreamId& runner, double tokens, RouteUrgency urgency)
 {
     if (const auto it = m_runners.find(runner); it != m_runners.end()) {
-        ++it->second.own.requests;
-        it->second.own.waitingTokens += tokens;
+        auto& own = it->second.own;
+        ++own.requests;
+        own.waitingTokens += tokens;
+        if (urgency == RouteUrgency::Urgent) {
+            ++own.urgentRequests;
+        } else {
+            own.yieldingTokens += tokens;
+        }
         it->second.breaker.recordStarted();
     }
 }
 
-void RunnerTable::recordFirstOutput(const UpstreamId& runner, double tokens)
+void RunnerTable::recordFirstOutput(const UpstreamId& runner, double tokens, RouteUrgency urgency)
 {
     if (const auto it = m_runners.find(runner); it != m_runners.end()) {
-        auto& waiting = it->second.own.waitingTokens;
-        waiting = std::max(0.0, waiting - tokens);
+        removeWaiting(it->second.own, tokens, urgency);
     }
 }
 
@@ -362,7 +375,7 @@
     return failures;
 }
 
-void RunnerTable::recordEnded(const UpstreamId& runner, double waitingTokens, RunnerResult result)
+void RunnerTable::recordEnded(const UpstreamId& runner, double waitingTokens, RunnerResult result, RouteUrgency urgency)
 {
     const auto it = m_runners.find(runner);
     if (it == m_runners.end()) {
@@ -370,7 +383,10 @@
     }
     auto& own = it->second.own;
     own.requests -= std::min(1U, own.requests);
-    own.waitingTokens = std::max(0.0, own.waitingTokens - waitingTokens);
+    if (urgency == RouteUrgency::Urgent) {
+        own.urgentRequests -= std::min(1U, own.urgentRequests);
+    }
+    removeWaiting(own, waitingTokens, urgency);
     const auto before = it->second.breaker.state();
     switch (result) {
     case RunnerResult::Succeeded:
@@ -423,6 +439,8 @@
         if (const auto it = loads.find(runner.hash); it != loads.end()) {
             load.requests += it->second.requests;
             load.waitingTokens += it->second.waitingTokens;
+            load.urgentRequests += it->second.urgentRequests;
+            load.yieldingTokens += it->second.yieldingTokens;
         }
     }
     return load;
--- a/Source/Core/Gateway/RunnerTable.h
+++ b/Source/Core/Gateway/RunnerTable.h
@@ -41,8 +41,11 @@
     void recordRefusal(const UpstreamId& runner, std::chrono::nanoseconds avoidTime) override;
     void recordLoadedWeights(std::span<const LoadedWeights> loaded) override;
     void onWeightsMismatch(const UpstreamId& runner, const std::string& model, WeightsVersion expected) override;
-    void recordSent(const UpstreamId& runner, double tokens) override;
-    void recordFirstOutput(const UpstreamId& runner, double tokens) override;
+    using RunnerCommands::recordEnded;
+    using RunnerCommands::recordFirstOutput;
+    using RunnerCommands::recordSent;
+    void recordSent(const UpstreamId& runner, double tokens, RouteUrgency urgency) override;
+    void recordFirstOutput(const UpstreamId& runner, double tokens, RouteUrgency urgency) override;
     void recordConnectFailure(const UpstreamId& runner) override;
     void markReplaced(const UpstreamId& runner) override;
     void recordLeaving(
@@ -52,7 +55,8 @@
     void beginTrial(const UpstreamId& runner) override;
     void endTrial(const UpstreamId& runner, bool isAccepted) override;
     void recordRemoteFailures(const VmId& vm, const RunnerFailures& failures) override;
-    void recordEnded(const UpstreamId& runner, double waitingTokens, RunnerResult result) override;
+    void recordEnded(
+        const UpstreamId& runner, double waitingTokens, RunnerResult result, RouteUrgency urgency) override;
     void setRemoteLoad(const VmId& vm, std::map<std::uint64_t, RunnerLoad> loads) override;
     void clearRemoteLoad(const VmId& vm) override;
     void setLoadingRunners(const VmId& vm, std::set<std::uint64_t> runners) override;
--- a/Source/Core/Gateway/RunnerTypes.h
+++ b/Source/Core/Gateway/RunnerTypes.h
@@ -72,11 +72,28 @@
     };
 };
 
+/// Whether the requests of a route yield to more urgent ones of the same service; see isYieldingRoute().
+enum class RouteUrgency {
+    Urgent,
+    Yielding,
+};
+
+template <> struct EnumTable<RouteUrgency> {
+    static constexpr std::array rows {
+        EnumName { RouteUrgency::Urgent, "urgent" },
+        EnumName { RouteUrgency::Yielding, "yielding" },
+    };
+};
+
 /// Work in progress at a runner.
 struct RunnerLoad {
     unsigned requests = 0;
     /// Prompt tokens of requests without output so far, excluding tokens that are expected to be cached.
     double waitingTokens = 0;
+    /// Requests of routes that do not yield.
+    unsigned urgentRequests = 0;
+    /// Part of the waiting tokens that is of yielding routes.
+    double yieldingTokens = 0;
 
     bool operator==(const RunnerLoad&) const = default;
 };
