Send the prompts of yielding routes to a pool of engines

Long prompts of the least urgent route occupied all engines, and each batch step with a part of one delayed every stream there.

PromptPool takes the first engines of the order of the runners' hashes. Its size (0.3, 0.475 or 0.65 of the engines in use) follows the share of engines that have prompt tokens of yielding routes, by at most one step in 2 s, and does not grow while streams need the engines outside. Yielding requests, their retries included, go to the pool only; the others pay 0.15 s for an engine of it. Services without a yielding route are served as before, which a test asserts.

RefusalFleet gets engines: slots, prompts one after the other, and steps that take longer meanwhile.

--- a/Source/Core/Gateway/AffinityPolicy.cpp
+++ b/Source/Core/Gateway/AffinityPolicy.cpp
@@ -137,6 +137,7 @@
         cost += m_isOtherZoneLoadUnknown ? m_costs.unknownZoneSeconds : m_costs.otherZoneSeconds;
     }
     cost += candidate.weights < targetWeights ? m_costs.oldWeightsSeconds : 0;
+    cost += candidate.isInPromptPool ? m_costs.promptPoolSeconds : 0;
     // A runner that recovers from failures gets work if the others would take clearly longer.
     return cost + 1 - candidate.admission;
 }
--- a/Source/Core/Gateway/AffinityPolicy.h
+++ b/Source/Core/Gateway/AffinityPolicy.h
@@ -32,6 +32,10 @@
     double unknownZoneSeconds = 0.03;
     /// Cost of weights older than the target, whose responses are worth a fifth less.
     double oldWeightsSeconds = 0.05;
+    /// Cost of an engine of the prompt pool for a request that does not yield, since the prompts there delay its
+    /// stream. Less than the cost of a runner whose slots are in use, so that the pool takes such requests before they
+    /// have to queue elsewhere.
+    double promptPoolSeconds = 0.15;
 };
 
 /// Chooses the runner with the lowest cost: waiting work, tokens to compute or copy, zone, weights and recent failures.
--- /dev/null
+++ b/Source/Core/Gateway/EngineAdmission.h
@@ -0,0 +1,54 @@
+#pragma once
+
+#include "Common/Clock.h"
+#include "Gateway/PromptPool.h"
+#include "Gateway/RoutingTypes.h"
+#include "Gateway/RunnerTypes.h"
+#include "Metrics/Commands/MetricCommands.h"
+
+#include <map>
+#include <vector>
+
+namespace Pollenwind {
+
+/// Applies the decisions under load to the requests of services with an engine and a yielding route. Requests of other
+/// services pass unchanged.
+class EngineAdmission {
+public:
+    /// Dependencies of the admission.
+    struct Context {
+        const Clock& clock;
+        MetricCommands& metrics;
+        /// See LoadSettings.
+        unsigned yieldRanks = 0;
+    };
+
+    explicit EngineAdmission(Context context)
+        : m_context(context)
+    {
+    }
+
+    /// Limits the engines of a yielding request to the prompt pool, and marks the pool's members for the others.
+    /// @param candidates Engines of the service that may take a request, also those that this one has tried, so that
+    ///     retries see the same pool.
+    void applyPool(const RoutingConfiguration& configuration, const ServiceId& service, RouteUrgency urgency,
+        std::vector<RunnerCandidate>& candidates);
+
+private:
+    struct Service {
+        PromptPool pool;
+    };
+
+    /// State of a service; nullptr if none of its routes yields.
+    Service* find(const RoutingConfiguration& configuration, const ServiceId& service);
+    /// Keeps the services with a yielding route in the configuration.
+    void adopt(const RoutingConfiguration& configuration);
+
+    Context m_context;
+    /// Newest version of the configuration that was seen.
+    std::int64_t m_configuration = -1;
+    /// Services with an engine to which a yielding route leads.
+    std::map<ServiceId, Service> m_services;
+};
+
+} // namespace Pollenwind
--- a/Source/Core/Gateway/ForwardDispatcher.cpp
+++ b/Source/Core/Gateway/ForwardDispatcher.cpp
@@ -196,8 +196,7 @@
     std::optional<Failure> failure;
 };
 
-std::vector<RunnerCandidate> ForwardDispatcher::candidatesFor(
-    const ForwardRequest& request, const Delivery& delivery) const
+std::vector<RunnerCandidate> ForwardDispatcher::candidatesFor(const ForwardRequest& request, const Delivery& delivery)
 {
     std::optional<PreviousAttempt> previous;
     if (delivery.lastVersion) {
@@ -207,6 +206,7 @@
     const auto latest = m_context.clock.now() + delivery.route->objective * unrepeatableWaitFactor;
     const auto candidatesOf = [&](const VersionRule& rule) {
         auto candidates = m_context.runners.candidates(delivery.service, request.model, rule);
+        m_engines.applyPool(*delivery.configuration, delivery.service, delivery.urgency, candidates);
         std::erase_if(
             candidates, [&](const RunnerCandidate& it) { return !isRepeatable && it.beginBy && *it.beginBy < latest; });
         return candidates;
@@ -232,7 +232,7 @@
         delivery.organisation ? std::optional(delivery.organisation->id) : std::nullopt);
 }
 
-Outcome<RunnerChoice> ForwardDispatcher::chooseRunner(const ForwardRequest& request, Delivery& delivery) const
+Outcome<RunnerChoice> ForwardDispatcher::chooseRunner(const ForwardRequest& request, Delivery& delivery)
 {
     const auto candidates = candidatesFor(request, delivery);
     // Of the present configuration, which may not be the one under which the request was admitted.
@@ -560,7 +560,7 @@
     return std::min<std::chrono::nanoseconds>(limit, *beginBy - m_context.clock.now());
 }
 
-bool ForwardDispatcher::mayReplaceRunner(const ForwardRequest& request, const Delivery& delivery) const
+bool ForwardDispatcher::mayReplaceRunner(const ForwardRequest& request, const Delivery& delivery)
 {
     const auto& route = *delivery.route;
     const bool isRepeatable = retryKindOf(route) != RetryKind::NonIdempotentCall && !delivery.isTrial
--- a/Source/Core/Gateway/ForwardDispatcher.h
+++ b/Source/Core/Gateway/ForwardDispatcher.h
@@ -10,6 +10,7 @@
 #include "Gateway/Commands/RolloutCommands.h"
 #include "Gateway/Commands/RunnerClient.h"
 #include "Gateway/Commands/RunnerCommands.h"
+#include "Gateway/EngineAdmission.h"
 #include "Gateway/ForwardAdmission.h"
 #include "Gateway/GatewaySettings.h"
 #include "Gateway/Queries/FreshnessQueries.h"
@@ -56,6 +57,7 @@
         : m_context(context)
         , m_admission(
               { context.clock, context.routing, context.freshness, context.quota, context.metrics, context.log })
+        , m_engines({ context.clock, context.metrics, context.yieldRanks })
     {
     }
 
@@ -81,18 +83,18 @@
 
     /// Runners that may take the next attempt. A request that cannot be taken back from a runner's queue gets none
     /// whose weights expire before it is likely to begin.
-    std::vector<RunnerCandidate> candidatesFor(const ForwardRequest& request, const Delivery& delivery) const;
+    std::vector<RunnerCandidate> candidatesFor(const ForwardRequest& request, const Delivery& delivery);
     /// Salt of the request's cache entries under the configuration in force.
     std::string currentCacheSalt(const Delivery& delivery) const;
     /// Also sets the salt of the attempt.
-    Outcome<RunnerChoice> chooseRunner(const ForwardRequest& request, Delivery& delivery) const;
+    Outcome<RunnerChoice> chooseRunner(const ForwardRequest& request, Delivery& delivery);
     /// Sends the request to one runner and relays its response.
     Task<Outcome<void>> attempt(
         const ForwardRequest& request, const RunnerChoice& choice, ReplySink& sink, Delivery& delivery);
     Task<Outcome<void>> exchangeWith(
         RunnerExchange& exchange, const ForwardRequest& request, ReplySink& sink, Delivery& delivery);
     /// Whether another runner may take over the request if the current attempt is given up.
-    bool mayReplaceRunner(const ForwardRequest& request, const Delivery& delivery) const;
+    bool mayReplaceRunner(const ForwardRequest& request, const Delivery& delivery);
     /// Whether an attempt goes on after a read that failed: its runner is only silent, and the request may still end.
     bool isSilence(const Error& error, const Delivery& delivery) const;
     /// Sends a request whose runner is silent to another runner, if one may take over. The silent one goes on until the
@@ -145,6 +147,7 @@
 
     ForwardContext m_context;
     ForwardAdmission m_admission;
+    EngineAdmission m_engines;
 };
 
 } // namespace Pollenwind
--- a/Source/Core/Gateway/RunnerTypes.h
+++ b/Source/Core/Gateway/RunnerTypes.h
@@ -197,6 +197,8 @@
     RunnerLoad load;
     /// Share of its full load that the circuit breaker admits, from 0 to 1. Below 1 after failures.
     double admission = 1;
+    /// Whether the engine computes the prompts of yielding routes; see PromptPool.
+    bool isInPromptPool = false;
 };
 
 } // namespace Pollenwind
--- a/Source/Core/Metrics/Counter.h
+++ b/Source/Core/Metrics/Counter.h
@@ -181,6 +181,8 @@
     RunnersLeaving,
     /// Runners that want no requests for a time that they named.
     RunnersInBackOff,
+    /// Engines that compute the prompts of yielding routes.
+    PromptPoolEngines,
     /// Era of the platform's store; 0 if it does not tell its era.
     StoreEra,
     /// Bytes of other processes that are held, and the most that may be.
@@ -192,6 +194,7 @@
     static constexpr std::array rows {
         EnumName { Gauge::RunnersLeaving, "runners_leaving" },
         EnumName { Gauge::RunnersInBackOff, "runners_in_back_off" },
+        EnumName { Gauge::PromptPoolEngines, "prompt_pool_engines" },
         EnumName { Gauge::StoreEra, "store_era" },
         EnumName { Gauge::MemoryHeld, "memory_held_bytes" },
         EnumName { Gauge::MemoryBudget, "memory_budget_bytes" },
--- /dev/null
+++ b/Source/UnitTests/Gateway/PromptPoolTests.cpp
@@ -0,0 +1,201 @@
+#include "Gateway/PromptPool.h"
+#include "Gateway/RefusalFleet.h"
+#include "Timeline/Log.h"
+
+#include <algorithm>
+#include <cstdio>
+#include <set>
+
+using namespace Pollenwind;
+using namespace std::chrono_literals;
+
+namespace {
+
+std::vector<RunnerCandidate> makeEngines(std::size_t count, std::size_t busy = 0)
+{
+    std::vector<RunnerCandidate> engines(count);
+    for (std::size_t n = 0; n < count; ++n) {
+        engines[n].id = UpstreamId("e" + std::to_string(n));
+        engines[n].slots = 32;
+        engines[n].load.yieldingTokens = n < busy ? 3000 : 0;
+    }
+    return engines;
+}
+
+std::set<UpstreamId> membersOf(const PromptPool& pool, std::vector<RunnerCandidate> engines)
+{
+    pool.markMembers(engines);
+    std::set<UpstreamId> members;
+    for (const auto& it : engines) {
+        if (it.isInPromptPool) {
+            members.insert(it.id);
+        }
+    }
+    return members;
+}
+
+/// Observes a constant load for a time, as a VM that decides about 100 requests a second.
+void observeFor(PromptPool& pool, MonotonicTime& now, std::chrono::milliseconds time, std::size_t busy)
+{
+    const auto engines = makeEngines(60, busy);
+    for (const auto end = now + time; now < end; now += 10ms) {
+        pool.observe(now, engines);
+    }
+}
+
+/// Load of the first customer at a fifth of its size: long prompts that yield, and short ones.
+RefusalLoad mixedLoad(double peakFactor)
+{
+    RefusalLoad load;
+    load.vms = 6;
+    load.runners = 12;
+    load.slots = 32;
+    load.queue = 96;
+    load.duration = 12s;
+    load.engine.emplace();
+    // 47 ms a prompt: a quarter of the engines' time at the usual load.
+    load.engine->requests = { { .prefix = "/long/",
+                                  .priority = 2,
+                                  .objective = 600ms,
+                                  .timeout = 4s,
+                                  .promptTokens = 7400,
+                                  .events = 7,
+                                  .rate = 63,
+                                  .peakFactor = peakFactor },
+        { .prefix = "/short/",
+            .priority = 0,
+            .objective = 250ms,
+            .timeout = 10s,
+            .promptTokens = 826,
+            .events = 36,
+            .rate = 68,
+            .peakFactor = 1.8 } };
+    return load;
+}
+
+} // namespace
+
+// VMs that know different sizes or lack a runner must differ only at the edge of the pool, else prefixes are cached
+// twice. The order of the candidates must not matter.
+Test(PromptPool, differsOnlyAtTheEdge)
+{
+    PromptPool pool;
+    auto engines = makeEngines(60);
+    const auto members = membersOf(pool, engines);
+    cr_assert_eq(members.size(), 29);
+    std::ranges::reverse(engines);
+    cr_assert(membersOf(pool, engines) == members);
+    std::erase_if(engines, [&](const auto& it) { return it.id == *members.begin(); });
+    const auto next = membersOf(pool, engines);
+    const auto kept = std::ranges::count_if(members, [&next](const auto& it) { return next.contains(it); });
+    cr_assert_geq(kept, 27);
+}
+
+// A quarter of the engines' time needs the usual pool, and two thirds the largest one, which it has to reach within a
+// peak of 6 s. It must shrink afterwards, and by no more than one step in two seconds.
+Test(PromptPool, followsTheDemandByOneStepInTwoSeconds)
+{
+    PromptPool pool;
+    MonotonicTime now { 10s };
+    observeFor(pool, now, 5s, 13);
+    cr_assert_leq(pool.share(), PromptPool::shares[1]);
+    observeFor(pool, now, 4500ms, 36);
+    cr_assert_eq(pool.share(), PromptPool::shares[2]);
+    const auto before = now;
+    observeFor(pool, now, 1s, 3);
+    cr_assert_neq(pool.share(), PromptPool::shares[0]);
+    observeFor(pool, now, 5s, 3);
+    cr_assert_eq(pool.share(), PromptPool::shares[0], "%ld", static_cast<long>((now - before) / 1ms));
+}
+
+// A load at the limit between two sizes must not move the size back and forth, since each change moves prefixes.
+Test(PromptPool, keepsItsSizeUnderASteadyLoad)
+{
+    for (std::size_t busy = 1; busy <= 39; ++busy) {
+        PromptPool pool;
+        MonotonicTime now { 10s };
+        observeFor(pool, now, 10s, busy);
+        const auto share = pool.share();
+        observeFor(pool, now, 20s, busy);
+        cr_assert_eq(pool.share(), share, "%zu busy engines", busy);
+    }
+}
+
+// Without reports of other VMs, after a pause of the process, and with one engine there must still be a pool.
+Test(PromptPool, existsWithoutReportsAndWithOneEngine)
+{
+    PromptPool pool;
+    MonotonicTime now { 10s };
+    cr_assert_eq(membersOf(pool, makeEngines(1)).size(), 1);
+    cr_assert_eq(membersOf(pool, makeEngines(2)).size(), 1);
+    cr_assert(membersOf(pool, {}).empty());
+    observeFor(pool, now, 20s, 0);
+    cr_assert_eq(membersOf(pool, makeEngines(60)).size(), 18);
+    // The work that was known before the pause must not decide after it.
+    now += 60s;
+    const auto engines = makeEngines(60, 60);
+    pool.observe(now, engines);
+    cr_assert_eq(pool.share(), PromptPool::shares[0]);
+}
+
+// Long prompts of the least urgent route occupied all engines, and each batch step with a part of one delayed every
+// stream: more than 250 ms between two events made an answer late. The first measure is the behaviour without pools.
+// The values of requests are those of the first customer.
+Test(PromptPool, keepsLongPromptsAwayFromStreams)
+{
+    configureLog(LogLevel::Off);
+    for (const double peakFactor : { 1.8, 2.6 }) {
+        double streamsBefore = 0;
+        double valueBefore = 0;
+        for (const unsigned yieldRanks : { 0U, 2U }) {
+            auto load = mixedLoad(peakFactor);
+            load.engine->yieldRanks = yieldRanks;
+            const auto outcome = RefusalFleet(load, 1).run();
+            const auto& streams = outcome.routes.at("/short/org");
+            const auto& prompts = outcome.routes.at("/long/org");
+            const double value = 4.2 * static_cast<double>(streams.inTime) + 0.5 * static_cast<double>(streams.late)
+                + 0.73 * static_cast<double>(prompts.inTime) + 0.33 * static_cast<double>(prompts.late);
+            std::printf("long prompts %.1f times, yield ranks %u: short %.3f of %zu in time, long %.3f of %zu, refused "
+                        "by engines %zu, value %.0f\n",
+                peakFactor, yieldRanks, streams.inTimeShare(), streams.requests, prompts.inTimeShare(),
+                prompts.requests, outcome.engineRefusals, value);
+            if (yieldRanks == 0) {
+                streamsBefore = streams.inTimeShare();
+                valueBefore = value;
+                continue;
+            }
+            cr_assert(streams.inTimeShare() > streamsBefore);
+            cr_assert(value > valueBefore);
+        }
+    }
+}
+
+// Both kinds of requests must keep their objectives while the load is below the capacity: in the peak of 1.8 times the
+// prompts need less than half of the engines' time.
+Test(PromptPool, keepsTheObjectiveOfPromptsInAPeak)
+{
+    configureLog(LogLevel::Off);
+    const auto outcome = RefusalFleet(mixedLoad(1.8), 1).run();
+    cr_assert(outcome.routes.at("/long/org").inTimeShare() > 0.9);
+}
+
+// Where no route ranks two below another one on the same engines, nothing may change: the same requests get the same
+// answers, and no pool exists.
+Test(PromptPool, changesNothingWithoutAYieldingRoute)
+{
+    configureLog(LogLevel::Off);
+    std::vector<std::size_t> results;
+    for (const unsigned yieldRanks : { 0U, 2U }) {
+        auto load = mixedLoad(2.6);
+        load.duration = 6s;
+        load.engine->requests[0].priority = 1;
+        load.engine->yieldRanks = yieldRanks;
+        const auto outcome = RefusalFleet(load, 3).run();
+        for (const auto& [route, it] : outcome.routes) {
+            results.insert(results.end(), { it.inTime, it.late, it.refused });
+        }
+        results.push_back(outcome.engineRefusals);
+    }
+    const auto half = results.begin() + static_cast<std::ptrdiff_t>(results.size() / 2);
+    cr_assert(std::equal(results.begin(), half, half, results.end()));
+}
--- a/Source/UnitTests/Gateway/RefusalFleet.h
+++ b/Source/UnitTests/Gateway/RefusalFleet.h
@@ -5,12 +5,66 @@
 #include <boost/asio/steady_timer.hpp>
 
 #include <deque>
+#include <map>
 #include <memory>
+#include <optional>
 #include <random>
+#include <string>
 #include <vector>
 
 namespace Pollenwind {
 
+/// Requests of one route to simulated engines.
+struct EngineRequests {
+    std::string prefix;
+    unsigned priority = 0;
+    std::chrono::milliseconds objective { 600 };
+    std::chrono::milliseconds timeout { 4000 };
+    std::uint32_t promptTokens = 0;
+    unsigned events = 1;
+    /// Requests per second, and the factor on it while the peak lasts.
+    double rate = 0;
+    double peakFactor = 1;
+    std::string organisation = "org";
+    /// Shared part of the prompt; 0 for a different one in each request.
+    std::uint64_t part = 0;
+};
+
+/// Simulated engines: they compute one prompt after the other, and each step of a batch takes longer meanwhile.
+struct EngineModel {
+    double tokensPerSecond = 157'000;
+    std::chrono::microseconds batchStep { 3550 };
+    std::chrono::milliseconds promptStep { 26 };
+    std::chrono::microseconds stepPerRequest { 60 };
+    unsigned stepsPerEvent = 8;
+    /// Longest pause between events of a stream that is in time.
+    std::chrono::milliseconds longestPause { 250 };
+    std::vector<EngineRequests> requests;
+    std::chrono::milliseconds peakStart { 4000 };
+    std::chrono::milliseconds peakEnd { 10'000 };
+    /// Engines that crash when the peak begins.
+    std::size_t crashing = 0;
+    /// Factors on the speed, by engine in turn.
+    std::vector<double> speeds { 1 };
+    /// Whether VMs know the work of the others.
+    bool hasReports = true;
+    /// See LoadSettings; 0 for the behaviour without prompt pools and admission.
+    unsigned yieldRanks = 2;
+};
+
+/// What became of the requests of one route to simulated engines.
+struct EngineOutcome {
+    std::size_t requests = 0;
+    std::size_t inTime = 0;
+    std::size_t late = 0;
+    std::size_t refused = 0;
+    /// By the second of the arrival: requests, and those served in time.
+    std::vector<std::size_t> arrivedBySecond;
+    std::vector<std::size_t> inTimeBySecond;
+
+    double inTimeShare() const { return static_cast<double>(inTime) / static_cast<double>(requests); }
+};
+
 /// Load on a simulated fleet, a part of whose runners refuses requests.
 struct RefusalLoad {
     std::size_t vms = 6;
@@ -26,6 +80,8 @@
     /// Requests per second. The runners that do not refuse can serve 480.
     double rate = 648;
     std::chrono::milliseconds duration { 14'000 };
+    /// Runners that are engines, with the load on them; it replaces the rate.
+    std::optional<EngineModel> engine = std::nullopt;
 };
 
 /// What became of the requests of a simulated load.
@@ -38,6 +94,12 @@
     std::size_t mostInBackOff = 0;
     /// Times from the arrival to the refusal of the requests that were not served, sorted.
     std::vector<std::chrono::nanoseconds> refusedAfter;
+    /// Requests that a full engine refused.
+    std::size_t engineRefusals = 0;
+    /// Refusals for which a simulated engine with a free slot had no prompt to compute.
+    std::size_t refusedWhileFree = 0;
+    /// By prefix of the route and organisation.
+    std::map<std::string, EngineOutcome> routes = {};
 
     double servedShare() const { return static_cast<double>(served) / static_cast<double>(requests); }
     std::chrono::nanoseconds refusalTime(double quantile) const;
@@ -59,6 +121,7 @@
     struct Request;
     class Client;
     class Exchange;
+    class EngineExchange;
 
     /// Suspends the calling task until a time.
     Task<> sleepUntil(MonotonicTime time);
@@ -69,6 +132,11 @@
     void report();
     Task<> serve(Vm& vm, Request& request);
     ReplyHead accept(std::size_t vm, Runner& runner);
+    void startEngineRequest(const EngineRequests& kind);
+    Task<> serveByEngines(Request& request, const EngineRequests& kind);
+    void crashEngines();
+    RefusalOutcome runEngines();
+    Vm& anyVm();
 
     RefusalLoad m_load;
     std::mt19937 m_random;
