Learn the rate of engines and decide on early rejection

A pool above its capacity computes prompts that are late when they begin. EngineRate learns the time to the first output as a line over the prompt tokens at an engine. LoadAdmission rejects a yielding prompt that the best engine would start after its objective or the caller's time, and names the time needed to work off the excess, with a spread.

--- /dev/null
+++ b/Source/Core/Gateway/LoadAdmission.h
@@ -0,0 +1,97 @@
+#pragma once
+
+#include "Common/Clock.h"
+#include "Common/EnumTable.h"
+#include "Gateway/EngineRate.h"
+#include "Gateway/RunnerTypes.h"
+
+#include <array>
+#include <chrono>
+#include <span>
+
+namespace Pollenwind {
+
+/// Whether a request is sent to an engine now.
+enum class AdmissionVerdict {
+    Admit,
+    /// No engine has room; one may have within the time that the request may wait.
+    Wait,
+    Reject,
+};
+
+template <> struct EnumTable<AdmissionVerdict> {
+    static constexpr std::array rows {
+        EnumName { AdmissionVerdict::Admit, "admit" },
+        EnumName { AdmissionVerdict::Wait, "wait" },
+        EnumName { AdmissionVerdict::Reject, "reject" },
+    };
+};
+
+/// Why a request waits or is rejected.
+enum class AdmissionReason {
+    None,
+    /// The best engine would produce the first output after the objective or after the caller's time.
+    LateStart,
+    /// All engines have as many requests as they should have.
+    NoRoom,
+    /// The VM keeps no further waiting requests.
+    QueueFull,
+    /// All engines have just refused requests.
+    EnginesRefused,
+};
+
+template <> struct EnumTable<AdmissionReason> {
+    static constexpr std::array rows {
+        EnumName { AdmissionReason::None, "none" },
+        EnumName { AdmissionReason::LateStart, "late-start" },
+        EnumName { AdmissionReason::NoRoom, "no-room" },
+        EnumName { AdmissionReason::QueueFull, "queue-full" },
+        EnumName { AdmissionReason::EnginesRefused, "engines-refused" },
+    };
+};
+
+/// What a request needs from an engine.
+struct EngineDemand {
+    RouteUrgency urgency = RouteUrgency::Urgent;
+    /// Prompt tokens, as the caller declares them.
+    double tokens = 0;
+    /// Time left until the first output is due.
+    std::chrono::nanoseconds untilObjective { 0 };
+    /// Time left until the request's deadline.
+    std::chrono::nanoseconds remaining { 0 };
+};
+
+/// Decision on a request.
+struct AdmissionDecision {
+    AdmissionVerdict verdict = AdmissionVerdict::Admit;
+    AdmissionReason reason = AdmissionReason::None;
+    /// Time needed to work off what is too much now; 0 if that is not known.
+    std::chrono::nanoseconds excess { 0 };
+};
+
+/// Decides for a request to an engine service whether it is sent, waits or is rejected.
+///
+/// Load pattern that it answers: prompts above the capacity of the pool. Without it the queues of the engines grow
+/// until they refuse, all prompts are late, and refused callers return together.
+class LoadAdmission {
+public:
+    /// Requests up to which an engine has room for yielding ones, as a multiple of its slots. Above 1, so that a slot
+    /// does not stay free between the reports of the VMs; far below the number from which engines refuse.
+    static constexpr double roomFactor = 1.5;
+
+    /// Whether an engine has room for another yielding request.
+    static bool hasRoom(const RunnerCandidate& engine);
+
+    /// @param engines Engines that the request may use.
+    /// @param rate Rate of the service's engines.
+    static AdmissionDecision decide(MonotonicTime now, const EngineDemand& demand,
+        std::span<const RunnerCandidate> engines, const EngineRate& rate);
+
+    /// Time after which the caller of a rejected request should return: the time to work off the excess, at least
+    /// 100 ms, plus a spread of the same length; at most a third of its remaining time, which callers follow.
+    /// @param spread From 0 to 1, different for each request.
+    static std::chrono::milliseconds retryAfter(
+        std::chrono::nanoseconds excess, std::chrono::nanoseconds remaining, double spread);
+};
+
+} // namespace Pollenwind
--- /dev/null
+++ b/Source/UnitTests/Gateway/LoadAdmissionTests.cpp
@@ -0,0 +1,131 @@
+#include "Gateway/LoadAdmission.h"
+
+#include <criterion/criterion.h>
+
+#include <limits>
+#include <vector>
+
+using namespace Pollenwind;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr double tokensPerSecond = 157'000;
+constexpr MonotonicTime start { 100s };
+
+/// Engines that take 10 ms for a prompt without tokens.
+EngineRate learntRate(MonotonicTime now = start)
+{
+    EngineRate rate;
+    for (int n = 0; n < 20; ++n) {
+        const double ahead = 3000.0 * (n % 5);
+        const double seconds = 0.01 + (ahead + 3000) / tokensPerSecond;
+        rate.recordFirstOutput(now, ahead, 3000, std::chrono::nanoseconds(static_cast<std::int64_t>(seconds * 1e9)));
+    }
+    return rate;
+}
+
+RunnerCandidate makeEngine(unsigned requests, double yieldingTokens)
+{
+    RunnerCandidate engine;
+    engine.slots = 32;
+    engine.load.requests = requests;
+    engine.load.yieldingTokens = yieldingTokens;
+    return engine;
+}
+
+EngineDemand makeDemand(RouteUrgency urgency = RouteUrgency::Yielding)
+{
+    return { .urgency = urgency, .tokens = 3000, .untilObjective = 600ms, .remaining = 4s };
+}
+
+} // namespace
+
+// The learnt line must predict queues that differ from the observed ones, else a full pool is noticed too late.
+Test(EngineRate, predictsOtherQueues)
+{
+    const auto time = learntRate().timeToFirstOutput(start, 60'000, 3000);
+    cr_assert(time && *time > 390ms && *time < 430ms);
+}
+
+// Without observations or with old ones nothing is known, so that requests are admitted.
+Test(EngineRate, isUnknownWithoutRecentObservations)
+{
+    cr_assert(!EngineRate().timeToFirstOutput(start, 0, 3000));
+    cr_assert(!learntRate().timeToFirstOutput(start + 6s, 0, 3000));
+}
+
+// One absurd token count or an invalid value must not decide the rate of all requests.
+Test(EngineRate, survivesAbsurdCounts)
+{
+    auto rate = learntRate();
+    const auto before = rate.timeToFirstOutput(start, 60'000, 3000);
+    rate.recordFirstOutput(start, 0, 4e9, 30ms);
+    rate.recordFirstOutput(start, std::numeric_limits<double>::quiet_NaN(), 3000, 30ms);
+    rate.recordFirstOutput(start, -5, 3000, 30ms);
+    const auto after = rate.timeToFirstOutput(start, 60'000, 3000);
+    cr_assert(before && after && *after > *before / 4 && *after < *before * 4);
+    cr_assert(*rate.timeToFirstOutput(start, 0, 4e9) <= 60s);
+}
+
+// A request that declares no tokens must not be expected earlier than one with the usual number.
+Test(EngineRate, givesNoAdvantageToADeclarationBelowTheUsual)
+{
+    const auto rate = learntRate();
+    cr_assert(rate.timeToFirstOutput(start, 9000, 0) == rate.timeToFirstOutput(start, 9000, 3000));
+}
+
+// A prompt that would start after its objective or after its caller's time is rejected at once; one that starts in time
+// at the best engine is admitted.
+Test(LoadAdmission, rejectsWhatTheBestEngineWouldStartTooLate)
+{
+    const auto rate = learntRate();
+    const std::vector full { makeEngine(20, 120'000), makeEngine(25, 150'000) };
+    const auto rejected = LoadAdmission::decide(start, makeDemand(), full, rate);
+    cr_assert(rejected.verdict == AdmissionVerdict::Reject && rejected.reason == AdmissionReason::LateStart);
+    cr_assert(rejected.excess > 100ms && rejected.excess < 300ms);
+    auto demand = makeDemand();
+    demand.untilObjective = 2s;
+    cr_assert(LoadAdmission::decide(start, demand, full, rate).verdict == AdmissionVerdict::Admit);
+    demand.remaining = 300ms;
+    cr_assert(LoadAdmission::decide(start, demand, full, rate).verdict == AdmissionVerdict::Reject);
+    const std::vector oneBetter { makeEngine(20, 120'000), makeEngine(25, 30'000) };
+    cr_assert(LoadAdmission::decide(start, makeDemand(), oneBetter, rate).verdict == AdmissionVerdict::Admit);
+}
+
+// No request may be refused while a slot that could serve it is free, whatever was learnt.
+Test(LoadAdmission, admitsWhileAnEngineIsFree)
+{
+    EngineRate slow;
+    for (int n = 0; n < 20; ++n) {
+        slow.recordFirstOutput(start, 0, 3000, 10s);
+    }
+    const std::vector engines { makeEngine(40, 300'000), makeEngine(31, 0) };
+    cr_assert(LoadAdmission::decide(start, makeDemand(), engines, slow).verdict == AdmissionVerdict::Admit);
+}
+
+// Urgent requests must not be refused in favour of yielding ones, and without a learnt rate or without engines nothing
+// is rejected.
+Test(LoadAdmission, admitsUrgentRequestsAndThoseWithoutALearntRate)
+{
+    const std::vector full { makeEngine(40, 900'000) };
+    const auto urgent = makeDemand(RouteUrgency::Urgent);
+    cr_assert(LoadAdmission::decide(start, urgent, full, learntRate()).verdict == AdmissionVerdict::Admit);
+    const auto unknown = LoadAdmission::decide(start, makeDemand(), full, EngineRate());
+    cr_assert(unknown.verdict != AdmissionVerdict::Reject);
+    cr_assert(LoadAdmission::decide(start, makeDemand(), {}, learntRate()).verdict == AdmissionVerdict::Admit);
+}
+
+// Callers must not return together, not before the excess is worked off, and they follow the time only up to a third of
+// what they have left.
+Test(LoadAdmission, spreadsTheReturnOfCallers)
+{
+    cr_assert_eq(LoadAdmission::retryAfter(20ms, 4s, 0).count(), 100);
+    cr_assert_eq(LoadAdmission::retryAfter(300ms, 4s, 0).count(), 300);
+    cr_assert_eq(LoadAdmission::retryAfter(300ms, 4s, 1).count(), 600);
+    for (const double spread : { 0.0, 0.5, 1.0 }) {
+        cr_assert(LoadAdmission::retryAfter(10s, 3s, spread) <= 1s);
+    }
+    cr_assert(LoadAdmission::retryAfter(10s, 3s, 0) < LoadAdmission::retryAfter(10s, 3s, 1));
+    cr_assert_eq(LoadAdmission::retryAfter(10s, -1s, 1).count(), 0);
+}
