Reject yielding prompts that no engine of the pool starts in time

Prompts above the capacity of the pool filled the queues of its engines: all were late, and at three times the capacity the engines refused.

The dispatcher asks EngineAdmission before it takes a yielding request's tokens and chooses a runner, and passes on the time to the first output from which EngineRate learns. A rejection is 503 with Retry-After, counts in queue_shed_total, and its refused line names the excess, the learnt rate and its age. A request for which no engine has room is still sent, until the bounded queue exists.

--- a/Source/Core/Gateway/AffinityPolicy.cpp
+++ b/Source/Core/Gateway/AffinityPolicy.cpp
@@ -173,6 +173,7 @@
     choice.weights = best->candidate->weights;
     choice.beginBy = best->candidate->beginBy;
     choice.software = best->candidate->software;
+    choice.tokensAhead = best->candidate->load.yieldingTokens;
     choice.computedTokens = best->missedTokens() + best->ownTokens;
     choice.uncachedTokens
         = std::max(0.0, best->sharedTokens - std::max(best->cachedTokens, best->copiedTokens)) + best->ownTokens;
--- a/Source/Core/Gateway/EngineAdmission.cpp
+++ b/Source/Core/Gateway/EngineAdmission.cpp
@@ -4,7 +4,9 @@
 #include "Timeline/Log.h"
 
 #include <algorithm>
+#include <functional>
 #include <set>
+#include <string>
 
 namespace Pollenwind {
 
@@ -56,4 +58,37 @@
     }
 }
 
+Outcome<void> EngineAdmission::check(const RoutingConfiguration& configuration, const ServiceId& service,
+    const RequestId& request, const EngineDemand& demand, std::span<const RunnerCandidate> candidates)
+{
+    const auto* state = find(configuration, service);
+    if (!state) {
+        return {};
+    }
+    const auto now = m_context.clock.now();
+    const auto decision = LoadAdmission::decide(now, demand, candidates, state->rate);
+    if (decision.verdict != AdmissionVerdict::Reject) {
+        return {};
+    }
+    m_context.metrics.count(Counter::QueueShed);
+    const auto toMilliseconds = [](std::chrono::nanoseconds time) {
+        return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(time).count());
+    };
+    const auto spread = static_cast<double>(std::hash<RequestId> {}(request) % 10'000) / 10'000;
+    return std::unexpected(Error { ErrorCode::Unavailable,
+        "no engine can start the request in time (" + std::string(nameOf(decision.reason)) + "): "
+            + toMilliseconds(decision.excess) + " ms too late at the best of " + std::to_string(candidates.size())
+            + ", learnt " + std::to_string(static_cast<long>(state->rate.tokensPerSecond(now).value_or(0)))
+            + " tokens/s, " + toMilliseconds(state->rate.age(now)) + " ms ago",
+        RunState::NotRun, LoadAdmission::retryAfter(decision.excess, demand.remaining, spread) });
+}
+
+void EngineAdmission::recordFirstOutput(
+    const ServiceId& service, const RunnerChoice& choice, std::chrono::nanoseconds time)
+{
+    if (const auto it = m_services.find(service); it != m_services.end()) {
+        it->second.rate.recordFirstOutput(m_context.clock.now(), choice.tokensAhead, choice.computedTokens, time);
+    }
+}
+
 } // namespace Pollenwind
--- a/Source/Core/Gateway/EngineAdmission.h
+++ b/Source/Core/Gateway/EngineAdmission.h
@@ -1,12 +1,16 @@
 #pragma once
 
 #include "Common/Clock.h"
+#include "Gateway/EngineRate.h"
+#include "Gateway/LoadAdmission.h"
 #include "Gateway/PromptPool.h"
+#include "Gateway/Queries/RunnerPolicy.h"
 #include "Gateway/RoutingTypes.h"
 #include "Gateway/RunnerTypes.h"
 #include "Metrics/Commands/MetricCommands.h"
 
 #include <map>
+#include <span>
 #include <vector>
 
 namespace Pollenwind {
@@ -34,9 +38,22 @@
     void applyPool(const RoutingConfiguration& configuration, const ServiceId& service, RouteUrgency urgency,
         std::vector<RunnerCandidate>& candidates);
 
+    /// Checks whether a request can be served in time.
+    /// @param demand What the request needs.
+    /// @param candidates Engines that it may use.
+    /// @return Unavailable with a time to come back if it cannot.
+    Outcome<void> check(const RoutingConfiguration& configuration, const ServiceId& service, const RequestId& request,
+        const EngineDemand& demand, std::span<const RunnerCandidate> candidates);
+
+    /// Records the first output of a yielding request.
+    /// @param choice Engine that computed its prompt.
+    /// @param time Time from the choice of the engine.
+    void recordFirstOutput(const ServiceId& service, const RunnerChoice& choice, std::chrono::nanoseconds time);
+
 private:
     struct Service {
         PromptPool pool;
+        EngineRate rate;
     };
 
     /// State of a service; nullptr if none of its routes yields.
--- a/Source/Core/Gateway/ForwardDispatcher.cpp
+++ b/Source/Core/Gateway/ForwardDispatcher.cpp
@@ -131,6 +131,7 @@
         std::optional<VersionId> lastVersion;
         /// The attempt as evidence on that version.
         RolloutAttemptId rolloutAttempt;
+        MonotonicTime chosenAt { 0 };
         /// Status of the attempt's response; 0 before its head.
         int status = 0;
         /// When the attempt's last events were sent to the caller.
@@ -248,6 +249,20 @@
     return *choice;
 }
 
+Outcome<void> ForwardDispatcher::checkLoad(const ForwardRequest& request, const Delivery& delivery)
+{
+    if (delivery.urgency != RouteUrgency::Yielding) {
+        return {};
+    }
+    const auto now = m_context.clock.now();
+    // The parts before the last one are usually cached.
+    const double tokens
+        = !request.parts.empty() ? request.parts.back().tokens : (request.tokens ? request.tokens->prompt : 0);
+    return m_engines.check(*delivery.configuration, delivery.service, request.id,
+        { delivery.urgency, tokens, delivery.receivedAt + delivery.route->objective - now, delivery.deadline - now },
+        candidatesFor(request, delivery));
+}
+
 std::chrono::milliseconds ForwardDispatcher::timeLeft(const Delivery& delivery) const
 {
     return std::chrono::duration_cast<std::chrono::milliseconds>(delivery.deadline - m_context.clock.now());
@@ -295,6 +310,9 @@
     if (const auto refused = checkQuarantine(delivery)) {
         co_return std::unexpected(*refused);
     }
+    if (auto checked = checkLoad(request, delivery); !checked) {
+        co_return checked;
+    }
     if (auto taken = m_admission.takeTokens(request, delivery); !taken) {
         co_return taken;
     }
@@ -466,6 +484,7 @@
     delivery.isDiverted = false;
     delivery.rolloutAttempt = {};
     delivery.status = 0;
+    delivery.chosenAt = m_context.clock.now();
     delivery.answeringTime = {};
     delivery.isAnswerProven = false;
     delivery.lastVersion = choice.software;
@@ -863,6 +882,9 @@
 void ForwardDispatcher::recordFirstOutput(const ForwardRequest& request, Delivery& delivery)
 {
     const auto& runner = delivery.runner;
+    if (delivery.urgency == RouteUrgency::Yielding) {
+        m_engines.recordFirstOutput(delivery.service, runner, m_context.clock.now() - delivery.chosenAt);
+    }
     m_context.runnerCommands.recordFirstOutput(runner.id, runner.computedTokens, delivery.urgency);
     std::vector<CachedPrefix> cachedPrefixes;
     const auto holder = holderHash(runner.id, runner.incarnation);
--- a/Source/Core/Gateway/ForwardDispatcher.h
+++ b/Source/Core/Gateway/ForwardDispatcher.h
@@ -88,6 +88,8 @@
     std::string currentCacheSalt(const Delivery& delivery) const;
     /// Also sets the salt of the attempt.
     Outcome<RunnerChoice> chooseRunner(const ForwardRequest& request, Delivery& delivery);
+    /// Rejects a yielding request that no engine would start in time.
+    Outcome<void> checkLoad(const ForwardRequest& request, const Delivery& delivery);
     /// Sends the request to one runner and relays its response.
     Task<Outcome<void>> attempt(
         const ForwardRequest& request, const RunnerChoice& choice, ReplySink& sink, Delivery& delivery);
--- a/Source/Core/Gateway/Queries/RunnerPolicy.h
+++ b/Source/Core/Gateway/Queries/RunnerPolicy.h
@@ -26,6 +26,8 @@
     /// Prompt tokens that the runner computes if it has only the parts cached that were reported. Unlike
     /// computedTokens, it makes no assumption that favours runners which have been in use for longer.
     double uncachedTokens = 0;
+    /// Prompt tokens of yielding requests without output that the runner had when it was chosen.
+    double tokensAhead = 0;
     /// Runner or store from which the runner copies shared parts of the prompt that it does not have cached or may have
     /// evicted.
     std::optional<Endpoint> cacheSource;
--- a/Source/UnitTests/Gateway/LoadAdmissionTests.cpp
+++ b/Source/UnitTests/Gateway/LoadAdmissionTests.cpp
@@ -1,7 +1,10 @@
 #include "Gateway/LoadAdmission.h"
+#include "Gateway/RefusalFleet.h"
+#include "Timeline/Log.h"
 
 #include <criterion/criterion.h>
 
+#include <cstdio>
 #include <limits>
 #include <vector>
 
@@ -129,3 +132,70 @@
     cr_assert(LoadAdmission::retryAfter(10s, 3s, 0) < LoadAdmission::retryAfter(10s, 3s, 1));
     cr_assert_eq(LoadAdmission::retryAfter(10s, -1s, 1).count(), 0);
 }
+
+namespace {
+
+/// Long prompts at a multiple of the capacity of the pool, in the peak from 4 to 10 s, beside urgent streams.
+RefusalLoad overload(double capacityFactor)
+{
+    RefusalLoad load;
+    load.vms = 6;
+    load.runners = 12;
+    load.slots = 32;
+    load.queue = 96;
+    load.duration = 14s;
+    load.engine.emplace();
+    // The largest pool has 8 engines that compute 21 prompts of 7,400 tokens a second.
+    load.engine->requests = { { .prefix = "/long/",
+                                  .priority = 2,
+                                  .objective = 600ms,
+                                  .timeout = 4s,
+                                  .promptTokens = 7400,
+                                  .events = 2,
+                                  .rate = 56,
+                                  .peakFactor = 3 * capacityFactor },
+        { .prefix = "/short/",
+            .priority = 0,
+            .objective = 250ms,
+            .timeout = 10s,
+            .promptTokens = 200,
+            .events = 10,
+            .rate = 40 } };
+    return load;
+}
+
+void printOutcome(const char* name, unsigned yieldRanks, const RefusalOutcome& outcome)
+{
+    const auto& prompts = outcome.routes.at("/long/org");
+    std::printf("%s, yield ranks %u: engines refused %zu of %zu, rejected by 95%% after %.0f ms, free %zu, short %.3f, "
+                "long %.3f; long in time by second:",
+        name, yieldRanks, outcome.engineRefusals, outcome.requests,
+        std::chrono::duration<double, std::milli>(outcome.refusalTime(0.95)).count(), outcome.refusedWhileFree,
+        outcome.routes.at("/short/org").inTimeShare(), prompts.inTimeShare());
+    for (const auto it : prompts.inTimeBySecond) {
+        std::printf(" %zu", it);
+    }
+    std::printf("\n");
+}
+
+} // namespace
+
+// Prompts above the capacity filled the queues of the engines, so that all of them were late and the engines refused
+// the rest. The excess must be rejected in less than 50 ms, engines refuse less than 1% of the arrivals, and the work
+// done in time must not collapse. The first measure is the behaviour without pools and admission.
+Test(LoadReplay, rejectsTheExcessAboveTheCapacity)
+{
+    configureLog(LogLevel::Off);
+    for (const double factor : { 2.0, 3.0 }) {
+        auto load = overload(factor);
+        load.engine->yieldRanks = 0;
+        const auto before = RefusalFleet(load, 1).run();
+        printOutcome(factor > 2 ? "three times" : "twice", 0, before);
+        load.engine->yieldRanks = 2;
+        const auto after = RefusalFleet(load, 1).run();
+        printOutcome(factor > 2 ? "three times" : "twice", 2, after);
+        cr_assert(after.refusedAfter.empty() || after.refusedAfter.back() < 50ms);
+        cr_assert(static_cast<double>(after.engineRefusals) < 0.01 * static_cast<double>(after.requests));
+        cr_assert(after.routes.at("/long/org").inTime > before.routes.at("/long/org").inTime);
+    }
+}
