--- a/Source/UnitTests/Gateway/LoadAdmissionTests.cpp
+++ b/Source/UnitTests/Gateway/LoadAdmissionTests.cpp
@@ -199,3 +199,26 @@
         cr_assert(after.routes.at("/long/org").inTime > before.routes.at("/long/org").inTime);
     }
 }
+
+// Without reports of other VMs, after a crash of a quarter of the engines and with uneven speeds, streams must be
+// served as well as without pools and admission, and engines must still refuse less than 1% of the arrivals.
+Test(LoadReplay, holdsWithoutReportsAndWithLostOrUnevenEngines)
+{
+    configureLog(LogLevel::Off);
+    std::vector<std::pair<const char*, RefusalLoad>> cases(3, { "no reports", overload(2) });
+    cases[0].second.engine->hasReports = false;
+    cases[1].first = "a quarter crashes";
+    cases[1].second.engine->crashing = 3;
+    cases[2].first = "uneven speeds";
+    cases[2].second.engine->speeds = { 0.7, 1, 1.7 };
+    for (auto& [name, load] : cases) {
+        load.engine->yieldRanks = 0;
+        const auto before = RefusalFleet(load, 2).run();
+        printOutcome(name, 0, before);
+        load.engine->yieldRanks = 2;
+        const auto after = RefusalFleet(load, 2).run();
+        printOutcome(name, 2, after);
+        cr_assert(after.routes.at("/short/org").inTimeShare() >= before.routes.at("/short/org").inTimeShare());
+        cr_assert(static_cast<double>(after.engineRefusals) < 0.01 * static_cast<double>(after.requests));
+    }
+}
