--- a/Source/Core/Gateway/AffinityPolicy.cpp
+++ b/Source/Core/Gateway/AffinityPolicy.cpp
@@ -162,6 +162,7 @@
         cost += m_isOtherZoneLoadUnknown ? m_costs.unknownZoneSeconds : m_costs.otherZoneSeconds;
     }
     cost += candidate.weights < targetWeights ? m_costs.oldWeightsSeconds : 0;
+    cost += candidate.isInPromptPool ? m_costs.promptPoolSeconds : 0;
     // A runner that recovers from failures gets work if the others would take clearly longer.
     return cost + 1 - candidate.admission;
 }
@@ -210,6 +211,7 @@
     choice.weights = best->candidate->weights;
     choice.beginBy = best->candidate->beginBy;
     choice.software = best->candidate->software;
+    choice.tokensAhead = best->candidate->load.yieldingTokens;
     choice.computedTokens = best->missedTokens() + best->ownTokens;
     choice.uncachedTokens
         = std::max(0.0, best->sharedTokens - std::max(best->cachedTokens, best->copiedTokens)) + best->ownTokens;
--- /dev/null
+++ b/Source/Core/Gateway/EngineAdmission.cpp
@@ -0,0 +1,94 @@
+#include "Gateway/EngineAdmission.h"
+
+#include "Gateway/YieldingRoutes.h"
+#include "Timeline/Log.h"
+
+#include <algorithm>
+#include <functional>
+#include <set>
+#include <string>
+
+namespace Pollenwind {
+
+void EngineAdmission::adopt(const RoutingConfiguration& configuration)
+{
+    m_configuration = configuration.version;
+    std::set<ServiceId> yielding;
+    for (const auto& route : configuration.routes) {
+        for (const auto& share : route.shares) {
+            if (isYieldingRoute(configuration, route, share.service, m_context.yieldRanks)) {
+                yielding.insert(share.service);
+            }
+        }
+    }
+    std::erase_if(m_services, [&yielding](const auto& it) { return !yielding.contains(it.first); });
+    for (const auto& service : yielding) {
+        m_services.try_emplace(service);
+    }
+}
+
+EngineAdmission::Service* EngineAdmission::find(const RoutingConfiguration& configuration, const ServiceId& service)
+{
+    // Requests that were admitted under an older configuration use the state of the newer one.
+    if (configuration.version > m_configuration) {
+        adopt(configuration);
+    }
+    const auto it = m_services.find(service);
+    return it == m_services.end() ? nullptr : &it->second;
+}
+
+void EngineAdmission::applyPool(const RoutingConfiguration& configuration, const ServiceId& service,
+    RouteUrgency urgency, std::vector<RunnerCandidate>& candidates)
+{
+    auto* state = find(configuration, service);
+    if (!state || candidates.empty()) {
+        return;
+    }
+    const auto shareBefore = state->pool.share();
+    state->pool.observe(m_context.clock.now(), candidates);
+    if (state->pool.share() != shareBefore) {
+        logStateChange("prompt-pool-resized",
+            { { "service", service.value() }, { "engines", std::to_string(state->pool.sizeOf(candidates.size())) },
+                { "of", std::to_string(candidates.size()) } });
+    }
+    m_context.metrics.set(Gauge::PromptPoolEngines, state->pool.sizeOf(candidates.size()));
+    state->pool.markMembers(candidates);
+    if (urgency == RouteUrgency::Yielding) {
+        std::erase_if(candidates, [](const RunnerCandidate& it) { return !it.isInPromptPool; });
+    }
+}
+
+Outcome<void> EngineAdmission::check(const RoutingConfiguration& configuration, const ServiceId& service,
+    const RequestId& request, const EngineDemand& demand, std::span<const RunnerCandidate> candidates)
+{
+    const auto* state = find(configuration, service);
+    if (!state) {
+        return {};
+    }
+    const auto now = m_context.clock.now();
+    const auto decision = LoadAdmission::decide(now, demand, candidates, state->rate);
+    if (decision.verdict != AdmissionVerdict::Reject) {
+        return {};
+    }
+    m_context.metrics.count(Counter::QueueShed);
+    const auto toMilliseconds = [](std::chrono::nanoseconds time) {
+        return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(time).count());
+    };
+    const auto spread = static_cast<double>(std::hash<RequestId> {}(request) % 10'000) / 10'000;
+    return std::unexpected(Error { ErrorCode::Unavailable,
+        "no engine can start the request in time (" + std::string(nameOf(decision.reason)) + "): "
+            + toMilliseconds(decision.excess) + " ms too late at the best of " + std::to_string(candidates.size())
+            + ", learnt " + std::to_string(static_cast<long>(state->rate.tokensPerSecond(now).value_or(0)))
+            + " tokens/s, " + toMilliseconds(state->rate.age(now)) + " ms ago",
+        RunState::NotRun, LoadAdmission::retryAfter(decision.excess, demand.remaining, spread) });
+}
+
+void EngineAdmission::recordFirstOutput(
+    const ServiceId& service, const RunnerChoice& choice, std::chrono::nanoseconds time)
+{
+    if (const auto it = m_services.find(service); it != m_services.end()) {
+        it->second.rate.recordFirstOutput(m_context.clock.now(), choice.tokensAhead, choice.computedTokens, time);
+    }
+}
+
+} // namespace Pollenwind
--- a/Source/Core/Gateway/ForwardDispatcher.cpp
+++ b/Source/Core/Gateway/ForwardDispatcher.cpp
@@ -134,6 +134,7 @@
         std::optional<VersionId> lastVersion;
         /// The attempt as evidence on that version.
         RolloutAttemptId rolloutAttempt;
+        MonotonicTime chosenAt { 0 };
         /// Status of the attempt's response; 0 before its head.
         int status = 0;
         /// When the attempt's last events were sent to the caller.
@@ -199,8 +200,7 @@
     std::optional<Failure> failure;
 };
 
-std::vector<RunnerCandidate> ForwardDispatcher::candidatesFor(
-    const ForwardRequest& request, const Delivery& delivery) const
+std::vector<RunnerCandidate> ForwardDispatcher::candidatesFor(const ForwardRequest& request, const Delivery& delivery)
 {
     std::optional<PreviousAttempt> previous;
     if (delivery.lastVersion) {
@@ -211,6 +211,7 @@
     const auto home = homeRegionsOf(request, delivery);
     const auto candidatesOf = [&](const VersionRule& rule) {
         auto candidates = m_context.runners.candidates(delivery.service, request.model, rule, home);
+        m_engines.applyPool(*delivery.configuration, delivery.service, delivery.urgency, candidates);
         std::erase_if(
             candidates, [&](const RunnerCandidate& it) { return !isRepeatable && it.beginBy && *it.beginBy < latest; });
         return candidates;
@@ -264,7 +265,7 @@
         delivery.organisation ? std::optional(delivery.organisation->id) : std::nullopt);
 }
 
-Outcome<RunnerChoice> ForwardDispatcher::chooseRunner(const ForwardRequest& request, Delivery& delivery) const
+Outcome<RunnerChoice> ForwardDispatcher::chooseRunner(const ForwardRequest& request, Delivery& delivery)
 {
     const auto candidates = candidatesFor(request, delivery);
     // Of the present configuration, which may not be the one under which the request was admitted.
@@ -286,6 +287,20 @@
     return *choice;
 }
 
+Outcome<void> ForwardDispatcher::checkLoad(const ForwardRequest& request, const Delivery& delivery)
+{
+    if (delivery.urgency != RouteUrgency::Yielding) {
+        return {};
+    }
+    const auto now = m_context.clock.now();
+    // The parts before the last one are usually cached.
+    const double tokens
+        = !request.parts.empty() ? request.parts.back().tokens : (request.tokens ? request.tokens->prompt : 0);
+    return m_engines.check(*delivery.configuration, delivery.service, request.id,
+        { delivery.urgency, tokens, delivery.receivedAt + delivery.route->objective - now, delivery.deadline - now },
+        candidatesFor(request, delivery));
+}
+
 std::chrono::milliseconds ForwardDispatcher::timeLeft(const Delivery& delivery) const
 {
     return std::chrono::duration_cast<std::chrono::milliseconds>(delivery.deadline - m_context.clock.now());
@@ -333,6 +348,9 @@
     if (const auto refused = checkQuarantine(delivery)) {
         co_return std::unexpected(*refused);
     }
+    if (auto checked = checkLoad(request, delivery); !checked) {
+        co_return checked;
+    }
     if (auto taken = m_admission.takeTokens(request, delivery); !taken) {
         co_return taken;
     }
@@ -504,6 +522,7 @@
     delivery.isDiverted = false;
     delivery.rolloutAttempt = {};
     delivery.status = 0;
+    delivery.chosenAt = m_context.clock.now();
     delivery.answeringTime = {};
     delivery.isAnswerProven = false;
     delivery.lastVersion = choice.software;
@@ -598,7 +617,7 @@
     return std::min<std::chrono::nanoseconds>(limit, *beginBy - m_context.clock.now());
 }
 
-bool ForwardDispatcher::mayReplaceRunner(const ForwardRequest& request, const Delivery& delivery) const
+bool ForwardDispatcher::mayReplaceRunner(const ForwardRequest& request, const Delivery& delivery)
 {
     const auto& route = *delivery.route;
     const bool isRepeatable = retryKindOf(route) != RetryKind::NonIdempotentCall && !delivery.isTrial
@@ -915,6 +934,9 @@
 void ForwardDispatcher::recordFirstOutput(const ForwardRequest& request, Delivery& delivery)
 {
     const auto& runner = delivery.runner;
+    if (delivery.urgency == RouteUrgency::Yielding) {
+        m_engines.recordFirstOutput(delivery.service, runner, m_context.clock.now() - delivery.chosenAt);
+    }
     m_context.runnerCommands.recordFirstOutput(runner.id, runner.computedTokens, delivery.urgency);
     std::vector<CachedPrefix> cachedPrefixes;
     const auto holder = holderHash(runner.id, runner.incarnation);
--- a/Source/Core/Gateway/RunnerTypes.h
+++ b/Source/Core/Gateway/RunnerTypes.h
@@ -205,6 +205,8 @@
     double admission = 1;
     /// The runner can handle few requests. It is a candidate only if there is no warm one.
     bool isCold = false;
+    /// Whether the engine computes the prompts of yielding routes; see PromptPool.
+    bool isInPromptPool = false;
 };
 
 } // namespace Pollenwind
--- a/Source/Core/Metrics/Counter.h
+++ b/Source/Core/Metrics/Counter.h
@@ -204,6 +204,8 @@
     RunnersFast,
     /// Other zones whose relays report the work of their VMs.
     ZonesReportingWork,
+    /// Engines that compute the prompts of yielding routes.
+    PromptPoolEngines,
     /// Era of the platform's store; 0 if it does not tell its era.
     StoreEra,
     /// Organisations that this process started without a debt, as they had used little before.
@@ -227,6 +229,7 @@
         EnumName { Gauge::RunnersSlow, "runners_slow" },
         EnumName { Gauge::RunnersFast, "runners_fast" },
         EnumName { Gauge::ZonesReportingWork, "zones_reporting_work" },
+        EnumName { Gauge::PromptPoolEngines, "prompt_pool_engines" },
         EnumName { Gauge::StoreEra, "store_era" },
         EnumName { Gauge::QuotasStartedWithoutDebt, "quotas_started_without_debt" },
         EnumName { Gauge::SharedTokensInUse, "shared_tokens_in_use" },
