Copy slow requests that may be repeated to a second runner

Change: a safe request, or a named resumable stream before its first event, whose runner has not responded after the delay of HedgePolicy is sent to another runner as well. RunnerRace runs both attempts as tasks; the first success is delivered and the other attempt is cancelled. A refusal, a loss or an error response of one does not end the other. A copy is charged to the retry budget and takes an attempt. With a share of 0, the default, no timer is set.

ForwardDispatcher::attempt, chooseRunner and send are split so that a copy uses the same steps.

--- a/Source/Core/Gateway/ForwardDelivery.h
+++ b/Source/Core/Gateway/ForwardDelivery.h
@@ -31,6 +31,10 @@
     std::optional<VersionId> lastVersion;
     /// The attempt as evidence on that version.
     RolloutAttemptId rolloutAttempt;
+    /// When the request was sent to the runner.
+    MonotonicTime sentAt { 0 };
+    /// When a copy of the request is sent if its response has not begun; nothing if there is to be none.
+    std::optional<MonotonicTime> hedgeAt;
     /// Status of the attempt's response; 0 before its head.
     int status = 0;
     /// When the attempt's last events were sent to the caller.
@@ -81,6 +85,10 @@
     unsigned sends = 0;
     /// The head of a streamed response was sent to the caller.
     bool isBegun = false;
+    /// The request was copied to a second runner.
+    bool isHedged = false;
+    /// The time to the begin of the response was recorded.
+    bool isBeginRecorded = false;
     /// Attempt that the current one is to replace.
     SilentAttempt* silent = nullptr;
     /// The result of the last attempt is that of the one which replaced it, and has been recorded.
--- a/Source/Core/Gateway/ForwardDispatcher.cpp
+++ b/Source/Core/Gateway/ForwardDispatcher.cpp
@@ -157,10 +157,7 @@
     const auto candidates = candidatesFor(request, delivery);
     // Of the present configuration, which may not be the one under which the request was admitted.
     delivery.cacheSalt = currentCacheSalt(delivery);
-    const auto& targets = m_context.runners.targetWeights();
-    const auto it = targets.find(request.model);
-    const auto choice = m_context.policy.choose(
-        request, delivery.cacheSalt, it == targets.end() ? 0 : it->second, delivery.stores, candidates);
+    const auto choice = chooseAmong(request, delivery.cacheSalt, delivery, candidates);
     if (!choice) {
         return std::unexpected(Error { ErrorCode::Unavailable, "no runner can take the request now", RunState::NotRun,
             returnTime(m_context.runners.timeUntilReturn(delivery.service), request.id) });
@@ -168,6 +165,15 @@
     return *choice;
 }
 
+std::optional<RunnerChoice> ForwardDispatcher::chooseAmong(const ForwardRequest& request, const std::string& cacheSalt,
+    const Delivery& delivery, std::span<const RunnerCandidate> candidates) const
+{
+    const auto& targets = m_context.runners.targetWeights();
+    const auto it = targets.find(request.model);
+    return m_context.policy.choose(
+        request, cacheSalt, it == targets.end() ? 0 : it->second, delivery.stores, candidates);
+}
+
 std::chrono::milliseconds ForwardDispatcher::timeLeft(const Delivery& delivery) const
 {
     return std::chrono::duration_cast<std::chrono::milliseconds>(delivery.deadline - m_context.clock.now());
@@ -221,6 +227,9 @@
         co_return waited;
     }
     m_context.retryBudget.recordRequest(delivery.service);
+    if (mayHedge(delivery)) {
+        m_hedging.recordRequest(delivery.service);
+    }
     for (;;) {
         auto refused = checkQuarantine(delivery);
         // Before a runner is chosen, since a request that is not sent tells nothing about it. In a process that was
@@ -375,8 +384,8 @@
     return true;
 }
 
-Task<Outcome<void>> ForwardDispatcher::attempt(
-    const ForwardRequest& request, const RunnerChoice& choice, ReplySink& sink, Delivery& delivery)
+std::unique_ptr<RunnerExchange> ForwardDispatcher::beginAttempt(
+    const ForwardRequest& request, const RunnerChoice& choice, Delivery& delivery)
 {
     delivery.runner = choice;
     delivery.tried.insert(choice.id);
@@ -384,6 +393,7 @@
     delivery.isTakenBack = false;
     delivery.isDiverted = false;
     delivery.rolloutAttempt = {};
+    delivery.hedgeAt.reset();
     delivery.status = 0;
     delivery.answeringTime = {};
     delivery.isAnswerProven = false;
@@ -415,7 +425,13 @@
     delivery.rolloutAttempt
         = m_context.rolloutCommands.recordSent(delivery.service, choice.software, route.name, choice.uncachedTokens);
     const bool mayReuse = route.kind != RequestKind::Unsafe;
-    const auto exchange = m_context.client.open(choice.endpoint, request, terms, mayReuse);
+    return m_context.client.open(choice.endpoint, request, terms, mayReuse);
+}
+
+Task<Outcome<void>> ForwardDispatcher::attempt(
+    const ForwardRequest& request, const RunnerChoice& choice, ReplySink& sink, Delivery& delivery)
+{
+    const auto exchange = beginAttempt(request, choice, delivery);
     sink.onStop([&exchange] { exchange->cancel(); });
     auto result = co_await withoutExceptions(TaskKind::Attempt, exchangeWith(*exchange, request, sink, delivery));
     if (!result && result.error().code == ErrorCode::Internal && delivery.phase == AttemptPhase::NotSent) {
@@ -452,7 +468,14 @@
     } else if (route.kind == RequestKind::Streaming && route.isResumable && mayRunAgain) {
         limit = std::min<std::chrono::nanoseconds>(limit, route.objective * firstEventTimeoutFactor);
     }
+    const auto end = m_context.clock.now() + limit;
     auto head = co_await send(request, exchange, delivery, untilBeginLimit(limit, delivery));
+    if (!head && isHedgeDue(head.error(), delivery) && m_context.clock.now() < end) {
+        if (auto result = co_await hedge(request, exchange, std::nullopt, sink, delivery)) {
+            co_return std::move(*result);
+        }
+        head = co_await exchange.awaitHead(end - m_context.clock.now());
+    }
     while (!head && isSilence(head.error(), delivery) && !sink.stopReason()) {
         if (auto result = co_await replaceRunner(request, exchange, sink, delivery)) {
             co_return std::move(*result);
@@ -466,6 +489,12 @@
     }
     delivery.phase = AttemptPhase::HeadReceived;
     recordAvailability(request, *head, delivery);
+    if (route.kind == RequestKind::Safe) {
+        delivery.hedgeAt.reset();
+        if (head->kind == ReplyKind::Answer && head->isSuccess()) {
+            recordBegin(delivery);
+        }
+    }
     co_return co_await relayAnswer(request, exchange, *head, sink, delivery);
 }
 
@@ -559,6 +588,19 @@
     delivery.runState = RunState::Unknown;
 }
 
+Outcome<void> ForwardDispatcher::checkBeforeSend(const Delivery& delivery, AttemptState& attempt) const
+{
+    if (!m_context.runners.mayStillSend(attempt.runner.id, attempt.runner.incarnation)) {
+        attempt.isDiverted = true;
+        return fail(ErrorCode::Unavailable, "the runner became unavailable before the request was sent");
+    }
+    if (currentCacheSalt(delivery) != attempt.cacheSalt) {
+        attempt.isDiverted = true;
+        return fail(ErrorCode::Unavailable, "the cache salt changed before the request was sent");
+    }
+    return {};
+}
+
 Task<Outcome<ReplyHead>> ForwardDispatcher::send(
     const ForwardRequest& request, RunnerExchange& exchange, Delivery& delivery, std::chrono::nanoseconds limit)
 {
@@ -566,14 +608,8 @@
     if (const auto connected = co_await exchange.connect(limit); !connected) {
         co_return std::unexpected(connected.error());
     }
-    // Others may have heard from the runner while this request waited for its connection.
-    if (!m_context.runners.mayStillSend(delivery.runner.id, delivery.runner.incarnation)) {
-        delivery.isDiverted = true;
-        co_return fail(ErrorCode::Unavailable, "the runner became unavailable before the request was sent");
-    }
-    if (currentCacheSalt(delivery) != delivery.cacheSalt) {
-        delivery.isDiverted = true;
-        co_return fail(ErrorCode::Unavailable, "the cache salt changed before the request was sent");
+    if (auto checked = checkBeforeSend(delivery, delivery); !checked) {
+        co_return std::unexpected(std::move(checked.error()));
     }
     const auto left = end - m_context.clock.now();
     if (left.count() <= 0) {
@@ -581,8 +617,9 @@
         co_return fail(ErrorCode::Unavailable, "the time of the attempt passed before the request was sent");
     }
     delivery.phase = AttemptPhase::Sent;
+    startHedgeTimer(delivery);
     if (!delivery.silent) {
-        co_return co_await exchange.begin(left);
+        co_return co_await exchange.begin(untilHedge(left, delivery));
     }
     auto head = co_await exchange.begin(std::min<std::chrono::nanoseconds>(left, refusalTime));
     if (!head && head.error().code == ErrorCode::DeadlineExceeded && !exchange.isRequestSent()) {
@@ -693,10 +730,22 @@
         // Bytes of an incomplete event do not extend the pause, since the caller gets whole events.
         const auto until = mayResume ? std::min(delivery.deadline, pauseEnd) : delivery.deadline;
         const auto readAt = m_context.clock.now();
-        const auto part = co_await exchange.readSome(untilBeginLimit(until - readAt, delivery));
+        const auto part = co_await exchange.readSome(untilHedge(untilBeginLimit(until - readAt, delivery), delivery));
         if (delivery.phase == AttemptPhase::Answering) {
             delivery.answeringTime += m_context.clock.now() - readAt;
         }
+        if (!part && isHedgeDue(part.error(), delivery)) {
+            delivery.hedgeAt.reset();
+            // An event that has begun to arrive is a begun response.
+            std::optional<Outcome<void>> result;
+            if (!events.hasPartialEvent()) {
+                result = co_await hedge(request, exchange, head, sink, delivery);
+            }
+            if (result) {
+                co_return std::move(*result);
+            }
+            continue;
+        }
         if (!part && isSilence(part.error(), delivery) && !sink.stopReason()) {
             if (auto result = co_await replaceRunner(request, exchange, sink, delivery)) {
                 co_return std::move(*result);
@@ -766,6 +815,9 @@
 void ForwardDispatcher::recordRefusal(const ForwardRequest& request, const ReplyHead& head, Delivery& delivery)
 {
     const auto& runner = delivery.runner;
+    if (head.kind == ReplyKind::NotRun) {
+        m_hedging.recordRejection(delivery.service);
+    }
     if (head.kind == ReplyKind::Misdirected && head.answeredBy == runner.id && runner.weights > 0) {
         m_context.runnerCommands.onWeightsMismatch(runner.id, request.model, runner.weights);
         delivery.tried.erase(runner.id);
@@ -782,6 +834,8 @@
 void ForwardDispatcher::recordFirstOutput(const ForwardRequest& request, Delivery& delivery)
 {
     const auto& runner = delivery.runner;
+    delivery.hedgeAt.reset();
+    recordBegin(delivery);
     m_context.runnerCommands.recordFirstOutput(runner.id, runner.computedTokens);
     std::vector<CachedPrefix> cachedPrefixes;
     const auto holder = holderHash(runner.id, runner.incarnation);
--- a/Source/Core/Gateway/ForwardDispatcher.h
+++ b/Source/Core/Gateway/ForwardDispatcher.h
@@ -11,6 +11,7 @@
 #include "Gateway/Commands/RunnerClient.h"
 #include "Gateway/Commands/RunnerCommands.h"
 #include "Gateway/ForwardAdmission.h"
+#include "Gateway/HedgePolicy.h"
 #include "Gateway/Queries/FreshnessQueries.h"
 #include "Gateway/Queries/QuarantineQueries.h"
 #include "Gateway/Queries/RolloutQueries.h"
@@ -43,16 +44,25 @@
     CrashCommands& crashes;
     const RolloutQueries& rollouts;
     RolloutCommands& rolloutCommands;
+    /// Share of the requests of a service that may be copied to a second runner; 0 for none.
+    double hedgeShare = 0;
+    /// Names of the resumable routes whose streams may be copied before their first event.
+    std::set<std::string> hedgedStreams = {};
 };
 
+struct AttemptState;
+class RunnerRace;
+struct RaceLane;
+
 /// Forwards requests to runners and their responses to the callers: lets them be admitted, chooses a runner, and
 /// repeats or resumes a request where its route allows it.
 class ForwardDispatcher {
 public:
     explicit ForwardDispatcher(ForwardContext context)
-        : m_context(context)
-        , m_admission(
-              { context.clock, context.routing, context.freshness, context.quota, context.metrics, context.log })
+        : m_context(std::move(context))
+        , m_admission({ m_context.clock, m_context.routing, m_context.freshness, m_context.quota, m_context.metrics,
+              m_context.log })
+        , m_hedging(m_context.clock, m_context.hedgeShare)
     {
     }
 
@@ -83,6 +93,12 @@
     std::string currentCacheSalt(const Delivery& delivery) const;
     /// Also sets the salt of the attempt.
     Outcome<RunnerChoice> chooseRunner(const ForwardRequest& request, Delivery& delivery) const;
+    /// @param cacheSalt Salt of the request's cache entries.
+    std::optional<RunnerChoice> chooseAmong(const ForwardRequest& request, const std::string& cacheSalt,
+        const Delivery& delivery, std::span<const RunnerCandidate> candidates) const;
+    /// Makes an attempt the current one and records it, before anything is sent.
+    std::unique_ptr<RunnerExchange> beginAttempt(
+        const ForwardRequest& request, const RunnerChoice& choice, Delivery& delivery);
     /// Sends the request to one runner and relays its response.
     Task<Outcome<void>> attempt(
         const ForwardRequest& request, const RunnerChoice& choice, ReplySink& sink, Delivery& delivery);
@@ -108,6 +124,42 @@
     /// Connects to the runner of the attempt and sends the request, unless the runner has become unavailable meanwhile.
     Task<Outcome<ReplyHead>> send(
         const ForwardRequest& request, RunnerExchange& exchange, Delivery& delivery, std::chrono::nanoseconds limit);
+    /// Whether an attempt that has its connection may be sent. Others may have heard from the runner meanwhile.
+    /// @param attempt Is marked as diverted if not.
+    Outcome<void> checkBeforeSend(const Delivery& delivery, AttemptState& attempt) const;
+
+    /// Whether the request may be copied to a second runner.
+    bool mayHedge(const Delivery& delivery) const;
+    /// Sets the time at which the request is copied, if it may be. Called when it is sent.
+    void startHedgeTimer(Delivery& delivery);
+    /// The limit, or the time until the request is copied if that is shorter.
+    std::chrono::nanoseconds untilHedge(std::chrono::nanoseconds limit, const Delivery& delivery) const;
+    /// Whether a read failed because it is time to copy the request.
+    bool isHedgeDue(const Error& error, const Delivery& delivery) const;
+    /// Records, once for each request, that its response has begun.
+    void recordBegin(Delivery& delivery);
+    /// Sends a copy of the request to another runner, if that is allowed now, and relays the first response.
+    /// @param exchange The first attempt.
+    /// @param head Head of its response, if that has arrived.
+    /// @return Result of the request, or nothing if the first attempt goes on alone and its response has not begun.
+    Task<std::optional<Outcome<void>>> hedge(const ForwardRequest& request, RunnerExchange& exchange,
+        std::optional<ReplyHead> head, ReplySink& sink, Delivery& delivery);
+    /// Decides whether the request is copied now, and records why it is not.
+    std::optional<RunnerChoice> chooseHedgeRunner(const ForwardRequest& request, Delivery& delivery);
+    /// Connects to the runner of the copy and sends it, unless the race is over or a limit is reached meanwhile.
+    Task<Outcome<ReplyHead>> sendCopy(const ForwardRequest& request, RunnerExchange& exchange, const RunnerRace& race,
+        AttemptState& copy, const Delivery& delivery, std::chrono::nanoseconds limit);
+    /// Records the end of the current attempt of two while the other one goes on.
+    void recordLaneEnd(const ForwardRequest& request, RaceLane& lane, Delivery& delivery);
+    /// Records that the current attempt of two was cancelled.
+    /// @param stopReason Why the request was stopped, if it was.
+    void recordLaneCancelled(const std::optional<Error>& stopReason, Delivery& delivery);
+    /// Relays the response of the attempt that goes on.
+    Task<Outcome<void>> finishLane(const ForwardRequest& request, RaceLane& lane, ReplySink& sink, Delivery& delivery);
+    /// Makes the copy the current attempt and relays its response. Its end is recorded.
+    Task<Outcome<void>> finishCopy(
+        const ForwardRequest& request, RaceLane& lane, const AttemptState& state, ReplySink& sink, Delivery& delivery);
+
     /// Refuses a request because of a quarantined part, unless it is to test the part.
     std::optional<Error> checkQuarantine(Delivery& delivery);
     /// Logs an attempt after which the request is sent elsewhere or ends.
@@ -142,6 +194,7 @@
 
     ForwardContext m_context;
     ForwardAdmission m_admission;
+    HedgePolicy m_hedging;
 };
 
 } // namespace Pollenwind
--- a/Source/Core/Gateway/Gateway.cpp
+++ b/Source/Core/Gateway/Gateway.cpp
@@ -171,7 +171,8 @@
         , client(executor, platform.requests, connectTimeout)
         , log(clock)
         , dispatcher({ clock, routing, sync, runners, runners, policy, directory, quota, retryBudget, client, metrics,
-              log, quarantine, quarantine, crashes, rollouts, rollouts })
+              log, quarantine, quarantine, crashes, rollouts, rollouts, settings.load.hedgeShare,
+              settings.load.hedgedStreams })
         , frontEnd(clock, platform.requests, dispatcher, metrics, log)
         , status(settings.readyPath, metrics, [this] { return isReady(); })
         , feed(clock, changeLog, sync, fleet)
--- a/Source/Core/Gateway/GatewaySettings.h
+++ b/Source/Core/Gateway/GatewaySettings.h
@@ -10,6 +10,8 @@
 #include <algorithm>
 #include <chrono>
 #include <cstddef>
+#include <set>
+#include <string>
 
 namespace Pollenwind {
 
@@ -52,6 +54,8 @@
     CacheStorePlacement storePlacement = CacheStorePlacement::Auto;
     /// Whether the fleet records which quotas are in heavy use, for a restart of all VMs.
     bool recordsQuota = true;
+    /// Names of the resumable routes whose streams may be copied before their first event.
+    std::set<std::string> hedgedStreams = {};
 };
 
 /// Local settings of one gateway process. Settings that all VMs share are in the store.
--- a/Source/Core/Gateway/RequestLog.h
+++ b/Source/Core/Gateway/RequestLog.h
@@ -20,6 +20,12 @@
     Diverted,
     /// An attempt failed; the request may be sent again.
     Repeated,
+    /// A copy was sent to a second runner.
+    Hedged,
+    /// The race between a request and its copy ended.
+    HedgeEnded,
+    /// The request was slow and was not copied.
+    HedgeSuppressed,
     /// A stream is resumed after its last event.
     Resumed,
     Finished,
@@ -40,6 +46,9 @@
         EnumName { RequestEvent::Placed, "placed" },
         EnumName { RequestEvent::Diverted, "diverted" },
         EnumName { RequestEvent::Repeated, "repeated" },
+        EnumName { RequestEvent::Hedged, "hedged" },
+        EnumName { RequestEvent::HedgeEnded, "hedge-ended" },
+        EnumName { RequestEvent::HedgeSuppressed, "hedge-suppressed" },
         EnumName { RequestEvent::Resumed, "resumed" },
         EnumName { RequestEvent::Finished, "finished" },
         EnumName { RequestEvent::Refused, "refused" },
--- a/Source/Core/Metrics/Counter.h
+++ b/Source/Core/Metrics/Counter.h
@@ -24,6 +24,20 @@
     UpstreamFailures,
     Retries,
     RetryBudgetExhausted,
+    /// Copies of requests that were sent to a second runner.
+    HedgesSent,
+    /// Copies whose response was the first.
+    HedgesWon,
+    /// Copies that were cancelled, refused or failed.
+    HedgesLost,
+    /// Slow requests that were not copied, by reason.
+    HedgesSuppressedAttempts,
+    HedgesSuppressedQuarantine,
+    HedgesSuppressedRunners,
+    HedgesSuppressedLoad,
+    HedgesSuppressedRejections,
+    HedgesSuppressedShare,
+    HedgesSuppressedBudget,
     /// Requests that were not sent to the chosen runner because it became unavailable before its connection was made.
     RequestsDiverted,
     /// Refusals of runners that named a time for which they want no requests.
@@ -121,6 +135,16 @@
         EnumName { Counter::UpstreamFailures, "upstream_failures_total" },
         EnumName { Counter::Retries, "retries_total" },
         EnumName { Counter::RetryBudgetExhausted, "retry_budget_exhausted_total" },
+        EnumName { Counter::HedgesSent, "hedges_sent_total" },
+        EnumName { Counter::HedgesWon, "hedges_won_total" },
+        EnumName { Counter::HedgesLost, "hedges_lost_total" },
+        EnumName { Counter::HedgesSuppressedAttempts, "hedges_suppressed_attempts_total" },
+        EnumName { Counter::HedgesSuppressedQuarantine, "hedges_suppressed_quarantine_total" },
+        EnumName { Counter::HedgesSuppressedRunners, "hedges_suppressed_runners_total" },
+        EnumName { Counter::HedgesSuppressedLoad, "hedges_suppressed_load_total" },
+        EnumName { Counter::HedgesSuppressedRejections, "hedges_suppressed_rejections_total" },
+        EnumName { Counter::HedgesSuppressedShare, "hedges_suppressed_share_total" },
+        EnumName { Counter::HedgesSuppressedBudget, "hedges_suppressed_budget_total" },
         EnumName { Counter::RequestsDiverted, "requests_diverted_total" },
         EnumName { Counter::BackOffs, "back_offs_total" },
         EnumName { Counter::BackOffTrials, "back_off_trials_total" },
