--- a/Source/Core/Gateway/ForwardDispatcher.cpp
+++ b/Source/Core/Gateway/ForwardDispatcher.cpp
@@ -3,6 +3,7 @@
 #include "Common/Invariant.h"
 #include "Common/TaskFault.h"
 #include "Gateway/EventSplitter.h"
+#include "Gateway/ForwardDelivery.h"
 #include "Gateway/Queries/PrefixQueries.h"
 #include "Gateway/ReturnTime.h"
 #include "Gateway/YieldingRoutes.h"
@@ -117,89 +118,8 @@
         return error.code == ErrorCode::ConnectFailed || isLocalShortage(error);
     }
 
-    /// State of one attempt of a request.
-    struct AttemptState {
-        RunnerChoice runner;
-        /// Salt of the attempt's cache entries, without the weights.
-        std::string cacheSalt;
-        /// How far the attempt got.
-        AttemptPhase phase = AttemptPhase::NotSent;
-        /// The attempt was ended because it would have begun on old weights too late.
-        bool isTakenBack = false;
-        /// The attempt is a trial after a back-off of its runner, whose result is not known yet.
-        bool isRunnerTrial = false;
-        /// The attempt was not sent because its runner became unavailable.
-        bool isDiverted = false;
-        /// Version of the software of the runner.
-        std::optional<VersionId> lastVersion;
-        /// The attempt as evidence on that version.
-        RolloutAttemptId rolloutAttempt;
-        MonotonicTime chosenAt { 0 };
-        /// Status of the attempt's response; 0 before its head.
-        int status = 0;
-        /// When the attempt's last events were sent to the caller.
-        MonotonicTime lastOutputAt { 0 };
-        /// Time spent waiting for the runner after its first event, without the time in which the caller reads.
-        std::chrono::nanoseconds answeringTime { 0 };
-        /// The answer shows that the prompt does not crash the runner.
-        bool isAnswerProven = false;
-    };
-
-    /// An attempt at a silent runner, which goes on until another runner has accepted the request.
-    struct SilentAttempt {
-        RunnerExchange& exchange;
-        AttemptState state;
-    };
-
 } // namespace
 
-/// State of one request over all its attempts, and of the current or last one.
-struct ForwardDispatcher::Delivery : AdmittedRequest, AttemptState {
-    /// A runner's error response.
-    struct Failure {
-        ReplyHead head;
-        std::string body;
-        MemoryBudget::Share held;
-    };
-
-    explicit Delivery(AdmittedRequest admitted)
-        : AdmittedRequest(std::move(admitted))
-    {
-    }
-
-    MonotonicTime receivedAt { 0 };
-    MonotonicTime deadline { 0 };
-    /// Urgency under which the request's work is counted.
-    RouteUrgency urgency = RouteUrgency::Urgent;
-    /// Parts of the prompt that other requests may share.
-    std::vector<PartId> parts;
-    /// Runners that the request lost before its answer was proven.
-    unsigned losses = 0;
-    /// A part had been lost in an earlier crash when the request lost a runner.
-    bool wasSuspected = false;
-    /// The request tests a quarantined part, so it is sent once.
-    bool isTrial = false;
-
-    /// Runners to which the request was sent.
-    std::set<UpstreamId> tried;
-    /// Attempts that a runner may have run.
-    unsigned runs = 0;
-    unsigned refusals = 0;
-    /// Attempts in total.
-    unsigned sends = 0;
-    /// The head of a streamed response was sent to the caller.
-    bool isBegun = false;
-    /// Attempt that the current one is to replace.
-    SilentAttempt* silent = nullptr;
-    /// The result of the last attempt is that of the one which replaced it, and has been recorded.
-    bool isReplaced = false;
-    RunState runState = RunState::NotRun;
-    /// Id of the last event that was sent to the caller.
-    std::optional<std::uint64_t> lastEventId;
-    /// A runner's error response, which the caller gets if no other attempt succeeds or begins a stream.
-    std::optional<Failure> failure;
-};
-
 std::vector<RunnerCandidate> ForwardDispatcher::candidatesFor(const ForwardRequest& request, const Delivery& delivery)
 {
     std::optional<PreviousAttempt> previous;
@@ -270,13 +190,7 @@
     const auto candidates = candidatesFor(request, delivery);
     // Of the present configuration, which may not be the one under which the request was admitted.
     delivery.cacheSalt = currentCacheSalt(delivery);
-    const auto& targets = m_context.runners.targetWeights();
-    const auto it = targets.find(request.model);
-    auto stores = delivery.stores;
-    const auto home = homeRegionsOf(request, delivery);
-    std::erase_if(stores, [&home](const CacheStore& store) { return !home.permits(store.zone); });
-    const auto choice = m_context.policy.choose(
-        request, delivery.cacheSalt, it == targets.end() ? 0 : it->second, stores, candidates);
+    const auto choice = chooseAmong(request, delivery.cacheSalt, delivery, candidates);
     if (!choice) {
         if (m_context.runners.hasOnlyColdRunners(delivery.service)) {
             m_context.metrics.count(Counter::ColdRunnerRefusals);
@@ -296,9 +210,24 @@
     // The parts before the last one are usually cached.
     const double tokens
         = !request.parts.empty() ? request.parts.back().tokens : (request.tokens ? request.tokens->prompt : 0);
-    return m_engines.check(*delivery.configuration, delivery.service, request.id,
+    auto checked = m_engines.check(*delivery.configuration, delivery.service, request.id,
         { delivery.urgency, tokens, delivery.receivedAt + delivery.route->objective - now, delivery.deadline - now },
         candidatesFor(request, delivery));
+    if (!checked) {
+        m_hedging.recordRejection(delivery.service);
+    }
+    return checked;
+}
+
+std::optional<RunnerChoice> ForwardDispatcher::chooseAmong(const ForwardRequest& request, const std::string& cacheSalt,
+    const Delivery& delivery, std::span<const RunnerCandidate> candidates) const
+{
+    const auto& targets = m_context.runners.targetWeights();
+    const auto it = targets.find(request.model);
+    auto stores = delivery.stores;
+    const auto home = homeRegionsOf(request, delivery);
+    std::erase_if(stores, [&home](const CacheStore& store) { return !home.permits(store.zone); });
+    return m_context.policy.choose(request, cacheSalt, it == targets.end() ? 0 : it->second, stores, candidates);
 }
 
 std::chrono::milliseconds ForwardDispatcher::timeLeft(const Delivery& delivery) const
@@ -358,6 +287,9 @@
         co_return waited;
     }
     m_context.retryBudget.recordRequest(delivery.service);
+    if (mayHedge(delivery)) {
+        m_hedging.recordRequest(delivery.service);
+    }
     for (;;) {
         auto refused = checkQuarantine(delivery);
         // Before a runner is chosen, since a request that is not sent tells nothing about it. In a process that was
@@ -512,8 +444,8 @@
     return true;
 }
 
-Task<Outcome<void>> ForwardDispatcher::attempt(
-    const ForwardRequest& request, const RunnerChoice& choice, ReplySink& sink, Delivery& delivery)
+std::unique_ptr<RunnerExchange> ForwardDispatcher::beginAttempt(
+    const ForwardRequest& request, const RunnerChoice& choice, Delivery& delivery)
 {
     delivery.runner = choice;
     delivery.tried.insert(choice.id);
@@ -521,6 +453,7 @@
     delivery.isTakenBack = false;
     delivery.isDiverted = false;
     delivery.rolloutAttempt = {};
+    delivery.hedgeAt.reset();
     delivery.status = 0;
     delivery.chosenAt = m_context.clock.now();
     delivery.answeringTime = {};
@@ -553,7 +486,13 @@
     delivery.rolloutAttempt
         = m_context.rolloutCommands.recordSent(delivery.service, choice.software, route.name, choice.uncachedTokens);
     const bool mayReuse = route.kind != RequestKind::Unsafe;
-    const auto exchange = m_context.client.open(choice.endpoint, request, terms, mayReuse);
+    return m_context.client.open(choice.endpoint, request, terms, mayReuse);
+}
+
+Task<Outcome<void>> ForwardDispatcher::attempt(
+    const ForwardRequest& request, const RunnerChoice& choice, ReplySink& sink, Delivery& delivery)
+{
+    const auto exchange = beginAttempt(request, choice, delivery);
     sink.onStop([&exchange] { exchange->cancel(); });
     auto result = co_await withoutExceptions(TaskKind::Attempt, exchangeWith(*exchange, request, sink, delivery));
     if (!result && result.error().code == ErrorCode::Internal && delivery.phase == AttemptPhase::NotSent) {
@@ -590,7 +529,14 @@
     } else if (route.kind == RequestKind::Streaming && route.isResumable && mayRunAgain) {
         limit = std::min<std::chrono::nanoseconds>(limit, route.objective * firstEventTimeoutFactor);
     }
+    const auto end = m_context.clock.now() + limit;
     auto head = co_await send(request, exchange, delivery, untilBeginLimit(limit, delivery));
+    if (!head && isHedgeDue(head.error(), delivery) && m_context.clock.now() < end) {
+        if (auto result = co_await hedge(request, exchange, std::nullopt, sink, delivery)) {
+            co_return std::move(*result);
+        }
+        head = co_await exchange.awaitHead(end - m_context.clock.now());
+    }
     while (!head && isSilence(head.error(), delivery) && !sink.stopReason()) {
         if (auto result = co_await replaceRunner(request, exchange, sink, delivery)) {
             co_return std::move(*result);
@@ -604,6 +550,12 @@
     }
     delivery.phase = AttemptPhase::HeadReceived;
     recordAvailability(request, *head, delivery);
+    if (route.kind == RequestKind::Safe) {
+        delivery.hedgeAt.reset();
+        if (head->kind == ReplyKind::Answer && head->isSuccess()) {
+            recordBegin(delivery);
+        }
+    }
     co_return co_await relayAnswer(request, exchange, *head, sink, delivery);
 }
 
@@ -697,28 +649,37 @@
     delivery.runState = RunState::Unknown;
 }
 
-Task<Outcome<ReplyHead>> ForwardDispatcher::send(
-    const ForwardRequest& request, RunnerExchange& exchange, Delivery& delivery, std::chrono::nanoseconds limit)
+Outcome<void> ForwardDispatcher::checkBeforeSend(
+    const ForwardRequest& request, const Delivery& delivery, AttemptState& attempt) const
 {
-    const auto end = m_context.clock.now() + limit;
-    if (const auto connected = co_await exchange.connect(limit); !connected) {
-        co_return std::unexpected(connected.error());
-    }
     // Others may have heard from the runner while this request waited for its connection.
-    if (!m_context.runners.mayStillSend(delivery.runner.id, delivery.runner.incarnation)) {
-        delivery.isDiverted = true;
-        co_return fail(ErrorCode::Unavailable, "the runner became unavailable before the request was sent");
+    if (!m_context.runners.mayStillSend(attempt.runner.id, attempt.runner.incarnation)) {
+        attempt.isDiverted = true;
+        return fail(ErrorCode::Unavailable, "the runner became unavailable before the request was sent");
     }
     if (const auto home = homeRegionsOf(request, delivery); home.isRestricted()) {
-        const auto entry = m_context.runners.find(delivery.runner.id);
+        const auto entry = m_context.runners.find(attempt.runner.id);
         if (!entry || !home.permits(entry->zone)) {
-            delivery.isDiverted = true;
-            co_return fail(ErrorCode::Unavailable, "the home regions changed before the request was sent");
+            attempt.isDiverted = true;
+            return fail(ErrorCode::Unavailable, "the home regions changed before the request was sent");
         }
     }
-    if (currentCacheSalt(delivery) != delivery.cacheSalt) {
-        delivery.isDiverted = true;
-        co_return fail(ErrorCode::Unavailable, "the cache salt changed before the request was sent");
+    if (currentCacheSalt(delivery) != attempt.cacheSalt) {
+        attempt.isDiverted = true;
+        return fail(ErrorCode::Unavailable, "the cache salt changed before the request was sent");
+    }
+    return {};
+}
+
+Task<Outcome<ReplyHead>> ForwardDispatcher::send(
+    const ForwardRequest& request, RunnerExchange& exchange, Delivery& delivery, std::chrono::nanoseconds limit)
+{
+    const auto end = m_context.clock.now() + limit;
+    if (const auto connected = co_await exchange.connect(limit); !connected) {
+        co_return std::unexpected(connected.error());
+    }
+    if (auto checked = checkBeforeSend(request, delivery, delivery); !checked) {
+        co_return std::unexpected(std::move(checked.error()));
     }
     const auto left = end - m_context.clock.now();
     if (left.count() <= 0) {
@@ -726,8 +687,9 @@
         co_return fail(ErrorCode::Unavailable, "the time of the attempt passed before the request was sent");
     }
     delivery.phase = AttemptPhase::Sent;
+    startHedgeTimer(delivery);
     if (!delivery.silent) {
-        co_return co_await exchange.begin(left);
+        co_return co_await exchange.begin(untilHedge(left, delivery));
     }
     auto head = co_await exchange.begin(std::min<std::chrono::nanoseconds>(left, refusalTime));
     if (!head && head.error().code == ErrorCode::DeadlineExceeded && !exchange.isRequestSent()) {
@@ -839,10 +801,22 @@
         // Bytes of an incomplete event do not extend the pause, since the caller gets whole events.
         const auto until = mayResume ? std::min(delivery.deadline, pauseEnd) : delivery.deadline;
         const auto readAt = m_context.clock.now();
-        const auto part = co_await exchange.readSome(untilBeginLimit(until - readAt, delivery));
+        const auto part = co_await exchange.readSome(untilHedge(untilBeginLimit(until - readAt, delivery), delivery));
         if (delivery.phase == AttemptPhase::Answering) {
             delivery.answeringTime += m_context.clock.now() - readAt;
         }
+        if (!part && isHedgeDue(part.error(), delivery)) {
+            delivery.hedgeAt.reset();
+            // An event that has begun to arrive is a begun response.
+            std::optional<Outcome<void>> result;
+            if (!events.hasPartialEvent()) {
+                result = co_await hedge(request, exchange, head, sink, delivery);
+            }
+            if (result) {
+                co_return std::move(*result);
+            }
+            continue;
+        }
         if (!part && isSilence(part.error(), delivery) && !sink.stopReason()) {
             if (auto result = co_await replaceRunner(request, exchange, sink, delivery)) {
                 co_return std::move(*result);
@@ -918,6 +892,9 @@
 void ForwardDispatcher::recordRefusal(const ForwardRequest& request, const ReplyHead& head, Delivery& delivery)
 {
     const auto& runner = delivery.runner;
+    if (head.kind == ReplyKind::NotRun) {
+        m_hedging.recordRejection(delivery.service);
+    }
     if (head.kind == ReplyKind::Misdirected && head.answeredBy == runner.id && runner.weights > 0) {
         m_context.runnerCommands.onWeightsMismatch(runner.id, request.model, runner.weights);
         delivery.tried.erase(runner.id);
@@ -934,6 +911,8 @@
 void ForwardDispatcher::recordFirstOutput(const ForwardRequest& request, Delivery& delivery)
 {
     const auto& runner = delivery.runner;
+    delivery.hedgeAt.reset();
+    recordBegin(delivery);
     if (delivery.urgency == RouteUrgency::Yielding) {
         m_engines.recordFirstOutput(delivery.service, runner, m_context.clock.now() - delivery.chosenAt);
     }
--- a/Source/Core/Gateway/Gateway.cpp
+++ b/Source/Core/Gateway/Gateway.cpp
@@ -187,7 +187,8 @@
         , log(clock)
         , dispatcher({ clock, routing, sync, runners, runners, policy, directory, quota, retryBudget, client, metrics,
               log, quarantine, quarantine, crashes, rollouts, rollouts, settings.load.yieldRanks,
-              settings.load.usesRunnerPace ? &pace : nullptr, settings.regions })
+              settings.load.usesRunnerPace ? &pace : nullptr, settings.regions, settings.load.hedgeShare,
+              settings.load.hedgedStreams })
         , frontEnd(clock, platform.requests, dispatcher, metrics, log)
         , status(settings.readyPath, metrics, [this] { return isReady(); })
         , feed(clock, changeLog, sync, fleet)
