Give the prompt pool half of the engines

The size of the pool followed the demand. Each change moved cached prefixes, and in a peak the pool took the engines from the more urgent streams.

The pool is now half of the engines in use. The tests of the changing size went with it.

--- a/Source/Core/Gateway/EngineAdmission.cpp
+++ b/Source/Core/Gateway/EngineAdmission.cpp
@@ -1,7 +1,6 @@
 #include "Gateway/EngineAdmission.h"
 
 #include "Gateway/YieldingRoutes.h"
-#include "Timeline/Log.h"
 
 #include <algorithm>
 #include <functional>
@@ -40,19 +39,11 @@
 void EngineAdmission::applyPool(const RoutingConfiguration& configuration, const ServiceId& service,
     RouteUrgency urgency, std::vector<RunnerCandidate>& candidates)
 {
-    auto* state = find(configuration, service);
-    if (!state || candidates.empty()) {
+    if (candidates.empty() || !find(configuration, service)) {
         return;
     }
-    const auto shareBefore = state->pool.share();
-    state->pool.observe(m_context.clock.now(), candidates);
-    if (state->pool.share() != shareBefore) {
-        logStateChange("prompt-pool-resized",
-            { { "service", service.value() }, { "engines", std::to_string(state->pool.sizeOf(candidates.size())) },
-                { "of", std::to_string(candidates.size()) } });
-    }
-    m_context.metrics.set(Gauge::PromptPoolEngines, state->pool.sizeOf(candidates.size()));
-    state->pool.markMembers(candidates);
+    m_context.metrics.set(Gauge::PromptPoolEngines, PromptPool::sizeOf(candidates.size()));
+    PromptPool::markMembers(candidates);
     if (urgency == RouteUrgency::Yielding) {
         std::erase_if(candidates, [](const RunnerCandidate& it) { return !it.isInPromptPool; });
     }
--- a/Source/Core/Gateway/EngineAdmission.h
+++ b/Source/Core/Gateway/EngineAdmission.h
@@ -52,7 +52,6 @@
 
 private:
     struct Service {
-        PromptPool pool;
         EngineRate rate;
     };
 
--- a/Source/UnitTests/Gateway/LoadAdmissionTests.cpp
+++ b/Source/UnitTests/Gateway/LoadAdmissionTests.cpp
@@ -145,7 +145,7 @@
     load.queue = 96;
     load.duration = 14s;
     load.engine.emplace();
-    // The largest pool has 8 engines that compute 21 prompts of 7,400 tokens a second.
+    // The load is a multiple of what 8 engines compute: 21 prompts of 7,400 tokens a second each.
     load.engine->requests = { { .prefix = "/long/",
                                   .priority = 2,
                                   .objective = 600ms,
--- a/Source/UnitTests/Gateway/PromptPoolTests.cpp
+++ b/Source/UnitTests/Gateway/PromptPoolTests.cpp
@@ -11,20 +11,19 @@
 
 namespace {
 
-std::vector<RunnerCandidate> makeEngines(std::size_t count, std::size_t busy = 0)
+std::vector<RunnerCandidate> makeEngines(std::size_t count)
 {
     std::vector<RunnerCandidate> engines(count);
     for (std::size_t n = 0; n < count; ++n) {
         engines[n].id = UpstreamId("e" + std::to_string(n));
         engines[n].slots = 32;
-        engines[n].load.yieldingTokens = n < busy ? 3000 : 0;
     }
     return engines;
 }
 
-std::set<UpstreamId> membersOf(const PromptPool& pool, std::vector<RunnerCandidate> engines)
+std::set<UpstreamId> membersOf(std::vector<RunnerCandidate> engines)
 {
-    pool.markMembers(engines);
+    PromptPool::markMembers(engines);
     std::set<UpstreamId> members;
     for (const auto& it : engines) {
         if (it.isInPromptPool) {
@@ -34,15 +33,6 @@
     return members;
 }
 
-/// Observes a constant load for a time, as a VM that decides about 100 requests a second.
-void observeFor(PromptPool& pool, MonotonicTime& now, std::chrono::milliseconds time, std::size_t busy)
-{
-    const auto engines = makeEngines(60, busy);
-    for (const auto end = now + time; now < end; now += 10ms) {
-        pool.observe(now, engines);
-    }
-}
-
 /// Load of the first customer at a fifth of its size: long prompts that yield, and short ones.
 RefusalLoad mixedLoad(double peakFactor)
 {
@@ -79,63 +69,24 @@
 // twice. The order of the candidates must not matter.
 Test(PromptPool, differsOnlyAtTheEdge)
 {
-    PromptPool pool;
     auto engines = makeEngines(60);
-    const auto members = membersOf(pool, engines);
-    cr_assert_eq(members.size(), 29);
+    const auto members = membersOf(engines);
+    cr_assert_eq(members.size(), 30);
     std::ranges::reverse(engines);
-    cr_assert(membersOf(pool, engines) == members);
+    cr_assert(membersOf(engines) == members);
     std::erase_if(engines, [&](const auto& it) { return it.id == *members.begin(); });
-    const auto next = membersOf(pool, engines);
+    const auto next = membersOf(engines);
     const auto kept = std::ranges::count_if(members, [&next](const auto& it) { return next.contains(it); });
-    cr_assert_geq(kept, 27);
-}
-
-// A quarter of the engines' time needs the usual pool, and two thirds the largest one, which it has to reach within a
-// peak of 6 s. It must shrink afterwards, and by no more than one step in two seconds.
-Test(PromptPool, followsTheDemandByOneStepInTwoSeconds)
-{
-    PromptPool pool;
-    MonotonicTime now { 10s };
-    observeFor(pool, now, 5s, 13);
-    cr_assert_leq(pool.share(), PromptPool::shares[1]);
-    observeFor(pool, now, 4500ms, 36);
-    cr_assert_eq(pool.share(), PromptPool::shares[2]);
-    const auto before = now;
-    observeFor(pool, now, 1s, 3);
-    cr_assert_neq(pool.share(), PromptPool::shares[0]);
-    observeFor(pool, now, 5s, 3);
-    cr_assert_eq(pool.share(), PromptPool::shares[0], "%ld", static_cast<long>((now - before) / 1ms));
-}
-
-// A load at the limit between two sizes must not move the size back and forth, since each change moves prefixes.
-Test(PromptPool, keepsItsSizeUnderASteadyLoad)
-{
-    for (std::size_t busy = 1; busy <= 39; ++busy) {
-        PromptPool pool;
-        MonotonicTime now { 10s };
-        observeFor(pool, now, 10s, busy);
-        const auto share = pool.share();
-        observeFor(pool, now, 20s, busy);
-        cr_assert_eq(pool.share(), share, "%zu busy engines", busy);
-    }
+    cr_assert_geq(kept, 28);
 }
 
-// Without reports of other VMs, after a pause of the process, and with one engine there must still be a pool.
-Test(PromptPool, existsWithoutReportsAndWithOneEngine)
+// With few engines there must still be a pool, and an engine outside it if there are several.
+Test(PromptPool, existsWithFewEngines)
 {
-    PromptPool pool;
-    MonotonicTime now { 10s };
-    cr_assert_eq(membersOf(pool, makeEngines(1)).size(), 1);
-    cr_assert_eq(membersOf(pool, makeEngines(2)).size(), 1);
-    cr_assert(membersOf(pool, {}).empty());
-    observeFor(pool, now, 20s, 0);
-    cr_assert_eq(membersOf(pool, makeEngines(60)).size(), 18);
-    // The work that was known before the pause must not decide after it.
-    now += 60s;
-    const auto engines = makeEngines(60, 60);
-    pool.observe(now, engines);
-    cr_assert_eq(pool.share(), PromptPool::shares[0]);
+    cr_assert_eq(membersOf(makeEngines(1)).size(), 1);
+    cr_assert_eq(membersOf(makeEngines(2)).size(), 1);
+    cr_assert(membersOf({}).empty());
+    cr_assert_eq(membersOf(makeEngines(60)).size(), 30);
 }
 
 // Long prompts of the least urgent route occupied all engines, and each batch step with a part of one delayed every
