Use the pace of runners only where many differ clearly

One engine that differed from the median by a factor of 1.35 for 4 s turned the sharing of zone work and the placement by pace on. Loaded engines of nearly equal speed reach that, so earlier deployments could be served differently. With a yielding route the engines of the prompt pool have other work than the rest, so their paces do not compare.

A tenth of a service's engines must now differ by a factor of 1.6 for 4 s, and a configuration with a yielding route is placed without pace.

--- a/Source/Core/Gateway/Gateway.cpp
+++ b/Source/Core/Gateway/Gateway.cpp
@@ -407,7 +407,8 @@
                 { "uneven_runners", isUneven ? "yes" : "no" } });
     }
     reporter.setSharesZoneWork(shares);
-    policy.setPace(shares && settings.load.usesRunnerPace ? &pace : nullptr);
+    // With yielding routes the engines of the prompt pool have other work than the rest, so their paces do not compare.
+    policy.setPace(isUneven && !hasYielding ? &pace : nullptr);
     policy.setOtherZoneLoadUnknown(fleet.isLarge() && !(shares && reporter.zonesWithKnownWork() > 0));
 }
 
--- a/Source/Core/Gateway/RunnerPace.cpp
+++ b/Source/Core/Gateway/RunnerPace.cpp
@@ -173,6 +173,7 @@
         return;
     }
     const double median = medianOf(means);
+    std::size_t clearlyUneven = 0;
     for (const auto& [runner, ratios] : measured) {
         const double speed = std::clamp(median / ratios.mean(), slowestSpeed, fastestSpeed);
         if (speed < unevenFactor && speed > 1 / unevenFactor) {
@@ -181,9 +182,11 @@
         const auto before = m_speeds.find(runner);
         const auto since = before == m_speeds.end() ? now : before->second.since;
         speeds.emplace(runner, Speed { speed, since, ratios.addedAt });
-        if (now - since >= unevenDelay) {
-            m_unevenUntil = now + unevenRetention;
-        }
+        const bool isClear = speed >= clearlyUnevenFactor || speed <= 1 / clearlyUnevenFactor;
+        clearlyUneven += isClear && now - since >= unevenDelay ? 1 : 0;
+    }
+    if (clearlyUneven > 0 && static_cast<double>(clearlyUneven) >= unevenShare * static_cast<double>(measured.size())) {
+        m_unevenUntil = now + unevenRetention;
     }
 }
 
--- a/Source/Core/Gateway/RunnerPace.h
+++ b/Source/Core/Gateway/RunnerPace.h
@@ -35,10 +35,12 @@
     static constexpr double unevenFactor = 1.35;
     /// Age after which a measured speed is no longer used.
     static constexpr std::chrono::seconds maxAge { 5 };
-    /// Time for which one runner must differ from the median until the runners count as uneven. Load makes a runner
-    /// slow for a shorter time.
+    /// The runners of a service count as uneven if this share of them differs by clearlyUnevenFactor for unevenDelay.
+    /// Load alone makes runners of nearly equal speed differ by less, fewer of them, or for a shorter time.
+    static constexpr double unevenShare = 0.1;
+    static constexpr double clearlyUnevenFactor = 1.6;
     static constexpr std::chrono::seconds unevenDelay { 4 };
-    /// Time for which the runners count as uneven after the last such runner.
+    /// Time for which the runners count as uneven after that.
     static constexpr std::chrono::seconds unevenRetention { 15 };
 
     explicit RunnerPace(const Clock& clock)
