Share zone work only where runners are uneven

With a yielding route every VM counted the work of all zones. Placement then followed the load of the moment and left the cached prefixes of long prompts.

The work of other zones is now exchanged only for uneven runners in a configuration without yielding routes.

--- a/Source/Core/Gateway/Gateway.cpp
+++ b/Source/Core/Gateway/Gateway.cpp
@@ -399,16 +399,17 @@
 
 void Gateway::Components::updateSharing(bool isUneven)
 {
+    // With yielding routes the engines of the prompt pool have other work than the rest, so their paces do not compare,
+    // and the work of other zones would move prompts away from their cached prefixes.
     const bool hasYielding = hasYieldingRoute(*routing.current(), settings.load.yieldRanks);
-    const bool shares = hasYielding || isUneven;
+    const bool shares = isUneven && !hasYielding;
     if (shares != std::exchange(sharesZoneWork, shares)) {
         logStateChange("zone-work-sharing",
             { { "shared", shares ? "yes" : "no" }, { "yielding_routes", hasYielding ? "yes" : "no" },
                 { "uneven_runners", isUneven ? "yes" : "no" } });
     }
     reporter.setSharesZoneWork(shares);
-    // With yielding routes the engines of the prompt pool have other work than the rest, so their paces do not compare.
-    policy.setPace(isUneven && !hasYielding ? &pace : nullptr);
+    policy.setPace(shares ? &pace : nullptr);
     policy.setOtherZoneLoadUnknown(fleet.isLarge() && !(shares && reporter.zonesWithKnownWork() > 0));
 }
 
