--- a/Source/Core/Gateway/AffinityPolicy.cpp
+++ b/Source/Core/Gateway/AffinityPolicy.cpp
@@ -1,5 +1,6 @@
 #include "Gateway/AffinityPolicy.h"
 
+#include "Common/HashFraction.h"
 #include "Gateway/Queries/RunnerQueries.h"
 
 #include <xxhash.h>
@@ -31,8 +32,7 @@
     /// prompts.
     double rendezvousScoreOf(std::uint64_t prompt, std::uint64_t runner, double speed)
     {
-        const double score
-            = static_cast<double>(XXH3_64bits_withSeed(&runner, sizeof runner, prompt) >> 11) / 9007199254740992.0;
+        const double score = toFraction(XXH3_64bits_withSeed(&runner, sizeof runner, prompt));
         return speed == 1 ? score : std::pow(score, 1 / speed);
     }
 
--- a/Source/Core/Gateway/ColdRunnerLimit.cpp
+++ b/Source/Core/Gateway/ColdRunnerLimit.cpp
@@ -1,5 +1,7 @@
 #include "Gateway/ColdRunnerLimit.h"
 
+#include "Common/HashFraction.h"
+
 #include <algorithm>
 #include <cmath>
 
@@ -29,8 +31,6 @@
         return std::chrono::ceil<std::chrono::nanoseconds>(Seconds(std::clamp(seconds, 0.0, longestWait)));
     }
 
-    double toFraction(std::uint64_t hash) { return static_cast<double>(hash >> 11) / 9007199254740992.0; }
-
 } // namespace
 
 ColdRunnerLimit::ColdRunnerLimit(const Clock& clock, ColdTolerance tolerance, std::uint64_t vmHash)
--- a/Source/Core/Gateway/ReturnTime.cpp
+++ b/Source/Core/Gateway/ReturnTime.cpp
@@ -1,5 +1,7 @@
 #include "Gateway/ReturnTime.h"
 
+#include "Common/HashFraction.h"
+
 #include <xxhash.h>
 
 #include <algorithm>
@@ -22,7 +24,7 @@
 {
     const auto wait = untilRunnerReturns.value_or(usualWait);
     const auto hash = XXH3_64bits(request.value().data(), request.value().size());
-    const double place = static_cast<double>(hash >> 11) / 9007199254740992.0;
+    const double place = toFraction(hash);
     const auto range = std::max<std::chrono::nanoseconds>(wait / spreadDivisor, shortestSpread);
     return std::chrono::ceil<std::chrono::milliseconds>(
         wait + std::chrono::duration_cast<std::chrono::nanoseconds>(range * place));
--- a/Source/Core/Gateway/RolloutTable.cpp
+++ b/Source/Core/Gateway/RolloutTable.cpp
@@ -1,5 +1,7 @@
 #include "Gateway/RolloutTable.h"
 
+#include "Common/HashFraction.h"
+
 #include <xxhash.h>
 
 #include <algorithm>
@@ -36,7 +38,7 @@
     double fractionOf(const RequestId& request)
     {
         const auto hash = XXH3_64bits(request.value().data(), request.value().size());
-        return static_cast<double>(hash >> 11) / 9007199254740992.0;
+        return toFraction(hash);
     }
 
     std::string percent(double share)
--- a/Source/Core/Gateway/RunnerTableAvailability.cpp
+++ b/Source/Core/Gateway/RunnerTableAvailability.cpp
@@ -1,3 +1,4 @@
+#include "Common/HashFraction.h"
 #include "Gateway/Queries/PrefixQueries.h"
 #include "Gateway/RunnerTable.h"
 
@@ -56,9 +57,7 @@
     }
     const auto now = m_clock.now();
     auto& backOff = it->second.failureState.backOff();
-    const auto hash = XXH3_64bits_withSeed(&it->second.process, sizeof it->second.process, m_options.spreadSeed);
-    const double spread = static_cast<double>(hash >> 11) / 9007199254740992.0;
-    if (backOff.recordRefusal(now, wanted, spread)) {
+    if (backOff.recordRefusal(now, wanted, spreadOf(it->second))) {
         m_timeline.record(EventKind::UpstreamBackOff,
             { { "runner", runner.value() }, { "request", request.value() }, { "wanted_ms", toMilliseconds(wanted) },
                 { "applied_ms", toMilliseconds(backOff.until() - now) } });
@@ -137,8 +136,7 @@
 
 double RunnerTable::spreadOf(const Runner& runner) const
 {
-    const auto hash = XXH3_64bits_withSeed(&runner.process, sizeof runner.process, m_options.spreadSeed);
-    return static_cast<double>(hash >> 11) / 9007199254740992.0;
+    return toFraction(XXH3_64bits_withSeed(&runner.process, sizeof runner.process, m_options.spreadSeed));
 }
 
 ColdRule RunnerTable::coldRule(const ServiceId& service) const
