Remove outcomes of the load admission that nothing uses

The verdict to wait was treated like an admission, two reasons were never given, and the state of a service was a struct with one member since the prompt pool has a constant size.

Requests for which no engine has room are admitted as before. The queue that needs these outcomes can bring them back.

--- a/Source/Core/Gateway/EngineAdmission.cpp
+++ b/Source/Core/Gateway/EngineAdmission.cpp
@@ -20,20 +20,20 @@
             }
         }
     }
-    std::erase_if(m_services, [&yielding](const auto& it) { return !yielding.contains(it.first); });
+    std::erase_if(m_rates, [&yielding](const auto& it) { return !yielding.contains(it.first); });
     for (const auto& service : yielding) {
-        m_services.try_emplace(service);
+        m_rates.try_emplace(service);
     }
 }
 
-EngineAdmission::Service* EngineAdmission::find(const RoutingConfiguration& configuration, const ServiceId& service)
+const EngineRate* EngineAdmission::find(const RoutingConfiguration& configuration, const ServiceId& service)
 {
     // Requests that were admitted under an older configuration use the state of the newer one.
     if (configuration.version > m_configuration) {
         adopt(configuration);
     }
-    const auto it = m_services.find(service);
-    return it == m_services.end() ? nullptr : &it->second;
+    const auto it = m_rates.find(service);
+    return it == m_rates.end() ? nullptr : &it->second;
 }
 
 void EngineAdmission::applyPool(const RoutingConfiguration& configuration, const ServiceId& service,
@@ -52,12 +52,12 @@
 Outcome<void> EngineAdmission::check(const RoutingConfiguration& configuration, const ServiceId& service,
     const RequestId& request, const EngineDemand& demand, std::span<const RunnerCandidate> candidates)
 {
-    const auto* state = find(configuration, service);
-    if (!state) {
+    const auto* rate = find(configuration, service);
+    if (!rate) {
         return {};
     }
     const auto now = m_context.clock.now();
-    const auto decision = LoadAdmission::decide(now, demand, candidates, state->rate);
+    const auto decision = LoadAdmission::decide(now, demand, candidates, *rate);
     if (decision.verdict != AdmissionVerdict::Reject) {
         return {};
     }
@@ -69,16 +69,16 @@
     return std::unexpected(Error { ErrorCode::Unavailable,
         "no engine can start the request in time (" + std::string(nameOf(decision.reason)) + "): "
             + toMilliseconds(decision.excess) + " ms too late at the best of " + std::to_string(candidates.size())
-            + ", learnt " + std::to_string(static_cast<long>(state->rate.tokensPerSecond(now).value_or(0)))
-            + " tokens/s, " + toMilliseconds(state->rate.age(now)) + " ms ago",
+            + ", learnt " + std::to_string(static_cast<long>(rate->tokensPerSecond(now).value_or(0))) + " tokens/s, "
+            + toMilliseconds(rate->age(now)) + " ms ago",
         RunState::NotRun, LoadAdmission::retryAfter(decision.excess, demand.remaining, spread) });
 }
 
 void EngineAdmission::recordFirstOutput(
     const ServiceId& service, const RunnerChoice& choice, std::chrono::nanoseconds time)
 {
-    if (const auto it = m_services.find(service); it != m_services.end()) {
-        it->second.rate.recordFirstOutput(m_context.clock.now(), choice.tokensAhead, choice.computedTokens, time);
+    if (const auto it = m_rates.find(service); it != m_rates.end()) {
+        it->second.recordFirstOutput(m_context.clock.now(), choice.tokensAhead, choice.computedTokens, time);
     }
 }
 
--- a/Source/Core/Gateway/EngineAdmission.h
+++ b/Source/Core/Gateway/EngineAdmission.h
@@ -51,20 +51,16 @@
     void recordFirstOutput(const ServiceId& service, const RunnerChoice& choice, std::chrono::nanoseconds time);
 
 private:
-    struct Service {
-        EngineRate rate;
-    };
-
-    /// State of a service; nullptr if none of its routes yields.
-    Service* find(const RoutingConfiguration& configuration, const ServiceId& service);
+    /// Learnt rate of a service; nullptr if none of its routes yields.
+    const EngineRate* find(const RoutingConfiguration& configuration, const ServiceId& service);
     /// Keeps the services with a yielding route in the configuration.
     void adopt(const RoutingConfiguration& configuration);
 
     Context m_context;
     /// Newest version of the configuration that was seen.
     std::int64_t m_configuration = -1;
-    /// Services with an engine to which a yielding route leads.
-    std::map<ServiceId, Service> m_services;
+    /// Learnt rates of the services with an engine to which a yielding route leads.
+    std::map<ServiceId, EngineRate> m_rates;
 };
 
 } // namespace Pollenwind
--- a/Source/Core/Gateway/LoadAdmission.cpp
+++ b/Source/Core/Gateway/LoadAdmission.cpp
@@ -20,8 +20,6 @@
 
 } // namespace
 
-bool LoadAdmission::hasRoom(const RunnerCandidate& engine) { return engine.load.requests < roomFactor * engine.slots; }
-
 AdmissionDecision LoadAdmission::decide(
     MonotonicTime now, const EngineDemand& demand, std::span<const RunnerCandidate> engines, const EngineRate& rate)
 {
@@ -31,12 +29,10 @@
     }
     const auto limit = std::min(demand.untilObjective, demand.remaining);
     std::optional<std::chrono::nanoseconds> earliest;
-    bool anyRoom = false;
     for (const auto& engine : engines) {
         if (isFree(engine)) {
             return {};
         }
-        anyRoom = anyRoom || hasRoom(engine);
         if (const auto time = rate.timeToFirstOutput(now, engine.load.yieldingTokens, demand.tokens)) {
             earliest = std::min(earliest.value_or(*time), *time);
         }
@@ -44,10 +40,7 @@
     if (earliest && *earliest > limit) {
         return { AdmissionVerdict::Reject, AdmissionReason::LateStart, *earliest - limit };
     }
-    if (anyRoom) {
-        return {};
-    }
-    return { AdmissionVerdict::Wait, AdmissionReason::NoRoom, {} };
+    return {};
 }
 
 std::chrono::milliseconds LoadAdmission::retryAfter(
--- a/Source/Core/Gateway/LoadAdmission.h
+++ b/Source/Core/Gateway/LoadAdmission.h
@@ -14,39 +14,27 @@
 /// Whether a request is sent to an engine now.
 enum class AdmissionVerdict {
     Admit,
-    /// No engine has room; one may have within the time that the request may wait.
-    Wait,
     Reject,
 };
 
 template <> struct EnumTable<AdmissionVerdict> {
     static constexpr std::array rows {
         EnumName { AdmissionVerdict::Admit, "admit" },
-        EnumName { AdmissionVerdict::Wait, "wait" },
         EnumName { AdmissionVerdict::Reject, "reject" },
     };
 };
 
-/// Why a request waits or is rejected.
+/// Why a request is rejected.
 enum class AdmissionReason {
     None,
     /// The best engine would produce the first output after the objective or after the caller's time.
     LateStart,
-    /// All engines have as many requests as they should have.
-    NoRoom,
-    /// The VM keeps no further waiting requests.
-    QueueFull,
-    /// All engines have just refused requests.
-    EnginesRefused,
 };
 
 template <> struct EnumTable<AdmissionReason> {
     static constexpr std::array rows {
         EnumName { AdmissionReason::None, "none" },
         EnumName { AdmissionReason::LateStart, "late-start" },
-        EnumName { AdmissionReason::NoRoom, "no-room" },
-        EnumName { AdmissionReason::QueueFull, "queue-full" },
-        EnumName { AdmissionReason::EnginesRefused, "engines-refused" },
     };
 };
 
@@ -69,19 +57,12 @@
     std::chrono::nanoseconds excess { 0 };
 };
 
-/// Decides for a request to an engine service whether it is sent, waits or is rejected.
+/// Decides for a request to an engine service whether it is sent or rejected.
 ///
 /// Load pattern that it answers: prompts above the capacity of the pool. Without it the queues of the engines grow
 /// until they refuse, all prompts are late, and refused callers return together.
 class LoadAdmission {
 public:
-    /// Requests up to which an engine has room for yielding ones, as a multiple of its slots. Above 1, so that a slot
-    /// does not stay free between the reports of the VMs; far below the number from which engines refuse.
-    static constexpr double roomFactor = 1.5;
-
-    /// Whether an engine has room for another yielding request.
-    static bool hasRoom(const RunnerCandidate& engine);
-
     /// @param engines Engines that the request may use.
     /// @param rate Rate of the service's engines.
     static AdmissionDecision decide(MonotonicTime now, const EngineDemand& demand,
