--- a/Source/Core/Gateway/ForwardAdmission.cpp
+++ b/Source/Core/Gateway/ForwardAdmission.cpp
@@ -79,11 +79,7 @@
         return fail(ErrorCode::NoRoute, "the route leads to no service");
     }
     admitted.service = serviceOf(*admitted.route, spreadOf(request));
-    for (const auto& [id, service] : admitted.configuration->services) {
-        if (service.cacheStore) {
-            admitted.stores.push_back(*service.cacheStore);
-        }
-    }
+    admitted.stores = admitted.configuration->cacheStores();
     return admitted;
 }
 
--- a/Source/Core/Gateway/Gateway.cpp
+++ b/Source/Core/Gateway/Gateway.cpp
@@ -328,15 +328,9 @@
 
 void Gateway::Components::updateStoreChoice(const RoutingConfiguration& configuration)
 {
-    std::vector<CacheStore> stores;
-    for (const auto& [id, service] : configuration.services) {
-        if (service.cacheStore) {
-            stores.push_back(*service.cacheStore);
-        }
-    }
     const auto tokens = directory.tokensInUse();
     auto& choice = policy.storeChoice();
-    if (choice.update(tokens, stores)) {
+    if (choice.update(tokens, configuration.cacheStores())) {
         logStateChange("cache-stores",
             { { "placement", choice.isByPrefix() ? "prefix" : "zone" },
                 { "tokens_in_use", std::to_string(std::llround(tokens)) } });
--- a/Source/Core/Gateway/Queries/RunnerQueries.h
+++ b/Source/Core/Gateway/Queries/RunnerQueries.h
@@ -18,9 +18,8 @@
     virtual ~RunnerQueries() = default;
 
     /// Runners of a service that may take a request now, without those that want none by their own words and those of
-    /// evacuated zones. Runners that
-    /// are suspect, loading weights, reported as leaving by another VM or whose entry has just ended are returned only
-    /// if there are no others.
+    /// evacuated zones. Runners that are suspect, loading weights, reported as leaving by another VM or whose entry has
+    /// just ended are returned only if there are no others.
     /// @param model Model that the request asks for, or empty. Runners whose weights are too old are excluded.
     /// @param versions Versions of the software that may be used.
     /// @param home Regions whose runners may be used. Cold runners are returned only if there is no warm one, and only
--- a/Source/Core/Gateway/RoutingTypes.h
+++ b/Source/Core/Gateway/RoutingTypes.h
@@ -127,6 +127,18 @@
     std::map<ServiceId, ServiceRule> services;
     std::vector<OrganisationRule> organisations;
     CallerLimits limits;
+
+    /// Cache stores of all services.
+    std::vector<CacheStore> cacheStores() const
+    {
+        std::vector<CacheStore> stores;
+        for (const auto& [id, service] : services) {
+            if (service.cacheStore) {
+                stores.push_back(*service.cacheStore);
+            }
+        }
+        return stores;
+    }
 };
 
 } // namespace Pollenwind
