--- a/Source/UnitTests/Gateway/QuotaRecordTests.cpp
+++ b/Source/UnitTests/Gateway/QuotaRecordTests.cpp
@@ -151,7 +151,7 @@
         unsigned writes = 0;
         for (auto passed = 0ms; passed < time; passed += 250ms) {
             base.advance(250ms);
-            static_cast<void>(quota.take(organisation, { 1000 }));
+            [[maybe_unused]] const auto admission = quota.take(organisation, { 1000 });
             if (const auto record = policy.due(quota, turns, StoreEra(1), share)) {
                 ++writes;
                 last = record;
@@ -445,7 +445,7 @@
         for (auto passed = 0ms; passed < time; passed += 250ms) {
             clock.advance(250ms);
             hearOthers();
-            static_cast<void>(quota.take(organisation, { 100 }));
+            [[maybe_unused]] const auto admission = quota.take(organisation, { 100 });
             asio::io_context context;
             runTask(context, [](QuotaRecords& r) -> Task<bool> {
                 co_await r.writeDue();
