Reserve half of an over-used rate for requests that do not yield

Requests of routes that do not yield may now use a reserve of half of the rate when the bucket refuses them. Each VM has a part of it by its share of the recent use. The tokens are taken from the bucket as well. Only in configurations with a yielding route and in large fleets.

--- a/Source/Core/Gateway/Commands/QuotaCommands.h
+++ b/Source/Core/Gateway/Commands/QuotaCommands.h
@@ -20,6 +20,8 @@
     std::chrono::nanoseconds maxWait { 0 };
     /// From 0 to 1, different for each request. Spreads the times at which refused requests come back.
     double spread = 0;
+    /// Whether the request may use the reserve of its organisation, see QuotaReserve.
+    bool mayUseReserve = false;
 };
 
 /// Admits requests against the token rates of organisations. A rate applies to all VMs together.
@@ -60,6 +62,9 @@
     /// Sets whether reports take longer because they pass through relays. The buckets then hold less than the burst.
     virtual void setLargeFleet(bool isLargeFleet) = 0;
 
+    /// Sets the number of VMs among which each organisation's reserve is divided. Until it is known there is none.
+    virtual void setFleetSize(std::size_t vms) = 0;
+
     /// Sets the share of each rate, from 0 to 1, that this VM and the VMs in contact with it may use together.
     virtual void setReachableShare(double share) = 0;
 };
--- a/Source/Core/Gateway/EngineAdmission.cpp
+++ b/Source/Core/Gateway/EngineAdmission.cpp
@@ -26,12 +26,20 @@
     }
 }
 
-const EngineRate* EngineAdmission::find(const RoutingConfiguration& configuration, const ServiceId& service)
+bool EngineAdmission::hasYieldingRoute(const RoutingConfiguration& configuration)
 {
     // Requests that were admitted under an older configuration use the state of the newer one.
     if (configuration.version > m_configuration) {
         adopt(configuration);
     }
+    return !m_rates.empty();
+}
+
+const EngineRate* EngineAdmission::find(const RoutingConfiguration& configuration, const ServiceId& service)
+{
+    if (!hasYieldingRoute(configuration)) {
+        return nullptr;
+    }
     const auto it = m_rates.find(service);
     return it == m_rates.end() ? nullptr : &it->second;
 }
--- a/Source/Core/Gateway/EngineAdmission.h
+++ b/Source/Core/Gateway/EngineAdmission.h
@@ -45,6 +45,9 @@
     Outcome<void> check(const RoutingConfiguration& configuration, const ServiceId& service, const RequestId& request,
         const EngineDemand& demand, std::span<const RunnerCandidate> candidates);
 
+    /// Whether any route of a configuration yields.
+    bool hasYieldingRoute(const RoutingConfiguration& configuration);
+
     /// Records the first output of a yielding request.
     /// @param choice Engine that computed its prompt.
     /// @param time Time from the choice of the engine.
--- a/Source/Core/Gateway/FleetQuota.cpp
+++ b/Source/Core/Gateway/FleetQuota.cpp
@@ -51,6 +51,9 @@
     // Processes that are started together, e.g. after a loss of power, start within this time.
     constexpr std::chrono::milliseconds startSpread { 1000 };
 
+    // Time after the start from which the reserve is used: the records and reports of the other VMs have arrived.
+    constexpr std::chrono::milliseconds reserveStart { 500 };
+
     // Smallest reachable share that is told apart from none.
     constexpr double minShare = 1e-4;
 
@@ -257,6 +260,7 @@
         m_rulesDigest = XXH3_64bits_withSeed(&digest, sizeof digest, m_rulesDigest);
     }
     std::erase_if(m_buckets, [&known](const auto& it) { return !known.contains(it.first); });
+    m_reserve.keepOnly(known);
 }
 
 Outcome<MonotonicTime> FleetQuota::take(const OrganisationRule& organisation, const QuotaDemand& demand)
@@ -268,9 +272,11 @@
     const auto hash = hashOf(organisation.id);
     auto& bucket = bucketOf(organisation, hash);
     const double needed = std::min(demand.tokens, bucket.burst * m_share * maxNeededShare);
-    const std::chrono::duration<double> wait(
-        std::max(0.0, needed - bucket.level) / std::max(1.0, bucket.rate * m_share));
-    if (wait > demand.maxWait || isBacklogged(bucket)) {
+    std::chrono::duration<double> wait(std::max(0.0, needed - bucket.level) / std::max(1.0, bucket.rate * m_share));
+    const bool isOverRate = wait > demand.maxWait || isBacklogged(bucket);
+    if (isOverRate && takeReserve(hash, bucket, demand)) {
+        wait = {};
+    } else if (isOverRate) {
         Error error { ErrorCode::RateExceeded,
             "the token rate of " + organisation.id.value() + " is exceeded: level "
                 + std::to_string(std::lround(bucket.level)) + ", needed " + std::to_string(std::lround(needed))
@@ -282,12 +288,24 @@
     }
     bucket.level -= demand.tokens;
     bucket.use.add(now, demand.tokens);
+    bucket.ownUse.add(now, demand.tokens);
     updateProbation(bucket);
     m_ownTotals[hash] += demand.tokens;
     m_zoneTotals[hash] += demand.tokens;
     return now + std::chrono::duration_cast<std::chrono::nanoseconds>(wait);
 }
 
+bool FleetQuota::takeReserve(std::uint64_t hash, const Bucket& bucket, const QuotaDemand& demand)
+{
+    const auto now = m_clock.now();
+    // A process that has just started does not know the fleet yet.
+    if (!demand.mayUseReserve || !m_isLargeFleet || m_vms == 0 || now - m_startedAt < reserveStart) {
+        return false;
+    }
+    return m_reserve.take(
+        now, hash, bucket.rate * m_share, { bucket.ownUse.sum(now), bucket.use.sum(now) }, m_vms, demand.tokens);
+}
+
 void FleetQuota::takeRemote(std::uint64_t hash, double tokens)
 {
     if (const auto bucket = m_buckets.find(hash); bucket != m_buckets.end()) {
--- a/Source/Core/Gateway/FleetQuota.h
+++ b/Source/Core/Gateway/FleetQuota.h
@@ -2,6 +2,7 @@
 
 #include "Common/Clock.h"
 #include "Gateway/Commands/QuotaCommands.h"
+#include "Gateway/QuotaReserve.h"
 #include "Gateway/RecentUse.h"
 
 #include <map>
@@ -48,6 +49,7 @@
     void recordRemoteLevels(const UsageTotals& levels) override;
     void markSilent(const VmId& vm, double share) override;
     void setLargeFleet(bool isLargeFleet) override;
+    void setFleetSize(std::size_t vms) override { m_vms = vms; }
     void setReachableShare(double share) override;
 
     /// Starts the organisations without heavy use before the start of this process with a full bucket instead of a
@@ -77,6 +79,9 @@
     /// Number of debts that were subtracted in a probation.
     std::size_t failedProbations() const { return m_failedProbations; }
 
+    /// Number of requests that were admitted from a reserve.
+    std::size_t reserveAdmissions() const { return m_reserve.admissions(); }
+
     /// Levels of the buckets that are below the level of a new one.
     UsageTotals lowLevels() const;
     /// Tokens taken by this VM since the process started.
@@ -101,6 +106,8 @@
         /// Part of the burst that a large fleet may use.
         double largeBurst = 0;
         RecentUse use {};
+        /// Part of the use that was taken from this VM.
+        RecentUse ownUse {};
         /// Whether the bucket started without a debt and may still get it.
         bool isOnProbation = false;
 
@@ -127,6 +134,8 @@
     void startInLargeFleet(std::uint64_t hash, Bucket& bucket) const;
     /// Whether requests would wait for too long, or a bucket on probation gets its debt.
     bool isBacklogged(const Bucket& bucket) const;
+    /// Whether a request that the rate refuses is admitted from the reserve of its organisation.
+    bool takeReserve(std::uint64_t hash, const Bucket& bucket, const QuotaDemand& demand);
     /// Ends a bucket's probation if it was passed or failed.
     void updateProbation(Bucket& bucket);
 
@@ -135,6 +144,8 @@
     MonotonicTime m_startedAt;
     double m_share = 1;
     bool m_isLargeFleet = false;
+    std::size_t m_vms = 0;
+    QuotaReserve m_reserve;
     std::map<std::uint64_t, Bucket> m_buckets;
     std::map<VmId, RemoteUsage> m_remotes;
     /// Organisations in heavy use before the start; nothing if that is not known.
--- a/Source/Core/Gateway/FleetReporter.cpp
+++ b/Source/Core/Gateway/FleetReporter.cpp
@@ -71,6 +71,8 @@
         lookedAt = uptime();
         recordSilentVms();
         m_context.quota.setLargeFleet(m_context.fleet.isLarge());
+        m_context.quota.setFleetSize(m_context.fleet.size());
+        m_context.metrics.set(Gauge::QuotaReserveAdmissions, m_context.quota.reserveAdmissions());
         m_context.quota.setReachableShare(m_context.fleet.reachableShare());
         updateRelay();
         FleetReport report { m_vm, m_incarnation, 0, m_context.quota.ownTotals(), m_context.runners.ownLoads(),
--- a/Source/Core/Gateway/ForwardAdmission.cpp
+++ b/Source/Core/Gateway/ForwardAdmission.cpp
@@ -113,7 +113,7 @@
                                          : organisation->uncountedTokens;
     const std::chrono::nanoseconds objective = admitted.route->objective;
     const auto maxWait = std::chrono::duration_cast<std::chrono::nanoseconds>(objective * maxQuotaWaitShare);
-    auto sendAt = m_context.quota.take(*organisation, { tokens, maxWait, spreadOf(request) });
+    auto sendAt = m_context.quota.take(*organisation, { tokens, maxWait, spreadOf(request), admitted.mayUseReserve });
     if (!sendAt) {
         m_context.metrics.count(Counter::RateRefusals);
         return std::unexpected(sendAt.error());
--- a/Source/Core/Gateway/ForwardAdmission.h
+++ b/Source/Core/Gateway/ForwardAdmission.h
@@ -25,6 +25,8 @@
     std::vector<CacheStore> stores;
     /// Time from which the request may be sent.
     MonotonicTime sendAt { 0 };
+    /// Whether the request may use the reserve of its organisation, see QuotaReserve.
+    bool mayUseReserve = false;
 };
 
 /// Decides whether a request is admitted, rejected at once, or waits.
--- a/Source/Core/Gateway/ForwardDispatcher.cpp
+++ b/Source/Core/Gateway/ForwardDispatcher.cpp
@@ -273,6 +273,8 @@
     delivery.deadline = receivedAt + timeoutOf(request);
     delivery.parts = sharedParts(request);
     delivery.urgency = urgencyOf(*delivery.configuration, *delivery.route, delivery.service, m_context.yieldRanks);
+    delivery.mayUseReserve
+        = delivery.urgency == RouteUrgency::Urgent && m_engines.hasYieldingRoute(*delivery.configuration);
     // Before the tokens are taken, so that these requests use up nothing of their caller's quota.
     if (const auto refused = checkQuarantine(delivery)) {
         co_return std::unexpected(*refused);
--- a/Source/Core/Gateway/RecentUse.h
+++ b/Source/Core/Gateway/RecentUse.h
@@ -34,6 +34,16 @@
         return most;
     }
 
+    /// Tokens of the last full seconds and the present one.
+    double sum(MonotonicTime now) const
+    {
+        double sum = 0;
+        for (auto second = std::max(m_newest, secondOf(now)) - rememberedSeconds; second <= m_newest; ++second) {
+            sum += m_tokens[indexOf(second)];
+        }
+        return sum;
+    }
+
     /// Whether tokens were taken in the present second or the one before.
     bool isInUse(MonotonicTime now) const { return m_newest >= secondOf(now) - 1; }
 
--- a/Source/Core/Metrics/Counter.h
+++ b/Source/Core/Metrics/Counter.h
@@ -230,6 +230,8 @@
     ZonesReportingWork,
     /// Engines that compute the prompts of yielding routes.
     PromptPoolEngines,
+    /// Requests that were admitted from the reserves of organisations over their rates since the start.
+    QuotaReserveAdmissions,
     /// Era of the platform's store; 0 if it does not tell its era.
     StoreEra,
     /// Organisations that this process started without a debt, as they had used little before.
@@ -254,6 +256,7 @@
         EnumName { Gauge::RunnersFast, "runners_fast" },
         EnumName { Gauge::ZonesReportingWork, "zones_reporting_work" },
         EnumName { Gauge::PromptPoolEngines, "prompt_pool_engines" },
+        EnumName { Gauge::QuotaReserveAdmissions, "quota_reserve_admissions" },
         EnumName { Gauge::StoreEra, "store_era" },
         EnumName { Gauge::QuotasStartedWithoutDebt, "quotas_started_without_debt" },
         EnumName { Gauge::SharedTokensInUse, "shared_tokens_in_use" },
--- a/Source/UnitTests/Gateway/QuotaFleet.cpp
+++ b/Source/UnitTests/Gateway/QuotaFleet.cpp
@@ -49,6 +49,7 @@
     vm.startedAt = m_clock.now();
     vm.quota->setOrganisations({ &m_organisation, 1 });
     vm.quota->setLargeFleet(true);
+    vm.quota->setFleetSize(m_vms.size());
     vm.policy = std::make_unique<QuotaRecordPolicy>(*vm.clock);
     if (m_isRecording) {
         readRecord(vm);
@@ -225,16 +226,21 @@
     }
 }
 
-void QuotaFleet::request()
+void QuotaFleet::request(bool mayUseReserve)
 {
+    const double mean = mayUseReserve ? m_load.reserveTokens : m_load.meanTokens;
     std::lognormal_distribution<double> size(
-        std::log(m_load.meanTokens) - m_load.sizeSpread * m_load.sizeSpread / 2, m_load.sizeSpread);
-    std::uniform_int_distribution<std::size_t> place(0, m_vms.size() - 1);
-    const QuotaDemand demand { size(m_random), m_load.maxWait };
+        std::log(mean) - m_load.sizeSpread * m_load.sizeSpread / 2, m_load.sizeSpread);
+    const auto vms = m_load.callerVms > 0 ? m_load.callerVms : m_vms.size();
+    std::uniform_int_distribution<std::size_t> place(0, vms - 1);
+    const QuotaDemand demand { size(m_random), m_load.maxWait, 0, mayUseReserve };
     ++m_outcome.requests;
-    auto vm = place(m_random);
+    m_outcome.reserveRequests += mayUseReserve ? 1 : 0;
+    // Spread over all zones.
+    const auto draw = [&] { return place(m_random) * m_vms.size() / vms; };
+    auto vm = draw();
     while (m_vms[vm].isPaused) {
-        vm = place(m_random);
+        vm = draw();
     }
     const auto sendAt = m_vms[vm].quota->take(m_organisation, demand);
     const bool isOwed = m_reference.take(m_organisation, { demand.tokens }).has_value();
@@ -243,18 +249,29 @@
         return;
     }
     ++m_outcome.refused;
+    m_outcome.reserveRefused += mayUseReserve ? 1 : 0;
     m_outcome.wronglyRefused += isOwed ? 1 : 0;
 }
 
+void QuotaFleet::requestAll(bool mayUseReserve)
+{
+    const double demand = mayUseReserve ? m_load.reserveDemand : m_load.demand;
+    if (demand <= 0) {
+        return;
+    }
+    const double mean = mayUseReserve ? m_load.reserveTokens : m_load.meanTokens;
+    std::poisson_distribution<unsigned> arrivals(demand / mean * std::chrono::duration<double>(tick).count());
+    for (unsigned count = arrivals(m_random); count > 0; --count) {
+        request(mayUseReserve);
+    }
+}
+
 void QuotaFleet::run(std::chrono::milliseconds duration)
 {
-    std::poisson_distribution<unsigned> arrivals(
-        m_load.demand / m_load.meanTokens * std::chrono::duration<double>(tick).count());
     const auto ticks = duration / tick;
     for (long n = 0; n < ticks; ++n) {
-        for (unsigned count = m_load.demand > 0 ? arrivals(m_random) : 0; count > 0; --count) {
-            request();
-        }
+        requestAll(false);
+        requestAll(true);
         if (n % ticksPerReport == ticksPerReport - 1) {
             exchangeReports();
             if (m_isRecording) {
--- a/Source/UnitTests/Gateway/QuotaFleet.h
+++ b/Source/UnitTests/Gateway/QuotaFleet.h
@@ -21,6 +21,11 @@
     /// Spread of the sizes: standard deviation of the logarithm.
     double sizeSpread = 0.4;
     std::chrono::milliseconds maxWait { 560 };
+    /// Requested tokens per second of requests that may use the reserve, in addition to the demand.
+    double reserveDemand = 0;
+    double reserveTokens = 900;
+    /// VMs at which the callers are; 0 for all.
+    std::size_t callerVms = 0;
 };
 
 /// What the requests of a simulated load became.
@@ -29,6 +34,9 @@
     std::size_t refused = 0;
     /// Refused although one bucket for the whole fleet would have admitted the request.
     std::size_t wronglyRefused = 0;
+    /// Requests that may use the reserve.
+    std::size_t reserveRequests = 0;
+    std::size_t reserveRefused = 0;
     /// Most tokens whose requests were sent within any window of 8 s.
     double mostInWindow = 0;
 };
@@ -84,7 +92,11 @@
     std::size_t recordsUsed() const { return m_recordsUsed; }
     /// Cuts the first zone off from the others or reconnects it.
     void setCut(bool isCut);
-    void setDemand(double demand) { m_load.demand = demand; }
+    void setDemand(double demand, double reserveDemand = 0)
+    {
+        m_load.demand = demand;
+        m_load.reserveDemand = reserveDemand;
+    }
     QuotaOutcome outcome() const { return m_outcome; }
     double allowedInWindow() const;
 
@@ -136,7 +148,8 @@
     void exchangeRecords();
     void executeWrites();
     void readRecord(Vm& vm);
-    void request();
+    void request(bool mayUseReserve);
+    void requestAll(bool mayUseReserve);
     std::size_t zoneOf(std::size_t vm) const { return vm / m_vmsPerZone; }
     bool isConnected(std::size_t a, std::size_t b) const { return a == b || !m_isCut || (a != 0 && b != 0); }
     double reachableShare(std::size_t zone) const;
