Copy prefixes from their store while they exceed its capacity

While the prefixes in use exceed one store, runners evict prefixes within seconds, but reports of them count for 14 s. A runner that had been reported was asked before the store that keeps the prefix, and the parts were computed again. Now the store is asked if it is known to have the prefix.

--- a/Source/Core/Gateway/AffinityPolicy.cpp
+++ b/Source/Core/Gateway/AffinityPolicy.cpp
@@ -234,6 +234,10 @@
         return std::ranges::find(holders, storeHash(it.endpoint)) != holders.end();
     };
     const bool isStored = isIn(store);
+    if (isStored && m_storeChoice.isByPrefix()) {
+        // While the prefixes in use exceed one store, runners evict them before their reports expire here.
+        choice.cacheSource.reset();
+    }
     // Saved before the placement changed, or by a VM that still places by zone.
     const auto other = isStored || !m_storeChoice.isByPrefix() ? stores.end() : std::ranges::find_if(stores, isIn);
     if (!choice.cacheSource && other != stores.end()) {
--- a/Source/UnitTests/Gateway/CacheStoreChoiceTests.cpp
+++ b/Source/UnitTests/Gateway/CacheStoreChoiceTests.cpp
@@ -191,6 +191,35 @@
     cr_assert(isMoved, "some prompts have another store now");
 }
 
+// Runners evict prefixes within seconds while these exceed a store. A runner that was reported to have the parts was
+// asked for them before the store that keeps them, and the parts were computed again.
+Test(CacheStoreChoice, prefersTheStoreOfAPrefixToARunner)
+{
+    GatewayFixture fixture;
+    const auto stores = makeStores();
+    const auto request = makePrompt(fixture, 1, 10);
+    const auto candidates = fixture.runners.candidates(ServiceId("app"), "model");
+    cr_assert(candidates.size() > 1);
+    const auto choose = [&](CacheStorePlacement placement) {
+        fixture.policy.setStorePlacement(placement);
+        return *fixture.policy.choose(request, "", 1, stores, candidates);
+    };
+    const auto first = choose(CacheStorePlacement::Prefix);
+    cr_assert(first.cacheStore.has_value());
+    const auto other = std::ranges::find_if(candidates, [&](const RunnerCandidate& it) { return it.id != first.id; });
+    for (const auto& prefix : sharedPrefixes(request, "", 1)) {
+        fixture.directory.recordRead(std::array { CachedPrefix { prefix.hash, storeHash(*first.cacheStore) },
+            CachedPrefix { prefix.hash, holderHash(other->id, other->incarnation) } });
+    }
+    // So much work at the holder that another runner is chosen.
+    fixture.runners.recordSent(other->id, 1e6);
+    const auto busy = fixture.runners.candidates(ServiceId("app"), "model");
+    const auto next = *fixture.policy.choose(request, "", 1, stores, busy);
+    cr_assert(next.id != other->id);
+    cr_assert(next.cacheSource == first.cacheStore && !next.cacheStore);
+    cr_assert_float_eq(next.computedTokens, 900, 1e-6);
+}
+
 // Parts that many prompts share must count once, and prefixes of unknown length, which only other VMs read, must count
 // too, else a VM with little traffic would decide differently from the others.
 Test(CacheDirectory, estimatesTheTokensInUse)
