--- a/Source/UnitTests/Gateway/RefusalFleet.h
+++ b/Source/UnitTests/Gateway/RefusalFleet.h
@@ -132,6 +132,8 @@
     void report();
     Task<> serve(Vm& vm, Request& request);
     ReplyHead accept(std::size_t vm, Runner& runner);
+    std::unique_ptr<RunnerExchange> openEngine(
+        Runner& runner, const ForwardRequest& request, const AttemptTerms& terms);
     void startEngineRequest(const EngineRequests& kind);
     Task<> serveByEngines(Request& request, const EngineRequests& kind);
     void crashEngines();
