--- a/Source/UnitTests/Gateway/RefusalFleet.cpp
+++ b/Source/UnitTests/Gateway/RefusalFleet.cpp
@@ -69,12 +69,11 @@
     std::unique_ptr<RunnerExchange> open(
         const Endpoint& endpoint, const ForwardRequest& request, const AttemptTerms& terms, bool) override
     {
-        auto& runners = m_fleet.m_runners;
-        const auto it = std::ranges::find_if(runners, [&](const Runner& it) { return it.entry.endpoint == endpoint; });
+        auto& runner = m_fleet.runnerAt(endpoint);
         if (m_fleet.m_load.engine) {
-            return m_fleet.openEngine(*it, request, terms);
+            return m_fleet.openEngine(runner, request, terms);
         }
-        return std::make_unique<Exchange>(m_fleet, m_vm, *it);
+        return std::make_unique<Exchange>(m_fleet, m_vm, runner);
     }
 
 private:
@@ -134,7 +133,10 @@
         runner.entry.slots = load.slots;
         runner.slotFreeAt.resize(load.slots);
         runner.backOffs.resize(load.vms);
-        runner.speed = load.engine ? load.engine->speeds[n % load.engine->speeds.size()] : 1;
+        if (const auto& engine = load.engine) {
+            runner.speed = engine->speeds[n % engine->speeds.size()];
+            runner.cache = EnginePromptCache(engine->cacheTokens);
+        }
     }
     for (std::size_t n = 0; n < load.vms; ++n) {
         m_vms.emplace_back(*this, n);
@@ -157,6 +159,11 @@
     co_await timer.async_wait(asTuple);
 }
 
+RefusalFleet::Runner& RefusalFleet::runnerAt(const Endpoint& endpoint)
+{
+    return *std::ranges::find_if(m_runners, [&](const Runner& it) { return it.entry.endpoint == endpoint; });
+}
+
 void RefusalFleet::poll()
 {
     m_context.restart();
@@ -238,10 +245,13 @@
     if (m_load.engine && !m_load.engine->hasReports) {
         return;
     }
+    const bool hasCaches = m_load.engine && m_load.engine->cacheTokens > 0;
     for (auto& from : m_vms) {
+        const auto prefixes = hasCaches ? from.directory.takeUpdates() : std::vector<CachedPrefix>();
         for (auto& to : m_vms) {
             if (&from != &to) {
                 to.runners.setRemoteLoad(VmId("vm-" + std::to_string(from.index)), from.runners.ownLoads());
+                to.directory.recordRemoteRead(prefixes, true);
             }
         }
     }
--- a/Source/UnitTests/Gateway/RefusalFleet.h
+++ b/Source/UnitTests/Gateway/RefusalFleet.h
@@ -9,6 +9,7 @@
 #include <memory>
 #include <optional>
 #include <random>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -28,6 +29,8 @@
     std::string organisation = "org";
     /// Shared part of the prompt; 0 for a different one in each request.
     std::uint64_t part = 0;
+    /// Tokens of the shared part, on top of `promptTokens`.
+    std::uint32_t sharedTokens = 0;
 };
 
 /// Simulated engines: they compute one prompt after the other, and each step of a batch takes longer meanwhile.
@@ -50,6 +53,10 @@
     bool hasReports = true;
     /// See LoadSettings; 0 for the behaviour without prompt pools and admission.
     unsigned yieldRanks = 2;
+    /// Tokens of shared parts that an engine keeps; 0 for engines that compute all of them again.
+    double cacheTokens = 0;
+    /// Time to copy one cached token from another engine: 18,432 bytes at 370 Gbit/s.
+    double copySecondsPerToken = 4e-7;
 };
 
 /// What became of the requests of one route to simulated engines.
@@ -100,6 +107,8 @@
     std::size_t refusedWhileFree = 0;
     /// By prefix of the route and organisation.
     std::map<std::string, EngineOutcome> routes = {};
+    /// By shared part and second: ports of the engines that ran prompts with it. Only for engines that keep parts.
+    std::map<std::uint64_t, std::vector<std::set<std::uint16_t>>> enginesByPart = {};
 
     double servedShare() const { return static_cast<double>(served) / static_cast<double>(requests); }
     std::chrono::nanoseconds refusalTime(double quantile) const;
@@ -139,6 +148,7 @@
     void crashEngines();
     RefusalOutcome runEngines();
     Vm& anyVm();
+    Runner& runnerAt(const Endpoint& endpoint);
 
     RefusalLoad m_load;
     std::mt19937 m_random;
--- a/Source/UnitTests/Gateway/RefusalFleetEngines.cpp
+++ b/Source/UnitTests/Gateway/RefusalFleetEngines.cpp
@@ -8,13 +8,15 @@
 
 class RefusalFleet::EngineExchange final : public RunnerExchange {
 public:
-    EngineExchange(RefusalFleet& fleet, Runner& runner, const ForwardRequest& request, unsigned urgency)
+    EngineExchange(RefusalFleet& fleet, Runner& runner, const ForwardRequest& request, const AttemptTerms& terms)
         : m_fleet(fleet)
         , m_runner(runner)
         , m_model(*fleet.m_load.engine)
+        , m_part(request.parts.front())
         , m_tokens(request.tokens ? request.tokens->prompt : 0)
+        , m_source(terms.cacheSource)
         , m_events(static_cast<unsigned>(request.message.body.size()))
-        , m_urgency(urgency)
+        , m_urgency(terms.urgency)
     {
     }
     ~EngineExchange() override { leave(); }
@@ -59,7 +61,7 @@
             ++m_runner.running;
         }
         m_hasSlot = true;
-        const std::chrono::duration<double> compute(m_tokens / (m_model.tokensPerSecond * m_runner.speed));
+        const std::chrono::duration<double> compute(promptSeconds());
         const auto time = std::chrono::duration_cast<std::chrono::nanoseconds>(compute);
         const auto queueEnd = std::max(m_runner.promptsEndAt, clock.now());
         m_runner.promptsEndAt = queueEnd + time;
@@ -103,6 +105,27 @@
     void finish() override { leave(); }
 
 private:
+    /// Time to compute the prompt, or to copy its shared part and to compute the rest.
+    double promptSeconds()
+    {
+        const double rate = m_model.tokensPerSecond * m_runner.speed;
+        if (m_model.cacheTokens == 0) {
+            return m_tokens / rate;
+        }
+        auto& engines = m_fleet.m_outcome.enginesByPart[m_part.id];
+        const auto second = static_cast<std::size_t>((m_fleet.m_clock.now() - m_fleet.m_startedAt) / 1s);
+        engines.resize(std::max(engines.size(), second + 1));
+        engines[second].insert(m_runner.entry.endpoint.port);
+        const bool isCached = m_runner.cache.contains(m_part.id);
+        m_runner.cache.recordUse(m_part.id, m_part.tokens);
+        const double own = std::max(0.0, m_tokens - m_part.tokens) / rate;
+        if (isCached) {
+            return own;
+        }
+        const bool isCopied = m_source && m_fleet.runnerAt(*m_source).cache.contains(m_part.id);
+        return own + m_part.tokens * (isCopied ? m_model.copySecondsPerToken : 1 / rate);
+    }
+
     void leave()
     {
         if (std::exchange(m_hasSlot, false)) {
@@ -113,7 +136,10 @@
     RefusalFleet& m_fleet;
     Runner& m_runner;
     const EngineModel& m_model;
+    /// Shared part of the prompt.
+    PromptPart m_part;
     double m_tokens;
+    std::optional<Endpoint> m_source;
     unsigned m_events;
     unsigned m_urgency;
     unsigned m_sentEvents = 0;
@@ -123,7 +149,7 @@
 std::unique_ptr<RunnerExchange> RefusalFleet::openEngine(
     Runner& runner, const ForwardRequest& request, const AttemptTerms& terms)
 {
-    return std::make_unique<EngineExchange>(*this, runner, request, terms.urgency);
+    return std::make_unique<EngineExchange>(*this, runner, request, terms);
 }
 
 void RefusalFleet::startEngineRequest(const EngineRequests& kind)
@@ -138,11 +164,11 @@
     request.message.message.body = std::string(kind.events, 'x');
     request.message.keyDigest = sha256("key-of-" + kind.organisation);
     request.message.model = "model";
-    request.message.tokens = { kind.promptTokens, kind.events };
-    // The simulated engines cache nothing, so the shared part is small. It decides which engine is preferred.
+    request.message.tokens = { kind.promptTokens + kind.sharedTokens, kind.events };
+    // Engines that cache nothing get a small shared part. It decides which engine is preferred.
     constexpr std::uint64_t prompts = 40;
-    request.message.parts
-        = { { kind.part > 0 ? kind.part : 1 + id % prompts, 1 }, { id + prompts, kind.promptTokens } };
+    request.message.parts = { { kind.part > 0 ? kind.part : 1 + id % prompts, std::max(1U, kind.sharedTokens) },
+        { id + prompts, kind.promptTokens } };
     asio::co_spawn(m_context, serveByEngines(request, kind), asio::detached);
 }
 
--- a/Source/UnitTests/Gateway/RefusalFleetParts.h
+++ b/Source/UnitTests/Gateway/RefusalFleetParts.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "Gateway/EnginePromptCache.h"
 #include "Gateway/RefusalFleet.h"
 
 namespace Pollenwind {
@@ -29,6 +30,7 @@
     std::size_t queued = 0;
     MonotonicTime promptsEndAt { 0 };
     bool isCrashed = false;
+    EnginePromptCache cache { 0 };
     /// Requests that wait for a slot, the most urgent and then the oldest first.
     std::multimap<unsigned, asio::steady_timer*> waiting = {};
 
