Replay large against small prompts above the capacity

No replay had prompts of very different sizes. Prompts of 30,000 tokens compete with prompts of 826, half of the tokens each. Each kind must be served in time at least a quarter as often as all.

--- a/Source/UnitTests/Gateway/OverloadReplayTests.cpp
+++ b/Source/UnitTests/Gateway/OverloadReplayTests.cpp
@@ -147,3 +147,56 @@
         checkRefusals(outcome);
     }
 }
+
+namespace {
+
+/// Prompts of 30,000 and of 826 tokens, each with half of the tokens, in a peak of a multiple of the pool's capacity.
+RefusalLoad largeAndSmall(double capacityFactor)
+{
+    EngineRequests large { .prefix = "/large/",
+        .priority = 2,
+        .objective = 600ms,
+        .timeout = 4s,
+        .promptTokens = 30'000,
+        .events = 1,
+        .organisation = "large" };
+    auto small = large;
+    small.prefix = "/small/";
+    small.promptTokens = 826;
+    small.organisation = "small";
+    // Six engines are the pool. Half of its capacity at first, so that the rate of the engines is learnt.
+    for (auto* it : { &large, &small }) {
+        it->rate = 0.25 * 6 * 157'000 / it->promptTokens;
+        it->peakFactor = 2 * capacityFactor;
+    }
+    auto load = fifthOfFleet({ large, small, shortPrompts(20) });
+    load.duration = 12s;
+    return load;
+}
+
+void checkLargeAndSmall(double capacityFactor)
+{
+    configureLog(LogLevel::Off);
+    for (const unsigned seed : { 1U, 2U, 3U, 4U }) {
+        const auto outcome = RefusalFleet(largeAndSmall(capacityFactor), seed).run();
+        printOutcome("large and small, seed " + std::to_string(seed), outcome);
+        // Not the first second of the peak, in which the queues of the engines fill.
+        const auto all = servedBetween(outcome, { "/large/large", "/small/small" }, 5, 10);
+        for (const auto* route : { "/large/large", "/small/small" }) {
+            const auto served = servedBetween(outcome, { route }, 5, 10);
+            std::printf("  in the peak: %s %.3f, all %.3f\n", route, served.share(), all.share());
+            cr_expect(served.share() >= all.share() / 4);
+        }
+        cr_expect(!outcome.refusedAfter.empty());
+        checkRefusals(outcome);
+    }
+}
+
+} // namespace
+
+// If prompts are admitted by the time of their first output, small ones fill every gap before a large one fits, so that
+// large ones starve. If large ones came first, each would take the time of 36 small ones.
+Test(OverloadReplay, starvesNeitherLargeNorSmallPromptsAtTwiceTheCapacity) { checkLargeAndSmall(2); }
+
+// As above. The gaps that the large prompts need become rarer with the load.
+Test(OverloadReplay, starvesNeitherLargeNorSmallPromptsAtThreeTimesTheCapacity) { checkLargeAndSmall(3); }
