Replay a restart of all VMs in a peak

RefusalFleet can now kill all VMs and start new ones after some time. Requests that run get no answer, engines drop their prompts, and the callers of that time connect together to the new VMs. Exchanges that were cancelled end instead of sending further events.

--- a/Source/UnitTests/Gateway/OverloadReplayTests.cpp
+++ b/Source/UnitTests/Gateway/OverloadReplayTests.cpp
@@ -200,3 +200,39 @@
 
 // As above. The gaps that the large prompts need become rarer with the load.
 Test(OverloadReplay, starvesNeitherLargeNorSmallPromptsAtThreeTimesTheCapacity) { checkLargeAndSmall(3); }
+
+// All VMs are killed in a peak of 1.8 times the usual load and return after a second, with the callers of that second
+// and without learnt rates, caches and known work. From two seconds after the return, nine tenths of the work that is
+// done in time without a restart must be done in each second, and on each route in the rest of the peak.
+Test(OverloadReplay, worksInTimeAgainAfterARestartOfAllVms)
+{
+    configureLog(LogLevel::Off);
+    const std::vector<std::string> routes { "/long/org", "/short/org" };
+    auto prompts = longPrompts(63);
+    prompts.peakFactor = 1.8;
+    auto streams = shortPrompts(68);
+    streams.peakFactor = 1.8;
+    for (const unsigned seed : { 1U, 2U, 3U }) {
+        auto load = fifthOfFleet({ prompts, streams });
+        load.duration = 16s;
+        load.engine->peakEnd = 16s;
+        const auto without = RefusalFleet(load, seed).run();
+        load.engine->restartAt = 9s;
+        load.engine->restartTime = 1s;
+        const auto outcome = RefusalFleet(load, seed).run();
+        printOutcome("restart of all VMs, seed " + std::to_string(seed), outcome);
+        for (std::size_t n = 12; n < 16; ++n) {
+            const auto usual = servedBetween(without, routes, n, n + 1);
+            const auto served = servedBetween(outcome, routes, n, n + 1);
+            std::printf("  second %zu: %.3f, without a restart %.3f\n", n, served.share(), usual.share());
+            cr_expect(served.share() >= servedWell * usual.share());
+        }
+        for (const auto& route : routes) {
+            const auto usual = servedBetween(without, { route }, 12, 16);
+            const auto served = servedBetween(outcome, { route }, 12, 16);
+            std::printf("  from 12 s: %s %.3f, without a restart %.3f\n", route.c_str(), served.share(), usual.share());
+            cr_expect(served.share() >= servedWell * usual.share());
+        }
+        checkRefusals(outcome);
+    }
+}
--- a/Source/UnitTests/Gateway/RefusalFleet.cpp
+++ b/Source/UnitTests/Gateway/RefusalFleet.cpp
@@ -1,6 +1,7 @@
 #include "Gateway/RefusalFleetParts.h"
 
 #include <algorithm>
+#include <ranges>
 
 namespace Pollenwind {
 
@@ -235,9 +236,28 @@
     asio::co_spawn(m_context, serve(vm, request), asio::detached);
 }
 
+std::size_t RefusalFleet::killedVms() const { return m_vms.size() - m_load.vms; }
+
 RefusalFleet::Vm& RefusalFleet::anyVm()
 {
-    return m_vms[std::uniform_int_distribution<std::size_t>(0, m_vms.size() - 1)(m_random)];
+    return m_vms[std::uniform_int_distribution<std::size_t>(killedVms(), m_vms.size() - 1)(m_random)];
+}
+
+void RefusalFleet::restartVms()
+{
+    for (auto& it : m_requests) {
+        if (it.isForwarded) {
+            it.sink.stop(ErrorCode::ConnectionLost);
+        }
+    }
+    // Engines drop the prompts whose connections are lost.
+    for (auto& it : m_runners) {
+        it.promptsEndAt = m_clock.now();
+    }
+    for (std::size_t n = 0; n < m_load.vms; ++n) {
+        m_vms.emplace_back(*this, n);
+    }
+    m_vmsStartedAt = m_clock.now() + m_load.engine->restartTime;
 }
 
 void RefusalFleet::report()
@@ -246,9 +266,9 @@
         return;
     }
     const bool hasCaches = m_load.engine && m_load.engine->cacheTokens > 0;
-    for (auto& from : m_vms) {
+    for (auto& from : m_vms | std::views::drop(killedVms())) {
         const auto prefixes = hasCaches ? from.directory.takeUpdates() : std::vector<CachedPrefix>();
-        for (auto& to : m_vms) {
+        for (auto& to : m_vms | std::views::drop(killedVms())) {
             if (&from != &to) {
                 to.runners.setRemoteLoad(VmId("vm-" + std::to_string(from.index)), from.runners.ownLoads());
                 to.directory.recordRemoteRead(prefixes, true);
--- a/Source/UnitTests/Gateway/RefusalFleet.h
+++ b/Source/UnitTests/Gateway/RefusalFleet.h
@@ -47,6 +47,10 @@
     std::chrono::milliseconds peakEnd { 10'000 };
     /// Engines that crash when the peak begins.
     std::size_t crashing = 0;
+    /// Time at which all VMs are killed, and time until new ones have started; nothing for no restart. Callers of
+    /// requests that run then get no answer. Callers that arrive or return meanwhile connect to the new VMs.
+    std::optional<std::chrono::milliseconds> restartAt = std::nullopt;
+    std::chrono::milliseconds restartTime { 1000 };
     /// Factors on the speed, by engine in turn.
     std::vector<double> speeds { 1 };
     /// Whether VMs know the work of the others.
@@ -146,7 +150,10 @@
     void startEngineRequest(const EngineRequests& kind);
     Task<> serveByEngines(Request& request, const EngineRequests& kind);
     void crashEngines();
+    void restartVms();
     RefusalOutcome runEngines();
+    /// Number of VMs that were killed.
+    std::size_t killedVms() const;
     Vm& anyVm();
     Runner& runnerAt(const Endpoint& endpoint);
 
@@ -157,7 +164,9 @@
     MonotonicTime m_startedAt;
     std::multimap<MonotonicTime, asio::steady_timer*> m_wakeUps;
     std::deque<Runner> m_runners;
+    /// The VMs in use are the last ones. Tasks of those that were killed still refer to them.
     std::deque<Vm> m_vms;
+    MonotonicTime m_vmsStartedAt { 0 };
     std::deque<Request> m_requests;
     RefusalOutcome m_outcome;
 };
--- a/Source/UnitTests/Gateway/RefusalFleetEngines.cpp
+++ b/Source/UnitTests/Gateway/RefusalFleetEngines.cpp
@@ -50,7 +50,9 @@
             m_runner.waiting.emplace(m_urgency, &timer);
             auto& wakeUps = m_fleet.m_wakeUps;
             wakeUps.emplace(end, &timer);
+            m_slotTimer = &timer;
             co_await timer.async_wait(asTuple);
+            m_slotTimer = nullptr;
             const auto isOwn = [&timer](const auto& it) { return it.second == &timer; };
             std::erase_if(wakeUps, isOwn);
             // The timer is still in the list if no slot became free.
@@ -69,8 +71,8 @@
         const auto startAt
             = m_urgency == 0 ? std::min<MonotonicTime>(queueEnd, clock.now() + m_model.promptStep) : queueEnd;
         co_await m_fleet.sleepUntil(startAt + time);
-        if (m_runner.isCrashed) {
-            co_return fail(ErrorCode::ConnectionLost, "the engine has crashed", RunState::Unknown);
+        if (m_runner.isCrashed || m_isCancelled) {
+            co_return fail(ErrorCode::ConnectionLost, "the connection is closed", RunState::Unknown);
         }
         co_return head;
     }
@@ -96,12 +98,19 @@
                 co_await m_fleet.sleepUntil(m_fleet.m_clock.now() + step());
             }
         }
-        if (m_runner.isCrashed) {
-            co_return fail(ErrorCode::ConnectionLost, "the engine has crashed", RunState::Unknown);
+        if (m_runner.isCrashed || m_isCancelled) {
+            co_return fail(ErrorCode::ConnectionLost, "the connection is closed", RunState::Unknown);
         }
         co_return "id: " + std::to_string(++m_sentEvents) + "\ndata: x\n\n";
     }
-    void cancel() override { leave(); }
+    void cancel() override
+    {
+        m_isCancelled = true;
+        if (m_slotTimer) {
+            m_slotTimer->cancel();
+        }
+        leave();
+    }
     void finish() override { leave(); }
 
 private:
@@ -144,6 +153,9 @@
     unsigned m_urgency;
     unsigned m_sentEvents = 0;
     bool m_hasSlot = false;
+    /// Wakes the request that waits for a slot; null if none does.
+    asio::steady_timer* m_slotTimer = nullptr;
+    bool m_isCancelled = false;
 };
 
 std::unique_ptr<RunnerExchange> RefusalFleet::openEngine(
@@ -189,10 +201,15 @@
         isInTime = isInTime && pause <= limit;
         lastEventAt = m_clock.now();
     };
-    for (;;) {
+    for (bool hasReturned = false;;) {
+        if (m_vmsStartedAt > m_clock.now()) {
+            co_await sleepUntil(m_vmsStartedAt);
+        }
         const auto sentAt = m_clock.now();
         request.message.timeout = std::chrono::duration_cast<std::chrono::milliseconds>(deadline - sentAt);
+        request.isForwarded = true;
         const auto result = co_await anyVm().dispatcher.forward(request.message, sentAt, request.sink);
+        request.isForwarded = false;
         const auto now = m_clock.now();
         if (result) {
             ++(isInTime && now <= deadline ? outcome.inTime : outcome.late);
@@ -204,7 +221,7 @@
             m_outcome.refusedWhileFree += std::ranges::any_of(m_runners,
                 [&](const Runner& it) { return it.running < m_load.slots && it.promptsEndAt <= now && !it.isCrashed; });
             // Callers follow the time up to a third of what is left, once.
-            if (*result.error().retryAfter <= (deadline - now) / 3 && sentAt == request.arrivedAt) {
+            if (*result.error().retryAfter <= (deadline - now) / 3 && !std::exchange(hasReturned, true)) {
                 co_await sleepUntil(now + *result.error().retryAfter);
                 continue;
             }
@@ -240,6 +257,9 @@
         if (isPeak) {
             crashEngines();
         }
+        if (engine.restartAt && elapsed >= *engine.restartAt && killedVms() == 0) {
+            restartVms();
+        }
         if (m_clock.now() >= nextReport) {
             report();
             nextReport += reportInterval;
--- a/Source/UnitTests/Gateway/RefusalFleetParts.h
+++ b/Source/UnitTests/Gateway/RefusalFleetParts.h
@@ -73,6 +73,8 @@
 struct RefusalFleet::Request {
     ForwardRequest message;
     RecordingSink sink;
+    /// Whether a VM has it.
+    bool isForwarded = false;
     MonotonicTime arrivedAt { 0 };
 };
 
