Replay demand that moves between zones

AffinityPolicy::followsDemandThatMovesBetweenZones replays the choice of a runner alone, for one VM in each of two zones. Objectives, pauses, refusals and prompt caches were not covered. VMs and engines of RefusalFleet can now be in zones whose demand rises and falls, and VMs learn the work of other zones one report later than that of their own.

--- a/Source/UnitTests/Gateway/OverloadReplayTests.cpp
+++ b/Source/UnitTests/Gateway/OverloadReplayTests.cpp
@@ -236,3 +236,47 @@
         checkRefusals(outcome);
     }
 }
+
+// The demand of each zone rises and falls by 55% within 17 s, one zone after the other, at three times the usual load
+// of the second customer. A VM that prefers the engines of its zone for too long overruns them while others are idle.
+// AffinityPolicy::followsDemandThatMovesBetweenZones replays the choice alone; this one has objectives, pauses,
+// prompt caches and refusals.
+Test(OverloadReplay, keepsObjectivesWhileDemandMovesBetweenZones)
+{
+    configureLog(LogLevel::Off);
+    auto prompts = longPrompts(3 * 22.2);
+    prompts.priority = 1;
+    prompts.timeout = 5s;
+    prompts.events = 10;
+    auto streams = shortPrompts(3 * 29.6);
+    streams.objective = 300ms;
+    streams.timeout = 15s;
+    streams.events = 58;
+    for (const unsigned seed : { 1U, 2U }) {
+        auto load = fifthOfFleet({ prompts, streams });
+        load.vms = 8;
+        load.slots = 64;
+        load.duration = 20s;
+        auto& engine = *load.engine;
+        engine.tokensPerSecond = 41'400;
+        engine.batchStep = 4630us;
+        engine.promptStep = 25ms;
+        engine.stepsPerEvent = 5;
+        engine.longestPause = 300ms;
+        engine.cacheTokens = 78'577;
+        // 262,144 bytes at 1,100 Gbit/s.
+        engine.copySecondsPerToken = 1.9e-6;
+        engine.zones = { "a", "b", "c", "d" };
+        engine.demandSwing = 0.55;
+        engine.sharesZoneWork = true;
+        const auto outcome = RefusalFleet(load, seed).run();
+        printOutcome("moving demand, seed " + std::to_string(seed), outcome);
+        for (const auto& [route, it] : outcome.routes) {
+            for (std::size_t n = 0; n < 20; n += 4) {
+                cr_expect(servedBetween(outcome, { route }, n, n + 4).share() >= servedWell);
+            }
+            cr_expect(it.refused == 0);
+        }
+        checkRefusals(outcome);
+    }
+}
--- a/Source/UnitTests/Gateway/RefusalFleet.cpp
+++ b/Source/UnitTests/Gateway/RefusalFleet.cpp
@@ -1,6 +1,8 @@
 #include "Gateway/RefusalFleetParts.h"
 
 #include <algorithm>
+#include <cmath>
+#include <numbers>
 #include <ranges>
 
 namespace Pollenwind {
@@ -89,7 +91,7 @@
     , runners(fleet.m_clock, timeline, { .spreadSeed = n })
     , quota(fleet.m_clock)
     , directory(fleet.m_clock)
-    , policy(ZoneId("a"), directory)
+    , policy(ZoneId(fleet.m_load.engine ? fleet.m_load.engine->zoneOf(n) : "a"), directory)
     , retryBudget(fleet.m_clock)
     , log(fleet.m_clock)
     , client(std::make_unique<Client>(fleet, n))
@@ -100,12 +102,14 @@
     , dispatcher({ fleet.m_clock, routing, freshness, runners, runners, policy, directory, quota, retryBudget, *client,
           metrics, log, quarantine, quarantine, crashes, rollouts, rollouts,
           fleet.m_load.engine ? fleet.m_load.engine->yieldRanks : LoadSettings {}.yieldRanks })
+    , zone(fleet.m_load.engine ? fleet.m_load.engine->zoneOf(n) : "a")
 {
     RoutingConfiguration configuration;
     configuration.version = 1;
     configuration.routes = { makeRoute("/unsafe/", RequestKind::Unsafe, 2) };
     configuration.organisations = { makeOrganisation("org", 1e9) };
     if (const auto& engine = fleet.m_load.engine) {
+        policy.setOtherZoneLoadUnknown(engine->zones.size() > 1 && !engine->sharesZoneWork);
         configuration.routes.clear();
         configuration.services[ServiceId("app")] = { .id = ServiceId("app"), .engine = EngineProfile {} };
         for (const auto& kind : engine->requests) {
@@ -136,6 +140,7 @@
         runner.backOffs.resize(load.vms);
         if (const auto& engine = load.engine) {
             runner.speed = engine->speeds[n % engine->speeds.size()];
+            runner.entry.zone = ZoneId(engine->zoneOf(n));
             runner.cache = EnginePromptCache(engine->cacheTokens);
         }
     }
@@ -240,6 +245,17 @@
 
 RefusalFleet::Vm& RefusalFleet::anyVm()
 {
+    if (m_load.engine && m_load.engine->demandSwing > 0) {
+        const auto& engine = *m_load.engine;
+        const auto zones = static_cast<double>(engine.zones.size());
+        std::vector<double> demand(m_load.vms);
+        for (std::size_t n = 0; n < demand.size(); ++n) {
+            const double turn = (m_clock.now() - m_startedAt) / std::chrono::duration<double>(engine.demandPeriod)
+                + static_cast<double>(n % engine.zones.size()) / zones;
+            demand[n] = 1 + engine.demandSwing * std::sin(2 * std::numbers::pi * turn);
+        }
+        return m_vms[killedVms() + std::discrete_distribution<std::size_t>(demand.begin(), demand.end())(m_random)];
+    }
     return m_vms[std::uniform_int_distribution<std::size_t>(killedVms(), m_vms.size() - 1)(m_random)];
 }
 
@@ -269,11 +285,16 @@
     for (auto& from : m_vms | std::views::drop(killedVms())) {
         const auto prefixes = hasCaches ? from.directory.takeUpdates() : std::vector<CachedPrefix>();
         for (auto& to : m_vms | std::views::drop(killedVms())) {
+            const bool isOwnZone = from.zone == to.zone;
+            if (&from != &to && (isOwnZone || m_load.engine->sharesZoneWork)) {
+                to.runners.setRemoteLoad(
+                    VmId("vm-" + std::to_string(from.index)), isOwnZone ? from.runners.ownLoads() : from.relayedLoads);
+            }
             if (&from != &to) {
-                to.runners.setRemoteLoad(VmId("vm-" + std::to_string(from.index)), from.runners.ownLoads());
-                to.directory.recordRemoteRead(prefixes, true);
+                to.directory.recordRemoteRead(prefixes, isOwnZone);
             }
         }
+        from.relayedLoads = from.runners.ownLoads();
     }
 }
 
--- a/Source/UnitTests/Gateway/RefusalFleet.h
+++ b/Source/UnitTests/Gateway/RefusalFleet.h
@@ -51,6 +51,16 @@
     /// requests that run then get no answer. Callers that arrive or return meanwhile connect to the new VMs.
     std::optional<std::chrono::milliseconds> restartAt = std::nullopt;
     std::chrono::milliseconds restartTime { 1000 };
+    /// Zones of the VMs and engines, in turn.
+    std::vector<std::string> zones { "a" };
+    /// Share by which the demand of each zone rises and falls within the period, one zone after the other; 0 for the
+    /// same demand in all zones.
+    double demandSwing = 0;
+    std::chrono::milliseconds demandPeriod { 17'000 };
+    /// See LoadSettings: whether VMs know the work of other zones, which their relays forward one interval later.
+    bool sharesZoneWork = false;
+
+    const std::string& zoneOf(std::size_t index) const { return zones[index % zones.size()]; }
     /// Factors on the speed, by engine in turn.
     std::vector<double> speeds { 1 };
     /// Whether VMs know the work of the others.
--- a/Source/UnitTests/Gateway/RefusalFleetParts.h
+++ b/Source/UnitTests/Gateway/RefusalFleetParts.h
@@ -67,6 +67,9 @@
     CrashDetector crashes;
     RolloutTable rollouts;
     ForwardDispatcher dispatcher;
+    /// Zone, and the work in the last report to it, which its relay forwards to the other zones.
+    std::string zone;
+    std::map<std::uint64_t, RunnerLoad> relayedLoads;
 };
 
 /// One request and what its caller received.
