Restart all VMs earlier in the replayed peak

It now restarts them 3 s after a peak that starts at 2 s, which shortens each run from 16 to 12 s. The bounds are unchanged and stricter in effect, since more is in time there without a restart.

--- a/Source/UnitTests/Gateway/OverloadReplayTests.cpp
+++ b/Source/UnitTests/Gateway/OverloadReplayTests.cpp
@@ -214,23 +214,24 @@
     streams.peakFactor = 1.8;
     for (const unsigned seed : { 1U, 2U, 3U }) {
         auto load = fifthOfFleet({ prompts, streams });
-        load.duration = 16s;
-        load.engine->peakEnd = 16s;
+        load.duration = 12s;
+        load.engine->peakStart = 2s;
+        load.engine->peakEnd = 12s;
         const auto without = RefusalFleet(load, seed).run();
-        load.engine->restartAt = 9s;
+        load.engine->restartAt = 5s;
         load.engine->restartTime = 1s;
         const auto outcome = RefusalFleet(load, seed).run();
         printOutcome("restart of all VMs, seed " + std::to_string(seed), outcome);
-        for (std::size_t n = 12; n < 16; ++n) {
+        for (std::size_t n = 8; n < 12; ++n) {
             const auto usual = servedBetween(without, routes, n, n + 1);
             const auto served = servedBetween(outcome, routes, n, n + 1);
             std::printf("  second %zu: %.3f, without a restart %.3f\n", n, served.share(), usual.share());
             cr_expect(served.share() >= servedWell * usual.share());
         }
         for (const auto& route : routes) {
-            const auto usual = servedBetween(without, { route }, 12, 16);
-            const auto served = servedBetween(outcome, { route }, 12, 16);
-            std::printf("  from 12 s: %s %.3f, without a restart %.3f\n", route.c_str(), served.share(), usual.share());
+            const auto usual = servedBetween(without, { route }, 8, 12);
+            const auto served = servedBetween(outcome, { route }, 8, 12);
+            std::printf("  from 8 s: %s %.3f, without a restart %.3f\n", route.c_str(), served.share(), usual.share());
             cr_expect(served.share() >= servedWell * usual.share());
         }
         checkRefusals(outcome);
