--- a/Source/UnitTests/Gateway/RefusalFleet.h
+++ b/Source/UnitTests/Gateway/RefusalFleet.h
@@ -9,6 +9,7 @@
 #include <memory>
 #include <optional>
 #include <random>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -28,6 +29,8 @@
     std::string organisation = "org";
     /// Shared part of the prompt; 0 for a different one in each request.
     std::uint64_t part = 0;
+    /// Tokens of the shared part, on top of `promptTokens`.
+    std::uint32_t sharedTokens = 0;
 };
 
 /// Simulated engines: they compute one prompt after the other, and each step of a batch takes longer meanwhile.
@@ -44,12 +47,30 @@
     std::chrono::milliseconds peakEnd { 10'000 };
     /// Engines that crash when the peak begins.
     std::size_t crashing = 0;
+    /// Time at which all VMs are killed, and time until new ones have started; nothing for no restart. Callers of
+    /// requests that run then get no answer. Callers that arrive or return meanwhile connect to the new VMs.
+    std::optional<std::chrono::milliseconds> restartAt = std::nullopt;
+    std::chrono::milliseconds restartTime { 1000 };
+    /// Zones of the VMs and engines, in turn.
+    std::vector<std::string> zones { "a" };
+    /// Share by which the demand of each zone rises and falls within the period, one zone after the other; 0 for the
+    /// same demand in all zones.
+    double demandSwing = 0;
+    std::chrono::milliseconds demandPeriod { 17'000 };
+    /// See LoadSettings: whether VMs know the work of other zones, which their relays forward one interval later.
+    bool sharesZoneWork = false;
+
+    const std::string& zoneOf(std::size_t index) const { return zones[index % zones.size()]; }
     /// Factors on the speed, by engine in turn.
     std::vector<double> speeds { 1 };
     /// Whether VMs know the work of the others.
     bool hasReports = true;
     /// See LoadSettings; 0 for the behaviour without prompt pools and admission.
     unsigned yieldRanks = 2;
+    /// Tokens of shared parts that an engine keeps; 0 for engines that compute all of them again.
+    double cacheTokens = 0;
+    /// Time to copy one cached token from another engine: 18,432 bytes at 370 Gbit/s.
+    double copySecondsPerToken = 4e-7;
 };
 
 /// What became of the requests of one route to simulated engines.
@@ -100,6 +121,8 @@
     std::size_t refusedWhileFree = 0;
     /// By prefix of the route and organisation.
     std::map<std::string, EngineOutcome> routes = {};
+    /// By shared part and second: ports of the engines that ran prompts with it. Only for engines that keep parts.
+    std::map<std::uint64_t, std::vector<std::set<std::uint16_t>>> enginesByPart = {};
 
     double servedShare() const { return static_cast<double>(served) / static_cast<double>(requests); }
     std::chrono::nanoseconds refusalTime(double quantile) const;
@@ -132,11 +155,17 @@
     void report();
     Task<> serve(Vm& vm, Request& request);
     ReplyHead accept(std::size_t vm, Runner& runner);
+    std::unique_ptr<RunnerExchange> openEngine(
+        Runner& runner, const ForwardRequest& request, const AttemptTerms& terms);
     void startEngineRequest(const EngineRequests& kind);
     Task<> serveByEngines(Request& request, const EngineRequests& kind);
     void crashEngines();
+    void restartVms();
     RefusalOutcome runEngines();
+    /// Number of VMs that were killed.
+    std::size_t killedVms() const;
     Vm& anyVm();
+    Runner& runnerAt(const Endpoint& endpoint);
 
     RefusalLoad m_load;
     std::mt19937 m_random;
@@ -145,7 +174,9 @@
     MonotonicTime m_startedAt;
     std::multimap<MonotonicTime, asio::steady_timer*> m_wakeUps;
     std::deque<Runner> m_runners;
+    /// The VMs in use are the last ones. Tasks of those that were killed still refer to them.
     std::deque<Vm> m_vms;
+    MonotonicTime m_vmsStartedAt { 0 };
     std::deque<Request> m_requests;
     RefusalOutcome m_outcome;
 };
