Refer to the entries of runners in their candidates

A decision copied the id, endpoint, zone and software of each runner, compared the service of every runner in the table, and looked up targets, zones and cached prefixes once for each candidate.

RunnerCandidate now borrows these fields from the table (Borrowable), and carries the hashes that the table knows. The table keeps a list of runners for each service. Target versions, permitted zones, the speeds, and the holders of each prefix are determined once for a decision. A closed circuit breaker is read without access to its state machine. RunnerChoice owns its data as before.

RunnerChoice passes with the recorded values of the code before.

--- a/Source/Core/Gateway/AffinityPolicy.cpp
+++ b/Source/Core/Gateway/AffinityPolicy.cpp
@@ -7,9 +7,9 @@
 
 #include <algorithm>
 #include <array>
+#include <bitset>
 #include <cmath>
-#include <functional>
-#include <map>
+#include <utility>
 
 namespace Pollenwind {
 
@@ -36,30 +36,100 @@
         return speed == 1 ? score : std::pow(score, 1 / speed);
     }
 
+    /// The runner processes and stores that have the prefixes of a prompt cached, for look-ups by many runners of which
+    /// few have any.
+    class HolderSet {
+    public:
+        /// Adds the holders of the next longer prefix.
+        void add(std::vector<std::uint64_t> hashes)
+        {
+            for (const auto hash : hashes) {
+                m_filter[hash % m_filter.size()] = true;
+            }
+            m_isEmpty = m_isEmpty && hashes.empty();
+            if (hashes.size() > longestUnsorted) {
+                std::ranges::sort(hashes);
+            }
+            m_holders.push_back(std::move(hashes));
+        }
+
+        bool isEmpty() const { return m_isEmpty; }
+
+        /// Number of prefixes up to the longest one that a holder has cached; 0 if it has none.
+        std::uint32_t longestOf(std::uint64_t hash) const
+        {
+            if (!m_filter[hash % m_filter.size()]) {
+                return 0;
+            }
+            const auto it = std::find_if(m_holders.rbegin(), m_holders.rend(), [hash](const auto& hashes) {
+                return hashes.size() > longestUnsorted ? std::ranges::binary_search(hashes, hash)
+                                                       : std::ranges::find(hashes, hash) != hashes.end();
+            });
+            return static_cast<std::uint32_t>(m_holders.rend() - it);
+        }
+
+    private:
+        /// Longest list that is searched from start to end.
+        static constexpr std::size_t longestUnsorted = 16;
+
+        /// The holders of each prefix, the shortest prefix first.
+        std::vector<std::vector<std::uint64_t>> m_holders;
+        /// Whether any holder has a hash with this remainder.
+        std::bitset<1024> m_filter;
+        bool m_isEmpty = true;
+    };
+
 } // namespace
 
-/// A candidate with the inputs of its cost.
-struct AffinityPolicy::Option {
-    const RunnerCandidate* candidate = nullptr;
-    /// Tokens of the prompt that other requests share.
+/// What all options of a choice have in common.
+struct AffinityPolicy::Prompt {
+    const ForwardRequest& request;
+    const std::string& cacheSalt;
+    /// Id of the last shared part; 0 without one.
+    std::uint64_t lastPart = 0;
+    /// Tokens that other requests share.
     double sharedTokens = 0;
-    /// Tokens of the prompt that no other request shares.
+    /// Tokens that no other request shares.
     double ownTokens = 0;
+};
+
+/// Numbers of the zones of the candidates, so that the zone of each is compared once. Zone 0 is that of this VM.
+class AffinityPolicy::ZoneNumbers {
+public:
+    explicit ZoneNumbers(const ZoneId& ownZone) { m_zones.push_back(&ownZone); }
+
+    std::uint32_t numberOf(const ZoneId& zone)
+    {
+        const auto it = std::ranges::find_if(m_zones, [&zone](const ZoneId* known) { return *known == zone; });
+        if (it != m_zones.end()) {
+            return static_cast<std::uint32_t>(it - m_zones.begin());
+        }
+        m_zones.push_back(&zone);
+        return static_cast<std::uint32_t>(m_zones.size() - 1);
+    }
+
+private:
+    std::vector<const ZoneId*> m_zones;
+};
+
+/// The inputs of the cost of a candidate.
+struct AffinityPolicy::Option {
+    /// Speed of the runner relative to the median of its service.
+    double speed = 1;
+    double rendezvousScore = 0;
+    /// Probability that the runner has the shared parts cached although this was not reported.
+    double cachedProbability = 0;
     /// Shared tokens that the runner is reported to have cached.
     double cachedTokens = 0;
     /// Shared tokens that `source` has cached, counted from the start of the prompt; 0 without a source.
     double copiedTokens = 0;
     /// Runner with a longer cached prefix than this one, if any.
     const RunnerCandidate* source = nullptr;
-    double rendezvousScore = 0;
-    /// Speed of the runner relative to the median of its service.
-    double speed = 1;
-
-    /// Probability that the runner has the shared parts cached although this was not reported.
-    double cachedProbability = 0;
+    bool isSourceInOtherZone = false;
+    bool isInOtherZone = false;
 
     /// Expected number of shared tokens that the runner has to compute.
-    double missedTokens() const
+    double missedTokens(double sharedTokens) const
     {
         const double known = std::max(cachedTokens, copiedTokens);
         return std::max(0.0, sharedTokens - known) * (1 - cachedProbability);
@@ -68,9 +138,41 @@
 
 /// Cached prefixes of a prompt at the runners with one version of the weights.
 struct AffinityPolicy::PromptCacheState {
+    /// A runner from which others copy.
+    struct Source {
+        const RunnerCandidate* candidate = nullptr;
+        std::uint32_t zone = 0;
+    };
+
+    WeightsVersion weights = 0;
     std::vector<SharedPrefix> prefixes;
-    /// Runners that have each prefix cached, in the order of `prefixes`.
-    std::vector<std::vector<const RunnerCandidate*>> holders;
+    /// Number of prefixes that each candidate has cached, counted from the shortest to its longest one. Empty if no
+    /// candidate has any.
+    std::vector<std::uint32_t> cachedPrefixes;
+    /// The largest of these numbers.
+    std::uint32_t mostCachedPrefixes = 0;
+    /// The first candidate of each zone that has the most prefixes cached, in the order of the candidates.
+    std::vector<Source> sources;
+
+    /// Sets the cached tokens of an option and the runner from which it can copy more, preferably in its own zone.
+    /// @param n Position of the candidate.
+    /// @param zone Number of its zone.
+    void setSource(std::size_t n, std::uint32_t zone, Option& option) const
+    {
+        if (mostCachedPrefixes == 0) {
+            return;
+        }
+        const auto cached = cachedPrefixes[n];
+        option.cachedTokens = cached > 0 ? prefixes[cached - 1].tokens : 0;
+        if (cached == mostCachedPrefixes) {
+            return;
+        }
+        const auto nearest = std::ranges::find(sources, zone, &Source::zone);
+        const auto& source = nearest == sources.end() ? sources.front() : *nearest;
+        option.source = source.candidate;
+        option.isSourceInOtherZone = source.zone != zone;
+        option.copiedTokens = prefixes[mostCachedPrefixes - 1].tokens;
+    }
 };
 
 AffinityPolicy::AffinityPolicy(ZoneId ownZone, const PrefixQueries& prefixes, AffinityCosts costs)
@@ -80,85 +182,88 @@
 {
 }
 
-AffinityPolicy::PromptCacheState AffinityPolicy::findHolders(const ForwardRequest& request,
-    const std::string& cacheSalt, WeightsVersion weights, std::span<const RunnerCandidate> candidates) const
+AffinityPolicy::PromptCacheState AffinityPolicy::findHolders(
+    const Prompt& prompt, WeightsVersion weights, std::span<const RunnerCandidate> candidates, ZoneNumbers& zones) const
 {
     PromptCacheState cacheState;
-    cacheState.prefixes = sharedPrefixes(request, cacheSalt, weights);
-    // The hashes of the candidates are the same for all prefixes of the prompt.
-    std::vector<std::uint64_t> processes;
+    cacheState.weights = weights;
+    cacheState.prefixes = sharedPrefixes(prompt.request, prompt.cacheSalt, weights);
+    HolderSet holders;
     for (const auto& prefix : cacheState.prefixes) {
-        auto& holders = cacheState.holders.emplace_back();
-        const auto hashes = m_prefixes.holdersOf(prefix.hash);
-        if (hashes.empty()) {
-            continue;
-        }
-        if (processes.empty()) {
-            processes.reserve(candidates.size());
-            for (const auto& candidate : candidates) {
-                processes.push_back(holderHash(candidate.id, candidate.incarnation));
-            }
-        }
-        for (std::size_t n = 0; n < candidates.size(); ++n) {
-            if (candidates[n].weights == weights && std::ranges::find(hashes, processes[n]) != hashes.end()) {
-                holders.push_back(&candidates[n]);
-            }
+        holders.add(m_prefixes.holdersOf(prefix.hash));
+    }
+    if (holders.isEmpty()) {
+        return cacheState;
+    }
+    cacheState.cachedPrefixes.resize(candidates.size());
+    for (std::size_t n = 0; n < candidates.size(); ++n) {
+        if (candidates[n].weights == weights) {
+            const auto cached = holders.longestOf(holderHash(candidates[n]));
+            cacheState.cachedPrefixes[n] = cached;
+            cacheState.mostCachedPrefixes = std::max(cacheState.mostCachedPrefixes, cached);
         }
     }
-    return cacheState;
-}
-
-void AffinityPolicy::findSource(const PromptCacheState& cacheState, Option& option)
-{
-    for (std::size_t i = cacheState.prefixes.size(); i-- > 0;) {
-        const auto& holders = cacheState.holders[i];
-        if (holders.empty()) {
+    for (std::size_t n = 0; n < candidates.size() && cacheState.mostCachedPrefixes > 0; ++n) {
+        if (cacheState.cachedPrefixes[n] != cacheState.mostCachedPrefixes) {
             continue;
         }
-        if (std::ranges::find(holders, option.candidate) != holders.end()) {
-            option.cachedTokens = cacheState.prefixes[i].tokens;
-            return;
-        }
-        if (!option.source) {
-            const auto nearest = std::ranges::find(
-                holders, option.candidate->zone, [](const RunnerCandidate* it) { return it->zone; });
-            option.source = nearest == holders.end() ? holders.front() : *nearest;
-            option.copiedTokens = cacheState.prefixes[i].tokens;
+        const auto zone = zones.numberOf(candidates[n].zone);
+        if (std::ranges::find(cacheState.sources, zone, &PromptCacheState::Source::zone) == cacheState.sources.end()) {
+            cacheState.sources.push_back({ &candidates[n], zone });
         }
     }
+    return cacheState;
 }
 
-void AffinityPolicy::assignProbabilities(std::vector<Option>& options)
+void AffinityPolicy::setScores(
+    std::uint64_t lastPart, std::span<const RunnerCandidate> candidates, std::span<Option> options) const
 {
-    std::vector<Option*> order;
-    order.reserve(options.size());
-    for (auto& option : options) {
-        order.push_back(&option);
+    std::vector<std::uint64_t> hashes;
+    hashes.reserve(candidates.size());
+    for (const auto& candidate : candidates) {
+        hashes.push_back(runnerHash(candidate));
     }
-    const auto ranks = std::min(order.size(), cachedProbabilityByRank.size());
-    std::ranges::partial_sort(
-        order, order.begin() + static_cast<std::ptrdiff_t>(ranks), std::greater(), &Option::rendezvousScore);
-    for (std::size_t rank = 0; rank < ranks; ++rank) {
-        order[rank]->cachedProbability = cachedProbabilityByRank[rank];
+    std::vector<double> speeds(candidates.size(), 1.0);
+    if (m_pace) {
+        m_pace->speedsOf(hashes, speeds);
+    }
+    // The options with the highest scores, the highest first.
+    std::array<Option*, cachedProbabilityByRank.size()> first {};
+    for (std::size_t n = 0; n < options.size(); ++n) {
+        auto& option = options[n];
+        option.speed = speeds[n];
+        option.rendezvousScore = rendezvousScoreOf(lastPart, hashes[n], option.speed);
+        auto* moved = &option;
+        for (auto& it : first) {
+            if (!it || moved->rendezvousScore > it->rendezvousScore) {
+                std::swap(it, moved);
+            }
+            if (!moved) {
+                break;
+            }
+        }
+    }
+    for (std::size_t rank = 0; rank < first.size() && first[rank]; ++rank) {
+        first[rank]->cachedProbability = cachedProbabilityByRank[rank];
     }
 }
 
-double AffinityPolicy::costOf(const Option& option, WeightsVersion targetWeights) const
+double AffinityPolicy::costOf(
+    const RunnerCandidate& candidate, const Option& option, const Prompt& prompt, WeightsVersion targetWeights) const
 {
-    const auto& candidate = *option.candidate;
     const double copied = std::max(0.0, option.copiedTokens - option.cachedTokens);
-    const double zoneFactor = option.source && option.source->zone != candidate.zone ? 2 : 1;
+    const double zoneFactor = option.isSourceInOtherZone ? 2 : 1;
     // A fast runner ends its work sooner but has no more slots than its entry says.
     const double usableSlots = candidate.slots * std::min(1.0, option.speed);
     double cost = candidate.load.waitingTokens * m_costs.secondsPerToken / option.speed
-        + option.missedTokens() * m_costs.secondsPerToken * m_costs.recomputeWeight
+        + option.missedTokens(prompt.sharedTokens) * m_costs.secondsPerToken * m_costs.recomputeWeight
         + copied * (m_costs.secondsPerCopiedToken * zoneFactor + m_costs.secondsPerToken * m_costs.evictionWeight)
         + candidate.load.requests * m_costs.secondsPerRequest / option.speed
         + (1 - option.rendezvousScore) * rendezvousSeconds;
     if (candidate.load.requests >= m_costs.queueingShare * usableSlots) {
         cost += m_costs.queueingSeconds * candidate.load.requests / std::max(1U, candidate.slots) / option.speed;
     }
-    if (candidate.zone != m_ownZone) {
+    if (option.isInOtherZone) {
         cost += m_isOtherZoneLoadUnknown ? m_costs.unknownZoneSeconds : m_costs.otherZoneSeconds;
     }
     cost += candidate.weights < targetWeights ? m_costs.oldWeightsSeconds : 0;
@@ -170,65 +275,71 @@
 std::optional<RunnerChoice> AffinityPolicy::choose(const ForwardRequest& request, const std::string& cacheSalt,
     WeightsVersion targetWeights, std::span<const CacheStore> stores, std::span<const RunnerCandidate> candidates) const
 {
-    std::vector<Option> options;
-    options.reserve(candidates.size());
-    std::map<WeightsVersion, PromptCacheState> cacheStates;
-    const std::uint64_t prompt = request.parts.size() > 1 ? request.parts[request.parts.size() - 2].id : 0;
-    auto it = cacheStates.end();
-    for (const auto& candidate : candidates) {
-        if (it == cacheStates.end() || it->first != candidate.weights) {
-            it = cacheStates.find(candidate.weights);
-        }
-        if (it == cacheStates.end()) {
-            auto found = findHolders(request, cacheSalt, candidate.weights, candidates);
-            it = cacheStates.emplace(candidate.weights, std::move(found)).first;
+    if (candidates.empty()) {
+        return std::nullopt;
+    }
+    Prompt prompt { request, cacheSalt };
+    if (request.parts.size() > 1) {
+        prompt.lastPart = request.parts[request.parts.size() - 2].id;
+        for (const auto& part : std::span(request.parts).first(request.parts.size() - 1)) {
+            prompt.sharedTokens += part.tokens;
         }
-        auto& option = options.emplace_back();
-        option.candidate = &candidate;
-        option.sharedTokens = it->second.prefixes.empty() ? 0 : it->second.prefixes.back().tokens;
-        const double promptTokens = request.tokens ? request.tokens->prompt : option.sharedTokens;
-        option.ownTokens = std::max(0.0, promptTokens - option.sharedTokens);
-        const auto hash = runnerHash(candidate.id);
-        option.speed = m_pace ? m_pace->speedOf(hash) : 1;
-        option.rendezvousScore = rendezvousScoreOf(prompt, hash, option.speed);
-        findSource(it->second, option);
     }
-    assignProbabilities(options);
-    const Option* best = nullptr;
+    const double promptTokens = request.tokens ? request.tokens->prompt : prompt.sharedTokens;
+    prompt.ownTokens = std::max(0.0, promptTokens - prompt.sharedTokens);
+
+    std::vector<Option> options(candidates.size());
+    setScores(prompt.lastPart, candidates, options);
+    ZoneNumbers zones(m_ownZone);
+    // Runners have few versions of the weights at a time.
+    std::vector<PromptCacheState> cacheStates;
+    std::size_t state = 0;
+    std::size_t best = 0;
     double lowestCost = 0;
-    for (const auto& option : options) {
-        const double cost = costOf(option, targetWeights);
-        if (!best || cost < lowestCost) {
-            best = &option;
+    for (std::size_t n = 0; n < candidates.size(); ++n) {
+        const auto& candidate = candidates[n];
+        if (cacheStates.empty() || cacheStates[state].weights != candidate.weights) {
+            const auto known = std::ranges::find(cacheStates, candidate.weights, &PromptCacheState::weights);
+            state = static_cast<std::size_t>(known - cacheStates.begin());
+            if (known == cacheStates.end()) {
+                cacheStates.push_back(findHolders(prompt, candidate.weights, candidates, zones));
+            }
+        }
+        const auto zone = zones.numberOf(candidate.zone);
+        options[n].isInOtherZone = zone != 0;
+        cacheStates[state].setSource(n, zone, options[n]);
+        const double cost = costOf(candidate, options[n], prompt, targetWeights);
+        if (n == 0 || cost < lowestCost) {
+            best = n;
             lowestCost = cost;
         }
     }
-    if (!best) {
-        return std::nullopt;
-    }
-    RunnerChoice choice { best->candidate->id, best->candidate->endpoint };
-    choice.incarnation = best->candidate->incarnation;
-    choice.weights = best->candidate->weights;
-    choice.beginBy = best->candidate->beginBy;
-    choice.software = best->candidate->software;
-    choice.tokensAhead = best->candidate->load.yieldingTokens;
-    choice.computedTokens = best->missedTokens() + best->ownTokens;
+    const auto& candidate = candidates[best];
+    const auto& option = options[best];
+    RunnerChoice choice { candidate.id, candidate.endpoint };
+    choice.incarnation = candidate.incarnation;
+    choice.weights = candidate.weights;
+    choice.beginBy = candidate.beginBy;
+    choice.software = candidate.software;
+    choice.tokensAhead = candidate.load.yieldingTokens;
+    choice.computedTokens = option.missedTokens(prompt.sharedTokens) + prompt.ownTokens;
     choice.uncachedTokens
-        = std::max(0.0, best->sharedTokens - std::max(best->cachedTokens, best->copiedTokens)) + best->ownTokens;
-    if (best->source && best->copiedTokens > best->cachedTokens) {
-        choice.cacheSource = best->source->endpoint;
+        = std::max(0.0, prompt.sharedTokens - std::max(option.cachedTokens, option.copiedTokens)) + prompt.ownTokens;
+    if (option.source && option.copiedTokens > option.cachedTokens) {
+        choice.cacheSource = option.source->endpoint;
     }
-    chooseStore(cacheStates.at(choice.weights).prefixes, prompt, targetWeights, stores, *best, choice);
+    const auto chosen = std::ranges::find(cacheStates, choice.weights, &PromptCacheState::weights);
+    chooseStore(prompt, chosen->prefixes, targetWeights, stores, candidate.zone, choice);
     return choice;
 }
 
-void AffinityPolicy::chooseStore(const std::vector<SharedPrefix>& prefixes, std::uint64_t lastPart,
-    WeightsVersion targetWeights, std::span<const CacheStore> stores, const Option& option, RunnerChoice& choice) const
+void AffinityPolicy::chooseStore(const Prompt& prompt, const std::vector<SharedPrefix>& prefixes,
+    WeightsVersion targetWeights, std::span<const CacheStore> stores, const ZoneId& zone, RunnerChoice& choice) const
 {
-    if (prefixes.empty() || stores.empty() || option.sharedTokens < minStoredTokens) {
+    if (prefixes.empty() || stores.empty() || prompt.sharedTokens < minStoredTokens) {
         return;
     }
-    const auto& store = m_storeChoice.choose(stores, option.candidate->zone, lastPart);
+    const auto& store = m_storeChoice.choose(stores, zone, prompt.lastPart);
     const auto holders = m_prefixes.holdersOf(prefixes.back().hash);
     const auto isIn = [&holders](const CacheStore& it) {
         return std::ranges::find(holders, storeHash(it.endpoint)) != holders.end();
@@ -242,14 +353,14 @@
     const auto other = isStored || !m_storeChoice.isByPrefix() ? stores.end() : std::ranges::find_if(stores, isIn);
     if (!choice.cacheSource && other != stores.end()) {
         choice.cacheSource = other->endpoint;
-        choice.computedTokens = option.ownTokens;
-        choice.uncachedTokens = option.ownTokens;
+        choice.computedTokens = prompt.ownTokens;
+        choice.uncachedTokens = prompt.ownTokens;
     } else if (!choice.cacheSource) {
         // The runner copies only what it does not have, and a request to a store without the parts costs a millisecond.
         // VMs of another zone may have saved parts that were not reported here.
         choice.cacheSource = store.endpoint;
-        choice.computedTokens = isStored ? option.ownTokens : choice.computedTokens;
-        choice.uncachedTokens = isStored ? option.ownTokens : choice.uncachedTokens;
+        choice.computedTokens = isStored ? prompt.ownTokens : choice.computedTokens;
+        choice.uncachedTokens = isStored ? prompt.ownTokens : choice.uncachedTokens;
     }
     if (isStored) {
         return;
--- a/Source/Core/Gateway/AffinityPolicy.h
+++ b/Source/Core/Gateway/AffinityPolicy.h
@@ -66,21 +66,24 @@
 private:
     struct Option;
     struct PromptCacheState;
+    struct Prompt;
+    class ZoneNumbers;
 
-    /// Looks up which runners with the given weights have the prefixes of a request cached.
-    PromptCacheState findHolders(const ForwardRequest& request, const std::string& cacheSalt, WeightsVersion weights,
-        std::span<const RunnerCandidate> candidates) const;
-    /// Sets the cached tokens of an option and the runner from which it can copy more, preferably in its own zone.
-    static void findSource(const PromptCacheState& cacheState, Option& option);
+    /// Looks up which runners with the given weights have the prefixes of a prompt cached.
+    PromptCacheState findHolders(const Prompt& prompt, WeightsVersion weights,
+        std::span<const RunnerCandidate> candidates, ZoneNumbers& zones) const;
+    /// Sets the speeds and rendezvous scores of the options, and the cache probabilities of those with the highest
+    /// scores.
+    void setScores(
+        std::uint64_t lastPart, std::span<const RunnerCandidate> candidates, std::span<Option> options) const;
     /// Adds the store of the prompt to a choice: as the source if there is none yet, and as the destination of shared
     /// parts that it does not have. Parts that only another store is known to have are copied from that one.
-    /// @param lastPart Id of the last shared part.
-    void chooseStore(const std::vector<SharedPrefix>& prefixes, std::uint64_t lastPart, WeightsVersion targetWeights,
-        std::span<const CacheStore> stores, const Option& option, RunnerChoice& choice) const;
-    /// Sets the cache probabilities of the options with the highest rendezvous scores.
-    static void assignProbabilities(std::vector<Option>& options);
+    /// @param zone Zone of the runner.
+    void chooseStore(const Prompt& prompt, const std::vector<SharedPrefix>& prefixes, WeightsVersion targetWeights,
+        std::span<const CacheStore> stores, const ZoneId& zone, RunnerChoice& choice) const;
     /// Cost of an option in seconds.
-    double costOf(const Option& option, WeightsVersion targetWeights) const;
+    double costOf(const RunnerCandidate& candidate, const Option& option, const Prompt& prompt,
+        WeightsVersion targetWeights) const;
 
     ZoneId m_ownZone;
     const PrefixQueries& m_prefixes;
--- a/Source/Core/Gateway/Queries/PaceQueries.h
+++ b/Source/Core/Gateway/Queries/PaceQueries.h
@@ -1,6 +1,8 @@
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
+#include <span>
 
 namespace Pollenwind {
 
@@ -16,6 +18,16 @@
     /// to the median.
     /// @param runner Hash of the runner's id.
     virtual double speedOf(std::uint64_t runner) const = 0;
+
+    /// Speeds of several runners.
+    /// @param runners Hashes of the runners' ids.
+    /// @param speeds Set to their speeds; as long as `runners`.
+    virtual void speedsOf(std::span<const std::uint64_t> runners, std::span<double> speeds) const
+    {
+        for (std::size_t n = 0; n < runners.size(); ++n) {
+            speeds[n] = speedOf(runners[n]);
+        }
+    }
 };
 
 } // namespace Pollenwind
--- a/Source/Core/Gateway/Queries/PrefixQueries.h
+++ b/Source/Core/Gateway/Queries/PrefixQueries.h
@@ -33,6 +33,10 @@
 
 /// Hash of one incarnation of a runner, whose cache is lost when it restarts.
 std::uint64_t holderHash(const UpstreamId& runner, Incarnation incarnation);
+inline std::uint64_t holderHash(const RunnerCandidate& runner)
+{
+    return runner.process != 0 ? runner.process : holderHash(runner.id.get(), runner.incarnation);
+}
 
 /// Hash of a cache store, used like holderHash(). The two never have the same value.
 std::uint64_t storeHash(const Endpoint& endpoint);
--- a/Source/Core/Gateway/Queries/RunnerQueries.h
+++ b/Source/Core/Gateway/Queries/RunnerQueries.h
@@ -85,5 +85,9 @@
 
 /// Hash that identifies a runner in reports between VMs.
 std::uint64_t runnerHash(const UpstreamId& runner);
+inline std::uint64_t runnerHash(const RunnerCandidate& runner)
+{
+    return runner.hash != 0 ? runner.hash : runnerHash(runner.id.get());
+}
 
 } // namespace Pollenwind
--- a/Source/Core/Gateway/RunnerFailureState.cpp
+++ b/Source/Core/Gateway/RunnerFailureState.cpp
@@ -63,18 +63,11 @@
     m_inferred.reset();
 }
 
-bool RunnerFailureState::isSuspect(MonotonicTime now) const
+bool RunnerFailureState::isSuspectToOthers(MonotonicTime now) const
 {
     const auto confirming = std::ranges::count_if(
         m_remoteConnectFailures, [now](const auto& it) { return it.second >= now - connectFailureTime; });
-    return now < m_avoidUntil || static_cast<std::size_t>(confirming) >= minConfirmingVms;
-}
-
-WeightsVersion RunnerFailureState::inferredWeights(
-    const std::string& model, WeightsVersion reported, MonotonicTime now) const
-{
-    const bool isInferred = m_inferred && m_inferred->model == model && now < m_inferred->until;
-    return isInferred ? std::max(reported, m_inferred->version) : reported;
+    return static_cast<std::size_t>(confirming) >= minConfirmingVms;
 }
 
 bool RunnerFailureState::hasRecentConnectFailure(MonotonicTime now) const { return isRecent(m_connectFailedAt, now); }
--- a/Source/Core/Gateway/RunnerFailureState.h
+++ b/Source/Core/Gateway/RunnerFailureState.h
@@ -5,6 +5,7 @@
 #include "Gateway/RunnerBackOff.h"
 #include "Gateway/RunnerTypes.h"
 
+#include <algorithm>
 #include <map>
 #include <optional>
 #include <string>
@@ -36,12 +37,19 @@
     const RunnerBackOff& backOff() const { return m_backOff; }
 
     /// Whether requests should go to other runners where possible.
-    bool isSuspect(MonotonicTime now) const;
+    bool isSuspect(MonotonicTime now) const
+    {
+        return now < m_avoidUntil || (!m_remoteConnectFailures.empty() && isSuspectToOthers(now));
+    }
     bool isReplaced() const { return m_replacedAt.count() > 0; }
     /// Weights that the runner is assumed to have. Used for the choice of a runner only, so that a runner with older
     /// reported weights is still ordered to load the target.
     /// @param reported Weights in its entry.
-    WeightsVersion inferredWeights(const std::string& model, WeightsVersion reported, MonotonicTime now) const;
+    WeightsVersion inferredWeights(const std::string& model, WeightsVersion reported, MonotonicTime now) const
+    {
+        const bool isInferred = m_inferred && m_inferred->model == model && now < m_inferred->until;
+        return isInferred ? std::max(reported, m_inferred->version) : reported;
+    }
 
     /// Whether this VM failed to connect so recently that the failure is reported to the other VMs.
     bool hasRecentConnectFailure(MonotonicTime now) const;
@@ -49,6 +57,9 @@
     bool wasRecentlyReplaced(MonotonicTime now) const;
 
 private:
+    /// Whether several other VMs could not connect.
+    bool isSuspectToOthers(MonotonicTime now) const;
+
     struct InferredWeights {
         std::string model;
         WeightsVersion version = 0;
--- a/Source/Core/Gateway/RunnerPace.cpp
+++ b/Source/Core/Gateway/RunnerPace.cpp
@@ -205,8 +205,23 @@
 
 double RunnerPace::speedOf(std::uint64_t runner) const
 {
-    const auto it = m_speeds.find(runner);
-    return it == m_speeds.end() || m_clock.now() - it->second.measuredAt > maxAge ? 1 : it->second.speed;
+    double speed = 1;
+    speedsOf({ &runner, 1 }, { &speed, 1 });
+    return speed;
+}
+
+void RunnerPace::speedsOf(std::span<const std::uint64_t> runners, std::span<double> speeds) const
+{
+    std::ranges::fill(speeds, 1);
+    if (m_speeds.empty()) {
+        return;
+    }
+    const auto oldest = m_clock.now() - maxAge;
+    for (std::size_t n = 0; n < runners.size(); ++n) {
+        if (const auto it = m_speeds.find(runners[n]); it != m_speeds.end() && it->second.measuredAt >= oldest) {
+            speeds[n] = it->second.speed;
+        }
+    }
 }
 
 std::vector<RunnerSpeed> RunnerPace::speeds() const
--- a/Source/Core/Gateway/RunnerPace.h
+++ b/Source/Core/Gateway/RunnerPace.h
@@ -50,6 +50,7 @@
 
     void recordPause(const std::string& route, std::uint64_t runner, std::chrono::nanoseconds pause) override;
     double speedOf(std::uint64_t runner) const override;
+    void speedsOf(std::span<const std::uint64_t> runners, std::span<double> speeds) const override;
 
     /// Records the samples that another VM or a relay reported.
     void recordRemote(std::span<const PaceSample> samples, bool isOfOwnZone);
--- a/Source/Core/Gateway/RunnerTable.cpp
+++ b/Source/Core/Gateway/RunnerTable.cpp
@@ -12,10 +12,6 @@
 
 namespace {
 
-    // Entries that expired while the store was unavailable are back within about 2 s of its return. Until then such a
-    // runner is used if there is no other, but not long enough to violate the drain limit of a runner that did stop.
-    constexpr std::chrono::milliseconds expiredEntryGrace { 1500 };
-
     // Runners write their entries again within about 2 s of the store's return; one that is missing after that time
     // counts as gone.
     constexpr std::chrono::milliseconds restoredEntryGrace { 2000 };
@@ -36,9 +32,6 @@
         .longestOpenTime = std::chrono::seconds(4),
         .slowStartTime = std::chrono::milliseconds(500) };
 
-    // Parts of a token in which reported work is added up.
-    constexpr double tokenParts = 256;
-
     // Far above what a runner can have. A faulty report must not hide the work of others for longer than it counts.
     constexpr unsigned maxReportedRequests = 100'000;
     constexpr double maxReportedTokens = 1e9;
@@ -96,6 +89,7 @@
                       Runner { std::move(entry), hash, process, {}, {}, {}, CircuitBreaker(m_clock, breakerOptions) })
                   .first->second;
         m_runnersByHash[hash] = &added;
+        addToService(added);
         for (const auto& [vm, loads] : m_remoteLoads) {
             if (const auto load = loads.find(hash); load != loads.end()) {
                 added.reported.add(load->second, 1);
@@ -135,6 +129,11 @@
     if (runner.entry.weights != entry.weights) {
         runner.failureState.onWeightsReported();
     }
+    if (runner.entry.service != entry.service) {
+        removeFromService(runner);
+        runner.entry.service = entry.service;
+        addToService(runner);
+    }
     runner.entry = std::move(entry);
     runner.process = process;
     runner.endsAt = MonotonicTime(0);
@@ -223,6 +222,7 @@
             && now - it.second.endedAt > goneRunnerRetention;
         if (isRemoved) {
             m_runnersByHash.erase(it.second.hash);
+            removeFromService(it.second);
         }
         return isRemoved;
     });
@@ -316,33 +316,6 @@
     }
 }
 
-WeightsVersion RunnerTable::oldestAllowedWeights(const std::string& model) const
-{
-    const auto it = m_targetVersions.find(model);
-    WeightsVersion oldest = 0;
-    if (it != m_targetVersions.end()) {
-        const auto limit = m_clock.now() - m_options.maxOldWeightsTime;
-        for (const auto& named : it->second) {
-            oldest = named.setAt <= limit ? named.version : oldest;
-        }
-    }
-    return oldest;
-}
-
-std::optional<MonotonicTime> RunnerTable::beginLimit(const std::string& model, WeightsVersion weights) const
-{
-    std::optional<MonotonicTime> limit;
-    if (const auto it = m_targetVersions.find(model); it != m_targetVersions.end()) {
-        for (const auto& named : it->second) {
-            const auto end = named.setAt + m_options.maxOldWeightsTime + m_options.oldWeightsBeginTime;
-            if (named.version > weights && (!limit || end < *limit)) {
-                limit = end;
-            }
-        }
-    }
-    return limit;
-}
-
 void RunnerTable::recordSent(const UpstreamId& runner, double tokens, RouteUrgency urgency)
 {
     if (const auto it = m_runners.find(runner); it != m_runners.end()) {
@@ -455,7 +428,7 @@
 
 void RunnerTable::ReportedWork::add(const RunnerLoad& load, int sign)
 {
-    const auto parts = [](double tokens) { return std::llround(tokens * tokenParts); };
+    const auto parts = [](double tokens) { return std::llround(tokens * partsPerToken); };
     requests += sign * static_cast<std::int64_t>(load.requests);
     urgentRequests += sign * static_cast<std::int64_t>(load.urgentRequests);
     waitingTokens += sign * parts(load.waitingTokens);
@@ -524,104 +497,12 @@
     return std::ranges::any_of(m_loading, [hash](const auto& it) { return it.second.contains(hash); });
 }
 
-RunnerLoad RunnerTable::loadOf(const Runner& runner)
-{
-    auto load = runner.own;
-    load.requests += static_cast<unsigned>(runner.reported.requests);
-    load.urgentRequests += static_cast<unsigned>(runner.reported.urgentRequests);
-    load.waitingTokens += static_cast<double>(runner.reported.waitingTokens) / tokenParts;
-    load.yieldingTokens += static_cast<double>(runner.reported.yieldingTokens) / tokenParts;
-    return load;
-}
-
 unsigned RunnerTable::requestsAt(const UpstreamId& runner) const
 {
     const auto it = m_runners.find(runner);
     return it == m_runners.end() ? 0 : loadOf(it->second).requests;
 }
 
-RunnerCandidate RunnerTable::toCandidate(const Runner& runner, const std::string& model, MonotonicTime now) const
-{
-    const auto& entry = runner.entry;
-    const auto reported = entry.weights.find(model);
-    const auto weights = runner.failureState.inferredWeights(
-        model, reported == entry.weights.end() ? WeightsVersion(0) : reported->second, now);
-    runner.breaker.refresh();
-    // Initialised at once, since assigning strings to an empty candidate takes longer.
-    return { .id = entry.id,
-        .endpoint = entry.endpoint,
-        .zone = entry.zone,
-        .incarnation = entry.incarnation,
-        .slots = entry.slots,
-        .software = entry.software,
-        .weights = weights,
-        .beginBy = beginLimit(model, weights),
-        .load = loadOf(runner),
-        .admission = runner.breaker.admission() };
-}
-
-std::vector<RunnerCandidate> RunnerTable::candidates(
-    const ServiceId& service, const std::string& model, const VersionRule& versions, const HomeRegions& home) const
-{
-    const auto oldest = oldestAllowedWeights(model);
-    const auto now = m_clock.now();
-    std::vector<RunnerCandidate> preferred;
-    std::vector<RunnerCandidate> fallback;
-    std::vector<RunnerCandidate> restricted;
-    bool hasRestricted = false;
-    const auto rule = coldRule(service);
-    // The runners of a service seldom have more than one version of the software.
-    const VersionId* checkedSoftware = nullptr;
-    bool isNewSoftware = false;
-    preferred.reserve(m_runners.size());
-    for (const auto& [id, runner] : m_runners) {
-        const auto state = runner.isOverdue(now) && runner.entry.state == RunnerState::Ready ? RunnerState::Gone
-                                                                                             : runner.entry.state;
-        const auto endedAt = runner.isOverdue(now) ? runner.endsAt : runner.endedAt;
-        const bool isExpired = state == RunnerState::Gone && now - endedAt < expiredEntryGrace;
-        if (runner.entry.service != service || !versions.permits(runner.entry.software)
-            || runner.failureState.isReplaced() || !runner.failureState.backOff().admits(now)
-            || (state != RunnerState::Ready && !isExpired) || isEvacuated(runner) || !home.permits(runner.entry.zone)) {
-            continue;
-        }
-        // Built where most belong, so that few are moved.
-        auto& candidate = preferred.emplace_back(toCandidate(runner, model, now));
-        if (!model.empty() && candidate.weights < oldest) {
-            preferred.pop_back();
-            continue;
-        }
-        if (const auto restriction = restrictionOf(runner, rule)) {
-            hasRestricted = true;
-            candidate.isCold = restriction->rate > 0;
-            if (timeUntilAllowed(runner, *restriction).count() == 0) {
-                restricted.push_back(std::move(candidate));
-            }
-            preferred.pop_back();
-            continue;
-        }
-        if (!checkedSoftware || *checkedSoftware != runner.entry.software) {
-            checkedSoftware = &runner.entry.software;
-            isNewSoftware = m_versions.isNew(service, runner.entry.software, now);
-        }
-        const bool isPreferred = !isExpired && candidate.admission > 0 && !runner.failureState.isSuspect(now)
-            && !isLoading(runner.hash) && !m_leaving.isReported(runner.process) && !isNewSoftware;
-        if (!isPreferred) {
-            fallback.push_back(std::move(candidate));
-            preferred.pop_back();
-        }
-    }
-    if (!preferred.empty()) {
-        return preferred;
-    }
-    if (!hasRestricted) {
-        return fallback;
-    }
-    // A warm runner that is only avoided comes before a cold one. One that no request gets through to does not.
-    auto usable = fallback;
-    std::erase_if(usable, [](const RunnerCandidate& it) { return it.admission <= 0; });
-    return !usable.empty() ? usable : !restricted.empty() ? restricted : fallback;
-}
-
 std::optional<RunnerEntry> RunnerTable::find(const UpstreamId& runner) const
 {
     const auto it = m_runners.find(runner);
--- a/Source/Core/Gateway/RunnerTable.h
+++ b/Source/Core/Gateway/RunnerTable.h
@@ -16,6 +16,7 @@
 #include <chrono>
 #include <map>
 #include <optional>
+#include <span>
 #include <unordered_map>
 #include <vector>
 
@@ -97,6 +98,9 @@
 private:
     /// Sum of the work that other VMs reported. Integers, so that adding and subtracting leaves no rest.
     struct ReportedWork {
+        /// Parts of a token in which work is added up.
+        static constexpr double partsPerToken = 256;
+
         std::int64_t requests = 0;
         std::int64_t urgentRequests = 0;
         /// In parts of a token.
@@ -139,15 +143,24 @@
         bool isAgeKnown = false;
     };
 
-    /// Oldest weights of a model on which a request may be placed now; 0 if there is no limit.
-    WeightsVersion oldestAllowedWeights(const std::string& model) const;
-    /// Time by which a request must begin on weights of a model; nothing if there is no newer target.
-    std::optional<MonotonicTime> beginLimit(const std::string& model, WeightsVersion weights) const;
+    /// What a request for candidates asks for, and values that are the same for many runners.
+    struct CandidateQuery;
+
+    /// Target versions of a model, oldest first; empty if none are known.
+    std::span<const TargetVersion> targetVersionsOf(const std::string& model) const;
+    /// Oldest weights on which a request may be placed now; 0 if there is no limit.
+    WeightsVersion oldestAllowedWeights(std::span<const TargetVersion> targets, MonotonicTime now) const;
+    /// Time by which a request must begin on older weights; nothing if there is no newer target.
+    std::optional<MonotonicTime> beginLimit(std::span<const TargetVersion> targets, WeightsVersion weights) const;
     /// Work from all VMs.
     static RunnerLoad loadOf(const Runner& runner);
     /// Adds a VM's report to the sums of the runners, or subtracts it if `sign` is -1.
     void addReported(const std::map<std::uint64_t, RunnerLoad>& loads, int sign);
-    RunnerCandidate toCandidate(const Runner& runner, const std::string& model, MonotonicTime now) const;
+    /// Sets a new candidate to a runner.
+    void setCandidate(RunnerCandidate& candidate, const Runner& runner, CandidateQuery& query) const;
+    /// Adds a runner to the list of its service, or removes it.
+    void addToService(Runner& runner);
+    void removeFromService(const Runner& runner);
     void removeGoneRunners();
     /// Marks an entry as ended at a time.
     void endEntry(Runner& runner, MonotonicTime at);
@@ -165,6 +178,8 @@
 
     /// Whether the runner is in a zone that is out of service.
     bool isEvacuated(const Runner& runner) const;
+    /// Whether a request may be placed in a zone: it is in service and in the home regions.
+    bool isZonePermitted(const ZoneId& zone, CandidateQuery& query) const;
     /// Why and since when a runner gets requests only if there is no other.
     struct Restriction {
         MonotonicTime since { 0 };
@@ -190,6 +205,8 @@
     RunnerTableOptions m_options;
     RunnerRestrictions m_restrictions;
     std::map<UpstreamId, Runner> m_runners;
+    /// The runners of each service, ordered by id.
+    std::map<ServiceId, std::vector<Runner*>> m_runnersByService;
     /// The runners by hash of id.
     std::unordered_map<std::uint64_t, Runner*> m_runnersByHash;
     MonotonicTime m_nextCleanupAt { 0 };
--- a/Source/Core/Gateway/RunnerTypes.h
+++ b/Source/Core/Gateway/RunnerTypes.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "Common/Borrowable.h"
 #include "Common/Clock.h"
 #include "Common/EnumTable.h"
 #include "Common/Ids.h"
@@ -187,15 +188,16 @@
     unsigned cold = 0;
 };
 
-/// A runner that may take a request now.
+/// A runner that may take a request now. Candidates of the runner table refer to its entries: they are valid until the
+/// table changes, so a coroutine does not keep them while it is suspended. RunnerChoice owns its data.
 struct RunnerCandidate {
-    UpstreamId id;
-    Endpoint endpoint;
-    ZoneId zone;
+    Borrowable<UpstreamId> id;
+    Borrowable<Endpoint> endpoint;
+    Borrowable<ZoneId> zone;
     Incarnation incarnation;
     unsigned slots = 1;
     /// Version of the runner's software.
-    VersionId software;
+    Borrowable<VersionId> software;
     WeightsVersion weights = 0;
     /// Time by which a request must begin on these weights; nothing while no newer target is known.
     std::optional<MonotonicTime> beginBy;
@@ -207,6 +209,10 @@
     bool isCold = false;
     /// Whether the engine computes the prompts of yielding routes; see PromptPool.
     bool isInPromptPool = false;
+    /// See runnerHash(); 0 if it has to be computed.
+    std::uint64_t hash = 0;
+    /// See holderHash(); 0 if it has to be computed.
+    std::uint64_t process = 0;
 };
 
 } // namespace Pollenwind
--- a/Source/Core/Upstream/CircuitBreaker.cpp
+++ b/Source/Core/Upstream/CircuitBreaker.cpp
@@ -139,7 +139,7 @@
 
 BreakerState CircuitBreaker::state() const { return m_breakerStateMachine->current; }
 
-double CircuitBreaker::admission() const
+double CircuitBreaker::admissionAfterFailures() const
 {
     switch (m_breakerStateMachine->current) {
     case BreakerState::Closed:
@@ -158,23 +158,23 @@
     return std::clamp(1 - remaining, minAdmission, 1.0);
 }
 
-void CircuitBreaker::refresh()
+template <typename Event> void CircuitBreaker::process(const Event& event)
 {
-    // A closed breaker does not change with time. Each placement refreshes the breakers of all runners.
-    if (m_breakerStateMachine->current != BreakerState::Closed) {
-        m_breakerStateMachine->process_event(TimePassed {});
-    }
+    m_breakerStateMachine->process_event(event);
+    m_isClosed = m_breakerStateMachine->current == BreakerState::Closed;
 }
 
+void CircuitBreaker::refreshAfterFailures() { process(TimePassed {}); }
+
 void CircuitBreaker::recordStarted()
 {
     refresh();
     m_breakerStateMachine->isProbing = m_breakerStateMachine->current == BreakerState::HalfOpen;
 }
 
-void CircuitBreaker::recordSuccess() { m_breakerStateMachine->process_event(Succeeded {}); }
-void CircuitBreaker::recordFailure() { m_breakerStateMachine->process_event(Failed {}); }
-void CircuitBreaker::recordAbandoned() { m_breakerStateMachine->process_event(Abandoned {}); }
-void CircuitBreaker::recordRestart() { m_breakerStateMachine->process_event(Restarted {}); }
+void CircuitBreaker::recordSuccess() { process(Succeeded {}); }
+void CircuitBreaker::recordFailure() { process(Failed {}); }
+void CircuitBreaker::recordAbandoned() { process(Abandoned {}); }
+void CircuitBreaker::recordRestart() { process(Restarted {}); }
 
 } // namespace Pollenwind
--- a/Source/Core/Upstream/CircuitBreaker.h
+++ b/Source/Core/Upstream/CircuitBreaker.h
@@ -48,10 +48,16 @@
 
     BreakerState state() const;
     /// @return Fraction of its normal load that the upstream may get now, from 0 to 1.
-    double admission() const;
+    double admission() const { return m_isClosed ? 1 : admissionAfterFailures(); }
 
-    /// Applies the state transitions that are due at the current time.
-    void refresh();
+    /// Applies the state transitions that are due at the current time. A closed breaker does not change with time; each
+    /// placement refreshes the breakers of all runners.
+    void refresh()
+    {
+        if (!m_isClosed) {
+            refreshAfterFailures();
+        }
+    }
     /// Records that a request was sent; if the breaker is half-open, the request is the probe.
     void recordStarted();
     void recordSuccess();
@@ -64,7 +70,14 @@
 
 private:
     struct BreakerStateMachine;
+
+    double admissionAfterFailures() const;
+    void refreshAfterFailures();
+    template <typename Event> void process(const Event& event);
+
     std::unique_ptr<BreakerStateMachine> m_breakerStateMachine;
+    /// Whether the state is Closed, kept here so that reading it needs no access to the state machine.
+    bool m_isClosed = true;
 };
 
 } // namespace Pollenwind
--- a/Source/UnitTests/Gateway/RunnerChoiceTests.cpp
+++ b/Source/UnitTests/Gateway/RunnerChoiceTests.cpp
@@ -72,7 +72,7 @@
         for (std::size_t n = 0; n < size; ++n) {
             RunnerCandidate it { UpstreamId(
                 "engine-with-a-long-name-" + std::to_string(below(random, 10) * 1000 + n)) };
-            it.endpoint = { "10.0.0." + std::to_string(n), 9000 };
+            it.endpoint = Endpoint { "10.0.0." + std::to_string(n), 9000 };
             it.zone = ZoneId(oneOf(random, zones));
             it.incarnation = Incarnation(1 + below(random, 2));
             it.slots = oneOf<unsigned, 3>(random, { 1, 12, 32 });
@@ -470,7 +470,7 @@
         const ServiceId service(isOneIn(random, 3) ? "cold" : "app");
         for (const auto& it : limitedTable.candidates(service, model(), versions, home)) {
             const auto rounded = [](double value) { return std::to_string(std::llround(value * 1024)); };
-            text += it.id.value() + " " + it.endpoint.toString() + " " + it.zone.value() + " " + it.software.value()
+            text += it.id.value() + " " + it.endpoint->toString() + " " + it.zone.value() + " " + it.software.value()
                 + " " + std::to_string(it.incarnation.value()) + " " + std::to_string(it.slots) + " w"
                 + std::to_string(it.weights) + " " + std::to_string(it.beginBy ? it.beginBy->count() : -1) + " "
                 + std::to_string(it.load.requests) + " " + std::to_string(it.load.urgentRequests) + " "
