Compare short ids and look up speeds in less time

isEqualText() compares up to 16 bytes in words. RunnerPace keeps the speeds in a table with open addressing for speedsOf(). The weighted rendezvous score is computed only where a limit that takes less time does not exclude the runner from the first two ranks and from the lowest cost; the choice stays the same, since the sum of the cost does not decrease with a lower score.

--- a/Source/Core/Gateway/AffinityPolicy.cpp
+++ b/Source/Core/Gateway/AffinityPolicy.cpp
@@ -1,6 +1,7 @@
 #include "Gateway/AffinityPolicy.h"
 
 #include "Common/HashFraction.h"
+#include "Common/ShortText.h"
 #include "Gateway/Queries/RunnerQueries.h"
 
 #include <xxhash.h>
@@ -26,14 +27,24 @@
     // Below this number of shared tokens, computing them takes hardly longer than requesting them from a store.
     constexpr double minStoredTokens = 1000;
 
-    /// Rendezvous hash of a prompt and a runner, from 0 to 1. The runner with the highest score is preferred.
+    /// Rendezvous hash of a prompt and a runner of usual speed, from 0 to 1. The runner with the highest score is
+    /// preferred.
     /// @param runner Hash of the runner's id.
-    /// @param speed Relative speed of the runner, its weight: a runner of twice the speed is first for twice as many
-    /// prompts.
-    double rendezvousScoreOf(std::uint64_t prompt, std::uint64_t runner, double speed)
+    double rendezvousScoreOf(std::uint64_t prompt, std::uint64_t runner)
     {
-        const double score = toFraction(XXH3_64bits_withSeed(&runner, sizeof runner, prompt));
-        return speed == 1 ? score : std::pow(score, 1 / speed);
+        return toFraction(XXH3_64bits_withSeed(&runner, sizeof runner, prompt));
+    }
+
+    /// Weights a score by the relative speed of its runner: one of twice the speed is first for twice as many prompts.
+    double weightedScore(double score, double speed) { return speed == 1 ? score : std::pow(score, 1 / speed); }
+
+    /// A number that is not less than the weighted score and takes less time.
+    double weightedScoreLimit(double score, double speed)
+    {
+        // Covers the rounding of std::pow().
+        constexpr double margin = 1e-9;
+        // A power with an exponent above 1 is below its base, one with an exponent below 1 is below its tangent at 1.
+        return speed <= 1 ? score + margin : 1 - (1 - score) / speed + margin;
     }
 
     /// The runner processes and stores that have the prefixes of a prompt cached, for look-ups by many runners of which
@@ -100,7 +111,8 @@
 
     std::uint32_t numberOf(const ZoneId& zone)
     {
-        const auto it = std::ranges::find_if(m_zones, [&zone](const ZoneId* known) { return *known == zone; });
+        const auto it = std::ranges::find_if(
+            m_zones, [&zone](const ZoneId* known) { return isEqualText(known->value(), zone.value()); });
         if (it != m_zones.end()) {
             return static_cast<std::uint32_t>(it - m_zones.begin());
         }
@@ -116,7 +128,10 @@
 struct AffinityPolicy::Option {
     /// Speed of the runner relative to the median of its service.
     double speed = 1;
+    /// Weighted by the speed. While it is only a limit, it is at least as high as the score.
     double rendezvousScore = 0;
+    double unweightedScore = 0;
+    bool isScoreLimit = false;
     /// Probability that the runner has the shared parts cached although this was not reported.
     double cachedProbability = 0;
     /// Shared tokens that the runner is reported to have cached.
@@ -128,6 +143,13 @@
     bool isSourceInOtherZone = false;
     bool isInOtherZone = false;
 
+    /// Replaces the limit of the score by the score.
+    void setExactScore()
+    {
+        rendezvousScore = weightedScore(unweightedScore, speed);
+        isScoreLimit = false;
+    }
+
     /// Expected number of shared tokens that the runner has to compute.
     double missedTokens(double sharedTokens) const
     {
@@ -232,7 +254,16 @@
     for (std::size_t n = 0; n < options.size(); ++n) {
         auto& option = options[n];
         option.speed = speeds[n];
-        option.rendezvousScore = rendezvousScoreOf(lastPart, hashes[n], option.speed);
+        option.unweightedScore = rendezvousScoreOf(lastPart, hashes[n]);
+        option.rendezvousScore = option.unweightedScore;
+        if (option.speed != 1) {
+            option.rendezvousScore = weightedScoreLimit(option.unweightedScore, option.speed);
+            option.isScoreLimit = first.back() && option.rendezvousScore < first.back()->rendezvousScore;
+            if (option.isScoreLimit) {
+                continue;
+            }
+            option.setExactScore();
+        }
         auto* moved = &option;
         for (auto& it : first) {
             if (!it || moved->rendezvousScore > it->rendezvousScore) {
@@ -308,7 +339,12 @@
         const auto zone = zones.numberOf(candidate.zone);
         options[n].isInOtherZone = zone != 0;
         cacheStates[state].setSource(n, zone, options[n]);
-        const double cost = costOf(candidate, options[n], prompt, targetWeights);
+        double cost = costOf(candidate, options[n], prompt, targetWeights);
+        if (options[n].isScoreLimit && cost < lowestCost) {
+            // The cost was a lower limit. The score of the first option is never a limit.
+            options[n].setExactScore();
+            cost = costOf(candidate, options[n], prompt, targetWeights);
+        }
         if (n == 0 || cost < lowestCost) {
             best = n;
             lowestCost = cost;
--- a/Source/Core/Gateway/RunnerPace.cpp
+++ b/Source/Core/Gateway/RunnerPace.cpp
@@ -1,6 +1,7 @@
 #include "Gateway/RunnerPace.h"
 
 #include <algorithm>
+#include <bit>
 #include <cmath>
 #include <unordered_set>
 
@@ -200,6 +201,7 @@
         known.insert(runners.begin(), runners.end());
     }
     m_speeds = std::move(speeds);
+    updateIndex();
     std::erase_if(m_ratios, [&known](const auto& it) { return !known.contains(it.first); });
 }
 
@@ -213,14 +215,31 @@
 void RunnerPace::speedsOf(std::span<const std::uint64_t> runners, std::span<double> speeds) const
 {
     std::ranges::fill(speeds, 1);
-    if (m_speeds.empty()) {
+    if (m_index.empty()) {
         return;
     }
     const auto oldest = m_clock.now() - maxAge;
+    const auto mask = m_index.size() - 1;
     for (std::size_t n = 0; n < runners.size(); ++n) {
-        if (const auto it = m_speeds.find(runners[n]); it != m_speeds.end() && it->second.measuredAt >= oldest) {
-            speeds[n] = it->second.speed;
+        auto at = runners[n] & mask;
+        while (m_index[at].speed != 0 && m_index[at].runner != runners[n]) {
+            at = (at + 1) & mask;
         }
+        if (m_index[at].speed != 0 && m_index[at].measuredAt >= oldest) {
+            speeds[n] = m_index[at].speed;
+        }
+    }
+}
+
+void RunnerPace::updateIndex()
+{
+    m_index.assign(m_speeds.empty() ? 0 : std::bit_ceil(2 * m_speeds.size()), {});
+    for (const auto& [runner, it] : m_speeds) {
+        auto at = runner & (m_index.size() - 1);
+        while (m_index[at].speed != 0) {
+            at = (at + 1) & (m_index.size() - 1);
+        }
+        m_index[at] = { runner, it.speed, it.measuredAt };
     }
 }
 
--- a/Source/Core/Gateway/RunnerPace.h
+++ b/Source/Core/Gateway/RunnerPace.h
@@ -96,10 +96,19 @@
     };
     using Samples = std::map<std::uint64_t, PaceSample>;
 
+    /// Entry of a hash table with open addressing.
+    struct IndexedSpeed {
+        std::uint64_t runner = 0;
+        /// 0 in an unused entry.
+        double speed = 0;
+        MonotonicTime measuredAt { 0 };
+    };
+
     static std::vector<PaceSample> take(Samples& samples);
     static void addTo(Samples& samples, const PaceSample& sample);
     void addRatios(const PaceSample& sample);
     void updateUsualPauses();
+    void updateIndex();
     void updateSpeeds(std::span<const std::uint64_t> runners, std::unordered_map<std::uint64_t, Speed>& speeds);
 
     const Clock& m_clock;
@@ -107,6 +116,9 @@
     std::unordered_map<std::uint64_t, DecayingMean> m_ratios;
     /// Speeds other than 1.
     std::unordered_map<std::uint64_t, Speed> m_speeds;
+    /// The same speeds, for the decisions, each of which looks up all runners of a service. The size is a power of two
+    /// and at least twice the number of speeds; empty if there are none.
+    std::vector<IndexedSpeed> m_index;
     Samples m_unreported;
     Samples m_zoneUnreported;
     MonotonicTime m_unevenUntil { 0 };
--- a/Source/Core/Gateway/RunnerTableCandidates.cpp
+++ b/Source/Core/Gateway/RunnerTableCandidates.cpp
@@ -1,3 +1,4 @@
+#include "Common/ShortText.h"
 #include "Gateway/RunnerTable.h"
 
 #include <algorithm>
@@ -94,8 +95,8 @@
     if (!m_restrictions.evacuations && !query.home.isRestricted()) {
         return true;
     }
-    const auto known
-        = std::ranges::find_if(query.zones, [&zone](const CandidateQuery::Zone& it) { return *it.id == zone; });
+    const auto known = std::ranges::find_if(
+        query.zones, [&zone](const CandidateQuery::Zone& it) { return isEqualText(it.id->value(), zone.value()); });
     if (known != query.zones.end()) {
         return known->isPermitted;
     }
@@ -108,7 +109,8 @@
 {
     const auto& entry = runner.entry;
     // A runner has weights of few models, so that a comparison with each is faster than a search.
-    const auto reported = std::ranges::find_if(entry.weights, [&](const auto& it) { return it.first == query.model; });
+    const auto reported
+        = std::ranges::find_if(entry.weights, [&](const auto& it) { return isEqualText(it.first, query.model); });
     const auto weights = runner.failureState.inferredWeights(
         query.model, reported == entry.weights.end() ? WeightsVersion(0) : reported->second, query.now);
     if (query.weights != weights) {
@@ -153,7 +155,7 @@
     preferred.reserve(runners->second.size());
     for (const auto* it : runners->second) {
         const auto& runner = *it;
-        if (!checkedSoftware || *checkedSoftware != runner.entry.software) {
+        if (!checkedSoftware || !isEqualText(checkedSoftware->value(), runner.entry.software.value())) {
             checkedSoftware = &runner.entry.software;
             isPermittedSoftware = versions.permits(runner.entry.software);
             isNewSoftware = m_versions.isNew(service, runner.entry.software, now);
@@ -183,7 +185,8 @@
             continue;
         }
         const bool isPreferred = !isExpired && candidate.admission > 0 && !runner.failureState.isSuspect(now)
-            && !isLoading(runner.hash) && !m_leaving.isReported(runner.process) && !isNewSoftware;
+            && (m_loading.empty() || !isLoading(runner.hash)) && !m_leaving.isReported(runner.process)
+            && !isNewSoftware;
         if (!isPreferred) {
             fallback.push_back(std::move(candidate));
             preferred.pop_back();
