Write less memory for each candidate of a choice

The scores are kept in a Ranking, and an option exists for the candidate under evaluation and for the best one. Zones are checked only if requests or zones are restricted.

All targets build.

--- a/Source/Core/Gateway/AffinityPolicy.cpp
+++ b/Source/Core/Gateway/AffinityPolicy.cpp
@@ -10,6 +10,7 @@
 #include <array>
 #include <bitset>
 #include <cmath>
+#include <limits>
 #include <utility>
 
 namespace Pollenwind {
@@ -111,10 +112,10 @@
 
     std::uint32_t numberOf(const ZoneId& zone)
     {
-        const auto it = std::ranges::find_if(
-            m_zones, [&zone](const ZoneId* known) { return isEqualText(known->value(), zone.value()); });
-        if (it != m_zones.end()) {
-            return static_cast<std::uint32_t>(it - m_zones.begin());
+        for (std::size_t n = 0; n < m_zones.size(); ++n) {
+            if (isEqualText(m_zones[n]->value(), zone.value())) {
+                return static_cast<std::uint32_t>(n);
+            }
         }
         m_zones.push_back(&zone);
         return static_cast<std::uint32_t>(m_zones.size() - 1);
@@ -124,14 +125,56 @@
     std::vector<const ZoneId*> m_zones;
 };
 
+/// Speeds and rendezvous scores of the candidates, in their order.
+struct AffinityPolicy::Ranking {
+    struct Score {
+        double unweighted = 0;
+        /// Weighted by the speed, or a limit that is not less.
+        double weighted = 0;
+        bool isLimit = false;
+    };
+
+    /// Whether a score that is not above a limit is below those of all ranks with a cache probability.
+    bool isBelowFirst(double limit) const { return first.back() != none && limit < scores[first.back()].weighted; }
+
+    /// Inserts a candidate into the ranks with a cache probability if its score is among the highest.
+    void insert(std::size_t moved)
+    {
+        for (auto& it : first) {
+            if (it == none || scores[moved].weighted > scores[it].weighted) {
+                std::swap(it, moved);
+            }
+            if (moved == none) {
+                return;
+            }
+        }
+    }
+
+    /// Probability that a runner has the shared parts cached although this was not reported.
+    double cachedProbabilityOf(std::size_t n) const
+    {
+        const auto it = std::ranges::find(first, n);
+        return it == first.end() ? 0 : cachedProbabilityByRank[static_cast<std::size_t>(it - first.begin())];
+    }
+
+    static constexpr std::size_t none = std::numeric_limits<std::size_t>::max();
+
+    std::vector<double> speeds;
+    std::vector<Score> scores;
+    /// The candidates with the highest scores, the highest first.
+    std::array<std::size_t, cachedProbabilityByRank.size()> first = [] {
+        std::array<std::size_t, cachedProbabilityByRank.size()> empty {};
+        empty.fill(none);
+        return empty;
+    }();
+};
+
 /// The inputs of the cost of a candidate.
 struct AffinityPolicy::Option {
     /// Speed of the runner relative to the median of its service.
     double speed = 1;
-    /// Weighted by the speed. While it is only a limit, it is at least as high as the score.
+    /// Weighted by the speed.
     double rendezvousScore = 0;
-    double unweightedScore = 0;
-    bool isScoreLimit = false;
     /// Probability that the runner has the shared parts cached although this was not reported.
     double cachedProbability = 0;
     /// Shared tokens that the runner is reported to have cached.
@@ -143,13 +186,6 @@
     bool isSourceInOtherZone = false;
     bool isInOtherZone = false;
 
-    /// Replaces the limit of the score by the score.
-    void setExactScore()
-    {
-        rendezvousScore = weightedScore(unweightedScore, speed);
-        isScoreLimit = false;
-    }
-
     /// Expected number of shared tokens that the runner has to compute.
     double missedTokens(double sharedTokens) const
     {
@@ -237,46 +273,32 @@
     return cacheState;
 }
 
-void AffinityPolicy::setScores(
-    std::uint64_t lastPart, std::span<const RunnerCandidate> candidates, std::span<Option> options) const
+AffinityPolicy::Ranking AffinityPolicy::rank(std::uint64_t lastPart, std::span<const RunnerCandidate> candidates) const
 {
-    std::vector<std::uint64_t> hashes;
-    hashes.reserve(candidates.size());
-    for (const auto& candidate : candidates) {
-        hashes.push_back(runnerHash(candidate));
-    }
-    std::vector<double> speeds(candidates.size(), 1.0);
+    Ranking ranking;
+    std::vector<std::uint64_t> hashes(candidates.size());
+    std::ranges::transform(
+        candidates, hashes.begin(), [](const RunnerCandidate& candidate) { return runnerHash(candidate); });
+    ranking.speeds.resize(candidates.size(), 1.0);
     if (m_pace) {
-        m_pace->speedsOf(hashes, speeds);
+        m_pace->speedsOf(hashes, ranking.speeds);
     }
-    // The options with the highest scores, the highest first.
-    std::array<Option*, cachedProbabilityByRank.size()> first {};
-    for (std::size_t n = 0; n < options.size(); ++n) {
-        auto& option = options[n];
-        option.speed = speeds[n];
-        option.unweightedScore = rendezvousScoreOf(lastPart, hashes[n]);
-        option.rendezvousScore = option.unweightedScore;
-        if (option.speed != 1) {
-            option.rendezvousScore = weightedScoreLimit(option.unweightedScore, option.speed);
-            option.isScoreLimit = first.back() && option.rendezvousScore < first.back()->rendezvousScore;
-            if (option.isScoreLimit) {
-                continue;
-            }
-            option.setExactScore();
+    ranking.scores.resize(candidates.size());
+    for (std::size_t n = 0; n < candidates.size(); ++n) {
+        auto& score = ranking.scores[n];
+        const double speed = ranking.speeds[n];
+        score.unweighted = rendezvousScoreOf(lastPart, hashes[n]);
+        score.weighted = score.unweighted;
+        if (speed != 1) {
+            const double limit = weightedScoreLimit(score.unweighted, speed);
+            score.isLimit = ranking.isBelowFirst(limit);
+            score.weighted = score.isLimit ? limit : weightedScore(score.unweighted, speed);
         }
-        auto* moved = &option;
-        for (auto& it : first) {
-            if (!it || moved->rendezvousScore > it->rendezvousScore) {
-                std::swap(it, moved);
-            }
-            if (!moved) {
-                break;
-            }
+        if (!score.isLimit) {
+            ranking.insert(n);
         }
     }
-    for (std::size_t rank = 0; rank < first.size() && first[rank]; ++rank) {
-        first[rank]->cachedProbability = cachedProbabilityByRank[rank];
-    }
+    return ranking;
 }
 
 double AffinityPolicy::costOf(
@@ -319,13 +341,13 @@
     const double promptTokens = request.tokens ? request.tokens->prompt : prompt.sharedTokens;
     prompt.ownTokens = std::max(0.0, promptTokens - prompt.sharedTokens);
 
-    std::vector<Option> options(candidates.size());
-    setScores(prompt.lastPart, candidates, options);
+    auto ranking = rank(prompt.lastPart, candidates);
     ZoneNumbers zones(m_ownZone);
     // Runners have few versions of the weights at a time.
     std::vector<PromptCacheState> cacheStates;
     std::size_t state = 0;
     std::size_t best = 0;
+    Option bestOption;
     double lowestCost = 0;
     for (std::size_t n = 0; n < candidates.size(); ++n) {
         const auto& candidate = candidates[n];
@@ -337,32 +359,34 @@
             }
         }
         const auto zone = zones.numberOf(candidate.zone);
-        options[n].isInOtherZone = zone != 0;
-        cacheStates[state].setSource(n, zone, options[n]);
-        double cost = costOf(candidate, options[n], prompt, targetWeights);
-        if (options[n].isScoreLimit && cost < lowestCost) {
-            // The cost was a lower limit. The score of the first option is never a limit.
-            options[n].setExactScore();
-            cost = costOf(candidate, options[n], prompt, targetWeights);
+        Option option { ranking.speeds[n], ranking.scores[n].weighted, ranking.cachedProbabilityOf(n) };
+        option.isInOtherZone = zone != 0;
+        cacheStates[state].setSource(n, zone, option);
+        double cost = costOf(candidate, option, prompt, targetWeights);
+        if (ranking.scores[n].isLimit && cost < lowestCost) {
+            // The cost was a lower limit. The score of the first candidate is never a limit.
+            option.rendezvousScore = weightedScore(ranking.scores[n].unweighted, option.speed);
+            cost = costOf(candidate, option, prompt, targetWeights);
         }
         if (n == 0 || cost < lowestCost) {
             best = n;
+            bestOption = option;
             lowestCost = cost;
         }
     }
     const auto& candidate = candidates[best];
-    const auto& option = options[best];
     RunnerChoice choice { candidate.id, candidate.endpoint };
     choice.incarnation = candidate.incarnation;
     choice.weights = candidate.weights;
     choice.beginBy = candidate.beginBy;
     choice.software = candidate.software;
     choice.tokensAhead = candidate.load.yieldingTokens;
-    choice.computedTokens = option.missedTokens(prompt.sharedTokens) + prompt.ownTokens;
+    choice.computedTokens = bestOption.missedTokens(prompt.sharedTokens) + prompt.ownTokens;
     choice.uncachedTokens
-        = std::max(0.0, prompt.sharedTokens - std::max(option.cachedTokens, option.copiedTokens)) + prompt.ownTokens;
-    if (option.source && option.copiedTokens > option.cachedTokens) {
-        choice.cacheSource = option.source->endpoint;
+        = std::max(0.0, prompt.sharedTokens - std::max(bestOption.cachedTokens, bestOption.copiedTokens))
+        + prompt.ownTokens;
+    if (bestOption.source && bestOption.copiedTokens > bestOption.cachedTokens) {
+        choice.cacheSource = bestOption.source->endpoint;
     }
     const auto chosen = std::ranges::find(cacheStates, choice.weights, &PromptCacheState::weights);
     chooseStore(prompt, chosen->prefixes, targetWeights, stores, candidate.zone, choice);
--- a/Source/Core/Gateway/AffinityPolicy.h
+++ b/Source/Core/Gateway/AffinityPolicy.h
@@ -65,6 +65,7 @@
 
 private:
     struct Option;
+    struct Ranking;
     struct PromptCacheState;
     struct Prompt;
     class ZoneNumbers;
@@ -72,10 +73,8 @@
     /// Looks up which runners with the given weights have the prefixes of a prompt cached.
     PromptCacheState findHolders(const Prompt& prompt, WeightsVersion weights,
         std::span<const RunnerCandidate> candidates, ZoneNumbers& zones) const;
-    /// Sets the speeds and rendezvous scores of the options, and the cache probabilities of those with the highest
-    /// scores.
-    void setScores(
-        std::uint64_t lastPart, std::span<const RunnerCandidate> candidates, std::span<Option> options) const;
+    /// Determines the speeds and the rendezvous scores of the candidates.
+    Ranking rank(std::uint64_t lastPart, std::span<const RunnerCandidate> candidates) const;
     /// Adds the store of the prompt to a choice: as the source if there is none yet, and as the destination of shared
     /// parts that it does not have. Parts that only another store is known to have are copied from that one.
     /// @param zone Zone of the runner.
--- a/Source/Core/Gateway/RunnerTable.h
+++ b/Source/Core/Gateway/RunnerTable.h
@@ -156,8 +156,9 @@
     static RunnerLoad loadOf(const Runner& runner);
     /// Adds a VM's report to the sums of the runners, or subtracts it if `sign` is -1.
     void addReported(const std::map<std::uint64_t, RunnerLoad>& loads, int sign);
-    /// Sets a new candidate to a runner.
-    void setCandidate(RunnerCandidate& candidate, const Runner& runner, CandidateQuery& query) const;
+    /// Adds a runner to a list of candidates.
+    RunnerCandidate& addCandidate(
+        std::vector<RunnerCandidate>& candidates, const Runner& runner, CandidateQuery& query) const;
     /// Adds a runner to the list of its service, or removes it.
     void addToService(Runner& runner);
     void removeFromService(const Runner& runner);
--- a/Source/Core/Gateway/RunnerTableCandidates.cpp
+++ b/Source/Core/Gateway/RunnerTableCandidates.cpp
@@ -92,9 +92,6 @@
 
 bool RunnerTable::isZonePermitted(const ZoneId& zone, CandidateQuery& query) const
 {
-    if (!m_restrictions.evacuations && !query.home.isRestricted()) {
-        return true;
-    }
     const auto known = std::ranges::find_if(
         query.zones, [&zone](const CandidateQuery::Zone& it) { return isEqualText(it.id->value(), zone.value()); });
     if (known != query.zones.end()) {
@@ -105,7 +102,8 @@
     return query.zones.back().isPermitted;
 }
 
-void RunnerTable::setCandidate(RunnerCandidate& candidate, const Runner& runner, CandidateQuery& query) const
+RunnerCandidate& RunnerTable::addCandidate(
+    std::vector<RunnerCandidate>& candidates, const Runner& runner, CandidateQuery& query) const
 {
     const auto& entry = runner.entry;
     // A runner has weights of few models, so that a comparison with each is faster than a search.
@@ -118,6 +116,7 @@
         query.beginBy = beginLimit(query.targets, weights);
     }
     runner.breaker.refresh();
+    auto& candidate = candidates.emplace_back();
     candidate.id.borrow(entry.id);
     candidate.endpoint.borrow(entry.endpoint);
     candidate.zone.borrow(entry.zone);
@@ -130,6 +129,7 @@
     candidate.admission = runner.breaker.admission();
     candidate.hash = runner.hash;
     candidate.process = runner.process;
+    return candidate;
 }
 
 std::vector<RunnerCandidate> RunnerTable::candidates(
@@ -147,6 +147,7 @@
         return preferred;
     }
     const auto rule = coldRule(service);
+    const bool hasZoneLimits = m_restrictions.evacuations || home.isRestricted();
     const bool hasRestrictions = rule.requestsPerSecond > 0 || m_restrictions.evacuations;
     // The runners of a service seldom have more than one version of the software.
     const VersionId* checkedSoftware = nullptr;
@@ -165,12 +166,12 @@
         const auto endedAt = runner.isOverdue(now) ? runner.endsAt : runner.endedAt;
         const bool isExpired = state == RunnerState::Gone && now - endedAt < expiredEntryGrace;
         if (!isPermittedSoftware || runner.failureState.isReplaced() || !runner.failureState.backOff().admits(now)
-            || (state != RunnerState::Ready && !isExpired) || !isZonePermitted(runner.entry.zone, query)) {
+            || (state != RunnerState::Ready && !isExpired)
+            || (hasZoneLimits && !isZonePermitted(runner.entry.zone, query))) {
             continue;
         }
         // Set where most belong, so that few are moved.
-        auto& candidate = preferred.emplace_back();
-        setCandidate(candidate, runner, query);
+        auto& candidate = addCandidate(preferred, runner, query);
         if (!model.empty() && candidate.weights < oldest) {
             preferred.pop_back();
             continue;
