--- a/Source/UnitTests/Gateway/RunnerPaceTests.cpp
+++ b/Source/UnitTests/Gateway/RunnerPaceTests.cpp
@@ -1,6 +1,7 @@
 #include "Gateway/GatewayFixture.h"
 #include "Gateway/RunnerPace.h"
 
+#include <array>
 #include <cmath>
 #include <limits>
 #include <random>
@@ -124,6 +125,30 @@
     }
 }
 
+// The speeds are looked up in a table with open addressing: runners whose hashes share their low bits must neither get
+// each other's speed nor lose their own.
+Test(RunnerPace, findsSpeedsOfRunnersWithSimilarHashes)
+{
+    ManualClock clock;
+    RunnerPace pace(clock);
+    std::vector<std::uint64_t> runners;
+    std::vector<PaceSample> samples;
+    for (std::uint64_t n = 0; n < 200; ++n) {
+        // Runner 0 has the hash 0.
+        runners.push_back(n * 4096);
+        samples.push_back({ runners.back(), n % 4 == 0 ? 40.0 : 20.0, 20 });
+    }
+    pace.recordRemote(samples, true);
+    pace.update(std::array { runners });
+    std::vector<double> speeds(runners.size(), 7);
+    pace.speedsOf(runners, speeds);
+    for (std::size_t n = 0; n < runners.size(); ++n) {
+        cr_assert_float_eq(speeds[n], n % 4 == 0 ? 0.5 : 1, 1e-6, "runner %zu", n);
+        cr_assert_eq(speeds[n], pace.speedOf(runners[n]));
+    }
+    cr_assert_eq(pace.speedOf(1), 1);
+}
+
 // A runner without recent streams, e.g. because it got none while it was slow, must be used again.
 Test(RunnerPace, forgetsOldSpeeds)
 {
