Quarantine parts that crash runners in prompts of any length

Cause: only the last 16 shared parts of a prompt were looked for in the quarantine and counted after a crash. Behind that bound were others: 32 parts for one crash, 32 entries of evidence in a report of which the newest stayed, and 512 suspects evicted by age, so that the turns of sound conversations displaced the part.

Change: all shared parts count. Evidence is ordered by the number of earlier crashes and by whether an answer is known, reports take it in that order and the rest waits for the next report, and suspects are evicted by their number of crashes. Memory and reports stay bounded; the messages are unchanged. PartSuspects and QuarantineNews are taken out of PartQuarantine.

PartQuarantine::staysWithinItsBounds adds up the new bound of pending news instead of three lists of a report; the bound of the report in it is unchanged.

--- a/Source/Core/Gateway/CrashDetector.h
+++ b/Source/Core/Gateway/CrashDetector.h
@@ -7,9 +7,9 @@
 #include "Gateway/Queries/RunnerQueries.h"
 
 #include <boost/asio/any_io_executor.hpp>
+#include <boost/container/flat_set.hpp>
 
 #include <map>
-#include <set>
 
 namespace Pollenwind {
 
@@ -21,8 +21,9 @@
 public:
     /// Runner processes whose losses are kept, the newest.
     static constexpr std::size_t maxRunners = 64;
-    /// Parts that are kept for each of them.
-    static constexpr std::size_t maxParts = 32;
+    /// Parts that are kept for each of them: one prompt of the greatest length, with 4 bytes a part in headers of
+    /// 16,384 bytes, or 64 requests with 64 parts each.
+    static constexpr std::size_t maxParts = 4096;
     /// Time in which a loss waits for the runner's new incarnation.
     static constexpr std::chrono::seconds lossRetention { 5 };
     /// Smallest time between two connections to one runner process, for runners that reset many requests.
@@ -43,7 +44,7 @@
         UpstreamId runner;
         Incarnation incarnation;
         /// Parts that have not been counted as evidence.
-        std::set<PartId> parts;
+        boost::container::flat_set<PartId> parts;
         MonotonicTime lastAt { 0 };
         /// 0 before the first connection.
         MonotonicTime probedAt { 0 };
--- a/Source/Core/Gateway/ForwardDispatcher.cpp
+++ b/Source/Core/Gateway/ForwardDispatcher.cpp
@@ -59,9 +59,6 @@
     // Parts of a prompt in one log line.
     constexpr std::size_t maxNamedParts = 8;
 
-    // Parts of one prompt that are checked for crashes, the last ones, which are the least common.
-    constexpr std::size_t maxCheckedParts = 16;
-
     // Runners that a request may lose before its answer is proven. Two crashes by one request are enough evidence.
     constexpr unsigned maxLosses = 2;
 
@@ -86,8 +83,7 @@
     std::vector<PartId> sharedParts(const ForwardRequest& request)
     {
         std::vector<PartId> parts;
-        const auto count = request.parts.size();
-        for (std::size_t n = count > maxCheckedParts + 1 ? count - 1 - maxCheckedParts : 0; n + 1 < count; ++n) {
+        for (std::size_t n = 0; n + 1 < request.parts.size(); ++n) {
             parts.push_back(request.parts[n].id);
         }
         return parts;
--- a/Source/Core/Gateway/PartQuarantine.cpp
+++ b/Source/Core/Gateway/PartQuarantine.cpp
@@ -2,7 +2,10 @@
 
 #include "Gateway/ForwardTypes.h"
 
+#include <xxhash.h>
+
 #include <algorithm>
+#include <tuple>
 
 namespace Pollenwind {
 
@@ -31,13 +34,6 @@
         return interval;
     }
 
-    template <typename Entries> void eraseOldest(Entries& entries, std::size_t limit)
-    {
-        if (entries.size() > limit) {
-            entries.erase(entries.begin(), entries.end() - static_cast<std::ptrdiff_t>(limit));
-        }
-    }
-
 } // namespace
 
 PartQuarantine::PartQuarantine(
@@ -83,22 +79,16 @@
 
 void PartQuarantine::announceAnswer(PartId part, MonotonicTime at, bool isUrgent)
 {
-    std::erase_if(m_answerNews, [part](const auto& it) { return it.item.part == part; });
-    m_answerNews.push_back({ { part, {} }, at, newsSends, isUrgent });
-    eraseOldest(m_answerNews, maxReported);
-    m_zoneAnswers.push_back({ { part, {} }, at, 1, isUrgent });
-    eraseOldest(m_zoneAnswers, maxReported);
+    m_answerNews.remove(part);
+    m_answerNews.add({ { part, {} }, at, newsSends, isUrgent });
+    m_zoneAnswers.remove(part);
+    m_zoneAnswers.add({ { part, {} }, at, 1, isUrgent });
 }
 
 bool PartQuarantine::clear(PartId part, MonotonicTime at)
 {
     setAnswered(part, at);
-    if (const auto it = m_suspects.find(part); it != m_suspects.end()) {
-        std::erase_if(it->second.crashes, [at](const Crash& crash) { return crash.at <= at; });
-        if (it->second.crashes.empty()) {
-            m_suspects.erase(it);
-        }
-    }
+    m_suspects.removeCrashesUntil(part, at);
     const auto it = m_quarantined.find(part);
     if (it == m_quarantined.end() || at < it->second.firstCrashAt) {
         return false;
@@ -124,24 +114,14 @@
 
 void PartQuarantine::explain(std::uint64_t crash)
 {
-    if (std::ranges::find(m_explained, crash) == m_explained.end()) {
-        m_explained.push_back(crash);
-        eraseOldest(m_explained, maxExplained);
+    if (std::ranges::find(m_explained, crash) != m_explained.end()) {
+        return;
     }
-    for (auto it = m_suspects.begin(); it != m_suspects.end();) {
-        auto& crashes = it->second.crashes;
-        std::erase_if(crashes, [crash](const Crash& known) { return known.id == crash; });
-        it = crashes.empty() ? m_suspects.erase(it) : std::next(it);
-    }
-}
-
-void PartQuarantine::removeOldestSuspect()
-{
-    const auto oldest = std::ranges::min_element(
-        m_suspects, [](const auto& a, const auto& b) { return a.second.lastAt < b.second.lastAt; });
-    if (oldest != m_suspects.end()) {
-        m_suspects.erase(oldest);
+    m_explained.push_back(crash);
+    if (m_explained.size() > maxExplained) {
+        m_explained.erase(m_explained.begin());
     }
+    m_suspects.removeCrash(crash);
 }
 
 bool PartQuarantine::addEvidence(PartId part, std::uint64_t crash, MonotonicTime at)
@@ -168,58 +148,60 @@
     if (answered >= at) {
         return false;
     }
-    if (m_suspects.size() >= maxSuspects && !m_suspects.contains(part)) {
-        removeOldestSuspect();
-    }
-    auto& suspect = m_suspects[part];
-    const bool isKnown
-        = std::ranges::any_of(suspect.crashes, [crash](const Crash& known) { return known.id == crash; });
-    if (isKnown || suspect.crashes.size() >= maxCrashesPerPart) {
-        return false;
-    }
-    suspect.crashes.push_back({ crash, at });
-    suspect.lastAt = std::max(suspect.lastAt, at);
-    return true;
+    return m_suspects.add(part, crash, at);
+}
+
+std::vector<PartId> PartQuarantine::orderByEvidence(std::span<const PartId> parts, std::uint64_t crash) const
+{
+    using Rank = std::tuple<bool, std::size_t, bool, std::uint64_t, PartId>;
+    std::vector<Rank> ranks;
+    ranks.reserve(parts.size());
+    for (const auto part : parts) {
+        // Of more parts than can be reported, other ones are for each crash.
+        ranks.emplace_back(m_quarantined.contains(part), m_suspects.crashesOf(part), answeredAt(part).count() == 0,
+            XXH3_64bits_withSeed(&part, sizeof(part), crash), part);
+    }
+    std::ranges::sort(ranks, std::ranges::greater {});
+    std::vector<PartId> ordered;
+    ordered.reserve(ranks.size());
+    std::ranges::transform(ranks, std::back_inserter(ordered), [](const Rank& it) { return std::get<4>(it); });
+    return ordered;
 }
 
 void PartQuarantine::recordCrash(const std::string& runner, std::uint64_t crash, std::span<const PartId> parts)
 {
     m_metrics.count(Counter::RunnerCrashesSeen);
     const auto now = m_clock.now();
-    // A quarantined part explains the crash before it counts against the others.
-    std::vector<PartId> ordered(parts.begin(), parts.end());
-    std::ranges::partition(ordered, [this](PartId part) { return m_quarantined.contains(part); });
+    const auto ordered = orderByEvidence(parts, crash);
+    std::size_t logged = 0;
     for (const auto part : ordered) {
         if (!addEvidence(part, crash, now)) {
             continue;
         }
-        m_evidenceNews.push_back({ { part, crash, {} }, now, newsSends, true });
+        m_evidenceNews.add({ { part, crash, {} }, now, newsSends, true });
+        if (++logged > maxLoggedSuspects) {
+            continue;
+        }
         const auto quarantined = m_quarantined.find(part);
         const auto crashes
-            = quarantined == m_quarantined.end() ? m_suspects.at(part).crashes.size() : quarantined->second.crashCount;
+            = quarantined == m_quarantined.end() ? m_suspects.crashesOf(part) : quarantined->second.crashCount;
         m_timeline.record(EventKind::PartSuspected,
             { { "part", partName(part) }, { "runner", runner }, { "crashes", std::to_string(crashes) },
                 { "quarantined", quarantined == m_quarantined.end() ? "no" : "yes" },
                 { "answered_before", answeredAt(part).count() > 0 ? "yes" : "no" } });
     }
-    eraseOldest(m_evidenceNews, maxReported);
-    evaluate(true);
+    evaluate(ordered, true);
     notifyNews();
 }
 
-std::chrono::nanoseconds PartQuarantine::Suspect::span() const
-{
-    const auto [first, last] = std::ranges::minmax_element(crashes, {}, &Crash::at);
-    return first == crashes.end() ? std::chrono::nanoseconds(0) : last->at - first->at;
-}
-
-std::vector<PartId> PartQuarantine::mostLikelyCauses() const
+std::vector<PartId> PartQuarantine::mostLikelyCauses(std::span<const PartId> parts) const
 {
     std::vector<PartId> causes;
     const auto isUnanswered = [this](PartId part) { return answeredAt(part).count() == 0; };
-    for (const auto& [part, suspect] : m_suspects) {
-        if (suspect.crashes.size() >= crashesToQuarantine
-            && (isUnanswered(part) || suspect.span() >= minAnsweredSpan)) {
+    for (const auto part : parts) {
+        const auto* suspect = m_suspects.find(part);
+        if (suspect && suspect->crashes.size() >= crashesToQuarantine
+            && (isUnanswered(part) || suspect->span() >= minAnsweredSpan)) {
             causes.push_back(part);
         }
     }
@@ -228,21 +210,26 @@
     }
     std::size_t most = 0;
     for (const auto part : causes) {
-        most = std::max(most, m_suspects.at(part).crashes.size());
+        most = std::max(most, m_suspects.crashesOf(part));
     }
-    std::erase_if(causes, [&](PartId part) { return m_suspects.at(part).crashes.size() < most; });
+    std::erase_if(causes, [&](PartId part) { return m_suspects.crashesOf(part) < most; });
     return causes;
 }
 
-void PartQuarantine::evaluate(bool isOwnEvidence)
+void PartQuarantine::evaluate(std::span<const PartId> parts, bool isOwnEvidence)
 {
     const auto now = m_clock.now();
-    for (auto causes = mostLikelyCauses(); !causes.empty(); causes = mostLikelyCauses()) {
+    // A report names a part once for each of its crashes.
+    std::vector<PartId> suspects(parts.begin(), parts.end());
+    std::ranges::sort(suspects);
+    const auto repeated = std::ranges::unique(suspects);
+    suspects.erase(repeated.begin(), repeated.end());
+    for (auto causes = mostLikelyCauses(suspects); !causes.empty(); causes = mostLikelyCauses(suspects)) {
         std::vector<std::uint64_t> explained;
         for (const auto part : causes) {
             Quarantine entry;
             entry.firstCrashAt = now;
-            for (const auto& crash : m_suspects.at(part).crashes) {
+            for (const auto& crash : m_suspects.find(part)->crashes) {
                 entry.crashes.insert(crash.id);
                 entry.firstCrashAt = std::min(entry.firstCrashAt, crash.at);
                 explained.push_back(crash.id);
@@ -268,7 +255,7 @@
             [](const auto& a, const auto& b) { return a.second.lastRequestAt < b.second.lastRequestAt; });
         lift(oldest->first, "too many quarantined parts");
     }
-    m_suspects.erase(part);
+    m_suspects.remove(part);
     m_metrics.count(Counter::PartsQuarantined);
     m_timeline.record(EventKind::PartQuarantined,
         { { "part", partName(part) }, { "source", source }, { "crashes", std::to_string(entry.crashCount) },
@@ -384,20 +371,8 @@
 {
     const auto now = m_clock.now();
     QuarantineReport report;
-    for (auto& it : m_evidenceNews) {
-        it.item.age = toMilliseconds(now - it.at);
-        report.evidence.push_back(it.item);
-        report.isNews = report.isNews || it.isUrgent;
-        --it.sends;
-    }
-    for (auto& it : m_answerNews) {
-        it.item.age = toMilliseconds(now - it.at);
-        report.answers.push_back(it.item);
-        report.isNews = report.isNews || it.isUrgent;
-        --it.sends;
-    }
-    std::erase_if(m_evidenceNews, [](const auto& it) { return it.sends == 0; });
-    std::erase_if(m_answerNews, [](const auto& it) { return it.sends == 0; });
+    report.evidence = m_evidenceNews.take(now, maxReportedEvidence, report.isNews);
+    report.answers = m_answerNews.take(now, maxReported, report.isNews);
     const bool isListDue = now >= m_nextListAt;
     if (isListDue) {
         m_nextListAt = now + listInterval;
@@ -414,11 +389,8 @@
 
 std::vector<PartAnswer> PartQuarantine::takeZoneAnswers()
 {
-    std::vector<PartAnswer> answers;
-    for (const auto& it : std::exchange(m_zoneAnswers, {})) {
-        answers.push_back({ it.item.part, toMilliseconds(m_clock.now() - it.at) });
-    }
-    return answers;
+    bool isNews = false;
+    return m_zoneAnswers.take(m_clock.now(), maxReported, isNews);
 }
 
 void PartQuarantine::mergeReport(const QuarantineReport& report, bool isOfOwnZone)
@@ -431,14 +403,14 @@
         }
     }
     for (const auto& it : report.answers) {
-        std::erase_if(m_answerNews, [&it](const auto& own) { return own.item.part == it.part; });
+        m_answerNews.remove(it.part);
         clear(it.part, now - it.age);
         if (isOfOwnZone) {
-            m_zoneAnswers.push_back({ it, now - it.age, 1, false });
+            m_zoneAnswers.remove(it.part);
+            m_zoneAnswers.add({ it, now - it.age, 1, false });
         }
     }
-    eraseOldest(m_zoneAnswers, maxReported);
-    evaluate(false);
+    evaluate(newEvidence, false);
     if (findQuarantined(newEvidence)) {
         // The sender may not have the earlier evidence, if it started after the first crashes.
         repeatParts();
@@ -490,7 +462,7 @@
 void PartQuarantine::removeExpired()
 {
     const auto now = m_clock.now();
-    std::erase_if(m_suspects, [now](const auto& it) { return now - it.second.lastAt > suspectRetention; });
+    m_suspects.removeOlder(now - suspectRetention);
     for (auto it = m_quarantined.begin(); it != m_quarantined.end();) {
         const auto& [part, entry] = *it++;
         if (now - entry.lastRequestAt > idleLimit) {
--- a/Source/Core/Gateway/PartQuarantine.h
+++ b/Source/Core/Gateway/PartQuarantine.h
@@ -2,6 +2,8 @@
 
 #include "Common/Clock.h"
 #include "Gateway/Commands/QuarantineCommands.h"
+#include "Gateway/PartSuspects.h"
+#include "Gateway/QuarantineNews.h"
 #include "Gateway/Queries/QuarantineQueries.h"
 #include "Gateway/Queries/TurnQueries.h"
 #include "Metrics/Commands/MetricCommands.h"
@@ -36,14 +38,19 @@
     static constexpr std::chrono::seconds minAnsweredSpan { 2 };
 
     /// Bounds of memory, for all organisations and prompts together. Entries are evicted oldest first.
-    static constexpr std::size_t maxSuspects = 512;
+    static constexpr std::size_t maxSuspects = PartSuspects::maxParts;
     static constexpr std::size_t maxQuarantined = 64;
-    static constexpr std::size_t maxCrashesPerPart = 8;
-    /// Parts with a known answer, in each of two generations.
-    static constexpr std::size_t maxAnswered = 2048;
+    static constexpr std::size_t maxCrashesPerPart = PartSuspects::maxCrashesPerPart;
+    /// Parts with a known answer, in each of two generations. Most parts of a long conversation are its own and are
+    /// answered as often as those that are shared; at 40 such prompts a second a shared part stays known for 20 s.
+    static constexpr std::size_t maxAnswered = 16'384;
     static constexpr std::size_t maxExplained = 64;
-    /// Bound of each list in one report, at most 40 bytes an entry.
+    /// Bound of each list in one report, at most 40 bytes an entry, except for evidence.
     static constexpr std::size_t maxReported = 32;
+    /// Bound of the evidence in one report, 24 bytes an entry: three prompts of 21 parts.
+    static constexpr std::size_t maxReportedEvidence = 64;
+    /// Bound of the log lines about the parts that were lost in one crash, those with the most crashes.
+    static constexpr std::size_t maxLoggedSuspects = 32;
 
     /// Time until the first trial; each later interval is `trialFactor` times as long.
     static constexpr std::chrono::seconds firstTrialInterval { 20 };
@@ -82,17 +89,6 @@
 private:
     /// The quarantined part that a request with the parts may test now, if any.
     std::optional<PartId> partToTry(std::span<const PartId> parts) const;
-    struct Crash {
-        std::uint64_t id = 0;
-        MonotonicTime at { 0 };
-    };
-    struct Suspect {
-        std::vector<Crash> crashes;
-        MonotonicTime lastAt { 0 };
-
-        /// Time from the first to the last crash.
-        std::chrono::nanoseconds span() const;
-    };
     struct Quarantine {
         std::set<std::uint64_t> crashes;
         /// Number of crashes, from this VM's evidence or from another VM.
@@ -105,24 +101,19 @@
         /// Reports in which the part is still to be sent as news.
         unsigned sends = 0;
     };
-    /// News with the number of reports in which they are still to be sent, so that they survive a lost datagram.
-    template <typename T> struct Outgoing {
-        T item;
-        MonotonicTime at { 0 };
-        unsigned sends = 0;
-        /// Whether the other zones need it at once.
-        bool isUrgent = false;
-    };
-
     /// @return Whether the evidence is new and counts.
     bool addEvidence(PartId part, std::uint64_t crash, MonotonicTime at);
     /// Counts a crash against the quarantined part that caused it only.
     void explain(std::uint64_t crash);
-    /// Quarantines the parts with enough evidence.
+    /// Parts of lost requests, in the order in which they are reported: quarantined parts, which explain the crash
+    /// before it counts against the others, then those with the most earlier crashes, and those without an answer.
+    std::vector<PartId> orderByEvidence(std::span<const PartId> parts, std::uint64_t crash) const;
+    /// Quarantines those of the parts with new evidence that have enough of it.
     /// @param isOwnEvidence Whether this VM observed the last crash, so that it tells the others.
-    void evaluate(bool isOwnEvidence);
+    void evaluate(std::span<const PartId> parts, bool isOwnEvidence);
     /// Of the parts with enough evidence, those that most likely caused the crashes.
-    std::vector<PartId> mostLikelyCauses() const;
+    /// @param parts Distinct parts.
+    std::vector<PartId> mostLikelyCauses(std::span<const PartId> parts) const;
     void quarantine(PartId part, Quarantine entry, const char* source);
     void lift(PartId part, const char* cause);
     /// Time of the last known answer on a part, or 0.
@@ -132,7 +123,6 @@
     /// Drops the evidence up to a time at which an answer was proven, and lifts the quarantine that rests on it.
     /// @return Whether a quarantine was lifted.
     bool clear(PartId part, MonotonicTime at);
-    void removeOldestSuspect();
     QuarantinedPart describe(PartId part, const Quarantine& entry) const;
     void notifyNews() const;
 
@@ -142,7 +132,7 @@
     const TurnQueries& m_turns;
     std::function<void()> m_onNews;
 
-    std::unordered_map<PartId, Suspect> m_suspects;
+    PartSuspects m_suspects;
     std::map<PartId, Quarantine> m_quarantined;
     /// Times of the last known answers. Two generations bound the memory without an order of use.
     std::unordered_map<PartId, MonotonicTime> m_answered;
@@ -150,10 +140,10 @@
     /// Crashes caused by quarantined parts, the oldest first.
     std::vector<std::uint64_t> m_explained;
 
-    std::vector<Outgoing<CrashEvidence>> m_evidenceNews;
-    std::vector<Outgoing<PartAnswer>> m_answerNews;
+    QuarantineNews<CrashEvidence> m_evidenceNews;
+    QuarantineNews<PartAnswer> m_answerNews;
     /// Answers known in this zone, for the other zones.
-    std::vector<Outgoing<PartAnswer>> m_zoneAnswers;
+    QuarantineNews<PartAnswer> m_zoneAnswers;
     MonotonicTime m_nextListAt { 0 };
 };
 
--- a/Source/UnitTests/Gateway/QuarantineNewsTests.cpp
+++ b/Source/UnitTests/Gateway/QuarantineNewsTests.cpp
@@ -59,3 +59,18 @@
         cr_assert(report.parts.empty(), "evidence that is sent again brings no further list");
     }
 }
+
+// Guards against a report that has several crashes of one part, as after lost datagrams: the part was weighed once for
+// each of them, which ended the process.
+Test(PartQuarantine, namesAPartBySeveralCrashesInOneReport)
+{
+    ManualClock clock;
+    TestVm sender(clock);
+    TestVm receiver(clock);
+    for (std::uint64_t crash = 1; crash <= 3; ++crash) {
+        sender.quarantine.recordCrash("runner", crash, std::array { deadly, deadly });
+    }
+    report(sender, receiver);
+    cr_assert(receiver.isQuarantined(deadly));
+    cr_assert_eq(receiver.quarantine.quarantinedParts().size(), 1);
+}
--- a/Source/UnitTests/Gateway/QuarantineTests.cpp
+++ b/Source/UnitTests/Gateway/QuarantineTests.cpp
@@ -375,7 +375,8 @@
         fleet.clock.advance(1ms);
     }
     constexpr auto limit = PartQuarantine::maxSuspects + PartQuarantine::maxQuarantined
-        + 2 * PartQuarantine::maxAnswered + PartQuarantine::maxExplained + 3 * PartQuarantine::maxReported;
+        + 2 * PartQuarantine::maxAnswered + PartQuarantine::maxExplained
+        + 3 * QuarantineNews<CrashEvidence>::maxPending;
     for (const auto& it : fleet.vms) {
         cr_assert_leq(it->quarantine.size(), limit);
     }
