Confirm a restored copy before it counts as fresh for API keys

Cause: GatewaySync::readAll counted the first read of a restored store as proof that the VM knows all withdrawals. A VM that the store had turned away when a key was withdrawn took the key from the copy for valid until the operator wrote again. Other VMs were asked only at the first read of a process and each second after it.

Change: a VM that crosses a restore asks the other VMs in one round before it uses the read. The copy is proof for keys when half of the VMs asked in its zone and half of those elsewhere have answered, or when the operator's configuration comes as a change after the copy. Until then keys are accepted only by what was known before the restore (KeyFreshness). Log lines and a gauge show an unconfirmed copy.

--- a/Source/Core/Gateway/ConfigurationInquiry.cpp
+++ b/Source/Core/Gateway/ConfigurationInquiry.cpp
@@ -31,6 +31,7 @@
 
 /// Concurrent calls to several VMs.
 struct ConfigurationInquiry::Round {
+    std::uint64_t inquiry = 0;
     std::vector<StoreEntry> newer;
     std::size_t running = 0;
     /// Whether a VM with a newer configuration did not know this one.
@@ -45,9 +46,15 @@
 {
 }
 
-Task<std::vector<StoreEntry>> ConfigurationInquiry::readNewer(std::int64_t version)
+void ConfigurationInquiry::reset()
 {
+    ++m_inquiries;
     m_answered.clear();
+}
+
+Task<std::vector<StoreEntry>> ConfigurationInquiry::readNewer(std::int64_t version)
+{
+    reset();
     const auto startedAt = m_clock.now();
     for (;;) {
         const auto round = co_await ask(version);
@@ -58,6 +65,13 @@
     }
 }
 
+Task<std::vector<StoreEntry>> ConfigurationInquiry::readNewerOnce(std::int64_t version)
+{
+    reset();
+    const auto round = co_await ask(version);
+    co_return round->newer;
+}
+
 Task<std::vector<StoreEntry>> ConfigurationInquiry::readNewerFromOthers(std::int64_t version)
 {
     const auto round = co_await ask(version);
@@ -68,6 +82,7 @@
 {
     const auto executor = co_await asio::this_coro::executor;
     const auto round = std::make_shared<Round>();
+    round->inquiry = m_inquiries;
     const auto vms = selectVms();
     round->running = vms.size();
     for (const auto& endpoint : vms) {
@@ -84,7 +99,9 @@
     PeerFeed feed(co_await asio::this_coro::executor, endpoint, m_ownAddress);
     auto records = co_await feed.readConfiguration(version);
     if (records) {
-        m_answered.insert(endpoint);
+        if (round->inquiry == m_inquiries) {
+            m_answered.insert(endpoint);
+        }
         if (!records->range.entries.empty()) {
             logStateChange("newer-configuration-found", { { "vm", endpoint.toString() } });
             std::ranges::move(records->range.entries, std::back_inserter(round->newer));
@@ -96,16 +113,36 @@
     }
 }
 
-std::vector<Endpoint> ConfigurationInquiry::selectVms()
+std::vector<Endpoint> ConfigurationInquiry::othersOfOtherZones() const
 {
     auto others = m_fleet.others();
+    const auto ownZone = m_fleet.othersOfOwnZone();
+    std::erase_if(others, [&ownZone](const Endpoint& it) { return std::ranges::find(ownZone, it) != ownZone.end(); });
+    return others;
+}
+
+bool ConfigurationInquiry::hasAnswered() const
+{
+    return hasAnswered(m_fleet.othersOfOwnZone()) && hasAnswered(othersOfOtherZones());
+}
+
+bool ConfigurationInquiry::hasAnswered(const std::vector<Endpoint>& vms) const
+{
+    const auto wanted = m_fleet.isLarge() ? std::min(vms.size(), wantedPerSide) : vms.size();
+    const auto answered = std::ranges::count_if(vms, [this](const Endpoint& it) { return m_answered.contains(it); });
+    return 2 * static_cast<std::size_t>(answered) >= wanted;
+}
+
+std::vector<Endpoint> ConfigurationInquiry::selectVms()
+{
     if (!m_fleet.isLarge()) {
-        std::erase_if(others, [this](const Endpoint& it) { return m_answered.contains(it); });
-        return others;
+        auto vms = m_fleet.others();
+        std::erase_if(vms, [this](const Endpoint& it) { return m_answered.contains(it); });
+        return vms;
     }
     ++m_rounds;
     auto vms = m_fleet.othersOfOwnZone();
-    std::erase_if(others, [&vms](const Endpoint& it) { return std::ranges::find(vms, it) != vms.end(); });
+    auto others = othersOfOtherZones();
     reduce(vms);
     reduce(others);
     std::ranges::move(others, std::back_inserter(vms));
--- a/Source/Core/Gateway/GatewaySync.cpp
+++ b/Source/Core/Gateway/GatewaySync.cpp
@@ -107,6 +107,7 @@
         applyLostConfigurations(co_await readLostConfigurations(records->range));
     }
     m_context.orders.updateStorePosition(records->range.revision);
+    const bool isConfirmed = !isRestored || co_await compareWithOtherVms(records->range);
     applyAll(records->range, isRestored);
     m_context.quarantine.endRead(records->range.revision);
     m_context.rollouts.endRead(records->range.revision);
@@ -114,9 +115,12 @@
         m_context.quotaRecords->endRead(records->range.revision);
     }
     m_revision = records->range.revision;
-    // What an earlier era answered proves nothing about the present one.
     const auto readAt = requestedAt - records->age;
-    m_freshAt = isRestored ? readAt : std::max(m_freshAt, readAt);
+    if (isRestored) {
+        recordCopy(readAt, isConfirmed);
+    } else {
+        m_freshness.recordChangesUntil(readAt);
+    }
     m_answeredAt = m_context.clock.now();
     m_needsRead = false;
     m_isReadRejected = false;
@@ -142,12 +146,47 @@
         std::max(m_configuration, configurationVersionOf(range)));
 }
 
+Task<bool> GatewaySync::compareWithOtherVms(const StoreRange& range)
+{
+    applyLostConfigurations(
+        co_await m_context.fleetConfigurations.readNewerOnce(std::max(m_configuration, configurationVersionOf(range))));
+    co_return m_context.fleetConfigurations.hasAnswered();
+}
+
+void GatewaySync::recordCopy(MonotonicTime readAt, bool isConfirmed)
+{
+    m_freshness.recordCopy(readAt);
+    if (isConfirmed) {
+        confirmCopy("other VMs");
+        return;
+    }
+    m_context.metrics.set(Gauge::UnconfirmedCopy, 1);
+    logStateChange("store-copy-unconfirmed", { { "cause", "too few of the other VMs have answered" } });
+}
+
+void GatewaySync::confirmCopy(std::string_view source)
+{
+    if (m_freshness.isCopyConfirmed()) {
+        return;
+    }
+    m_freshness.confirmCopy();
+    m_context.metrics.set(Gauge::UnconfirmedCopy, 0);
+    logStateChange("store-copy-confirmed", { { "source", std::string(source) } });
+}
+
 Task<> GatewaySync::followOtherVms()
 {
     for (;;) {
         co_await sleepFor(m_options.inquiryInterval);
-        if (StorePosition::isOfRestoredStore(m_revision)) {
-            applyLostConfigurations(co_await m_context.fleetConfigurations.readNewerFromOthers(m_configuration));
+        if (!StorePosition::isOfRestoredStore(m_revision)) {
+            continue;
+        }
+        const auto revision = m_revision;
+        applyLostConfigurations(co_await m_context.fleetConfigurations.readNewerFromOthers(m_configuration));
+        // Answers to an earlier inquiry tell nothing about a copy that was read meanwhile.
+        const bool isSameCopy = !StorePosition::isBefore(revision, StorePosition::eraOf(m_revision));
+        if (isSameCopy && m_context.fleetConfigurations.hasAnswered()) {
+            confirmCopy("other VMs");
         }
     }
 }
@@ -231,7 +270,7 @@
     if (entry.key.starts_with(vmRecordPrefix)) {
         listing.vms.insert(VmId(entry.key.substr(vmRecordPrefix.size())));
     }
-    apply(entry, m_freshAt, ChangeSource::Read);
+    apply(entry, m_freshness.changesUntil(), ChangeSource::Read);
 }
 
 Task<Outcome<void>> GatewaySync::readChanges(ChangeFeed& feed, bool isFollower)
@@ -259,7 +298,8 @@
 void GatewaySync::applyChanges(
     const FeedChanges& reply, MonotonicTime requestedAt, std::chrono::nanoseconds delay, bool isTimely)
 {
-    const auto writtenAfter = isTimely ? std::max(m_freshAt, m_context.clock.now() - maxEventDelay - delay) : m_freshAt;
+    const auto freshAt = m_freshness.changesUntil();
+    const auto writtenAfter = isTimely ? std::max(freshAt, m_context.clock.now() - maxEventDelay - delay) : freshAt;
     for (const auto& event : reply.changes.events) {
         if (event.isErased) {
             applyErased(event.entry.key);
@@ -269,7 +309,7 @@
     }
     m_revision = std::max(m_revision, reply.changes.revision);
     // The response was written after the request and after the time for which the feed waited.
-    m_freshAt = std::max(m_freshAt, requestedAt + reply.waited - reply.age);
+    m_freshness.recordChangesUntil(requestedAt + reply.waited - reply.age);
     m_context.log.append(reply.changes);
 }
 
@@ -332,6 +372,10 @@
     m_unreadableKeys.erase(entry.key);
     if (auto* configuration = std::get_if<RoutingConfiguration>(&*record)) {
         applyConfiguration(std::move(*configuration), entry);
+        if (source != ChangeSource::Read && m_receivedConfiguration >= m_configuration) {
+            // Written after the copy was read, with all that the operator has withdrawn.
+            confirmCopy("operator");
+        }
     } else if (auto* runner = std::get_if<RunnerEntry>(&*record)) {
         runner->revision = entry.modRevision;
         m_context.runners.updateEntry(std::move(*runner));
--- a/Source/Core/Gateway/GatewaySync.h
+++ b/Source/Core/Gateway/GatewaySync.h
@@ -10,6 +10,7 @@
 #include "Gateway/Commands/RoutingCommands.h"
 #include "Gateway/Commands/RunnerCommands.h"
 #include "Gateway/FleetView.h"
+#include "Gateway/KeyFreshness.h"
 #include "Gateway/OrderLease.h"
 #include "Gateway/Queries/FleetConfigurationQueries.h"
 #include "Gateway/Queries/FreshnessQueries.h"
@@ -95,8 +96,12 @@
     /// Sets a handler that is called after the records of a restored store have been read.
     void onRestored(std::function<void()> handler) { m_onRestored = std::move(handler); }
 
-    std::chrono::nanoseconds age() const override { return m_context.clock.now() - m_freshAt; }
-    bool mayAcceptKeys() const override { return m_freshAt.count() > 0 && age() < m_options.keyLimit; }
+    std::chrono::nanoseconds age() const override { return m_context.clock.now() - m_freshness.changesUntil(); }
+    bool mayAcceptKeys() const override
+    {
+        const auto knownUntil = m_freshness.withdrawalsUntil();
+        return knownUntil.count() > 0 && m_context.clock.now() - knownUntil < m_options.keyLimit;
+    }
 
 private:
     /// Records that belong together.
@@ -110,6 +115,13 @@
     Task<Outcome<void>> readAll(ChangeFeed& feed);
     /// Reads configurations that other VMs know and a restored store has lost.
     Task<std::vector<StoreEntry>> readLostConfigurations(const StoreRange& range);
+    /// Asks other VMs for what a restored copy lacks, before it is used.
+    /// @return Whether enough of them have answered to tell.
+    Task<bool> compareWithOtherVms(const StoreRange& range);
+    /// @param isConfirmed Whether enough VMs have answered.
+    void recordCopy(MonotonicTime readAt, bool isConfirmed);
+    /// This VM knows all withdrawals of API keys that the restored copy lacks.
+    void confirmCopy(std::string_view source);
     /// Takes over configurations of other VMs that are newer than the one in force.
     void applyLostConfigurations(const std::vector<StoreEntry>& entries);
     /// Version of the configuration among the records; 0 if there is none.
@@ -148,8 +160,7 @@
     GatewaySyncContext m_context;
     GatewaySyncOptions m_options;
     std::int64_t m_revision = 0;
-    /// Time up to which every change has been received; 0 before the first read.
-    MonotonicTime m_freshAt { 0 };
+    KeyFreshness m_freshness;
     /// Time of the last answer.
     MonotonicTime m_answeredAt { 0 };
     /// Whether a call has failed since then.
--- a/Source/Core/Metrics/Counter.h
+++ b/Source/Core/Metrics/Counter.h
@@ -234,6 +234,8 @@
     QuotaReserveAdmissions,
     /// Era of the platform's store; 0 if it does not tell its era.
     StoreEra,
+    /// 1 while a restored copy of the store does not suffice to accept API keys, else 0.
+    UnconfirmedCopy,
     /// Organisations that this process started without a debt, as they had used little before.
     QuotasStartedWithoutDebt,
     /// Estimate of the distinct shared tokens of prompts in use.
@@ -258,6 +260,7 @@
         EnumName { Gauge::PromptPoolEngines, "prompt_pool_engines" },
         EnumName { Gauge::QuotaReserveAdmissions, "quota_reserve_admissions" },
         EnumName { Gauge::StoreEra, "store_era" },
+        EnumName { Gauge::UnconfirmedCopy, "store_copy_unconfirmed" },
         EnumName { Gauge::QuotasStartedWithoutDebt, "quotas_started_without_debt" },
         EnumName { Gauge::SharedTokensInUse, "shared_tokens_in_use" },
         EnumName { Gauge::CacheStoresByPrefix, "cache_stores_by_prefix" },
--- a/Source/UnitTests/Gateway/ConfigurationInquiryTests.cpp
+++ b/Source/UnitTests/Gateway/ConfigurationInquiryTests.cpp
@@ -169,3 +169,36 @@
         cr_assert_eq(fixture.handler.requests, 8);
     });
 }
+
+// A VM that was cut off together with others must not take their answers for those of the fleet: at least half of its
+// own zone and of the other zones have to answer. Without other VMs nobody knows more than the store.
+Test(ConfigurationInquiry, countsTheAnswersOfItsZoneAndOfOthers)
+{
+    InquiryFixture fixture;
+    cr_assert(fixture.inquiry.hasAnswered());
+    HttpServer server(fixture.context.get_executor(), fixture.frontEnd, {});
+    const Endpoint closed { "127.1.1.1", 7600 };
+    addVm(fixture.fleet, "y", closed);
+    addVm(fixture.fleet, "z", { "127.1.1.3", 7600 });
+    addVm(fixture.fleet, "z", fixture.otherVm(1, 2));
+    fixture.run([&]() -> Task<> {
+        cr_assert_eq((co_await fixture.inquiry.readNewerOnce(3)).size(), 1);
+        cr_assert(!fixture.inquiry.hasAnswered(), "no VM of another zone has answered");
+        cr_assert(server.listen(closed).has_value());
+        co_await fixture.inquiry.readNewerFromOthers(8);
+        cr_assert(fixture.inquiry.hasAnswered());
+    });
+}
+
+// A VM that runs across a restore must not stop following the store for seconds because another VM does not know it.
+Test(ConfigurationInquiry, asksOnceAfterARestore)
+{
+    InquiryFixture fixture(false);
+    addVm(fixture.fleet, "y", fixture.otherVm(1, 1));
+    fixture.run([&]() -> Task<> {
+        const auto startedAt = fixture.clock.now();
+        cr_assert((co_await fixture.inquiry.readNewerOnce(3)).empty());
+        cr_assert(fixture.clock.now() - startedAt < 2s);
+        cr_assert(!fixture.inquiry.hasAnswered());
+    });
+}
--- a/Source/UnitTests/Gateway/RestoringStore.h
+++ b/Source/UnitTests/Gateway/RestoringStore.h
@@ -141,13 +141,17 @@
         }
         co_return newer;
     }
+    Task<std::vector<StoreEntry>> readNewerOnce(std::int64_t version) override { return readNewer(version); }
     Task<std::vector<StoreEntry>> readNewerFromOthers(std::int64_t) override { co_return newerLater; }
+    bool hasAnswered() const override { return isAnswered; }
 
     /// Versions that the VMs were asked for.
     std::vector<std::int64_t> asked;
     std::vector<StoreEntry> newer;
     /// Whether the VMs do not answer yet.
     bool isHeld = false;
+    /// Whether enough VMs have answered.
+    bool isAnswered = true;
     std::vector<StoreEntry> newerLater;
 };
 
--- a/Source/UnitTests/Gateway/StoreCrossingTests.cpp
+++ b/Source/UnitTests/Gateway/StoreCrossingTests.cpp
@@ -41,6 +41,19 @@
         return { "config", "2 k1", 13, LeaseId() };
     }
 
+    /// The store turns this VM away for longer than it may accept keys, and k2 is withdrawn meanwhile. Then the store
+    /// is restored from a copy with k2 and serves this VM again.
+    /// @return The lost record.
+    StoreEntry missWithdrawal()
+    {
+        store.isDown = true;
+        clock.advance(10s);
+        auto lost = loseWithdrawal();
+        cr_assert(!sync.mayAcceptKeys());
+        store.isDown = false;
+        return lost;
+    }
+
     /// Runs the synchronisation until a condition holds; fails the test when it does not within the timeout.
     template <typename Condition> void runUntil(Condition condition)
     {
@@ -61,6 +74,7 @@
     }
     std::size_t candidates() const { return runners.candidates(ServiceId("app"), "").size(); }
     bool hasKey(const std::string& key) const { return routing.findOrganisation(sha256(key)) != nullptr; }
+    bool isCopyUnconfirmed() const { return metrics.prometheusText().contains("store_copy_unconfirmed 1"); }
     std::vector<TimelineEvent> eventsOf(EventKind kind) const
     {
         auto events = timeline.events();
@@ -273,6 +287,71 @@
     cr_assert_eq(fixture.sync.age().count(), 0);
 }
 
+// Guards against a running VM that missed a withdrawal and takes the configuration of the copy for the newest, since it
+// had just read it: it accepted the key until the operator wrote the configuration again (review case 7).
+Test(StoreCrossing, acceptsNoKeyByACopyBeforeTheOtherVmsHaveAnswered)
+{
+    CrossingFixture fixture;
+    fixture.fleetConfigurations.isHeld = true;
+    fixture.fleetConfigurations.newer = { fixture.missWithdrawal() };
+    fixture.runUntil([&] {
+        return !fixture.fleetConfigurations.asked.empty() || fixture.metrics.total(Counter::StoreRestores) == 1;
+    });
+    fixture.context.run_for(20ms);
+    cr_assert(!fixture.sync.mayAcceptKeys());
+    fixture.fleetConfigurations.isHeld = false;
+    fixture.runUntil([&] { return fixture.sync.mayAcceptKeys(); });
+    cr_assert(fixture.hasKey("k1") && !fixture.hasKey("k2"));
+    cr_assert_eq(fixture.candidates(), 2);
+}
+
+// A VM that cannot reach the others must follow the store, but accept no key until they answer or the operator has
+// written its configuration after the restore. Changes of other records prove nothing.
+Test(StoreCrossing, acceptsNoKeyByACopyWhileTheOtherVmsCannotBeReached)
+{
+    for (const bool isWritten : { false, true }) {
+        CrossingFixture fixture;
+        fixture.fleetConfigurations.isAnswered = false;
+        const auto lost = fixture.missWithdrawal();
+        fixture.runUntil([&] { return fixture.metrics.total(Counter::StoreRestores) == 1; });
+        fixture.store.put("runner/r3", "1 ready");
+        fixture.runUntil([&] { return fixture.candidates() == 3; });
+        fixture.store.forgetHistory();
+        fixture.runUntilFollowed();
+        cr_assert(!fixture.sync.mayAcceptKeys());
+        cr_assert(fixture.isCopyUnconfirmed());
+        if (isWritten) {
+            fixture.store.put("config", lost.value);
+        } else {
+            fixture.fleetConfigurations.newerLater = { lost };
+            fixture.fleetConfigurations.isAnswered = true;
+        }
+        fixture.runUntil([&] { return fixture.sync.mayAcceptKeys(); });
+        cr_assert(fixture.hasKey("k1") && !fixture.hasKey("k2"));
+        cr_assert(!fixture.isCopyUnconfirmed());
+    }
+}
+
+// A second restore must not count what the first copy gave as proof, and a VM whose knowledge is recent goes on with
+// it.
+Test(StoreCrossing, keepsItsOwnProofAcrossACopy)
+{
+    CrossingFixture fixture;
+    fixture.fleetConfigurations.isAnswered = false;
+    fixture.store.copy();
+    fixture.runUntilFollowed();
+    for (std::size_t n = 1; n <= 2; ++n) {
+        fixture.store.restore();
+        fixture.runUntil([&] { return fixture.metrics.total(Counter::StoreRestores) == n; });
+        cr_assert(fixture.sync.mayAcceptKeys());
+        fixture.clock.advance(2s);
+        fixture.runUntilFollowed();
+    }
+    fixture.clock.advance(1s);
+    fixture.runUntilFollowed();
+    cr_assert(!fixture.sync.mayAcceptKeys(), "no proof within the limit");
+}
+
 // Guards against a VM that starts after a restore and takes the configuration of the copy for the newest: it accepted
 // withdrawn keys until the operator wrote the configuration again.
 Test(StoreCrossing, startsWithTheNewestConfigurationOfTheFleet)
