Divide the capacity for yielding requests fairly between organisations

FairShares keeps the requested and admitted prompt tokens of each organisation at a service, decayed over 2 s, and computes the max-min shares. While the expected start is later than half of the objective, LoadAdmission rejects organisations above their share.

--- a/Source/Core/Gateway/EngineAdmission.cpp
+++ b/Source/Core/Gateway/EngineAdmission.cpp
@@ -3,12 +3,19 @@
 #include "Gateway/YieldingRoutes.h"
 
 #include <algorithm>
+#include <cmath>
 #include <functional>
 #include <set>
 #include <string>
 
 namespace Pollenwind {
 
+namespace {
+
+    constexpr double percent = 100;
+
+} // namespace
+
 void EngineAdmission::adopt(const RoutingConfiguration& configuration)
 {
     m_configuration = configuration.version;
@@ -20,9 +27,9 @@
             }
         }
     }
-    std::erase_if(m_rates, [&yielding](const auto& it) { return !yielding.contains(it.first); });
+    std::erase_if(m_services, [&yielding](const auto& it) { return !yielding.contains(it.first); });
     for (const auto& service : yielding) {
-        m_rates.try_emplace(service);
+        m_services.try_emplace(service);
     }
 }
 
@@ -32,16 +39,17 @@
     if (configuration.version > m_configuration) {
         adopt(configuration);
     }
-    return !m_rates.empty();
+    return !m_services.empty();
 }
 
-const EngineRate* EngineAdmission::find(const RoutingConfiguration& configuration, const ServiceId& service)
+EngineAdmission::ServiceState* EngineAdmission::find(
+    const RoutingConfiguration& configuration, const ServiceId& service)
 {
     if (!hasYieldingRoute(configuration)) {
         return nullptr;
     }
-    const auto it = m_rates.find(service);
-    return it == m_rates.end() ? nullptr : &it->second;
+    const auto it = m_services.find(service);
+    return it == m_services.end() ? nullptr : &it->second;
 }
 
 void EngineAdmission::applyPool(const RoutingConfiguration& configuration, const ServiceId& service,
@@ -60,16 +68,26 @@
 Outcome<void> EngineAdmission::check(const RoutingConfiguration& configuration, const ServiceId& service,
     const RequestId& request, const EngineDemand& demand, std::span<const RunnerCandidate> candidates)
 {
-    const auto* rate = find(configuration, service);
-    if (!rate) {
+    auto* state = find(configuration, service);
+    if (!state) {
         return {};
     }
     const auto now = m_context.clock.now();
-    const auto decision = LoadAdmission::decide(now, demand, candidates, *rate);
+    auto sharedDemand = demand;
+    const auto tokens = state->rate.countedTokens(now, demand.tokens);
+    if (tokens && demand.urgency == RouteUrgency::Yielding) {
+        state->shares.recordDemand(now, demand.organisation, *tokens);
+        sharedDemand.isAboveShare = state->shares.isAboveShare(demand.organisation);
+        m_context.metrics.set(Gauge::FairShareOrganisations, state->shares.size());
+    }
+    const auto decision = LoadAdmission::decide(now, sharedDemand, candidates, state->rate);
     if (decision.verdict != AdmissionVerdict::Reject) {
         return {};
     }
     m_context.metrics.count(Counter::QueueShed);
+    if (decision.reason == AdmissionReason::AboveShare) {
+        m_context.metrics.count(Counter::FairShareRejections);
+    }
     const auto toMilliseconds = [](std::chrono::nanoseconds time) {
         return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(time).count());
     };
@@ -77,16 +95,30 @@
     return std::unexpected(Error { ErrorCode::Unavailable,
         "no engine can start the request in time (" + std::string(nameOf(decision.reason)) + "): "
             + toMilliseconds(decision.excess) + " ms too late at the best of " + std::to_string(candidates.size())
-            + ", learnt " + std::to_string(static_cast<long>(rate->tokensPerSecond(now).value_or(0))) + " tokens/s, "
-            + toMilliseconds(rate->age(now)) + " ms ago",
+            + ", learnt " + std::to_string(static_cast<long>(state->rate.tokensPerSecond(now).value_or(0)))
+            + " tokens/s, " + toMilliseconds(state->rate.age(now)) + " ms ago, fair share "
+            + std::to_string(std::lround(percent * state->shares.shareOfDemand(demand.organisation)))
+            + "% of the organisation's demand",
         RunState::NotRun, LoadAdmission::retryAfter(decision.excess, demand.remaining, spread) });
 }
 
+void EngineAdmission::recordAdmitted(const ServiceId& service, const EngineDemand& demand)
+{
+    const auto it = m_services.find(service);
+    if (it == m_services.end() || demand.urgency != RouteUrgency::Yielding) {
+        return;
+    }
+    const auto now = m_context.clock.now();
+    if (const auto tokens = it->second.rate.countedTokens(now, demand.tokens)) {
+        it->second.shares.recordAdmitted(now, demand.organisation, *tokens);
+    }
+}
+
 void EngineAdmission::recordFirstOutput(
     const ServiceId& service, const RunnerChoice& choice, std::chrono::nanoseconds time)
 {
-    if (const auto it = m_rates.find(service); it != m_rates.end()) {
-        it->second.recordFirstOutput(m_context.clock.now(), choice.tokensAhead, choice.computedTokens, time);
+    if (const auto it = m_services.find(service); it != m_services.end()) {
+        it->second.rate.recordFirstOutput(m_context.clock.now(), choice.tokensAhead, choice.computedTokens, time);
     }
 }
 
--- a/Source/Core/Gateway/EngineAdmission.h
+++ b/Source/Core/Gateway/EngineAdmission.h
@@ -2,6 +2,7 @@
 
 #include "Common/Clock.h"
 #include "Gateway/EngineRate.h"
+#include "Gateway/FairShares.h"
 #include "Gateway/LoadAdmission.h"
 #include "Gateway/PromptPool.h"
 #include "Gateway/Queries/RunnerPolicy.h"
@@ -44,6 +45,9 @@
     /// @return Unavailable with a time to come back if it cannot.
     Outcome<void> check(const RoutingConfiguration& configuration, const ServiceId& service, const RequestId& request,
         const EngineDemand& demand, std::span<const RunnerCandidate> candidates);
+    /// Counts a request that passed the check and is sent in the share of its organisation. Called when its quota has
+    /// admitted it as well.
+    void recordAdmitted(const ServiceId& service, const EngineDemand& demand);
 
     /// Whether any route of a configuration yields.
     bool hasYieldingRoute(const RoutingConfiguration& configuration);
@@ -54,16 +58,21 @@
     void recordFirstOutput(const ServiceId& service, const RunnerChoice& choice, std::chrono::nanoseconds time);
 
 private:
-    /// Learnt rate of a service; nullptr if none of its routes yields.
-    const EngineRate* find(const RoutingConfiguration& configuration, const ServiceId& service);
+    /// What is known of a service with an engine to which a yielding route leads.
+    struct ServiceState {
+        EngineRate rate;
+        FairShares shares;
+    };
+
+    /// State of a service; nullptr if none of its routes yields.
+    ServiceState* find(const RoutingConfiguration& configuration, const ServiceId& service);
     /// Keeps the services with a yielding route in the configuration.
     void adopt(const RoutingConfiguration& configuration);
 
     Context m_context;
     /// Newest version of the configuration that was seen.
     std::int64_t m_configuration = -1;
-    /// Learnt rates of the services with an engine to which a yielding route leads.
-    std::map<ServiceId, EngineRate> m_rates;
+    std::map<ServiceId, ServiceState> m_services;
 };
 
 } // namespace Pollenwind
--- a/Source/Core/Gateway/EngineRate.cpp
+++ b/Source/Core/Gateway/EngineRate.cpp
@@ -77,14 +77,22 @@
     if (!fit) {
         return std::nullopt;
     }
-    const double usual = m_sumOwn / m_weight;
-    const double tokens = std::max(0.0, tokensAhead) + std::clamp(ownTokens, usual, largestMultiple * usual);
+    const double tokens = std::max(0.0, tokensAhead) + *countedTokens(now, ownTokens);
     // A time of more than a minute is as bad as one of a minute, and its nanoseconds stay countable.
     constexpr double longestSeconds = 60;
     const double seconds = std::min(longestSeconds, fit->base + tokens * fit->secondsPerToken);
     return std::chrono::nanoseconds(static_cast<std::int64_t>(seconds * 1e9));
 }
 
+std::optional<double> EngineRate::countedTokens(MonotonicTime now, double ownTokens) const
+{
+    if (!line(now)) {
+        return std::nullopt;
+    }
+    const double usual = m_sumOwn / m_weight;
+    return std::clamp(ownTokens, usual, largestMultiple * usual);
+}
+
 std::optional<double> EngineRate::tokensPerSecond(MonotonicTime now) const
 {
     const auto fit = line(now);
--- a/Source/Core/Gateway/EngineRate.h
+++ b/Source/Core/Gateway/EngineRate.h
@@ -29,6 +29,11 @@
     std::optional<std::chrono::nanoseconds> timeToFirstOutput(
         MonotonicTime now, double tokensAhead, double ownTokens) const;
 
+    /// Prompt tokens of a request, at least the usual number and at most 8 times that number, so that a declaration of
+    /// too few gains nothing and an absurd one does not decide a sum.
+    /// @return Nothing without enough recent observations.
+    std::optional<double> countedTokens(MonotonicTime now, double ownTokens) const;
+
     /// Prompt tokens per second and engine; nothing without enough recent observations.
     std::optional<double> tokensPerSecond(MonotonicTime now) const;
     /// Time since the last observation.
--- a/Source/Core/Gateway/ForwardDispatcher.cpp
+++ b/Source/Core/Gateway/ForwardDispatcher.cpp
@@ -201,17 +201,22 @@
     return *choice;
 }
 
-Outcome<void> ForwardDispatcher::checkLoad(const ForwardRequest& request, const Delivery& delivery)
+EngineDemand ForwardDispatcher::demandOf(const ForwardRequest& request, const Delivery& delivery) const
 {
-    if (delivery.urgency != RouteUrgency::Yielding) {
-        return {};
-    }
     const auto now = m_context.clock.now();
     // The parts before the last one are usually cached.
     const double tokens
         = !request.parts.empty() ? request.parts.back().tokens : (request.tokens ? request.tokens->prompt : 0);
-    auto checked = m_engines.check(*delivery.configuration, delivery.service, request.id,
-        { delivery.urgency, tokens, delivery.receivedAt + delivery.route->objective - now, delivery.deadline - now },
+    return { delivery.urgency, delivery.organisation ? delivery.organisation->id : OrganisationId(), tokens,
+        delivery.receivedAt + delivery.route->objective - now, delivery.deadline - now };
+}
+
+Outcome<void> ForwardDispatcher::checkLoad(const ForwardRequest& request, const Delivery& delivery)
+{
+    if (delivery.urgency != RouteUrgency::Yielding) {
+        return {};
+    }
+    auto checked = m_engines.check(*delivery.configuration, delivery.service, request.id, demandOf(request, delivery),
         candidatesFor(request, delivery));
     if (!checked) {
         m_hedging.recordRejection(delivery.service);
@@ -288,6 +293,7 @@
     if (auto waited = co_await m_admission.waitForTokens(delivery, request, sink); !waited) {
         co_return waited;
     }
+    m_engines.recordAdmitted(delivery.service, demandOf(request, delivery));
     m_context.retryBudget.recordRequest(delivery.service);
     if (mayHedge(delivery)) {
         m_hedging.recordRequest(delivery.service);
--- a/Source/Core/Gateway/ForwardDispatcher.h
+++ b/Source/Core/Gateway/ForwardDispatcher.h
@@ -104,6 +104,8 @@
     std::string currentCacheSalt(const Delivery& delivery) const;
     /// Also sets the salt of the attempt.
     Outcome<RunnerChoice> chooseRunner(const ForwardRequest& request, Delivery& delivery);
+    /// What the request needs from an engine.
+    EngineDemand demandOf(const ForwardRequest& request, const Delivery& delivery) const;
     /// Rejects a yielding request that no engine would start in time.
     Outcome<void> checkLoad(const ForwardRequest& request, const Delivery& delivery);
     /// @param cacheSalt Salt of the request's cache entries.
--- a/Source/Core/Gateway/LoadAdmission.cpp
+++ b/Source/Core/Gateway/LoadAdmission.cpp
@@ -12,6 +12,10 @@
     // Part of the remaining time that callers wait at most when they follow Retry-After.
     constexpr int remainingDivisor = 3;
 
+    // Part of the time until the objective up to which organisations above their fair share use the engines. The rest
+    // is for those below it, whose requests arrive in between.
+    constexpr int aboveShareDivisor = 2;
+
     /// Whether an engine can begin with a prompt at once, whatever rate was learnt.
     bool isFree(const RunnerCandidate& engine)
     {
@@ -40,6 +44,10 @@
     if (earliest && *earliest > limit) {
         return { AdmissionVerdict::Reject, AdmissionReason::LateStart, *earliest - limit };
     }
+    if (const auto ownLimit = std::min(demand.untilObjective / aboveShareDivisor, limit);
+        earliest && demand.isAboveShare && *earliest > ownLimit) {
+        return { AdmissionVerdict::Reject, AdmissionReason::AboveShare, *earliest - ownLimit };
+    }
     return {};
 }
 
--- a/Source/Core/Gateway/LoadAdmission.h
+++ b/Source/Core/Gateway/LoadAdmission.h
@@ -29,24 +29,32 @@
     None,
     /// The best engine would produce the first output after the objective or after the caller's time.
     LateStart,
+    /// The first output would be later than half of the objective, and more of the organisation's tokens were admitted
+    /// than its fair share.
+    AboveShare,
 };
 
 template <> struct EnumTable<AdmissionReason> {
     static constexpr std::array rows {
         EnumName { AdmissionReason::None, "none" },
         EnumName { AdmissionReason::LateStart, "late-start" },
+        EnumName { AdmissionReason::AboveShare, "above-share" },
     };
 };
 
 /// What a request needs from an engine.
 struct EngineDemand {
     RouteUrgency urgency = RouteUrgency::Urgent;
+    /// Organisation of the caller; empty if it has none.
+    OrganisationId organisation;
     /// Prompt tokens, as the caller declares them.
     double tokens = 0;
     /// Time left until the first output is due.
     std::chrono::nanoseconds untilObjective { 0 };
     /// Time left until the request's deadline.
     std::chrono::nanoseconds remaining { 0 };
+    /// See FairShares.
+    bool isAboveShare = false;
 };
 
 /// Decision on a request.
--- a/Source/Core/Metrics/Counter.h
+++ b/Source/Core/Metrics/Counter.h
@@ -95,6 +95,8 @@
     BreakerOpenings,
     /// Requests that were rejected because the admission queue was full or no engine had capacity in time.
     QueueShed,
+    /// Those of them that were rejected because their organisation was above its fair share.
+    FairShareRejections,
     /// Crashes of runners in which requests of this VM without output were lost.
     RunnerCrashesSeen,
     PartsQuarantined,
@@ -188,6 +190,7 @@
         EnumName { Counter::GrantsReceived, "grants_received_total" },
         EnumName { Counter::BreakerOpenings, "breaker_openings_total" },
         EnumName { Counter::QueueShed, "queue_shed_total" },
+        EnumName { Counter::FairShareRejections, "fair_share_rejections_total" },
         EnumName { Counter::RunnerCrashesSeen, "runner_crashes_seen_total" },
         EnumName { Counter::PartsQuarantined, "parts_quarantined_total" },
         EnumName { Counter::PartsLifted, "parts_lifted_total" },
@@ -230,6 +233,8 @@
     ZonesReportingWork,
     /// Engines that compute the prompts of yielding routes.
     PromptPoolEngines,
+    /// Organisations with recent requests of yielding routes.
+    FairShareOrganisations,
     /// Requests that were admitted from the reserves of organisations over their rates since the start.
     QuotaReserveAdmissions,
     /// Era of the platform's store; 0 if it does not tell its era.
@@ -256,6 +261,7 @@
         EnumName { Gauge::RunnersFast, "runners_fast" },
         EnumName { Gauge::ZonesReportingWork, "zones_reporting_work" },
         EnumName { Gauge::PromptPoolEngines, "prompt_pool_engines" },
+        EnumName { Gauge::FairShareOrganisations, "fair_share_organisations" },
         EnumName { Gauge::QuotaReserveAdmissions, "quota_reserve_admissions" },
         EnumName { Gauge::StoreEra, "store_era" },
         EnumName { Gauge::QuotasStartedWithoutDebt, "quotas_started_without_debt" },
