Return rejected callers of an organisation in order

A caller that was rejected later could return before one that was rejected earlier, since each got a random time of its own, and took the capacity for which the other had waited.

ReturnOrder assigns the times of one organisation in the order of the rejections, spread over the time needed to work off the excess, and replaces LoadAdmission::retryAfter.

--- a/Source/Core/Gateway/EngineAdmission.cpp
+++ b/Source/Core/Gateway/EngineAdmission.cpp
@@ -99,7 +99,7 @@
             + " tokens/s, " + toMilliseconds(state->rate.age(now)) + " ms ago, fair share "
             + std::to_string(std::lround(percent * state->shares.shareOfDemand(demand.organisation)))
             + "% of the organisation's demand",
-        RunState::NotRun, LoadAdmission::retryAfter(decision.excess, demand.remaining, spread) });
+        RunState::NotRun, state->returns.assign(now, demand.organisation, decision.excess, demand.remaining, spread) });
 }
 
 void EngineAdmission::recordAdmitted(const ServiceId& service, const EngineDemand& demand)
--- a/Source/Core/Gateway/EngineAdmission.h
+++ b/Source/Core/Gateway/EngineAdmission.h
@@ -6,6 +6,7 @@
 #include "Gateway/LoadAdmission.h"
 #include "Gateway/PromptPool.h"
 #include "Gateway/Queries/RunnerPolicy.h"
+#include "Gateway/ReturnOrder.h"
 #include "Gateway/RoutingTypes.h"
 #include "Gateway/RunnerTypes.h"
 #include "Metrics/Commands/MetricCommands.h"
@@ -62,6 +63,7 @@
     struct ServiceState {
         EngineRate rate;
         FairShares shares;
+        ReturnOrder returns;
     };
 
     /// State of a service; nullptr if none of its routes yields.
--- a/Source/Core/Gateway/LoadAdmission.cpp
+++ b/Source/Core/Gateway/LoadAdmission.cpp
@@ -7,11 +7,6 @@
 
 namespace {
 
-    constexpr std::chrono::milliseconds shortestReturnTime { 100 };
-
-    // Part of the remaining time that callers wait at most when they follow Retry-After.
-    constexpr int remainingDivisor = 3;
-
     // Part of the time until the objective up to which organisations above their fair share use the engines. The rest
     // is for those below it, whose requests arrive in between.
     constexpr int aboveShareDivisor = 2;
@@ -51,15 +46,4 @@
     return {};
 }
 
-std::chrono::milliseconds LoadAdmission::retryAfter(
-    std::chrono::nanoseconds excess, std::chrono::nanoseconds remaining, double spread)
-{
-    // Half of what the caller follows, so that the spread is not cut off.
-    const auto longest
-        = std::max<std::chrono::nanoseconds>(remaining / remainingDivisor / 2, std::chrono::nanoseconds(0));
-    const auto base = std::min(std::max<std::chrono::nanoseconds>(excess, shortestReturnTime), longest);
-    const auto spreadTime = std::chrono::duration_cast<std::chrono::nanoseconds>(base * std::clamp(spread, 0.0, 1.0));
-    return std::chrono::duration_cast<std::chrono::milliseconds>(base + spreadTime);
-}
-
 } // namespace Pollenwind
--- a/Source/Core/Gateway/LoadAdmission.h
+++ b/Source/Core/Gateway/LoadAdmission.h
@@ -75,12 +75,6 @@
     /// @param rate Rate of the service's engines.
     static AdmissionDecision decide(MonotonicTime now, const EngineDemand& demand,
         std::span<const RunnerCandidate> engines, const EngineRate& rate);
-
-    /// Time after which the caller of a rejected request should return: the time to work off the excess, at least
-    /// 100 ms, plus a spread of the same length; at most a third of its remaining time, which callers follow.
-    /// @param spread From 0 to 1, different for each request.
-    static std::chrono::milliseconds retryAfter(
-        std::chrono::nanoseconds excess, std::chrono::nanoseconds remaining, double spread);
 };
 
 } // namespace Pollenwind
--- a/Source/UnitTests/Gateway/LoadAdmissionTests.cpp
+++ b/Source/UnitTests/Gateway/LoadAdmissionTests.cpp
@@ -119,20 +119,6 @@
     cr_assert(LoadAdmission::decide(start, makeDemand(), {}, learntRate()).verdict == AdmissionVerdict::Admit);
 }
 
-// Callers must not return together, not before the excess is worked off, and they follow the time only up to a third of
-// what they have left.
-Test(LoadAdmission, spreadsTheReturnOfCallers)
-{
-    cr_assert_eq(LoadAdmission::retryAfter(20ms, 4s, 0).count(), 100);
-    cr_assert_eq(LoadAdmission::retryAfter(300ms, 4s, 0).count(), 300);
-    cr_assert_eq(LoadAdmission::retryAfter(300ms, 4s, 1).count(), 600);
-    for (const double spread : { 0.0, 0.5, 1.0 }) {
-        cr_assert(LoadAdmission::retryAfter(10s, 3s, spread) <= 1s);
-    }
-    cr_assert(LoadAdmission::retryAfter(10s, 3s, 0) < LoadAdmission::retryAfter(10s, 3s, 1));
-    cr_assert_eq(LoadAdmission::retryAfter(10s, -1s, 1).count(), 0);
-}
-
 namespace {
 
 /// Long prompts at a multiple of the capacity of the pool, in the peak from 4 to 10 s, beside urgent streams.
