--- a/Source/Core/Gateway/LoadAdmission.h
+++ b/Source/Core/Gateway/LoadAdmission.h
@@ -29,24 +29,32 @@
     None,
     /// The best engine would produce the first output after the objective or after the caller's time.
     LateStart,
+    /// The first output would be later than half of the objective, and more of the organisation's tokens were admitted
+    /// than its fair share.
+    AboveShare,
 };
 
 template <> struct EnumTable<AdmissionReason> {
     static constexpr std::array rows {
         EnumName { AdmissionReason::None, "none" },
         EnumName { AdmissionReason::LateStart, "late-start" },
+        EnumName { AdmissionReason::AboveShare, "above-share" },
     };
 };
 
 /// What a request needs from an engine.
 struct EngineDemand {
     RouteUrgency urgency = RouteUrgency::Urgent;
+    /// Organisation of the caller; empty if it has none.
+    OrganisationId organisation;
     /// Prompt tokens, as the caller declares them.
     double tokens = 0;
     /// Time left until the first output is due.
     std::chrono::nanoseconds untilObjective { 0 };
     /// Time left until the request's deadline.
     std::chrono::nanoseconds remaining { 0 };
+    /// See FairShares.
+    bool isAboveShare = false;
 };
 
 /// Decision on a request.
@@ -67,12 +75,6 @@
     /// @param rate Rate of the service's engines.
     static AdmissionDecision decide(MonotonicTime now, const EngineDemand& demand,
         std::span<const RunnerCandidate> engines, const EngineRate& rate);
-
-    /// Time after which the caller of a rejected request should return: the time to work off the excess, at least
-    /// 100 ms, plus a spread of the same length; at most a third of its remaining time, which callers follow.
-    /// @param spread From 0 to 1, different for each request.
-    static std::chrono::milliseconds retryAfter(
-        std::chrono::nanoseconds excess, std::chrono::nanoseconds remaining, double spread);
 };
 
 } // namespace Pollenwind
