--- a/Source/Core/Gateway/FleetQuota.cpp
+++ b/Source/Core/Gateway/FleetQuota.cpp
@@ -54,6 +54,11 @@
     // Time after the start from which the reserve is used: the records and reports of the other VMs have arrived.
     constexpr std::chrono::milliseconds reserveStart { 500 };
 
+    // Debt, in seconds of the rate, from which the reserve admits nothing: what an organisation far over its rate takes
+    // before reports arrive, and the debt of a start. A request larger than a VM's part of the reserve is admitted
+    // there whole, so that many VMs could exceed a low rate by many large requests.
+    constexpr double deepestReserveDebt = 2.5;
+
     // Smallest reachable share that is told apart from none.
     constexpr double minShare = 1e-4;
 
@@ -299,7 +304,8 @@
 {
     const auto now = m_clock.now();
     // A process that has just started does not know the fleet yet.
-    if (!demand.mayUseReserve || !m_isLargeFleet || m_vms == 0 || now - m_startedAt < reserveStart) {
+    if (!demand.mayUseReserve || !m_isLargeFleet || m_vms == 0 || now - m_startedAt < reserveStart
+        || bucket.level < -deepestReserveDebt * bucket.rate * m_share) {
         return false;
     }
     return m_reserve.take(
--- a/Source/Core/Gateway/QuotaReserve.cpp
+++ b/Source/Core/Gateway/QuotaReserve.cpp
@@ -29,8 +29,7 @@
 {
     const double refill = rate * share * partOf(use, vms);
     const double capacity = refill * std::chrono::duration<double>(depth).count();
-    const auto [it, isNew] = m_parts.try_emplace(organisation, Part { capacity, now });
-    auto& part = it->second;
+    auto& part = m_parts.try_emplace(organisation, Part { capacity, now }).first->second;
     part.level = std::min(capacity, part.level + refill * std::chrono::duration<double>(now - part.refilledAt).count());
     part.refilledAt = now;
     if (part.level <= 0) {
--- a/Source/UnitTests/Gateway/QuotaReserveTests.cpp
+++ b/Source/UnitTests/Gateway/QuotaReserveTests.cpp
@@ -70,6 +70,22 @@
     }
 }
 
+// Each VM admits a request that is larger than its part of the reserve. At a low rate, large requests at all VMs must
+// not add up to more than the tolerated use.
+Test(QuotaReserve, keepsTheBoundOfALowRateWithLargeRequests)
+{
+    for (const double rate : { 2000.0, 5000.0, 20'000.0 }) {
+        QuotaFleet fleet(
+            3, 24, siteTolerance, { .rate = rate, .burst = rate, .demand = rate * 2, .reserveTokens = 4000 }, 4);
+        fleet.idle(2s);
+        fleet.run(3s);
+        fleet.setDemand(rate * 2, rate * 8);
+        fleet.run(10s);
+        cr_expect(fleet.outcome().mostInWindow <= fleet.allowedInWindow(), "rate %.0f: %.0f of %.0f", rate,
+            fleet.outcome().mostInWindow, fleet.allowedInWindow());
+    }
+}
+
 // VMs that are cut off from each other must not add up their reserves to more than the tolerated use.
 Test(QuotaReserve, keepsTheBoundWhileAZoneIsCutOff)
 {
