Spread the return of a burst of any size

Steps of a fixed size used up the spread after about 55 rejections at one moment, and all further callers returned together. A step is now a part of what is left of the spread, and times are kept more exactly than the whole milliseconds of the responses. The test with 500 callers failed before.

--- a/Source/Core/Gateway/ReturnOrder.cpp
+++ b/Source/Core/Gateway/ReturnOrder.cpp
@@ -68,12 +68,13 @@
         returnAt = earliest + part(base / firstSpreadDivisor, place);
     } else {
         const auto room = std::max(nanoseconds(0), end - queue.lastReturn);
-        const auto step = part(base, place / std::max(leastRejections, queue.rejections));
-        returnAt = queue.lastReturn + std::min(step, room);
+        // A part of what is left, so that a burst of any size does not end at one moment.
+        returnAt = queue.lastReturn + part(room, place / std::max(leastRejections, queue.rejections));
     }
-    const auto wait
-        = std::min(std::chrono::ceil<milliseconds>(returnAt - now), std::chrono::floor<milliseconds>(longest));
-    queue.lastReturn = std::max(queue.lastReturn, now + wait);
+    const auto wait = std::min(std::chrono::ceil<milliseconds>(std::max(returnAt, queue.lastAssigned) - now),
+        std::chrono::floor<milliseconds>(longest));
+    queue.lastReturn = std::max(queue.lastReturn, std::min(returnAt, now + wait));
+    queue.lastAssigned = std::max(queue.lastAssigned, now + wait);
     return wait;
 }
 
--- a/Source/Core/Gateway/ReturnOrder.h
+++ b/Source/Core/Gateway/ReturnOrder.h
@@ -35,6 +35,8 @@
     /// Callers of one organisation that are to return.
     struct Queue {
         MonotonicTime lastReturn { 0 };
+        /// The same as the callers were told it, in whole milliseconds from their rejections.
+        MonotonicTime lastAssigned { 0 };
         MonotonicTime lastRejection { 0 };
         /// Rejections in the time needed to work off the excess, older ones weigh less.
         double rejections = 0;
--- a/Source/UnitTests/Gateway/ReturnOrderTests.cpp
+++ b/Source/UnitTests/Gateway/ReturnOrderTests.cpp
@@ -73,6 +73,12 @@
     const auto burst = returnTimes(order, someone, 40, 0ms, 400ms, 2);
     cr_assert(std::set(burst.begin(), burst.end()).size() >= 30);
     cr_assert(burst.front() >= start + 400ms && burst.back() <= start + 800ms);
+    // With steps of a fixed size all callers after the first 55 returned at the end of the spread.
+    ReturnOrder large;
+    const auto many = returnTimes(large, someone, 500, 0ms, 400ms, 2);
+    for (const auto time : many) {
+        cr_assert(std::ranges::count(many, time) <= 50, "a tenth of the callers at most returns at one time");
+    }
     ReturnOrder steady;
     const auto times = returnTimes(steady, someone, 4000, 1ms, 400ms, 3);
     for (std::size_t n = 0; n < times.size(); ++n) {
