Keep urgent quarantine news in a full queue

A crash with hundreds of parts filled the queue, and a lifted quarantine that came then was dropped, so that other VMs went on refusing a sound part. Urgent items now come first. The test failed before.

--- a/Source/Core/Gateway/QuarantineNews.h
+++ b/Source/Core/Gateway/QuarantineNews.h
@@ -4,6 +4,7 @@
 #include "Gateway/QuarantineTypes.h"
 
 #include <algorithm>
+#include <utility>
 #include <vector>
 
 namespace Pollenwind {
@@ -11,8 +12,8 @@
 /// News on parts of prompts for the other VMs, each repeated in several reports so that it survives a lost datagram.
 ///
 /// One crash may concern thousands of parts and a report has room for a few, so the news are sent over several reports:
-/// those that were sent least come first, and among them the earliest. The most repeated ones give way when the queue
-/// is full, and then the latest.
+/// urgent ones come first, then those that were sent least, and among them the earliest. When the queue is full, the
+/// most repeated ones give way, and then the latest, so that a crash with many parts does not displace an urgent one.
 template <typename T> class QuarantineNews {
 public:
     /// Items that wait, at most 40 bytes each. Four reports of evidence, sent within a second, hold as many.
@@ -29,7 +30,8 @@
 
     void add(Item item)
     {
-        const auto next = std::ranges::upper_bound(m_items, item.sends, std::ranges::greater {}, &Item::sends);
+        const auto rank = [](const Item& it) { return std::pair(it.isUrgent, it.sends); };
+        const auto next = std::ranges::upper_bound(m_items, rank(item), std::ranges::greater {}, rank);
         m_items.insert(next, std::move(item));
         if (m_items.size() > maxPending) {
             m_items.pop_back();
@@ -64,7 +66,7 @@
     std::size_t size() const { return m_items.size(); }
 
 private:
-    /// Those with the most sends left first, and among them the earliest.
+    /// Urgent ones first, then those with the most sends left, and among them the earliest.
     std::vector<Item> m_items;
 };
 
--- a/Source/UnitTests/Gateway/QuarantineNewsTests.cpp
+++ b/Source/UnitTests/Gateway/QuarantineNewsTests.cpp
@@ -74,3 +74,22 @@
     cr_assert(receiver.isQuarantined(deadly));
     cr_assert_eq(receiver.quarantine.quarantinedParts().size(), 1);
 }
+
+// A crash with hundreds of parts fills the queue. An urgent item, such as a lifted quarantine, was dropped then, and
+// the other VMs went on refusing a sound part.
+Test(QuarantineNews, keepsUrgentItemsInAFullQueue)
+{
+    struct News {
+        PartId part = 0;
+        std::chrono::milliseconds age { 0 };
+    };
+    QuarantineNews<News> news;
+    for (std::size_t n = 0; n < 2 * QuarantineNews<News>::maxPending; ++n) {
+        news.add({ { n + 1 }, 1s, 3, false });
+    }
+    news.add({ { deadly }, 1s, 3, true });
+    cr_assert_eq(news.size(), QuarantineNews<News>::maxPending);
+    bool isNews = false;
+    const auto sent = news.take(2s, 32, isNews);
+    cr_assert(isNews && sent.front().part == deadly);
+}
