Count no demand that the quota refuses in the fair shares

An organisation over its quota took a fair share that it could not use, so that another one was rejected although engines had room. Its demand is withdrawn when the quota refuses. Shares of weight 0 no longer make a route yield here, as elsewhere.

--- a/Source/Core/Gateway/EngineAdmission.cpp
+++ b/Source/Core/Gateway/EngineAdmission.cpp
@@ -22,7 +22,7 @@
     std::set<ServiceId> yielding;
     for (const auto& route : configuration.routes) {
         for (const auto& share : route.shares) {
-            if (isYieldingRoute(configuration, route, share.service, m_context.yieldRanks)) {
+            if (share.weight > 0 && isYieldingRoute(configuration, route, share.service, m_context.yieldRanks)) {
                 yielding.insert(share.service);
             }
         }
@@ -123,6 +123,18 @@
     }
 }
 
+void EngineAdmission::withdraw(const ServiceId& service, const EngineDemand& demand)
+{
+    const auto it = m_services.find(service);
+    if (it == m_services.end() || demand.urgency != RouteUrgency::Yielding) {
+        return;
+    }
+    const auto now = m_context.clock.now();
+    if (const auto tokens = it->second.rate.countedTokens(now, demand.tokens)) {
+        it->second.shares.withdrawDemand(now, demand.organisation, *tokens);
+    }
+}
+
 void EngineAdmission::recordFirstOutput(
     const ServiceId& service, const RunnerChoice& choice, std::chrono::nanoseconds time)
 {
--- a/Source/Core/Gateway/EngineAdmission.h
+++ b/Source/Core/Gateway/EngineAdmission.h
@@ -55,6 +55,9 @@
     /// Whether any route of a configuration yields.
     bool hasYieldingRoute(const RoutingConfiguration& configuration);
 
+    /// Takes back a request that passed the check and is refused for another reason, such as the quota.
+    void withdraw(const ServiceId& service, const EngineDemand& demand);
+
     /// Sets the share of the fleet, from 0 to 1, whose work at the engines this VM knows.
     void setKnownWorkShare(double share) { m_knownWorkShare = std::max(share, smallestKnownShare); }
 
--- a/Source/Core/Gateway/FairShares.cpp
+++ b/Source/Core/Gateway/FairShares.cpp
@@ -81,6 +81,15 @@
     entryOf(organisation).demand += tokens * units;
 }
 
+void FairShares::withdrawDemand(MonotonicTime now, const OrganisationId& organisation, double tokens)
+{
+    const double units = unitsAt(now);
+    if (const auto it = m_positions.find(organisation); it != m_positions.end()) {
+        auto& entry = m_entries[it->second];
+        entry.demand = std::max(entry.admitted, entry.demand - tokens * units);
+    }
+}
+
 void FairShares::recordAdmitted(MonotonicTime now, const OrganisationId& organisation, double tokens)
 {
     const double units = unitsAt(now);
--- a/Source/Core/Gateway/FairShares.h
+++ b/Source/Core/Gateway/FairShares.h
@@ -24,6 +24,8 @@
     /// Records a request, whether it is admitted or not.
     /// @param tokens Prompt tokens, as EngineRate::countedTokens() limits them.
     void recordDemand(MonotonicTime now, const OrganisationId& organisation, double tokens);
+    /// Takes back the demand of a request that is refused for another reason than the load.
+    void withdrawDemand(MonotonicTime now, const OrganisationId& organisation, double tokens);
     /// Records that a request was admitted whose demand was recorded before.
     void recordAdmitted(MonotonicTime now, const OrganisationId& organisation, double tokens);
 
--- a/Source/Core/Gateway/ForwardDispatcher.cpp
+++ b/Source/Core/Gateway/ForwardDispatcher.cpp
@@ -283,11 +283,13 @@
     if (auto checked = checkLoad(request, delivery); !checked) {
         co_return checked;
     }
-    if (auto taken = m_admission.takeTokens(request, delivery); !taken) {
-        co_return taken;
+    auto taken = m_admission.takeTokens(request, delivery);
+    if (taken) {
+        taken = co_await m_admission.waitForTokens(delivery, request, sink);
     }
-    if (auto waited = co_await m_admission.waitForTokens(delivery, request, sink); !waited) {
-        co_return waited;
+    if (!taken) {
+        m_engines.withdraw(delivery.service, demandOf(request, delivery));
+        co_return taken;
     }
     m_engines.recordAdmitted(delivery.service, demandOf(request, delivery));
     m_context.retryBudget.recordRequest(delivery.service);
--- a/Source/UnitTests/Gateway/FairSharesTests.cpp
+++ b/Source/UnitTests/Gateway/FairSharesTests.cpp
@@ -59,6 +59,19 @@
     }
 }
 
+// An organisation over its quota must not take a fair share that it cannot use: another one was rejected although
+// engines had room for it.
+Test(FairShares, countsNoDemandThatTheQuotaRefused)
+{
+    FairShares shares;
+    record(shares, start, organisation(0), 10, 10);
+    record(shares, start, organisation(1), 50, 50);
+    shares.recordDemand(start, organisation(0), 490);
+    cr_assert(shares.isAboveShare(organisation(1)));
+    shares.withdrawDemand(start, organisation(0), 490);
+    cr_assert(!shares.isAboveShare(organisation(1)));
+}
+
 // An organisation that has stopped must leave its share to the others within a few seconds, also after hours, when
 // units that grow with the time would overflow.
 Test(FairShares, forgetsOrganisationsWithoutDemand)
