--- a/Source/Core/Gateway/PartQuarantine.h
+++ b/Source/Core/Gateway/PartQuarantine.h
@@ -37,7 +37,8 @@
     /// rack ends many runners at once, and common parts are lost at several of them.
     static constexpr std::chrono::seconds minAnsweredSpan { 2 };
 
-    /// Bounds of memory, for all organisations and prompts together. Entries are evicted oldest first.
+    /// Bounds of memory, for all organisations and prompts together. Suspects with the fewest crashes are evicted
+    /// first, other entries oldest first.
     static constexpr std::size_t maxSuspects = PartSuspects::maxParts;
     static constexpr std::size_t maxQuarantined = 64;
     static constexpr std::size_t maxCrashesPerPart = PartSuspects::maxCrashesPerPart;
--- a/Source/Core/Gateway/PromptPool.cpp
+++ b/Source/Core/Gateway/PromptPool.cpp
@@ -24,7 +24,7 @@
     order.reserve(engines.size());
     for (auto& engine : engines) {
         engine.isInPromptPool = false;
-        order.emplace_back(runnerHash(engine.id), &engine);
+        order.emplace_back(runnerHash(engine), &engine);
     }
     const auto end = order.begin() + static_cast<std::ptrdiff_t>(std::min(sizeOf(order.size(), share), order.size()));
     std::ranges::nth_element(order, end - 1, {}, &std::pair<std::uint64_t, RunnerCandidate*>::first);
--- a/Source/Core/Gateway/PromptPool.h
+++ b/Source/Core/Gateway/PromptPool.h
@@ -13,8 +13,8 @@
 /// computes a part of one delays every stream at that engine. The pool keeps these prompts away from the streams of the
 /// other engines.
 ///
-/// The members are the first engines of a hash order, so VMs agree on them without messages, and an engine that fails
-/// changes the pool only at its edge.
+/// The members are the first engines of a hash order, which is the same at all VMs, so that differing sizes and an
+/// engine that fails change the pool only at its edge.
 class PromptPool {
 public:
     /// Sets RunnerCandidate::isInPromptPool of the members.
--- a/Source/Core/Gateway/PromptPoolSize.cpp
+++ b/Source/Core/Gateway/PromptPoolSize.cpp
@@ -16,6 +16,9 @@
     constexpr std::chrono::milliseconds shrinkTime { 500 };
     constexpr std::chrono::milliseconds growthTime { 3000 };
 
+    // After a pause without requests one observation must not decide the size.
+    constexpr std::chrono::milliseconds longestStep { 500 };
+
 } // namespace
 
 double PromptPoolSize::update(MonotonicTime now, std::size_t engines, double slots, double urgentRequests)
@@ -24,7 +27,7 @@
         return m_share;
     }
     const double target = std::clamp(1 - urgentRequests / (slots * usedSlotShare), smallestShare, largestShare);
-    const std::chrono::duration<double> elapsed(now - m_updatedAt);
+    const std::chrono::duration<double> elapsed(std::min<std::chrono::nanoseconds>(now - m_updatedAt, longestStep));
     m_updatedAt = now;
     const std::chrono::duration<double> time = target < m_share ? shrinkTime : growthTime;
     m_share += (target - m_share) * (1 - std::exp(-elapsed / time));
