Count the tokens of fair shares in one place

The check, the admission and the withdrawal of a request each decided again whether it yields and with how many tokens it counts.

--- a/Source/Core/Gateway/EngineAdmission.cpp
+++ b/Source/Core/Gateway/EngineAdmission.cpp
@@ -83,8 +83,7 @@
     }
     const auto now = m_context.clock.now();
     auto sharedDemand = demand;
-    const auto tokens = state->rate.countedTokens(now, demand.tokens);
-    if (tokens && demand.urgency == RouteUrgency::Yielding) {
+    if (const auto tokens = sharedTokens(*state, demand)) {
         state->shares.recordDemand(now, demand.organisation, *tokens);
         sharedDemand.isAboveShare = state->shares.isAboveShare(demand.organisation);
         m_context.metrics.set(Gauge::FairShareOrganisations, state->shares.size());
@@ -111,27 +110,27 @@
         RunState::NotRun, state->returns.assign(now, demand.organisation, decision.excess, demand.remaining, spread) });
 }
 
+std::optional<double> EngineAdmission::sharedTokens(const ServiceState& state, const EngineDemand& demand) const
+{
+    return demand.urgency == RouteUrgency::Yielding ? state.rate.countedTokens(m_context.clock.now(), demand.tokens)
+                                                    : std::nullopt;
+}
+
 void EngineAdmission::recordAdmitted(const ServiceId& service, const EngineDemand& demand)
 {
     const auto it = m_services.find(service);
-    if (it == m_services.end() || demand.urgency != RouteUrgency::Yielding) {
-        return;
-    }
-    const auto now = m_context.clock.now();
-    if (const auto tokens = it->second.rate.countedTokens(now, demand.tokens)) {
-        it->second.shares.recordAdmitted(now, demand.organisation, *tokens);
+    const auto tokens = it == m_services.end() ? std::nullopt : sharedTokens(it->second, demand);
+    if (tokens) {
+        it->second.shares.recordAdmitted(m_context.clock.now(), demand.organisation, *tokens);
     }
 }
 
 void EngineAdmission::withdraw(const ServiceId& service, const EngineDemand& demand)
 {
     const auto it = m_services.find(service);
-    if (it == m_services.end() || demand.urgency != RouteUrgency::Yielding) {
-        return;
-    }
-    const auto now = m_context.clock.now();
-    if (const auto tokens = it->second.rate.countedTokens(now, demand.tokens)) {
-        it->second.shares.withdrawDemand(now, demand.organisation, *tokens);
+    const auto tokens = it == m_services.end() ? std::nullopt : sharedTokens(it->second, demand);
+    if (tokens) {
+        it->second.shares.withdrawDemand(m_context.clock.now(), demand.organisation, *tokens);
     }
 }
 
--- a/Source/Core/Gateway/EngineAdmission.h
+++ b/Source/Core/Gateway/EngineAdmission.h
@@ -14,6 +14,7 @@
 
 #include <algorithm>
 #include <map>
+#include <optional>
 #include <span>
 #include <vector>
 
@@ -77,6 +78,8 @@
 
     /// State of a service; nullptr if none of its routes yields.
     ServiceState* find(const RoutingConfiguration& configuration, const ServiceId& service);
+    /// Tokens with which a request counts in the fair shares; nothing if it does not yield or no rate was learnt.
+    std::optional<double> sharedTokens(const ServiceState& state, const EngineDemand& demand) const;
     /// Keeps the services with a yielding route in the configuration.
     void adopt(const RoutingConfiguration& configuration);
 
