--- a/Source/UnitTests/Gateway/QuarantineLongPromptTests.cpp
+++ b/Source/UnitTests/Gateway/QuarantineLongPromptTests.cpp
@@ -1,5 +1,5 @@
 #include "Gateway/FleetReportCodec.h"
-#include "Gateway/GatewayFixture.h"
+#include "Gateway/QuarantineVm.h"
 
 #include <numeric>
 
@@ -12,31 +12,12 @@
 constexpr PartId common = 1;
 constexpr PartId deadly = 3;
 
-struct NoTurns final : TurnQueries {
-    bool isOwnTurn(std::uint64_t) const override { return false; }
-};
-
-struct TestVm {
-    explicit TestVm(const Clock& clock)
-        : timeline(clock, "test")
-        , quarantine(clock, timeline, metrics, turns)
-    {
-    }
-
-    bool isQuarantined(PartId part) const { return quarantine.findQuarantined(std::array { part }).has_value(); }
-
-    MetricTable metrics;
-    Timeline timeline;
-    NoTurns turns;
-    PartQuarantine quarantine;
-};
-
 /// VMs that exchange reports, and prompts that are long conversations.
 struct LongPromptFleet {
     explicit LongPromptFleet(std::size_t size)
     {
         for (std::size_t n = 0; n < size; ++n) {
-            vms.push_back(std::make_unique<TestVm>(clock));
+            vms.push_back(std::make_unique<QuarantineVm>(clock));
         }
     }
 
@@ -78,7 +59,7 @@
     }
 
     ManualClock clock;
-    std::vector<std::unique_ptr<TestVm>> vms;
+    std::vector<std::unique_ptr<QuarantineVm>> vms;
     std::uint64_t crashes = 0;
     PartId nextPart = 1'000'000;
     std::size_t longestReport = 0;
--- a/Source/UnitTests/Gateway/QuarantineNewsTests.cpp
+++ b/Source/UnitTests/Gateway/QuarantineNewsTests.cpp
@@ -1,4 +1,4 @@
-#include "Gateway/GatewayFixture.h"
+#include "Gateway/QuarantineVm.h"
 
 using namespace Pollenwind;
 using namespace std::chrono_literals;
@@ -7,26 +7,10 @@
 
 constexpr PartId deadly = 3;
 
-struct NoTurns final : TurnQueries {
-    bool isOwnTurn(std::uint64_t) const override { return false; }
-};
-
-struct TestVm {
-    explicit TestVm(const Clock& clock)
-        : timeline(clock, "test")
-        , quarantine(clock, timeline, metrics, turns)
-    {
-    }
-
-    bool isQuarantined(PartId part) const { return quarantine.findQuarantined(std::array { part }).has_value(); }
-
-    MetricTable metrics;
-    Timeline timeline;
-    NoTurns turns;
-    PartQuarantine quarantine;
-};
-
-void report(TestVm& sender, TestVm& receiver) { receiver.quarantine.mergeReport(sender.quarantine.takeReport(), true); }
+void report(QuarantineVm& sender, QuarantineVm& receiver)
+{
+    receiver.quarantine.mergeReport(sender.quarantine.takeReport(), true);
+}
 
 } // namespace
 
@@ -35,11 +19,11 @@
 Test(PartQuarantine, isKnownToAVmWhoseEvidenceNamesThePart)
 {
     ManualClock clock;
-    TestVm known(clock);
+    QuarantineVm known(clock);
     for (std::uint64_t crash = 1; crash <= 2; ++crash) {
         known.quarantine.recordCrash("runner", crash, std::array { deadly });
     }
-    TestVm started(clock);
+    QuarantineVm started(clock);
     for (unsigned n = 0; n < 4; ++n) {
         clock.advance(250ms);
         // Not received, as before the start.
@@ -65,8 +49,8 @@
 Test(PartQuarantine, namesAPartBySeveralCrashesInOneReport)
 {
     ManualClock clock;
-    TestVm sender(clock);
-    TestVm receiver(clock);
+    QuarantineVm sender(clock);
+    QuarantineVm receiver(clock);
     for (std::uint64_t crash = 1; crash <= 3; ++crash) {
         sender.quarantine.recordCrash("runner", crash, std::array { deadly, deadly });
     }
--- a/Source/UnitTests/Gateway/QuarantineTests.cpp
+++ b/Source/UnitTests/Gateway/QuarantineTests.cpp
@@ -1,6 +1,6 @@
 #include "Gateway/FleetReportCodec.h"
-#include "Gateway/GatewayFixture.h"
 #include "Gateway/QuarantineRecords.h"
+#include "Gateway/QuarantineVm.h"
 
 using namespace Pollenwind;
 using namespace std::chrono_literals;
@@ -14,35 +14,12 @@
 
 const Error lost { ErrorCode::ConnectionLost, "reset", RunState::Unknown };
 
-/// The turn of one VM of the test's fleet.
-class ScriptedTurns final : public TurnQueries {
-public:
-    bool isOwnTurn(std::uint64_t) const override { return isOwn; }
-
-    bool isOwn = false;
-};
-
-struct TestVm {
-    explicit TestVm(const Clock& clock)
-        : timeline(clock, "test")
-        , quarantine(clock, timeline, metrics, turns)
-    {
-    }
-
-    bool isQuarantined(PartId part) const { return quarantine.findQuarantined(std::array { part }).has_value(); }
-
-    MetricTable metrics;
-    Timeline timeline;
-    ScriptedTurns turns;
-    PartQuarantine quarantine;
-};
-
 /// VMs that exchange reports in virtual time.
 struct QuarantineFleet {
     explicit QuarantineFleet(std::size_t size)
     {
         for (std::size_t n = 0; n < size; ++n) {
-            vms.push_back(std::make_unique<TestVm>(clock));
+            vms.push_back(std::make_unique<QuarantineVm>(clock));
         }
         vms.front()->turns.isOwn = true;
     }
@@ -82,7 +59,7 @@
     }
 
     ManualClock clock;
-    std::vector<std::unique_ptr<TestVm>> vms;
+    std::vector<std::unique_ptr<QuarantineVm>> vms;
     std::uint64_t crashes = 0;
 };
 
@@ -111,9 +88,9 @@
 };
 
 /// A VM with its records in a store.
-struct RecordingVm : TestVm {
+struct RecordingVm : QuarantineVm {
     RecordingVm(const Clock& clock, RecordStore& s)
-        : TestVm(clock)
+        : QuarantineVm(clock)
         , store(s)
         , records(clock, s, quarantine, quarantine, turns)
     {
@@ -348,7 +325,7 @@
     for (const std::size_t vm : { 0, 1, 2 }) {
         fleet.crash(vm, { deadly });
     }
-    fleet.vms.back() = std::make_unique<TestVm>(fleet.clock);
+    fleet.vms.back() = std::make_unique<QuarantineVm>(fleet.clock);
     for (unsigned n = 0; n < 20; ++n) {
         fleet.clock.advance(250ms);
         fleet.exchange();
