Review: order the cases by gravity

Cases 13 to 15 become 12 to 14. The stand-in of the store learns its header Store-Era and to come back from a copy.

--- a/review/stand-ins-3/case12.cpp
+++ b/review/stand-ins-3/case12.cpp
@@ -1,133 +1,135 @@
-// A roll-out to a bad version: every second of its answers is a failure with status 504 or 404. It is declared
-// complete.
+// Large desired states in quick succession: the memory of every gateway grows by each of them.
 #include "scenario.h"
 
 using namespace stand;
 
+namespace {
+
+/// Anonymous memory in MB: without the program's file and libraries, so less than the platform may count.
+double anonymousMemory(pid_t pid)
+{
+    std::ifstream in("/proc/" + std::to_string(pid) + "/status");
+    for (std::string line; std::getline(in, line);) {
+        if (line.starts_with("RssAnon:")) {
+            return std::atof(line.c_str() + 8) / 1024;
+        }
+    }
+    return 0;
+}
+
+} // namespace
+
 int main(int, char** argv)
 {
     Record record(std::string(argv[1]) + "/record.txt");
     const auto net = ownNetwork();
     const auto folder = temporaryFolder();
-    constexpr double duration = 30;
-    constexpr double rollbackSeconds = 5;
-    constexpr int badAnswersAllowed = 50;
-    const bool isBad = hasTrouble();
+    constexpr double seconds = 100;
+    constexpr double stormSeconds = 4;
+    constexpr double stormGap = 0.33;
+    constexpr double stormPause = 1;
     Store store;
-    std::mutex mutex;
-    std::map<std::string, double> sentAt;
-    int total = 0;
-    int toTarget = 0;
-    int bad = 0;
-    int late = 0;
-    double orderedAt = 0;
-    double fiftiethAt = 0;
-    std::deque<Runner> runners;
+    Runs runs;
+    Runner runner(store, "i-1", "workshop-app", "z-a");
     const auto serve = [&](Runner& self, const Request& request, Channel& channel) {
         const auto id = request.header("X-Request-Id");
+        runs.add(id, self.id, self.service);
         sleepFor(0.03);
-        int status = 200;
-        {
-            const std::lock_guard lock(mutex);
-            const bool isTarget = self.version == "v2";
-            const double sent = sentAt[id];
-            if (orderedAt > 0) {
-                ++total;
-                toTarget += isTarget;
-                late += isTarget && fiftiethAt > 0 && sent > fiftiethAt + rollbackSeconds;
-            }
-            if (isTarget && isBad && toTarget % 2 == 0) {
-                ++bad;
-                status = bad % 2 == 0 ? 404 : 504;
-                if (bad == badAnswersAllowed) {
-                    fiftiethAt = now();
-                    record.line("the new version gives its bad answer number %d", bad);
-                }
-            }
-        }
-        record.line("runner %s (%s) runs %s and answers %d", self.id.c_str(), self.version.c_str(), id.c_str(), status);
-        return channel.write(answerText(status, self.stamped(id), status == 200 ? "booked" : "failed"));
+        return channel.write(answerText(200, self.stamped(id), "booked"));
     };
-    if (!store.listen(net + "1")) {
+    if (!store.listen(net + "1") || !runner.start(net + "2", serve)) {
         cannotRun(record, "no loopback addresses");
     }
-    const auto add = [&](int number, const std::string& version) {
-        auto& runner = runners.emplace_back(store, "i-" + std::to_string(number), "workshop-app", "z-a");
-        runner.version = version;
-        runner.slots = 6;
-        runner.start(net + "2", serve);
+    const Json routes = Json::array({ route("booking-commit", "/booking/", "workshop-app") });
+    const Json services = Json::array({ service("workshop-app") });
+    const Json tenants = manyTenants(1'000'000);
+    int version = 0;
+    const auto write = [&] {
+        const auto text = desiredState(++version, routes, services, tenants);
+        store.put("op/config", text);
+        record.line("operator: desired state %d of %zu bytes confirmed", version, text.size());
     };
-    for (int n = 1; n <= 3; ++n) {
-        add(n, "v1");
-    }
-    store.put("op/config",
-        desiredState(1, Json::array({ route("booking-commit", "/booking/", "workshop-app") }),
-            Json::array({ service("workshop-app") }), Json::array({ tenant("garage", { "key" }) })));
+    write();
     std::deque<Gateway> gateways;
     for (int n = 1; n <= 3; ++n) {
-        gateways.emplace_back("edge-" + std::to_string(n), "z-a", net + std::to_string(10 + n), folder, store.address())
-            .start();
+        auto& gateway = gateways.emplace_back(
+            "edge-" + std::to_string(n), "z-a", net + std::to_string(10 + n), folder, store.address());
+        gateway.start();
     }
     for (auto& gateway : gateways) {
-        if (!gateway.waitReady(10)) {
+        if (!gateway.waitReady(15)) {
             cannotRun(record, gateway.node + " is not ready");
         }
     }
     std::atomic<bool> isOver = false;
+    std::atomic<int> kills = 0;
+    std::map<std::string, int> killsOf;
+    // The platform: a process that exceeds memory_mb is killed, and started again after a short delay.
+    std::thread platform([&] {
+        double shown = 0;
+        while (!isOver) {
+            for (auto& gateway : gateways) {
+                if (gateway.hasEnded()) {
+                    sleepFor(0.5);
+                    gateway.start();
+                    continue;
+                }
+                const double used = anonymousMemory(gateway.pid);
+                if (used > gateway.memoryMb) {
+                    ++kills;
+                    ++killsOf[gateway.node];
+                    record.line(
+                        "platform: %s holds %.1f MB of memory, more than memory_mb = %d, and is killed (time %d)",
+                        gateway.node.c_str(), used, gateway.memoryMb, killsOf[gateway.node]);
+                    gateway.signal(SIGKILL);
+                } else if (now() - shown > 5) {
+                    record.line("platform: %s holds %.1f MB of memory", gateway.node.c_str(), used);
+                    shown = &gateway == &gateways.back() ? now() : shown;
+                }
+            }
+            sleepFor(0.05);
+        }
+    });
+    std::atomic<int> lost = 0;
     std::atomic<int> sent = 0;
-    std::map<int, int> answers;
     std::vector<std::thread> consumers;
     for (auto& gateway : gateways) {
-        for (int n = 0; n < 4; ++n) {
+        for (int n = 0; n < 3; ++n) {
             consumers.emplace_back([&] {
                 while (!isOver) {
                     const auto id = "r-" + std::to_string(++sent);
-                    {
-                        const std::lock_guard lock(mutex);
-                        sentAt[id] = now();
+                    const auto answer
+                        = send(gateway.front, bookingText(id, "/booking/x", "key1000001abcdefghij", "book"), 3);
+                    const bool hasRun = !runs.of(id).empty();
+                    if (answer.status == 0 && hasRun && !isOver) {
+                        ++lost;
+                        record.line("consumer: %s to %s has run and got no answer", id.c_str(), gateway.node.c_str());
                     }
-                    const auto answer = send(gateway.front, bookingText(id, "/booking/x", "key", "book"), 3);
-                    {
-                        const std::lock_guard lock(mutex);
-                        ++answers[answer.status];
-                    }
-                    sleepFor(0.1);
+                    sleepFor(0.05);
                 }
             });
         }
     }
-    sleepFor(6);
-    for (int n = 4; n <= 6; ++n) {
-        add(n, "v2");
-    }
-    sleepFor(2);
-    store.put("op/rollout/workshop-app",
-        Json { { "service", "workshop-app" }, { "target", "v2" }, { "duration_s", duration } }.dump());
-    {
-        const std::lock_guard lock(mutex);
-        orderedAt = now();
-    }
-    record.line("operator: roll-out of workshop-app to v2 within %.0f s confirmed", duration);
-    std::string status;
-    for (const double until = now() + duration + 15; now() < until; sleepFor(0.05)) {
-        const auto written = store.get("status/rollout/workshop-app").value_or("");
-        if (written != status) {
-            status = written;
-            record.line("status/rollout/workshop-app = %s", status.c_str());
+    const double begin = now();
+    while (now() - begin < seconds) {
+        if (!hasTrouble()) {
+            sleepFor(1);
+            continue;
         }
+        for (const double until = now() + stormSeconds; now() < until;) {
+            const double next = now() + stormGap;
+            write();
+            sleepFor(std::max(0.0, next - now()));
+        }
+        sleepFor(stormPause);
     }
     isOver = true;
+    platform.join();
     for (auto& consumer : consumers) {
         consumer.join();
     }
-    record.line("%d requests reached the service since the order, %d of them v2, which gave %d bad answers", total,
-        toTarget, bad);
-    for (const auto& [code, count] : answers) {
-        record.line("consumers got %d answers with status %d", count, code);
-    }
-    finish(record, late > 0,
-        std::to_string(late)
-            + " requests, sent more than rollback_ms after the 50th bad answer of the new version, reached it; the "
-              "last status is "
-            + status);
+    record.line("%d requests sent, %d desired states", sent.load(), version);
+    finish(record, kills > 0,
+        "processes exceeded memory_mb " + std::to_string(kills) + " times and were killed, with no other disturbance; "
+            + std::to_string(lost) + " requests had run and got no answer");
 }
--- a/review/stand-ins-3/case14.cpp
+++ b/review/stand-ins-3/case14.cpp
@@ -1,5 +1,4 @@
-// A machine is frozen while large desired states come in quick succession, and goes on with the old one for many
-// seconds.
+// An entry of another writer, with fields missing, stands under a runner's id: requests go to the wrong service.
 #include "scenario.h"
 
 using namespace stand;
@@ -9,96 +8,76 @@
     Record record(std::string(argv[1]) + "/record.txt");
     const auto net = ownNetwork();
     const auto folder = temporaryFolder();
-    constexpr double freezeSeconds = 4;
-    constexpr double stormSeconds = 4;
-    constexpr double stormGap = 0.33;
-    constexpr double contactSeconds = 3;
-    constexpr double applySeconds = 2;
     Store store;
     Runs runs;
-    Runner before(store, "i-1", "workshop-app", "z-a");
-    Runner after(store, "i-2", "workshop-app-new", "z-a");
+    Runner booking(store, "i-1", "workshop-app", "z-a");
+    Runner stock(store, "i-2", "stock-app", "z-a");
     const auto serve = [&](Runner& self, const Request& request, Channel& channel) {
         const auto id = request.header("X-Request-Id");
         runs.add(id, self.id, self.service);
-        record.line("runner %s of %s runs %s", self.id.c_str(), self.service.c_str(), id.c_str());
+        sleepFor(0.03);
         return channel.write(answerText(200, self.stamped(id), self.service));
     };
-    if (!store.listen(net + "1") || !before.start(net + "2", serve) || !after.start(net + "2", serve)) {
+    if (!store.listen(net + "1") || !booking.start(net + "2", serve) || !stock.start(net + "2", serve)) {
         cannotRun(record, "no loopback addresses");
     }
-    const Json services = Json::array({ service("workshop-app"), service("workshop-app-new") });
-    const Json tenants = manyTenants(900'000);
-    int version = 0;
-    const auto write = [&](const std::string& target) {
-        const Json routes = Json::array(
-            { route("booking-commit", "/booking/", target), route("stock-read", "/stock/", target, true) });
-        const auto text = desiredState(++version, routes, services, tenants);
-        store.put("op/config", text);
-        record.line("operator: desired state %d of %zu bytes confirmed, routes lead to %s", version, text.size(),
-            target.c_str());
-        return now();
-    };
-    write("workshop-app");
-    Gateway frozen("edge-1", "z-a", net + "11", folder, store.address());
-    Gateway other("edge-2", "z-a", net + "12", folder, store.address());
-    frozen.start();
-    other.start();
-    if (!frozen.waitReady(15) || !other.waitReady(15)) {
-        cannotRun(record, "a gateway is not ready");
+    const Json routes = Json::array(
+        { route("booking-commit", "/booking/", "workshop-app"), route("stock-order", "/stock/", "stock-app") });
+    store.put("op/config",
+        desiredState(1, routes, Json::array({ service("workshop-app"), service("stock-app") }),
+            Json::array({ tenant("garage", { "key" }) })));
+    std::deque<Gateway> gateways;
+    for (int n = 1; n <= 2; ++n) {
+        auto& gateway = gateways.emplace_back(
+            "edge-" + std::to_string(n), "z-a", net + std::to_string(10 + n), folder, store.address());
+        gateway.start();
     }
-    sleepFor(2);
-    double thawedAt = now() - contactSeconds;
-    double confirmedAt = 0;
-    if (hasTrouble()) {
-        frozen.signal(SIGSTOP);
-        record.line("edge-1 freezes");
-        const double frozenAt = now();
-        bool isThawed = false;
-        const auto thawIfDue = [&] {
-            if (!isThawed && now() - frozenAt >= freezeSeconds) {
-                frozen.signal(SIGCONT);
-                thawedAt = now();
-                isThawed = true;
-                record.line("edge-1 wakes again");
-            }
-        };
-        for (const double until = now() + stormSeconds; now() < until; thawIfDue()) {
-            const double next = now() + stormGap;
-            // The routes move in the middle of the storm.
-            const bool isMoved = until - now() < stormSeconds / 2;
-            const double at = write(isMoved ? "workshop-app-new" : "workshop-app");
-            confirmedAt = isMoved && confirmedAt == 0 ? at : confirmedAt;
-            sleepFor(std::max(0.0, next - now()));
+    for (auto& gateway : gateways) {
+        if (!gateway.waitReady(10)) {
+            cannotRun(record, gateway.node + " is not ready");
         }
-        while (!isThawed) {
-            sleepFor(0.01);
-            thawIfDue();
+    }
+    std::atomic<bool> isOver = false;
+    std::atomic<int> sent = 0;
+    std::atomic<int> wrong = 0;
+    std::vector<std::thread> consumers;
+    for (auto& gateway : gateways) {
+        for (int n = 0; n < 6; ++n) {
+            consumers.emplace_back([&, isStock = n % 3 != 0] {
+                while (!isOver) {
+                    const auto id = "r-" + std::to_string(++sent);
+                    const std::string expected = isStock ? "stock-app" : "workshop-app";
+                    const auto answer
+                        = send(gateway.front, bookingText(id, isStock ? "/stock/x" : "/booking/x", "key", "order"), 3);
+                    for (const auto& run : runs.of(id)) {
+                        if (run.service != expected) {
+                            ++wrong;
+                            record.line("%s, sent to %s on a route to %s, was run by %s (%s); the consumer got %d '%s'",
+                                id.c_str(), gateway.node.c_str(), expected.c_str(), run.runner.c_str(),
+                                run.service.c_str(), answer.status, answer.body.c_str());
+                        }
+                    }
+                    sleepFor(0.05);
+                }
+            });
         }
-    } else {
-        confirmedAt = write("workshop-app-new");
-        sleepFor(freezeSeconds);
     }
-    int sent = 0;
-    int broken = 0;
-    int brokenAtOther = 0;
-    for (const double until = now() + 24; now() < until; sleepFor(0.25)) {
-        for (auto* gateway : { &frozen, &other }) {
-            const auto id = "r-" + std::to_string(++sent);
-            const double sentAt = now();
-            const auto answer = send(gateway->front, bookingText(id, "/stock/x", "", "read"), 3);
-            const auto ran = runs.of(id);
-            const bool isOld = !ran.empty() && ran.front().service == "workshop-app";
-            const bool isInTouch = gateway == &other || sentAt - thawedAt >= contactSeconds;
-            const bool isBroken = isOld && isInTouch && sentAt > confirmedAt + applySeconds;
-            record.line("consumer: %s to %s answered %d by %s%s", id.c_str(), gateway->node.c_str(), answer.status,
-                answer.body.substr(0, 40).c_str(), isBroken ? ": the old desired state" : "");
-            (gateway == &frozen ? broken : brokenAtOther) += isBroken;
+    // Without version, seq, cold_left_ms and born.
+    const Json foreign { { "service", "stock-app" }, { "address", booking.address() }, { "zone", "z-a" },
+        { "slots", 16 }, { "state", "ready" } };
+    sleepFor(3);
+    for (int n = 0; n < 10; ++n) {
+        if (hasTrouble()) {
+            store.put("servers/i-1", foreign.dump());
+            record.line("another writer: servers/i-1 = %s", foreign.dump().c_str());
         }
+        sleepFor(2);
+    }
+    isOver = true;
+    for (auto& consumer : consumers) {
+        consumer.join();
     }
-    finish(record, broken + brokenAtOther > 0,
-        std::to_string(broken)
-            + " requests at edge-1, in touch, were run by the service of a desired state that was replaced more than "
-              "config_apply_ms before; at edge-2 "
-            + std::to_string(brokenAtOther));
+    record.line("%d requests sent", sent.load());
+    finish(record, wrong > 0,
+        std::to_string(wrong) + " requests were run by a service to which no desired state leads them");
 }
--- a/review/stand-ins-3/stand.h
+++ b/review/stand-ins-3/stand.h
@@ -423,6 +423,17 @@
     /// Called for each transaction with its keys, for the record.
     std::function<void(const std::string&)> onWrite;
 
+    /// Value of the header Store-Era; none if negative.
+    std::atomic<int> era { -1 };
+    /// While true, the store answers nothing and its channels end.
+    std::atomic<bool> isAway { false };
+
+    struct Copy;
+    /// A copy of what the store holds now.
+    std::shared_ptr<Copy> copy();
+    /// Comes back from a copy: the revision goes back, the leases of the copy begin anew, and the era rises.
+    void restore(const Copy& copy);
+
 private:
     struct Item {
         std::string value;
@@ -500,13 +511,20 @@
             eraseLocked(key);
         }
     }
-    static bool reply(Channel& channel, int status, const Json& body)
+    bool reply(Channel& channel, int status, const Json& body) const
     {
-        return channel.write(answerText(status, { { "Content-Type", "application/json" } }, body.dump()));
+        Headers headers { { "Content-Type", "application/json" } };
+        if (era >= 0) {
+            headers.emplace_back("Store-Era", std::to_string(era));
+        }
+        return !isAway && channel.write(answerText(status, headers, body.dump()));
     }
     bool handle(const Request& request, Channel& channel)
     {
         sleepFor(0.004);
+        if (isAway) {
+            return false;
+        }
         std::unique_lock lock(m_mutex);
         expire();
         const auto& path = request.path;
@@ -547,7 +565,7 @@
             const double until = now() + std::strtod(request.parameter("wait_ms").c_str(), nullptr) / 1000;
             for (;;) {
                 prune();
-                if (after < m_oldest) {
+                if (after < m_oldest || after > m_revision || isAway) {
                     return reply(channel, 410, Json::object());
                 }
                 Json events = Json::array();
@@ -662,6 +680,33 @@
     std::int64_t m_nextLease = 100;
 };
 
+struct Store::Copy {
+    std::map<std::string, Item> items;
+    std::map<std::int64_t, Lease> leases;
+    std::int64_t revision = 0;
+};
+
+inline std::shared_ptr<Store::Copy> Store::copy()
+{
+    const std::lock_guard lock(m_mutex);
+    return std::make_shared<Copy>(Copy { m_items, m_leases, m_revision });
+}
+
+inline void Store::restore(const Copy& copy)
+{
+    const std::lock_guard lock(m_mutex);
+    m_items = copy.items;
+    m_revision = m_oldest = copy.revision;
+    m_history.clear();
+    m_leases = copy.leases;
+    for (auto& [id, lease] : m_leases) {
+        lease.until = now() + lease.ttl / 1000;
+    }
+    ++era;
+    isAway = false;
+    m_changed.notify_all();
+}
+
 /// A runner: registers itself in the store each heartbeat and serves requests.
 class Runner {
 public:
